--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+DEPLOYMENT ?= riddim
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo test lint format bench report binary clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $(STAMP)
+
+demo: install
+	$(PYTHON) -m bench.demo --deployment $(DEPLOYMENT)
+
+test: install
+	$(PYTHON) -m pytest -n 4
+
+lint: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+format: install
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+clean:
+	rm -rf dist build .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/azurestep/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that run real processes and measure them."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems that azurestep talks to, for tests and measurements."""
