--- /dev/null
+++ b/azurestep/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: its model, checks, changes and history."""
--- /dev/null
+++ b/azurestep/control/__init__.py
@@ -0,0 +1,1 @@
+"""How nodes act together: membership, spreading, following the log."""
--- /dev/null
+++ b/azurestep/errors.py
@@ -0,0 +1,50 @@
+"""Typed errors whose messages name the remedy."""
+
+
+class AzurestepError(Exception):
+    """Base of all errors that reach a person.
+
+    Parameters
+    ----------
+    problem : str
+        What went wrong, in one sentence without the final stop.
+    remedy : str
+        What the reader can do about it.
+    """
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        super().__init__(f"{problem}. {remedy}.")
+        self.problem = problem
+        self.remedy = remedy
+
+
+class SettingsError(AzurestepError):
+    """The settings file can't be used."""
+
+
+class ConfigurationError(AzurestepError):
+    """A configuration document can't be used."""
+
+
+class PlatformUnavailable(AzurestepError):
+    """The platform's log gave no usable answer before the deadline."""
+
+
+class PlatformRefused(AzurestepError):
+    """The platform's log refused a request for good."""
+
+
+class PublicationRefused(AzurestepError):
+    """The fold refused a publication."""
+
+
+class NodeUnreachable(AzurestepError):
+    """A node's operator endpoint gave no answer."""
+
+
+class PortInUse(AzurestepError):
+    """A listening address is already taken."""
+
+
+class MessageMalformed(AzurestepError):
+    """A frame from a peer can't be decoded."""
--- /dev/null
+++ b/azurestep/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside a backend server, assembled from its services."""
--- /dev/null
+++ b/azurestep/output/__init__.py
@@ -0,0 +1,1 @@
+"""What commands print."""
--- /dev/null
+++ b/azurestep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that the platform gives."""
--- /dev/null
+++ b/azurestep/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: from a caller to a backend server and back."""
