--- a/azurestep/errors.py
+++ b/azurestep/errors.py
@@ -26,25 +26,25 @@
     """A configuration document can't be used."""
 
 
-class PlatformUnavailable(AzurestepError):
+class PlatformUnavailableError(AzurestepError):
     """The platform's log gave no usable answer before the deadline."""
 
 
-class PlatformRefused(AzurestepError):
+class PlatformRefusedError(AzurestepError):
     """The platform's log refused a request for good."""
 
 
-class PublicationRefused(AzurestepError):
+class PublicationRefusedError(AzurestepError):
     """The fold refused a publication."""
 
 
-class NodeUnreachable(AzurestepError):
+class NodeUnreachableError(AzurestepError):
     """A node's operator endpoint gave no answer."""
 
 
-class PortInUse(AzurestepError):
+class PortInUseError(AzurestepError):
     """A listening address is already taken."""
 
 
-class MessageMalformed(AzurestepError):
+class MessageMalformedError(AzurestepError):
     """A frame from a peer can't be decoded."""
