Add the log stand-in

Tests and measurements need the platform's log with its faults: outages, lost answers, hangs, capacity, retention and a restored backup.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+pytest_plugins = ["tests.fixtures_standins"]
