--- /dev/null
+++ b/azurestep/balancing/deadlines.py
@@ -0,0 +1,73 @@
+"""Deadlines that travel with a request from hop to hop."""
+
+import attrs
+
+HOP_ALLOWANCE_MS = 2.0
+MAXIMUM_DEPTH = 32
+
+
+@attrs.frozen
+class Budget:
+    """Time that a request has left at a hop.
+
+    Attributes
+    ----------
+    remaining_ms : float
+        Time until the caller gives up, on the clock of nobody: it is relative.
+    depth : int
+        Calls above this one; 0 for the outermost.
+    """
+
+    remaining_ms: float
+    depth: int = 0
+
+    @property
+    def expired(self) -> bool:
+        """Whether sending the request would be in vain."""
+        return self.remaining_ms <= 0.0
+
+    @property
+    def too_deep(self) -> bool:
+        """Whether the calls most likely go round in a circle."""
+        return self.depth > MAXIMUM_DEPTH
+
+
+def limit_budget(remaining_ms: float | None, depth: int, timeout_ms: float) -> Budget:
+    """Return the budget of a request at its arrival.
+
+    Parameters
+    ----------
+    remaining_ms : float or None
+        What the caller says; None when it says nothing.
+    depth : int
+        Depth that the caller says; 0 when it says nothing.
+    timeout_ms : float
+        Timeout of the route or service, an upper bound.
+
+    Examples
+    --------
+    >>> limit_budget(None, 0, 2000.0)
+    Budget(remaining_ms=2000.0, depth=0)
+    >>> limit_budget(300.0, 2, 2000.0)
+    Budget(remaining_ms=300.0, depth=2)
+    """
+    if remaining_ms is None:
+        return Budget(timeout_ms, depth)
+    return Budget(min(remaining_ms, timeout_ms), depth)
+
+
+def next_budget(
+    budget: Budget, spent_ms: float, allowance_ms: float = HOP_ALLOWANCE_MS
+) -> Budget:
+    """Return what is told to the backend server.
+
+    The allowance keeps time for the answer's way back, so that the inner call
+    ends before the outer one gives up.
+
+    Examples
+    --------
+    >>> next_budget(Budget(300.0, 2), 48.0)
+    Budget(remaining_ms=250.0, depth=3)
+    """
+    remaining_ms = budget.remaining_ms - spent_ms - allowance_ms
+    return Budget(remaining_ms, budget.depth + 1)
--- /dev/null
+++ b/azurestep/balancing/ejection.py
@@ -0,0 +1,101 @@
+"""Ejection of backend servers by what was seen on real requests."""
+
+import statistics
+
+import attrs
+
+from ..config.model import SelectionRule
+from .endpoint_state import EndpointState
+
+CONSECUTIVE_FAILURES = 5
+PROBATION_FAILURES = 2
+PROBATION_SAMPLES = 10
+MINIMUM_SAMPLES = 10
+SUCCESS_GAP = 0.3
+PEERS_FAILING = 0.5
+LATENCY_RATIO = 3.0
+LATENCY_MARGIN_MS = 10.0
+MAXIMUM_DOUBLINGS = 6
+NEVER_MS = float("-inf")
+
+
+@attrs.define
+class OutlierDetector:
+    """Decides which backend servers of one service rest for a while.
+
+    An outlier is judged against its peers only: when most of them fail, the
+    cause isn't the single backend server, and ejecting it would only move its
+    load to the others.
+
+    Attributes
+    ----------
+    rule : SelectionRule
+        Largest ejected share and duration of a first ejection.
+    peer_success : float
+        Median smoothed success of the fit ones at the last review.
+    """
+
+    rule: SelectionRule
+    peer_success: float = 1.0
+
+    def failing(self, state: EndpointState) -> bool:
+        """Return whether the last failure in a row is one too many."""
+        returned = state.ejections > 0 and state.samples < PROBATION_SAMPLES
+        allowed = PROBATION_FAILURES if returned else CONSECUTIVE_FAILURES
+        return state.failures >= allowed and self.peer_success > PEERS_FAILING
+
+    def outliers(self, states: list[EndpointState]) -> list[EndpointState]:
+        """Return the fit ones that are far worse than the median, worst first."""
+        sampled = [s for s in states if s.fit and s.samples >= MINIMUM_SAMPLES]
+        if len(sampled) < 2:
+            self.peer_success = 1.0
+            return []
+        self.peer_success = statistics.median_high(s.success for s in sampled)
+        median_ms = statistics.median_low(s.latency_ms for s in sampled)
+        slow_ms = LATENCY_RATIO * median_ms + LATENCY_MARGIN_MS
+        lowest = self.peer_success - SUCCESS_GAP
+        found = [s for s in sampled if s.success < lowest or s.latency_ms > slow_ms]
+        return sorted(found, key=lambda s: (s.success, -s.latency_ms))
+
+    def allowed(self, states: list[EndpointState]) -> int:
+        """Return how many of the service's backend servers may be ejected."""
+        count = sum(not state.endpoint.leaving for state in states)
+        if count < 2 or self.rule.ejection_ratio <= 0:
+            return 0
+        return min(count - 1, max(1, int(self.rule.ejection_ratio * count)))
+
+    def eject(
+        self, state: EndpointState, states: list[EndpointState], now_ms: float
+    ) -> bool:
+        """Eject the backend server unless the cap is reached."""
+        ejected = sum(s.ejected for s in states if not s.endpoint.leaving)
+        if not state.fit or ejected >= self.allowed(states):
+            return False
+        doublings = min(state.ejections, MAXIMUM_DOUBLINGS)
+        state.ejected_until_ms = now_ms + self.rule.ejection_ms * 2**doublings
+        state.ejections += 1
+        return True
+
+    def restore(self, states: list[EndpointState], now_ms: float) -> bool:
+        """Return the ejected whose time is over, or that exceed the cap."""
+        ejected = [s for s in states if s.ejected and not s.endpoint.leaving]
+        ejected.sort(key=lambda s: s.ejected_until_ms)
+        excess = max(0, len(ejected) - self.allowed(states))
+        restored = False
+        for index, state in enumerate(ejected):
+            if index >= excess and state.ejected_until_ms > now_ms:
+                continue
+            state.ejected_until_ms = NEVER_MS
+            state.ramp_start_ms = now_ms
+            state.forget()
+            restored = True
+        return restored
+
+    def forgive(self, state: EndpointState, now_ms: float) -> None:
+        """Halve the memory of ejections after a healthy stretch."""
+        healthy = state.samples >= 10 * PROBATION_SAMPLES and state.success > 0.9
+        if state.ejections == 0 or state.ejected or not healthy:
+            return
+        if now_ms - state.ramp_start_ms > 2 * self.rule.ejection_ms:
+            state.ejections //= 2
+            state.ramp_start_ms = now_ms - self.rule.ramp_up_ms
--- /dev/null
+++ b/azurestep/balancing/quarantine.py
@@ -0,0 +1,300 @@
+"""Quarantine of requests that crash the backend servers that run them.
+
+A fingerprint whose request was in flight on a backend server as that died is a
+suspect. It is refused once it is more likely the cause than chance is:
+
+- it was in flight at the deaths of ``deaths_to_refuse`` distinct servers,
+- those deaths outnumber the times it ran without one, and
+- under the rate of the *other* deaths of late, the coincidence is improbable.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from enum import StrEnum
+
+import attrs
+
+from .messages import EndpointKey
+
+DEATHS_TO_REFUSE = 2
+TABLE_SIZE = 1024
+REFUSAL_MS = 600_000.0
+SUSPICION_MS = 300_000.0
+PENDING_MS = 10_000.0
+DEATH_WINDOW_MS = 10_000.0
+CHANCE_MAXIMUM = 0.01
+PRIOR_DEATHS = 0.1
+REMEMBERED_DEATHS = 256
+
+
+class Standing(StrEnum):
+    """How a fingerprint is treated."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    REFUSED = "refused"
+
+
+@attrs.frozen
+class QuarantineUpdate:
+    """What one node tells the others of a fingerprint.
+
+    Attributes
+    ----------
+    fingerprint : int
+        Which request.
+    deaths : tuple of EndpointKey
+        Backend servers that died with it in flight.
+    refused_for_ms : float
+        Rest of the refusal; 0 for a mere suspect.
+    """
+
+    fingerprint: int
+    deaths: tuple[EndpointKey, ...]
+    refused_for_ms: float = 0.0
+
+
+@attrs.define
+class Suspect:
+    """Record of one fingerprint.
+
+    Attributes
+    ----------
+    deaths : set of EndpointKey
+        Backend servers that died with it in flight.
+    pending : dict
+        Connections lost with it in flight, by backend server with the time,
+        until that server proves dead or alive.
+    survivals : int
+        Times it ran to an answer since it was first suspected.
+    running : dict
+        Attempts in flight now, by backend server.
+    refused_until_ms : float
+        End of the refusal; negative infinity for none.
+    expiry_ms : float
+        When the record is dropped.
+    """
+
+    deaths: set[EndpointKey] = attrs.field(factory=set)
+    pending: dict[EndpointKey, float] = attrs.field(factory=dict)
+    survivals: int = 0
+    running: dict[EndpointKey, int] = attrs.field(factory=dict)
+    refused_until_ms: float = float("-inf")
+    expiry_ms: float = float("inf")
+
+
+class Quarantine:
+    """Bounded table of suspects of one service at one node.
+
+    Parameters
+    ----------
+    deaths_to_refuse : int
+        Distinct deaths from which a fingerprint may be refused.
+    size : int
+        Records kept; the one unused for longest goes first.
+    weigh_chance : bool
+        Whether coincidence with other deaths is weighed; off for comparison.
+    """
+
+    def __init__(
+        self,
+        deaths_to_refuse: int = DEATHS_TO_REFUSE,
+        size: int = TABLE_SIZE,
+        weigh_chance: bool = True,
+    ) -> None:
+        self._deaths_to_refuse = deaths_to_refuse
+        self._size = size
+        self._weigh_chance = weigh_chance
+        self._suspects: OrderedDict[int, Suspect] = OrderedDict()
+        self._deaths: deque[tuple[float, EndpointKey]] = deque(maxlen=REMEMBERED_DEATHS)
+        self._dead: dict[EndpointKey, float] = {}
+        self._servers = 1
+
+    @property
+    def active(self) -> bool:
+        """Whether any fingerprint is on record; if not, none need be computed."""
+        return bool(self._suspects)
+
+    def standing(self, fingerprint: int, now_ms: float) -> Standing:
+        """Return how a request is to be treated."""
+        suspect = self._find(fingerprint, now_ms)
+        if suspect is None:
+            return Standing.CLEAR
+        if suspect.refused_until_ms > now_ms:
+            return Standing.REFUSED
+        if len(suspect.deaths) > suspect.survivals or suspect.pending:
+            return Standing.SUSPECT
+        return Standing.CLEAR
+
+    def occupied(self, now_ms: float) -> tuple[EndpointKey, ...]:
+        """Return the servers that run a suspect, which another must avoid.
+
+        Two suspects on one server would share the blame for its death.
+        """
+        return tuple(
+            key
+            for suspect in self._suspects.values()
+            for key, count in suspect.running.items()
+            if count > 0
+        )
+
+    def started(self, fingerprint: int, key: EndpointKey, now_ms: float) -> None:
+        """Note that an attempt is sent; cheap when it is no suspect."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.running[key] = suspect.running.get(key, 0) + 1
+
+    def answered(self, fingerprint: int, key: EndpointKey, now_ms: float) -> None:
+        """Note that an attempt brought an answer: the server survived it."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return
+        self._stop(suspect, key)
+        suspect.survivals += 1
+        if suspect.survivals >= len(suspect.deaths) and not suspect.pending:
+            self._drop(fingerprint)
+
+    def ended(self, fingerprint: int, key: EndpointKey) -> None:
+        """Note that an attempt ended in a way that says nothing."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            self._stop(suspect, key)
+
+    def lost(self, fingerprint: int, key: EndpointKey, now_ms: float) -> None:
+        """Note a connection lost before the first byte of the answer."""
+        suspect = self._record(fingerprint, now_ms)
+        self._stop(suspect, key)
+        if key in self._dead:
+            self._blame(suspect, key, now_ms)
+            return
+        suspect.pending[key] = now_ms
+
+    def server_died(
+        self, key: EndpointKey, now_ms: float, servers: int = 1
+    ) -> list[QuarantineUpdate]:
+        """Note that a backend server is dead for certain.
+
+        Parameters
+        ----------
+        key : EndpointKey
+            Which.
+        now_ms : float
+            Present time.
+        servers : int
+            Backend servers of the service, dead ones included.
+
+        Returns
+        -------
+        list of QuarantineUpdate
+            News for the other nodes.
+        """
+        if key in self._dead:
+            return []
+        self._remember_death(key, now_ms)
+        self._servers = max(servers, 1)
+        news = []
+        for fingerprint, suspect in self._suspects.items():
+            if suspect.pending.pop(key, None) is None:
+                continue
+            self._blame(suspect, key, now_ms)
+            news.append(self._update(fingerprint, suspect, now_ms))
+        return news
+
+    def server_alive(self, key: EndpointKey) -> None:
+        """Note that a lost connection didn't mean a death."""
+        for fingerprint, suspect in list(self._suspects.items()):
+            suspect.pending.pop(key, None)
+            if not suspect.pending and not suspect.deaths:
+                self._drop(fingerprint)
+
+    def export(self, now_ms: float) -> list[QuarantineUpdate]:
+        """Return everything that other nodes should know."""
+        return [
+            self._update(fingerprint, suspect, now_ms)
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.deaths
+        ]
+
+    def learn(self, updates: Iterable[QuarantineUpdate], now_ms: float) -> None:
+        """Take over what other nodes saw."""
+        for update in updates:
+            suspect = self._record(update.fingerprint, now_ms)
+            for key in update.deaths:
+                if key not in self._dead:
+                    self._remember_death(key, now_ms)
+                suspect.deaths.add(key)
+            until_ms = now_ms + min(update.refused_for_ms, REFUSAL_MS)
+            if update.refused_for_ms > 0:
+                suspect.refused_until_ms = max(suspect.refused_until_ms, until_ms)
+            self._judge(suspect, now_ms)
+
+    def _find(self, fingerprint: int, now_ms: float) -> Suspect | None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return None
+        _forget_pending(suspect, now_ms)
+        if now_ms >= suspect.expiry_ms or not (suspect.deaths or suspect.pending):
+            self._drop(fingerprint)
+            return None
+        return suspect
+
+    def _record(self, fingerprint: int, now_ms: float) -> Suspect:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = Suspect()
+            self._suspects[fingerprint] = suspect
+        self._suspects.move_to_end(fingerprint)
+        suspect.expiry_ms = now_ms + SUSPICION_MS
+        while len(self._suspects) > self._size:
+            self._suspects.popitem(last=False)
+        return suspect
+
+    def _drop(self, fingerprint: int) -> None:
+        del self._suspects[fingerprint]
+
+    def _stop(self, suspect: Suspect, key: EndpointKey) -> None:
+        count = suspect.running.get(key, 0) - 1
+        if count > 0:
+            suspect.running[key] = count
+        else:
+            suspect.running.pop(key, None)
+
+    def _remember_death(self, key: EndpointKey, now_ms: float) -> None:
+        if len(self._deaths) == self._deaths.maxlen:
+            self._dead.pop(self._deaths[0][1], None)
+        self._deaths.append((now_ms, key))
+        self._dead[key] = now_ms
+
+    def _blame(self, suspect: Suspect, key: EndpointKey, now_ms: float) -> None:
+        suspect.deaths.add(key)
+        self._judge(suspect, now_ms)
+
+    def _judge(self, suspect: Suspect, now_ms: float) -> None:
+        count = len(suspect.deaths)
+        if count < self._deaths_to_refuse or suspect.survivals >= count:
+            return
+        if self._weigh_chance and self._chance(suspect, now_ms) > CHANCE_MAXIMUM:
+            return
+        suspect.refused_until_ms = max(suspect.refused_until_ms, now_ms + REFUSAL_MS)
+        suspect.expiry_ms = max(suspect.expiry_ms, suspect.refused_until_ms)
+
+    def _chance(self, suspect: Suspect, now_ms: float) -> float:
+        since_ms = now_ms - DEATH_WINDOW_MS
+        others = sum(
+            at_ms >= since_ms and key not in suspect.deaths
+            for at_ms, key in self._deaths
+        )
+        share = min(1.0, (others + PRIOR_DEATHS) / self._servers)
+        return share ** len(suspect.deaths)
+
+    def _update(
+        self, fingerprint: int, suspect: Suspect, now_ms: float
+    ) -> QuarantineUpdate:
+        refused_for_ms = max(0.0, suspect.refused_until_ms - now_ms)
+        return QuarantineUpdate(fingerprint, tuple(suspect.deaths), refused_for_ms)
+
+
+def _forget_pending(suspect: Suspect, now_ms: float) -> None:
+    for key, since_ms in list(suspect.pending.items()):
+        if now_ms - since_ms > PENDING_MS:
+            del suspect.pending[key]
--- /dev/null
+++ b/azurestep/balancing/rates.py
@@ -0,0 +1,51 @@
+"""Exponentially decayed rates and means."""
+
+import math
+
+import attrs
+
+RATE_CONSTANT_MS = 1000.0
+MEAN_SMOOTHING = 0.05
+
+
+@attrs.define
+class RateMeter:
+    """Events per millisecond over about the last second.
+
+    Attributes
+    ----------
+    count : float
+        Decayed number of events.
+    updated_ms : float
+        Time of the last event.
+    """
+
+    count: float = 0.0
+    updated_ms: float = 0.0
+
+    def add(self, now_ms: float) -> None:
+        """Count one event."""
+        age_ms = now_ms - self.updated_ms
+        self.count = self.count * math.exp(-age_ms / RATE_CONSTANT_MS) + 1.0
+        self.updated_ms = now_ms
+
+    def per_ms(self, now_ms: float) -> float:
+        """Return the present rate in events per millisecond."""
+        age_ms = now_ms - self.updated_ms
+        return self.count * math.exp(-age_ms / RATE_CONSTANT_MS) / RATE_CONSTANT_MS
+
+
+@attrs.define
+class SmoothedMean:
+    """Mean of the recent values; the first one counts whole."""
+
+    value: float = 0.0
+    empty: bool = True
+
+    def add(self, value: float) -> None:
+        """Take one value into account."""
+        if self.empty:
+            self.value = value
+            self.empty = False
+            return
+        self.value += MEAN_SMOOTHING * (value - self.value)
--- /dev/null
+++ b/azurestep/balancing/whole_answers.py
@@ -0,0 +1,157 @@
+"""What to do when the body of an answer ends before its end."""
+
+import attrs
+
+MAXIMUM_RESUMPTIONS = 3
+WEAK_PREFIX = "W/"
+HTTP_PARTIAL_CONTENT = 206
+
+
+@attrs.frozen
+class CutAnswer:
+    """An answer whose connection ended too soon.
+
+    Attributes
+    ----------
+    safe_get : bool
+        Whether the request is a GET that may run again.
+    declared_bytes : int or None
+        Length of the body by its headers; None when it has none.
+    delivered_bytes : int
+        Bytes of the body that the caller already has.
+    head_delivered : bool
+        Whether the caller already has the status line and headers.
+    entity_tag : str
+        ``ETag`` header, empty when there is none.
+    accepts_ranges : bool
+        Whether ``Accept-Ranges`` names bytes.
+    first_byte : int
+        Offset of the body's first byte in the resource: 0 for a whole answer,
+        the start of the range for a partial one.
+    resumptions : int
+        Resumptions of this answer so far.
+    remaining_ms : float
+        Time until the caller gives up.
+    """
+
+    safe_get: bool
+    declared_bytes: int | None
+    delivered_bytes: int
+    head_delivered: bool
+    entity_tag: str = ""
+    accepts_ranges: bool = False
+    first_byte: int = 0
+    resumptions: int = 0
+    remaining_ms: float = float("inf")
+
+
+@attrs.frozen
+class Resume:
+    """Ask for the rest and append it.
+
+    Attributes
+    ----------
+    range_start, range_end : int
+        First and last byte to ask for, both inclusive.
+    if_range : str
+        Entity tag for ``If-Range``.
+    """
+
+    range_start: int
+    range_end: int
+    if_range: str
+
+
+@attrs.frozen
+class RetryElsewhere:
+    """Nothing reached the caller: send the request again as a whole."""
+
+
+@attrs.frozen
+class Abort:
+    """Break the connection to the caller, so that it sees the cut."""
+
+
+@attrs.frozen
+class ResumedAnswer:
+    """Head of the answer to a resumption.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    entity_tag : str
+        ``ETag`` header.
+    range_start, range_end : int or None
+        From ``Content-Range``, inclusive.
+    """
+
+    status: int
+    entity_tag: str
+    range_start: int | None
+    range_end: int | None
+
+
+def is_whole(
+    declared_bytes: int | None, received_bytes: int, ended_cleanly: bool
+) -> bool:
+    """Return whether a body is complete.
+
+    Parameters
+    ----------
+    declared_bytes : int or None
+        Length by the headers; None for a chunked body.
+    received_bytes : int
+        Bytes that came.
+    ended_cleanly : bool
+        Whether the protocol marked the end (the last chunk was seen).
+    """
+    if declared_bytes is None:
+        return ended_cleanly
+    return received_bytes == declared_bytes
+
+
+def decide_cut(answer: CutAnswer) -> Resume | RetryElsewhere | Abort:
+    """Decide what follows an answer that was cut short."""
+    if not answer.safe_get or answer.remaining_ms <= 0:
+        return Abort()
+    if not answer.head_delivered:
+        return RetryElsewhere()
+    if not _resumable(answer) or answer.declared_bytes is None:
+        return Abort()
+    start = answer.first_byte + answer.delivered_bytes
+    end = answer.first_byte + answer.declared_bytes - 1
+    return Resume(start, end, answer.entity_tag)
+
+
+def _resumable(answer: CutAnswer) -> bool:
+    declared = answer.declared_bytes
+    if declared is None or answer.delivered_bytes >= declared:
+        return False
+    if answer.resumptions >= MAXIMUM_RESUMPTIONS:
+        return False
+    return answer.accepts_ranges and is_strong(answer.entity_tag)
+
+
+def is_strong(entity_tag: str) -> bool:
+    """Return whether equal tags mean equal bytes (RFC 9110, section 8.8.1).
+
+    Examples
+    --------
+    >>> is_strong('"v1"'), is_strong('W/"v1"'), is_strong("")
+    (True, False, False)
+    """
+    quoted = len(entity_tag) >= 2 and entity_tag[0] == entity_tag[-1] == '"'
+    return quoted and not entity_tag.startswith(WEAK_PREFIX)
+
+
+def continues(wanted: Resume, answer: ResumedAnswer) -> bool:
+    """Return whether a resumed answer may be appended to what was delivered."""
+    if answer.status != HTTP_PARTIAL_CONTENT:
+        return False
+    if answer.entity_tag not in ("", wanted.if_range):
+        return False
+    return (answer.range_start, answer.range_end) == (
+        wanted.range_start,
+        wanted.range_end,
+    )
