Add the log client, membership, spreading and the peer sockets

Cause: a version must reach every node from the few that read the log. Change: pure decisions for membership, gossip, failure detection, the push tree with digest repair and the count of applications; CURVE sockets around them.

--- a/azurestep/config/fold.py
+++ b/azurestep/config/fold.py
@@ -5,13 +5,12 @@
 the records, so it needs no lock, lease or leader.
 """
 
-from typing import Any
-
 import attrs
 from returns.result import Failure, Result, Success
 
 from ..errors import MessageMalformedError
 from ..faults import Fault
+from ..platform.records import LogRecord
 from .changes import apply_change
 from .delta import Delta, apply_delta
 from .document import Document
@@ -29,15 +28,6 @@
 BUFFER_MAXIMUM_RECORDS = 10_000
 
 
-@attrs.frozen
-class LogRecord:
-    """A record as read from the log."""
-
-    offset: int
-    time_ms: int
-    value: Any
-
-
 @attrs.frozen
 class Accepted:
     """A publication is the new version; ``version`` is its offset."""
--- /dev/null
+++ b/azurestep/control/codec.py
@@ -0,0 +1,140 @@
+"""Encoding of messages between nodes: positional arrays in msgpack.
+
+A message is ``[kind, sender, fields]``. Fields are positional: a longer array
+from a newer program is cut, missing fields at the end take their defaults.
+"""
+
+from enum import IntEnum
+from typing import Any
+
+import attrs
+import cattrs
+import msgpack
+
+from ..errors import MessageMalformedError
+from .messages import (
+    Ack,
+    Applied,
+    Broadcast,
+    DataCentreReport,
+    Later,
+    MemberState,
+    Message,
+    Probe,
+    ProbeRelayed,
+    ProbeRequest,
+    Pull,
+    PullReply,
+    Push,
+    Sender,
+    ServiceSummary,
+    SyncReply,
+    SyncRequest,
+    Update,
+)
+
+FRAME_MAXIMUM_BYTES = 8 * 1024 * 1024
+
+MESSAGE_KINDS: dict[int, type] = {
+    1: Probe,
+    2: Ack,
+    3: ProbeRequest,
+    4: ProbeRelayed,
+    5: Broadcast,
+    6: SyncRequest,
+    7: SyncReply,
+    8: Push,
+    9: Pull,
+    10: PullReply,
+    11: Later,
+    12: Applied,
+}
+UPDATE_KINDS: dict[int, type] = {
+    1: MemberState,
+    2: ServiceSummary,
+    3: DataCentreReport,
+}
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(
+        unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE,
+        detailed_validation=False,
+        prefer_attrib_converters=False,
+    )
+    converter.register_unstructure_hook(bytes, lambda value: value)
+    converter.register_structure_hook(bytes, _structure_bytes)
+    converter.register_unstructure_hook(IntEnum, int)
+    _register_union(converter, Update, UPDATE_KINDS)
+    return converter
+
+
+def _structure_bytes(value: Any, _type: type) -> bytes:
+    if not isinstance(value, bytes):
+        raise TypeError("bytes expected")
+    return value
+
+
+def _register_union(
+    converter: cattrs.Converter, union: Any, kinds: dict[int, type]
+) -> None:
+    numbers = {kind: number for number, kind in kinds.items()}
+
+    def unstructure(value: Any) -> list[Any]:
+        return [numbers[type(value)], converter.unstructure(value)]
+
+    def structure(value: Any, _type: Any) -> Any:
+        number, fields = value
+        return converter.structure(fields, kinds[number])
+
+    converter.register_unstructure_hook(union, unstructure)
+    converter.register_structure_hook(union, structure)
+
+
+CONVERTER = _make_converter()
+_NUMBERS = {kind: number for number, kind in MESSAGE_KINDS.items()}
+
+
+@attrs.frozen
+class Envelope:
+    """A decoded message and its sender."""
+
+    sender: Sender
+    message: Message
+
+
+def encode(sender: Sender, message: Message) -> bytes:
+    """Return the frame of a message."""
+    kind = type(message)
+    fields = CONVERTER.unstructure(message)
+    frame: bytes = msgpack.packb(
+        [_NUMBERS[kind], CONVERTER.unstructure(sender), fields]
+    )
+    return frame
+
+
+def decode(frame: bytes) -> Envelope:
+    """Return the message of a frame.
+
+    Raises
+    ------
+    MessageMalformedError
+        If the frame is too large or is no message of this protocol.
+    """
+    if len(frame) > FRAME_MAXIMUM_BYTES:
+        raise _malformed(f"{len(frame)} bytes are too many")
+    try:
+        number, sender, fields = msgpack.unpackb(frame)
+        return Envelope(
+            CONVERTER.structure(sender, Sender),
+            CONVERTER.structure(fields, MESSAGE_KINDS[number]),
+        )
+    except Exception as error:
+        raise _malformed(repr(error)) from error
+
+
+def _malformed(cause: str) -> MessageMalformedError:
+    return MessageMalformedError(
+        f"a frame from a peer can't be decoded: {cause}",
+        "Check that only nodes of this fleet reach the control port",
+    )
--- /dev/null
+++ b/azurestep/control/detector.py
@@ -0,0 +1,101 @@
+"""Failure detector: probes, indirect probes, suspicion.
+
+An unanswered probe is repeated on a new connection and through two helpers
+before the member is suspected, since the path may be lost and not the peer.
+"""
+
+import random
+
+import attrs
+
+from ..settings import Address, ControlSettings
+
+HELPERS = 2
+
+
+@attrs.define
+class Outstanding:
+    """A probe that waits for its answer.
+
+    Attributes
+    ----------
+    instance : str
+        Member that was probed; empty for an address of another data centre.
+    to : Address
+        Where the probe went.
+    sent_ms : float
+        Monotonic time of the first attempt.
+    is_repeated : bool
+        Whether the probe was repeated on a new connection.
+    """
+
+    instance: str
+    to: Address
+    sent_ms: float
+    is_repeated: bool = False
+
+
+@attrs.frozen
+class Repeat:
+    """The probe is to be repeated on a new connection and through helpers."""
+
+    sequence: int
+    probe: Outstanding
+
+
+@attrs.frozen
+class Failed:
+    """The probe and its repetitions went unanswered."""
+
+    probe: Outstanding
+
+
+class Detector:
+    """Keeps the outstanding probes of one node."""
+
+    def __init__(self, settings: ControlSettings, source: random.Random) -> None:
+        self._settings = settings
+        self._random = source
+        self._sequence = 0
+        self._outstanding: dict[int, Outstanding] = {}
+        self._next_probe_ms = 0.0
+        self._turn = 0
+
+    def is_due(self, now_ms: float) -> bool:
+        """Whether it is time for the next probe; jitter keeps nodes apart."""
+        if now_ms < self._next_probe_ms:
+            return False
+        interval_ms = self._settings.probe_interval_ms
+        self._next_probe_ms = now_ms + interval_ms * self._random.uniform(0.9, 1.1)
+        return True
+
+    def next_target(self, targets: list[str]) -> str | None:
+        """Return the members in turn."""
+        if not targets:
+            return None
+        self._turn += 1
+        return targets[self._turn % len(targets)]
+
+    def start(self, instance: str, to: Address, now_ms: float) -> int:
+        """Note a probe and return its sequence number."""
+        self._sequence += 1
+        self._outstanding[self._sequence] = Outstanding(instance, to, now_ms)
+        return self._sequence
+
+    def answered(self, sequence: int) -> Outstanding | None:
+        """Note an answer and return the probe that it belongs to."""
+        return self._outstanding.pop(sequence, None)
+
+    def expire(self, now_ms: float) -> list[Repeat | Failed]:
+        """Return what became of probes whose time is over."""
+        timeout_ms = self._settings.probe_timeout_ms
+        results: list[Repeat | Failed] = []
+        for sequence, probe in list(self._outstanding.items()):
+            waited_ms = now_ms - probe.sent_ms
+            if waited_ms >= 3 * timeout_ms:
+                del self._outstanding[sequence]
+                results.append(Failed(probe))
+            elif waited_ms >= timeout_ms and not probe.is_repeated:
+                probe.is_repeated = True
+                results.append(Repeat(sequence, probe))
+        return results
--- /dev/null
+++ b/azurestep/control/gossip.py
@@ -0,0 +1,47 @@
+"""Queue of updates that ride on probes and their answers."""
+
+import math
+
+import attrs
+
+from .messages import Update
+from .table import is_global, key_of
+
+UPDATES_PER_MESSAGE = 8
+RETRANSMIT_FACTOR = 2
+
+
+@attrs.define
+class _Pending:
+    update: Update
+    sent: int = 0
+
+
+class GossipQueue:
+    """Hands out each update a number of times that grows with log2(members)."""
+
+    def __init__(self) -> None:
+        self._pending: dict[str, _Pending] = {}
+
+    def add(self, update: Update) -> None:
+        """Queue an update; it replaces an older one about the same key."""
+        self._pending[key_of(update)] = _Pending(update)
+
+    def take(self, members: int, only_global: bool = False) -> list[Update]:
+        """Return the updates for one message, the least sent first."""
+        limit = RETRANSMIT_FACTOR * max(1, math.ceil(math.log2(members + 1)))
+        candidates = [
+            pending
+            for pending in self._pending.values()
+            if not only_global or is_global(pending.update)
+        ]
+        candidates.sort(key=lambda pending: pending.sent)
+        chosen = candidates[:UPDATES_PER_MESSAGE]
+        for pending in chosen:
+            pending.sent += 1
+            if pending.sent >= limit:
+                del self._pending[key_of(pending.update)]
+        return [pending.update for pending in chosen]
+
+    def __len__(self) -> int:
+        return len(self._pending)
--- /dev/null
+++ b/azurestep/control/link.py
@@ -0,0 +1,167 @@
+"""Sockets between nodes: one that receives, one that sends per peer."""
+
+import asyncio
+from collections import OrderedDict
+
+import attrs
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from ..errors import MessageMalformedError, PortInUseError
+from ..events import FRAME_DROPPED, emit
+from ..settings import Address, FleetKey
+from .codec import FRAME_MAXIMUM_BYTES, Envelope, decode, encode
+from .messages import Message, Sender
+
+QUEUE_LENGTH = 256
+LINKS_MAXIMUM = 256
+CURVE_ANY = "*"
+
+
+@attrs.define
+class LinkCounters:
+    """Traffic of the control sockets since the start, frame bodies only.
+
+    Attributes
+    ----------
+    sent_frames, sent_bytes, received_frames, received_bytes : int
+        Frames and their bytes, without what the transport adds.
+    dropped_frames : int
+        Received frames that could not be decoded.
+    unsent_frames : int
+        Frames dropped because the queue of a peer was full.
+    """
+
+    sent_frames: int = 0
+    sent_bytes: int = 0
+    received_frames: int = 0
+    received_bytes: int = 0
+    dropped_frames: int = 0
+    unsent_frames: int = 0
+
+
+class Links:
+    """Owns the control sockets of a node.
+
+    Messages are one-way; an answer is a message to the sender's address. With
+    a fleet key every connection is authenticated and encrypted by CURVE.
+    """
+
+    def __init__(self, own: Sender, fleet_key: FleetKey | None) -> None:
+        self.counters = LinkCounters()
+        self._own = own
+        self._key = fleet_key
+        self._context = zmq.asyncio.Context()
+        self._sync_context = zmq.Context(self._context)
+        self._inbound: zmq.asyncio.Socket | None = None
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        self._outbound: OrderedDict[Address, zmq.Socket[bytes]] = OrderedDict()
+
+    def open(self) -> None:
+        """Listen on the node's own control address.
+
+        Raises
+        ------
+        PortInUseError
+            If the address is taken.
+        """
+        self._start_authentication()
+        socket = self._context.socket(zmq.PULL)
+        socket.linger = 0
+        socket.maxmsgsize = FRAME_MAXIMUM_BYTES
+        if self._key is not None:
+            socket.curve_server = True
+            socket.curve_secretkey = self._key.secret_key.encode()
+            socket.curve_publickey = self._key.public_key.encode()
+        try:
+            socket.bind(f"tcp://{self._own.address}")
+        except zmq.ZMQError as error:
+            socket.close()
+            raise PortInUseError(
+                f"control address {self._own.address} can't be used: {error}",
+                "Free the port or set another control_port",
+            ) from error
+        self._inbound = socket
+
+    def _start_authentication(self) -> None:
+        if self._key is None:
+            return
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        provider = _SingleKey(self._key.public_key)
+        self._authenticator.configure_curve_callback(CURVE_ANY, provider)
+
+    async def receive(self) -> Envelope:
+        """Return the next message that can be decoded."""
+        if self._inbound is None:
+            raise RuntimeError("the links are not open")
+        while True:
+            frame = await self._inbound.recv()
+            self.counters.received_frames += 1
+            self.counters.received_bytes += len(frame)
+            try:
+                return decode(frame)
+            except MessageMalformedError as error:
+                self.counters.dropped_frames += 1
+                emit(FRAME_DROPPED, cause=str(error), size_bytes=len(frame))
+
+    def send(self, to: Address, message: Message) -> None:
+        """Send without waiting; a frame to a peer that is stuck is dropped."""
+        frame = encode(self._own, message)
+        socket = self._socket(to)
+        try:
+            socket.send(frame, zmq.DONTWAIT)
+        except zmq.Again:
+            self.counters.unsent_frames += 1
+            return
+        self.counters.sent_frames += 1
+        self.counters.sent_bytes += len(frame)
+
+    def _socket(self, to: Address) -> "zmq.Socket[bytes]":
+        held = self._outbound.get(to)
+        if held is not None:
+            self._outbound.move_to_end(to)
+            return held
+        socket = self._sync_context.socket(zmq.PUSH)
+        socket.linger = 0
+        socket.sndhwm = QUEUE_LENGTH
+        if self._key is not None:
+            socket.curve_serverkey = self._key.public_key.encode()
+            socket.curve_secretkey = self._key.secret_key.encode()
+            socket.curve_publickey = self._key.public_key.encode()
+        socket.connect(f"tcp://{to}")
+        self._outbound[to] = socket
+        if len(self._outbound) > LINKS_MAXIMUM:
+            _, oldest = self._outbound.popitem(last=False)
+            oldest.close()
+        return socket
+
+    def replace(self, to: Address) -> None:
+        """Drop the connection to a peer; the next message opens a new one."""
+        socket = self._outbound.pop(to, None)
+        if socket is not None:
+            socket.close()
+
+    async def close(self, flush_ms: int = 200) -> None:
+        """Close all sockets, giving queued frames a moment to leave."""
+        for socket in self._outbound.values():
+            socket.close(linger=flush_ms)
+        self._outbound.clear()
+        if self._inbound is not None:
+            self._inbound.close()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(None, self._context.term)
+
+
+class _SingleKey:
+    """Lets in only peers that hold the fleet's own key."""
+
+    def __init__(self, public_key: str) -> None:
+        self._public_key = public_key.encode()
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell whether a peer's public key is allowed."""
+        return key == self._public_key
--- /dev/null
+++ b/azurestep/control/messages.py
@@ -0,0 +1,296 @@
+"""Typed messages between nodes.
+
+Messages travel as positional arrays (see :mod:`azurestep.control.codec`). A new
+field goes to the end of a class and has a default, so that programs of
+neighbouring versions understand each other during a rolling upgrade.
+"""
+
+from enum import IntEnum
+
+import attrs
+
+from ..config.delta import Delta
+from ..settings import Address
+
+
+class MemberStatus(IntEnum):
+    """What is believed of a member; a higher value wins at the same stamp."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+LIVE = frozenset({MemberStatus.ALIVE, MemberStatus.SUSPECT})
+
+
+class ServerStatus(IntEnum):
+    """State that a backend server announced."""
+
+    READY = 0
+    LEAVING = 1
+
+
+@attrs.frozen
+class ServerState:
+    """A backend server as its node announces it.
+
+    Attributes
+    ----------
+    service : str
+        Service that it belongs to.
+    host, port : str, int
+        Where it takes requests.
+    incarnation : str
+        Name of this run of its process.
+    slots : int
+        Requests that it runs at once.
+    status : int
+        A ``ServerStatus``.
+    """
+
+    service: str
+    host: str
+    port: int
+    incarnation: str
+    slots: int
+    status: int = ServerStatus.READY
+
+
+@attrs.frozen
+class Digest:
+    """Which configuration a node holds."""
+
+    version: int
+    hash: bytes
+
+
+@attrs.frozen
+class MemberState:
+    """A member and what it announces; gossiped inside its data centre.
+
+    Attributes
+    ----------
+    instance, data_centre, region : str
+        Identity and place.
+    incarnation : int
+        Start of the process in milliseconds since the epoch.
+    sequence : int
+        Counts the changes that the member itself made to this record.
+    status : int
+        A ``MemberStatus``.
+    host, control_port, operator_port : str, int, int
+        Addresses.
+    servers : list of ServerState
+        Backend servers beside the node.
+    log_reachable : bool
+        Whether the member's last read of the platform's log succeeded.
+    """
+
+    instance: str
+    data_centre: str
+    region: str
+    incarnation: int
+    sequence: int
+    status: int
+    host: str
+    control_port: int
+    operator_port: int
+    servers: list[ServerState] = attrs.field(factory=list)
+    log_reachable: bool = True
+
+    @property
+    def address(self) -> Address:
+        """Control address of the member."""
+        return Address(self.host, self.control_port)
+
+
+@attrs.frozen
+class ServiceSummary:
+    """Backend servers of a service in one data centre, for the others."""
+
+    data_centre: str
+    service: str
+    stamp: int
+    servers: list[ServerState]
+
+
+@attrs.frozen
+class DataCentreReport:
+    """Which version is in force in a data centre, and where to reach it.
+
+    Attributes
+    ----------
+    version, hash : int, bytes
+        Version that the report is about.
+    members, in_force : int
+        Live members, and those that applied the version.
+    missing : list of str
+        Some of the instances that have not applied it.
+    first_ms, last_ms : int
+        Wall-clock time of the first and the last application known.
+    contacts : list of Address
+        Control addresses of the data centre's bridges.
+    """
+
+    data_centre: str
+    stamp: int
+    version: int
+    hash: bytes
+    members: int
+    in_force: int
+    missing: list[str]
+    first_ms: int
+    last_ms: int
+    contacts: list[Address] = attrs.field(factory=list)
+
+
+Update = MemberState | ServiceSummary | DataCentreReport
+
+
+@attrs.frozen
+class Sender:
+    """Who sent a message and where answers go."""
+
+    instance: str
+    data_centre: str
+    incarnation: int
+    host: str
+    control_port: int
+
+    @property
+    def address(self) -> Address:
+        """Control address of the sender."""
+        return Address(self.host, self.control_port)
+
+
+@attrs.frozen
+class Probe:
+    """Heartbeat that asks for an ``Ack``; carries news and digests."""
+
+    sequence: int
+    digest: Digest
+    table_hash: int
+    updates: list[Update] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Ack:
+    """Answer to a ``Probe``."""
+
+    sequence: int
+    digest: Digest
+    table_hash: int
+    updates: list[Update] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class ProbeRequest:
+    """Asks a peer to probe a third member and to relay its answer."""
+
+    sequence: int
+    target: Address
+
+
+@attrs.frozen
+class ProbeRelayed:
+    """Tells that the third member answered the relayed probe."""
+
+    sequence: int
+
+
+@attrs.frozen
+class Broadcast:
+    """Urgent updates, forwarded once along the tree rooted at ``root``."""
+
+    root: str
+    updates: list[Update]
+
+
+@attrs.frozen
+class ItemStamp:
+    """Key of an update, hashed, and its stamp."""
+
+    key_hash: int
+    stamp: list[int]
+
+
+@attrs.frozen
+class SyncRequest:
+    """Asks for every update that the receiver holds newer than these."""
+
+    stamps: list[ItemStamp]
+
+
+@attrs.frozen
+class SyncReply:
+    """Newer updates, and the keys that the sender wants in turn."""
+
+    updates: list[Update]
+    wanted: list[int] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Push:
+    """A version on its way down the tree rooted at ``root``."""
+
+    root: str
+    delta: Delta
+
+
+@attrs.frozen
+class Pull:
+    """Asks for a version newer than the one held."""
+
+    digest: Digest
+
+
+@attrs.frozen
+class PullReply:
+    """Answer to a ``Pull``."""
+
+    delta: Delta
+
+
+@attrs.frozen
+class Later:
+    """Tells a puller to come back, since serving snapshots is limited."""
+
+    retry_after_ms: int
+
+
+@attrs.frozen
+class Applied:
+    """How many members of a subtree have a version in force.
+
+    Attributes
+    ----------
+    digest : Digest
+        Version that was applied.
+    instances : list of str
+        Who applied it since the last such message.
+    first_ms, last_ms : int
+        Wall-clock time of the first and the last application.
+    """
+
+    digest: Digest
+    instances: list[str]
+    first_ms: int
+    last_ms: int
+
+
+Message = (
+    Probe
+    | Ack
+    | ProbeRequest
+    | ProbeRelayed
+    | Broadcast
+    | SyncRequest
+    | SyncReply
+    | Push
+    | Pull
+    | PullReply
+    | Later
+    | Applied
+)
--- /dev/null
+++ b/azurestep/control/reports.py
@@ -0,0 +1,89 @@
+"""Reports: which version is in force in the data centre.
+
+The first bridge of the data centre collects who applied a version and publishes
+the count to the whole fleet.
+"""
+
+from collections import OrderedDict
+
+import attrs
+
+from .membership import Membership
+from .messages import Applied, DataCentreReport, Digest
+from .outputs import Output
+
+MISSING_MAXIMUM = 16
+VERSIONS_KEPT = 16
+REPORT_INTERVAL_MS = 300
+
+
+@attrs.define
+class Tally:
+    """Who applied a version."""
+
+    hash: bytes
+    instances: set[str] = attrs.field(factory=set)
+    first_ms: int = 0
+    last_ms: int = 0
+
+
+class Reporter:
+    """Collects applications and publishes the data centre's report."""
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._tallies: OrderedDict[int, Tally] = OrderedDict()
+        self._next_ms = 0.0
+
+    def instance(self) -> str | None:
+        """Return the instance that collects for this data centre."""
+        bridges = self._membership.bridges()
+        return bridges[0] if bridges else None
+
+    def take(self, applied: Applied) -> None:
+        """Count the applications of a message."""
+        version = applied.digest.version
+        tally = self._tallies.get(version)
+        if tally is None:
+            tally = Tally(applied.digest.hash, set(), applied.first_ms, 0)
+            self._tallies[version] = tally
+        tally.instances.update(applied.instances)
+        tally.first_ms = min(tally.first_ms, applied.first_ms)
+        tally.last_ms = max(tally.last_ms, applied.last_ms)
+        while len(self._tallies) > VERSIONS_KEPT:
+            del self._tallies[min(self._tallies)]
+
+    def tick(self, now_ms: float, digest: Digest) -> list[Output]:
+        """Publish the report when it changed."""
+        if now_ms < self._next_ms:
+            return []
+        self._next_ms = now_ms + REPORT_INTERVAL_MS
+        if self.instance() != self._membership.own.instance:
+            return []
+        report = self._make_report(digest)
+        held = self._membership.table.get(f"r/{report.data_centre}")
+        if isinstance(held, DataCentreReport):
+            if attrs.evolve(report, stamp=held.stamp) == held:
+                return []
+            report = attrs.evolve(report, stamp=held.stamp + 1)
+        return self._membership.broadcast([report])
+
+    def _make_report(self, digest: Digest) -> DataCentreReport:
+        own = self._membership.own
+        order = self._membership.order
+        tally = self._tallies.get(digest.version, Tally(digest.hash))
+        missing = [name for name in order if name not in tally.instances]
+        bridges = self._membership.bridges()
+        members = (self._membership.member(name) for name in bridges)
+        return DataCentreReport(
+            own.data_centre,
+            1,
+            digest.version,
+            digest.hash,
+            len(order),
+            len(order) - len(missing),
+            missing[:MISSING_MAXIMUM],
+            tally.first_ms,
+            tally.last_ms,
+            [member.address for member in members if member is not None],
+        )
--- /dev/null
+++ b/azurestep/control/spread.py
@@ -0,0 +1,294 @@
+"""Spreading: how a version reaches every node.
+
+A pure decision around the fold. A version is pushed down a tree that every node
+derives from the same members, as a delta against the version before; whoever
+was missed hears a newer digest on a probe and pulls. Applications are counted up
+the same tree.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import attrs
+from returns.result import Failure
+
+from ..config.delta import Delta, make_delta, make_snapshot
+from ..config.document import Document
+from ..config.fold import Accepted, Adopted, ConfigurationFold
+from ..platform.records import Page
+from ..settings import Address, ControlSettings
+from .membership import Membership
+from .messages import (
+    Ack,
+    Applied,
+    Digest,
+    Later,
+    Message,
+    Probe,
+    Pull,
+    PullReply,
+    Push,
+    Sender,
+)
+from .outputs import Folded, Output, Send, VersionApplied, VersionConflict
+from .reports import Reporter
+from .ring import children, parent
+
+HISTORY_VERSIONS = 8
+PULL_TIMEOUT_MS = 1500
+SNAPSHOTS_PER_SECOND = 20
+SNAPSHOT_BURST = 10
+APPLIED_DELAY_MS = 150
+LATER_MINIMUM_MS = 200
+
+
+@attrs.define
+class TokenBucket:
+    """Limits a rate; tokens come back with time."""
+
+    rate_per_s: float
+    burst: float
+    _tokens: float = attrs.field(init=False)
+    _at_ms: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self._tokens = self.burst
+
+    def take(self, now_ms: float) -> bool:
+        """Take a token if there is one."""
+        elapsed_ms = max(0.0, now_ms - self._at_ms)
+        refilled = self._tokens + elapsed_ms / 1000 * self.rate_per_s
+        self._tokens = min(self.burst, refilled)
+        self._at_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Spread:
+    """Keeps the configuration of one node and passes it on.
+
+    Parameters
+    ----------
+    membership : Membership
+        Members that the tree is derived from.
+    settings : ControlSettings
+        Fan-out and whether versions are pushed at all.
+    source : random.Random
+        Source of jitter.
+    wall_ms : callable
+        Returns wall-clock time, for reports only.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        settings: ControlSettings,
+        source: random.Random,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self.fold = ConfigurationFold()
+        self.reporter = Reporter(membership)
+        self._membership = membership
+        self._settings = settings
+        self._random = source
+        self._wall_ms = wall_ms
+        self._history: OrderedDict[bytes, Document] = OrderedDict()
+        self._snapshots = TokenBucket(SNAPSHOTS_PER_SECOND, SNAPSHOT_BURST)
+        self._pull_until_ms = 0.0
+        self._applied: Applied | None = None
+        self._applied_to: str | None = None
+        self._applied_due_ms = 0.0
+        self._applied_ms = 0
+        self._reported_to: str | None = None
+
+    @property
+    def digest(self) -> Digest:
+        """Which configuration the node holds."""
+        state = self.fold.state
+        return Digest(state.version, state.document.hash)
+
+    # -- the log -------------------------------------------------------------
+
+    def take_page(self, page: Page, now_ms: float) -> list[Output]:
+        """Take records that this node read from the log itself."""
+        before = self.fold.state
+        events = self.fold.take(page.first_offset, page.next_offset, page.records)
+        outputs: list[Output] = [Folded(event) for event in events]
+        if self.fold.state.version == before.version:
+            return outputs
+        versions = [e for e in events if isinstance(e, Accepted | Adopted)]
+        outputs.extend(self._apply(before.document, now_ms, parent_name=None))
+        if versions:
+            outputs.extend(self._push(self._membership.own.instance, before.document))
+        return outputs
+
+    # -- applying and passing on --------------------------------------------
+
+    def _apply(
+        self, before: Document, now_ms: float, parent_name: str | None
+    ) -> list[Output]:
+        self._remember(before)
+        self._membership.digest = self.digest
+        self._applied_ms = self._wall_ms()
+        self._note_applied(now_ms, parent_name)
+        return [VersionApplied(self.fold.state.version)]
+
+    def _note_applied(self, now_ms: float, parent_name: str | None) -> None:
+        own = self._membership.own.instance
+        at_ms = self._applied_ms
+        self._applied = Applied(self.digest, [own], at_ms, at_ms)
+        self._applied_to = parent_name
+        self._applied_due_ms = now_ms + APPLIED_DELAY_MS
+
+    def _remember(self, document: Document) -> None:
+        self._history[document.hash] = document
+        while len(self._history) > HISTORY_VERSIONS:
+            self._history.popitem(last=False)
+
+    def _push(self, root: str, base: Document) -> list[Output]:
+        names = children(
+            self._membership.order,
+            root,
+            self._membership.own.instance,
+            self._settings.push_fan_out,
+        )
+        if not names:
+            return []
+        message = Push(root, self._delta_from(base))
+        members = (self._membership.member(name) for name in names)
+        return [Send(member.address, message) for member in members if member]
+
+    def _delta_from(self, base: Document | None) -> Delta:
+        state = self.fold.state
+        if base is None or not base.entries:
+            return make_snapshot(state.document, state.version, state.as_of)
+        delta = make_delta(base, state.document, state.version, state.as_of)
+        if len(delta.put) >= len(state.document.entries):
+            return make_snapshot(state.document, state.version, state.as_of)
+        return delta
+
+    # -- time ----------------------------------------------------------------
+
+    def tick(self, now_ms: float) -> list[Output]:
+        """Send the count of applications once the subtree had time to answer."""
+        outputs: list[Output] = []
+        if self._applied is not None and now_ms >= self._applied_due_ms:
+            applied, self._applied = self._applied, None
+            outputs.extend(self._report(applied))
+        self._follow_reporter(now_ms)
+        outputs.extend(self.reporter.tick(now_ms, self.digest))
+        return outputs
+
+    def _follow_reporter(self, now_ms: float) -> None:
+        """Tell a new reporter what is in force here, since it can't know."""
+        reporter = self.reporter.instance()
+        if reporter == self._reported_to:
+            return
+        self._reported_to = reporter
+        if self.fold.state.version and self._applied is None:
+            self._note_applied(now_ms, None)
+
+    def _report(self, applied: Applied) -> list[Output]:
+        to = self._applied_to or self.reporter.instance()
+        member = self._membership.member(to) if to else None
+        if member is None or to == self._membership.own.instance:
+            self.reporter.take(applied)
+            return []
+        return [Send(member.address, applied)]
+
+    # -- messages ------------------------------------------------------------
+
+    @singledispatchmethod
+    def handle(self, message: Message, sender: Sender, now_ms: float) -> list[Output]:
+        """Take a message; messages of other decisions are ignored."""
+        return []
+
+    @handle.register
+    def _(self, message: Probe, sender: Sender, now_ms: float) -> list[Output]:
+        return self._hear(message.digest, sender.address, now_ms)
+
+    @handle.register
+    def _(self, message: Ack, sender: Sender, now_ms: float) -> list[Output]:
+        return self._hear(message.digest, sender.address, now_ms)
+
+    def _hear(self, digest: Digest, peer: Address, now_ms: float) -> list[Output]:
+        own = self.digest
+        if digest.version == own.version and digest.hash != own.hash:
+            return [VersionConflict(own.version, peer)]
+        if digest.version <= own.version or now_ms < self._pull_until_ms:
+            return []
+        self._pull_until_ms = now_ms + PULL_TIMEOUT_MS
+        return [Send(peer, Pull(own))]
+
+    @handle.register
+    def _(self, message: Pull, sender: Sender, now_ms: float) -> list[Output]:
+        if message.digest.version >= self.fold.state.version:
+            return []
+        base = self._history.get(message.digest.hash)
+        if base is None and not self._snapshots.take(now_ms):
+            wait_ms = LATER_MINIMUM_MS + self._random.randrange(1000)
+            return [Send(sender.address, Later(wait_ms))]
+        return [Send(sender.address, PullReply(self._delta_from(base)))]
+
+    @handle.register
+    def _(self, message: PullReply, sender: Sender, now_ms: float) -> list[Output]:
+        self._pull_until_ms = 0.0
+        return self._take_delta(message.delta, sender, now_ms, parent_name=None)
+
+    @handle.register
+    def _(self, message: Later, sender: Sender, now_ms: float) -> list[Output]:
+        self._pull_until_ms = now_ms + min(message.retry_after_ms, 10_000)
+        return []
+
+    @handle.register
+    def _(self, message: Push, sender: Sender, now_ms: float) -> list[Output]:
+        before = self.fold.state.document
+        order = self._membership.order
+        own = self._membership.own.instance
+        above = parent(order, message.root, own, self._settings.push_fan_out)
+        outputs = self._take_delta(message.delta, sender, now_ms, above)
+        if any(isinstance(output, VersionApplied) for output in outputs):
+            outputs.extend(self._push(message.root, before))
+        return outputs
+
+    def _take_delta(
+        self, delta: Delta, sender: Sender, now_ms: float, parent_name: str | None
+    ) -> list[Output]:
+        before = self.fold.state
+        if delta.version <= before.version:
+            return []
+        adopted = self.fold.adopt(delta)
+        if isinstance(adopted, Failure):
+            self._pull_until_ms = now_ms + PULL_TIMEOUT_MS
+            return [Send(sender.address, Pull(self.digest))]
+        outputs: list[Output] = [Folded(adopted.unwrap())]
+        outputs.extend(self._apply(before.document, now_ms, parent_name))
+        return outputs
+
+    @handle.register
+    def _(self, message: Applied, sender: Sender, now_ms: float) -> list[Output]:
+        if self._applied is not None and self._applied.digest == message.digest:
+            self._applied = merge_applied(self._applied, message)
+            return []
+        if self._membership.own.instance == self.reporter.instance():
+            self.reporter.take(message)
+            return []
+        self._applied_to = None
+        self._applied = message
+        self._applied_due_ms = now_ms + APPLIED_DELAY_MS
+        return []
+
+
+def merge_applied(one: Applied, other: Applied) -> Applied:
+    """Return the applications of two subtrees together."""
+    instances = sorted(set(one.instances) | set(other.instances))
+    return Applied(
+        one.digest,
+        instances,
+        min(one.first_ms, other.first_ms),
+        max(one.last_ms, other.last_ms),
+    )
--- /dev/null
+++ b/azurestep/control/table.py
@@ -0,0 +1,140 @@
+"""The replicated table of updates: the newest stamp of each key wins."""
+
+from collections.abc import Iterable, Iterator
+from functools import singledispatch
+
+import xxhash
+
+from .messages import LIVE, DataCentreReport, MemberState, ServiceSummary, Update
+
+Stamp = tuple[int, ...]
+
+
+@singledispatch
+def key_of(update: Update) -> str:
+    """Return what an update is about."""
+    raise TypeError(f"{type(update).__name__} is no update")
+
+
+@singledispatch
+def stamp_of(update: Update) -> Stamp:
+    """Return the order of an update among those about the same key."""
+    raise TypeError(f"{type(update).__name__} is no update")
+
+
+@singledispatch
+def is_global(update: Update) -> bool:
+    """Whether an update is spread to the other data centres."""
+    return True
+
+
+@key_of.register
+def _(update: MemberState) -> str:
+    return f"m/{update.instance}"
+
+
+@stamp_of.register
+def _(update: MemberState) -> Stamp:
+    return (update.incarnation, update.sequence, update.status)
+
+
+@is_global.register
+def _(update: MemberState) -> bool:
+    return False
+
+
+@key_of.register
+def _(update: ServiceSummary) -> str:
+    return f"s/{update.data_centre}/{update.service}"
+
+
+@stamp_of.register
+def _(update: ServiceSummary) -> Stamp:
+    return (update.stamp,)
+
+
+@key_of.register
+def _(update: DataCentreReport) -> str:
+    return f"r/{update.data_centre}"
+
+
+@stamp_of.register
+def _(update: DataCentreReport) -> Stamp:
+    return (update.stamp,)
+
+
+def key_hash(key: str) -> int:
+    """Return the short form of a key, for digests."""
+    return xxhash.xxh3_64_intdigest(key.encode()) >> 32
+
+
+def _item_hash(update: Update) -> int:
+    text = f"{key_of(update)}@{stamp_of(update)}"
+    return xxhash.xxh3_64_intdigest(text.encode()) >> 16
+
+
+def _is_hashed(update: Update) -> bool:
+    # Nodes forget departed members at different times.
+    return not isinstance(update, MemberState) or update.status in LIVE
+
+
+class UpdateTable:
+    """Updates by key, with a running hash over the local and global ones."""
+
+    def __init__(self) -> None:
+        self._updates: dict[str, Update] = {}
+        self._by_hash: dict[int, str] = {}
+        self._local_hash = 0
+        self._global_hash = 0
+
+    def hash(self, only_global: bool) -> int:
+        """Return the hash over the table, or over its global part."""
+        if only_global:
+            return self._global_hash
+        return self._global_hash ^ self._local_hash
+
+    def merge(self, update: Update) -> bool:
+        """Take an update; return whether it was newer than the one held."""
+        key = key_of(update)
+        held = self._updates.get(key)
+        if held is not None and stamp_of(held) >= stamp_of(update):
+            return False
+        if held is not None:
+            self._toggle(held)
+        self._updates[key] = update
+        self._by_hash[key_hash(key)] = key
+        self._toggle(update)
+        return True
+
+    def remove(self, key: str) -> None:
+        """Forget a key."""
+        held = self._updates.pop(key, None)
+        if held is None:
+            return
+        self._by_hash.pop(key_hash(key), None)
+        self._toggle(held)
+
+    def _toggle(self, update: Update) -> None:
+        if not _is_hashed(update):
+            return
+        if is_global(update):
+            self._global_hash ^= _item_hash(update)
+        else:
+            self._local_hash ^= _item_hash(update)
+
+    def get(self, key: str) -> Update | None:
+        """Return the update held for a key."""
+        return self._updates.get(key)
+
+    def by_hash(self, hashed: int) -> Update | None:
+        """Return the update held for the short form of a key."""
+        key = self._by_hash.get(hashed)
+        return None if key is None else self._updates.get(key)
+
+    def updates(self, only_global: bool = False) -> Iterator[Update]:
+        """Iterate over the updates held."""
+        held: Iterable[Update] = list(self._updates.values())
+        return (u for u in held if not only_global or is_global(u))
+
+    def __len__(self) -> int:
+        return len(self._updates)
--- /dev/null
+++ b/azurestep/platform/client.py
@@ -0,0 +1,176 @@
+"""Client of the platform's append-only log."""
+
+import asyncio
+
+import aiohttp
+import orjson
+from returns.result import Failure, Result, Success
+
+from ..environment import Environment
+from ..errors import AzurestepError, PlatformRefusedError, PlatformUnavailableError
+from .backoff import Backoff
+from .records import LogRecord, Page, Receipt
+
+READ_LIMIT_RECORDS = 500
+READ_TIMEOUT_MS = 5000
+APPEND_TIMEOUT_MS = 3000
+STATUS_REJECTED = frozenset({400, 404, 413})
+OK = 200
+
+
+class LogClient:
+    """Appends to and reads from streams of the log over HTTP.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session that carries the requests.
+    base_url : str
+        Address of the log, for example ``http://127.0.0.1:7000``.
+    environment : Environment
+        Clock and source of jitter.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        environment: Environment,
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._environment = environment
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        wait_ms: int = 0,
+        limit: int = READ_LIMIT_RECORDS,
+    ) -> Result[Page, AzurestepError]:
+        """Read records once, waiting up to ``wait_ms`` for one to come."""
+        query = {
+            "from": str(from_offset),
+            "limit": str(limit),
+            "wait_ms": str(wait_ms),
+        }
+        timeout = aiohttp.ClientTimeout(total=(wait_ms + READ_TIMEOUT_MS) / 1000)
+        try:
+            async with self._session.get(
+                self._url(stream), params=query, timeout=timeout
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(_unavailable(error))
+        if status != OK:
+            return Failure(_unavailable(f"status {status}"))
+        return _page_of(body)
+
+    async def append(
+        self, stream: str, id: str, body: bytes, deadline_ms: float
+    ) -> Result[Receipt, AzurestepError]:
+        """Append a record so that it stands on the log once.
+
+        Parameters
+        ----------
+        stream : str
+            Name of the stream.
+        id : str
+            Value of the record's ``id`` field; after a lost answer the log is
+            read back for it before the record is appended again.
+        body : bytes
+            JSON text of the record.
+        deadline_ms : float
+            Monotonic time after which to give up.
+        """
+        backoff = Backoff(self._environment.random)
+        read_from: int | None = None
+        failure: AzurestepError = _unavailable("no attempt was made")
+        while self._environment.clock.monotonic_ms() < deadline_ms:
+            if read_from is None:
+                read_from = await self._end_of(stream)
+            if read_from is not None:
+                found = await self._find(stream, id, read_from)
+                if isinstance(found, Success) and found.unwrap() is not None:
+                    return Success(found.unwrap())
+                if isinstance(found, Success):
+                    outcome = await self._append_attempt(stream, body)
+                    if isinstance(outcome, Success):
+                        return outcome
+                    failure = outcome.failure()
+                    if isinstance(failure, PlatformRefusedError):
+                        return outcome
+            await asyncio.sleep(backoff.next_ms() / 1000)
+        return Failure(failure)
+
+    async def _end_of(self, stream: str) -> int | None:
+        result = await self.read(stream, from_offset=2**62, limit=1)
+        if isinstance(result, Failure):
+            return None
+        return result.unwrap().next_offset
+
+    async def _find(
+        self, stream: str, id: str, from_offset: int
+    ) -> Result[Receipt | None, AzurestepError]:
+        offset = from_offset
+        while True:
+            result = await self.read(stream, offset)
+            if isinstance(result, Failure):
+                return Failure(result.failure())
+            page = result.unwrap()
+            for record in page.records:
+                if isinstance(record.value, dict) and record.value.get("id") == id:
+                    return Success(Receipt(record.offset))
+                offset = record.offset + 1
+            if not page.records:
+                return Success(None)
+
+    async def _append_attempt(
+        self, stream: str, body: bytes
+    ) -> Result[Receipt, AzurestepError]:
+        timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_MS / 1000)
+        try:
+            async with self._session.post(
+                self._url(stream),
+                data=body,
+                headers={"Content-Type": "application/json"},
+                timeout=timeout,
+            ) as response:
+                answer = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(_unavailable(error))
+        if status in STATUS_REJECTED:
+            return Failure(
+                PlatformRefusedError(
+                    f"the log refused the record with status {status}",
+                    "Make the record smaller or check the platform's address",
+                )
+            )
+        if status != OK:
+            return Failure(_unavailable(f"status {status}"))
+        return Success(Receipt(orjson.loads(answer)["offset"]))
+
+    def _url(self, stream: str) -> str:
+        return f"{self._base_url}/streams/{stream}/records"
+
+
+def _unavailable(cause: object) -> PlatformUnavailableError:
+    text = str(cause) or type(cause).__name__
+    return PlatformUnavailableError(
+        f"the platform's log gave no answer ({text})",
+        "Check platform_url and the state of the platform, then try again",
+    )
+
+
+def _page_of(body: bytes) -> Result[Page, AzurestepError]:
+    try:
+        plain = orjson.loads(body)
+        records = [
+            LogRecord(item["offset"], item["time_ms"], item["value"])
+            for item in plain["records"]
+        ]
+        return Success(Page(plain["first_offset"], plain["next_offset"], records))
+    except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+        return Failure(_unavailable(f"unreadable answer: {error}"))
