Add at-most-once by owned key intervals

Cause: a payment must run once at most, whatever its caller, its owner or the platform do; hashing to an owner in memory breaks on a restart and claiming each key on the log needs the platform for every payment. Change: keys are UUIDs of version 7; the ownership log gives disjoint key times of a slot to one node process, folded by one rule on every node; the owner accepts only what it read back. Handover with a digest, checkpoints under retention, bounded table, waiters, hints of open slots. Ruled out here: identity by the membership's incarnation, which a node raises while it lives; a release without the tenure's id, since a late copy of it would end a later tenure of the same node.

--- a/azurestep/events.py
+++ b/azurestep/events.py
@@ -96,3 +96,17 @@
 BACKEND_SERVER_EXPIRED = register(
     5003, logging.WARNING, "lease of a backend server expired"
 )
+
+SLOT_OWNED = register(7001, logging.INFO, "slot is owned")
+SLOT_GIVEN_UP = register(7002, logging.INFO, "slot is given up")
+OWNERSHIP_INCOMPLETE = register(
+    7003, logging.WARNING, "ownership records were dropped before they were read"
+)
+OWNERSHIP_ADOPTED = register(7004, logging.INFO, "ownership checkpoint adopted")
+OWNERSHIP_DISABLED = register(
+    7005, logging.ERROR, "ownership is off until the node is restarted"
+)
+TABLE_REFUSED = register(7006, logging.WARNING, "handed-over table has a wrong digest")
+CLOCK_IMPLAUSIBLE = register(
+    7007, logging.ERROR, "clock is far ahead of the other owners"
+)
--- /dev/null
+++ b/azurestep/once/claims.py
@@ -0,0 +1,194 @@
+"""When an owner claims, extends and checkpoints."""
+
+import statistics
+from collections import defaultdict
+from random import Random
+
+import attrs
+
+from .assignment import preferred_owner
+from .fold import OwnershipFold, SlotId
+from .members import Members
+from .messages import AppendRecord, Moment
+from .owner import OwnerRole, TenureState
+from .records import Claim, Extend, IntervalState, NodeId, OwnershipRecord
+from .settings import OnceSettings
+from .slots import SlotState
+
+MIN_CLOCK_WITNESSES = 3
+CLOCK_TOLERANCE_INTERVALS = 2
+
+
+@attrs.frozen
+class _Pending:
+    append_id: str
+    deadline_ms: float
+    offset: int | None = None
+
+
+@attrs.define
+class ClaimKeeper:
+    """Decides on the records that this node appends for itself.
+
+    One append is on its way at a time. A repeated or late record does no harm,
+    because the fold refuses what does not fit.
+    """
+
+    node: NodeId
+    service: str
+    settings: OnceSettings
+    random: Random
+    _pending: _Pending | None = None
+    _append_count: int = 0
+    _extend_before_ms: float = 0.0
+    _checkpoint_at_ms: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._draw_extension()
+
+    def next_id(self) -> str:
+        """Return an id that no other record has."""
+        self._append_count += 1
+        return f"{self.node.incarnation}-{self._append_count}"
+
+    def append_done(self, append_id: str, offset: int) -> None:
+        """Wait until the record is read back."""
+        if self._pending is not None and self._pending.append_id == append_id:
+            self._pending = attrs.evolve(self._pending, offset=offset)
+
+    def is_clock_plausible(self, fold: OwnershipFold, now: Moment) -> bool:
+        """Return whether the own clock agrees with what other owners wrote.
+
+        A claim from a clock far ahead would block the slot until then.
+        """
+        ends = {
+            interval.node: interval.end_ms
+            for state in fold.states.values()
+            for interval in state.intervals[-1:]
+            if interval.node != self.node
+        }
+        if len(ends) < MIN_CLOCK_WITNESSES:
+            return True
+        tolerance_ms = CLOCK_TOLERANCE_INTERVALS * self.settings.ownership_interval_ms
+        return now.wall_ms <= statistics.median(ends.values()) + tolerance_ms
+
+    def tick(
+        self, fold: OwnershipFold, owner: OwnerRole, members: Members, now: Moment
+    ) -> list[AppendRecord]:
+        """Return the next records to append."""
+        if not fold.complete or self._is_waiting(fold, now):
+            return []
+        records: list[OwnershipRecord] = []
+        if self.is_clock_plausible(fold, now):
+            records = self._extensions(owner, fold, now)
+            records = records or self._claims(fold, members, now)
+        records = records or self._checkpoints(fold, members, now)
+        return [self._append(record, now) for record in records[:1]]
+
+    def _append(self, record: OwnershipRecord, now: Moment) -> AppendRecord:
+        deadline_ms = now.monotonic_ms + self.settings.append_timeout_ms
+        self._pending = _Pending(record.id, deadline_ms)
+        return AppendRecord(record.id, record)
+
+    def _is_waiting(self, fold: OwnershipFold, now: Moment) -> bool:
+        pending = self._pending
+        if pending is None:
+            return False
+        if pending.offset is not None and fold.next_offset > pending.offset:
+            return False
+        return now.monotonic_ms < pending.deadline_ms
+
+    # Extending
+
+    def _draw_extension(self) -> None:
+        half_ms = self.settings.ownership_interval_ms / 2
+        jitter = self.random.random() * self.settings.extend_jitter_ratio
+        self._extend_before_ms = half_ms * (1 + jitter)
+
+    def _extensions(
+        self, owner: OwnerRole, fold: OwnershipFold, now: Moment
+    ) -> list[OwnershipRecord]:
+        due = [
+            slot_id.slot
+            for slot_id, tenures in sorted(owner.tenures.items())
+            if self._is_due(fold.state(slot_id), tenures[-1].state, now)
+        ]
+        if not due:
+            return []
+        self._draw_extension()
+        end_ms = now.wall_ms + self.settings.ownership_interval_ms
+        return [
+            Extend(self.next_id(), self.node, self.service, tuple(due), end_ms),
+        ]
+
+    def _is_due(self, state: SlotState, tenure_state: TenureState, now: Moment) -> bool:
+        last = state.last
+        if last is None or last.node != self.node:
+            return False
+        if last.state is not IntervalState.HELD or tenure_state is not TenureState.OPEN:
+            return False
+        return 0 < last.end_ms - now.wall_ms <= self._extend_before_ms
+
+    # Claiming
+
+    def _claims(
+        self, fold: OwnershipFold, members: Members, now: Moment
+    ) -> list[OwnershipRecord]:
+        live = members.live(self.service)
+        if not members.is_settled(self.service, now, self.settings.settle_ms):
+            return []
+        starts: dict[int, list[int]] = defaultdict(list)
+        slot_count = fold.slot_counts.get(self.service, self.settings.slot_count)
+        for slot in range(slot_count):
+            slot_id = SlotId(self.service, slot)
+            state = fold.state(slot_id)
+            if not self._is_claimable(state, live, now):
+                continue
+            if preferred_owner(slot_id, live | {self.node}) != self.node:
+                continue
+            backdated_ms = now.wall_ms - self.settings.backdate_ms
+            starts[max(state.last_end_ms, backdated_ms)].append(slot)
+        return [
+            Claim(
+                self.next_id(),
+                self.node,
+                self.service,
+                slot_count,
+                tuple(claimed),
+                start_ms,
+                max(start_ms, now.wall_ms) + self.settings.ownership_interval_ms,
+            )
+            for start_ms, claimed in sorted(starts.items())
+        ]
+
+    def _is_claimable(
+        self, state: SlotState, live: frozenset[NodeId], now: Moment
+    ) -> bool:
+        last = state.last
+        if last is None or last.state is IntervalState.RELEASED:
+            return True
+        if last.end_ms <= now.wall_ms:
+            return True
+        if last.node == self.node or last.node in live:
+            return False
+        return last.end_ms - now.wall_ms <= self.settings.claim_ahead_ms
+
+    # Checkpoints
+
+    def _checkpoints(
+        self, fold: OwnershipFold, members: Members, now: Moment
+    ) -> list[OwnershipRecord]:
+        if self._checkpoint_at_ms is None:
+            self._checkpoint_at_ms = (
+                now.monotonic_ms + self.settings.checkpoint_interval_ms
+            )
+        records = fold.next_offset - 1 - fold.checkpoint_as_of
+        is_due = records >= self.settings.checkpoint_records
+        is_late = now.monotonic_ms >= self._checkpoint_at_ms and records > 1
+        if not is_due and not is_late:
+            return []
+        live = members.live(self.service) | {self.node}
+        if preferred_owner(SlotId(self.service, 0), live) != self.node:
+            return []
+        self._checkpoint_at_ms = now.monotonic_ms + self.settings.checkpoint_interval_ms
+        return [fold.checkpoint(self.next_id())]
--- /dev/null
+++ b/azurestep/once/decision.py
@@ -0,0 +1,255 @@
+"""The decision that a node's process drives."""
+
+from functools import singledispatchmethod
+from random import Random
+
+import attrs
+from returns.result import Success
+
+from .. import events
+from .accept import FIRST_ATTEMPT, AcceptRole
+from .claims import ClaimKeeper
+from .fold import OwnershipFold
+from .handover import HandoverKeeper
+from .key import parse_key
+from .members import Members
+from .messages import (
+    AppendDone,
+    AppendFailed,
+    BackendServerAnswered,
+    DispatchFailed,
+    Emit,
+    ForwardedRequest,
+    ForwardFailed,
+    Input,
+    LogRecordsRead,
+    LogRegressed,
+    MembersChanged,
+    Moment,
+    Output,
+    OwnerAnswer,
+    PeerSent,
+    Reason,
+    RequestArrived,
+    SendToPeer,
+    Stopped,
+    StopRequested,
+    TableReceipt,
+    TableTransfer,
+    Tick,
+)
+from .owner import OwnerOutput, OwnerRequest, OwnerRole, Reply
+from .records import NodeId
+from .settings import OnceSettings
+from .table import KeyTable, digest_of
+
+
+@attrs.define
+class OnceDecision:
+    """At-most-once for the requests of one node process.
+
+    Parameters
+    ----------
+    node : NodeId
+        This process; its incarnation is drawn anew at every start.
+    service : str
+        Service of the local backend server, whose slots this node may own.
+    settings : OnceSettings
+        Pace and bounds.
+    random : Random
+        Source of minted keys and of jitter.
+    """
+
+    node: NodeId
+    service: str
+    settings: OnceSettings = attrs.field(factory=OnceSettings)
+    random: Random = attrs.field(factory=Random)
+    fold: OwnershipFold = attrs.field(init=False, factory=OwnershipFold)
+    members: Members = attrs.field(init=False, factory=Members)
+    owner: OwnerRole = attrs.field(init=False)
+    accept: AcceptRole = attrs.field(init=False)
+    claims: ClaimKeeper = attrs.field(init=False)
+    handovers: HandoverKeeper = attrs.field(init=False)
+    _local: dict[str, RequestArrived] = attrs.field(init=False, factory=dict)
+    _has_read: bool = attrs.field(init=False, default=False)
+    _stopping: bool = attrs.field(init=False, default=False)
+    _stopped: bool = attrs.field(init=False, default=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.owner = OwnerRole(self.node, self.settings, KeyTable(self.settings))
+        self.accept = AcceptRole(
+            self.node,
+            self.settings,
+            self.fold,
+            self.members,
+            self.owner,
+            self.random,
+        )
+        self.claims = ClaimKeeper(self.node, self.service, self.settings, self.random)
+        self.handovers = HandoverKeeper(self.settings, self.owner, self.claims)
+
+    def handle(self, message: Input, now: Moment) -> list[Output]:
+        """Take an input and return what to do, in order."""
+        return self._handle(message, now)
+
+    @singledispatchmethod
+    def _handle(self, message: object, now: Moment) -> list[Output]:
+        raise TypeError(f"{type(message).__name__} is no input of this decision")
+
+    @_handle.register
+    def _(self, message: RequestArrived, now: Moment) -> list[Output]:
+        if not message.key:
+            minted = self.accept.mint(message.service, now)
+            message = attrs.evolve(message, key=minted.text, attempt=FIRST_ATTEMPT)
+        parsed = parse_key(message.key)
+        if not isinstance(parsed, Success):
+            return [self.accept.refuse_for_good(message, Reason.KEY_INVALID, now)]
+        key = parsed.unwrap()
+        message = attrs.evolve(message, key=key.text)
+        slot_id = self.accept.slot_id(message.service, key)
+        if self.owner.knows(slot_id, key):
+            request = _owner_request(message, None, self.accept)
+            self._local[message.request_id] = message
+            return self._convert(self.owner.accept(request, now), now)
+        return [self.accept.route(message, key, now)]
+
+    @_handle.register
+    def _(self, message: PeerSent, now: Moment) -> list[Output]:
+        return self._handle_peer(message.message, message.sender, now)
+
+    @singledispatchmethod
+    def _handle_peer(
+        self, message: object, sender: NodeId, now: Moment
+    ) -> list[Output]:
+        raise TypeError(f"{type(message).__name__} is no message of a peer")
+
+    @_handle_peer.register
+    def _(self, message: ForwardedRequest, sender: NodeId, now: Moment) -> list[Output]:
+        if not isinstance(parse_key(message.key), Success):
+            return []
+        request = _owner_request(message, sender, self.accept)
+        return self._convert(self.owner.accept(request, now), now)
+
+    @_handle_peer.register
+    def _(self, message: OwnerAnswer, sender: NodeId, now: Moment) -> list[Output]:
+        return [*self.accept.owner_answered(message, now)]
+
+    @_handle_peer.register
+    def _(self, message: TableTransfer, sender: NodeId, now: Moment) -> list[Output]:
+        digest = digest_of(message.transfer_id, message.slots, message.entries)
+        if digest != message.digest:
+            return [Emit(events.TABLE_REFUSED, f"from {sender.instance}")]
+        self.owner.receive_table(message)
+        return [SendToPeer(sender, TableReceipt(message.transfer_id))]
+
+    @_handle_peer.register
+    def _(self, message: TableReceipt, sender: NodeId, now: Moment) -> list[Output]:
+        return [*self.handovers.receipt(message.transfer_id)]
+
+    @_handle.register
+    def _(self, message: ForwardFailed, now: Moment) -> list[Output]:
+        return [
+            *self.accept.forward_failed(message.request_id, message.bytes_sent, now)
+        ]
+
+    @_handle.register
+    def _(self, message: DispatchFailed, now: Moment) -> list[Output]:
+        return self._convert(self.owner.dispatch_failed(message), now)
+
+    @_handle.register
+    def _(self, message: BackendServerAnswered, now: Moment) -> list[Output]:
+        return self._convert(self.owner.answered(message), now)
+
+    @_handle.register
+    def _(self, message: LogRecordsRead, now: Moment) -> list[Output]:
+        was_complete = self.fold.complete
+        changed = self.fold.read(
+            message.from_offset, message.entries, message.next_offset
+        )
+        self._has_read = True
+        owned = self.owner.slot_ids
+        self.owner.follow(self.fold, changed)
+        self.handovers.follow(self.fold)
+        outputs: list[Output] = []
+        if was_complete and not self.fold.complete:
+            detail = f"ownership records before offset {self.fold.next_offset}"
+            outputs.append(Emit(events.OWNERSHIP_INCOMPLETE, detail))
+        if not was_complete and self.fold.complete:
+            detail = f"as of offset {self.fold.checkpoint_as_of}"
+            outputs.append(Emit(events.OWNERSHIP_ADOPTED, detail))
+        for slot_id in sorted(self.owner.slot_ids - owned):
+            detail = f"slot {slot_id.slot} of {slot_id.service}"
+            outputs.append(Emit(events.SLOT_OWNED, detail))
+        for slot_id in sorted(owned - self.owner.slot_ids):
+            detail = f"slot {slot_id.slot} of {slot_id.service}"
+            outputs.append(Emit(events.SLOT_GIVEN_UP, detail))
+        return outputs
+
+    @_handle.register
+    def _(self, message: LogRegressed, now: Moment) -> list[Output]:
+        self.owner.disable()
+        self.fold.complete = False
+        return [Emit(events.OWNERSHIP_DISABLED, "the ownership log lost records")]
+
+    @_handle.register
+    def _(self, message: AppendDone, now: Moment) -> list[Output]:
+        self.claims.append_done(message.append_id, message.offset)
+        return []
+
+    @_handle.register
+    def _(self, message: AppendFailed, now: Moment) -> list[Output]:
+        return []
+
+    @_handle.register
+    def _(self, message: MembersChanged, now: Moment) -> list[Output]:
+        self.members.update(message, now)
+        return []
+
+    @_handle.register
+    def _(self, message: StopRequested, now: Moment) -> list[Output]:
+        if not self._stopping:
+            self._stopping = True
+            self.handovers.stop(self.members, now)
+        return self._handle(Tick(), now)
+
+    @_handle.register
+    def _(self, message: Tick, now: Moment) -> list[Output]:
+        outputs: list[Output] = [*self.accept.tick(now)]
+        outputs += self._convert(self.owner.tick(now), now)
+        if self._has_read and not self._stopping and not self.owner.disabled:
+            outputs += self.claims.tick(self.fold, self.owner, self.members, now)
+            self.handovers.rebalance(self.members, now)
+        outputs += self.handovers.tick(now)
+        if self._stopping and not self._stopped and self.handovers.is_idle:
+            self._stopped = True
+            outputs.append(Stopped(len(self.owner.slot_ids)))
+        return outputs
+
+    def _convert(self, outputs: list[OwnerOutput], now: Moment) -> list[Output]:
+        return [
+            self._convert_reply(output, now) if isinstance(output, Reply) else output
+            for output in outputs
+        ]
+
+    def _convert_reply(self, reply: Reply, now: Moment) -> Output:
+        if reply.receiver is not None:
+            return SendToPeer(reply.receiver, reply.answer)
+        request = self._local.pop(reply.answer.request_id)
+        return self.accept.answer_of(request, reply.answer, now)
+
+
+def _owner_request(
+    message: RequestArrived | ForwardedRequest,
+    sender: NodeId | None,
+    accept: AcceptRole,
+) -> OwnerRequest:
+    key = parse_key(message.key).unwrap()
+    return OwnerRequest(
+        message.request_id,
+        sender,
+        accept.slot_id(message.service, key),
+        key,
+        message.fingerprint,
+        message.attempt,
+        message.remaining_ms,
+    )
--- /dev/null
+++ b/azurestep/once/members.py
@@ -0,0 +1,31 @@
+"""Live nodes as the membership reports them."""
+
+import attrs
+
+from .messages import MembersChanged, Moment
+from .records import NodeId
+
+
+@attrs.define
+class Members:
+    """Live node processes of each service, and since when they are unchanged."""
+
+    _live: dict[str, frozenset[NodeId]] = attrs.field(factory=dict)
+    _changed_ms: dict[str, float] = attrs.field(factory=dict)
+
+    def update(self, message: MembersChanged, now: Moment) -> None:
+        """Take over a report."""
+        live = frozenset(message.live)
+        if self._live.get(message.service) == live:
+            return
+        self._live[message.service] = live
+        self._changed_ms[message.service] = now.monotonic_ms
+
+    def live(self, service: str) -> frozenset[NodeId]:
+        """Return the live node processes of a service."""
+        return self._live.get(service, frozenset())
+
+    def is_settled(self, service: str, now: Moment, settle_ms: int) -> bool:
+        """Return whether the members were unchanged for a time."""
+        changed_ms = self._changed_ms.get(service)
+        return changed_ms is not None and now.monotonic_ms - changed_ms >= settle_ms
--- /dev/null
+++ b/azurestep/once/owner.py
@@ -0,0 +1,432 @@
+"""The owner's part: accept a key once, run it, keep its answer."""
+
+from enum import StrEnum
+
+import attrs
+
+from .fold import OwnershipFold, SlotId
+from .key import IdempotencyKey
+from .messages import (
+    BackendServerAnswered,
+    DispatchFailed,
+    KeptAnswer,
+    KeyState,
+    Moment,
+    Outcome,
+    OwnerAnswer,
+    Reason,
+    RunHere,
+    TableEntry,
+    TableTransfer,
+)
+from .records import Interval, NodeId
+from .settings import OnceSettings
+from .table import KeyTable, TableKey, trim
+
+MAX_INBOUND_TABLES = 64
+
+
+class TenureState(StrEnum):
+    """Whether the owner accepts new keys of a tenure."""
+
+    OPEN = "open"
+    CLOSING = "closing"
+    RELEASING = "releasing"
+
+
+@attrs.define
+class Tenure:
+    """An interval that this node owns, as read back from the log.
+
+    Attributes
+    ----------
+    id : str
+        Id of the record that began it.
+    complete_from_ms : int
+        Key time from which on this node got every key that a former owner
+        accepted.
+    dropped_before_ms : int
+        Key time below which keys were dropped from the table.
+    max_accepted_ms : int
+        Newest key time accepted.
+    """
+
+    id: str
+    start_ms: int
+    end_ms: int
+    complete_from_ms: int
+    digest: str = ""
+    dropped_before_ms: int = 0
+    max_accepted_ms: int = 0
+    state: TenureState = TenureState.OPEN
+
+    @property
+    def trusted_from_ms(self) -> int:
+        """Key time from which on the table holds every accepted key."""
+        return max(self.complete_from_ms, self.dropped_before_ms)
+
+    def covers(self, time_ms: int) -> bool:
+        """Return whether a key time lies inside."""
+        return self.start_ms <= time_ms < self.end_ms
+
+
+@attrs.frozen
+class OwnerRequest:
+    """A request at its owner, from a caller here or from another node."""
+
+    request_id: str
+    sender: NodeId | None
+    slot_id: SlotId
+    key: IdempotencyKey
+    fingerprint: str
+    attempt: int
+    remaining_ms: int
+
+
+@attrs.frozen
+class Reply:
+    """An owner's answer and where it goes; None is a caller of this node."""
+
+    receiver: NodeId | None
+    key: str
+    service: str
+    answer: OwnerAnswer
+
+
+@attrs.frozen
+class _Waiter:
+    request: OwnerRequest
+    deadline_ms: float
+    is_first: bool
+
+
+OwnerOutput = RunHere | Reply
+
+
+@attrs.define
+class OwnerRole:
+    """Accepts keys inside the intervals that the log gave to this process.
+
+    The role never trusts a clock: a key is accepted only if its own time lies
+    inside an interval that was read back from the log. As intervals of a slot
+    are disjoint, no other process ever accepts the same key.
+    """
+
+    node: NodeId
+    settings: OnceSettings
+    table: KeyTable
+    tenures: dict[SlotId, list[Tenure]] = attrs.field(factory=dict)
+    disabled: bool = False
+    _run_count: int = 0
+    _runs: dict[str, TableKey] = attrs.field(factory=dict)
+    _waiters: dict[TableKey, list[_Waiter]] = attrs.field(factory=dict)
+    _inbound: dict[str, TableTransfer] = attrs.field(factory=dict)
+
+    # Ownership
+
+    def follow(self, fold: OwnershipFold, changed: set[SlotId]) -> None:
+        """Take over what the log says of this node's intervals."""
+        for slot_id in changed:
+            self._follow_slot(slot_id, fold)
+
+    def disable(self) -> None:
+        """Accept no key any more, because the log lost records."""
+        self.disabled = True
+
+    def tenure_at(self, slot_id: SlotId, time_ms: int) -> Tenure | None:
+        """Return this node's tenure that covers a key time."""
+        for tenure in self.tenures.get(slot_id, ()):
+            if tenure.covers(time_ms):
+                return tenure
+        return None
+
+    @property
+    def slot_ids(self) -> set[SlotId]:
+        """Slots of which this node owns an interval."""
+        return set(self.tenures)
+
+    def knows(self, slot_id: SlotId, key: IdempotencyKey) -> bool:
+        """Return whether this node must answer for a key."""
+        if self.table.get(slot_id.service, key.text) is not None:
+            return True
+        return self.tenure_at(slot_id, key.time_ms) is not None
+
+    def receive_table(self, transfer: TableTransfer) -> None:
+        """Keep a predecessor's table until the log names this node."""
+        self._inbound[transfer.digest] = transfer
+        if len(self._inbound) > MAX_INBOUND_TABLES:
+            self._inbound.pop(next(iter(self._inbound)))
+        for trusted in transfer.slots:
+            slot_id = SlotId(transfer.service, trusted.slot)
+            for tenure in self.tenures.get(slot_id, ()):
+                if tenure.digest == transfer.digest:
+                    self._load_table(slot_id, tenure)
+
+    def _follow_slot(self, slot_id: SlotId, fold: OwnershipFold) -> None:
+        known = {tenure.id: tenure for tenure in self.tenures.get(slot_id, ())}
+        kept = []
+        for interval in fold.state(slot_id).intervals:
+            if interval.node != self.node:
+                continue
+            tenure = known.get(interval.tenure) or self._begin(slot_id, interval)
+            tenure.end_ms = interval.end_ms
+            kept.append(tenure)
+        self.tenures[slot_id] = kept
+        if not kept:
+            del self.tenures[slot_id]
+
+    def _begin(self, slot_id: SlotId, interval: Interval) -> Tenure:
+        tenure = Tenure(
+            interval.tenure,
+            interval.start_ms,
+            interval.end_ms,
+            interval.cut_ms,
+            interval.digest,
+        )
+        self._load_table(slot_id, tenure)
+        return tenure
+
+    def _load_table(self, slot_id: SlotId, tenure: Tenure) -> None:
+        transfer = self._inbound.get(tenure.digest)
+        if transfer is None:
+            return
+        trusted = {item.slot: item.trusted_from_ms for item in transfer.slots}
+        if slot_id.slot not in trusted:
+            return
+        for entry in transfer.entries:
+            if entry.slot == slot_id.slot:
+                self._merge(entry)
+        tenure.complete_from_ms = max(tenure.start_ms, trusted[slot_id.slot])
+
+    def _merge(self, entry: TableEntry) -> None:
+        known = self.table.get(entry.service, entry.key)
+        if known is not None and known.state is not KeyState.MAY_HAVE_RUN:
+            return
+        self.table.put(entry)
+
+    # Requests
+
+    def accept(self, request: OwnerRequest, now: Moment) -> list[OwnerOutput]:
+        """Run a request, or answer it from the table."""
+        entry = self.table.get(request.slot_id.service, request.key.text)
+        if entry is not None:
+            return self._accept_known(request, entry, now)
+        reason = self._refusal(request)
+        if reason is None:
+            return [self._run(request, now)]
+        return [self.refuse(request, reason)]
+
+    def refuse(self, request: OwnerRequest, reason: Reason) -> Reply:
+        """Return the answer to a request that this node did not accept."""
+        is_first = request.attempt == 1
+        proven = reason in PROVEN_NOT_RUN
+        outcome = Outcome.NOT_RUN if proven or is_first else Outcome.MAY_HAVE_RUN
+        return self._reply(request, outcome, reason, final=is_first)
+
+    def _refusal(self, request: OwnerRequest) -> Reason | None:
+        tenure = self.tenure_at(request.slot_id, request.key.time_ms)
+        if tenure is None or self.disabled:
+            return Reason.NOT_OWNER
+        if tenure.state is TenureState.RELEASING:
+            return Reason.NOT_OWNER
+        if request.key.time_ms < tenure.trusted_from_ms:
+            return Reason.KEY_TOO_OLD
+        return self._temporary_refusal(request, tenure)
+
+    def _temporary_refusal(
+        self, request: OwnerRequest, tenure: Tenure
+    ) -> Reason | None:
+        if tenure.state is TenureState.CLOSING:
+            return Reason.HANDOVER
+        if request.remaining_ms <= 0:
+            return Reason.DEADLINE_PASSED
+        if self.table.is_full:
+            return Reason.TABLE_FULL
+        return None
+
+    def _run(self, request: OwnerRequest, now: Moment) -> RunHere:
+        tenure = self.tenure_at(request.slot_id, request.key.time_ms)
+        if tenure is not None:
+            newest_ms = max(tenure.max_accepted_ms, request.key.time_ms)
+            tenure.max_accepted_ms = newest_ms
+        self.table.put(
+            TableEntry(
+                request.slot_id.service,
+                request.slot_id.slot,
+                request.key.text,
+                request.key.time_ms,
+                request.fingerprint,
+                KeyState.RUNNING,
+            )
+        )
+        self._run_count += 1
+        run_id = f"{self.node.incarnation}-{self._run_count}"
+        table_key = TableKey(request.slot_id.service, request.key.text)
+        self._runs[run_id] = table_key
+        self._waiters[table_key] = [self._waiter(request, now, is_first=True)]
+        return RunHere(
+            run_id,
+            request.request_id,
+            request.sender,
+            request.slot_id.service,
+            request.key.text,
+            request.remaining_ms,
+        )
+
+    def _accept_known(
+        self, request: OwnerRequest, entry: TableEntry, now: Moment
+    ) -> list[OwnerOutput]:
+        if entry.fingerprint != request.fingerprint:
+            return [self._reply(request, Outcome.KEY_REUSED, Reason.KEY_REUSED)]
+        if entry.state is KeyState.RAN:
+            return [
+                self._reply(
+                    request,
+                    Outcome.RAN,
+                    Reason.RAN,
+                    answer=entry.answer,
+                    replayed=True,
+                )
+            ]
+        if entry.state is KeyState.MAY_HAVE_RUN:
+            return [self._reply(request, Outcome.MAY_HAVE_RUN, Reason.DISPATCH_LOST)]
+        return self._wait(request, now)
+
+    def _wait(self, request: OwnerRequest, now: Moment) -> list[OwnerOutput]:
+        table_key = TableKey(request.slot_id.service, request.key.text)
+        waiters = self._waiters.setdefault(table_key, [])
+        if len(waiters) > self.settings.max_waiters:
+            return [self._reply(request, Outcome.MAY_HAVE_RUN, Reason.IN_PROGRESS)]
+        waiters.append(self._waiter(request, now, is_first=False))
+        return []
+
+    def _waiter(self, request: OwnerRequest, now: Moment, *, is_first: bool) -> _Waiter:
+        wait_ms = request.remaining_ms
+        if not is_first:
+            wait_ms = min(wait_ms, self.settings.wait_timeout_ms)
+        return _Waiter(request, now.monotonic_ms + wait_ms, is_first)
+
+    # Runs
+
+    def dispatch_failed(self, message: DispatchFailed) -> list[OwnerOutput]:
+        """Record that a run ended without an answer."""
+        table_key = self._runs.pop(message.run_id, None)
+        if table_key is None:
+            return []
+        if message.bytes_sent:
+            self._record(table_key, KeyState.MAY_HAVE_RUN, None)
+            return self._release_waiters(
+                table_key, Outcome.MAY_HAVE_RUN, Reason.DISPATCH_LOST
+            )
+        self.table.remove(table_key.service, table_key.key)
+        return self._release_waiters(
+            table_key, Outcome.NOT_RUN, Reason.DISPATCH_REFUSED
+        )
+
+    def answered(self, message: BackendServerAnswered) -> list[OwnerOutput]:
+        """Record the answer of a run."""
+        table_key = self._runs.pop(message.run_id, None)
+        if table_key is None:
+            return []
+        kept = message.answer
+        if kept.size_bytes > self.settings.max_answer_bytes:
+            kept = trim(kept)
+        self._record(table_key, KeyState.RAN, kept)
+        return self._release_waiters(table_key, Outcome.RAN, Reason.RAN, message.answer)
+
+    def is_running(self, slot_ids: set[SlotId]) -> bool:
+        """Return whether a key of some slots is running."""
+        running = (
+            self.table.get(table_key.service, table_key.key)
+            for table_key in self._runs.values()
+        )
+        return any(
+            SlotId(entry.service, entry.slot) in slot_ids
+            for entry in running
+            if entry is not None
+        )
+
+    def tick(self, now: Moment) -> list[OwnerOutput]:
+        """Drop old keys and answer those who waited too long."""
+        self._drop_old_keys(now)
+        outputs: list[OwnerOutput] = []
+        for table_key, waiters in list(self._waiters.items()):
+            late = [item for item in waiters if item.deadline_ms <= now.monotonic_ms]
+            if not late:
+                continue
+            self._waiters[table_key] = [item for item in waiters if item not in late]
+            outputs += [
+                self._reply(item.request, Outcome.MAY_HAVE_RUN, Reason.IN_PROGRESS)
+                for item in late
+            ]
+        return outputs
+
+    def _drop_old_keys(self, now: Moment) -> None:
+        oldest_ms = now.wall_ms - self.settings.key_window_ms
+        for slot_id, trusted_from_ms in self.table.drop_older(oldest_ms).items():
+            for tenure in self.tenures.get(slot_id, ()):
+                newest_ms = max(tenure.dropped_before_ms, trusted_from_ms)
+                tenure.dropped_before_ms = newest_ms
+
+    def _record(
+        self, table_key: TableKey, state: KeyState, answer: KeptAnswer | None
+    ) -> None:
+        entry = self.table.get(table_key.service, table_key.key)
+        if entry is not None:
+            self.table.put(attrs.evolve(entry, state=state, answer=answer))
+
+    def _release_waiters(
+        self,
+        table_key: TableKey,
+        outcome: Outcome,
+        reason: Reason,
+        answer: KeptAnswer | None = None,
+    ) -> list[OwnerOutput]:
+        return [
+            self._reply(
+                waiter.request,
+                outcome,
+                reason,
+                answer=answer,
+                replayed=outcome is Outcome.RAN and not waiter.is_first,
+            )
+            for waiter in self._waiters.pop(table_key, [])
+        ]
+
+    def _reply(
+        self,
+        request: OwnerRequest,
+        outcome: Outcome,
+        reason: Reason,
+        *,
+        final: bool = False,
+        answer: KeptAnswer | None = None,
+        replayed: bool = False,
+    ) -> Reply:
+        retry_after_ms = 0
+        if outcome is not Outcome.RAN:
+            retry_after_ms = self.settings.retry_after_ms
+        return Reply(
+            request.sender,
+            request.key.text,
+            request.slot_id.service,
+            OwnerAnswer(
+                request.request_id,
+                outcome,
+                reason,
+                retry_after_ms,
+                final,
+                answer,
+                replayed,
+            ),
+        )
+
+
+PROVEN_NOT_RUN = frozenset(
+    {
+        Reason.HANDOVER,
+        Reason.DEADLINE_PASSED,
+        Reason.TABLE_FULL,
+        Reason.DISPATCH_REFUSED,
+    }
+)
--- /dev/null
+++ b/azurestep/once/settings.py
@@ -0,0 +1,70 @@
+"""Settings of the at-most-once guarantee."""
+
+import attrs
+
+MAX_INTERVAL_MS = 3_600_000
+
+
+@attrs.frozen
+class OnceSettings:
+    """Pace and bounds of ownership.
+
+    Attributes
+    ----------
+    slot_count : int
+        Slots of a service, a power of two up to 256. The first claim on the log
+        fixes it for the life of the service.
+    ownership_interval_ms : int
+        Length of an ownership interval; at most ``MAX_INTERVAL_MS``. Payments
+        go on through a platform outage of at least half of it, and a key whose
+        owner crashed is answered "may have run" for at most all of it.
+    extend_jitter_ratio : float
+        Share of half an interval by which an extension is brought forward.
+    backdate_ms : int
+        How far before now a new interval may start, for callers whose clock is
+        behind.
+    claim_ahead_ms : int
+        How long before the end of a dead owner's interval the next is claimed.
+    settle_ms : int
+        How long the membership must be unchanged before slots move.
+    key_window_ms : int
+        Age from which keys are dropped from the table.
+    max_keys : int
+        Keys in the table of a node; new ones are refused when it is full.
+    max_answer_bytes, max_answers_bytes : int
+        Largest kept answer, and all kept answers together.
+    max_waiters : int
+        Requests that may wait for the answer of one key.
+    wait_timeout_ms, forward_timeout_ms : int
+        Longest wait for the answer of a running key, and of an owner.
+    append_timeout_ms : int
+        Time after which an append that was not read back is repeated.
+    handover_timeout_ms : int
+        Longest time for running keys, and again for the successor's receipt.
+    rebalance_interval_ms : int
+        Least time between two moves of slots to members that they prefer.
+    checkpoint_records, checkpoint_interval_ms : int
+        Records and time after which a checkpoint is appended.
+    retry_after_ms : int
+        Delay advised to a refused caller.
+    """
+
+    slot_count: int = 32
+    ownership_interval_ms: int = 600_000
+    extend_jitter_ratio: float = 0.2
+    backdate_ms: int = 120_000
+    claim_ahead_ms: int = 60_000
+    settle_ms: int = 3000
+    key_window_ms: int = 1_800_000
+    max_keys: int = 100_000
+    max_answer_bytes: int = 65_536
+    max_answers_bytes: int = 33_554_432
+    max_waiters: int = 16
+    wait_timeout_ms: int = 5000
+    forward_timeout_ms: int = 5000
+    append_timeout_ms: int = 5000
+    handover_timeout_ms: int = 3000
+    rebalance_interval_ms: int = 30_000
+    checkpoint_records: int = 500
+    checkpoint_interval_ms: int = 900_000
+    retry_after_ms: int = 500
