Add the node process: control, follow, announce, operator and traffic tasks

Cause: the decisions need a process that carries their messages. Change: one task per socket, joined by typed queues; a thin proxy around the traffic decisions; the command line's frame with typed options.

--- /dev/null
+++ b/azurestep/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command."""
--- /dev/null
+++ b/azurestep/core.py
@@ -0,0 +1,59 @@
+"""The command: a thin shell that turns errors into exit statuses."""
+
+import sys
+import traceback
+
+from .cli.parse import parse_arguments
+from .cli.registry import command_for
+from .environment import Environment
+from .errors import (
+    AzurestepError,
+    ConfigurationError,
+    NodeUnreachableError,
+    PlatformUnavailableError,
+    PublicationRefusedError,
+    SettingsError,
+)
+from .status import ExitStatus
+
+STATUSES: dict[type[AzurestepError], ExitStatus] = {
+    SettingsError: ExitStatus.INVALID,
+    ConfigurationError: ExitStatus.INVALID,
+    PublicationRefusedError: ExitStatus.REFUSED,
+    PlatformUnavailableError: ExitStatus.PLATFORM_UNAVAILABLE,
+    NodeUnreachableError: ExitStatus.NODE_UNREACHABLE,
+}
+
+
+def main(
+    arguments: list[str] | None = None, environment: Environment | None = None
+) -> ExitStatus:
+    """Run the command and return its exit status.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        Arguments after the program's name; the process's own by default.
+    environment : Environment, optional
+        Streams, clock and randomness; the process's own by default.
+    """
+    environment = environment or Environment()
+    words = sys.argv[1:] if arguments is None else arguments
+    environment.debug = "--debug" in words
+    try:
+        return program(words, environment)
+    except AzurestepError as error:
+        if environment.debug:
+            traceback.print_exc(file=environment.stderr)
+        print(f"azurestep: {error}", file=environment.stderr)
+        return STATUSES.get(type(error), ExitStatus.ERROR)
+    except KeyboardInterrupt:
+        return ExitStatus.INTERRUPTED
+
+
+def program(arguments: list[str], environment: Environment) -> ExitStatus:
+    """Parse the arguments and run the command that they name."""
+    options = parse_arguments(arguments, environment)
+    if isinstance(options, ExitStatus):
+        return options
+    return command_for(options)(options, environment)
--- a/azurestep/environment.py
+++ b/azurestep/environment.py
@@ -1,8 +1,8 @@
 """What a command or a service needs from the outside, passed in explicitly."""
 
-import random
 import sys
 import time
+from random import Random
 from typing import Protocol, TextIO
 
 import attrs
@@ -52,7 +52,7 @@
     stdout: TextIO = attrs.field(factory=lambda: sys.stdout)
     stderr: TextIO = attrs.field(factory=lambda: sys.stderr)
     clock: Clock = attrs.field(factory=SystemClock)
-    random: random.Random = attrs.field(factory=random.Random)
+    random: Random = attrs.field(factory=Random)
     debug: bool = False
 
     @property
--- /dev/null
+++ b/azurestep/node/follow.py
@@ -0,0 +1,82 @@
+"""The follow task: keeps a long poll at the platform's log."""
+
+import asyncio
+import uuid
+
+import aiohttp
+import aiomisc
+from returns.result import Failure, Success
+
+from .. import events
+from ..config.records import STREAM, Checkpoint, encode_record, entries_of
+from ..environment import Environment
+from ..platform.backoff import Backoff
+from ..platform.client import LogClient
+from ..settings import Settings
+from .control import ControlService
+from .messages import LogLost, PageRead
+
+STANDBY_S = 0.5
+CHECKPOINT_DEADLINE_MS = 10_000
+
+
+class FollowService(aiomisc.Service):
+    """Reads the log while this node is one of its data centre's readers."""
+
+    def __init__(
+        self, settings: Settings, environment: Environment, control: ControlService
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.environment = environment
+        self.control = control
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Follow the log until stopped."""
+        self._session = aiohttp.ClientSession()
+        client = LogClient(self._session, self.settings.platform_url, self.environment)
+        backoff = Backoff(self.environment.random)
+        self.start_event.set()
+        while True:
+            if not self.control.is_reader():
+                await asyncio.sleep(STANDBY_S)
+                continue
+            await self._read_once(client, backoff)
+
+    async def _read_once(self, client: LogClient, backoff: Backoff) -> None:
+        offset = self.control.spread.fold.next_offset
+        result = await client.read(
+            STREAM, offset, wait_ms=self.settings.control.poll_wait_ms
+        )
+        if isinstance(result, Failure):
+            self.control.inputs.put_nowait(LogLost(str(result.failure())))
+            await asyncio.sleep(backoff.next_ms() / 1000)
+            return
+        backoff.reset()
+        self.control.inputs.put_nowait(PageRead(result.unwrap()))
+        await asyncio.sleep(0)
+        if self.control.is_checkpoint_due():
+            await self._append_checkpoint(client)
+
+    async def _append_checkpoint(self, client: LogClient) -> None:
+        state = self.control.spread.fold.state
+        checkpoint = Checkpoint(
+            uuid.uuid4().hex,
+            state.as_of,
+            state.version,
+            entries_of(state.document),
+            self.settings.instance,
+        )
+        deadline_ms = self.environment.clock.monotonic_ms() + CHECKPOINT_DEADLINE_MS
+        result = await client.append(
+            STREAM, checkpoint.id, encode_record(checkpoint), deadline_ms
+        )
+        if isinstance(result, Success):
+            self.control.checkpoint_as_of = state.as_of
+            events.emit(events.CHECKPOINT_APPENDED, as_of=state.as_of)
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close the connection to the log."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/azurestep/node/messages.py
@@ -0,0 +1,95 @@
+"""Messages between the tasks of one node."""
+
+import attrs
+
+from ..control.messages import DataCentreReport, ServerState
+from ..platform.records import Page
+from ..traffic.directory import Directory
+from ..traffic.table import RoutingTable
+
+
+@attrs.frozen
+class ServersChanged:
+    """The backend servers beside the node changed."""
+
+    servers: list[ServerState]
+
+
+@attrs.frozen
+class PageRead:
+    """The log answered a read."""
+
+    page: Page
+
+
+@attrs.frozen
+class LogLost:
+    """A read of the log failed."""
+
+    cause: str
+
+
+@attrs.frozen
+class LeaveRequested:
+    """The node is to leave the membership."""
+
+
+ControlInput = ServersChanged | PageRead | LogLost | LeaveRequested
+
+
+@attrs.frozen
+class TableReady:
+    """A new routing table is to be put in force."""
+
+    table: RoutingTable
+
+
+@attrs.frozen
+class DirectoryReady:
+    """The backend servers of the services changed."""
+
+    directory: Directory
+
+
+TrafficInput = TableReady | DirectoryReady
+
+
+@attrs.frozen
+class MemberView:
+    """A member as the status page shows it."""
+
+    instance: str
+    status: str
+    servers: int
+    log_reachable: bool
+
+
+@attrs.frozen
+class NodeStatus:
+    """State of a node as the operators' endpoint shows it.
+
+    Attributes
+    ----------
+    version : int
+        Version in force at this node; 0 for none.
+    hash : str
+        Hash of that version, in hexadecimal.
+    as_of : int
+        Offset of the log up to which the version is known to be current.
+    preset : str
+        Preset in force; empty for none.
+    log_age_ms : int or None
+        Time since the log, or a peer that reads it, was last heard.
+    """
+
+    instance: str
+    data_centre: str
+    version: int
+    hash: str
+    as_of: int
+    preset: str
+    is_reader: bool
+    is_bridge: bool
+    in_flight: int
+    members: list[MemberView]
+    reports: list[DataCentreReport]
--- /dev/null
+++ b/azurestep/node/run.py
@@ -0,0 +1,93 @@
+"""Runs a node: assembles its tasks and stops them in order."""
+
+import asyncio
+import signal
+
+import aiomisc
+
+from .. import events
+from ..environment import Environment
+from ..settings import Settings
+from .announce import AnnounceService
+from .control import ControlService
+from .follow import FollowService
+from .messages import LeaveRequested, TrafficInput
+from .operators import OperatorService
+from .traffic import TrafficService
+
+DRAIN_SETTLE_S = 2.0
+DRAIN_TIMEOUT_S = 30.0
+DRAIN_CHECK_S = 0.05
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+async def run_node(settings: Settings, environment: Environment) -> None:
+    """Run a node until a signal or an operator asks it to stop.
+
+    Raises
+    ------
+    PortInUseError
+        If one of the node's addresses is taken.
+    """
+    drain = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, drain.set)
+    inputs: asyncio.Queue[TrafficInput] = asyncio.Queue()
+    control = ControlService(settings, environment, inputs)
+    traffic = TrafficService(settings, environment, inputs)
+    announce = AnnounceService(settings, environment, control.inputs)
+    follow = FollowService(settings, environment, control)
+    operators = OperatorService(settings, control, traffic.proxy, drain)
+    services = [control, announce, traffic, follow, operators]
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        for service in services:
+            tasks.append(await _start(service))
+        events.emit(events.NODE_STARTED, instance=settings.instance)
+        await _wait_for_end(drain, tasks)
+        events.emit(events.NODE_STOPPING, instance=settings.instance)
+        await _drain(control, announce, traffic)
+    finally:
+        for service in (traffic, operators, follow, announce, control):
+            await service.stop()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    events.emit(events.NODE_STOPPED, instance=settings.instance)
+
+
+async def _start(service: aiomisc.Service) -> "asyncio.Task[None]":
+    """Start a service and wait until it is ready or has failed."""
+    service.set_loop(asyncio.get_running_loop())
+    task: asyncio.Task[None] = asyncio.create_task(service.start())
+    ready = asyncio.create_task(service.start_event.wait())
+    await asyncio.wait({task, ready}, return_when=asyncio.FIRST_COMPLETED)
+    ready.cancel()
+    if task.done():
+        task.result()
+    return task
+
+
+async def _wait_for_end(
+    drain: asyncio.Event, tasks: list["asyncio.Task[None]"]
+) -> None:
+    """Wait for the request to stop; a task that fails ends the node at once."""
+    asked = asyncio.create_task(drain.wait())
+    running = {task for task in tasks if not task.done()}
+    done, _ = await asyncio.wait({asked, *running}, return_when=asyncio.FIRST_COMPLETED)
+    for task in done - {asked}:
+        task.result()
+    asked.cancel()
+
+
+async def _drain(
+    control: ControlService, announce: AnnounceService, traffic: TrafficService
+) -> None:
+    """Take no new work from peers, then let what is in flight end."""
+    announce.leases.leave_all(announce.environment.clock.monotonic_ms())
+    control.inputs.put_nowait(LeaveRequested())
+    await asyncio.sleep(DRAIN_SETTLE_S)
+    deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
+    while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
+        await asyncio.sleep(DRAIN_CHECK_S)
--- /dev/null
+++ b/azurestep/node/traffic.py
@@ -0,0 +1,87 @@
+"""The traffic task: listens for callers and drives the proxy."""
+
+import asyncio
+from functools import singledispatchmethod
+
+import aiohttp
+import aiomisc
+from aiohttp import web
+
+from ..environment import Environment
+from ..settings import Settings
+from ..traffic.attempt import AttemptSender
+from ..traffic.proxy import Proxy
+from .http import listen
+from .messages import DirectoryReady, TableReady, TrafficInput
+
+TICK_S = 0.05
+KEEP_ALIVE_S = 75.0
+POOL_KEEP_ALIVE_S = 15.0
+
+
+class TrafficService(aiomisc.Service):
+    """Serves callers on the traffic address."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        environment: Environment,
+        inputs: "asyncio.Queue[TrafficInput]",
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.environment = environment
+        self.inputs = inputs
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=POOL_KEEP_ALIVE_S)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        sender = AttemptSender(self._session, environment.clock)
+        self.proxy = Proxy(settings, sender, environment.clock, environment.random)
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen and take tables and directories until stopped."""
+        server = web.Server(
+            self.proxy.handle,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_ALIVE_S,
+        )
+        self._runner = web.ServerRunner(server)
+        await listen(
+            self._runner, self.settings.host, self.settings.traffic_port, "traffic_port"
+        )
+        self.start_event.set()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._take_inputs())
+            group.create_task(self._tick())
+
+    async def _take_inputs(self) -> None:
+        while True:
+            self._take(await self.inputs.get())
+
+    @singledispatchmethod
+    def _take(self, message: TrafficInput) -> None:
+        raise TypeError(f"{type(message).__name__} is no input")
+
+    @_take.register
+    def _(self, message: TableReady) -> None:
+        self.proxy.swap_table(message.table)
+
+    @_take.register
+    def _(self, message: DirectoryReady) -> None:
+        self.proxy.swap_directory(message.directory)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.proxy.tick()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Finish what is in flight and close."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._session.close()
--- /dev/null
+++ b/azurestep/traffic/answers.py
@@ -0,0 +1,68 @@
+"""Answers that a node gives itself, in place of a backend server."""
+
+import math
+from enum import StrEnum
+
+import attrs
+import orjson
+from aiohttp import web
+
+from . import headers
+
+MS_PER_S = 1000
+
+
+class CallOutcome(StrEnum):
+    """What a caller may conclude from a failed request.
+
+    ``NOT_RUN`` is said only if no byte of the request reached a backend
+    server, or if the backend server itself said that it refused.
+    """
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+@attrs.frozen
+class Refusal:
+    """A final answer to a request that got none from a backend server.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    outcome : CallOutcome
+        Whether the request may have run.
+    reason : str
+        Short name of the cause.
+    retry_after_ms : float or None
+        Time after which to come back; None if coming back is of no use.
+    is_final : bool
+        Whether hops above must not retry.
+    """
+
+    status: int
+    outcome: CallOutcome
+    reason: str
+    retry_after_ms: float | None = None
+    is_final: bool = False
+
+
+def answer_of(refusal: Refusal) -> web.Response:
+    """Return the HTTP answer of a refusal."""
+    fields = {headers.OUTCOME: refusal.outcome, headers.REASON: refusal.reason}
+    if refusal.outcome is CallOutcome.NOT_RUN:
+        fields[headers.NOT_RUN] = "1"
+    if refusal.is_final:
+        fields[headers.RETRIED] = "final"
+    if refusal.retry_after_ms is not None:
+        seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
+        fields[headers.RETRY_AFTER] = str(seconds)
+        fields[headers.RETRY_AFTER_MS] = str(math.ceil(refusal.retry_after_ms))
+    body = orjson.dumps({"outcome": refusal.outcome, "reason": refusal.reason})
+    return web.Response(
+        status=refusal.status,
+        body=body,
+        headers=fields,
+        content_type="application/json",
+    )
--- /dev/null
+++ b/azurestep/traffic/headers.py
@@ -0,0 +1,27 @@
+"""Names of HTTP headers that nodes read and write."""
+
+IDEMPOTENCY_KEY = "Idempotency-Key"
+DEADLINE_MS = "Azurestep-Deadline-Ms"
+DEPTH = "Azurestep-Depth"
+RETRIED = "Azurestep-Retried"
+OUTCOME = "Azurestep-Outcome"
+REASON = "Azurestep-Reason"
+NOT_RUN = "Azurestep-Not-Run"
+VERSION = "Azurestep-Version"
+RETRY_AFTER = "Retry-After"
+RETRY_AFTER_MS = "Retry-After-Ms"
+
+# RFC 9110, section 7.6.1; the connection's own headers are not passed on.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
--- /dev/null
+++ b/azurestep/traffic/table.py
@@ -0,0 +1,130 @@
+"""Routing table: finds the route of a request.
+
+A table is built aside from a whole configuration and never changes. A request
+keeps the table that it began with.
+"""
+
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+from ..config.model import ClassShares, Configuration, Priority, Route, Service
+from ..config.presets import active_preset, effective
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+ANY_HOST = "*"
+
+
+@attrs.frozen
+class Match:
+    """What a request is matched to.
+
+    Attributes
+    ----------
+    route : Route
+        The route.
+    service : Service
+        The service that the route names, with the preset laid over it.
+    timeout_ms : int
+        Longest time that the request may take.
+    idempotent : bool
+        Whether the request may run more than once.
+    """
+
+    route: Route
+    service: Service
+    timeout_ms: int
+    idempotent: bool
+
+    @property
+    def priority(self) -> Priority:
+        """Class of the request."""
+        return self.route.priority
+
+
+def is_idempotent(route: Route, method: str) -> bool:
+    """Tell whether a request may run more than once."""
+    if route.idempotent is not None:
+        return route.idempotent
+    return method in IDEMPOTENT_METHODS
+
+
+class RoutingTable:
+    """Immutable routes of one version, found by host and path.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    configuration : Configuration
+        A valid configuration; its active preset is laid over it.
+    """
+
+    def __init__(self, version: int, configuration: Configuration) -> None:
+        in_force = effective(configuration)
+        self.version = version
+        self.preset: str = configuration.active_preset
+        self.shares: ClassShares = active_preset(configuration).class_shares
+        self.services: Mapping[str, Service] = {
+            service.name: service for service in in_force.services
+        }
+        self._routes: dict[tuple[str, str], list[Route]] = {}
+        for route in in_force.routes:
+            if route.enabled:
+                place = (route.host, _trimmed(route.path_prefix))
+                self._routes.setdefault(place, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=_specificity, reverse=True)
+
+    def match(
+        self, host: str, path: str, method: str, headers: Mapping[str, str]
+    ) -> Match | None:
+        """Return the most specific route of a request.
+
+        An exact host goes before any host, then the longest prefix, then the
+        route that asks for more headers and methods.
+        """
+        for place in (host, ANY_HOST):
+            for prefix in _prefixes(path):
+                for route in self._routes.get((place, prefix), ()):
+                    if _fits(route, method, headers):
+                        return self._match_of(route, method)
+        return None
+
+    def _match_of(self, route: Route, method: str) -> Match:
+        service = self.services[route.service]
+        timeout_ms = route.timeout_ms or service.timeout_ms
+        return Match(route, service, timeout_ms, is_idempotent(route, method))
+
+
+def _trimmed(prefix: str) -> str:
+    return prefix.rstrip("/")
+
+
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield the path and its ancestors, the longest first.
+
+    Examples
+    --------
+    >>> list(_prefixes("/songs/17"))
+    ['/songs/17', '/songs', '']
+    """
+    prefix = path.rstrip("/")
+    while prefix:
+        yield prefix
+        prefix = prefix[: prefix.rfind("/")]
+    yield ""
+
+
+def _specificity(route: Route) -> tuple[int, bool, str]:
+    return (len(route.headers), bool(route.methods), route.name)
+
+
+def _fits(route: Route, method: str, headers: Mapping[str, str]) -> bool:
+    if route.methods and method not in route.methods:
+        return False
+    for wanted in route.headers:
+        value = headers.get(wanted.name)
+        if value is None or (wanted.value and value != wanted.value):
+            return False
+    return True
