--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -402,8 +402,20 @@
             elif self.table.merge(update):
                 self._queue.add(update)
                 outputs.append(Learned(update))
+                outputs.extend(self._meet(update))
         return outputs
 
+    def _meet(self, update: Update) -> list[Output]:
+        """Greet bridges of the own data centre that are not known as members."""
+        if not isinstance(update, DataCentreReport):
+            return []
+        if update.data_centre != self._own.data_centre:
+            return []
+        known = {member.address for member in self.members()}
+        strangers = [to for to in update.contacts if to not in known]
+        self.add_seeds(strangers)
+        return [Send(to, self._sync_request()) for to in strangers[:1]]
+
     def _merge_member(self, update: MemberState, now_ms: float) -> list[Output]:
         if update.data_centre != self._own.data_centre:
             return []
--- a/azurestep/control/messages.py
+++ b/azurestep/control/messages.py
@@ -108,11 +108,20 @@
 
 @attrs.frozen
 class ServiceSummary:
-    """Backend servers of a service in one data centre, for the others."""
+    """Backend servers of a service in one data centre, for the others.
+
+    Attributes
+    ----------
+    stamp : int
+        Counts the changes.
+    origin : str
+        Instance that made it; it breaks ties between equal stamps.
+    """
 
     data_centre: str
     service: str
     stamp: int
+    origin: str
     servers: list[ServerState]
 
 
@@ -122,6 +131,8 @@
 
     Attributes
     ----------
+    stamp, origin : int, str
+        Order among the reports, and who made it.
     version, hash : int, bytes
         Version that the report is about.
     members, in_force : int
@@ -136,6 +147,7 @@
 
     data_centre: str
     stamp: int
+    origin: str
     version: int
     hash: bytes
     members: int
--- a/azurestep/control/reports.py
+++ b/azurestep/control/reports.py
@@ -63,7 +63,7 @@
         report = self._make_report(digest)
         held = self._membership.table.get(f"r/{report.data_centre}")
         if isinstance(held, DataCentreReport):
-            if attrs.evolve(report, stamp=held.stamp) == held:
+            if attrs.evolve(report, stamp=held.stamp, origin=held.origin) == held:
                 return []
             report = attrs.evolve(report, stamp=held.stamp + 1)
         return self._membership.broadcast([report])
@@ -78,6 +78,7 @@
         return DataCentreReport(
             own.data_centre,
             1,
+            own.instance,
             digest.version,
             digest.hash,
             len(order),
--- a/azurestep/control/summaries.py
+++ b/azurestep/control/summaries.py
@@ -1,7 +1,5 @@
 """Summaries: which backend servers a data centre offers to the others."""
 
-import attrs
-
 from .membership import Membership
 from .messages import MemberStatus, ServerState, ServiceSummary
 from .outputs import Output
@@ -45,10 +43,11 @@
         self, service: str, servers: list[ServerState]
     ) -> ServiceSummary | None:
         own = self._membership.own.data_centre
+        origin = self._membership.own.instance
         listed = sorted(servers, key=lambda s: (s.host, s.port))[:SERVERS_PER_SUMMARY]
         held = self._membership.table.get(f"s/{own}/{service}")
         if not isinstance(held, ServiceSummary):
-            return ServiceSummary(own, service, 1, listed)
+            return ServiceSummary(own, service, 1, origin, listed)
         if held.servers == listed:
             return None
-        return attrs.evolve(held, stamp=held.stamp + 1, servers=listed)
+        return ServiceSummary(own, service, held.stamp + 1, origin, listed)
--- a/azurestep/control/table.py
+++ b/azurestep/control/table.py
@@ -50,7 +50,7 @@
 
 @stamp_of.register
 def _(update: ServiceSummary) -> Stamp:
-    return (update.stamp,)
+    return (update.stamp, key_hash(update.origin))
 
 
 @key_of.register
@@ -60,7 +60,7 @@
 
 @stamp_of.register
 def _(update: DataCentreReport) -> Stamp:
-    return (update.stamp,)
+    return (update.stamp, key_hash(update.origin))
 
 
 def key_hash(key: str) -> int:
--- /dev/null
+++ b/azurestep/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do: publish, wait, inspect."""
