--- a/azurestep/traffic/attempt.py
+++ b/azurestep/traffic/attempt.py
@@ -81,7 +81,7 @@
         extra: "CIMultiDict[str] | None",
     ) -> aiohttp.ClientResponse:
         key = endpoint.key
-        fields = passed_on(CIMultiDict(call.request.headers))
+        fields = passed_on(call.fields)
         fields.pop("Content-Length", None)
         budget = next_budget(call.budget, started_ms - call.arrived_ms)
         fields[headers.DEADLINE_MS] = str(max(1, int(budget.remaining_ms)))
@@ -90,8 +90,8 @@
             fields.update(extra)
         connect_s = call.match.service.connect_timeout_ms / MS_PER_S
         return await self._session.request(
-            call.request.method,
-            f"http://{key.host}:{key.port}{call.request.raw_path}",
+            call.method,
+            f"http://{key.host}:{key.port}{call.target}",
             headers=fields,
             data=call.body or None,
             allow_redirects=False,
--- a/azurestep/traffic/call.py
+++ b/azurestep/traffic/call.py
@@ -2,7 +2,7 @@
 
 import attrs
 from aiohttp import web
-from multidict import CIMultiDict
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from ..balancing import Budget, EndpointKey, limit_budget
 from . import headers
@@ -18,8 +18,10 @@
 
     Attributes
     ----------
-    request : web.BaseRequest
-        The request as the caller sent it.
+    method, target : str
+        Method, and path with query as the caller wrote it.
+    fields : CIMultiDict
+        Headers as the caller sent them.
     table : RoutingTable
         Table that the request began with.
     match : Match
@@ -36,7 +38,9 @@
         Whether the caller says that it sent the request before.
     """
 
-    request: web.BaseRequest
+    method: str
+    target: str
+    fields: "CIMultiDictProxy[str] | CIMultiDict[str]"
     table: RoutingTable
     match: Match
     budget: Budget
@@ -76,7 +80,9 @@
         return None
 
 
-def passed_on(fields: "CIMultiDict[str]") -> "CIMultiDict[str]":
+def passed_on(
+    fields: "CIMultiDictProxy[str] | CIMultiDict[str]",
+) -> "CIMultiDict[str]":
     """Return the headers that are not the connection's own."""
     named = {
         name.strip().lower()
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -122,10 +122,10 @@
         call = self._match(request)
         if isinstance(call, Refusal):
             return call
-        refusal = await self._read_body(call)
+        refusal = await self._read_body(request, call)
         if refusal is not None:
             return refusal
-        return await self.run(call)
+        return await self.run(request, call)
 
     def _match(self, request: web.BaseRequest) -> Call | Refusal:
         arrived_ms = self._clock.monotonic_ms()
@@ -142,20 +142,30 @@
             return _not_run(504, "deadline", None)
         if budget.too_deep:
             return _not_run(508, "too_deep", None)
-        return Call(request, table, match, budget, arrived_ms)
+        return Call(
+            request.method,
+            request.raw_path,
+            request.headers,
+            table,
+            match,
+            budget,
+            arrived_ms,
+        )
 
-    async def _read_body(self, call: Call) -> Refusal | None:
-        if not call.request.body_exists:
+    async def _read_body(self, request: web.BaseRequest, call: Call) -> Refusal | None:
+        if not request.body_exists:
             return None
         body = bytearray()
-        async for chunk in call.request.content.iter_any():
+        async for chunk in request.content.iter_any():
             body += chunk
             if len(body) > BODY_KEPT_MAXIMUM_BYTES:
                 return _not_run(413, "body_too_large", None)
         call.body = bytes(body)
         return None
 
-    async def run(self, call: Call) -> web.StreamResponse | Refusal:
+    async def run(
+        self, request: web.BaseRequest, call: Call
+    ) -> web.StreamResponse | Refusal:
         """Send attempts until one is answered or none may follow."""
         pool = self._pools[call.match.service.name]
         pool.budget.first_request()
@@ -164,7 +174,7 @@
             if isinstance(sent, Refusal):
                 return sent
             if sent.attempt.response is not None and _is_answer(sent.attempt):
-                answer = await self._relay(pool, call, sent)
+                answer = await self._relay(pool, request, sent)
                 if answer is not None:
                     return answer
             else:
@@ -195,13 +205,13 @@
         pool.finish(sent.ticket, outcome, self._clock.monotonic_ms())
 
     async def _relay(
-        self, pool: ServicePool, call: Call, sent: Sent
+        self, pool: ServicePool, request: web.BaseRequest, sent: Sent
     ) -> web.StreamResponse | None:
         response = sent.attempt.response
         assert response is not None
         kind = OutcomeKind.CANCELLED
         try:
-            answer = await relay(call.request, response)
+            answer = await relay(request, response)
             kind = sent.attempt.kind
         except BodyCutError:
             kind = OutcomeKind.RESET
--- a/azurestep/traffic/relay.py
+++ b/azurestep/traffic/relay.py
@@ -30,7 +30,7 @@
     BodyCutError
         If the body was cut before any byte reached the caller.
     """
-    fields = passed_on(CIMultiDict(response.headers))
+    fields = passed_on(response.headers)
     length = declared_length(response)
     if request.method == "HEAD" or (length is not None and length <= SMALL_BODY_BYTES):
         return await _relay_small(response, fields, length)
