--- a/tests/fixtures_standins.py
+++ b/tests/fixtures_standins.py
@@ -12,6 +12,7 @@
 from standins.backend_settings import BackendServerSettings
 from standins.log import LogStandIn
 from standins.serving import Address, HttpServer
+from standins.silent_proxy import SilentProxy
 
 
 @pytest_asyncio.fixture
@@ -99,3 +100,51 @@
 @pytest.fixture
 def wait_until() -> Callable[..., Awaitable[None]]:
     return _wait_until
+
+
+class EchoProtocol(asyncio.Protocol):
+    def __init__(self, echo: "Echo") -> None:
+        self.echo = echo
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.echo.open += 1
+
+    def data_received(self, data: bytes) -> None:
+        self.echo.received.extend(data)
+        self.transport.write(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.echo.open -= 1
+
+
+class Echo:
+    def __init__(self) -> None:
+        self.received = bytearray()
+        self.open = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: EchoProtocol(self), "127.0.0.1", 0
+        )
+        self.address = Address(*self.server.sockets[0].getsockname())
+
+
+@pytest_asyncio.fixture
+async def echo() -> AsyncIterator[Echo]:
+    target = Echo()
+    await target.start()
+    yield target
+    assert target.server is not None
+    target.server.close()
+
+
+@pytest_asyncio.fixture
+async def proxy(echo: Echo) -> AsyncIterator[SilentProxy]:
+    relay = SilentProxy(echo.address)
+    await relay.start()
+    yield relay
+    await relay.close()
