--- a/tests/test_standins_log.py
+++ b/tests/test_standins_log.py
@@ -115,6 +115,25 @@
     assert log.stats().total.unavailable == 2
 
 
+async def test_outage_and_hang_reach_open_long_polls(http, log):
+    url = f"{records_url(log)}?from=1&wait_ms={LONG_POLL_MS}"
+    broken = asyncio.create_task(http.get(url))
+    await asyncio.sleep(0.05)
+    log.set_faults(Faults(outage=True))
+    response = await asyncio.wait_for(broken, LONG_POLL_MS / 2000)
+    log.set_faults(Faults())
+    held = asyncio.create_task(http.get(f"{records_url(log)}?from=1&wait_ms=100"))
+    await asyncio.sleep(0.05)
+    log.set_faults(Faults(hang=True))
+    await asyncio.sleep(0.2)
+    answered_in_hang = held.done()
+    log.set_faults(Faults())
+
+    assert response.status == 503
+    assert not answered_in_hang
+    assert (await held).status == 200
+
+
 async def test_lost_answer_took_effect(http, log):
     log.set_faults(Faults(lose_answer_ratio=1.0))
     with pytest.raises(aiohttp.ClientConnectionError):
