Count control bytes at GET /v1/counters, let deltas be switched off

The counters get an endpoint of their own, so that the status page keeps its shape. send_deltas=false makes every push and pull carry the whole document.

--- a/azurestep/control/spread.py
+++ b/azurestep/control/spread.py
@@ -164,7 +164,7 @@
 
     def _delta_from(self, base: Document | None) -> Delta:
         state = self.fold.state
-        if base is None or not base.entries:
+        if base is None or not base.entries or not self._settings.send_deltas:
             return make_snapshot(state.document, state.version, state.as_of)
         delta = make_delta(base, state.document, state.version, state.as_of)
         if len(delta.put) >= len(state.document.entries):
--- a/azurestep/node/operators.py
+++ b/azurestep/node/operators.py
@@ -40,6 +40,7 @@
         app = web.Application()
         app.router.add_get("/v1/status", self._status)
         app.router.add_get("/v1/configuration", self._configuration)
+        app.router.add_get("/v1/counters", self._counters)
         app.router.add_post("/v1/drain", self._drain)
         self._runner = web.AppRunner(app, access_log=None)
         await listen(
@@ -70,6 +71,9 @@
             self.control.membership.reports(),
         )
 
+    async def _counters(self, request: web.Request) -> web.Response:
+        return json_response(CONVERTER.unstructure(self.control.links.counters))
+
     async def _configuration(self, request: web.Request) -> web.Response:
         state = self.control.spread.fold.state
         return json_response(
--- a/azurestep/operations/node_client.py
+++ b/azurestep/operations/node_client.py
@@ -9,6 +9,7 @@
 
 from ..config.document import Document
 from ..config.records import Entry, document_from
+from ..control.link import LinkCounters
 from ..errors import NodeUnreachableError
 from ..node.messages import NodeStatus
 
@@ -46,6 +47,10 @@
         """Return the state of the node."""
         return CONVERTER.structure(await self._get("/v1/status"), NodeStatus)
 
+    async def counters(self) -> LinkCounters:
+        """Return the traffic of the node's control sockets since its start."""
+        return CONVERTER.structure(await self._get("/v1/counters"), LinkCounters)
+
     async def configuration(self) -> HeldConfiguration:
         """Return the configuration in force at the node."""
         plain = await self._get("/v1/configuration")
--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -65,6 +65,9 @@
         Duration of one long poll at the platform's log.
     checkpoint_records : int
         Records after which a new checkpoint is appended.
+    send_deltas : bool
+        Whether versions travel as deltas; otherwise as whole snapshots, which
+        serves as a baseline of the measurements.
     """
 
     probe_interval_ms: int = 1000
@@ -75,6 +78,7 @@
     bridges_per_data_centre: int = 2
     poll_wait_ms: int = 20_000
     checkpoint_records: int = 500
+    send_deltas: bool = True
 
 
 @attrs.frozen
