Test that the relay keeps the first bytes on uvloop

The suite runs on asyncio's own loop, where the loss doesn't come. Cause, by a trial with a bare protocol: uvloop calls data_received after pause_reading was called in connection_made; asyncio's loop doesn't.

--- a/tests/test_standins_silent_proxy.py
+++ b/tests/test_standins_silent_proxy.py
@@ -1,8 +1,10 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from standins.silent_proxy import Direction, Faults, SilentProxy
+from tests.fixtures_standins import Echo
 
 BOUND_S = 20
 
@@ -33,6 +35,21 @@
     assert await exchange(connection, big) == big
 
 
+def test_first_bytes_are_kept_on_uvloop():
+    # Under uvloop bytes arrive although reading was paused as the connection opened.
+    async def relay_first_bytes():
+        echo = Echo()
+        await echo.start()
+        proxy = SilentProxy(echo.address)
+        await proxy.start()
+        received = await exchange(await open_to(proxy), b"first")
+        await proxy.close()
+        echo.server.close()
+        return received
+
+    assert uvloop.run(relay_first_bytes()) == b"first"
+
+
 async def test_end_of_one_side_reaches_the_other(proxy, echo, wait_until):
     reader, writer = await open_to(proxy)
     writer.write(b"last")
