--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -12,6 +12,7 @@
 from docopt import docopt
 
 from .announcing import Announcement, Announcer
+from .backend_control import add_control_routes
 from .backend_settings import (
     BackendServerSettings,
     Counts,
@@ -20,8 +21,9 @@
     Load,
     ResourceAnswer,
     RunAnswer,
+    cold_delay_ms,
 )
-from .json_http import json_response, query_int, read_attrs, retry_after_headers
+from .json_http import json_response, query_int, retry_after_headers
 from .process import run
 from .protocol_headers import CRASH, DEADLINE_MS, IDEMPOTENCY_KEY, NOT_RUN
 from .sending import BodySender
@@ -44,7 +46,6 @@
   --seed N             Seed of the random faults [default: 0].
 """
 
-COLD_DELAY_MS = 50.0
 REFUSED_RETRY_MS = 50
 DRAIN_BOUND_S = 30.0
 CRASH_EXIT_CODE = 70
@@ -181,12 +182,7 @@
 
     def _application(self) -> web.Application:
         app = web.Application(client_max_size=MAX_BODY_BYTES)
-        app.router.add_get("/_standin/runs", self._handle_runs)
-        app.router.add_get("/_standin/counts", self._handle_counts)
-        app.router.add_get("/_standin/health", self._handle_health)
-        app.router.add_get("/_standin/load", self._handle_load)
-        app.router.add_put("/_standin/faults", self._handle_faults)
-        app.router.add_post("/_standin/leave", self._handle_leave)
+        add_control_routes(app, self)
         app.router.add_route("*", "/{path:.*}", self._handle)
         return app
 
@@ -273,35 +269,10 @@
 
     def _delay_s(self, request: web.Request) -> float:
         asked_ms = query_int(request, "delay_ms", 0)
-        base_ms = self.settings.delay_ms + asked_ms + self._cold_delay_ms()
-        return base_ms * self.faults.slow_factor / 1000
-
-    def _cold_delay_ms(self) -> float:
-        if self.settings.cold_start_ms <= 0:
-            return 0.0
         age_ms = (time.monotonic() - self._started_s) * 1000
-        cold_share = 1 - age_ms / self.settings.cold_start_ms
-        return COLD_DELAY_MS * max(0.0, cold_share)
-
-    async def _handle_runs(self, request: web.Request) -> web.Response:
-        return json_response(dict(self.runs))
-
-    async def _handle_counts(self, request: web.Request) -> web.Response:
-        return json_response(self.counts)
-
-    async def _handle_health(self, request: web.Request) -> web.Response:
-        return json_response(self.health())
-
-    async def _handle_load(self, request: web.Request) -> web.Response:
-        return json_response(self.load())
-
-    async def _handle_faults(self, request: web.Request) -> web.Response:
-        self.set_faults(await read_attrs(request, Faults))
-        return json_response(self.faults)
-
-    async def _handle_leave(self, request: web.Request) -> web.Response:
-        self.request_stop()
-        return web.Response(status=202)
+        cold_ms = cold_delay_ms(age_ms, self.settings.cold_start_ms)
+        base_ms = self.settings.delay_ms + asked_ms + cold_ms
+        return base_ms * self.faults.slow_factor / 1000
 
 
 def main() -> None:
--- a/standins/backend_settings.py
+++ b/standins/backend_settings.py
@@ -4,6 +4,8 @@
 
 from .serving import DEFAULT_HOST
 
+COLD_DELAY_MS = 50.0
+
 
 @attrs.frozen
 class BackendServerSettings:
@@ -140,3 +142,27 @@
     instance: str
     key: str
     runs: int
+
+
+def cold_delay_ms(age_ms: float, cold_start_ms: float) -> float:
+    """Return the time that a request takes longer after a cold start.
+
+    Parameters
+    ----------
+    age_ms : float
+        Time since the start.
+    cold_start_ms : float
+        Time over which the delay falls to nothing.
+
+    Examples
+    --------
+    >>> cold_delay_ms(age_ms=0, cold_start_ms=1000)
+    50.0
+    >>> cold_delay_ms(age_ms=500, cold_start_ms=1000)
+    25.0
+    >>> cold_delay_ms(age_ms=2000, cold_start_ms=1000)
+    0.0
+    """
+    if age_ms >= cold_start_ms:
+        return 0.0
+    return COLD_DELAY_MS * (1 - age_ms / cold_start_ms)
--- a/standins/log.py
+++ b/standins/log.py
@@ -5,7 +5,6 @@
 import random
 import time
 
-import attrs
 from aiohttp import web
 from aiohttp.typedefs import Handler
 from docopt import docopt
@@ -17,10 +16,11 @@
     read_json,
     retry_after_headers,
 )
+from .log_settings import Faults, LogSettings
 from .log_stats import LogStats, Tally
 from .log_store import Appended, Page, Retention, Stream, TokenBucket
 from .process import run
-from .serving import DEFAULT_HOST, Address, HttpServer
+from .serving import Address, HttpServer
 
 USAGE = """Serve the stand-in of the platform's log.
 
@@ -44,56 +44,6 @@
 OUTAGE_RETRY_MS = 1000
 
 
-@attrs.frozen
-class LogSettings:
-    """Settings of the log stand-in.
-
-    Attributes
-    ----------
-    host, port : str, int
-        Address to listen on; port 0 takes a free one.
-    appends_per_second, burst : float
-        Capacity for appends, over all streams.
-    retention : Retention
-        How long records are kept.
-    seed : int
-        Seed of the random faults.
-    """
-
-    host: str = DEFAULT_HOST
-    port: int = 0
-    appends_per_second: float = 500.0
-    burst: float = 100.0
-    retention: Retention = Retention()
-    seed: int = 0
-
-
-@attrs.frozen
-class Faults:
-    """Faults of the log stand-in; the defaults are none.
-
-    Attributes
-    ----------
-    outage : bool
-        Answer every request to a stream with 503.
-    lose_answer_ratio : float
-        Share of the appends that take effect and whose connection is then
-        closed without an answer.
-    delay_ms : float
-        Time that each request waits before anything else happens.
-    hang : bool
-        Answer nothing until the fault is cleared; held requests then go on.
-    seed : int, optional
-        Seed of the random faults from now on; None goes on with the current one.
-    """
-
-    outage: bool = False
-    lose_answer_ratio: float = 0.0
-    delay_ms: float = 0.0
-    hang: bool = False
-    seed: int | None = None
-
-
 class LogStandIn:
     """Log service in memory, over HTTP.
 
