--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import sys
 import tempfile
+from typing import Any
 
 import attrs
 import orjson
@@ -22,15 +24,27 @@
 
 HOST = "127.0.0.1"
 STOP_TIMEOUT_S = 20.0
-READY_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 30.0
+WAVE = 12
+PORT_RANGE = (10_000, 32_000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the kernel numbers outgoing
+    connections, so that none of these takes a port before its process does.
+    """
+    sockets: list[socket.socket] = []
     try:
-        for item in sockets:
-            item.bind((HOST, 0))
+        while len(sockets) < count:
+            item = socket.socket()
+            try:
+                item.bind((HOST, random.randrange(*PORT_RANGE)))
+            except OSError:
+                item.close()
+                continue
+            sockets.append(item)
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
@@ -45,6 +59,12 @@
     process: asyncio.subprocess.Process
     log: pathlib.Path
 
+    def records(self, event: int) -> list[dict[str, Any]]:
+        """Return the log records of one event that the process has written."""
+        mark = f'"event":{event},'.encode()
+        lines = self.log.read_bytes().splitlines()
+        return [orjson.loads(line) for line in lines if mark in line]
+
     async def stop(self, signal_number: int = signal.SIGTERM) -> int:
         """Send a signal and wait for the end; return the exit code."""
         with contextlib.suppress(ProcessLookupError):
@@ -127,6 +147,14 @@
         self.nodes.append(node)
         return node
 
+    async def start_nodes(
+        self, places: list[tuple[str, str]], seeds: list[Address]
+    ) -> None:
+        """Start nodes, given as instance and data centre, a wave at a time."""
+        for first in range(0, len(places), WAVE):
+            wave = places[first : first + WAVE]
+            await asyncio.gather(*(self.start_node(i, dc, seeds) for i, dc in wave))
+
     async def restart_node(self, settings: Settings) -> NodeProcess:
         """Start a node with settings that were used before."""
         path = self._path / f"{settings.instance}.json"
@@ -152,6 +180,12 @@
             *arguments,
         )
 
+    async def start_lone_backend_server(self, name: str, *arguments: str) -> Process:
+        """Start a stand-in backend server that announces itself to no node."""
+        return await self._start(
+            name, "-m", "standins.backend_server", "--service", name, *arguments
+        )
+
     async def _start(self, name: str, *arguments: str) -> Process:
         log = self._path / f"{name}.log"
         with log.open("ab") as stream:
@@ -162,10 +196,10 @@
         self._processes.append(started)
         return started
 
-    async def stop(self) -> None:
+    async def stop(self, signal_number: int = signal.SIGTERM) -> None:
         """End every process that was started, then remove its files."""
         running = [p for p in self._processes if p.process.returncode is None]
-        await asyncio.gather(*(process.stop() for process in running))
+        await asyncio.gather(*(process.stop(signal_number) for process in running))
         self._directory.cleanup()
 
 
