Run payments at most once across nodes

Change: the at-most-once decision gets a task of its own; requests travel to the owner of their key over the authenticated peer sockets; the ownership stream is read by the readers and relayed to the other nodes of their data centre. Found: the fold of the ownership stream began at offset 0 while the platform's log begins at 1, so it took the log for one that lost records and no slot was ever claimed; version 0 was reported as a conflict between hashes.

--- a/azurestep/control/codec.py
+++ b/azurestep/control/codec.py
@@ -12,6 +12,13 @@
 import msgpack
 
 from ..errors import MessageMalformedError
+from ..once.messages import (
+    ForwardedRequest,
+    OwnerAnswer,
+    PeerMessage,
+    TableReceipt,
+    TableTransfer,
+)
 from .messages import (
     Ack,
     Applied,
@@ -20,12 +27,15 @@
     Later,
     MemberState,
     Message,
+    OwnerMessage,
     Probe,
     ProbeRelayed,
     ProbeRequest,
     Pull,
     PullReply,
     Push,
+    RecordsPull,
+    RecordsPush,
     Sender,
     ServiceSummary,
     SyncReply,
@@ -48,12 +58,21 @@
     10: PullReply,
     11: Later,
     12: Applied,
+    13: RecordsPush,
+    14: RecordsPull,
+    15: OwnerMessage,
 }
 UPDATE_KINDS: dict[int, type] = {
     1: MemberState,
     2: ServiceSummary,
     3: DataCentreReport,
 }
+OWNER_KINDS: dict[int, type] = {
+    1: ForwardedRequest,
+    2: OwnerAnswer,
+    3: TableTransfer,
+    4: TableReceipt,
+}
 
 
 def _make_converter() -> cattrs.Converter:
@@ -66,6 +85,7 @@
     converter.register_structure_hook(bytes, _structure_bytes)
     converter.register_unstructure_hook(IntEnum, int)
     _register_union(converter, Update, UPDATE_KINDS)
+    _register_union(converter, PeerMessage, OWNER_KINDS)
     return converter
 
 
--- a/azurestep/control/link.py
+++ b/azurestep/control/link.py
@@ -106,17 +106,21 @@
                 self.counters.dropped_frames += 1
                 emit(FRAME_DROPPED, cause=str(error), size_bytes=len(frame))
 
-    def send(self, to: Address, message: Message) -> None:
-        """Send without waiting; a frame to a peer that is stuck is dropped."""
+    def send(self, to: Address, message: Message) -> bool:
+        """Send without waiting; return whether the frame was queued.
+
+        A frame to a peer whose queue is full is dropped.
+        """
         frame = encode(self._own, message)
         socket = self._socket(to)
         try:
             socket.send(frame, zmq.DONTWAIT)
         except zmq.Again:
             self.counters.unsent_frames += 1
-            return
+            return False
         self.counters.sent_frames += 1
         self.counters.sent_bytes += len(frame)
+        return True
 
     def _socket(self, to: Address) -> "zmq.Socket[bytes]":
         held = self._outbound.get(to)
--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -109,6 +109,16 @@
         """Return the newest report of each data centre."""
         return [u for u in self.table.updates(True) if isinstance(u, DataCentreReport)]
 
+    def contacts_abroad(self) -> list[Address]:
+        """Return a bridge of each other data centre, in random order."""
+        found = [
+            self._random.choice(report.contacts)
+            for report in self.reports()
+            if report.data_centre != self._own.data_centre and report.contacts
+        ]
+        self._random.shuffle(found)
+        return found
+
     def bridges(self) -> list[str]:
         """Return the bridges of this data centre."""
         count = self._settings.bridges_per_data_centre
@@ -159,11 +169,7 @@
 
     def _broadcast_abroad(self, updates: list[Update]) -> list[Output]:
         message = Broadcast("", updates)
-        return [
-            Send(self._random.choice(report.contacts), message)
-            for report in self.reports()
-            if report.data_centre != self._own.data_centre and report.contacts
-        ]
+        return [Send(to, message) for to in self.contacts_abroad()]
 
     def _forward(self, message: Broadcast) -> list[Output]:
         fan_out = max(1, self._settings.push_fan_out)
--- a/azurestep/control/messages.py
+++ b/azurestep/control/messages.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..config.delta import Delta
+from ..once.messages import Header, PeerMessage
 from ..settings import Address
 
 
@@ -48,6 +49,12 @@
         Requests that it runs at once.
     status : int
         A ``ServerStatus``.
+    instance : str
+        Instance that it runs on.
+    node_run : str
+        Random name of this run of the node beside it.
+    control_port : int
+        Control port of that node, on the same IP number.
     """
 
     service: str
@@ -56,6 +63,9 @@
     incarnation: str
     slots: int
     status: int = ServerStatus.READY
+    instance: str = ""
+    node_run: str = ""
+    control_port: int = 0
 
 
 @attrs.frozen
@@ -292,6 +302,73 @@
     last_ms: int
 
 
+@attrs.frozen
+class RelayedRecord:
+    """A record of a log stream on its way between nodes."""
+
+    offset: int
+    payload: bytes
+
+
+@attrs.frozen
+class RecordsPush:
+    """Records of the ownership stream that a reader read.
+
+    Attributes
+    ----------
+    root : str
+        Root of the tree that it goes down; empty for an answer to a pull.
+    from_offset, next_offset : int
+        Offsets that it covers, the last excluded.
+    has_regressed : bool
+        Whether the log was found to hold fewer records than before.
+    """
+
+    root: str
+    from_offset: int
+    next_offset: int
+    records: list[RelayedRecord]
+    has_regressed: bool = False
+
+
+@attrs.frozen
+class RecordsPull:
+    """Asks for the records of the ownership stream from an offset on."""
+
+    from_offset: int
+
+
+@attrs.frozen
+class CarriedCall:
+    """A caller's request as it travels to the owner of its key."""
+
+    method: str
+    target: str
+    host: str
+    fields: list[Header]
+    body: bytes
+
+
+@attrs.frozen
+class OwnerMessage:
+    """A message of the at-most-once decision to one run of a node.
+
+    Attributes
+    ----------
+    receiver_run, sender_run : str
+        Runs of the two nodes; a later run of the receiver ignores it.
+    message : PeerMessage
+        The message.
+    call : CarriedCall or None
+        The request that goes with a ``ForwardedRequest``.
+    """
+
+    receiver_run: str
+    sender_run: str
+    message: PeerMessage
+    call: CarriedCall | None = None
+
+
 Message = (
     Probe
     | Ack
@@ -305,4 +382,7 @@
     | PullReply
     | Later
     | Applied
+    | RecordsPush
+    | RecordsPull
+    | OwnerMessage
 )
--- a/azurestep/control/outputs.py
+++ b/azurestep/control/outputs.py
@@ -4,7 +4,7 @@
 
 from ..config.fold import FoldEvent
 from ..settings import Address
-from .messages import MemberState, Message, Update
+from .messages import MemberState, Message, RelayedRecord, Update
 
 
 @attrs.frozen
@@ -58,6 +58,23 @@
     event: FoldEvent
 
 
+@attrs.frozen
+class RecordsRelayed:
+    """Records of the ownership stream are known here, in their order.
+
+    Attributes
+    ----------
+    from_offset, next_offset : int
+        Offsets covered, the last excluded; the first is above the offset that
+        was wanted if records were dropped.
+    """
+
+    from_offset: int
+    next_offset: int
+    records: tuple[RelayedRecord, ...]
+    has_regressed: bool = False
+
+
 Output = (
     Send
     | ReplaceLink
@@ -66,4 +83,5 @@
     | VersionApplied
     | VersionConflict
     | Folded
+    | RecordsRelayed
 )
--- /dev/null
+++ b/azurestep/control/relay.py
@@ -0,0 +1,137 @@
+"""Relay of the ownership stream from the readers to every node.
+
+Few nodes read the platform's log, but every node has to know who owns a slot. The
+first reader pushes what it read down a tree; a node that missed a part pulls it.
+"""
+
+import random
+from collections import deque
+from functools import singledispatchmethod
+
+import orjson
+
+from ..platform.records import FIRST_OFFSET, Page
+from ..settings import ControlSettings
+from .membership import Membership
+from .messages import Message, RecordsPull, RecordsPush, RelayedRecord, Sender
+from .outputs import Output, RecordsRelayed, Send
+from .ring import children
+
+KEPT_MAXIMUM_RECORDS = 4000
+PULL_MAXIMUM_RECORDS = 500
+PULL_INTERVAL_MS = 5000
+FIRST_PULL_INTERVAL_MS = 500
+
+
+class LogRelay:
+    """Holds the newest records of the ownership stream at one node."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        settings: ControlSettings,
+        source: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._settings = settings
+        self._random = source
+        self._kept: deque[RelayedRecord] = deque(maxlen=KEPT_MAXIMUM_RECORDS)
+        self._next_offset = FIRST_OFFSET
+        self._has_heard = False
+        self._has_regressed = False
+        self._next_pull_ms = 0.0
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the first record not known here."""
+        return self._next_offset
+
+    def take_page(self, page: Page, is_first_reader: bool) -> list[Output]:
+        """Take records that this node read from the log itself."""
+        if page.next_offset < self._next_offset:
+            return self._regress(self._membership.own.instance)
+        from_offset = max(self._next_offset, page.first_offset)
+        records = [
+            RelayedRecord(record.offset, orjson.dumps(record.value))
+            for record in page.records
+            if record.offset >= self._next_offset
+        ]
+        outputs = self._accept(from_offset, records)
+        if records and is_first_reader:
+            root = self._membership.own.instance
+            push = RecordsPush(root, from_offset, self._next_offset, records)
+            outputs.extend(self._forward(push))
+        return outputs
+
+    def _accept(self, from_offset: int, records: list[RelayedRecord]) -> list[Output]:
+        if self._has_heard and not records and from_offset <= self._next_offset:
+            return []
+        self._has_heard = True
+        self._kept.extend(records)
+        self._next_offset = records[-1].offset + 1 if records else from_offset
+        return [RecordsRelayed(from_offset, self._next_offset, tuple(records))]
+
+    def _regress(self, root: str) -> list[Output]:
+        if self._has_regressed:
+            return []
+        self._has_regressed = True
+        offset = self._next_offset
+        push = RecordsPush(root, offset, offset, [], has_regressed=True)
+        relayed = RecordsRelayed(offset, offset, (), has_regressed=True)
+        return [relayed, *self._forward(push)]
+
+    def _forward(self, push: RecordsPush) -> list[Output]:
+        fan_out = max(1, self._settings.push_fan_out)
+        own = self._membership.own.instance
+        names = children(self._membership.order, push.root, own, fan_out)
+        members = (self._membership.member(name) for name in names)
+        return [Send(member.address, push) for member in members if member]
+
+    def tick(
+        self, now_ms: float, reader: str | None, is_log_reachable: bool
+    ) -> list[Output]:
+        """Ask for what was missed: the first reader, or another data centre."""
+        if now_ms < self._next_pull_ms:
+            return []
+        interval_ms = PULL_INTERVAL_MS if self._has_heard else FIRST_PULL_INTERVAL_MS
+        self._next_pull_ms = now_ms + interval_ms * self._random.uniform(0.8, 1.2)
+        own = self._membership.own.instance
+        pull = RecordsPull(self._next_offset)
+        if reader is not None and reader != own:
+            member = self._membership.member(reader)
+            return [Send(member.address, pull)] if member else []
+        if is_log_reachable:
+            return []
+        return [Send(to, pull) for to in self._membership.contacts_abroad()[:1]]
+
+    @singledispatchmethod
+    def handle(self, message: Message, sender: Sender, now_ms: float) -> list[Output]:
+        """Take a message; messages of other decisions are ignored."""
+        return []
+
+    @handle.register
+    def _(self, message: RecordsPush, sender: Sender, now_ms: float) -> list[Output]:
+        if message.has_regressed:
+            return self._regress(message.root)
+        if message.root and message.from_offset > self._next_offset:
+            return [Send(sender.address, RecordsPull(self._next_offset))]
+        fresh = [r for r in message.records if r.offset >= self._next_offset]
+        from_offset = max(self._next_offset, message.from_offset)
+        outputs = self._accept(from_offset, fresh)
+        if fresh and message.root:
+            outputs.extend(self._forward(message))
+        if not message.root and len(message.records) >= PULL_MAXIMUM_RECORDS:
+            outputs.append(Send(sender.address, RecordsPull(self._next_offset)))
+        return outputs
+
+    @handle.register
+    def _(self, message: RecordsPull, sender: Sender, now_ms: float) -> list[Output]:
+        if not self._has_heard:
+            return []
+        first = self._kept[0].offset if self._kept else self._next_offset
+        from_offset = max(first, message.from_offset)
+        found = [r for r in self._kept if r.offset >= from_offset]
+        records = found[:PULL_MAXIMUM_RECORDS]
+        next_offset = records[-1].offset + 1 if records else self._next_offset
+        reply = RecordsPush("", from_offset, next_offset, records)
+        return [Send(sender.address, reply)]
--- a/azurestep/control/spread.py
+++ b/azurestep/control/spread.py
@@ -217,7 +217,7 @@
 
     def _hear(self, digest: Digest, peer: Address, now_ms: float) -> list[Output]:
         own = self.digest
-        if digest.version == own.version and digest.hash != own.hash:
+        if digest.version and digest.version == own.version and digest.hash != own.hash:
             return [VersionConflict(own.version, peer)]
         if digest.version <= own.version or now_ms < self._pull_until_ms:
             return []
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -20,22 +20,39 @@
 )
 from ..control.link import Links
 from ..control.membership import Membership
-from ..control.messages import MemberState, MemberStatus, Sender
+from ..control.messages import (
+    MemberState,
+    MemberStatus,
+    OwnerMessage,
+    Sender,
+    ServerStatus,
+)
 from ..control.outputs import (
     Folded,
     Learned,
     MemberChanged,
     Output,
+    RecordsRelayed,
     ReplaceLink,
     Send,
     VersionApplied,
     VersionConflict,
 )
+from ..control.relay import LogRelay
 from ..control.ring import rendezvous
 from ..control.spread import Spread
 from ..control.summaries import Summarizer
 from ..environment import Environment
-from ..settings import Settings
+from ..once.fold import LogEntry
+from ..once.messages import (
+    ForwardFailed,
+    Input,
+    LogRecordsRead,
+    LogRegressed,
+    MembersChanged,
+)
+from ..once.records import NodeId
+from ..settings import Address, Settings
 from ..traffic.directory import DirectoryBuilder
 from ..traffic.table import RoutingTable
 from .messages import (
@@ -43,12 +60,18 @@
     DirectoryReady,
     LeaveRequested,
     LogLost,
+    OwnerMessageOut,
+    OwnerMessageReceived,
+    OwnershipPageRead,
     PageRead,
     ServersChanged,
+    ServiceNamed,
     TableReady,
     TrafficInput,
 )
 
+OnceInput = Input | OwnerMessageReceived | ServiceNamed
+
 READER = "reader"
 TICK_S = 0.1
 MEMBER_EVENTS = {
@@ -70,6 +93,13 @@
         Clock and randomness.
     traffic : asyncio.Queue
         Where tables and directories go.
+    node_run : str
+        Random name of this run of the node.
+
+    Attributes
+    ----------
+    once : asyncio.Queue or None
+        Where the at-most-once task takes its inputs.
     """
 
     settings: Settings
@@ -81,11 +111,14 @@
         settings: Settings,
         environment: Environment,
         traffic: "asyncio.Queue[TrafficInput]",
+        node_run: str = "",
     ) -> None:
         super().__init__()
         self.settings = settings
         self.environment = environment
         self.traffic = traffic
+        self.node_run = node_run
+        self.once: asyncio.Queue[OnceInput] | None = None
         self.inputs: asyncio.Queue[ControlInput] = asyncio.Queue()
         own = self._own_record()
         self.membership = Membership(
@@ -97,9 +130,12 @@
             environment.random,
             environment.clock.now_ms,
         )
+        self.relay = LogRelay(self.membership, settings.control, environment.random)
         self._summarizer = Summarizer(self.membership)
         self._directory = DirectoryBuilder(settings.data_centre)
         self._directory_is_stale = True
+        self._nodes: dict[tuple[str, str], Address] = {}
+        self._once_services: set[str] = set()
         self.checkpoint_as_of = 0
         sender = Sender(
             own.instance,
@@ -144,7 +180,12 @@
         while True:
             envelope = await self.links.receive()
             now_ms = self._now_ms()
-            for decision in (self.membership, self.spread):
+            if isinstance(envelope.message, OwnerMessage):
+                self._tell_once(
+                    OwnerMessageReceived(envelope.sender.instance, envelope.message)
+                )
+                continue
+            for decision in (self.membership, self.spread, self.relay):
                 self._perform_all(
                     decision.handle(envelope.message, envelope.sender, now_ms)
                 )
@@ -159,9 +200,20 @@
             self._perform_all(self.membership.tick(now_ms))
             self._perform_all(self.spread.tick(now_ms))
             self._perform_all(self._summarizer.tick(now_ms))
+            self._perform_all(self._tick_relay(now_ms))
             self._refresh_directory(now_ms)
             await asyncio.sleep(TICK_S)
 
+    def _tick_relay(self, now_ms: float) -> list[Output]:
+        readers = self.readers()
+        reader = readers[0] if readers else None
+        is_reachable = self.membership.own.log_reachable
+        return self.relay.tick(now_ms, reader, is_reachable)
+
+    def _tell_once(self, message: OnceInput) -> None:
+        if self.once is not None:
+            self.once.put_nowait(message)
+
     def _now_ms(self) -> float:
         return self.environment.clock.monotonic_ms()
 
@@ -174,7 +226,16 @@
     @_take.register
     def _(self, message: ServersChanged) -> list[Output]:
         self._directory_is_stale = True
-        return self.membership.change_own(servers=message.servers)
+        servers = [
+            attrs.evolve(
+                server,
+                instance=self.settings.instance,
+                node_run=self.node_run,
+                control_port=self.settings.control_port,
+            )
+            for server in message.servers
+        ]
+        return self.membership.change_own(servers=servers)
 
     @_take.register
     def _(self, message: PageRead) -> list[Output]:
@@ -191,6 +252,20 @@
         events.emit(events.PLATFORM_UNREACHABLE, cause=message.cause)
         return self.membership.change_own(log_reachable=False)
 
+    @_take.register
+    def _(self, message: OwnershipPageRead) -> list[Output]:
+        is_first = self.readers()[:1] == [self.settings.instance]
+        return self.relay.take_page(message.page, is_first)
+
+    @_take.register
+    def _(self, message: OwnerMessageOut) -> list[Output]:
+        to = self._nodes.get((message.instance, message.message.receiver_run))
+        if to is not None and self.links.send(to, message.message):
+            return []
+        if message.request_id:
+            self._tell_once(ForwardFailed(message.request_id, bytes_sent=False))
+        return []
+
     @_take.register
     def _(self, message: LeaveRequested) -> list[Output]:
         return self._leave()
@@ -202,13 +277,17 @@
 
     # -- views ---------------------------------------------------------------
 
-    def is_reader(self) -> bool:
-        """Whether this node follows the platform's log."""
+    def readers(self) -> list[str]:
+        """Return who follows the platform's log, the first reader first."""
         members = self.membership.members()
         able = [m.instance for m in members if m.log_reachable]
         names = able or [m.instance for m in members]
         count = self.settings.control.readers_per_data_centre
-        return self.settings.instance in rendezvous(READER, names, count)
+        return rendezvous(READER, names, count)
+
+    def is_reader(self) -> bool:
+        """Whether this node follows the platform's log."""
+        return self.settings.instance in self.readers()
 
     def is_checkpoint_due(self) -> bool:
         """Whether enough records came since the last checkpoint."""
@@ -254,6 +333,7 @@
         assert state.configuration is not None
         table = RoutingTable(state.version, state.configuration)
         self.traffic.put_nowait(TableReady(table))
+        self._directory_is_stale = True
         events.emit(
             events.VERSION_IN_FORCE,
             version=state.version,
@@ -271,10 +351,46 @@
     def _(self, output: Folded) -> None:
         self._note(output.event)
 
+    @_perform.register
+    def _(self, output: RecordsRelayed) -> None:
+        if output.has_regressed:
+            self._tell_once(LogRegressed())
+            return
+        entries = tuple(LogEntry(r.offset, r.payload) for r in output.records)
+        self._tell_once(LogRecordsRead(output.from_offset, entries, output.next_offset))
+
+    def _tell_members(self) -> None:
+        """Tell the at-most-once task which nodes live, by service."""
+        live: dict[str, list[NodeId]] = {}
+        self._nodes = {}
+        for server in self._directory.servers(self.membership.table.updates()):
+            if not server.node_run:
+                continue
+            node = NodeId(server.instance, server.node_run)
+            address = Address(server.host, server.control_port)
+            self._nodes[(server.instance, server.node_run)] = address
+            if server.status == ServerStatus.READY:
+                live.setdefault(server.service, []).append(node)
+        for service in self._once_services | live.keys():
+            nodes = tuple(live.get(service, ()))
+            self._tell_once(MembersChanged(service, nodes))
+        self._once_services = set(live)
+        self._name_service()
+
+    def _name_service(self) -> None:
+        state = self.spread.fold.state
+        if state.configuration is None:
+            return
+        table = RoutingTable(state.version, state.configuration)
+        for server in self.membership.own.servers:
+            if server.service in table.once_services:
+                self._tell_once(ServiceNamed(server.service))
+
     def _refresh_directory(self, now_ms: float) -> None:
         if not self._directory_is_stale:
             return
         self._directory_is_stale = False
+        self._tell_members()
         directory = self._directory.build(self.membership.table.updates(), now_ms)
         self.traffic.put_nowait(DirectoryReady(directory))
 
--- a/azurestep/node/follow.py
+++ b/azurestep/node/follow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 import aiomisc
@@ -14,11 +15,14 @@
 from ..platform.client import LogClient
 from ..settings import Settings
 from .control import ControlService
-from .messages import LogLost, PageRead
+from .messages import LogLost, OwnershipPageRead, PageRead
 
+OWNERSHIP_STREAM = "ownership"
 STANDBY_S = 0.5
 CHECKPOINT_DEADLINE_MS = 10_000
 
+ReadOnce = Callable[[LogClient, Backoff], Awaitable[None]]
+
 
 class FollowService(aiomisc.Service):
     """Reads the log while this node is one of its data centre's readers."""
@@ -31,18 +35,36 @@
         self.environment = environment
         self.control = control
         self._session: aiohttp.ClientSession | None = None
+        self._has_ownership = False
 
     async def start(self) -> None:
         """Follow the log until stopped."""
         self._session = aiohttp.ClientSession()
         client = LogClient(self._session, self.settings.platform_url, self.environment)
-        backoff = Backoff(self.environment.random)
         self.start_event.set()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow(self._read_once, client))
+            group.create_task(self._follow(self._read_ownership, client))
+
+    async def _follow(self, read: ReadOnce, client: LogClient) -> None:
+        backoff = Backoff(self.environment.random)
         while True:
             if not self.control.is_reader():
                 await asyncio.sleep(STANDBY_S)
                 continue
-            await self._read_once(client, backoff)
+            await read(client, backoff)
+
+    async def _read_ownership(self, client: LogClient, backoff: Backoff) -> None:
+        offset = self.control.relay.next_offset
+        wait_ms = self.settings.control.poll_wait_ms if self._has_ownership else 0
+        result = await client.read(OWNERSHIP_STREAM, offset, wait_ms=wait_ms)
+        if isinstance(result, Failure):
+            await asyncio.sleep(backoff.next_ms() / 1000)
+            return
+        backoff.reset()
+        self._has_ownership = True
+        self.control.inputs.put_nowait(OwnershipPageRead(result.unwrap()))
+        await asyncio.sleep(0)
 
     async def _read_once(self, client: LogClient, backoff: Backoff) -> None:
         offset = self.control.spread.fold.next_offset
--- a/azurestep/node/messages.py
+++ b/azurestep/node/messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..control.messages import DataCentreReport, ServerState
+from ..control.messages import DataCentreReport, OwnerMessage, ServerState
 from ..platform.records import Page
 from ..traffic.directory import Directory
 from ..traffic.table import RoutingTable
@@ -34,7 +34,51 @@
     """The node is to leave the membership."""
 
 
-ControlInput = ServersChanged | PageRead | LogLost | LeaveRequested
+@attrs.frozen
+class OwnershipPageRead:
+    """The log answered a read of the ownership stream."""
+
+    page: Page
+
+
+@attrs.frozen
+class OwnerMessageOut:
+    """A message of the at-most-once decision to another node.
+
+    Attributes
+    ----------
+    request_id : str
+        Request to report if the message can't be sent; empty for none.
+    """
+
+    instance: str
+    message: OwnerMessage
+    request_id: str = ""
+
+
+@attrs.frozen
+class OwnerMessageReceived:
+    """A message of the at-most-once decision from another node."""
+
+    instance: str
+    message: OwnerMessage
+
+
+@attrs.frozen
+class ServiceNamed:
+    """The service of the local backend server takes payments."""
+
+    service: str
+
+
+ControlInput = (
+    ServersChanged
+    | PageRead
+    | LogLost
+    | LeaveRequested
+    | OwnershipPageRead
+    | OwnerMessageOut
+)
 
 
 @attrs.frozen
--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -12,11 +12,13 @@
 from .control import ControlService
 from .follow import FollowService
 from .messages import LeaveRequested, TrafficInput
+from .once import OnceService, new_node_run
 from .operators import OperatorService
 from .traffic import TrafficService
 
 DRAIN_SETTLE_S = 2.0
 DRAIN_TIMEOUT_S = 30.0
+HAND_OVER_TIMEOUT_S = 8.0
 DRAIN_CHECK_S = 0.05
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -34,12 +36,15 @@
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, drain.set)
     inputs: asyncio.Queue[TrafficInput] = asyncio.Queue()
-    control = ControlService(settings, environment, inputs)
+    node_run = new_node_run()
+    control = ControlService(settings, environment, inputs, node_run)
     traffic = TrafficService(settings, environment, inputs)
     announce = AnnounceService(settings, environment, control.inputs)
+    once = OnceService(settings, environment, traffic.proxy, control.inputs, node_run)
+    control.once = once.inputs
     follow = FollowService(settings, environment, control)
     operators = OperatorService(settings, control, traffic.proxy, drain)
-    services = [control, announce, traffic, follow, operators]
+    services = [control, once, announce, traffic, follow, operators]
     tasks: list[asyncio.Task[None]] = []
     try:
         for service in services:
@@ -47,9 +52,9 @@
         events.emit(events.NODE_STARTED, instance=settings.instance)
         await _wait_for_end(drain, tasks)
         events.emit(events.NODE_STOPPING, instance=settings.instance)
-        await _drain(control, announce, traffic)
+        await _drain(control, announce, traffic, once)
     finally:
-        for service in (traffic, operators, follow, announce, control):
+        for service in (traffic, operators, follow, announce, once, control):
             await service.stop()
         for task in tasks:
             task.cancel()
@@ -82,10 +87,14 @@
 
 
 async def _drain(
-    control: ControlService, announce: AnnounceService, traffic: TrafficService
+    control: ControlService,
+    announce: AnnounceService,
+    traffic: TrafficService,
+    once: OnceService,
 ) -> None:
     """Take no new work from peers, then let what is in flight end."""
     announce.leases.leave_all(announce.environment.clock.monotonic_ms())
+    await once.hand_over(HAND_OVER_TIMEOUT_S)
     control.inputs.put_nowait(LeaveRequested())
     await asyncio.sleep(DRAIN_SETTLE_S)
     deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
--- a/azurestep/once/decision.py
+++ b/azurestep/once/decision.py
@@ -53,7 +53,8 @@
     node : NodeId
         This process; its incarnation is drawn anew at every start.
     service : str
-        Service of the local backend server, whose slots this node may own.
+        Service of the local backend server, whose slots this node may own;
+        empty until one announced itself.
     settings : OnceSettings
         Pace and bounds.
     random : Random
@@ -88,6 +89,11 @@
         self.claims = ClaimKeeper(self.node, self.service, self.settings, self.random)
         self.handovers = HandoverKeeper(self.settings, self.owner, self.claims)
 
+    def serve(self, service: str) -> None:
+        """Name the service whose slots this node may own from now on."""
+        self.service = service
+        self.claims.service = service
+
     def handle(self, message: Input, now: Moment) -> list[Output]:
         """Take an input and return what to do, in order."""
         return self._handle(message, now)
--- a/azurestep/platform/client.py
+++ b/azurestep/platform/client.py
@@ -95,7 +95,7 @@
                 if isinstance(found, Success) and found.unwrap() is not None:
                     return Success(found.unwrap())
                 if isinstance(found, Success):
-                    outcome = await self._append_attempt(stream, body)
+                    outcome = await self.append_attempt(stream, body)
                     if isinstance(outcome, Success):
                         return outcome
                     failure = outcome.failure()
@@ -126,9 +126,10 @@
             if not page.records:
                 return Success(None)
 
-    async def _append_attempt(
+    async def append_attempt(
         self, stream: str, body: bytes
     ) -> Result[Receipt, AzurestepError]:
+        """Append a record with one attempt, whose answer may be lost."""
         timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_MS / 1000)
         try:
             async with self._session.post(
--- a/azurestep/platform/records.py
+++ b/azurestep/platform/records.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+FIRST_OFFSET = 1
+
 
 @attrs.frozen
 class LogRecord:
--- a/azurestep/traffic/directory.py
+++ b/azurestep/traffic/directory.py
@@ -1,6 +1,6 @@
 """Directory: which backend servers each service has, over all data centres."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 import xxhash
@@ -70,6 +70,12 @@
         self._has_started = self._has_started or bool(seen)
         return Directory({name: tuple(items) for name, items in found.items()})
 
+    def servers(self, updates: Iterable[Update]) -> Iterator[ServerState]:
+        """Yield every backend server that the updates announce."""
+        for update in updates:
+            for _, _, server in self._servers_of(update):
+                yield server
+
     def _announced_ms(self, now_ms: float) -> float:
         # A node that just started can't tell new backend servers from old ones.
         return now_ms if self._has_started else float("-inf")
@@ -82,4 +88,4 @@
             if update.data_centre == self._data_centre:
                 return
             for server in update.servers:
-                yield f"{server.host}:{server.port}", update.data_centre, server
+                yield server.instance, update.data_centre, server
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 import attrs
 from aiohttp import web
@@ -31,9 +32,11 @@
 from .directory import Directory
 from .pool import ServicePool
 from .relay import BodyCutError, relay
+from .single_run import RunResult, run_single
 from .table import RoutingTable
 
 STARTING_RETRY_AFTER_MS = 500.0
+OnceHandler = Callable[[Call], Awaitable[web.Response]]
 
 
 @attrs.frozen
@@ -63,6 +66,7 @@
         self._directory = Directory()
         self._pools: dict[str, ServicePool] = {}
         self._in_flight = 0
+        self.once: OnceHandler | None = None
 
     @property
     def in_flight(self) -> int:
@@ -125,8 +129,15 @@
         refusal = await self._read_body(request, call)
         if refusal is not None:
             return refusal
+        if not call.match.idempotent and self.once is not None:
+            return await self.once(call)
         return await self.run(request, call)
 
+    async def run_single(self, call: Call) -> RunResult:
+        """Run a request that must not repeat, once."""
+        pool = self._pools[call.match.service.name]
+        return await run_single(pool, self._sender, call, self._clock)
+
     def _match(self, request: web.BaseRequest) -> Call | Refusal:
         arrived_ms = self._clock.monotonic_ms()
         table = self._table
--- a/azurestep/traffic/table.py
+++ b/azurestep/traffic/table.py
@@ -42,6 +42,15 @@
         return self.route.priority
 
 
+def takes_non_idempotent(route: Route) -> bool:
+    """Tell whether a route takes requests that must not run twice."""
+    if route.idempotent is not None:
+        return not route.idempotent
+    return not route.methods or any(
+        method not in IDEMPOTENT_METHODS for method in route.methods
+    )
+
+
 def is_idempotent(route: Route, method: str) -> bool:
     """Tell whether a request may run more than once."""
     if route.idempotent is not None:
@@ -76,6 +85,16 @@
         for routes in self._routes.values():
             routes.sort(key=_specificity, reverse=True)
 
+    @property
+    def once_services(self) -> frozenset[str]:
+        """Services that take requests which must not run twice."""
+        return frozenset(
+            route.service
+            for routes in self._routes.values()
+            for route in routes
+            if takes_non_idempotent(route)
+        )
+
     def match(
         self, host: str, path: str, method: str, headers: Mapping[str, str]
     ) -> Match | None:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import sys
-import time
 
 import aiohttp
 import attrs
@@ -72,6 +71,16 @@
         return self.environment.clock.monotonic_ms() + DEADLINE_MS
 
 
+@attrs.frozen
+class Answer:
+    """Final answer to a request of the demonstration."""
+
+    status: int
+    body: bytes
+    elapsed_ms: float
+    refusals: int
+
+
 async def start_fleet(demo: Demo, scale: float) -> None:
     """Start the log, the nodes and their backend servers."""
     await demo.fleet.start_log()
@@ -174,25 +183,43 @@
 
 async def _send(demo: Demo, kind: RequestKind, node: NodeProcess) -> None:
     fields = CIMultiDict({"Host": demo.deployment.host})
-    key = str(uuid6.uuid7())
     if kind.method == "POST":
-        fields["Idempotency-Key"] = key
+        fields["Idempotency-Key"] = str(uuid6.uuid7())
+        fields["Azurestep-Attempt"] = "1"
     query = f"?bytes={kind.bytes}" if kind.bytes else ""
-    started = time.perf_counter()
-    async with demo.session.request(
-        kind.method, f"{node.traffic_url}{kind.path}{query}", headers=fields
-    ) as response:
-        body = await response.read()
-    elapsed_ms = (time.perf_counter() - started) * 1000
-    whole = len(body) == kind.bytes if kind.bytes else True
+    url = f"{node.traffic_url}{kind.path}{query}"
+    answer = await _send_until_run(demo, kind.method, url, fields)
+    whole = len(answer.body) == kind.bytes if kind.bytes else True
     print(
-        f"  {kind.name:<18} at {node.settings.data_centre}: {response.status}, "
-        f"{len(body)} bytes, {elapsed_ms:.1f} ms"
+        f"  {kind.name:<18} at {node.settings.data_centre}: {answer.status}, "
+        f"{len(answer.body)} bytes, {answer.elapsed_ms:.1f} ms, "
+        f"{answer.refusals} refusals before"
     )
-    demo.expect(response.status == 200, f"{kind.name} is answered")
+    demo.expect(answer.status == 200, f"{kind.name} is answered")
     demo.expect(whole, f"{kind.name} arrives whole")
     if kind.method == "POST":
-        await _send_again(demo, kind, node, fields, body)
+        fields["Azurestep-Attempt"] = "2"
+        await _send_again(demo, kind, node, fields, answer.body)
+
+
+async def _send_until_run(
+    demo: Demo, method: str, url: str, fields: "CIMultiDict[str]"
+) -> Answer:
+    """Send a request, coming back when a refusal says when."""
+    deadline_ms = demo.deadline_ms()
+    refusals = 0
+    while True:
+        started_ms = demo.environment.clock.monotonic_ms()
+        async with demo.session.request(method, url, headers=fields) as response:
+            body = await response.read()
+            ended_ms = demo.environment.clock.monotonic_ms()
+            answer = Answer(response.status, body, ended_ms - started_ms, refusals)
+            retry_after_ms = float(response.headers.get("Retry-After-Ms", 0))
+            is_refused = response.headers.get("Azurestep-Outcome") == "not_run"
+        if not is_refused or not retry_after_ms or ended_ms > deadline_ms:
+            return answer
+        refusals += 1
+        await asyncio.sleep(retry_after_ms / 1000)
 
 
 async def _send_again(
