--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -73,6 +73,9 @@
         Duration of one long poll at the platform's log.
     checkpoint_records : int
         Records after which a new checkpoint is appended.
+    send_deltas : bool
+        Whether versions travel as deltas; otherwise as whole snapshots, which
+        serves as a baseline of the measurements.
     """
 
     probe_interval_ms: int = 1000
@@ -83,6 +86,7 @@
     bridges_per_data_centre: int = attrs.field(default=2, metadata=shaped(1, 16))
     poll_wait_ms: int = 20_000
     checkpoint_records: int = attrs.field(default=500, metadata=shaped(10, 100000))
+    send_deltas: bool = True
 
 
 @attrs.frozen
