Prove at-most-once over generated histories of faults

Change: a seeded model of nodes, log and network drives any policy; a checker counts runs per key and per payment and untrue 'not run'. Six guards are removed one at a time, and the checker must catch each; the owner in memory by hash must fail too. Found and mended: an owner answered 'not run' on the word of a declared first attempt, although that answer may be late and the caller long past it; only the accepting node, which knows that the caller still listens, draws that conclusion now. 'not run' for a first attempt was called final; it is not. Ruled out: remembering refused keys, so that 'not run' holds for every copy for ever; it would forbid the usual repeat with the same key.

--- a/azurestep/once/__init__.py
+++ b/azurestep/once/__init__.py
@@ -25,8 +25,8 @@
 ``DispatchFailed``         A run got none. ``bytes_sent=False`` if no byte left or
                            the backend server said that it refused.
 ``LogRecordsRead``         A read of the stream ``ownership`` returned, also with
-                           no records. Read on from ``decision.fold.next_offset``.
-``LogRegressed``           The log's end fell below ``fold.next_offset``.
+                           no records. Read on from ``decision.next_offset``.
+``LogRegressed``           The log's end fell below ``next_offset``.
 ``AppendDone``             An append was acknowledged.
 ``AppendFailed``           An append failed or its answer was lost.
 ``MembersChanged``         The live node processes of a service changed, as this
--- a/azurestep/once/accept.py
+++ b/azurestep/once/accept.py
@@ -22,6 +22,7 @@
 from .settings import OnceSettings
 
 FIRST_ATTEMPT = 1
+NOT_ACCEPTED = frozenset({Reason.NOT_OWNER, Reason.KEY_TOO_OLD})
 
 
 @attrs.frozen
@@ -92,7 +93,6 @@
             request.service,
             key.text,
             request.fingerprint,
-            request.attempt,
             request.remaining_ms,
         )
         return SendToPeer(interval.node, forwarded)
@@ -103,7 +103,7 @@
         """Answer a request of which this copy certainly did not run."""
         is_first = request.attempt == FIRST_ATTEMPT
         outcome = Outcome.NOT_RUN if is_first else Outcome.MAY_HAVE_RUN
-        return self._answer(request, outcome, reason, now, final=is_first)
+        return self._answer(request, outcome, reason, now)
 
     def refuse_for_good(
         self, request: RequestArrived, reason: Reason, now: Moment
@@ -146,13 +146,19 @@
     def answer_of(
         self, request: RequestArrived, answer: OwnerAnswer, now: Moment
     ) -> AnswerCaller:
-        """Return the answer to a caller from an owner's answer."""
+        """Return the answer to a caller from an owner's answer.
+
+        An owner that did not accept this copy can't speak for others; if the
+        caller promised that there are none, the request did not run.
+        """
+        outcome = answer.outcome
+        if answer.reason in NOT_ACCEPTED and request.attempt == FIRST_ATTEMPT:
+            outcome = Outcome.NOT_RUN
         return self._answer(
             request,
-            answer.outcome,
+            outcome,
             answer.reason,
             now,
-            final=answer.final,
             owner_answer=answer,
         )
 
--- a/azurestep/once/claims.py
+++ b/azurestep/once/claims.py
@@ -32,12 +32,19 @@
 
     One append is on its way at a time. A repeated or late record does no harm,
     because the fold refuses what does not fit.
+
+    Attributes
+    ----------
+    is_clock_ahead : bool
+        Whether the last records were held back because the clock is far ahead
+        of the other owners'.
     """
 
     node: NodeId
     service: str
     settings: OnceSettings
     random: Random
+    is_clock_ahead: bool = False
     _pending: _Pending | None = None
     _append_count: int = 0
     _extend_before_ms: float = 0.0
@@ -78,10 +85,11 @@
         """Return the next records to append."""
         if not fold.complete or self._is_waiting(fold, now):
             return []
-        records: list[OwnershipRecord] = []
-        if self.is_clock_plausible(fold, now):
-            records = self._extensions(owner, fold, now)
-            records = records or self._claims(fold, members, now)
+        records = self._extensions(owner, fold, now)
+        records = records or self._claims(fold, members, now)
+        self.is_clock_ahead = bool(records) and not self.is_clock_plausible(fold, now)
+        if self.is_clock_ahead:
+            records = []
         records = records or self._checkpoints(fold, members, now)
         return [self._append(record, now) for record in records[:1]]
 
--- a/azurestep/once/decision.py
+++ b/azurestep/once/decision.py
@@ -94,6 +94,11 @@
         self.service = service
         self.claims.service = service
 
+    @property
+    def next_offset(self) -> int:
+        """Offset of the ownership stream to read next."""
+        return self.fold.next_offset
+
     def handle(self, message: Input, now: Moment) -> list[Output]:
         """Take an input and return what to do, in order."""
         return self._handle(message, now)
@@ -223,7 +228,7 @@
         outputs: list[Output] = [*self.accept.tick(now)]
         outputs += self._convert(self.owner.tick(now), now)
         if self._has_read and not self._stopping and not self.owner.disabled:
-            outputs += self.claims.tick(self.fold, self.owner, self.members, now)
+            outputs += self._claim(now)
             self.handovers.rebalance(self.members, now)
         outputs += self.handovers.tick(now)
         if self._stopping and not self._stopped and self.handovers.is_idle:
@@ -231,6 +236,15 @@
             outputs.append(Stopped(len(self.owner.slot_ids)))
         return outputs
 
+    def _claim(self, now: Moment) -> list[Output]:
+        was_ahead = self.claims.is_clock_ahead
+        outputs: list[Output] = [
+            *self.claims.tick(self.fold, self.owner, self.members, now)
+        ]
+        if self.claims.is_clock_ahead and not was_ahead:
+            outputs.append(Emit(events.CLOCK_IMPLAUSIBLE, f"{now.wall_ms} ms"))
+        return outputs
+
     def _convert(self, outputs: list[OwnerOutput], now: Moment) -> list[Output]:
         return [
             self._convert_reply(output, now) if isinstance(output, Reply) else output
@@ -256,6 +270,5 @@
         accept.slot_id(message.service, key),
         key,
         message.fingerprint,
-        message.attempt,
         message.remaining_ms,
     )
--- a/azurestep/once/messages.py
+++ b/azurestep/once/messages.py
@@ -119,8 +119,6 @@
     ----------
     request_id : str
         Unique in the fleet and for all time.
-    attempt : int
-        Number of the attempt that the caller declared; 0 for none.
     remaining_ms : int
         Time left until the caller's deadline.
     """
@@ -129,7 +127,6 @@
     service: str
     key: str
     fingerprint: str
-    attempt: int
     remaining_ms: int
 
 
@@ -139,9 +136,6 @@
 
     Attributes
     ----------
-    final : bool
-        Whether "not run" holds for ever, so that a new key is safe although
-        copies of the request may still be under way.
     replayed : bool
         Whether the answer is the kept one of an earlier attempt.
     """
@@ -150,7 +144,6 @@
     outcome: Outcome
     reason: Reason
     retry_after_ms: int = 0
-    final: bool = False
     answer: KeptAnswer | None = None
     replayed: bool = False
 
@@ -223,7 +216,9 @@
     fingerprint : str
         Digest of method, target and body.
     attempt : int
-        Value of ``Azurestep-Attempt``; 0 if absent.
+        Value of ``Azurestep-Attempt``; 0 if absent. A caller that sends 1
+        promises that no other copy exists before it has the answer or has
+        closed the connection.
     remaining_ms : int
         Time left until the caller's deadline.
     """
@@ -405,8 +400,9 @@
     key : str
         Key of the request, minted if the caller sent none.
     final : bool
-        Whether a new key is safe although copies of the request may be under
-        way; the same key is always safe.
+        Whether no request with this key ever runs. Otherwise "not run" speaks
+        of this copy of the request alone: the same key is always safe to send
+        again, a new one only once every copy sent was answered "not run".
     open_slots : tuple of int
         Slots whose owners this node reaches, for ``Azurestep-Open-Slots``.
     slot_count : int
--- a/azurestep/once/owner.py
+++ b/azurestep/once/owner.py
@@ -79,7 +79,6 @@
     slot_id: SlotId
     key: IdempotencyKey
     fingerprint: str
-    attempt: int
     remaining_ms: int
 
 
@@ -218,10 +217,9 @@
 
     def refuse(self, request: OwnerRequest, reason: Reason) -> Reply:
         """Return the answer to a request that this node did not accept."""
-        is_first = request.attempt == 1
-        proven = reason in PROVEN_NOT_RUN
-        outcome = Outcome.NOT_RUN if proven or is_first else Outcome.MAY_HAVE_RUN
-        return self._reply(request, outcome, reason, final=is_first)
+        is_proven = reason in PROVEN_NOT_RUN
+        outcome = Outcome.NOT_RUN if is_proven else Outcome.MAY_HAVE_RUN
+        return self._reply(request, outcome, reason)
 
     def _refusal(self, request: OwnerRequest) -> Reason | None:
         tenure = self.tenure_at(request.slot_id, request.key.time_ms)
@@ -399,7 +397,6 @@
         outcome: Outcome,
         reason: Reason,
         *,
-        final: bool = False,
         answer: KeptAnswer | None = None,
         replayed: bool = False,
     ) -> Reply:
@@ -415,7 +412,6 @@
                 outcome,
                 reason,
                 retry_after_ms,
-                final,
                 answer,
                 replayed,
             ),
--- a/tests/test_once_decision.py
+++ b/tests/test_once_decision.py
@@ -218,3 +218,22 @@
     (again,) = pair.send(0, request(pair, "r2", slot=slot))
     assert first.answer.body == body
     assert (again.outcome, again.answer.trimmed) == (m.Outcome.RAN, True)
+
+
+def test_clock_far_ahead_of_the_other_owners_claims_nothing(pair):
+    for name in ("c", "d", "e"):
+        end_ms = pair.now.wall_ms + 600_000
+        other = Claim(name, NodeId(name, name), "catalogue", 1, (0,), NOW_MS, end_ms)
+        pair.append(attrs.evolve(other, service=name))
+    pair.advance(1000)
+    ahead = m.Moment(pair.now.wall_ms + 86_400_000, pair.now.monotonic_ms + 10_000)
+    outputs = pair.nodes[0].handle(m.Tick(), ahead)
+    assert not find(outputs, m.AppendRecord)
+    assert [output.event.number for output in find(outputs, m.Emit)] == [7007]
+
+
+def test_log_that_lost_records_ends_ownership(pair):
+    slot = slots_of(pair, 0)[0]
+    pair.handle(0, m.LogRegressed())
+    (answer,) = pair.send(0, request(pair, slot=slot))
+    assert answer.outcome is m.Outcome.MAY_HAVE_RUN
--- /dev/null
+++ b/tests/test_once_histories.py
@@ -0,0 +1,147 @@
+from random import Random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from azurestep.once import slots
+from azurestep.once.accept import AcceptRole
+from azurestep.once.messages import Outcome
+from azurestep.once.owner import OwnerRole, Tenure, TenureState
+from azurestep.once.table import KeyTable
+from bench.once_callers import PayingCallers
+from bench.once_faults import Fault, FaultKind, History, Payment, generate
+from bench.once_model import Model, Tally
+from bench.once_ways import memory_owner, owned_intervals
+
+ENOUGH_HISTORIES = 20
+
+faults = st.builds(
+    Fault,
+    st.sampled_from(FaultKind),
+    at_ms=st.integers(0, 30_000),
+    duration_ms=st.sampled_from([200, 2000, 6000, 20_000]),
+    target=st.integers(0, 2),
+    clock_ms=st.sampled_from([-60_000, -5000, 8000, 40_000]),
+)
+payments = st.builds(
+    Payment,
+    name=st.integers(0, 10_000).map("p{}".format),
+    at_ms=st.integers(3000, 30_000),
+    data_centre=st.integers(0, 2),
+    clock_ms=st.sampled_from([0, -200, 5000, -120_000, 60_000]),
+    declares=st.booleans(),
+)
+histories = st.builds(
+    History,
+    seed=st.integers(0, 2**32),
+    duration_ms=st.just(45_000),
+    faults=st.lists(faults, max_size=6).map(tuple),
+    payments=st.lists(payments, max_size=25, unique_by=lambda item: item.name).map(
+        tuple
+    ),
+)
+
+
+def run(way, history: History) -> Tally:
+    model = Model(way, history)
+    model.callers = PayingCallers(model, Random(history.seed + 1))
+    return model.run()
+
+
+def is_violated(way, first_seed: int) -> bool:
+    seeds = range(first_seed, first_seed + ENOUGH_HISTORIES)
+    tallies = (run(way, generate(seed)) for seed in seeds)
+    return any(
+        tally.runs_over_one or tally.payments_over_one or tally.untrue
+        for tally in tallies
+    )
+
+
+@given(histories)
+@settings(max_examples=60, derandomize=True, deadline=None)
+def test_no_history_runs_a_payment_twice_or_denies_a_run(history):
+    tally = run(owned_intervals(), history)
+    assert tally.runs_over_one == 0
+    assert tally.payments_over_one == 0
+    assert tally.untrue == 0
+
+
+def test_owner_in_memory_violates_the_same_histories():
+    assert is_violated(memory_owner(), first_seed=0)
+
+
+def accept_past_the_end(monkeypatch):
+    monkeypatch.setattr(
+        Tenure, "covers", lambda self, time_ms: self.start_ms <= time_ms
+    )
+
+
+def claim_over_the_last_owner(monkeypatch):
+    claim = slots.claim
+
+    def unguarded(state, record):
+        opened = attrs.evolve(state, horizon_ms=0, intervals=())
+        added = claim(opened, record)
+        if added is opened:
+            return state
+        return attrs.evolve(state, intervals=(*state.intervals, *added.intervals))
+
+    monkeypatch.setattr(slots, "claim", unguarded)
+
+
+def trust_a_table_that_never_came(monkeypatch):
+    load = OwnerRole._load_table
+
+    def unguarded(self, slot_id, tenure):
+        load(self, slot_id, tenure)
+        tenure.complete_from_ms = tenure.start_ms
+
+    monkeypatch.setattr(OwnerRole, "_load_table", unguarded)
+
+
+def forget_that_keys_were_dropped(monkeypatch):
+    drop = KeyTable.drop_older
+
+    def unguarded(self, time_ms):
+        drop(self, time_ms)
+        return {}
+
+    monkeypatch.setattr(KeyTable, "drop_older", unguarded)
+
+
+def accept_during_a_release(monkeypatch):
+    refusal = OwnerRole._refusal
+
+    def unguarded(self, request):
+        for tenures in self.tenures.values():
+            for tenure in tenures:
+                tenure.state = TenureState.OPEN
+        return refusal(self, request)
+
+    monkeypatch.setattr(OwnerRole, "_refusal", unguarded)
+
+
+def deny_without_a_declared_attempt(monkeypatch):
+    def unguarded(self, request, reason, now):
+        return self._answer(request, Outcome.NOT_RUN, reason, now)
+
+    monkeypatch.setattr(AcceptRole, "refuse", unguarded)
+
+
+@pytest.mark.parametrize(
+    ("remove_guard", "first_seed"),
+    [
+        (accept_past_the_end, 10),
+        (claim_over_the_last_owner, 20),
+        (trust_a_table_that_never_came, 10),
+        (forget_that_keys_were_dropped, 0),
+        (accept_during_a_release, 140),
+        (deny_without_a_declared_attempt, 0),
+    ],
+)
+def test_histories_catch_a_removed_guard(monkeypatch, remove_guard, first_seed):
+    assert not is_violated(owned_intervals(), first_seed)
+    remove_guard(monkeypatch)
+    assert is_violated(owned_intervals(), first_seed)
