Add the audit trail and the command that reads it

Cause: nothing could show afterwards which version was in force where, what was refused, or whether a request ran.

Ruled out: accepted and refused from a reader's fold, since a version that the other reader pushed first is adopted and leaves no verdict at this node; a second fold of the whole configuration at the writer, which would validate thousands of documents after a take-over. The accepted publications form a chain of base versions, so the verdicts follow from the records and the version held, without any document (tested against the fold).

Change: the first reader of a data centre writes numbered items in batches, one append a second at most; nodes keep their items until receipted. The batch says up to where it covers the configuration stream, so a successor goes on there.

--- /dev/null
+++ b/azurestep/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail: what changed, where and when, kept on the platform's log."""
--- a/azurestep/cli/definition.py
+++ b/azurestep/cli/definition.py
@@ -11,6 +11,13 @@
                     [--wait] [--timeout SECONDS] [--json] [--debug]
   azurestep status [--node URL] [--json] [--debug]
   azurestep drain [--node URL] [--json] [--debug]
+  azurestep audit versions [--at TIME] [--instance NAME] [--platform URL]
+                    [--json] [--debug]
+  azurestep audit publications [--platform URL] [--json] [--debug]
+  azurestep audit drains [--platform URL] [--json] [--debug]
+  azurestep audit requests KEY [--service NAME] [--platform URL] [--json]
+                    [--debug]
+  azurestep audit gaps [--platform URL] [--json] [--debug]
   azurestep keys [--json]
   azurestep --version
   azurestep --help
@@ -22,12 +29,14 @@
   preset      Put another preset in force.
   status      Show what a node holds and what it knows of the fleet.
   drain       Stop a node gracefully.
+  audit       Show from the platform's log what was in force, where and when.
   keys        Make the key pair that authenticates the nodes of a fleet.
 
 Arguments:
   SETTINGS    Settings file of the node, in JSON.
   FILE        Settings or configuration, in JSON.
   NAME        Preset of the configuration in force.
+  KEY         Idempotency-Key of a request.
 
 Options:
   --node URL         Operator endpoint of any node.
@@ -35,6 +44,9 @@
   --operator NAME    Who publishes; it stands in the audit trail.
   --wait             Wait until the version is in force everywhere.
   --timeout SECONDS  Time after which to give up [default: 30].
+  --at TIME          Moment, as 2026-01-31T23:59:59Z or ms since the epoch.
+  --instance NAME    Show one instance only.
+  --service NAME     Service of the request; all services when left out.
   --json             Write one JSON object, for programs.
   --debug            Show a traceback with an error.
   --version          Show the version.
--- a/azurestep/cli/parse.py
+++ b/azurestep/cli/parse.py
@@ -121,6 +121,7 @@
     "preset": _preset,
     "status": _status,
     "drain": _drain,
+    "audit": _audit,
     "keys": _keys,
 }
 
--- a/azurestep/cli/registry.py
+++ b/azurestep/cli/registry.py
@@ -4,6 +4,7 @@
 
 from ..environment import Environment
 from ..status import ExitStatus
+from .commands.audit import run_audit_command
 from .commands.check import run_check_command
 from .commands.drain import run_drain_command
 from .commands.keys import run_keys_command
@@ -11,6 +12,7 @@
 from .commands.publish import run_preset_command, run_publish_command
 from .commands.status import run_status_command
 from .options import (
+    AuditOptions,
     CheckOptions,
     DrainOptions,
     KeysOptions,
@@ -30,6 +32,7 @@
     PresetOptions: run_preset_command,
     StatusOptions: run_status_command,
     DrainOptions: run_drain_command,
+    AuditOptions: run_audit_command,
     KeysOptions: run_keys_command,
 }
 
--- a/azurestep/control/codec.py
+++ b/azurestep/control/codec.py
@@ -22,6 +22,8 @@
 from .messages import (
     Ack,
     Applied,
+    AuditItems,
+    AuditReceipt,
     Broadcast,
     DataCentreReport,
     Later,
@@ -61,6 +63,8 @@
     13: RecordsPush,
     14: RecordsPull,
     15: OwnerMessage,
+    20: AuditItems,
+    21: AuditReceipt,
 }
 UPDATE_KINDS: dict[int, type] = {
     1: MemberState,
--- a/azurestep/control/messages.py
+++ b/azurestep/control/messages.py
@@ -369,6 +369,27 @@
     call: CarriedCall | None = None
 
 
+@attrs.frozen
+class AuditItems:
+    """Audit items on their way to the writer of the data centre's trail.
+
+    Attributes
+    ----------
+    entries : list of bytes
+        JSON text of each entry (see :mod:`azurestep.audit.records`).
+    """
+
+    entries: list[bytes]
+
+
+@attrs.frozen
+class AuditReceipt:
+    """Items of a run of the receiver, up to a number, are on the log."""
+
+    run: str
+    number: int
+
+
 Message = (
     Probe
     | Ack
@@ -385,4 +406,6 @@
     | RecordsPush
     | RecordsPull
     | OwnerMessage
+    | AuditItems
+    | AuditReceipt
 )
--- a/azurestep/events.py
+++ b/azurestep/events.py
@@ -110,3 +110,8 @@
 CLOCK_IMPLAUSIBLE = register(
     7007, logging.ERROR, "clock is far ahead of the other owners"
 )
+
+AUDIT_WRITER = register(8001, logging.INFO, "this node writes the audit trail")
+AUDIT_DELAYED = register(8002, logging.WARNING, "audit items wait for the platform log")
+AUDIT_RESUMED = register(8003, logging.INFO, "audit items reach the platform log again")
+AUDIT_GAP = register(8004, logging.ERROR, "audit items were lost")
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -21,6 +21,8 @@
 from ..control.link import Links
 from ..control.membership import Membership
 from ..control.messages import (
+    AuditItems,
+    AuditReceipt,
     MemberState,
     MemberStatus,
     OwnerMessage,
@@ -56,6 +58,9 @@
 from ..traffic.directory import DirectoryBuilder
 from ..traffic.table import RoutingTable
 from .messages import (
+    AuditInput,
+    AuditMessageReceived,
+    AuditOut,
     ControlInput,
     DirectoryReady,
     LeaveRequested,
@@ -100,6 +105,8 @@
     ----------
     once : asyncio.Queue or None
         Where the at-most-once task takes its inputs.
+    audit : asyncio.Queue or None
+        Where the audit task takes its inputs.
     """
 
     settings: Settings
@@ -119,6 +126,7 @@
         self.traffic = traffic
         self.node_run = node_run
         self.once: asyncio.Queue[OnceInput] | None = None
+        self.audit: asyncio.Queue[AuditInput] | None = None
         self.inputs: asyncio.Queue[ControlInput] = asyncio.Queue()
         own = self._own_record()
         self.membership = Membership(
@@ -180,6 +188,11 @@
         while True:
             envelope = await self.links.receive()
             now_ms = self._now_ms()
+            if isinstance(envelope.message, AuditItems | AuditReceipt):
+                self._tell_audit(
+                    AuditMessageReceived(envelope.sender.instance, envelope.message)
+                )
+                continue
             if isinstance(envelope.message, OwnerMessage):
                 self._tell_once(
                     OwnerMessageReceived(envelope.sender.instance, envelope.message)
@@ -214,6 +227,10 @@
         if self.once is not None:
             self.once.put_nowait(message)
 
+    def _tell_audit(self, message: AuditInput) -> None:
+        if self.audit is not None:
+            self.audit.put_nowait(message)
+
     def _now_ms(self) -> float:
         return self.environment.clock.monotonic_ms()
 
@@ -266,6 +283,11 @@
             self._tell_once(ForwardFailed(message.request_id, bytes_sent=False))
         return []
 
+    @_take.register
+    def _(self, message: AuditOut) -> list[Output]:
+        member = self.membership.member(message.instance)
+        return [Send(member.address, message.message)] if member else []
+
     @_take.register
     def _(self, message: LeaveRequested) -> list[Output]:
         return self._leave()
--- a/azurestep/node/messages.py
+++ b/azurestep/node/messages.py
@@ -2,7 +2,14 @@
 
 import attrs
 
-from ..control.messages import DataCentreReport, OwnerMessage, ServerState
+from ..audit.records import Item
+from ..control.messages import (
+    AuditItems,
+    AuditReceipt,
+    DataCentreReport,
+    OwnerMessage,
+    ServerState,
+)
 from ..platform.records import Page
 from ..traffic.directory import Directory
 from ..traffic.table import RoutingTable
@@ -71,8 +78,17 @@
     service: str
 
 
+@attrs.frozen
+class AuditOut:
+    """A message about audit items for an instance of this data centre."""
+
+    instance: str
+    message: AuditItems | AuditReceipt
+
+
 ControlInput = (
-    ServersChanged
+    AuditOut
+    | ServersChanged
     | PageRead
     | LogLost
     | LeaveRequested
@@ -81,6 +97,24 @@
 )
 
 
+@attrs.frozen
+class ItemArose:
+    """Something happened at this node that belongs in the audit trail."""
+
+    item: Item
+
+
+@attrs.frozen
+class AuditMessageReceived:
+    """A message about audit items came from another node."""
+
+    instance: str
+    message: AuditItems | AuditReceipt
+
+
+AuditInput = ItemArose | AuditMessageReceived
+
+
 @attrs.frozen
 class TableReady:
     """A new routing table is to be put in force."""
--- a/azurestep/node/once.py
+++ b/azurestep/node/once.py
@@ -14,6 +14,7 @@
 from returns.result import Failure
 
 from .. import events
+from ..audit.records import RequestRun
 from ..balancing import Budget
 from ..control.messages import CarriedCall, OwnerMessage
 from ..environment import Environment
@@ -31,6 +32,7 @@
     Header,
     Input,
     Moment,
+    Outcome,
     Output,
     PeerSent,
     RequestArrived,
@@ -49,7 +51,14 @@
 from ..traffic.once_answers import http_answer
 from ..traffic.proxy import Proxy
 from ..traffic.single_run import RunAnswered
-from .messages import ControlInput, OwnerMessageOut, OwnerMessageReceived, ServiceNamed
+from .messages import (
+    AuditInput,
+    ControlInput,
+    ItemArose,
+    OwnerMessageOut,
+    OwnerMessageReceived,
+    ServiceNamed,
+)
 
 TICK_S = 0.2
 STREAM = "ownership"
@@ -98,6 +107,7 @@
         self.proxy = proxy
         self.control = control
         self.inputs: asyncio.Queue[OnceInput] = asyncio.Queue()
+        self.audit: asyncio.Queue[AuditInput] | None = None
         self.stopped = asyncio.Event()
         self._node = NodeId(settings.instance, node_run)
         self._decision = OnceDecision(
@@ -251,11 +261,28 @@
             result = await self.proxy.run_single(call)
         except Exception:
             self._handle(DispatchFailed(run.run_id, bytes_sent=True))
+            self._note_run(run, Outcome.MAY_HAVE_RUN)
             raise
         if isinstance(result, RunAnswered):
             self._handle(BackendServerAnswered(run.run_id, result.answer))
-        else:
-            self._handle(DispatchFailed(run.run_id, result.bytes_sent))
+            self._note_run(run, Outcome.RAN)
+            return
+        self._handle(DispatchFailed(run.run_id, result.bytes_sent))
+        is_sent = result.bytes_sent
+        self._note_run(run, Outcome.MAY_HAVE_RUN if is_sent else Outcome.NOT_RUN)
+
+    def _note_run(self, run: RunHere, outcome: Outcome) -> None:
+        if self.audit is None or not self.settings.audit.record_runs:
+            return
+        item = RequestRun(
+            run.key,
+            run.service,
+            self._node.instance,
+            self._node.incarnation,
+            outcome.value,
+            self.environment.clock.now_ms(),
+        )
+        self.audit.put_nowait(ItemArose(item))
 
     def _call_of(self, run: RunHere) -> Call | None:
         if run.sender is None:
--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -9,6 +9,7 @@
 from ..environment import Environment
 from ..settings import Settings
 from .announce import AnnounceService
+from .audit import AuditService
 from .control import ControlService
 from .follow import FollowService
 from .messages import LeaveRequested, TrafficInput
@@ -19,6 +20,7 @@
 DRAIN_SETTLE_S = 2.0
 DRAIN_TIMEOUT_S = 30.0
 HAND_OVER_TIMEOUT_S = 8.0
+AUDIT_TIMEOUT_S = 3.0
 DRAIN_CHECK_S = 0.05
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -42,9 +44,12 @@
     announce = AnnounceService(settings, environment, control.inputs)
     once = OnceService(settings, environment, traffic.proxy, control.inputs, node_run)
     control.once = once.inputs
+    audit = AuditService(settings, environment, control, node_run)
+    control.audit = audit.inputs
+    once.audit = audit.inputs
     follow = FollowService(settings, environment, control)
     operators = OperatorService(settings, control, traffic.proxy, drain)
-    services = [control, once, announce, traffic, follow, operators]
+    services = [control, once, audit, announce, traffic, follow, operators]
     tasks: list[asyncio.Task[None]] = []
     try:
         for service in services:
@@ -52,9 +57,9 @@
         events.emit(events.NODE_STARTED, instance=settings.instance)
         await _wait_for_end(drain, tasks)
         events.emit(events.NODE_STOPPING, instance=settings.instance)
-        await _drain(control, announce, traffic, once)
+        await _drain(control, announce, traffic, once, audit)
     finally:
-        for service in (traffic, operators, follow, announce, once, control):
+        for service in (traffic, operators, follow, announce, audit, once, control):
             await service.stop()
         for task in tasks:
             task.cancel()
@@ -91,12 +96,16 @@
     announce: AnnounceService,
     traffic: TrafficService,
     once: OnceService,
+    audit: AuditService,
 ) -> None:
     """Take no new work from peers, then let what is in flight end."""
+    begun = audit.begin_drain(traffic.proxy.in_flight)
     announce.leases.leave_all(announce.environment.clock.monotonic_ms())
-    await once.hand_over(HAND_OVER_TIMEOUT_S)
+    handed_over = await once.hand_over(HAND_OVER_TIMEOUT_S)
     control.inputs.put_nowait(LeaveRequested())
     await asyncio.sleep(DRAIN_SETTLE_S)
     deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
     while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
         await asyncio.sleep(DRAIN_CHECK_S)
+    cut = traffic.proxy.in_flight
+    await audit.end_drain(begun, cut, handed_over, AUDIT_TIMEOUT_S)
--- a/azurestep/output/render.py
+++ b/azurestep/output/render.py
@@ -1,6 +1,5 @@
 """Results as text for people."""
 
-from datetime import UTC, datetime
 from functools import singledispatch
 from typing import Any
 
@@ -8,22 +7,7 @@
 from ..node.messages import NodeStatus
 from .results import CheckResult, DrainResult, KeysResult, PublishResult
 from .tables import format_table
-
-NONE = "-"
-
-
-def format_time(time_ms: int | None) -> str:
-    """Return a wall-clock time in UTC; a dash for none.
-
-    Examples
-    --------
-    >>> format_time(1769903999123)
-    '2026-01-31T23:59:59.123Z'
-    """
-    if not time_ms:
-        return NONE
-    moment = datetime.fromtimestamp(time_ms / 1000, UTC)
-    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+from .times import NONE, format_time
 
 
 @singledispatch
--- a/azurestep/output/writer.py
+++ b/azurestep/output/writer.py
@@ -7,6 +7,7 @@
 import orjson
 
 from ..environment import Environment
+from . import audit  # noqa: F401  (registers its texts)
 from .render import render
 
 CONVERTER = cattrs.Converter()
--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -89,6 +89,22 @@
     send_deltas: bool = True
 
 
+@attrs.frozen
+class AuditSettings:
+    """How much the audit trail may use of the platform's log.
+
+    Attributes
+    ----------
+    append_interval_ms : int
+        Least time between two appends of a data centre.
+    record_runs : bool
+        Whether each run of a request that must not repeat is an item.
+    """
+
+    append_interval_ms: int = 1000
+    record_runs: bool = True
+
+
 @attrs.frozen
 class Settings:
     """Settings of one node.
@@ -112,6 +128,8 @@
         Where metrics go; None sends none.
     control : ControlSettings
         Pace of membership and of spreading configurations.
+    audit : AuditSettings
+        How much the audit trail may use of the platform's log.
     log_format : str
         ``json`` for programs, ``human`` for a terminal.
     log_level : str
@@ -131,6 +149,7 @@
     fleet_key: FleetKey | None = None
     statsd: StatsdSettings | None = None
     control: ControlSettings = attrs.field(factory=ControlSettings)
+    audit: AuditSettings = attrs.field(factory=AuditSettings)
     log_format: str = attrs.field(default="json", metadata=shaped(choices=LOG_FORMATS))
     log_level: str = attrs.field(default="info", metadata=shaped(choices=LOG_LEVELS))
 
