--- a/azurestep/traffic/answers.py
+++ b/azurestep/traffic/answers.py
@@ -77,7 +77,7 @@
     if refusal.outcome is CallOutcome.NOT_RUN:
         fields[headers.NOT_RUN] = "1"
     if refusal.is_final:
-        fields[headers.RETRIED] = headers.FINAL
+        fields[headers.RETRIED] = headers.RETRIED_FINAL
     if refusal.retry_after_ms is not None:
         seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
         fields[headers.RETRY_AFTER] = str(seconds)
--- a/azurestep/traffic/backend_answer.py
+++ b/azurestep/traffic/backend_answer.py
@@ -111,6 +111,23 @@
             raise BodyCutError
         return body
 
+    async def read_up_to(self, maximum_bytes: int) -> bytes | None:
+        """Return the whole body, or None once it exceeds a bound.
+
+        Raises
+        ------
+        BodyCutError
+            If it ends too soon.
+        """
+        body = bytearray()
+        while chunk := await self.read_some():
+            body += chunk
+            if len(body) > maximum_bytes:
+                return None
+        if not is_whole(self.length, len(body), ended_cleanly=True):
+            raise BodyCutError
+        return bytes(body)
+
     async def read_some(self) -> bytes:
         """Return the bytes that are here, waiting for some; none at the end.
 
--- a/azurestep/traffic/caller_answer.py
+++ b/azurestep/traffic/caller_answer.py
@@ -38,7 +38,7 @@
     """Return the head of an answer whose body is passed on as it comes."""
     fields = passed_on(answer.headers)
     if is_final:
-        fields[headers.RETRIED] = headers.FINAL
+        fields[headers.RETRIED] = headers.RETRIED_FINAL
     if answer.ends_with_connection:
         fields["Connection"] = "close"
         response: web.StreamResponse = UndelimitedAnswer(
@@ -59,7 +59,7 @@
     dropped = ("content-length",) if answer.has_body else ()
     fields = passed_on(answer.headers, dropped)
     if is_final:
-        fields[headers.RETRIED] = headers.FINAL
+        fields[headers.RETRIED] = headers.RETRIED_FINAL
     return WholeAnswer(
         status=answer.status, reason=answer.reason, body=body, headers=fields
     )
--- a/azurestep/traffic/forward.py
+++ b/azurestep/traffic/forward.py
@@ -73,9 +73,9 @@
         self, pool: ServicePool, request: web.BaseRequest | None, call: Call
     ) -> web.StreamResponse | Refusal:
         """Return the answer or the reason for which there is none."""
-        refusal = self._check(pool, call)
+        refusal = self.check(pool, call)
         while refusal is None:
-            sent = await self._attempt(pool, call)
+            sent = await self.attempt(pool, call)
             if isinstance(sent, Refusal):
                 return sent
             decision = self._decide(call, sent)
@@ -84,12 +84,13 @@
                 if answer is not None:
                     return answer
                 decision = self._decide(call, sent)
-            self._finish(sent, sent.attempt.kind)
+            self.finish(sent, sent.attempt.kind)
             if decision is not None and not isinstance(decision, Retry):
                 refusal = refusal_of(decision, sent.attempt)
         return refusal
 
-    def _check(self, pool: ServicePool, call: Call) -> Refusal | None:
+    def check(self, pool: ServicePool, call: Call) -> Refusal | None:
+        """Return the refusal of a resend over budget or of a quarantined call."""
         now_ms = self._clock.monotonic_ms()
         if call.is_resend and not pool.budget.take(now_ms):
             budget = RefusalReason.RETRY_BUDGET
@@ -111,7 +112,8 @@
         reason = RefusalReason.QUARANTINED.value
         return Refusal(503, CallOutcome.NOT_RUN, reason, None, is_final=True)
 
-    async def _attempt(self, pool: ServicePool, call: Call) -> Sent | Refusal:
+    async def attempt(self, pool: ServicePool, call: Call) -> Sent | Refusal:
+        """Send one attempt as soon as a backend server has a free slot."""
         now_ms = self._clock.monotonic_ms()
         avoid = tuple(call.tried)
         if call.is_suspect:
@@ -180,7 +182,8 @@
         assert not isinstance(decision, ProbeFirst)
         return decision
 
-    def _finish(self, sent: Sent, kind: OutcomeKind) -> None:
+    def finish(self, sent: Sent, kind: OutcomeKind) -> None:
+        """End an attempt: free its slot and its connection."""
         if sent.attempt.response is not None:
             sent.attempt.response.release()
         outcome = Outcome(kind, sent.attempt.latency_ms)
@@ -199,7 +202,7 @@
 
         async def resume(wanted: Resume) -> BackendAnswer | None:
             nonlocal current
-            self._finish(current, OutcomeKind.RESET)
+            self.finish(current, OutcomeKind.RESET)
             following = await self._resume(call, sent.pool, wanted)
             if following is None:
                 return None
@@ -225,7 +228,7 @@
             response.release()
             return None
         finally:
-            self._finish(current, kind)
+            self.finish(current, kind)
         return answer
 
     async def _resume(
@@ -257,7 +260,7 @@
         )
         sent = Sent(pool, decision.ticket, decision.endpoint, attempt)
         if attempt.response is None or attempt.kind is not OutcomeKind.SUCCESS:
-            self._finish(sent, attempt.kind)
+            self.finish(sent, attempt.kind)
             return None
         return sent
 
--- a/azurestep/traffic/headers.py
+++ b/azurestep/traffic/headers.py
@@ -9,10 +9,14 @@
 REASON = "Azurestep-Reason"
 NOT_RUN = "Azurestep-Not-Run"
 VERSION = "Azurestep-Version"
+REPLAYED = "Azurestep-Replayed"
+TRIMMED = "Azurestep-Answer-Trimmed"
+FINAL = "Azurestep-Final"
+OPEN_SLOTS = "Azurestep-Open-Slots"
 RETRY_AFTER = "Retry-After"
 RETRY_AFTER_MS = "Retry-After-Ms"
 
-FINAL = "final"
+RETRIED_FINAL = "final"
 
 # RFC 9110, section 7.6.1; the connection's own headers are not passed on.
 HOP_BY_HOP = frozenset(
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from aiohttp import web
 
@@ -27,11 +27,13 @@
 from .forward import Forwarder
 from .latency import AddedLatency, LatencySummary
 from .pool import NewsListener, QuarantineNews, ServicePool
+from .single_run import RunResult, run_single
 from .table import RoutingTable
 
 STARTING_RETRY_AFTER_MS = 500.0
 MS_PER_S = 1000
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+OnceHandler = Callable[[Call], Awaitable[web.Response]]
 
 
 class Proxy:
@@ -62,6 +64,7 @@
         self._pools: dict[str, ServicePool] = {}
         self._in_flight = 0
         self._is_draining = False
+        self.once: OnceHandler | None = None
 
     @property
     def in_flight(self) -> int:
@@ -152,8 +155,15 @@
         refusal = await self._read_body(request, call)
         if refusal is not None:
             return refusal
+        if not call.match.idempotent and self.once is not None:
+            return await self.once(call)
         return await self.run(request, call)
 
+    async def run_single(self, call: Call) -> RunResult:
+        """Run a request that must not repeat, once."""
+        pool = self._pools[call.match.service.name]
+        return await run_single(pool, self._forwarder, call, self._clock)
+
     def _match(self, request: web.BaseRequest) -> Call | Refusal:
         arrived_ms = self._clock.monotonic_ms()
         table = self._table
--- /dev/null
+++ b/azurestep/traffic/single_run.py
@@ -0,0 +1,90 @@
+"""One run of a request that must not repeat, at one backend server."""
+
+import asyncio
+
+import attrs
+
+from ..balancing import OutcomeKind
+from ..environment import Clock
+from ..once.messages import Header, KeptAnswer
+from .answers import Refusal
+from .backend_answer import BackendAnswer, BodyCutError
+from .call import Call
+from .caller_answer import passed_on
+from .forward import Forwarder, Sent
+from .pool import ServicePool
+
+MS_PER_S = 1000
+ANSWER_MAXIMUM_BYTES = 4 * 1024 * 1024
+NOT_RUN_KINDS = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.SHED})
+
+
+@attrs.frozen
+class RunAnswered:
+    """The backend server gave a whole answer."""
+
+    answer: KeptAnswer
+
+
+@attrs.frozen
+class RunFailed:
+    """No whole answer came.
+
+    Attributes
+    ----------
+    bytes_sent : bool
+        Whether a backend server may have run the request.
+    """
+
+    bytes_sent: bool
+
+
+RunResult = RunAnswered | RunFailed
+
+
+async def run_single(
+    pool: ServicePool, forwarder: Forwarder, call: Call, clock: Clock
+) -> RunResult:
+    """Run a call once; go to another backend server only if nothing ran."""
+    if forwarder.check(pool, call) is not None:
+        return RunFailed(bytes_sent=False)
+    for _ in range(call.match.service.retry.max_attempts):
+        sent = await forwarder.attempt(pool, call)
+        if isinstance(sent, Refusal):
+            return RunFailed(bytes_sent=False)
+        result = await _result_of(forwarder, sent, call, clock)
+        if result is not None:
+            return result
+    return RunFailed(bytes_sent=False)
+
+
+async def _result_of(
+    forwarder: Forwarder, sent: Sent, call: Call, clock: Clock
+) -> RunResult | None:
+    """Return the result, or None if the request did not run."""
+    kind = OutcomeKind.CANCELLED
+    attempt = sent.attempt
+    try:
+        if attempt.response is None or attempt.kind in NOT_RUN_KINDS:
+            kind = attempt.kind
+            return None if kind in NOT_RUN_KINDS else RunFailed(bytes_sent=True)
+        result = await _read_answer(attempt.response, call, clock)
+        is_cut = isinstance(result, RunFailed)
+        kind = OutcomeKind.RESET if is_cut else attempt.kind
+        return result
+    finally:
+        forwarder.finish(sent, kind)
+
+
+async def _read_answer(response: BackendAnswer, call: Call, clock: Clock) -> RunResult:
+    remaining_s = max(0.0, call.remaining_ms(clock.monotonic_ms())) / MS_PER_S
+    try:
+        async with asyncio.timeout(remaining_s):
+            body = await response.read_up_to(ANSWER_MAXIMUM_BYTES)
+    except (BodyCutError, TimeoutError):
+        return RunFailed(bytes_sent=True)
+    if body is None:
+        return RunAnswered(KeptAnswer(response.status, trimmed=True))
+    fields = passed_on(response.headers, ("content-length",))
+    kept = tuple(Header(name, value) for name, value in fields.items())
+    return RunAnswered(KeptAnswer(response.status, kept, body))
