Keep key times of earlier owners out of a release

Change: a release never cuts below the cut of the tenure before it. Owners now rank each other for the checkpoint, instead of one per service at once.

--- a/azurestep/once/assignment.py
+++ b/azurestep/once/assignment.py
@@ -17,6 +17,12 @@
     return max(live, key=lambda node: (_weight(slot_id, node), node), default=None)
 
 
+def rank(slot_id: SlotId, node: NodeId, others: Iterable[NodeId]) -> int:
+    """Return how many other nodes a slot prefers to a node."""
+    own = (_weight(slot_id, node), node)
+    return sum((_weight(slot_id, other), other) > own for other in others)
+
+
 def _weight(slot_id: SlotId, node: NodeId) -> int:
     text = f"{slot_id.service}\n{slot_id.slot}\n{node.instance}"
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/azurestep/once/claims.py
+++ b/azurestep/once/claims.py
@@ -7,6 +7,7 @@
 import attrs
 
 from .assignment import preferred_owner
+from .checkpoints import CheckpointPace
 from .fold import OwnershipFold, SlotId
 from .members import Members
 from .messages import AppendRecord, Moment
@@ -48,10 +49,11 @@
     _pending: _Pending | None = None
     _append_count: int = 0
     _extend_before_ms: float = 0.0
-    _checkpoint_at_ms: float | None = None
+    _checkpoints: CheckpointPace = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._draw_extension()
+        self._checkpoints = CheckpointPace(self.node, self.settings)
 
     def next_id(self) -> str:
         """Return an id that no other record has."""
@@ -83,14 +85,15 @@
         self, fold: OwnershipFold, owner: OwnerRole, members: Members, now: Moment
     ) -> list[AppendRecord]:
         """Return the next records to append."""
-        if not fold.complete or self._is_waiting(fold, now):
+        if not self.service or not fold.complete or self._is_waiting(fold, now):
             return []
         records = self._extensions(owner, fold, now)
         records = records or self._claims(fold, members, now)
         self.is_clock_ahead = bool(records) and not self.is_clock_plausible(fold, now)
         if self.is_clock_ahead:
             records = []
-        records = records or self._checkpoints(fold, members, now)
+        if not records and self._checkpoints.is_due(fold, now):
+            records = [fold.checkpoint(self.next_id())]
         return [self._append(record, now) for record in records[:1]]
 
     def _append(self, record: OwnershipRecord, now: Moment) -> AppendRecord:
@@ -116,17 +119,16 @@
     def _extensions(
         self, owner: OwnerRole, fold: OwnershipFold, now: Moment
     ) -> list[OwnershipRecord]:
-        due = [
-            slot_id.slot
-            for slot_id, tenures in sorted(owner.tenures.items())
-            if self._is_due(fold.state(slot_id), tenures[-1].state, now)
-        ]
-        if not due:
-            return []
-        self._draw_extension()
+        due: dict[str, list[int]] = defaultdict(list)
+        for slot_id, tenures in sorted(owner.tenures.items()):
+            if self._is_due(fold.state(slot_id), tenures[-1].state, now):
+                due[slot_id.service].append(slot_id.slot)
+        if due:
+            self._draw_extension()
         end_ms = now.wall_ms + self.settings.ownership_interval_ms
         return [
-            Extend(self.next_id(), self.node, self.service, tuple(due), end_ms),
+            Extend(self.next_id(), self.node, service, tuple(extended), end_ms)
+            for service, extended in due.items()
         ]
 
     def _is_due(self, state: SlotState, tenure_state: TenureState, now: Moment) -> bool:
@@ -180,23 +182,3 @@
         if last.node == self.node or last.node in live:
             return False
         return last.end_ms - now.wall_ms <= self.settings.claim_ahead_ms
-
-    # Checkpoints
-
-    def _checkpoints(
-        self, fold: OwnershipFold, members: Members, now: Moment
-    ) -> list[OwnershipRecord]:
-        if self._checkpoint_at_ms is None:
-            self._checkpoint_at_ms = (
-                now.monotonic_ms + self.settings.checkpoint_interval_ms
-            )
-        records = fold.next_offset - 1 - fold.checkpoint_as_of
-        is_due = records >= self.settings.checkpoint_records
-        is_late = now.monotonic_ms >= self._checkpoint_at_ms and records > 1
-        if not is_due and not is_late:
-            return []
-        live = members.live(self.service) | {self.node}
-        if preferred_owner(SlotId(self.service, 0), live) != self.node:
-            return []
-        self._checkpoint_at_ms = now.monotonic_ms + self.settings.checkpoint_interval_ms
-        return [fold.checkpoint(self.next_id())]
--- a/azurestep/once/decision.py
+++ b/azurestep/once/decision.py
@@ -199,7 +199,7 @@
     @_handle.register
     def _(self, message: LogRegressed, now: Moment) -> list[Output]:
         self.owner.disable()
-        self.fold.complete = False
+        self.fold.regress()
         return [Emit(events.OWNERSHIP_DISABLED, "the ownership log lost records")]
 
     @_handle.register
--- a/azurestep/once/fold.py
+++ b/azurestep/once/fold.py
@@ -51,7 +51,7 @@
 
     A fold that has read every record, or that has adopted a checkpoint and read
     every record after the checkpoint's ``as_of``, is complete. An incomplete
-    fold proves nothing.
+    fold proves nothing. Offsets are dense, so a hole is a lost record.
 
     Attributes
     ----------
@@ -91,11 +91,18 @@
         for entry in entries:
             if entry.offset < self.next_offset:
                 continue
+            if entry.offset > self.next_offset:
+                self._lose_records(entry.offset)
             self.next_offset = entry.offset + 1
             changed |= self._read_entry(entry)
-        self.next_offset = max(self.next_offset, next_offset)
+        if next_offset > self.next_offset:
+            self._lose_records(next_offset)
         return changed
 
+    def regress(self) -> None:
+        """Distrust what was read, because the log holds fewer records now."""
+        self._lose_records(self.next_offset)
+
     def state(self, slot_id: SlotId) -> SlotState:
         """Return the state of a slot."""
         return self.states.get(slot_id) or SlotState(self.horizon_ms)
@@ -125,7 +132,6 @@
     def _lose_records(self, from_offset: int) -> None:
         self.complete = False
         self.next_offset = from_offset
-        self.slot_counts = {}
         self.states = {}
         self._buffer = []
         self._buffer_start = from_offset
--- a/azurestep/once/handover.py
+++ b/azurestep/once/handover.py
@@ -19,7 +19,7 @@
     TrustedSlot,
 )
 from .owner import OwnerRole, Tenure, TenureState
-from .records import HeldSlot, NodeId, Release
+from .records import HeldSlot, IntervalState, NodeId, Release
 from .settings import OnceSettings
 from .table import digest_of
 
@@ -37,6 +37,12 @@
 HandoverOutput = SendToPeer | AppendRecord
 
 
+@attrs.frozen
+class _Destination:
+    service: str
+    successor: NodeId | None
+
+
 @attrs.define
 class Handover:
     """Slots of one service on their way to one successor."""
@@ -95,7 +101,8 @@
         moving = [
             slot_id
             for slot_id in self._movable()
-            if preferred_owner(slot_id, live) != self.owner.node
+            if slot_id.service == service
+            and preferred_owner(slot_id, live) != self.owner.node
         ]
         self._start(moving[:MAX_REBALANCED_SLOTS], members, now, is_stop=False)
 
@@ -129,7 +136,7 @@
             return True
         if last is None or last.tenure != tenure.id:
             return False
-        return last.state.value == "held"
+        return last.state is IntervalState.HELD
 
     def _movable(self) -> list[SlotId]:
         return [
@@ -141,20 +148,21 @@
     def _start(
         self, slot_ids: list[SlotId], members: Members, now: Moment, *, is_stop: bool
     ) -> None:
-        groups: dict[NodeId | None, list[SlotId]] = defaultdict(list)
+        groups: dict[_Destination, list[SlotId]] = defaultdict(list)
         for slot_id in slot_ids:
             others = members.live(slot_id.service) - {self.owner.node}
-            groups[preferred_owner(slot_id, others)].append(slot_id)
-        for successor, moving in groups.items():
+            successor = preferred_owner(slot_id, others)
+            groups[_Destination(slot_id.service, successor)].append(slot_id)
+        for destination, moving in groups.items():
             tenures = {slot_id: self.owner.tenures[slot_id][-1] for slot_id in moving}
             for tenure in tenures.values():
                 tenure.state = TenureState.CLOSING
             self._handovers.append(
                 Handover(
                     self.claims.next_id(),
-                    self.claims.service,
+                    destination.service,
                     tenures,
-                    successor,
+                    destination.successor,
                     is_stop,
                     now.monotonic_ms + self.settings.handover_timeout_ms,
                 )
--- a/azurestep/once/slots.py
+++ b/azurestep/once/slots.py
@@ -87,7 +87,8 @@
     last = state.last
     if last is None or not _is_held_by(last, record.node) or last.tenure != tenure:
         return state
-    cut_ms = min(max(record.cut_ms, last.start_ms + 1), last.end_ms)
+    cut_ms = max(record.cut_ms, last.cut_ms, last.start_ms + 1)
+    cut_ms = min(cut_ms, last.end_ms)
     if record.successor is None:
         released = attrs.evolve(last, end_ms=cut_ms, state=IntervalState.RELEASED)
         return _with_last(state, released)
@@ -95,7 +96,7 @@
         last,
         node=record.successor,
         tenure=record.id,
-        cut_ms=max(cut_ms, last.cut_ms),
+        cut_ms=cut_ms,
         digest=record.digest,
     )
     return _with_last(state, moved)
--- a/bench/once_faults.py
+++ b/bench/once_faults.py
@@ -26,6 +26,18 @@
     CLOCK = "clock"
 
 
+HERD_RATIO = 0.4
+HERD_MS = 15_000
+HERDS = (
+    (FaultKind.STOP,),
+    (FaultKind.KILL,),
+    (FaultKind.STOP, FaultKind.KILL),
+    (FaultKind.STOP, FaultKind.PARTITION),
+    (FaultKind.PAUSE, FaultKind.STOP),
+    (FaultKind.OUTAGE, FaultKind.STOP, FaultKind.PAUSE),
+)
+
+
 @attrs.frozen
 class Fault:
     """One fault.
@@ -78,14 +90,29 @@
 def generate(seed: int) -> History:
     """Return the history of a seed."""
     source = Random(seed)
-    faults = tuple(_fault(source) for _ in range(source.randint(1, 9)))
+    faults = _faults(source)
     count = source.randint(20, MAX_PAYMENTS)
     payments = tuple(_payment(source, index, faults) for index in range(count))
     return History(seed, HISTORY_MS, faults, payments)
 
 
-def _fault(source: Random) -> Fault:
-    kind = source.choice(list(FaultKind))
+def _faults(source: Random) -> tuple[Fault, ...]:
+    count = source.randint(1, 9)
+    if source.random() >= HERD_RATIO:
+        return tuple(_fault(source) for _ in range(count))
+    kinds = source.choice(HERDS)
+    start_ms = source.randint(0, LATEST_MS - HERD_MS)
+    return tuple(
+        attrs.evolve(
+            _fault(source, source.choice(kinds)),
+            at_ms=start_ms + source.randint(0, HERD_MS),
+        )
+        for _ in range(count)
+    )
+
+
+def _fault(source: Random, kind: FaultKind | None = None) -> Fault:
+    kind = kind or source.choice(list(FaultKind))
     is_wide = kind in (FaultKind.PARTITION, FaultKind.CUT_OFF)
     return Fault(
         kind,
--- a/tests/test_once_fold.py
+++ b/tests/test_once_fold.py
@@ -177,3 +177,38 @@
     checkpoint: Checkpoint = fold_of(records).checkpoint("k")
     for record in [*records, checkpoint]:
         assert decode_record(encode_record(record)).unwrap() == record
+
+
+def test_release_never_frees_key_times_of_an_earlier_owner():
+    records = [
+        Claim("x", A, SERVICE, 1, (0,), 0, 100),
+        Release("r", A, SERVICE, (HeldSlot(0, "x"),), 51, B, "table 1"),
+        Release("s", B, SERVICE, (HeldSlot(0, "r"),), 1),
+        Claim("y", A, SERVICE, 1, (0,), 20, 120),
+    ]
+    assert [item.tenure for item in fold_of(records).state(SLOT).intervals] == ["r"]
+
+
+def test_hole_inside_a_read_ends_the_proofs():
+    whole = log_of([Claim("x", A, SERVICE, 1, (0,), 0, 100)] * 3)
+    fold = OwnershipFold()
+    fold.read(0, (whole[0], whole[2]), 3)
+    assert not fold.complete
+    fold = OwnershipFold()
+    fold.read(0, whole[:2], 3)
+    assert not fold.complete
+
+
+def test_slot_count_outlives_lost_records():
+    fold = fold_of([Claim("x", A, SERVICE, 1, (0,), 0, 100)])
+    fold.read(5, (), 5)
+    assert fold.slot_counts == {SERVICE: 1}
+
+
+def test_regressed_log_needs_a_checkpoint_of_what_is_read_from_then_on():
+    first = Claim("x", A, SERVICE, 1, (0,), 0, 100)
+    fold = fold_of([first])
+    fold.regress()
+    old = fold_of([]).checkpoint("k")
+    fold.read(1, log_of([old], 1), 2)
+    assert not fold.complete
--- a/tests/test_once_histories.py
+++ b/tests/test_once_histories.py
@@ -133,11 +133,11 @@
 @pytest.mark.parametrize(
     ("remove_guard", "first_seed"),
     [
-        (accept_past_the_end, 10),
-        (claim_over_the_last_owner, 20),
-        (trust_a_table_that_never_came, 10),
+        (accept_past_the_end, 0),
+        (claim_over_the_last_owner, 300),
+        (trust_a_table_that_never_came, 0),
         (forget_that_keys_were_dropped, 0),
-        (accept_during_a_release, 140),
+        (accept_during_a_release, 45),
         (deny_without_a_declared_attempt, 0),
     ],
 )
