Let settings set the at-most-once pace

Cause: the length of an ownership interval trades outage survival against the time that a crashed owner's keys stay blocked; each fleet has its own answer.

--- a/azurestep/node/once.py
+++ b/azurestep/node/once.py
@@ -18,7 +18,7 @@
 from ..control.messages import CarriedCall, OwnerMessage
 from ..environment import Environment
 from ..errors import PlatformRefusedError
-from ..once import NodeId, OnceDecision, OnceSettings
+from ..once import NodeId, OnceDecision
 from ..once.messages import (
     AnswerCaller,
     AppendDone,
@@ -100,9 +100,7 @@
         self.inputs: asyncio.Queue[OnceInput] = asyncio.Queue()
         self.stopped = asyncio.Event()
         self._node = NodeId(settings.instance, node_run)
-        self._decision = OnceDecision(
-            self._node, "", OnceSettings(), environment.random
-        )
+        self._decision = OnceDecision(self._node, "", settings.once, environment.random)
         self._decision.fold.next_offset = FIRST_OFFSET
         self._held: dict[str, HeldCall] = {}
         self._carried: dict[tuple[NodeId, str], CarriedCall] = {}
--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -14,6 +14,7 @@
 from .config.model import Configuration
 from .errors import SettingsError
 from .faults import Fault
+from .once.settings import OnceSettings
 from .shape import find_faults, shaped, show
 
 SETTINGS_MAXIMUM_BYTES = 1024 * 1024
@@ -112,6 +113,8 @@
         Where metrics go; None sends none.
     control : ControlSettings
         Pace of membership and of spreading configurations.
+    once : OnceSettings
+        Pace and bounds of the at-most-once guarantee.
     log_format : str
         ``json`` for programs, ``human`` for a terminal.
     log_level : str
@@ -131,6 +134,7 @@
     fleet_key: FleetKey | None = None
     statsd: StatsdSettings | None = None
     control: ControlSettings = attrs.field(factory=ControlSettings)
+    once: OnceSettings = attrs.field(factory=OnceSettings)
     log_format: str = attrs.field(default="json", metadata=shaped(choices=LOG_FORMATS))
     log_level: str = attrs.field(default="info", metadata=shaped(choices=LOG_LEVELS))
 
