Read may have run from the header that nodes send

The load generator looked for a header of its own, which no node sends, and counted such answers as plain errors. Nodes say it in Azurestep-Outcome.

--- a/standins/load_sender.py
+++ b/standins/load_sender.py
@@ -13,7 +13,7 @@
 from .bodies import body_slice
 from .load_plan import RequestKind
 from .load_result import Outcome
-from .protocol_headers import IDEMPOTENCY_KEY, MAY_HAVE_RUN, NOT_RUN
+from .protocol_headers import IDEMPOTENCY_KEY, MAY_HAVE_RUN, NOT_RUN, OUTCOME
 
 FIRST_ERROR_STATUS = 400
 FIRST_SERVER_ERROR_STATUS = 500
@@ -134,7 +134,7 @@
     """Return the outcome that a whole answer stands for."""
     if headers.get(NOT_RUN) == "1":
         return Outcome.NOT_RUN
-    if headers.get(MAY_HAVE_RUN) == "1":
+    if headers.get(OUTCOME) == MAY_HAVE_RUN:
         return Outcome.MAY_HAVE_RUN
     if status >= FIRST_ERROR_STATUS:
         return Outcome.ERROR_STATUS
--- a/standins/protocol_headers.py
+++ b/standins/protocol_headers.py
@@ -3,5 +3,6 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 DEADLINE_MS = "Azurestep-Deadline-Ms"
 NOT_RUN = "Azurestep-Not-Run"
-MAY_HAVE_RUN = "Azurestep-May-Have-Run"
+OUTCOME = "Azurestep-Outcome"
+MAY_HAVE_RUN = "may_have_run"
 CRASH = "X-Standin-Crash"
--- a/tests/test_standins_load.py
+++ b/tests/test_standins_load.py
@@ -4,11 +4,13 @@
 import attrs
 import orjson
 import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from standins.backend_settings import Faults
 from standins.load import arrivals, run_load
 from standins.load_plan import LoadPlan, RequestKind
 from standins.load_result import OutcomeCounts
+from standins.load_sender import Call, judge
 
 PAYMENT = RequestKind(
     name="payment", method="POST", path="/buy", new_key=True, service="licensing"
@@ -31,6 +33,23 @@
     assert share == pytest.approx(0.75, abs=0.03)
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        (503, {"Azurestep-Outcome": "not_run", "Azurestep-Not-Run": "1"}, "not_run"),
+        (504, {"Azurestep-Outcome": "may_have_run"}, "may_have_run"),
+        (422, {"Azurestep-Outcome": "key_reused"}, "error_status"),
+        (200, {"Azurestep-Outcome": "ran"}, "ok"),
+    ],
+)
+def test_outcome_follows_what_a_node_says(status, headers, outcome):
+    call = Call(RequestKind("payment"))
+
+    assert judge(call, status, CIMultiDictProxy(CIMultiDict(headers)), b"").value == (
+        outcome
+    )
+
+
 async def test_counts_whole_answers_per_kind(start_backend_server):
     server = await start_backend_server("licensing", slots=1000, connections=1000)
     track = RequestKind(
