--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -14,6 +14,7 @@
 from .config.model import Configuration
 from .errors import SettingsError
 from .faults import Fault
+from .once.settings import OnceSettings
 from .shape import find_faults, shaped, show
 
 SETTINGS_MAXIMUM_BYTES = 1024 * 1024
@@ -130,6 +131,8 @@
         Pace of membership and of spreading configurations.
     audit : AuditSettings
         How much the audit trail may use of the platform's log.
+    once : OnceSettings
+        Pace and bounds of the at-most-once guarantee.
     log_format : str
         ``json`` for programs, ``human`` for a terminal.
     log_level : str
@@ -150,6 +153,7 @@
     statsd: StatsdSettings | None = None
     control: ControlSettings = attrs.field(factory=ControlSettings)
     audit: AuditSettings = attrs.field(factory=AuditSettings)
+    once: OnceSettings = attrs.field(factory=OnceSettings)
     log_format: str = attrs.field(default="json", metadata=shaped(choices=LOG_FORMATS))
     log_level: str = attrs.field(default="info", metadata=shaped(choices=LOG_LEVELS))
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 pytest_plugins = [
     "tests.fixtures_standins",
     "tests.fixtures_cli",
+    "tests.fixtures_traffic",
     "tests.fixtures_world",
 ]
