Measure the cost of one node among many members, and the time it adds

A run at 16 nodes failed when another program took a port between its choice and its use; a node that ends at its start is now told at once and started with other ports.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,17 +11,21 @@
 
 import asyncio
 import importlib
+import signal
 import sys
 
 import docopt
 import uvloop
 
 # Modules with a coroutine function ``run`` that writes the result of that name.
-MEASUREMENTS = ("scale",)
+MEASUREMENTS = ("scale", "node_cost", "latency")
 
 
 async def run(names: tuple[str, ...]) -> None:
-    """Run measurements one after the other."""
+    """Run measurements one after the other; a signal ends their processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     for name in names:
         print(f"== {name}", flush=True)
         await importlib.import_module(f".{name}", __package__).run()
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from .mesh import Mesh, Published
+from .mesh import Mesh
+from .publishing import Published
 from .results import percentile
 
 TAIL_S = 5.0
@@ -48,7 +49,7 @@
     loop = asyncio.get_running_loop()
     start_s = loop.time()
     for index in range(changes):
-        await mesh.publish_change()
+        await mesh.operator.publish_change()
         await asyncio.sleep(max(0.0, start_s + (index + 1) * interval_s - loop.time()))
 
 
@@ -56,10 +57,10 @@
     mesh: Mesh, label: str, changes: int, interval_s: float
 ) -> Convergence:
     """Publish changes and return how long they took to be in force."""
-    first = len(mesh.published)
+    first = len(mesh.operator.published)
     await publish_steadily(mesh, changes, interval_s)
     await asyncio.sleep(TAIL_S)
-    return summarize(label, mesh.published[first:], mesh.times_in_force())
+    return summarize(label, mesh.operator.published[first:], mesh.times_in_force())
 
 
 def summarize(
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -26,9 +26,14 @@
 STOP_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 30.0
 WAVE = 12
+START_ATTEMPTS = 3
 PORT_RANGE = (10_000, 32_000)
 
 
+class ProcessEndedError(Exception):
+    """A process ended before it listened."""
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago.
 
@@ -107,7 +112,7 @@
         self._directory = tempfile.TemporaryDirectory()
         self._path = pathlib.Path(self._directory.name)
         public, secret = zmq.curve_keypair()
-        self._key = FleetKey(public.decode(), secret.decode())
+        self.key = FleetKey(public.decode(), secret.decode())
         self._processes: list[Process] = []
         self.nodes: list[NodeProcess] = []
         self.log_url = ""
@@ -131,21 +136,39 @@
     async def start_node(
         self, instance: str, data_centre: str, seeds: list[Address]
     ) -> NodeProcess:
-        """Start a node and wait until its operator endpoint listens."""
-        ports = free_ports(4)
-        settings = Settings(
+        """Start a node and wait until its operator endpoint listens.
+
+        Raises
+        ------
+        ProcessEndedError
+            If the node ended each time; another program may take a port
+            between its choice and its use, so it is tried with other ports.
+        """
+        for attempt in range(START_ATTEMPTS):
+            settings = self._settings(instance, data_centre, seeds)
+            try:
+                node = await self.restart_node(settings)
+            except ProcessEndedError:
+                if attempt == START_ATTEMPTS - 1:
+                    raise
+                continue
+            break
+        self.nodes.append(node)
+        return node
+
+    def _settings(
+        self, instance: str, data_centre: str, seeds: list[Address]
+    ) -> Settings:
+        return Settings(
             instance,
             data_centre,
             HOST,
-            *ports,
+            *free_ports(4),
             platform_url=self.log_url,
             peers=seeds,
-            fleet_key=self._key,
+            fleet_key=self.key,
             control=self._control,
         )
-        node = await self.restart_node(settings)
-        self.nodes.append(node)
-        return node
 
     async def start_nodes(
         self, places: list[tuple[str, str]], seeds: list[Address]
@@ -162,7 +185,7 @@
         process = await self._start(
             settings.instance, "-m", "azurestep", "node", str(path)
         )
-        await wait_for_port(settings.operator_port)
+        await wait_for_port(settings.operator_port, process)
         return NodeProcess(settings, process)
 
     async def start_backend_server(
@@ -203,19 +226,26 @@
         self._directory.cleanup()
 
 
-async def wait_for_port(port: int) -> None:
+async def wait_for_port(port: int, process: Process | None = None) -> None:
     """Wait until something listens on a port.
 
     Raises
     ------
     TimeoutError
         If nothing does in time.
+    ProcessEndedError
+        If the process that should listen ended instead.
     """
     async with asyncio.timeout(READY_TIMEOUT_S):
         while True:
             try:
                 _, writer = await asyncio.open_connection(HOST, port)
             except OSError:
+                if process is not None and process.process.returncode is not None:
+                    raise ProcessEndedError(
+                        f"{process.name} ended with {process.process.returncode}: "
+                        + process.log.read_text()[-500:]
+                    ) from None
                 await asyncio.sleep(0.05)
                 continue
             writer.close()
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -10,23 +10,13 @@
 import orjson
 
 from azurestep import events
-from azurestep.config.document import Document
-from azurestep.config.records import (
-    STREAM,
-    Change,
-    EditEntries,
-    Entry,
-    Publication,
-    ReplaceDocument,
-    encode_record,
-    entries_of,
-)
 from azurestep.operations.node_client import NodeClient
 from azurestep.settings import Address, ControlSettings
 
 from .fleet import HOST, Fleet, NodeProcess
-from .generator import changed, generate, service_name
+from .generator import service_name
 from .probes import SocketUse, process_use, socket_use
+from .publishing import Operator
 
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 SEEDS = 3
@@ -56,14 +46,6 @@
     ]
 
 
-@attrs.frozen
-class Published:
-    """A change that the log took; the offset is its version."""
-
-    version: int
-    accepted_ms: int
-
-
 @attrs.frozen
 class Reading:
     """Counters of one node at one moment."""
@@ -95,9 +77,7 @@
         self.places = places(count)
         self.fleet = Fleet(control)
         self.random = random.Random(seed)
-        self.document: Document = generate(seed)
-        self.version = 0
-        self.published: list[Published] = []
+        self._seed = seed
         self.incarnations: dict[str, str] = {}
         self.backend_ports: list[int] = []
         self._announcing: asyncio.Task[None] | None = None
@@ -107,12 +87,20 @@
         )
 
     async def __aenter__(self) -> "Mesh":
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         await self.fleet.start_log()
+        self.operator = Operator(self.session, self.fleet.log_url, self._seed)
         await self._start_nodes()
         self._announcing = asyncio.create_task(self._announce_forever())
-        await self.publish(ReplaceDocument(entries_of(self.document)))
+        await self.operator.publish_first()
         await self.settle()
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         if self._announcing is not None:
@@ -176,29 +164,6 @@
         await node.process.stop()
         self.fleet.nodes[index] = await self.fleet.restart_node(node.settings)
 
-    # -- configuration -------------------------------------------------------
-
-    async def publish(self, change: Change) -> Published:
-        """Append a change against the version published last."""
-        publication = Publication(uuid.uuid4().hex, self.version, "bench", change)
-        url = f"{self.fleet.log_url}/streams/{STREAM}/records"
-        async with self.session.post(url, data=encode_record(publication)) as response:
-            plain = orjson.loads(await response.read())
-        published = Published(plain["offset"], plain["time_ms"])
-        self.version = published.version
-        self.published.append(published)
-        return published
-
-    async def publish_change(self) -> Published:
-        """Publish an ordinary change: one route gets another timeout."""
-        put = changed(self.document, self.random)
-        self.document = self.document.with_changes(put, [])
-        entries = [
-            Entry(key.section.value, key.name, body.decode())
-            for key, body in put.items()
-        ]
-        return await self.publish(EditEntries(entries))
-
     # -- readings ------------------------------------------------------------
 
     async def settle(self) -> None:
@@ -219,7 +184,7 @@
         for place in self.places:
             sizes[place.data_centre] = sizes.get(place.data_centre, 0) + 1
         return all(
-            state.version >= self.version
+            state.version >= self.operator.version
             and len(state.members) == sizes[state.data_centre]
             and all(member.servers for member in state.members)
             and len(state.reports) == len(sizes)
--- a/tests/test_bench_results.py
+++ b/tests/test_bench_results.py
@@ -1,12 +1,17 @@
 """The arithmetic of the measurements."""
 
+import asyncio
 import random
 
+import pytest
+
 from azurestep.config.document import plain_of
 from azurestep.config.validate import validate
 from bench.convergence import summarize
+from bench.fleet import Process, ProcessEndedError, free_ports, wait_for_port
 from bench.generator import TARGET_SERVICES, changed, generate
-from bench.mesh import Published, places
+from bench.mesh import places
+from bench.publishing import Published
 from bench.results import fit_line, percentile
 
 
@@ -56,3 +61,13 @@
     counts = [sum(p.data_centre == f"dc-{n}" for p in found) for n in (1, 2, 3)]
     assert max(counts) - min(counts) <= 1
     assert len({place.instance for place in found}) == 128
+
+
+async def test_a_node_that_ends_at_its_start_is_told(tmp_path):
+    process = await asyncio.create_subprocess_exec("false")
+    await process.wait()
+    started = Process("node", process, tmp_path / "node.log")
+    started.log.write_text("port in use")
+    (port,) = free_ports(1)
+    with pytest.raises(ProcessEndedError, match="port in use"):
+        await wait_for_port(port, started)
