--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,1 +1,5 @@
-pytest_plugins = ["tests.fixtures_standins"]
+pytest_plugins = [
+    "tests.fixtures_standins",
+    "tests.fixtures_cli",
+    "tests.fixtures_world",
+]
