--- a/bench/crowd.py
+++ b/bench/crowd.py
@@ -152,7 +152,17 @@
         contacts = [Address(HOST, port)]
         count = len(self.names)
         return DataCentreReport(
-            data_centre, 1, data_centre, 0, b"", count, count, [], 0, 0, contacts
+            data_centre,
+            self._stamps.get(data_centre, 1),
+            data_centre,
+            self.version,
+            self.document.hash,
+            count,
+            count,
+            [],
+            0,
+            0,
+            contacts,
         )
 
     # -- what the crowd says -------------------------------------------------
@@ -207,6 +217,12 @@
         self._stamps[key] = self._stamps.get(key, 1) + 1
         self._broadcast(self._summary(data_centre, service))
 
+    def change_report(self) -> None:
+        """Broadcast that the report of another data centre changed."""
+        data_centre = self._random.choice(ABROAD)
+        self._stamps[data_centre] = self._stamps.get(data_centre, 1) + 1
+        self._broadcast(self._report(data_centre))
+
     def _broadcast(self, update: Update) -> None:
         root = self._random.choice(self.names)
         self._local.send(self.to, Broadcast(root, [update]))
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -109,7 +109,7 @@
         crowd.to = _address(node.settings.control_port)
         announcing = asyncio.create_task(self._announce(node))
         try:
-            await self._warm_up(node, crowd)
+            await self._warm_up(node, crowd, (role, members))
             await self._measure(node, (role, members, "idle"), None)
             if activities:
                 await self._measure_activities(node, crowd, role, members)
@@ -118,15 +118,21 @@
             await crowd.close()
             await node.process.stop()
 
-    async def _warm_up(self, node: NodeProcess, crowd: Crowd) -> None:
+    async def _warm_up(
+        self, node: NodeProcess, crowd: Crowd, what: tuple[str, int]
+    ) -> None:
         """Probe fast until the node has passed on all it learnt at its start.
 
+        What it sent until then counts as the cost of its start; the answers to
+        the fast probes are taken off at the size of an answer without news.
+
         Raises
         ------
         TimeoutError
             If its frames still carry news after ``WARM_UP_S``.
         """
         client = NodeClient(self._session, node.operator_url)
+        start_s = asyncio.get_running_loop().time()
         async with asyncio.timeout(WARM_UP_S):
             while True:
                 before = await client.counters()
@@ -138,10 +144,26 @@
                     break
         crowd.probe_interval_s = PROBE_INTERVAL_S
         status = await client.status()
+        quiet_bytes = sent_bytes / max(1, frames) * after.sent_frames
+        used = process_use(node.process.process.pid)
+        self.costs.append(
+            Cost(
+                *what,
+                "start",
+                1,
+                asyncio.get_running_loop().time() - start_s,
+                used.processor_s,
+                used.resident_mb,
+                max(0, round(after.sent_bytes - quiet_bytes)),
+                after.received_bytes,
+                after.sent_frames,
+                after.received_frames,
+            )
+        )
         print(
             f"  {node.settings.instance}: {len(status.members)} members, version "
             f"{status.version}, reader {status.is_reader}, bridge {status.is_bridge}, "
-            f"{after.sent_bytes} bytes sent since the start"
+            f"{self.costs[-1].sent_bytes} bytes of news sent since the start"
         )
 
     async def _measure_activities(
@@ -152,6 +174,7 @@
         for label, act in (
             ("member updates", crowd.change_member),
             ("summary updates", crowd.change_summary),
+            ("report updates", crowd.change_report),
         ):
             await self._measure(node, (role, members, label), act)
 
