--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,7 +18,7 @@
 import uvloop
 
 # Modules with a coroutine function ``run`` that writes the result of that name.
-MEASUREMENTS = ("scale", "node_cost", "latency")
+MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines")
 
 
 async def run(names: tuple[str, ...]) -> None:
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -14,6 +14,7 @@
 from .results import Machine, at_end, machine_facts, write_result
 
 SIZES = (8, 16, 32, 64, 128)
+SHIPPED = "as shipped"
 GOSSIP_S = 20.0
 IDLE_S = 12.0
 CHANGES = 12
@@ -41,6 +42,8 @@
         Convergence times.
     call_outcomes : dict
         Calls of the run under traffic, by status.
+    reports_per_change : float
+        Reports that a data centre published for a change; 0 if not counted.
     """
 
     label: str
@@ -52,6 +55,7 @@
     windows: list[Window]
     convergence: list[Convergence]
     call_outcomes: dict[str, int]
+    reports_per_change: float = 0.0
 
 
 @attrs.frozen
@@ -69,6 +73,7 @@
         self.mesh = mesh
         self.windows: list[Window] = []
         self.convergence: list[Convergence] = []
+        self.reports_per_change = 0.0
 
     async def idle(self) -> None:
         """Let nothing happen but the renewal of leases."""
@@ -78,7 +83,11 @@
         """Publish at a steady rate on a quiet fleet."""
 
         async def activity() -> int:
+            before = await self._report_stamps()
             found = await convergence.measure(self.mesh, label, CHANGES, interval_s)
+            published = await self._report_stamps() - before
+            if not self.reports_per_change:
+                self.reports_per_change = published / CHANGES
             self.convergence.append(found)
             return CHANGES
 
@@ -115,6 +124,11 @@
         await self._window("traffic and endpoint churn", activity)
         return load
 
+    async def _report_stamps(self) -> float:
+        """Return how many reports a data centre has published, on average."""
+        status = await self.mesh.client(self.mesh.nodes[0]).status()
+        return sum(r.stamp for r in status.reports) / len(status.reports)
+
     async def _converge(self, label: str) -> None:
         found = await convergence.measure(self.mesh, label, CHANGES, 1.0)
         self.convergence.append(found)
@@ -190,6 +204,7 @@
         session.windows,
         session.convergence,
         outcomes,
+        session.reports_per_change,
     )
 
 
@@ -198,5 +213,5 @@
     machine = machine_facts()
     runs: list[Run] = []
     for nodes in SIZES:
-        runs.append(await run_fleet(nodes, "as shipped"))
+        runs.append(await run_fleet(nodes, SHIPPED))
         write_result("scale", Scale(at_end(machine), runs))
