--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -7,7 +7,7 @@
 from .latency import Latency
 from .node_cost import NodeCosts
 from .results import read_result
-from .scale import Scale
+from .scale import OWNERSHIP, Scale
 from .slopes import Spent
 from .target import ASSUMED, TARGET
 
@@ -67,7 +67,7 @@
         (load.summary_updates, "summary updates"),
     ):
         total = total.plus(slopes.per_event(inputs.costs, role, activity).times(rate))
-    return total
+    return total.plus(ownership_per_s(inputs))
 
 
 def reports_per_change(scale: Scale) -> float:
@@ -77,16 +77,16 @@
     return max(known) if known else ASSUMED.reports_per_change
 
 
+def ownership_per_record(inputs: Inputs) -> Spent:
+    """Return what one ownership record costs each node, in the largest fleet."""
+    run = slopes.shipped(inputs.scale)[-1]
+    return slopes.per_window_event(run, OWNERSHIP)
+
+
 def ownership_per_s(inputs: Inputs) -> Spent:
     """Return what the ownership records of the whole fleet cost each node."""
-    line = slopes.over_nodes(
-        inputs.scale,
-        lambda run: slopes.window_value(
-            run, "idle", lambda w: w.sent_bytes_per_s + w.received_bytes_per_s
-        ),
-    )
-    grown = line.slope * (TARGET.nodes - slopes.shipped(inputs.scale)[0].nodes)
-    return Spent(0.0, grown / 2, grown / 2)
+    rate = TARGET.nodes * ASSUMED.ownership_records_per_owner_per_s
+    return ownership_per_record(inputs).times(rate)
 
 
 def wire_per_s(inputs: Inputs, spent: Spent) -> float:
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -3,6 +3,7 @@
 from . import slopes
 from .capacity_model import (
     Inputs,
+    ownership_per_record,
     ownership_per_s,
     role_per_s,
     wire_per_s,
@@ -163,16 +164,23 @@
 
 
 def block_ownership(inputs: Inputs) -> str:
-    """Return what ownership records add."""
-    spent = ownership_per_s(inputs)
+    """Return what ownership records cost every node."""
+    one = ownership_per_record(inputs)
+    all_of_them = ownership_per_s(inputs)
     appends = TARGET.nodes * ASSUMED.ownership_records_per_owner_per_s
+    wire = wire_per_s(inputs, all_of_them)
     rows = [
-        ("ownership records appended, fleet, per second", f"{appends:.1f}"),
+        ("records of the fleet per second, one per owner in 300 s", f"{appends:.1f}"),
         (
-            "frame bytes that a node's idle traffic gains from 8 to "
-            f"{TARGET.nodes:,} nodes, B/s",
-            f"{spent.sent_bytes + spent.received_bytes:.0f}",
+            "one record at one node: processor ms, frame bytes both ways, frames",
+            f"{one.processor_ms:.2f}, {one.sent_bytes + one.received_bytes:.0f}, "
+            f"{one.sent_frames + one.received_frames:.1f}",
         ),
+        (
+            "all records at one node: share of a core",
+            f"{all_of_them.processor_ms / 1000:.2%}",
+        ),
+        ("all records at one node: wire B/s", f"{wire:.0f}"),
     ]
     return table(("figure", "value"), rows)
 
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 import uuid
 
 import aiohttp
@@ -10,6 +11,8 @@
 import orjson
 
 from azurestep import events
+from azurestep.node.once import STREAM as OWNERSHIP_STREAM
+from azurestep.once.records import Extend, NodeId, encode_record
 from azurestep.operations.node_client import NodeClient
 from azurestep.settings import Address, ControlSettings
 
@@ -23,6 +26,7 @@
 SETTLE_S = 60.0
 RENEWAL_S = 0.8
 SLOTS = 12
+OWNERSHIP_INTERVAL_MS = 600_000
 
 
 @attrs.frozen
@@ -164,6 +168,19 @@
         await node.process.stop()
         self.fleet.nodes[index] = await self.fleet.restart_node(node.settings)
 
+    async def append_ownership(self, index: int) -> None:
+        """Append an extension like those of an owner with two slots."""
+        record = Extend(
+            uuid.uuid4().hex,
+            NodeId("dc-1-stranger", uuid.uuid4().hex[:12]),
+            service_name(0),
+            (index % 32, (index + 1) % 32),
+            time.time_ns() // 1_000_000 + OWNERSHIP_INTERVAL_MS,
+        )
+        url = f"{self.fleet.log_url}/streams/{OWNERSHIP_STREAM}/records"
+        async with self.session.post(url, data=encode_record(record)) as response:
+            await response.read()
+
     # -- readings ------------------------------------------------------------
 
     async def settle(self) -> None:
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -20,6 +20,9 @@
 CHANGES = 12
 CALLS_PER_S = 200.0
 RESTARTS = 6
+OWNERSHIP_RECORDS = 24
+OWNERSHIP = "ownership records"
+IDLE = "idle"
 
 
 @attrs.frozen
@@ -77,7 +80,7 @@
 
     async def idle(self) -> None:
         """Let nothing happen but the renewal of leases."""
-        await self._window("idle", self._idle)
+        await self._window(IDLE, self._idle)
 
     async def changes(self, label: str, interval_s: float) -> None:
         """Publish at a steady rate on a quiet fleet."""
@@ -97,6 +100,17 @@
         """Replace endpoints by new runs of them."""
         await self._window("endpoint churn", lambda: self._restart_endpoints(24, 0.5))
 
+    async def ownership(self) -> None:
+        """Append records of an owner that nobody knows; every node gets them."""
+
+        async def activity() -> int:
+            for index in range(OWNERSHIP_RECORDS):
+                await self.mesh.append_ownership(index)
+                await asyncio.sleep(0.5)
+            return OWNERSHIP_RECORDS
+
+        await self._window(OWNERSHIP, activity)
+
     async def restarts(self) -> None:
         """Stop nodes gracefully and start them again, two at a time."""
 
@@ -185,6 +199,7 @@
         if whole:
             await session.changes("changes, 4/s", 0.25)
             await session.churn()
+            await session.ownership()
             outcomes = dict((await session.traffic()).outcomes)
             await session.restarts()
         for found in session.convergence:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -4,9 +4,10 @@
 
 import attrs
 
+from .control_bytes import Window
 from .node_cost import TARGET_MEMBERS, Cost, NodeCosts
 from .results import Line, fit_line
-from .scale import SHIPPED, Run, Scale
+from .scale import IDLE, SHIPPED, Run, Scale
 
 COST_COMMAND = "make bench ONLY=node_cost"
 SCALE_COMMAND = "make bench ONLY=scale"
@@ -127,3 +128,21 @@
         if window.label != "node restarts"
     ]
     return fit_line(points)
+
+
+def per_window_event(run: Run, label: str) -> Spent:
+    """Return what an event of a window costs a node, its idle cost taken off."""
+    window = next(w for w in run.windows if w.label == label)
+    idle = next(w for w in run.windows if w.label == IDLE)
+    per_s = _rates(window).plus(_rates(idle).times(-1))
+    return per_s.times(window.duration_s / window.events)
+
+
+def _rates(window: Window) -> Spent:
+    return Spent(
+        window.processor_ratio * 1000,
+        window.sent_bytes_per_s,
+        window.received_bytes_per_s,
+        window.sent_frames_per_s,
+        window.received_frames_per_s,
+    )
