--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,11 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+bench: install
+	$(PYTHON) -m bench $(if $(ONLY),--only $(ONLY))
+
+report: install
+	$(PYTHON) -m bench.report
+
 clean:
 	rm -rf dist build .pytest_cache .mypy_cache .ruff_cache
--- a/bench/bad_days.py
+++ b/bench/bad_days.py
@@ -69,11 +69,15 @@
     # -- events --------------------------------------------------------------
 
     async def kill(self, name: str, nodes: list[NodeProcess]) -> None:
-        """Kill nodes and wait until their data centres leave them out."""
+        """Kill nodes and wait until their data centre has noticed."""
         reads = await self._log_reads()
+        await self.lose(nodes)
+        await self._await(name, nodes, reads, "no longer alive to all members")
+
+    async def lose(self, nodes: list[NodeProcess]) -> None:
+        """Kill nodes."""
         await asyncio.gather(*(n.process.stop(signal.SIGKILL) for n in nodes))
         self._gone |= {node.settings.instance: node for node in nodes}
-        await self._await(name, nodes, reads, "left out by their data centre")
 
     async def restart(self, name: str) -> None:
         """Start all killed nodes at once and wait until all know all."""
@@ -219,7 +223,7 @@
         await day.publish("change while the rack is away", RACK)
         await day.restart("the rack comes back")
         await day.lose_platform()
-        await day.kill("a data centre fails", _of(mesh, "dc-3"))
+        await day.lose(_of(mesh, "dc-3"))
         await day.publish("change while the data centre is away", NODES // 3)
         await day.restart("the data centre comes back at once")
         await day.publish("change after all that", 0)
