--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,24 @@
+import asyncio
+import os
+from collections.abc import Callable
+
+import pytest
+import uvloop
+from hypothesis import settings
+
 pytest_plugins = [
     "tests.fixtures_standins",
     "tests.fixtures_cli",
     "tests.fixtures_traffic",
     "tests.fixtures_world",
 ]
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.register_profile("soak", max_examples=5000, deadline=None)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+def pytest_asyncio_loop_factories(
+    config: pytest.Config, item: pytest.Item
+) -> dict[str, Callable[[], asyncio.AbstractEventLoop]]:
+    return {"uvloop": uvloop.new_event_loop}
