--- a/bench/scale.py
+++ b/bench/scale.py
@@ -14,11 +14,15 @@
 from .results import Machine, at_end, machine_facts, write_result
 
 SIZES = (8, 16, 32, 64, 128)
+SHIPPED = "as shipped"
 GOSSIP_S = 20.0
 IDLE_S = 12.0
 CHANGES = 12
 CALLS_PER_S = 200.0
 RESTARTS = 6
+OWNERSHIP_RECORDS = 24
+OWNERSHIP = "ownership records"
+IDLE = "idle"
 
 
 @attrs.frozen
@@ -41,6 +45,8 @@
         Convergence times.
     call_outcomes : dict
         Calls of the run under traffic, by status.
+    reports_per_change : float
+        Reports that a data centre published for a change; 0 if not counted.
     """
 
     label: str
@@ -52,6 +58,7 @@
     windows: list[Window]
     convergence: list[Convergence]
     call_outcomes: dict[str, int]
+    reports_per_change: float = 0.0
 
 
 @attrs.frozen
@@ -69,16 +76,21 @@
         self.mesh = mesh
         self.windows: list[Window] = []
         self.convergence: list[Convergence] = []
+        self.reports_per_change = 0.0
 
     async def idle(self) -> None:
         """Let nothing happen but the renewal of leases."""
-        await self._window("idle", self._idle)
+        await self._window(IDLE, self._idle)
 
     async def changes(self, label: str, interval_s: float) -> None:
         """Publish at a steady rate on a quiet fleet."""
 
         async def activity() -> int:
+            before = await self._report_stamps()
             found = await convergence.measure(self.mesh, label, CHANGES, interval_s)
+            published = await self._report_stamps() - before
+            if not self.reports_per_change:
+                self.reports_per_change = published / CHANGES
             self.convergence.append(found)
             return CHANGES
 
@@ -88,6 +100,17 @@
         """Replace endpoints by new runs of them."""
         await self._window("endpoint churn", lambda: self._restart_endpoints(24, 0.5))
 
+    async def ownership(self) -> None:
+        """Append records of an owner that nobody knows; every node gets them."""
+
+        async def activity() -> int:
+            for index in range(OWNERSHIP_RECORDS):
+                await self.mesh.append_ownership(index)
+                await asyncio.sleep(0.5)
+            return OWNERSHIP_RECORDS
+
+        await self._window(OWNERSHIP, activity)
+
     async def restarts(self) -> None:
         """Stop nodes gracefully and start them again, two at a time."""
 
@@ -115,6 +138,11 @@
         await self._window("traffic and endpoint churn", activity)
         return load
 
+    async def _report_stamps(self) -> float:
+        """Return how many reports a data centre has published, on average."""
+        status = await self.mesh.client(self.mesh.nodes[0]).status()
+        return sum(r.stamp for r in status.reports) / len(status.reports)
+
     async def _converge(self, label: str) -> None:
         found = await convergence.measure(self.mesh, label, CHANGES, 1.0)
         self.convergence.append(found)
@@ -171,6 +199,7 @@
         if whole:
             await session.changes("changes, 4/s", 0.25)
             await session.churn()
+            await session.ownership()
             outcomes = dict((await session.traffic()).outcomes)
             await session.restarts()
         for found in session.convergence:
@@ -190,6 +219,7 @@
         session.windows,
         session.convergence,
         outcomes,
+        session.reports_per_change,
     )
 
 
@@ -198,5 +228,5 @@
     machine = machine_facts()
     runs: list[Run] = []
     for nodes in SIZES:
-        runs.append(await run_fleet(nodes, "as shipped"))
+        runs.append(await run_fleet(nodes, SHIPPED))
         write_result("scale", Scale(at_end(machine), runs))
