--- a/azurestep/logs.py
+++ b/azurestep/logs.py
@@ -15,11 +15,11 @@
     def format(self, record: logging.LogRecord) -> str:
         """Return the JSON text of a record."""
         line: dict[str, Any] = {
+            **getattr(record, "fields", {}),
             "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
             "level": record.levelname.lower(),
             "event": getattr(record, "event", 0),
             "message": record.getMessage(),
-            **getattr(record, "fields", {}),
         }
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
@@ -46,10 +46,13 @@
 
 
 def configure_logs(stream: TextIO, log_format: str, log_level: str) -> None:
-    """Send the program's log to a stream."""
+    """Send the program's log, and warnings of libraries, to a stream."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(FORMATTERS[log_format]())
     logger = logging.getLogger(LOGGER_NAME)
     logger.handlers = [handler]
     logger.setLevel(log_level.upper())
     logger.propagate = False
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -13,6 +13,7 @@
 from .control import ControlService
 from .follow import FollowService
 from .messages import LeaveRequested, TrafficInput
+from .metrics import MetricsService
 from .once import OnceService, new_node_run
 from .operators import OperatorService
 from .traffic import TrafficService
@@ -49,7 +50,8 @@
     once.audit = audit.inputs
     follow = FollowService(settings, environment, control)
     operators = OperatorService(settings, control, traffic.proxy, drain)
-    services = [control, once, audit, announce, traffic, follow, operators]
+    metrics = MetricsService(settings, environment, control, traffic.proxy, audit)
+    services = [control, once, audit, announce, traffic, follow, operators, metrics]
     tasks: list[asyncio.Task[None]] = []
     try:
         for service in services:
--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -26,7 +26,15 @@
 
 @attrs.frozen
 class Address:
-    """A TCP or UDP address by IP number."""
+    """A TCP or UDP address by IP number.
+
+    Attributes
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    """
 
     host: str
     port: int
@@ -37,7 +45,13 @@
 
 @attrs.frozen
 class FleetKey:
-    """CURVE key pair shared by the nodes of a fleet, in Z85 text."""
+    """CURVE key pair shared by the nodes of a fleet, in Z85 text.
+
+    Attributes
+    ----------
+    public_key, secret_key : str
+        Half of the pair, 40 characters.
+    """
 
     public_key: str
     secret_key: str = attrs.field(repr=False)
@@ -45,7 +59,15 @@
 
 @attrs.frozen
 class StatsdSettings:
-    """Where metrics go and how often they are sent."""
+    """Where metrics go and how often they are sent.
+
+    Attributes
+    ----------
+    host, port : str, int
+        Address of the statsd server.
+    interval_ms : int
+        Time between two samples.
+    """
 
     host: str = "127.0.0.1"
     port: int = 8125
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
     "tests.fixtures_cli",
     "tests.fixtures_traffic",
     "tests.fixtures_world",
+    "tests.plugin_known_red",
 ]
 
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for the maintainers; they are not shipped."""
