--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 
 clean:
 	rm -rf dist build .pytest_cache .mypy_cache .ruff_cache
+
+binary: install
+	$(PYTHON) -m tools.binary.build
--- /dev/null
+++ b/tools/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the one binary (see docs/design/binary.md)."""
