--- a/tests/test_cli_publish.py
+++ b/tests/test_cli_publish.py
@@ -145,3 +145,18 @@
     result = await fleet.run("drain")
     assert result.status is ExitStatus.OK
     assert fleet.drained
+
+
+async def test_restored_log_is_past_with_records_that_change_nothing(
+    fleet: FakeFleet, write_configuration: WriteConfiguration
+) -> None:
+    await fleet.run("publish", EXAMPLE)
+    changed = write_configuration(services=service_with_timeout(1234))
+    await fleet.run("publish", changed)
+    await fleet.follow()
+    fleet.log.restore(1)
+    for _ in range(2):
+        await fleet.client.append_attempt("configuration", b'{"kind":"filler"}')
+    result = await fleet.run("publish", EXAMPLE, "--wait", "--json")
+    assert result.status is ExitStatus.OK, result.stderr
+    assert result.json["version"] == 3
