--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,6 +25,7 @@
     "target": worked_out.block_target,
     "slopes": worked_out.block_slopes,
     "events": worked_out.block_events,
+    "rates": worked_out.block_rates,
     "roles": worked_out.block_roles,
     "ownership": worked_out.block_ownership,
     "platform": worked_out.block_platform,
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -3,8 +3,10 @@
 from . import slopes
 from .capacity_model import (
     Inputs,
+    load_at_target,
     ownership_per_record,
     ownership_per_s,
+    reports_per_change,
     role_per_s,
     wire_per_s,
 )
@@ -128,6 +130,33 @@
     )
 
 
+def block_rates(inputs: Inputs) -> str:
+    """Return the rates that the roles' costs are multiplied by."""
+    reports = reports_per_change(inputs.scale)
+    load = load_at_target(1, reports)
+    rows = [
+        ("changes", f"{load.changes:.4f}", "the target's"),
+        (
+            "reports",
+            f"{load.reports:.3f}",
+            f"{reports:.1f} of each data centre for a change, counted by `scale`",
+        ),
+        (
+            "member updates",
+            f"{load.member_updates:.4f}",
+            f"restarts and failures of a data centre, assumed "
+            f"{ASSUMED.member_updates_per_restart} each",
+        ),
+        (
+            "summary updates",
+            f"{load.summary_updates:.4f}",
+            f"restarts and failures of the fleet, assumed "
+            f"{ASSUMED.summary_updates_per_restart} each",
+        ),
+    ]
+    return table(("what reaches a node", "per second", "from"), rows)
+
+
 def block_roles(inputs: Inputs) -> str:
     """Return the table of the roles at the target."""
     rows = []
