Move the form in which a call travels into a module of its own

Cause: the at-most-once task mixed HTTP with the driving of its decision; a carried call also lost its depth, so a circle of calls through an owner was never noticed.

--- a/azurestep/node/once.py
+++ b/azurestep/node/once.py
@@ -1,7 +1,6 @@
 """The at-most-once task: drives the decision for requests that must not repeat."""
 
 import asyncio
-import hashlib
 import uuid
 from collections.abc import Coroutine
 from functools import singledispatchmethod
@@ -15,7 +14,6 @@
 
 from .. import events
 from ..audit.records import RequestRun
-from ..balancing import Budget
 from ..control.messages import CarriedCall, OwnerMessage
 from ..environment import Environment
 from ..errors import PlatformRefusedError
@@ -29,11 +27,11 @@
     DispatchFailed,
     Emit,
     ForwardedRequest,
-    Header,
     Input,
     Moment,
     Outcome,
     Output,
+    OwnerAnswer,
     PeerSent,
     RequestArrived,
     RunHere,
@@ -48,6 +46,7 @@
 from ..settings import Settings
 from ..traffic import headers
 from ..traffic.call import Call
+from ..traffic.carried import carry, request_digest, restore
 from ..traffic.once_answers import http_answer
 from ..traffic.proxy import Proxy
 from ..traffic.single_run import RunAnswered
@@ -62,7 +61,6 @@
 
 TICK_S = 0.2
 STREAM = "ownership"
-HASH_SIZE_BYTES = 16
 RUN_SIZE_BYTES = 6
 
 OnceInput = Input | OwnerMessageReceived | ServiceNamed
@@ -166,7 +164,7 @@
             request_id,
             call.match.service.name,
             call.fields.get(headers.IDEMPOTENCY_KEY, ""),
-            _fingerprint(call),
+            request_digest(call),
             int(attempt) if attempt.isdigit() else 0,
             int(remaining_ms),
         )
@@ -191,8 +189,6 @@
             if message.message.call is None:
                 return
             self._carried[(sender, inner.request_id)] = message.message.call
-            self._handle(PeerSent(sender, inner))
-            return
         self._handle(PeerSent(sender, inner))
 
     def _handle(self, message: Input) -> None:
@@ -215,19 +211,20 @@
 
     @_perform.register
     def _(self, output: SendToPeer) -> None:
+        inner = output.message
         call = None
         request_id = ""
-        if isinstance(output.message, ForwardedRequest):
-            request_id = output.message.request_id
-            call = _carried_of(self._held[request_id].call, output.message.key)
+        if isinstance(inner, ForwardedRequest):
+            request_id = inner.request_id
+            call = carry(self._held[request_id].call, inner.key)
+        if isinstance(inner, OwnerAnswer):
+            self._carried.pop((output.receiver, inner.request_id), None)
         message = OwnerMessage(
-            output.receiver.incarnation, self._node.incarnation, output.message, call
+            output.receiver.incarnation, self._node.incarnation, inner, call
         )
         self.control.put_nowait(
             OwnerMessageOut(output.receiver.instance, message, request_id)
         )
-        if hasattr(output.message, "request_id") and not request_id:
-            self._carried.pop((output.receiver, output.message.request_id), None)
 
     @_perform.register
     def _(self, output: RunHere) -> None:
@@ -283,34 +280,22 @@
         self.audit.put_nowait(ItemArose(item))
 
     def _call_of(self, run: RunHere) -> Call | None:
-        if run.sender is None:
-            held = self._held.get(run.request_id)
-            if held is not None:
-                held.call.fields = CIMultiDict(held.call.fields)
-                held.call.fields[headers.IDEMPOTENCY_KEY] = run.key
-            return held.call if held is not None else None
-        carried = self._carried.pop((run.sender, run.request_id), None)
-        return self._restored(carried, run) if carried is not None else None
+        if run.sender is not None:
+            carried = self._carried.pop((run.sender, run.request_id), None)
+            return self._restored(carried, run) if carried is not None else None
+        held = self._held.get(run.request_id)
+        if held is None:
+            return None
+        held.call.fields = CIMultiDict(held.call.fields)
+        held.call.fields[headers.IDEMPOTENCY_KEY] = run.key
+        return held.call
 
     def _restored(self, carried: CarriedCall, run: RunHere) -> Call | None:
         table = self.proxy.table
-        fields = CIMultiDict((field.name, field.value) for field in carried.fields)
         if table is None:
             return None
-        path = carried.target.partition("?")[0]
-        match = table.match(carried.host, path, carried.method, fields)
-        if match is None or match.service.name != run.service:
-            return None
-        return Call(
-            carried.method,
-            carried.target,
-            fields,
-            table,
-            match,
-            Budget(run.remaining_ms),
-            self.environment.clock.monotonic_ms(),
-            carried.body,
-        )
+        now_ms = self.environment.clock.monotonic_ms()
+        return restore(carried, table, run.service, run.remaining_ms, now_ms)
 
     async def _append(self, output: AppendRecord) -> None:
         assert self._log is not None
@@ -343,21 +328,3 @@
 def new_node_run() -> str:
     """Return a random name for a run of a node."""
     return uuid.uuid4().hex[: 2 * RUN_SIZE_BYTES]
-
-
-def _fingerprint(call: Call) -> str:
-    digest = hashlib.blake2b(digest_size=HASH_SIZE_BYTES)
-    digest.update(f"{call.method} {call.target}\n".encode())
-    digest.update(call.body)
-    return digest.hexdigest()
-
-
-def _carried_of(call: Call, key: str) -> CarriedCall:
-    fields = [
-        Header(name, value)
-        for name, value in call.fields.items()
-        if name.lower() != headers.IDEMPOTENCY_KEY.lower()
-    ]
-    fields.append(Header(headers.IDEMPOTENCY_KEY, key))
-    host = call.fields.get("Host", "").partition(":")[0]
-    return CarriedCall(call.method, call.target, host, fields, call.body)
--- /dev/null
+++ b/azurestep/traffic/carried.py
@@ -0,0 +1,67 @@
+"""Calls that travel from the accepting node to the owner of their key."""
+
+import hashlib
+
+from multidict import CIMultiDict
+
+from ..balancing import Budget
+from ..control.messages import CarriedCall
+from ..once.messages import Header
+from . import headers
+from .call import Call
+from .table import RoutingTable
+
+HASH_SIZE_BYTES = 16
+NOT_CARRIED = frozenset({headers.IDEMPOTENCY_KEY.lower()})
+
+
+def request_digest(call: Call) -> str:
+    """Return a digest that tells two requests with one key apart."""
+    digest = hashlib.blake2b(digest_size=HASH_SIZE_BYTES)
+    digest.update(f"{call.method} {call.target}\n".encode())
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+def carry(call: Call, key: str) -> CarriedCall:
+    """Return a call in the form that travels between nodes."""
+    fields = [
+        Header(name, value)
+        for name, value in call.fields.items()
+        if name.lower() not in NOT_CARRIED
+    ]
+    fields.append(Header(headers.IDEMPOTENCY_KEY, key))
+    host = call.fields.get("Host", "").partition(":")[0]
+    return CarriedCall(call.method, call.target, host, fields, call.body)
+
+
+def restore(
+    carried: CarriedCall,
+    table: RoutingTable,
+    service: str,
+    remaining_ms: float,
+    now_ms: float,
+) -> Call | None:
+    """Return the call at the owner, matched by the owner's own table.
+
+    Returns
+    -------
+    Call or None
+        None if the owner's table leads the request to another service.
+    """
+    fields = CIMultiDict((field.name, field.value) for field in carried.fields)
+    path = carried.target.partition("?")[0]
+    match = table.match(carried.host, path, carried.method, fields)
+    if match is None or match.service.name != service:
+        return None
+    depth = fields.get(headers.DEPTH, "")
+    return Call(
+        carried.method,
+        carried.target,
+        fields,
+        table,
+        match,
+        Budget(remaining_ms, int(depth) if depth.isdigit() else 0),
+        now_ms,
+        carried.body,
+    )
