Cut what news about an instance costs a node, in bytes and time

Ruled out: longer probe intervals, which would slow the detection of failures. Change: the directory is kept by service and only changed services are rebuilt; readers, bridges and live members are cached until the membership changes; ownership records go out in compressed batches; a report waits up to 2 s until it is complete; what a broadcast carried is gossiped once more instead of 2 log2(n) times, and bulk answers are not passed on; only the first reader pushes, the second stands in after 1 s, and a node that holds a version already still passes the push on.

--- a/azurestep/control/gossip.py
+++ b/azurestep/control/gossip.py
@@ -9,23 +9,29 @@
 
 UPDATES_PER_MESSAGE = 8
 RETRANSMIT_FACTOR = 2
+BROADCAST_RETRANSMITS = 1
 
 
 @attrs.define
 class _Pending:
     update: Update
+    is_broadcast: bool
     sent: int = 0
 
 
 class GossipQueue:
-    """Hands out each update a number of times that grows with log2(members)."""
+    """Hands out each update a number of times that grows with log2(members).
+
+    An update that a broadcast carries reached nearly everyone; it is handed out
+    once more, and what is still missing is found by comparing tables.
+    """
 
     def __init__(self) -> None:
         self._pending: dict[str, _Pending] = {}
 
-    def add(self, update: Update) -> None:
+    def add(self, update: Update, is_broadcast: bool = False) -> None:
         """Queue an update; it replaces an older one about the same key."""
-        self._pending[key_of(update)] = _Pending(update)
+        self._pending[key_of(update)] = _Pending(update, is_broadcast)
 
     def take(self, members: int, only_global: bool = False) -> list[Update]:
         """Return the updates for one message, the least sent first."""
@@ -39,7 +45,9 @@
         chosen = candidates[:UPDATES_PER_MESSAGE]
         for pending in chosen:
             pending.sent += 1
-            if pending.sent >= limit:
+            if pending.sent >= (
+                BROADCAST_RETRANSMITS if pending.is_broadcast else limit
+            ):
                 del self._pending[key_of(pending.update)]
         return [pending.update for pending in chosen]
 
--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from enum import Enum
 from functools import singledispatchmethod
 
 import attrs
@@ -39,9 +40,19 @@
 
 BRIDGE = "bridge"
 SYNC_INTERVAL_MS = 3000
-SEED_INTERVAL_MS = 2000
+SEED_INTERVAL_MS = 1000
 FORGET_MS = 120_000
 HELPERS = 2
+BULK_UPDATES = 4
+SEEDS_AT_ONCE = 3
+
+
+class Carrier(Enum):
+    """How an update came; it decides how often it is passed on."""
+
+    PROBE = "probe"
+    BROADCAST = "broadcast"
+    SYNC = "sync"
 
 
 class Membership:
@@ -57,6 +68,11 @@
         Pace of the probes.
     source : random.Random
         Source of jitter.
+
+    Attributes
+    ----------
+    epoch : int
+        Grows with each change of what is believed of a member.
     """
 
     def __init__(
@@ -79,7 +95,10 @@
         self._relayed: dict[int, tuple[Address, int]] = {}
         self._next_sync_ms = 0.0
         self._next_seed_ms = 0.0
+        self.epoch = 0
         self._order: list[str] = []
+        self._live: list[MemberState] = []
+        self._bridges: list[str] = []
         self._bridge_turn = 0
         self._announce_own()
 
@@ -97,8 +116,7 @@
 
     def members(self) -> list[MemberState]:
         """Return the live members of this data centre in ring order."""
-        found = (self.member(name) for name in self._order)
-        return [member for member in found if member is not None]
+        return self._live
 
     @property
     def order(self) -> list[str]:
@@ -121,8 +139,7 @@
 
     def bridges(self) -> list[str]:
         """Return the bridges of this data centre."""
-        count = self._settings.bridges_per_data_centre
-        return rendezvous(BRIDGE, self._order, count)
+        return self._bridges
 
     def is_bridge(self) -> bool:
         """Whether this node exchanges summaries with other data centres."""
@@ -157,9 +174,11 @@
 
     def broadcast(self, updates: list[Update]) -> list[Output]:
         """Spread urgent updates: merge them and send them down a tree."""
+        fresh = [update for update in updates if self.table.merge(update)]
         for update in updates:
-            self.table.merge(update)
-            self._queue.add(update)
+            self._queue.add(update, is_broadcast=True)
+        if any(isinstance(update, MemberState) for update in fresh):
+            self._reorder()
         message = Broadcast(self._own.instance, updates)
         outputs = self._forward(message)
         shared = [update for update in updates if is_global(update)]
@@ -203,7 +222,9 @@
         is_alone = len(self._order) <= 1
         if not strangers or (not is_alone and self._random.random() > 0.1):
             return []
-        return [Send(self._random.choice(strangers), self._sync_request())]
+        count = min(SEEDS_AT_ONCE, len(strangers)) if is_alone else 1
+        chosen = self._random.sample(strangers, count)
+        return [Send(to, self._sync_request()) for to in chosen]
 
     def add_seeds(self, seeds: list[Address]) -> None:
         """Add control addresses to try, for example from join records."""
@@ -354,7 +375,7 @@
     @handle.register
     def _(self, message: Broadcast, sender: Sender, now_ms: float) -> list[Output]:
         fresh = [u for u in message.updates if self._is_news(u)]
-        outputs = self._merge(message.updates, now_ms)
+        outputs = self._merge(message.updates, now_ms, Carrier.BROADCAST)
         if not fresh:
             return outputs
         root = message.root or self._own.instance
@@ -383,7 +404,12 @@
 
     @handle.register
     def _(self, message: SyncReply, sender: Sender, now_ms: float) -> list[Output]:
-        outputs = self._merge(message.updates, now_ms)
+        was_alone = len(self._order) <= 1
+        is_bulk = len(message.updates) > BULK_UPDATES
+        carrier = Carrier.SYNC if is_bulk else Carrier.PROBE
+        outputs = self._merge(message.updates, now_ms, carrier)
+        if was_alone and len(self._order) > 1:
+            outputs.extend(self.broadcast([self._own]))
         found = [self.table.by_hash(hashed) for hashed in message.wanted]
         wanted = [update for update in found if update is not None]
         if wanted:
@@ -400,13 +426,18 @@
 
     # -- beliefs -------------------------------------------------------------
 
-    def _merge(self, updates: list[Update], now_ms: float) -> list[Output]:
+    def _merge(
+        self,
+        updates: list[Update],
+        now_ms: float,
+        carrier: Carrier = Carrier.PROBE,
+    ) -> list[Output]:
         outputs: list[Output] = []
         for update in updates:
             if isinstance(update, MemberState):
-                outputs.extend(self._merge_member(update, now_ms))
+                outputs.extend(self._merge_member(update, now_ms, carrier))
             elif self.table.merge(update):
-                self._queue.add(update)
+                self._pass_on(update, carrier)
                 outputs.append(Learned(update))
                 outputs.extend(self._meet(update))
         return outputs
@@ -422,7 +453,13 @@
         self.add_seeds(strangers)
         return [Send(to, self._sync_request()) for to in strangers[:1]]
 
-    def _merge_member(self, update: MemberState, now_ms: float) -> list[Output]:
+    def _pass_on(self, update: Update, carrier: Carrier) -> None:
+        if carrier is not Carrier.SYNC:
+            self._queue.add(update, is_broadcast=carrier is Carrier.BROADCAST)
+
+    def _merge_member(
+        self, update: MemberState, now_ms: float, carrier: Carrier
+    ) -> list[Output]:
         if update.data_centre != self._own.data_centre:
             return []
         if update.instance == self._own.instance:
@@ -431,7 +468,7 @@
             return []
         if not self.table.merge(update):
             return []
-        self._queue.add(update)
+        self._pass_on(update, carrier)
         if update.status == MemberStatus.SUSPECT:
             self._suspected_ms.setdefault(update.instance, now_ms)
         return self._note_member(update, now_ms)
@@ -458,9 +495,13 @@
         return [MemberChanged(member)]
 
     def _reorder(self) -> None:
-        live = [
-            update.instance
+        live = {
+            update.instance: update
             for update in self.table.updates()
             if isinstance(update, MemberState) and update.status in LIVE
-        ]
+        }
+        self.epoch += 1
         self._order = ring_order(live)
+        self._live = [live[instance] for instance in self._order]
+        count = self._settings.bridges_per_data_centre
+        self._bridges = rendezvous(BRIDGE, self._order, count)
--- a/azurestep/control/messages.py
+++ b/azurestep/control/messages.py
@@ -320,6 +320,8 @@
         Root of the tree that it goes down; empty for an answer to a pull.
     from_offset, next_offset : int
         Offsets that it covers, the last excluded.
+    packed : bytes
+        The records, see :mod:`azurestep.control.packing`.
     has_regressed : bool
         Whether the log was found to hold fewer records than before.
     """
@@ -327,7 +329,7 @@
     root: str
     from_offset: int
     next_offset: int
-    records: list[RelayedRecord]
+    packed: bytes
     has_regressed: bool = False
 
 
--- a/azurestep/control/relay.py
+++ b/azurestep/control/relay.py
@@ -4,6 +4,7 @@
 first reader pushes what it read down a tree; a node that missed a part pulls it.
 """
 
+import math
 import random
 from collections import deque
 from functools import singledispatchmethod
@@ -15,11 +16,13 @@
 from .membership import Membership
 from .messages import Message, RecordsPull, RecordsPush, RelayedRecord, Sender
 from .outputs import Output, RecordsRelayed, Send
+from .packing import pack_records, unpack_records
 from .ring import children
 
 KEPT_MAXIMUM_RECORDS = 4000
 PULL_MAXIMUM_RECORDS = 500
-PULL_INTERVAL_MS = 5000
+PULL_INTERVAL_MS = 10_000
+BATCH_DELAY_MS = 1000
 FIRST_PULL_INTERVAL_MS = 500
 
 
@@ -40,14 +43,22 @@
         self._has_heard = False
         self._has_regressed = False
         self._next_pull_ms = 0.0
+        self._batch: list[RelayedRecord] = []
+        self._batch_due_ms = math.inf
 
     @property
     def next_offset(self) -> int:
         """Offset of the first record not known here."""
         return self._next_offset
 
-    def take_page(self, page: Page, is_first_reader: bool) -> list[Output]:
-        """Take records that this node read from the log itself."""
+    def take_page(
+        self, page: Page, now_ms: float, is_first_reader: bool
+    ) -> list[Output]:
+        """Take records that this node read from the log itself.
+
+        The first reader pushes them in batches, since ownership is extended long
+        before it is needed.
+        """
         if page.next_offset < self._next_offset:
             return self._regress(self._membership.own.instance)
         from_offset = max(self._next_offset, page.first_offset)
@@ -58,11 +69,18 @@
         ]
         outputs = self._accept(from_offset, records)
         if records and is_first_reader:
-            root = self._membership.own.instance
-            push = RecordsPush(root, from_offset, self._next_offset, records)
-            outputs.extend(self._forward(push))
+            self._batch.extend(records)
+            self._batch_due_ms = min(self._batch_due_ms, now_ms + BATCH_DELAY_MS)
         return outputs
 
+    def _flush(self) -> list[Output]:
+        records, self._batch = self._batch, []
+        self._batch_due_ms = math.inf
+        root = self._membership.own.instance
+        packed = pack_records(records)
+        push = RecordsPush(root, records[0].offset, self._next_offset, packed)
+        return self._forward(push)
+
     def _accept(self, from_offset: int, records: list[RelayedRecord]) -> list[Output]:
         if self._has_heard and not records and from_offset <= self._next_offset:
             return []
@@ -76,7 +94,7 @@
             return []
         self._has_regressed = True
         offset = self._next_offset
-        push = RecordsPush(root, offset, offset, [], has_regressed=True)
+        push = RecordsPush(root, offset, offset, b"", has_regressed=True)
         relayed = RecordsRelayed(offset, offset, (), has_regressed=True)
         return [relayed, *self._forward(push)]
 
@@ -91,6 +109,8 @@
         self, now_ms: float, reader: str | None, is_log_reachable: bool
     ) -> list[Output]:
         """Ask for what was missed: the first reader, or another data centre."""
+        if now_ms >= self._batch_due_ms:
+            return self._flush()
         if now_ms < self._next_pull_ms:
             return []
         interval_ms = PULL_INTERVAL_MS if self._has_heard else FIRST_PULL_INTERVAL_MS
@@ -115,12 +135,13 @@
             return self._regress(message.root)
         if message.root and message.from_offset > self._next_offset:
             return [Send(sender.address, RecordsPull(self._next_offset))]
-        fresh = [r for r in message.records if r.offset >= self._next_offset]
+        records = unpack_records(message.packed)
+        fresh = [r for r in records if r.offset >= self._next_offset]
         from_offset = max(self._next_offset, message.from_offset)
         outputs = self._accept(from_offset, fresh)
         if fresh and message.root:
             outputs.extend(self._forward(message))
-        if not message.root and len(message.records) >= PULL_MAXIMUM_RECORDS:
+        if not message.root and len(records) >= PULL_MAXIMUM_RECORDS:
             outputs.append(Send(sender.address, RecordsPull(self._next_offset)))
         return outputs
 
@@ -133,5 +154,5 @@
         found = [r for r in self._kept if r.offset >= from_offset]
         records = found[:PULL_MAXIMUM_RECORDS]
         next_offset = records[-1].offset + 1 if records else self._next_offset
-        reply = RecordsPush("", from_offset, next_offset, records)
+        reply = RecordsPush("", from_offset, next_offset, pack_records(records))
         return [Send(sender.address, reply)]
--- a/azurestep/control/reports.py
+++ b/azurestep/control/reports.py
@@ -14,7 +14,8 @@
 
 MISSING_MAXIMUM = 16
 VERSIONS_KEPT = 16
-REPORT_INTERVAL_MS = 300
+REPORT_INTERVAL_MS = 200
+PARTIAL_REPORT_DELAY_MS = 2000
 
 
 @attrs.define
@@ -34,6 +35,8 @@
         self._membership = membership
         self._tallies: OrderedDict[int, Tally] = OrderedDict()
         self._next_ms = 0.0
+        self._version = 0
+        self._version_ms = 0.0
 
     def instance(self) -> str | None:
         """Return the instance that collects for this data centre."""
@@ -54,13 +57,23 @@
             del self._tallies[min(self._tallies)]
 
     def tick(self, now_ms: float, digest: Digest) -> list[Output]:
-        """Publish the report when it changed."""
+        """Publish the report when it changed.
+
+        A version that not everyone applied yet is given time, so that a change
+        usually brings one report.
+        """
         if now_ms < self._next_ms:
             return []
         self._next_ms = now_ms + REPORT_INTERVAL_MS
         if self.instance() != self._membership.own.instance:
             return []
+        if digest.version != self._version:
+            self._version = digest.version
+            self._version_ms = now_ms
         report = self._make_report(digest)
+        is_partial = report.in_force < report.members
+        if is_partial and now_ms - self._version_ms < PARTIAL_REPORT_DELAY_MS:
+            return []
         held = self._membership.table.get(f"r/{report.data_centre}")
         if isinstance(held, DataCentreReport):
             if attrs.evolve(report, stamp=held.stamp, origin=held.origin) == held:
--- a/azurestep/control/spread.py
+++ b/azurestep/control/spread.py
@@ -42,6 +42,7 @@
 SNAPSHOT_BURST = 10
 APPLIED_DELAY_MS = 150
 LATER_MINIMUM_MS = 200
+STAND_IN_DELAY_MS = 1000
 
 
 @attrs.define
@@ -68,6 +69,14 @@
         return True
 
 
+@attrs.frozen
+class StandIn:
+    """A push that is due if the first reader's does not come."""
+
+    base: Document
+    due_ms: float
+
+
 class Spread:
     """Keeps the configuration of one node and passes it on.
 
@@ -104,6 +113,8 @@
         self._applied_due_ms = 0.0
         self._applied_ms = 0
         self._reported_to: str | None = None
+        self._stand_in: StandIn | None = None
+        self._forwarded_version = 0
 
     @property
     def digest(self) -> Digest:
@@ -113,8 +124,14 @@
 
     # -- the log -------------------------------------------------------------
 
-    def take_page(self, page: Page, now_ms: float) -> list[Output]:
-        """Take records that this node read from the log itself."""
+    def take_page(
+        self, page: Page, now_ms: float, is_first_reader: bool = True
+    ) -> list[Output]:
+        """Take records that this node read from the log itself.
+
+        The first reader pushes at once; another one waits for that push and
+        steps in if it does not come.
+        """
         before = self.fold.state
         events = self.fold.take(page.first_offset, page.next_offset, page.records)
         outputs: list[Output] = [Folded(event) for event in events]
@@ -122,8 +139,10 @@
             return outputs
         versions = [e for e in events if isinstance(e, Accepted | Adopted)]
         outputs.extend(self._apply(before.document, now_ms, parent_name=None))
-        if versions:
+        if versions and is_first_reader:
             outputs.extend(self._push(self._membership.own.instance, before.document))
+        elif versions:
+            self._stand_in = StandIn(before.document, now_ms + STAND_IN_DELAY_MS)
         return outputs
 
     # -- applying and passing on --------------------------------------------
@@ -150,15 +169,23 @@
             self._history.popitem(last=False)
 
     def _push(self, root: str, base: Document) -> list[Output]:
+        self._forwarded_version = self.fold.state.version
+        return self._send_down(Push(root, self._delta_from(base)))
+
+    def _forward(self, message: Push) -> list[Output]:
+        """Pass on a version that came here by another way before."""
+        if self._forwarded_version >= message.delta.version:
+            return []
+        self._forwarded_version = message.delta.version
+        return self._send_down(message)
+
+    def _send_down(self, message: Push) -> list[Output]:
         names = children(
             self._membership.order,
-            root,
+            message.root,
             self._membership.own.instance,
             self._settings.push_fan_out,
         )
-        if not names:
-            return []
-        message = Push(root, self._delta_from(base))
         members = (self._membership.member(name) for name in names)
         return [Send(member.address, message) for member in members if member]
 
@@ -180,6 +207,9 @@
             applied, self._applied = self._applied, None
             outputs.extend(self._report(applied))
         self._follow_reporter(now_ms)
+        if self._stand_in is not None and now_ms >= self._stand_in.due_ms:
+            base, self._stand_in = self._stand_in.base, None
+            outputs.extend(self._push(self._membership.own.instance, base))
         outputs.extend(self.reporter.tick(now_ms, self.digest))
         return outputs
 
@@ -246,6 +276,9 @@
 
     @handle.register
     def _(self, message: Push, sender: Sender, now_ms: float) -> list[Output]:
+        self._stand_in = None
+        if message.delta.version == self.fold.state.version:
+            return self._forward(message)
         before = self.fold.state.document
         order = self._membership.order
         own = self._membership.own.instance
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -18,6 +18,7 @@
     Regressed,
     Unsupported,
 )
+from ..control.codec import Envelope
 from ..control.link import Links
 from ..control.membership import Membership
 from ..control.messages import (
@@ -27,7 +28,6 @@
     MemberStatus,
     OwnerMessage,
     Sender,
-    ServerStatus,
 )
 from ..control.outputs import (
     Folded,
@@ -45,16 +45,16 @@
 from ..control.spread import Spread
 from ..control.summaries import Summarizer
 from ..environment import Environment
+from ..errors import MessageMalformedError
 from ..once.fold import LogEntry
 from ..once.messages import (
     ForwardFailed,
     Input,
     LogRecordsRead,
     LogRegressed,
-    MembersChanged,
 )
 from ..once.records import NodeId
-from ..settings import Address, Settings
+from ..settings import Settings
 from ..traffic.directory import DirectoryBuilder
 from ..traffic.table import RoutingTable
 from .messages import (
@@ -74,6 +74,7 @@
     TableReady,
     TrafficInput,
 )
+from .owners import OwnerDirectory
 
 OnceInput = Input | OwnerMessageReceived | ServiceNamed
 
@@ -141,9 +142,10 @@
         self.relay = LogRelay(self.membership, settings.control, environment.random)
         self._summarizer = Summarizer(self.membership)
         self._directory = DirectoryBuilder(settings.data_centre)
-        self._directory_is_stale = True
-        self._nodes: dict[tuple[str, str], Address] = {}
-        self._once_services: set[str] = set()
+        self._owners = OwnerDirectory()
+        self._readers: list[str] = []
+        self._readers_epoch = -1
+        self._once_services: frozenset[str] = frozenset()
         self.checkpoint_as_of = 0
         sender = Sender(
             own.instance,
@@ -187,21 +189,23 @@
     async def _receive(self) -> None:
         while True:
             envelope = await self.links.receive()
-            now_ms = self._now_ms()
-            if isinstance(envelope.message, AuditItems | AuditReceipt):
-                self._tell_audit(
-                    AuditMessageReceived(envelope.sender.instance, envelope.message)
-                )
-                continue
-            if isinstance(envelope.message, OwnerMessage):
-                self._tell_once(
-                    OwnerMessageReceived(envelope.sender.instance, envelope.message)
-                )
-                continue
-            for decision in (self.membership, self.spread, self.relay):
-                self._perform_all(
-                    decision.handle(envelope.message, envelope.sender, now_ms)
-                )
+            try:
+                self._take_message(envelope)
+            except MessageMalformedError as error:
+                self.links.counters.dropped_frames += 1
+                events.emit(events.FRAME_DROPPED, cause=str(error))
+
+    def _take_message(self, envelope: Envelope) -> None:
+        message, sender = envelope.message, envelope.sender
+        if isinstance(message, AuditItems | AuditReceipt):
+            self._tell_audit(AuditMessageReceived(sender.instance, message))
+            return
+        if isinstance(message, OwnerMessage):
+            self._tell_once(OwnerMessageReceived(sender.instance, message))
+            return
+        now_ms = self._now_ms()
+        for decision in (self.membership, self.spread, self.relay):
+            self._perform_all(decision.handle(message, sender, now_ms))
 
     async def _take_inputs(self) -> None:
         while True:
@@ -242,7 +246,6 @@
 
     @_take.register
     def _(self, message: ServersChanged) -> list[Output]:
-        self._directory_is_stale = True
         servers = [
             attrs.evolve(
                 server,
@@ -252,11 +255,16 @@
             )
             for server in message.servers
         ]
-        return self.membership.change_own(servers=servers)
+        outputs = self.membership.change_own(servers=servers)
+        self._directory.take(self.membership.own)
+        self._name_service()
+        return outputs
 
     @_take.register
     def _(self, message: PageRead) -> list[Output]:
-        outputs = self.spread.take_page(message.page, self._now_ms())
+        outputs = self.spread.take_page(
+            message.page, self._now_ms(), self.is_first_reader()
+        )
         if not self.membership.own.log_reachable:
             events.emit(events.PLATFORM_REACHED)
             outputs.extend(self.membership.change_own(log_reachable=True))
@@ -271,12 +279,14 @@
 
     @_take.register
     def _(self, message: OwnershipPageRead) -> list[Output]:
-        is_first = self.readers()[:1] == [self.settings.instance]
-        return self.relay.take_page(message.page, is_first)
+        return self.relay.take_page(
+            message.page, self._now_ms(), self.is_first_reader()
+        )
 
     @_take.register
     def _(self, message: OwnerMessageOut) -> list[Output]:
-        to = self._nodes.get((message.instance, message.message.receiver_run))
+        node = NodeId(message.instance, message.message.receiver_run)
+        to = self._owners.address(node)
         if to is not None and self.links.send(to, message.message):
             return []
         if message.request_id:
@@ -301,6 +311,12 @@
 
     def readers(self) -> list[str]:
         """Return who follows the platform's log, the first reader first."""
+        if self._readers_epoch != self.membership.epoch:
+            self._readers_epoch = self.membership.epoch
+            self._readers = self._choose_readers()
+        return self._readers
+
+    def _choose_readers(self) -> list[str]:
         members = self.membership.members()
         able = [m.instance for m in members if m.log_reachable]
         names = able or [m.instance for m in members]
@@ -311,6 +327,10 @@
         """Whether this node follows the platform's log."""
         return self.settings.instance in self.readers()
 
+    def is_first_reader(self) -> bool:
+        """Whether this node pushes what it reads."""
+        return self.readers()[:1] == [self.settings.instance]
+
     def is_checkpoint_due(self) -> bool:
         """Whether enough records came since the last checkpoint."""
         state = self.spread.fold.state
@@ -340,14 +360,14 @@
 
     @_perform.register
     def _(self, output: MemberChanged) -> None:
-        self._directory_is_stale = True
         member = output.member
+        self._directory.take(member)
         event = MEMBER_EVENTS[MemberStatus(member.status)]
         events.emit(event, instance=member.instance)
 
     @_perform.register
     def _(self, output: Learned) -> None:
-        self._directory_is_stale = True
+        self._directory.take(output.update)
 
     @_perform.register
     def _(self, output: VersionApplied) -> None:
@@ -355,7 +375,8 @@
         assert state.configuration is not None
         table = RoutingTable(state.version, state.configuration)
         self.traffic.put_nowait(TableReady(table))
-        self._directory_is_stale = True
+        self._once_services = table.once_services
+        self._name_service()
         events.emit(
             events.VERSION_IN_FORCE,
             version=state.version,
@@ -381,40 +402,20 @@
         entries = tuple(LogEntry(r.offset, r.payload) for r in output.records)
         self._tell_once(LogRecordsRead(output.from_offset, entries, output.next_offset))
 
-    def _tell_members(self) -> None:
-        """Tell the at-most-once task which nodes live, by service."""
-        live: dict[str, list[NodeId]] = {}
-        self._nodes = {}
-        for server in self._directory.servers(self.membership.table.updates()):
-            if not server.node_run:
-                continue
-            node = NodeId(server.instance, server.node_run)
-            address = Address(server.host, server.control_port)
-            self._nodes[(server.instance, server.node_run)] = address
-            if server.status == ServerStatus.READY:
-                live.setdefault(server.service, []).append(node)
-        for service in self._once_services | live.keys():
-            nodes = tuple(live.get(service, ()))
-            self._tell_once(MembersChanged(service, nodes))
-        self._once_services = set(live)
-        self._name_service()
-
     def _name_service(self) -> None:
-        state = self.spread.fold.state
-        if state.configuration is None:
-            return
-        table = RoutingTable(state.version, state.configuration)
         for server in self.membership.own.servers:
-            if server.service in table.once_services:
+            if server.service in self._once_services:
                 self._tell_once(ServiceNamed(server.service))
 
     def _refresh_directory(self, now_ms: float) -> None:
-        if not self._directory_is_stale:
+        if not self._directory.is_stale:
             return
-        self._directory_is_stale = False
-        self._tell_members()
-        directory = self._directory.build(self.membership.table.updates(), now_ms)
+        directory = self._directory.build(now_ms)
         self.traffic.put_nowait(DirectoryReady(directory))
+        for service in directory.changed:
+            servers = self._directory.servers(service)
+            for change in self._owners.replace(service, servers):
+                self._tell_once(change)
 
     # -- events of the fold --------------------------------------------------
 
--- a/azurestep/traffic/directory.py
+++ b/azurestep/traffic/directory.py
@@ -1,6 +1,6 @@
 """Directory: which backend servers each service has, over all data centres."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import attrs
 import xxhash
@@ -14,6 +14,7 @@
     ServiceSummary,
     Update,
 )
+from ..control.table import key_of
 
 
 def endpoint_key(server: ServerState) -> EndpointKey:
@@ -30,62 +31,113 @@
     ----------
     endpoints : dict of str to tuple of Endpoint
         Endpoints of each service that has any.
+    changed : frozenset of str
+        Services whose endpoints differ from the directory before.
     """
 
     endpoints: dict[str, tuple[Endpoint, ...]] = attrs.field(factory=dict)
+    changed: frozenset[str] = frozenset()
 
     def of(self, service: str) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service."""
         return self.endpoints.get(service, ())
 
 
+@attrs.frozen
+class Placed:
+    """A backend server and where it runs."""
+
+    instance: str
+    data_centre: str
+    server: ServerState
+
+
 class DirectoryBuilder:
-    """Builds directories and remembers when each endpoint was first seen."""
+    """Keeps the backend servers of each service as updates come in.
+
+    Only the services that an update changes are built anew, so that news about
+    one instance costs little among hundreds. It remembers when each endpoint was
+    first seen.
+    """
 
     def __init__(self, data_centre: str) -> None:
         self._data_centre = data_centre
+        self._placed: dict[str, tuple[Placed, ...]] = {}
+        self._by_service: dict[str, dict[str, tuple[Placed, ...]]] = {}
+        self._stale: set[str] = set()
+        self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         self._first_seen_ms: dict[EndpointKey, float] = {}
         self._has_started = False
 
-    def build(self, updates: Iterable[Update], now_ms: float) -> Directory:
-        """Return the directory of the updates held by the membership."""
-        found: dict[str, list[Endpoint]] = {}
-        seen: dict[EndpointKey, float] = {}
-        for update in updates:
-            for instance, data_centre, server in self._servers_of(update):
-                key = endpoint_key(server)
-                since_ms = self._first_seen_ms.get(key, self._announced_ms(now_ms))
-                seen[key] = since_ms
-                endpoint = Endpoint(
-                    key,
-                    server.service,
-                    instance,
-                    data_centre,
-                    server.slots,
-                    since_ms,
-                    server.status == ServerStatus.LEAVING,
-                )
-                found.setdefault(server.service, []).append(endpoint)
-        self._first_seen_ms = seen
-        self._has_started = self._has_started or bool(seen)
-        return Directory({name: tuple(items) for name, items in found.items()})
-
-    def servers(self, updates: Iterable[Update]) -> Iterator[ServerState]:
-        """Yield every backend server that the updates announce."""
-        for update in updates:
-            for _, _, server in self._servers_of(update):
-                yield server
+    @property
+    def is_stale(self) -> bool:
+        """Whether an update changed the backend servers of a service."""
+        return bool(self._stale)
+
+    def take(self, update: Update) -> None:
+        """Take the newest update about a member or a service."""
+        key = key_of(update)
+        placed = tuple(self._placed_of(update))
+        before = self._placed.get(key, ())
+        if placed == before:
+            return
+        self._placed[key] = placed
+        services = {item.server.service for item in (*before, *placed)}
+        for service in services:
+            own = tuple(item for item in placed if item.server.service == service)
+            self._by_service.setdefault(service, {})[key] = own
+        self._stale |= services
+
+    def build(self, now_ms: float) -> Directory:
+        """Return the directory after the updates taken so far."""
+        changed = frozenset(self._stale)
+        self._stale.clear()
+        endpoints = dict(self._endpoints)
+        for service in changed:
+            endpoints[service] = tuple(
+                self._endpoint_of(placed, now_ms) for placed in self.servers(service)
+            )
+            self._forget_gone(service, endpoints[service])
+        self._endpoints = endpoints
+        self._has_started = self._has_started or bool(endpoints)
+        return Directory(endpoints, changed)
+
+    def servers(self, service: str) -> Iterator[Placed]:
+        """Yield the backend servers of a service."""
+        for placed in self._by_service.get(service, {}).values():
+            yield from placed
+
+    def _endpoint_of(self, placed: Placed, now_ms: float) -> Endpoint:
+        server = placed.server
+        key = endpoint_key(server)
+        since_ms = self._first_seen_ms.setdefault(key, self._announced_ms(now_ms))
+        is_leaving = server.status == ServerStatus.LEAVING
+        return Endpoint(
+            key,
+            server.service,
+            placed.instance,
+            placed.data_centre,
+            server.slots,
+            since_ms,
+            is_leaving,
+        )
+
+    def _forget_gone(self, service: str, present: tuple[Endpoint, ...]) -> None:
+        kept = {endpoint.key for endpoint in present}
+        for endpoint in self._endpoints.get(service, ()):
+            if endpoint.key not in kept:
+                self._first_seen_ms.pop(endpoint.key, None)
 
     def _announced_ms(self, now_ms: float) -> float:
         # A node that just started can't tell new backend servers from old ones.
         return now_ms if self._has_started else float("-inf")
 
-    def _servers_of(self, update: Update) -> Iterable[tuple[str, str, ServerState]]:
+    def _placed_of(self, update: Update) -> Iterator[Placed]:
         if isinstance(update, MemberState) and update.status in LIVE:
             for server in update.servers:
-                yield update.instance, update.data_centre, server
+                yield Placed(update.instance, update.data_centre, server)
         if isinstance(update, ServiceSummary):
             if update.data_centre == self._data_centre:
                 return
             for server in update.servers:
-                yield server.instance, update.data_centre, server
+                yield Placed(server.instance, update.data_centre, server)
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -114,8 +114,8 @@
         """Take over the present backend servers of every service."""
         now_ms = self._clock.monotonic_ms()
         self._directory = directory
-        for name, pool in self._pools.items():
-            pool.replace_endpoints(directory.of(name), now_ms)
+        for name in directory.changed & self._pools.keys():
+            self._pools[name].replace_endpoints(directory.of(name), now_ms)
 
     def learn_quarantine(self, news: QuarantineNews) -> None:
         """Take over what another node learned."""
--- a/bench/trace.py
+++ b/bench/trace.py
@@ -15,6 +15,7 @@
 import orjson
 
 from azurestep.config.fold import ConfigurationFold
+from azurestep.events import Event
 from azurestep.once import NodeId, OnceDecision, OnceSettings
 from azurestep.once import messages as once_messages
 from azurestep.once.fold import LogEntry
@@ -59,6 +60,7 @@
     converter = cattrs.Converter()
     converter.register_unstructure_hook(bytes, lambda value: value.decode())
     converter.register_structure_hook(bytes, lambda value, _type: value.encode())
+    converter.register_unstructure_hook(Event, lambda event: event.number)
     return converter
 
 
--- a/tests/fixtures_traffic.py
+++ b/tests/fixtures_traffic.py
@@ -70,7 +70,9 @@
         self.put_endpoints()
 
     def put_endpoints(self) -> None:
-        directory = Directory({"catalogue": tuple(self.endpoints)})
+        directory = Directory(
+            {"catalogue": tuple(self.endpoints)}, frozenset({"catalogue"})
+        )
         self.traffic.inputs.put_nowait(DirectoryReady(directory))
 
 
