--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -7,7 +7,7 @@
 from .latency import Latency
 from .node_cost import NodeCosts
 from .results import read_result
-from .scale import OWNERSHIP, Scale
+from .scale import OWNERSHIP, Run, Scale
 from .slopes import Spent
 from .target import ASSUMED, TARGET
 
@@ -77,6 +77,12 @@
     return max(known) if known else ASSUMED.reports_per_change
 
 
+def appends_per_change(run: Run) -> float:
+    """Return the appends to all streams that came with a change."""
+    window = next(w for w in run.windows if w.label == slopes.CHANGES)
+    return window.log_appends / window.events
+
+
 def ownership_per_record(inputs: Inputs) -> Spent:
     """Return what one ownership record costs each node, in the largest fleet."""
     run = slopes.shipped(inputs.scale)[-1]
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -1,8 +1,11 @@
 """Tables of docs/CAPACITY.md."""
 
+from azurestep.settings import AuditSettings
+
 from . import slopes
 from .capacity_model import (
     Inputs,
+    appends_per_change,
     load_at_target,
     ownership_per_record,
     ownership_per_s,
@@ -228,6 +231,15 @@
             f"{TARGET.changes_per_s / 500:.5f}",
         ),
         ("appends/s: extensions of ownership", f"{ownership:.1f}"),
+        (
+            "appends/s: audit, at most one of each data centre a second",
+            f"{TARGET.data_centres / AuditSettings().append_interval_ms * 1000:.1f}",
+        ),
+        (
+            f"appends for a change, all streams, measured with {run.nodes} nodes "
+            f"in {run.data_centres} data centres",
+            f"{appends_per_change(run):.1f}",
+        ),
         (
             "appends/s that the platform takes, at least",
             f"{ASSUMED.platform_appends_per_s}",
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -34,6 +34,7 @@
     ServiceSize,
     load_configuration,
     load_deployment,
+    load_settings,
 )
 from .fleet import Fleet, NodeProcess
 
@@ -246,7 +247,8 @@
 async def run(deployment_name: str, scale: float) -> int:
     """Run the demonstration and return the exit code."""
     deployment = load_deployment(deployment_name)
-    async with Fleet() as fleet, aiohttp.ClientSession() as session:
+    control = load_settings(deployment_name).control
+    async with Fleet(control) as fleet, aiohttp.ClientSession() as session:
         demo = Demo(deployment, fleet, session, Environment())
         await start_fleet(demo, scale)
         await wait_for_members(demo)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -8,6 +8,7 @@
 
 from azurestep.config.document import Document
 from azurestep.config.validate import read_document
+from azurestep.settings import Settings, read_settings
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
@@ -51,3 +52,8 @@
 def load_configuration(name: str) -> Document:
     """Read an example's configuration."""
     return read_document((EXAMPLES / name / "configuration.json").read_bytes()).unwrap()
+
+
+def load_settings(name: str) -> Settings:
+    """Read the settings of an example's first node, the template of the others."""
+    return read_settings(EXAMPLES / name / "node.json")
--- a/tests/test_bench_pages.py
+++ b/tests/test_bench_pages.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bench.__main__ import MEASUREMENTS
+from bench.deployment import load_deployment, load_settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 PROMISES = (ROOT / "docs" / "PROMISES.md").read_text()
@@ -46,3 +47,16 @@
     path = ROOT / page
     for link in re.findall(r"\]\(([^)#]+)[^)]*\)", path.read_text()):
         assert "://" in link or (path.parent / link).exists(), link
+
+
+@pytest.mark.parametrize("name", ["riddim", "mawga"])
+def test_example_settings_are_valid_and_fit_the_deployment(name):
+    settings = load_settings(name)
+    assert settings.data_centre in load_deployment(name).data_centres
+    assert settings.control.push_fan_out > 0
+
+
+def test_examples_weigh_time_and_bytes_differently():
+    riddim = load_settings("riddim").control
+    mawga = load_settings("mawga").control
+    assert riddim.probe_interval_ms < mawga.probe_interval_ms
