Stop a node without cutting or refusing a request

Cause, seen failing first: a backend server that renewed its lease while it left, or that was paused, came back as ready after 20 s; a node that had just started called the leave of an unknown one safe at once; a stopping node kept its callers' connections open until it cut them.

Change: leaving is remembered by incarnation; answers ask callers to close from the start of the drain, the listener closes after the peers had time to hear, and what a stop cuts is an event with the number of requests.

--- a/azurestep/node/announce.py
+++ b/azurestep/node/announce.py
@@ -65,6 +65,11 @@
         if self.leases.servers() != before:
             self._tell()
 
+    def leave_all(self) -> None:
+        """Mark every backend server as leaving and tell the control task."""
+        self.leases.leave_all(self._now_ms())
+        self._tell()
+
     def _tell(self) -> None:
         self.control.put_nowait(ServersChanged(self.leases.servers()))
 
--- a/azurestep/node/leases.py
+++ b/azurestep/node/leases.py
@@ -10,6 +10,8 @@
 
 LEASE_MS = 3000
 LEAVE_SETTLE_MS = 2000
+LEAVE_SHOWN_MS = 20_000
+LEAVES_REMEMBERED = 256
 
 
 @attrs.frozen
@@ -49,13 +51,10 @@
         Its latest announcement.
     expires_ms : float
         Monotonic time at which it counts as gone.
-    leaving_ms : float or None
-        Monotonic time at which it began to leave.
     """
 
     announcement: Announcement
     expires_ms: float
-    leaving_ms: float | None = None
 
 
 class Leases:
@@ -63,6 +62,7 @@
 
     def __init__(self) -> None:
         self._leases: dict[str, Lease] = {}
+        self._left_ms: dict[str, float] = {}
 
     def announce(self, announcement: Announcement, now_ms: float) -> bool:
         """Take an announcement; return whether the servers changed."""
@@ -84,11 +84,16 @@
                 del self._leases[incarnation]
 
     def leave(self, incarnation: str, now_ms: float) -> bool:
-        """Mark a backend server as leaving; return whether that is news."""
-        lease = self._leases.get(incarnation)
-        if lease is None or lease.leaving_ms is not None:
+        """Mark a backend server as leaving; return whether that is news.
+
+        An incarnation that isn't held is remembered too: the other nodes may
+        know it from before a restart of this node.
+        """
+        if incarnation in self._left_ms:
             return False
-        lease.leaving_ms = now_ms
+        self._left_ms[incarnation] = now_ms
+        if len(self._left_ms) > LEAVES_REMEMBERED:
+            del self._left_ms[next(iter(self._left_ms))]
         return True
 
     def leave_all(self, now_ms: float) -> None:
@@ -97,36 +102,35 @@
             self.leave(incarnation, now_ms)
 
     def expire(self, now_ms: float) -> list[Announcement]:
-        """Drop and return the backend servers whose lease lapsed."""
-        lapsed = [
-            (incarnation, lease.announcement)
-            for incarnation, lease in self._leases.items()
-            if now_ms >= lease.expires_ms and lease.leaving_ms is None
-        ]
+        """Drop and return the backend servers whose lease lapsed.
+
+        One that leaves stops renewing and is shown for a while longer, so that
+        its end isn't taken for a failure; it isn't among those returned.
+        """
+        lapsed = []
         for incarnation, lease in list(self._leases.items()):
-            if lease.leaving_ms is None:
+            left_ms = self._left_ms.get(incarnation)
+            shown_ms = 0.0 if left_ms is None else left_ms + LEAVE_SHOWN_MS
+            if now_ms < max(lease.expires_ms, shown_ms):
                 continue
-            if now_ms >= lease.leaving_ms + 10 * LEAVE_SETTLE_MS:
-                del self._leases[incarnation]
-        for incarnation, _ in lapsed:
             del self._leases[incarnation]
-        return [announcement for _, announcement in lapsed]
+            if left_ms is None:
+                lapsed.append(lease.announcement)
+        return lapsed
 
     def is_safe(self, incarnation: str, now_ms: float) -> bool:
         """Tell whether a leaving backend server gets no more new requests."""
-        lease = self._leases.get(incarnation)
-        if lease is None:
-            return True
-        if lease.leaving_ms is None:
-            return False
-        return now_ms - lease.leaving_ms >= LEAVE_SETTLE_MS
+        left_ms = self._left_ms.get(incarnation)
+        if left_ms is None:
+            return incarnation not in self._leases
+        return now_ms - left_ms >= LEAVE_SETTLE_MS
 
     def servers(self) -> list[ServerState]:
         """Return what the node announces to its peers."""
         found = []
-        for lease in self._leases.values():
+        for incarnation, lease in self._leases.items():
             said = lease.announcement
-            is_leaving = lease.leaving_ms is not None or not said.ready
+            is_leaving = incarnation in self._left_ms or not said.ready
             status = ServerStatus.LEAVING if is_leaving else ServerStatus.READY
             found.append(
                 ServerState(
--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -92,11 +92,19 @@
     traffic: TrafficService,
     once: OnceService,
 ) -> None:
-    """Take no new work from peers, then let what is in flight end."""
-    announce.leases.leave_all(announce.environment.clock.monotonic_ms())
+    """Take no new work from peers, then let what is in flight end.
+
+    Callers are asked to go elsewhere from the start; the listener closes only
+    when the peers had time to hear, so that nobody is refused before.
+    """
+    traffic.proxy.drain()
+    announce.leave_all()
     await once.hand_over(HAND_OVER_TIMEOUT_S)
     control.inputs.put_nowait(LeaveRequested())
     await asyncio.sleep(DRAIN_SETTLE_S)
+    await traffic.stop_listening()
     deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
     while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
         await asyncio.sleep(DRAIN_CHECK_S)
+    if traffic.proxy.in_flight:
+        events.emit(events.REQUESTS_CUT, requests=traffic.proxy.in_flight)
--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -82,6 +82,12 @@
             await asyncio.sleep(SWEEP_S)
             self._connections.sweep()
 
+    async def stop_listening(self) -> None:
+        """Accept no further connection; open ones stay."""
+        if self._runner is not None:
+            for site in list(self._runner.sites):
+                await site.stop()
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Finish what is in flight and close."""
         if self._runner is not None:
--- a/azurestep/traffic/call.py
+++ b/azurestep/traffic/call.py
@@ -48,6 +48,8 @@
         Body of a request too large to be kept; it can be sent only once.
     is_suspect : bool
         Whether the quarantine suspects the request.
+    is_draining : bool
+        Whether the answer asks the caller to open another connection.
     waited_ms : float
         Time spent waiting for the caller's body and for a slot.
     """
@@ -64,6 +66,7 @@
     is_resend: bool = False
     stream: AsyncIterable[bytes] | None = None
     is_suspect: bool = False
+    is_draining: bool = False
     waited_ms: float = 0.0
     _fingerprint: int | None = None
 
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -188,6 +188,7 @@
             budget,
             arrived_ms,
             is_resend=is_resend(request),
+            is_draining=self._is_draining,
         )
 
     async def _read_body(self, request: web.BaseRequest, call: Call) -> Refusal | None:
--- a/azurestep/traffic/relay.py
+++ b/azurestep/traffic/relay.py
@@ -111,6 +111,8 @@
 
     async def _relay_stream(self, request: web.BaseRequest) -> web.StreamResponse:
         response = stream_answer(self.answer, self.is_final)
+        if self.call.is_draining:
+            response.force_close()
         await response.prepare(request)
         self.on_written()
         try:
--- /dev/null
+++ b/tests/test_traffic_stopping.py
@@ -0,0 +1,82 @@
+"""A planned stop of a node cuts no request."""
+
+import asyncio
+
+import aiohttp
+import attrs
+import pytest
+
+from standins.bodies import body_slice
+
+GET = b"GET /songs HTTP/1.1\r\nHost: x\r\n\r\n"
+SIZE = 200_000
+
+
+async def send_on(reader, writer, path=b"/songs"):
+    writer.write(GET.replace(b"/songs", path))
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20)
+    length = next(
+        int(line.partition(b":")[2])
+        for line in head.lower().split(b"\r\n")
+        if line.startswith(b"content-length")
+    )
+    await reader.readexactly(length)
+    return head.lower()
+
+
+@pytest.mark.parametrize("path", [b"/songs", b"/track?bytes=%d" % SIZE])
+async def test_callers_are_asked_to_go_elsewhere(
+    start_backend_server, start_traffic, path
+):
+    server = await start_backend_server()
+    rig = await start_traffic(server.address.port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+    before = await send_on(reader, writer, path)
+    rig.traffic.proxy.drain()
+    after = await send_on(reader, writer, path)
+    end = await asyncio.wait_for(reader.read(), 10)
+    writer.close()
+
+    assert b"connection: close" not in before
+    assert b"connection: close" in after
+    assert end == b""
+
+
+async def test_requests_in_flight_end_after_the_listener_closed(
+    http, start_backend_server, start_traffic, wait_until
+):
+    server = await start_backend_server()
+    rig = await start_traffic(server.address.port)
+    url = f"{rig.url}/track?bytes={SIZE}&delay_ms=300"
+    call = asyncio.create_task(_read(http, url))
+    await wait_until(lambda: server.load().in_flight == 1)
+    rig.traffic.proxy.drain()
+    await rig.traffic.stop_listening()
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await _read(http, f"{rig.url}/songs")
+    await rig.traffic.stop()
+
+    assert await call == body_slice("catalogue/track", 0, SIZE)
+
+
+async def _read(http, url):
+    async with http.get(url) as response:
+        return await response.read()
+
+
+async def test_a_leaving_backend_server_gets_no_new_request(
+    http, start_backend_server, start_traffic
+):
+    servers = [await start_backend_server() for _ in range(2)]
+    rig = await start_traffic(*(server.address.port for server in servers))
+    for _ in range(10):
+        await _read(http, f"{rig.url}/songs")
+    left = servers[0]
+    rig.endpoints[0] = attrs.evolve(rig.endpoints[0], leaving=True)
+    rig.put_endpoints()
+    while not rig.traffic.inputs.empty():
+        await asyncio.sleep(0)
+    before = left.counts.requests
+    for _ in range(10):
+        await _read(http, f"{rig.url}/songs")
+    assert left.counts.requests == before
