Open the traffic address once the routing table's endpoints are known

A restarted node answered 503 no_endpoint to requests that another node would have served; a refused connection sends its caller on at once.

--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -17,6 +17,8 @@
 TICK_S = 0.05
 KEEP_ALIVE_S = 75.0
 SWEEP_S = 1.0
+READY_CHECK_S = 0.02
+ENDPOINTS_WAIT_S = 3.0
 
 
 class TrafficService(aiomisc.Service):
@@ -36,9 +38,33 @@
         sender = AttemptSender(self._connections, environment.clock)
         self.proxy = Proxy(settings, sender, environment.clock, environment.random)
         self._runner: web.ServerRunner | None = None
+        self.listening = asyncio.Event()
 
     async def start(self) -> None:
-        """Listen and take tables and directories until stopped."""
+        """Take tables and directories until stopped; listen once ready."""
+        self.start_event.set()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._take_inputs())
+            group.create_task(self._tick())
+            group.create_task(self._sweep())
+            group.create_task(self._listen_when_ready())
+
+    async def _listen_when_ready(self) -> None:
+        """Listen once there is a table and its services have endpoints.
+
+        A caller that is refused goes to another node at once; one that gets a
+        connection would have to be told "not run".
+        """
+        while self.proxy.table is None:
+            await asyncio.sleep(READY_CHECK_S)
+        loop = asyncio.get_running_loop()
+        latest_s = loop.time() + ENDPOINTS_WAIT_S
+        while not self.proxy.knows_endpoints() and loop.time() < latest_s:
+            await asyncio.sleep(READY_CHECK_S)
+        await self._listen()
+        self.listening.set()
+
+    async def _listen(self) -> None:
         server = web.Server(
             self.proxy.handle,
             access_log=None,
@@ -50,11 +76,6 @@
         await listen(
             self._runner, self.settings.host, self.settings.traffic_port, "traffic_port"
         )
-        self.start_event.set()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._take_inputs())
-            group.create_task(self._tick())
-            group.create_task(self._sweep())
 
     async def _take_inputs(self) -> None:
         while True:
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -76,6 +76,12 @@
         """The table in force."""
         return self._table
 
+    def knows_endpoints(self) -> bool:
+        """Whether every service of the table has a backend server."""
+        if self._table is None:
+            return False
+        return all(self._directory.of(name) for name in self._table.services)
+
     def latency_summary(self) -> LatencySummary:
         """Return the distribution of the time that this node adds."""
         return self._latency.summary()
--- a/tests/fixtures_traffic.py
+++ b/tests/fixtures_traffic.py
@@ -93,12 +93,11 @@
         traffic.set_loop(asyncio.get_running_loop())
         task = asyncio.create_task(traffic.start())
         started.append((traffic, task))
-        await asyncio.wait_for(traffic.start_event.wait(), 10)
         rig = TrafficRig(traffic)
-        rig.put_table(service)
-        rig.put_ports(*ports)
-        while not traffic.inputs.empty():
-            await asyncio.sleep(0)
+        if ports:
+            rig.put_table(service)
+            rig.put_ports(*ports)
+            await asyncio.wait_for(traffic.listening.wait(), 10)
         return rig
 
     yield start
--- a/tests/test_traffic_stopping.py
+++ b/tests/test_traffic_stopping.py
@@ -80,3 +80,18 @@
     for _ in range(10):
         await _read(http, f"{rig.url}/songs")
     assert left.counts.requests == before
+
+
+async def test_a_node_listens_once_it_knows_table_and_endpoints(
+    http, start_backend_server, start_traffic
+):
+    server = await start_backend_server()
+    rig = await start_traffic()
+    rig.put_table()
+    for _ in range(3):
+        await asyncio.sleep(0.05)
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await _read(http, f"{rig.url}/songs")
+    rig.put_ports(server.address.port)
+    await asyncio.wait_for(rig.traffic.listening.wait(), 10)
+    assert await _read(http, f"{rig.url}/songs")
