Leave the membership last when a node stops

Cause: a node that had left heard no more of leaving backend servers while it still carried requests, and no peer reached it for the keys it was handing over.

--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -17,6 +17,7 @@
 from .traffic import TrafficService
 
 DRAIN_SETTLE_S = 2.0
+LEAVE_SETTLE_S = 0.2
 DRAIN_TIMEOUT_S = 30.0
 HAND_OVER_TIMEOUT_S = 8.0
 DRAIN_CHECK_S = 0.05
@@ -99,12 +100,15 @@
     """
     traffic.proxy.drain()
     announce.leave_all()
-    await once.hand_over(HAND_OVER_TIMEOUT_S)
-    control.inputs.put_nowait(LeaveRequested())
-    await asyncio.sleep(DRAIN_SETTLE_S)
+    await asyncio.gather(
+        asyncio.sleep(DRAIN_SETTLE_S), once.hand_over(HAND_OVER_TIMEOUT_S)
+    )
     await traffic.stop_listening()
     deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
     while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
         await asyncio.sleep(DRAIN_CHECK_S)
     if traffic.proxy.in_flight:
         events.emit(events.REQUESTS_CUT, requests=traffic.proxy.in_flight)
+    # A node that left hears no more of leaving backend servers, so this is last.
+    control.inputs.put_nowait(LeaveRequested())
+    await asyncio.sleep(LEAVE_SETTLE_S)
