--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -68,7 +68,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests that have no whole answer yet."""
+        """Requests that have no whole answer yet, also those run for peers."""
         return self._in_flight
 
     @property
@@ -168,7 +168,11 @@
     async def run_single(self, call: Call) -> RunResult:
         """Run a request that must not repeat, once."""
         pool = self._pools[call.match.service.name]
-        return await run_single(pool, self._forwarder, call, self._clock)
+        self._in_flight += 1
+        try:
+            return await run_single(pool, self._forwarder, call, self._clock)
+        finally:
+            self._in_flight -= 1
 
     def _match(self, request: web.BaseRequest) -> Call | Refusal:
         arrived_ms = self._clock.monotonic_ms()
