--- a/azurestep/control/messages.py
+++ b/azurestep/control/messages.py
@@ -320,6 +320,8 @@
         Root of the tree that it goes down; empty for an answer to a pull.
     from_offset, next_offset : int
         Offsets that it covers, the last excluded.
+    packed : bytes
+        The records, see :mod:`azurestep.control.packing`.
     has_regressed : bool
         Whether the log was found to hold fewer records than before.
     """
@@ -327,7 +329,7 @@
     root: str
     from_offset: int
     next_offset: int
-    records: list[RelayedRecord]
+    packed: bytes
     has_regressed: bool = False
 
 
@@ -369,6 +371,27 @@
     call: CarriedCall | None = None
 
 
+@attrs.frozen
+class AuditItems:
+    """Audit items on their way to the writer of the data centre's trail.
+
+    Attributes
+    ----------
+    entries : list of bytes
+        JSON text of each entry (see :mod:`azurestep.audit.records`).
+    """
+
+    entries: list[bytes]
+
+
+@attrs.frozen
+class AuditReceipt:
+    """Items of a run of the receiver, up to a number, are on the log."""
+
+    run: str
+    number: int
+
+
 Message = (
     Probe
     | Ack
@@ -385,4 +408,6 @@
     | RecordsPush
     | RecordsPull
     | OwnerMessage
+    | AuditItems
+    | AuditReceipt
 )
--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -1,6 +1,7 @@
 """Runs a node: assembles its tasks and stops them in order."""
 
 import asyncio
+import gc
 import signal
 
 import aiomisc
@@ -9,17 +10,23 @@
 from ..environment import Environment
 from ..settings import Settings
 from .announce import AnnounceService
+from .audit import AuditService
 from .control import ControlService
 from .follow import FollowService
 from .messages import LeaveRequested, TrafficInput
+from .metrics import MetricsService
 from .once import OnceService, new_node_run
 from .operators import OperatorService
 from .traffic import TrafficService
 
 DRAIN_SETTLE_S = 2.0
 LEAVE_SETTLE_S = 0.2
+YOUNG_OBJECTS = 10_000
+YOUNG_PASSES = 10
+MIDDLE_PASSES = 20
 DRAIN_TIMEOUT_S = 30.0
 HAND_OVER_TIMEOUT_S = 8.0
+AUDIT_TIMEOUT_S = 3.0
 DRAIN_CHECK_S = 0.05
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -43,19 +50,24 @@
     announce = AnnounceService(settings, environment, control.inputs)
     once = OnceService(settings, environment, traffic.proxy, control.inputs, node_run)
     control.once = once.inputs
+    audit = AuditService(settings, environment, control, node_run)
+    control.audit = audit.inputs
+    once.audit = audit.inputs
     follow = FollowService(settings, environment, control)
     operators = OperatorService(settings, control, traffic.proxy, drain)
-    services = [control, once, announce, traffic, follow, operators]
+    metrics = MetricsService(settings, environment, control, traffic.proxy, audit)
+    services = [control, once, audit, announce, traffic, follow, operators, metrics]
     tasks: list[asyncio.Task[None]] = []
     try:
         for service in services:
             tasks.append(await _start(service))
+        tune_collector()
         events.emit(events.NODE_STARTED, instance=settings.instance)
         await _wait_for_end(drain, tasks)
         events.emit(events.NODE_STOPPING, instance=settings.instance)
-        await _drain(control, announce, traffic, once)
+        await _drain(control, announce, traffic, once, audit)
     finally:
-        for service in (traffic, operators, follow, announce, once, control):
+        for service in (traffic, operators, follow, announce, audit, once, control):
             await service.stop()
         for task in tasks:
             task.cancel()
@@ -63,6 +75,13 @@
     events.emit(events.NODE_STOPPED, instance=settings.instance)
 
 
+def tune_collector() -> None:
+    """Keep what lives as long as the process out of the collector's passes."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, YOUNG_PASSES, MIDDLE_PASSES)
+
+
 async def _start(service: aiomisc.Service) -> "asyncio.Task[None]":
     """Start a service and wait until it is ready or has failed."""
     service.set_loop(asyncio.get_running_loop())
@@ -92,23 +111,27 @@
     announce: AnnounceService,
     traffic: TrafficService,
     once: OnceService,
+    audit: AuditService,
 ) -> None:
     """Take no new work from peers, then let what is in flight end.
 
     Callers are asked to go elsewhere from the start; the listener closes only
     when the peers had time to hear, so that nobody is refused before.
     """
+    begun = audit.begin_drain(traffic.proxy.in_flight)
     traffic.proxy.drain()
     announce.leave_all()
-    await asyncio.gather(
+    _, handed_over = await asyncio.gather(
         asyncio.sleep(DRAIN_SETTLE_S), once.hand_over(HAND_OVER_TIMEOUT_S)
     )
     await traffic.stop_listening()
     deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
     while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
         await asyncio.sleep(DRAIN_CHECK_S)
-    if traffic.proxy.in_flight:
-        events.emit(events.REQUESTS_CUT, requests=traffic.proxy.in_flight)
+    cut = traffic.proxy.in_flight
+    if cut:
+        events.emit(events.REQUESTS_CUT, requests=cut)
     # A node that left hears no more of leaving backend servers, so this is last.
     control.inputs.put_nowait(LeaveRequested())
+    await audit.end_drain(begun, cut, handed_over, AUDIT_TIMEOUT_S)
     await asyncio.sleep(LEAVE_SETTLE_S)
--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -26,7 +26,15 @@
 
 @attrs.frozen
 class Address:
-    """A TCP or UDP address by IP number."""
+    """A TCP or UDP address by IP number.
+
+    Attributes
+    ----------
+    host : str
+        IP number.
+    port : int
+        Port.
+    """
 
     host: str
     port: int
@@ -37,7 +45,13 @@
 
 @attrs.frozen
 class FleetKey:
-    """CURVE key pair shared by the nodes of a fleet, in Z85 text."""
+    """CURVE key pair shared by the nodes of a fleet, in Z85 text.
+
+    Attributes
+    ----------
+    public_key, secret_key : str
+        Half of the pair, 40 characters.
+    """
 
     public_key: str
     secret_key: str = attrs.field(repr=False)
@@ -45,7 +59,15 @@
 
 @attrs.frozen
 class StatsdSettings:
-    """Where metrics go and how often they are sent."""
+    """Where metrics go and how often they are sent.
+
+    Attributes
+    ----------
+    host, port : str, int
+        Address of the statsd server.
+    interval_ms : int
+        Time between two samples.
+    """
 
     host: str = "127.0.0.1"
     port: int = 8125
@@ -90,6 +112,22 @@
     send_deltas: bool = True
 
 
+@attrs.frozen
+class AuditSettings:
+    """How much the audit trail may use of the platform's log.
+
+    Attributes
+    ----------
+    append_interval_ms : int
+        Least time between two appends of a data centre.
+    record_runs : bool
+        Whether each run of a request that must not repeat is an item.
+    """
+
+    append_interval_ms: int = 1000
+    record_runs: bool = True
+
+
 @attrs.frozen
 class Settings:
     """Settings of one node.
@@ -113,6 +151,8 @@
         Where metrics go; None sends none.
     control : ControlSettings
         Pace of membership and of spreading configurations.
+    audit : AuditSettings
+        How much the audit trail may use of the platform's log.
     once : OnceSettings
         Pace and bounds of the at-most-once guarantee.
     log_format : str
@@ -134,6 +174,7 @@
     fleet_key: FleetKey | None = None
     statsd: StatsdSettings | None = None
     control: ControlSettings = attrs.field(factory=ControlSettings)
+    audit: AuditSettings = attrs.field(factory=AuditSettings)
     once: OnceSettings = attrs.field(factory=OnceSettings)
     log_format: str = attrs.field(default="json", metadata=shaped(choices=LOG_FORMATS))
     log_level: str = attrs.field(default="info", metadata=shaped(choices=LOG_LEVELS))
