--- a/azurestep/node/audit.py
+++ b/azurestep/node/audit.py
@@ -17,27 +17,23 @@
     DrainEnded,
     Gap,
     Item,
-    decode_batch,
     decode_entry,
     encode_batch,
     encode_entry,
 )
-from ..audit.verdicts import Head, derive_verdicts, head_of
+from ..audit.verdicts import derive_verdicts
 from ..audit.writer import AuditWriter
-from ..config.records import STREAM as CONFIGURATION_STREAM
 from ..control.messages import AuditItems, AuditReceipt
 from ..environment import Environment
 from ..platform.backoff import Backoff
-from ..platform.client import READ_LIMIT_RECORDS, LogClient
-from ..platform.records import Page
+from ..platform.client import LogClient
 from ..settings import Settings
+from .audit_log import read_covered, read_heads
 from .control import ControlService
 from .messages import AuditInput, AuditMessageReceived, AuditOut, ItemArose
 
 TICK_S = 0.25
 FLUSH_CHECK_S = 0.05
-READ_MAXIMUM_PAGES = 20
-AFTER_ALL_RECORDS = 2**62
 RETENTION = "publications were dropped by retention before they were written here"
 
 
@@ -201,69 +197,36 @@
 
     async def _recover(self, log: LogClient) -> bool:
         """Find out what the last writer of this data centre covered."""
-        end = await log.read(STREAM, AFTER_ALL_RECORDS, limit=1)
-        if isinstance(end, Failure):
+        found = await read_covered(log, self.settings.data_centre)
+        if isinstance(found, Failure):
             return False
-        last: Page = end.unwrap()
-        before = last.next_offset
-        for _ in range(READ_MAXIMUM_PAGES):
-            start = max(last.first_offset, before - READ_LIMIT_RECORDS)
-            if start >= before:
-                break
-            result = await log.read(STREAM, start, limit=before - start)
-            if isinstance(result, Failure):
-                return False
-            covered = self._covered_in(result.unwrap())
-            if covered is not None:
-                self.writer.recover(covered)
-                break
-            before = start
+        self.writer.recover(found.unwrap())
         self._is_recovered = True
         return True
 
-    def _covered_in(self, page: Page) -> int | None:
-        for record in reversed(page.records):
-            decoded = decode_batch(record.value)
-            if isinstance(decoded, Failure):
-                continue
-            batch = decoded.unwrap()
-            if batch.data_centre == self.settings.data_centre:
-                return batch.covers
-        return None
-
     async def _derive_verdicts(self, log: LogClient) -> bool:
         """Write what became of the publications since the last one covered."""
         state = self.control.spread.fold.state
         covered = self.writer.covered
         if state.as_of <= covered:
             return True
-        heads: list[Head] = []
-        offset = covered + 1
-        for _ in range(READ_MAXIMUM_PAGES):
-            result = await log.read(CONFIGURATION_STREAM, offset)
-            if isinstance(result, Failure):
-                return False
-            page = result.unwrap()
-            self._note_retention(page, offset)
-            found = [record for record in page.records if record.offset <= state.as_of]
-            heads.extend(h for h in map(head_of, found) if h is not None)
-            if len(found) < len(page.records) or not found:
-                break
-            offset = found[-1].offset + 1
-            if offset > state.as_of:
-                break
-        self.writer.derive(derive_verdicts(heads, state.version), self._wall_ms())
+        found = await read_heads(log, covered, state.as_of)
+        if isinstance(found, Failure):
+            return False
+        read = found.unwrap()
+        self._note_retention(read.lost_records)
+        items = derive_verdicts(read.heads, state.version)
+        self.writer.derive(items, self._wall_ms())
         self.writer.covered = state.as_of
         return True
 
-    def _note_retention(self, page: Page, offset: int) -> None:
-        lost = page.first_offset - offset
-        if lost <= 0 or not self.writer.covered:
+    def _note_retention(self, lost_records: int) -> None:
+        if not lost_records or not self.writer.covered:
             return
         wall_ms = self._wall_ms()
-        gap = Gap(self.settings.data_centre, 0, wall_ms, lost, RETENTION)
+        gap = Gap(self.settings.data_centre, 0, wall_ms, lost_records, RETENTION)
         self.writer.derive([gap], wall_ms)
-        events.emit(events.AUDIT_GAP, reason=RETENTION, count=lost)
+        events.emit(events.AUDIT_GAP, reason=RETENTION, count=lost_records)
 
     async def _append(self, log: LogClient) -> None:
         batch = self.writer.next_batch(self._now_ms())
