--- a/bench/once.py
+++ b/bench/once.py
@@ -130,12 +130,10 @@
         rows = pool.map(run_job, jobs, chunksize=20)
         outages = pool.map(_outage, [Planned(w, d) for d in outages_ms for w in WAYS])
         trades = pool.map(run_trade, intervals_ms, [phases] * len(intervals_ms))
-        return Report(
-            machine=at_end(machine),
-            histories=_sums(list(rows)),
-            outages=list(outages),
-            trades=list(trades),
-        )
+        histories = _sums(list(rows))
+        planned = list(outages)
+        lengths = list(trades)
+    return Report(at_end(machine), histories, planned, lengths)
 
 
 def _outage(planned: Planned) -> Outage:
