Make every reader of the log agree, also after a restore

Change: a page names the offset that was asked for, and only a log that ends before it has regressed. A checkpoint that is newer than what its reader folded proves that the log lost records: the reader reads again from its as_of. Filler records bring a restored log back to the offset that the fleet had read.

--- a/azurestep/config/fold.py
+++ b/azurestep/config/fold.py
@@ -9,15 +9,26 @@
 from returns.result import Failure, Result, Success
 
 from ..errors import MessageMalformedError
-from ..faults import Fault
-from ..platform.records import LogRecord
+from ..platform.records import LogRecord, Page
 from .changes import apply_change
 from .delta import Delta, apply_delta
 from .document import Document
+from .fold_events import (
+    Accepted,
+    Adopted,
+    CheckpointRead,
+    FoldEvent,
+    GapFound,
+    Mismatched,
+    Refused,
+    Regressed,
+    Unsupported,
+)
 from .model import Configuration
 from .records import (
     RECORD_FORMAT,
     Checkpoint,
+    Filler,
     Publication,
     decode_record,
     document_from,
@@ -26,86 +37,7 @@
 from .validate import validate
 
 BUFFER_MAXIMUM_RECORDS = 10_000
-
-
-@attrs.frozen
-class Accepted:
-    """A publication is the new version; ``version`` is its offset."""
-
-    version: int
-    id: str
-    operator: str
-    time_ms: int
-    preset: str
-
-
-@attrs.frozen
-class Refused:
-    """A publication changed nothing, and why."""
-
-    offset: int
-    id: str
-    operator: str
-    reason: str
-    faults: tuple[Fault, ...] = ()
-
-
-@attrs.frozen
-class Adopted:
-    """A version was taken over whole, from a checkpoint or from a peer."""
-
-    version: int
-
-
-@attrs.frozen
-class CheckpointRead:
-    """A checkpoint of the configuration was read."""
-
-    offset: int
-    as_of: int
-
-
-@attrs.frozen
-class Mismatched:
-    """A checkpoint contradicts the folded configuration."""
-
-    offset: int
-
-
-@attrs.frozen
-class Regressed:
-    """The log ends before records that were read earlier."""
-
-    next_offset: int
-    as_of: int
-
-
-@attrs.frozen
-class GapFound:
-    """Records were dropped by retention before they were read."""
-
-    first_offset: int
-    as_of: int
-
-
-@attrs.frozen
-class Unsupported:
-    """A record asks for a newer program; the fold halts before it."""
-
-    offset: int
-    format: int
-
-
-FoldEvent = (
-    Accepted
-    | Refused
-    | Adopted
-    | CheckpointRead
-    | Mismatched
-    | Regressed
-    | GapFound
-    | Unsupported
-)
+ACCEPTED_MAXIMUM = 1024
 
 
 @attrs.frozen
@@ -144,6 +76,7 @@
         self._buffer: list[LogRecord] = []
         self._halted_at: int | None = None
         self._regressed_at: int | None = None
+        self._accepted: dict[str, None] = {}
 
     @property
     def next_offset(self) -> int:
@@ -154,54 +87,52 @@
             return self._buffer[-1].offset + 1
         return self._seeking_from
 
+    @property
+    def is_halted(self) -> bool:
+        """Whether the next record asks for a newer program."""
+        return self._halted_at == self.next_offset
+
     @property
     def is_seeking(self) -> bool:
         """Whether a checkpoint or a peer's snapshot is needed to go on."""
         return self._seeking_from is not None
 
-    def take(
-        self, first_offset: int, next_offset: int, records: list[LogRecord]
-    ) -> list[FoldEvent]:
-        """Take one answer of the log.
-
-        Parameters
-        ----------
-        first_offset : int
-            Earliest offset that the log still holds.
-        next_offset : int
-            Offset that the next append will get.
-        records : list of LogRecord
-            Records from ``self.next_offset`` on.
-        """
-        if next_offset <= self.state.as_of:
-            return self._note_regression(next_offset)
+    def take(self, page: Page) -> list[FoldEvent]:
+        """Take one answer of the log to a read from ``self.next_offset``."""
+        if page.next_offset < page.from_offset:
+            return self._note_regression(page.next_offset)
         self._regressed_at = None
         events: list[FoldEvent] = []
-        if first_offset > self.next_offset:
-            events.append(GapFound(first_offset, self.state.as_of))
-            self._seeking_from = first_offset
-            self._buffer = []
-        for record in records:
-            if self._halted_at is not None and self._halted_at <= record.offset:
+        if page.first_offset > self.next_offset:
+            events.append(self._seek_from(page.first_offset))
+        for record in page.records:
+            if self.is_halted:
                 break
             if record.offset == self.next_offset:
                 events.extend(self._take_record(record))
         return events
 
     def _note_regression(self, next_offset: int) -> list[FoldEvent]:
+        # What follows the restored end may differ from what was buffered.
+        self._buffer = []
         if self._regressed_at == next_offset:
             return []
         self._regressed_at = next_offset
         return [Regressed(next_offset, self.state.as_of)]
 
-    def adopt(self, delta: Delta) -> Result[Adopted, str]:
+    def _seek_from(self, offset: int) -> GapFound:
+        self._seeking_from = offset
+        self._buffer = []
+        return GapFound(offset, self.state.as_of)
+
+    def adopt(self, delta: Delta) -> Result[list[FoldEvent], str]:
         """Take over a newer version from a peer.
 
         Returns
         -------
         Result
-            The version, or why nothing was changed; a version that is not newer
-            is never taken.
+            ``Adopted`` and the events of records that had waited for it, or why
+            nothing was changed; a version that is not newer is never taken.
         """
         if delta.version <= self.state.version:
             return Failure("the version is not newer")
@@ -216,18 +147,21 @@
         self.state = FoldState(as_of, delta.version, document, validated.unwrap())
         if self._halted_at is not None and self._halted_at <= as_of:
             self._halted_at = None
-        self._leave_seeking()
-        return Success(Adopted(delta.version))
+        return Success([Adopted(delta.version), *self._leave_seeking()])
+
+    def _leave_seeking(self) -> list[FoldEvent]:
+        if self._seeking_from is None or self._seeking_from > self.state.as_of + 1:
+            return []
+        return self._replay(self._buffer)
 
-    def _leave_seeking(self) -> None:
-        buffered = self._buffer
-        if self._seeking_from is not None and self._seeking_from > self.state.as_of + 1:
-            return
+    def _replay(self, records: list[LogRecord]) -> list[FoldEvent]:
         self._seeking_from = None
         self._buffer = []
-        for record in buffered:
+        events: list[FoldEvent] = []
+        for record in records:
             if record.offset == self.next_offset:
-                self._take_record(record)
+                events.extend(self._take_record(record))
+        return events
 
     def _take_record(self, record: LogRecord) -> list[FoldEvent]:
         if format_of(record.value) > RECORD_FORMAT:
@@ -243,10 +177,19 @@
             decoded = decode_record(record.value)
         except MessageMalformedError as error:
             return [Refused(record.offset, "", "", str(error))]
+        if isinstance(decoded, Filler):
+            return []
         if isinstance(decoded, Checkpoint):
             return self._compare(record, decoded)
+        if decoded.id in self._accepted:
+            return []
         return [self._decide(record, decoded)]
 
+    def _note_accepted(self, id: str) -> None:
+        self._accepted[id] = None
+        if len(self._accepted) > ACCEPTED_MAXIMUM:
+            del self._accepted[next(iter(self._accepted))]
+
     def _decide(self, record: LogRecord, publication: Publication) -> FoldEvent:
         current = self.state.version
         if publication.base_version != current:
@@ -271,6 +214,7 @@
                 result.failure(),
             )
         configuration = result.unwrap()
+        self._note_accepted(publication.id)
         self.state = FoldState(record.offset, record.offset, document, configuration)
         return Accepted(
             record.offset,
@@ -282,11 +226,20 @@
 
     def _compare(self, record: LogRecord, checkpoint: Checkpoint) -> list[FoldEvent]:
         read = CheckpointRead(record.offset, checkpoint.as_of)
-        if checkpoint.version != self.state.version:
-            return [read]
-        if document_from(checkpoint.entries).hash == self.state.document.hash:
+        folded = _state_of(checkpoint, record.offset)
+        if folded is None:
             return [read]
-        return [read, Mismatched(record.offset)]
+        if checkpoint.version > self.state.version:
+            # The log was restored: it lost publications that are in force.
+            return [read, self._seek_from(checkpoint.as_of + 1)]
+        if self._contradicts(folded):
+            return [read, Mismatched(record.offset)]
+        return [read]
+
+    def _contradicts(self, folded: FoldState) -> bool:
+        if folded.version != self.state.version:
+            return False
+        return folded.document.hash != self.state.document.hash
 
     def _seek(self, record: LogRecord) -> list[FoldEvent]:
         self._buffer.append(record)
@@ -299,25 +252,33 @@
             return []
         if not isinstance(decoded, Checkpoint):
             return []
-        return self._adopt_checkpoint(decoded)
+        return self._adopt_checkpoint(record, decoded)
 
-    def _adopt_checkpoint(self, checkpoint: Checkpoint) -> list[FoldEvent]:
+    def _adopt_checkpoint(
+        self, record: LogRecord, checkpoint: Checkpoint
+    ) -> list[FoldEvent]:
         seeking_from = self._seeking_from
         if seeking_from is None or checkpoint.as_of + 1 < seeking_from:
             return []
         if checkpoint.version < self.state.version:
             return []
-        document = document_from(checkpoint.entries)
-        result = validate(document)
-        if isinstance(result, Failure):
+        folded = _state_of(checkpoint, record.offset)
+        if folded is None:
             return []
-        replayed = [r for r in self._buffer if r.offset > checkpoint.as_of]
-        self._seeking_from = None
-        self._buffer = []
-        self.state = FoldState(
-            checkpoint.as_of, checkpoint.version, document, result.unwrap()
-        )
-        events: list[FoldEvent] = [Adopted(checkpoint.version)]
-        for record in replayed:
-            events.extend(self._take_record(record))
-        return events
+        if self._contradicts(folded):
+            return [Mismatched(record.offset)]
+        self.state = folded
+        return [Adopted(checkpoint.version), *self._replay(self._buffer)]
+
+
+def _state_of(checkpoint: Checkpoint, offset: int) -> FoldState | None:
+    if not checkpoint.version <= checkpoint.as_of < offset:
+        return None
+    try:
+        document = document_from(checkpoint.entries)
+    except ValueError:
+        return None
+    result = validate(document)
+    if isinstance(result, Failure):
+        return None
+    return FoldState(checkpoint.as_of, checkpoint.version, document, result.unwrap())
--- a/azurestep/config/records.py
+++ b/azurestep/config/records.py
@@ -106,7 +106,20 @@
     format: int = RECORD_FORMAT
 
 
-Record = Publication | Checkpoint
+@attrs.frozen
+class Filler:
+    """A record that changes nothing.
+
+    After the platform was restored from a backup, fillers bring the log back to
+    the offset that the fleet had read already.
+    """
+
+    id: str
+    operator: str
+    format: int = RECORD_FORMAT
+
+
+Record = Publication | Checkpoint | Filler
 
 CONVERTER = cattrs.Converter()
 configure_tagged_union(Change, CONVERTER, tag_name="kind")
--- a/azurestep/control/spread.py
+++ b/azurestep/control/spread.py
@@ -116,7 +116,7 @@
     def take_page(self, page: Page, now_ms: float) -> list[Output]:
         """Take records that this node read from the log itself."""
         before = self.fold.state
-        events = self.fold.take(page.first_offset, page.next_offset, page.records)
+        events = self.fold.take(page)
         outputs: list[Output] = [Folded(event) for event in events]
         if self.fold.state.version == before.version:
             return outputs
@@ -265,7 +265,7 @@
         if isinstance(adopted, Failure):
             self._pull_until_ms = now_ms + PULL_TIMEOUT_MS
             return [Send(sender.address, Pull(self.digest))]
-        outputs: list[Output] = [Folded(adopted.unwrap())]
+        outputs: list[Output] = [Folded(event) for event in adopted.unwrap()]
         outputs.extend(self._apply(before.document, now_ms, parent_name))
         return outputs
 
--- a/azurestep/operations/publisher.py
+++ b/azurestep/operations/publisher.py
@@ -133,7 +133,7 @@
                 await asyncio.sleep(STATUS_INTERVAL_S)
                 continue
             page = result.unwrap()
-            events = fold.take(page.first_offset, page.next_offset, page.records)
+            events = fold.take(page)
             verdict = _verdict_among(id, events)
             if verdict is not None:
                 return Success(verdict)
--- a/azurestep/platform/client.py
+++ b/azurestep/platform/client.py
@@ -65,7 +65,7 @@
             return Failure(_unavailable(error))
         if status != OK:
             return Failure(_unavailable(f"status {status}"))
-        return _page_of(body)
+        return _page_of(body, from_offset)
 
     async def append(
         self, stream: str, id: str, body: bytes, deadline_ms: float
@@ -165,13 +165,15 @@
     )
 
 
-def _page_of(body: bytes) -> Result[Page, AzurestepError]:
+def _page_of(body: bytes, from_offset: int) -> Result[Page, AzurestepError]:
     try:
         plain = orjson.loads(body)
         records = [
             LogRecord(item["offset"], item["time_ms"], item["value"])
             for item in plain["records"]
         ]
-        return Success(Page(plain["first_offset"], plain["next_offset"], records))
+        return Success(
+            Page(plain["first_offset"], plain["next_offset"], records, from_offset)
+        )
     except (orjson.JSONDecodeError, KeyError, TypeError) as error:
         return Failure(_unavailable(f"unreadable answer: {error}"))
--- a/azurestep/platform/records.py
+++ b/azurestep/platform/records.py
@@ -28,11 +28,14 @@
         Offset that the next append will get.
     records : list of LogRecord
         Records in the order of their offsets.
+    from_offset : int
+        Offset that the read asked for.
     """
 
     first_offset: int
     next_offset: int
     records: list[LogRecord]
+    from_offset: int = FIRST_OFFSET
 
 
 @attrs.frozen
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,1 +1,1 @@
-pytest_plugins = ["tests.fixtures_standins"]
+pytest_plugins = ["tests.fixtures_fold", "tests.fixtures_standins"]
--- /dev/null
+++ b/tests/fixtures_fold.py
@@ -0,0 +1,99 @@
+import orjson
+import pytest
+
+from azurestep.config.document import EntryKey, Section, canonical_json, document_of
+from azurestep.config.fold import ConfigurationFold
+from azurestep.config.records import (
+    Checkpoint,
+    EditEntries,
+    Entry,
+    Publication,
+    ReplaceDocument,
+    encode_record,
+    entries_of,
+)
+from azurestep.platform.records import LogRecord, Page
+
+FEED_MAXIMUM_PAGES = 1000
+
+
+def plain_configuration(timeout_ms=1000):
+    return {
+        "format": 1,
+        "active_preset": "ordinary",
+        "services": [{"name": "catalogue", "timeout_ms": timeout_ms}],
+        "routes": [{"name": "browse", "service": "catalogue"}],
+        "presets": [{"name": "ordinary"}, {"name": "peak"}],
+    }
+
+
+def initial_change():
+    return ReplaceDocument(entries_of(document_of(plain_configuration())))
+
+
+def timeout_change(timeout_ms, **unknown):
+    service = {"name": "catalogue", "timeout_ms": timeout_ms, **unknown}
+    body = canonical_json(service).decode()
+    return EditEntries([Entry(Section.SERVICES.value, "catalogue", body)])
+
+
+def timeout_in(document):
+    body = document.entries[EntryKey(Section.SERVICES, "catalogue")]
+    return orjson.loads(body)["timeout_ms"]
+
+
+class FakeLog:
+    """The records of one stream, with the reads and the losses of the platform."""
+
+    def __init__(self):
+        self.records = []
+        self.first_offset = 1
+
+    @property
+    def next_offset(self):
+        return self.records[-1].offset + 1 if self.records else self.first_offset
+
+    def append(self, record):
+        value = (
+            record if isinstance(record, dict) else orjson.loads(encode_record(record))
+        )
+        self.records.append(LogRecord(self.next_offset, self.next_offset, value))
+        return self.records[-1].offset
+
+    def publish(self, id, base, change):
+        return self.append(Publication(id, base, "ann", change))
+
+    def checkpoint(self, state, id="checkpoint"):
+        return self.append(
+            Checkpoint(id, state.as_of, state.version, entries_of(state.document), "n1")
+        )
+
+    def drop_before(self, offset):
+        self.first_offset = min(offset, self.next_offset)
+        self.records = [r for r in self.records if r.offset >= offset]
+
+    def restore(self, next_offset):
+        self.records = [r for r in self.records if r.offset < next_offset]
+
+    def page(self, from_offset, limit=1000):
+        found = [r for r in self.records if r.offset >= from_offset][:limit]
+        return Page(self.first_offset, self.next_offset, found, from_offset)
+
+    def feed(self, fold, limit=1000):
+        events = []
+        for _ in range(FEED_MAXIMUM_PAGES):
+            page = self.page(fold.next_offset, limit)
+            events.extend(fold.take(page))
+            if not page.records or fold.is_halted:
+                return events
+        raise AssertionError("the fold reads the same records for ever")
+
+
+@pytest.fixture
+def fake_log():
+    return FakeLog()
+
+
+@pytest.fixture
+def new_fold():
+    return ConfigurationFold
