Show what base versions are for, and the way out after a restore

Publishing on a log that was restored before what the fleet has read is refused with the remedy; continue_log fills the log up and appends a checkpoint of what is in force. An append given up on says that it may stand.

--- a/azurestep/errors.py
+++ b/azurestep/errors.py
@@ -34,6 +34,10 @@
     """The platform's log refused a request for good."""
 
 
+class PlatformRegressedError(AzurestepError):
+    """The platform's log lost records that the fleet had read."""
+
+
 class PublicationRefusedError(AzurestepError):
     """The fold refused a publication."""
 
--- a/azurestep/operations/publisher.py
+++ b/azurestep/operations/publisher.py
@@ -12,8 +12,11 @@
 from ..config.records import (
     STREAM,
     Change,
+    Checkpoint,
     EditEntries,
+    Filler,
     Publication,
+    Record,
     ReplaceDocument,
     SwitchPreset,
     encode_record,
@@ -21,8 +24,9 @@
 )
 from ..control.messages import DataCentreReport
 from ..environment import Environment
-from ..errors import AzurestepError, PlatformUnavailableError
+from ..errors import AzurestepError, PlatformRegressedError, PlatformUnavailableError
 from ..platform.client import LogClient
+from ..platform.records import Receipt
 from .node_client import HeldConfiguration, NodeClient
 
 POLL_WAIT_MS = 1000
@@ -110,14 +114,15 @@
         Result
             The verdict, or the error that kept it from being known.
         """
+        end = await self._log.next_offset(STREAM)
+        if isinstance(end, Success) and end.unwrap() <= held.as_of:
+            return Failure(_regressed(end.unwrap(), held.as_of))
         publication = Publication(
             uuid.uuid4().hex, held.version, self._operator, change
         )
-        appended = await self._log.append(
-            STREAM, publication.id, encode_record(publication), deadline_ms
-        )
+        appended = await self._append(publication, deadline_ms)
         if isinstance(appended, Failure):
-            return Failure(appended.failure())
+            return Failure(_undecided(publication.id, appended.failure()))
         return await self._await_verdict(publication.id, held, deadline_ms)
 
     async def _await_verdict(
@@ -144,6 +149,47 @@
             )
         )
 
+    async def continue_log(
+        self, held: HeldConfiguration, deadline_ms: float
+    ) -> Result[int, AzurestepError]:
+        """Go on after a restore of the platform with what the fleet has in force.
+
+        Fillers bring the log back to the offset that the fleet has read; a
+        checkpoint then gives the configuration to nodes that start later.
+
+        Returns
+        -------
+        Result
+            Number of fillers, or the error that kept the log from continuing;
+            it may be repeated.
+        """
+        fillers = 0
+        while True:
+            end = await self._log.next_offset(STREAM)
+            if isinstance(end, Failure):
+                return Failure(end.failure())
+            if end.unwrap() > held.as_of:
+                break
+            filler = Filler(uuid.uuid4().hex, self._operator)
+            appended = await self._append(filler, deadline_ms)
+            if isinstance(appended, Failure):
+                return Failure(appended.failure())
+            fillers += 1
+        checkpoint = Checkpoint(
+            uuid.uuid4().hex,
+            held.as_of,
+            held.version,
+            entries_of(held.document),
+            self._operator,
+        )
+        return (await self._append(checkpoint, deadline_ms)).map(lambda _: fillers)
+
+    async def _append(
+        self, record: Record, deadline_ms: float
+    ) -> Result[Receipt, AzurestepError]:
+        body = encode_record(record)
+        return await self._log.append(STREAM, record.id, body, deadline_ms)
+
     async def wait_in_force(
         self, version: int, deadline_ms: float
     ) -> list[DataCentreReport]:
@@ -173,3 +219,21 @@
         if isinstance(event, Accepted | Refused) and event.id == id:
             return Verdict(id, event)
     return None
+
+
+def _undecided(id: str, error: AzurestepError) -> AzurestepError:
+    if not isinstance(error, PlatformUnavailableError):
+        return error
+    return PlatformUnavailableError(
+        f"{error.problem}; publication {id} may stand on the log all the same",
+        "Ask the audit trail for it before publishing again",
+    )
+
+
+def _regressed(next_offset: int, as_of: int) -> PlatformRegressedError:
+    return PlatformRegressedError(
+        f"the platform's log ends before offset {next_offset}, but the fleet has "
+        f"read up to {as_of}: the platform was restored from a backup",
+        "Nodes keep what is in force; continue the log with it by "
+        "`azurestep publish --continue-log`, then publish again",
+    )
--- a/azurestep/platform/client.py
+++ b/azurestep/platform/client.py
@@ -16,6 +16,7 @@
 APPEND_TIMEOUT_MS = 3000
 STATUS_REJECTED = frozenset({400, 404, 413})
 OK = 200
+OFFSET_MAXIMUM = 2**62
 
 
 class LogClient:
@@ -89,7 +90,7 @@
         failure: AzurestepError = _unavailable("no attempt was made")
         while self._environment.clock.monotonic_ms() < deadline_ms:
             if read_from is None:
-                read_from = await self._end_of(stream)
+                read_from = (await self.next_offset(stream)).value_or(None)
             if read_from is not None:
                 found = await self._find(stream, id, read_from)
                 if isinstance(found, Success) and found.unwrap() is not None:
@@ -104,11 +105,10 @@
             await asyncio.sleep(backoff.next_ms() / 1000)
         return Failure(failure)
 
-    async def _end_of(self, stream: str) -> int | None:
-        result = await self.read(stream, from_offset=2**62, limit=1)
-        if isinstance(result, Failure):
-            return None
-        return result.unwrap().next_offset
+    async def next_offset(self, stream: str) -> Result[int, AzurestepError]:
+        """Return the offset that the next append will get."""
+        result = await self.read(stream, from_offset=OFFSET_MAXIMUM, limit=1)
+        return result.map(lambda page: page.next_offset)
 
     async def _find(
         self, stream: str, id: str, from_offset: int
--- /dev/null
+++ b/tests/test_fold_races.py
@@ -0,0 +1,9 @@
+from bench.races import BaseVersions, LastWriteWins, Race, run
+
+
+def test_base_versions_lose_no_update_that_last_write_wins_loses():
+    with_rule = run(Race(BaseVersions(), 4, 24, 500.0))
+    without = run(Race(LastWriteWins(), 4, 24, 500.0))
+
+    assert with_rule.confirmed == without.confirmed == 24
+    assert with_rule.lost_updates == 0 < without.lost_updates
