--- a/azurestep/events.py
+++ b/azurestep/events.py
@@ -97,6 +97,14 @@
     5003, logging.WARNING, "lease of a backend server expired"
 )
 
+CONNECTIONS_RETIRED = register(
+    6001, logging.WARNING, "silent connections to a backend server retired"
+)
+REQUEST_QUARANTINED = register(
+    6002, logging.WARNING, "request that crashes backend servers is refused"
+)
+REQUESTS_CUT = register(6003, logging.ERROR, "requests were cut by a stop")
+
 SLOT_OWNED = register(7001, logging.INFO, "slot is owned")
 SLOT_GIVEN_UP = register(7002, logging.INFO, "slot is given up")
 OWNERSHIP_INCOMPLETE = register(
@@ -110,3 +118,8 @@
 CLOCK_IMPLAUSIBLE = register(
     7007, logging.ERROR, "clock is far ahead of the other owners"
 )
+
+AUDIT_WRITER = register(8001, logging.INFO, "this node writes the audit trail")
+AUDIT_DELAYED = register(8002, logging.WARNING, "audit items wait for the platform log")
+AUDIT_RESUMED = register(8003, logging.INFO, "audit items reach the platform log again")
+AUDIT_GAP = register(8004, logging.ERROR, "audit items were lost")
--- a/azurestep/traffic/single_run.py
+++ b/azurestep/traffic/single_run.py
@@ -2,16 +2,19 @@
 
 import asyncio
 
-import aiohttp
 import attrs
 
-from ..balancing import Admitted, Outcome, OutcomeKind, Refused, RequestArrived
+from ..balancing import OutcomeKind
 from ..environment import Clock
 from ..once.messages import Header, KeptAnswer
-from .attempt import Attempt, AttemptSender
-from .call import Call, passed_on
+from .answers import Refusal
+from .backend_answer import BackendAnswer, BodyCutError
+from .call import Call
+from .caller_answer import passed_on
+from .forward import Forwarder, Sent
 from .pool import ServicePool
 
+MS_PER_S = 1000
 ANSWER_MAXIMUM_BYTES = 4 * 1024 * 1024
 NOT_RUN_KINDS = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.SHED})
 
@@ -40,64 +43,48 @@
 
 
 async def run_single(
-    pool: ServicePool, sender: AttemptSender, call: Call, clock: Clock
+    pool: ServicePool, forwarder: Forwarder, call: Call, clock: Clock
 ) -> RunResult:
     """Run a call once; go to another backend server only if nothing ran."""
+    if forwarder.check(pool, call) is not None:
+        return RunFailed(bytes_sent=False)
     for _ in range(call.match.service.retry.max_attempts):
-        now_ms = clock.monotonic_ms()
-        asked = RequestArrived(
-            call.match.priority, now_ms, call.deadline_ms, tuple(call.tried)
-        )
-        decision = await pool.acquire(asked)
-        if isinstance(decision, Refused):
+        sent = await forwarder.attempt(pool, call)
+        if isinstance(sent, Refusal):
             return RunFailed(bytes_sent=False)
-        call.tried.append(decision.endpoint.key)
-        result = await _attempt(pool, sender, call, clock, decision)
+        result = await _result_of(forwarder, sent, call, clock)
         if result is not None:
             return result
     return RunFailed(bytes_sent=False)
 
 
-async def _attempt(
-    pool: ServicePool, sender: AttemptSender, call: Call, clock: Clock, to: Admitted
+async def _result_of(
+    forwarder: Forwarder, sent: Sent, call: Call, clock: Clock
 ) -> RunResult | None:
     """Return the result, or None if the request did not run."""
     kind = OutcomeKind.CANCELLED
-    latency_ms = 0.0
+    attempt = sent.attempt
     try:
-        attempt = await sender.send(call, to.endpoint)
-        kind, latency_ms = attempt.kind, attempt.latency_ms
-        if attempt.response is None or kind in NOT_RUN_KINDS:
-            if attempt.response is not None:
-                attempt.response.release()
+        if attempt.response is None or attempt.kind in NOT_RUN_KINDS:
+            kind = attempt.kind
             return None if kind in NOT_RUN_KINDS else RunFailed(bytes_sent=True)
-        result = await _read_answer(attempt, call, clock)
-        if isinstance(result, RunFailed):
-            kind = OutcomeKind.RESET
+        result = await _read_answer(attempt.response, call, clock)
+        is_cut = isinstance(result, RunFailed)
+        kind = OutcomeKind.RESET if is_cut else attempt.kind
         return result
     finally:
-        outcome = Outcome(kind, latency_ms)
-        pool.finish(to.ticket, outcome, clock.monotonic_ms())
+        forwarder.finish(sent, kind)
 
 
-async def _read_answer(attempt: Attempt, call: Call, clock: Clock) -> RunResult:
-    response = attempt.response
-    assert response is not None
-    remaining_s = max(0.0, call.remaining_ms(clock.monotonic_ms())) / 1000
+async def _read_answer(response: BackendAnswer, call: Call, clock: Clock) -> RunResult:
+    remaining_s = max(0.0, call.remaining_ms(clock.monotonic_ms())) / MS_PER_S
     try:
         async with asyncio.timeout(remaining_s):
-            body = await response.content.read(ANSWER_MAXIMUM_BYTES + 1)
-            while not response.content.at_eof() and len(body) <= ANSWER_MAXIMUM_BYTES:
-                body += await response.content.read(ANSWER_MAXIMUM_BYTES)
-    except (aiohttp.ClientError, TimeoutError, OSError):
-        response.close()
+            body = await response.read_up_to(ANSWER_MAXIMUM_BYTES)
+    except (BodyCutError, TimeoutError):
         return RunFailed(bytes_sent=True)
-    is_trimmed = len(body) > ANSWER_MAXIMUM_BYTES
-    if is_trimmed:
-        response.close()
+    if body is None:
         return RunAnswered(KeptAnswer(response.status, trimmed=True))
-    response.release()
-    fields = passed_on(response.headers)
-    fields.popall("Content-Length", None)
-    headers = tuple(Header(name, value) for name, value in fields.items())
-    return RunAnswered(KeptAnswer(response.status, headers, body))
+    fields = passed_on(response.headers, ("content-length",))
+    kept = tuple(Header(name, value) for name, value in fields.items())
+    return RunAnswered(KeptAnswer(response.status, kept, body))
