--- a/azurestep/operations/publisher.py
+++ b/azurestep/operations/publisher.py
@@ -182,7 +182,7 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             page = result.unwrap()
-            for event in fold.take(page.first_offset, page.next_offset, page.records):
+            for event in fold.take(page):
                 if isinstance(event, Accepted | Refused) and event.id == id:
                     return Success(_verdict_on(event, fold, winner))
                 if isinstance(event, Accepted):
