--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -102,7 +102,8 @@
         EndpointKey(HOST, backend_port, 1), SERVICE, "node-1", "dc-1", 12
     )
     traffic.inputs.put_nowait(TableReady(RoutingTable(1, configuration)))
-    traffic.inputs.put_nowait(DirectoryReady(Directory({SERVICE: (endpoint,)})))
+    directory = Directory({SERVICE: (endpoint,)}, frozenset({SERVICE}))
+    traffic.inputs.put_nowait(DirectoryReady(directory))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -128,6 +129,7 @@
     started = time.perf_counter()
     async with session.get(url) as response:
         await response.read()
+        response.raise_for_status()
     return (time.perf_counter() - started) * 1000
 
 
