--- a/azurestep/control/spread.py
+++ b/azurestep/control/spread.py
@@ -133,7 +133,7 @@
         steps in if it does not come.
         """
         before = self.fold.state
-        events = self.fold.take(page.first_offset, page.next_offset, page.records)
+        events = self.fold.take(page)
         outputs: list[Output] = [Folded(event) for event in events]
         if self.fold.state.version == before.version:
             return outputs
@@ -298,7 +298,7 @@
         if isinstance(adopted, Failure):
             self._pull_until_ms = now_ms + PULL_TIMEOUT_MS
             return [Send(sender.address, Pull(self.digest))]
-        outputs: list[Output] = [Folded(adopted.unwrap())]
+        outputs: list[Output] = [Folded(event) for event in adopted.unwrap()]
         outputs.extend(self._apply(before.document, now_ms, parent_name))
         return outputs
 
