--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,9 +17,13 @@
 import docopt
 import uvloop
 
+# Modules that are commands of their own, run as such.
+COMMANDS = ("once", "races", "rolling", "request_path", "silent_path")
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines")
 
+ALL = MEASUREMENTS + COMMANDS
+
 
 async def run(names: tuple[str, ...]) -> None:
     """Run measurements one after the other; a signal ends their processes."""
@@ -28,21 +32,38 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     for name in names:
         print(f"== {name}", flush=True)
-        await importlib.import_module(f".{name}", __package__).run()
+        if name in COMMANDS:
+            await _run_command(name)
+        else:
+            await importlib.import_module(f".{name}", __package__).run()
         await asyncio.sleep(1)
 
 
+async def _run_command(name: str) -> None:
+    """Run a module as a command; print how it ended if it failed."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", f"bench.{name}"
+    )
+    try:
+        code = await process.wait()
+    except asyncio.CancelledError:
+        process.terminate()
+        raise
+    if code:
+        print(f"{name} ended with {code}", flush=True)
+
+
 def main() -> int:
     """Run from the command line."""
     options = docopt.docopt(__doc__ or "")
     if options["--list"]:
-        print("\n".join(MEASUREMENTS))
+        print("\n".join(ALL))
         return 0
     only = options["--only"]
-    if only and only not in MEASUREMENTS:
-        print(f"no measurement {only!r}; the names are {', '.join(MEASUREMENTS)}")
+    if only and only not in ALL:
+        print(f"no measurement {only!r}; the names are {', '.join(ALL)}")
         return 1
-    uvloop.run(run((only,) if only else MEASUREMENTS))
+    uvloop.run(run((only,) if only else ALL))
     return 0
 
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -32,6 +32,7 @@
     "convergence": measured.block_convergence,
     "bytes": measured.block_bytes,
     "calls": measured.block_calls,
+    "added": measured.block_added,
     "bad_days": measured.block_bad_days,
     "machine": measured.block_machine,
 }
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -6,6 +6,7 @@
 from .bad_days import BadDays
 from .latency import Latency
 from .node_cost import NodeCosts
+from .request_path import RequestPath
 from .results import read_result
 from .scale import OWNERSHIP, Run, Scale
 from .slopes import Spent
@@ -43,6 +44,7 @@
     latency: Latency
     baselines: Scale
     bad_days: BadDays
+    request_path: RequestPath
 
 
 def read_inputs() -> Inputs:
@@ -53,6 +55,7 @@
         read_result("latency", Latency),
         read_result("baselines", Scale),
         read_result("bad_days", BadDays),
+        read_result("request_path", RequestPath),
     )
 
 
--- a/bench/measured_tables.py
+++ b/bench/measured_tables.py
@@ -90,6 +90,23 @@
     return table(header, rows)
 
 
+def block_added(inputs: Inputs) -> str:
+    """Return the time added inside the node, by its own histogram."""
+    found = inputs.request_path
+    rows = [
+        ("calls in the histogram", f"{found.added.count}"),
+        ("added inside the node, p50 ms", f"{found.added.p50_ms:.2f}"),
+        ("added inside the node, p99 ms", f"{found.added.p99_ms:.2f}"),
+        ("target, p99 ms", f"{found.target_ms:.2f}"),
+        (
+            "direct call, p50 / p99 ms",
+            f"{found.direct.p50_ms:.2f} / {found.direct.p99_ms:.2f}",
+        ),
+        ("processor of the node a call, ms", f"{found.node_processor_us / 1000:.2f}"),
+    ]
+    return table(("figure", "value"), rows)
+
+
 def block_machine(inputs: Inputs) -> str:
     """Return the facts of the machine."""
     rows = [
@@ -106,6 +123,7 @@
             ("latency", inputs.latency.machine),
             ("baselines", inputs.baselines.machine),
             ("bad_days", inputs.bad_days.machine),
+            ("request_path", inputs.request_path.machine),
         )
     ]
     return table(("result", "cores", "memory MB", "Python", "load average"), rows)
