Keep members alive through loss and healed partitions

Change: a probe is repeated twice before suspicion; a suspected member is told so by whoever suspects it, and answers each time; news of a death is a suspicion first at a node that has not given the member time to refute; dead addresses are sought again; unknown kinds of update are passed over. A halted fold is read again with back-off, no longer at once. A checkpoint is due by age too, before retention by age drops the last one.

--- a/azurestep/control/codec.py
+++ b/azurestep/control/codec.py
@@ -89,6 +89,10 @@
     converter.register_structure_hook(bytes, _structure_bytes)
     converter.register_unstructure_hook(IntEnum, int)
     _register_union(converter, Update, UPDATE_KINDS)
+    converter.register_structure_hook_func(
+        lambda kind: kind == list[Update],
+        lambda value, _type: _structure_updates(converter, value),
+    )
     _register_union(converter, PeerMessage, OWNER_KINDS)
     return converter
 
@@ -99,6 +103,15 @@
     return value
 
 
+def _structure_updates(converter: cattrs.Converter, value: Any) -> list[Update]:
+    # A newer program may send kinds that this one passes over.
+    return [
+        converter.structure(fields, UPDATE_KINDS[number])
+        for number, fields, *_ in value
+        if number in UPDATE_KINDS
+    ]
+
+
 def _register_union(
     converter: cattrs.Converter, union: Any, kinds: dict[int, type]
 ) -> None:
--- a/azurestep/control/detector.py
+++ b/azurestep/control/detector.py
@@ -10,7 +10,7 @@
 
 from ..settings import Address, ControlSettings
 
-HELPERS = 2
+REPEATS = 2
 
 
 @attrs.define
@@ -25,14 +25,14 @@
         Where the probe went.
     sent_ms : float
         Monotonic time of the first attempt.
-    is_repeated : bool
-        Whether the probe was repeated on a new connection.
+    repeats : int
+        How often the probe was repeated on a new connection.
     """
 
     instance: str
     to: Address
     sent_ms: float
-    is_repeated: bool = False
+    repeats: int = 0
 
 
 @attrs.frozen
@@ -92,10 +92,10 @@
         results: list[Repeat | Failed] = []
         for sequence, probe in list(self._outstanding.items()):
             waited_ms = now_ms - probe.sent_ms
-            if waited_ms >= 3 * timeout_ms:
+            if waited_ms >= (REPEATS + 1) * timeout_ms:
                 del self._outstanding[sequence]
                 results.append(Failed(probe))
-            elif waited_ms >= timeout_ms and not probe.is_repeated:
-                probe.is_repeated = True
+            elif waited_ms >= (probe.repeats + 1) * timeout_ms:
+                probe.repeats += 1
                 results.append(Repeat(sequence, probe))
         return results
--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections import deque
 from enum import Enum
 from functools import singledispatchmethod
 
@@ -42,6 +43,10 @@
 SYNC_INTERVAL_MS = 3000
 SEED_INTERVAL_MS = 1000
 FORGET_MS = 120_000
+SOUGHT_MAXIMUM = 16
+ASK_INTERVAL_MS = 400
+ASKED_MAXIMUM = 8
+UNCOUNTED = 0
 HELPERS = 2
 BULK_UPDATES = 4
 SEEDS_AT_ONCE = 3
@@ -92,9 +97,11 @@
         self._detector = Detector(settings, source)
         self._suspected_ms: dict[str, float] = {}
         self._gone_ms: dict[str, float] = {}
+        self._sought_again: deque[Address] = deque(maxlen=SOUGHT_MAXIMUM)
         self._relayed: dict[int, tuple[Address, int]] = {}
         self._next_sync_ms = 0.0
         self._next_seed_ms = 0.0
+        self._next_ask_ms = 0.0
         self.epoch = 0
         self._order: list[str] = []
         self._live: list[MemberState] = []
@@ -205,6 +212,7 @@
         """Return what is due at a monotonic time."""
         outputs = self._expire_probes(now_ms)
         outputs.extend(self._expire_suspects(now_ms))
+        outputs.extend(self._ask_suspects(now_ms))
         self._forget(now_ms)
         outputs.extend(self._seek_seeds(now_ms))
         if self._detector.is_due(now_ms):
@@ -218,7 +226,8 @@
             return []
         self._next_seed_ms = now_ms + SEED_INTERVAL_MS * self._random.uniform(1, 2)
         known = {member.address for member in self.members()}
-        strangers = [seed for seed in self._seeds if seed not in known]
+        seeds = [*self._seeds, *self._sought_again]
+        strangers = [seed for seed in seeds if seed not in known]
         is_alone = len(self._order) <= 1
         if not strangers or (not is_alone and self._random.random() > 0.1):
             return []
@@ -226,6 +235,12 @@
         chosen = self._random.sample(strangers, count)
         return [Send(to, self._sync_request()) for to in chosen]
 
+    def _seek_again(self, address: Address) -> None:
+        """Go on seeking a dead member: it may live beyond a partition."""
+        if address in self._seeds:
+            return
+        self._sought_again.append(address)
+
     def add_seeds(self, seeds: list[Address]) -> None:
         """Add control addresses to try, for example from join records."""
         for seed in seeds:
@@ -291,6 +306,20 @@
         self._suspected_ms[instance] = now_ms
         return [*self.broadcast([suspect]), MemberChanged(suspect)]
 
+    def _ask_suspects(self, now_ms: float) -> list[Output]:
+        """Tell suspected members of the suspicion, so that they can refute it."""
+        if now_ms < self._next_ask_ms:
+            return []
+        self._next_ask_ms = now_ms + ASK_INTERVAL_MS * self._random.uniform(0.8, 1.2)
+        names = sorted(self._suspected_ms)
+        asked = self._random.sample(names, min(ASKED_MAXIMUM, len(names)))
+        members = (self.member(name) for name in asked)
+        return [
+            Send(member.address, Probe(UNCOUNTED, self.digest, 0, [member]))
+            for member in members
+            if member is not None
+        ]
+
     def _expire_suspects(self, now_ms: float) -> list[Output]:
         outputs: list[Output] = []
         for instance, since_ms in list(self._suspected_ms.items()):
@@ -324,12 +353,11 @@
     def _(self, message: Probe, sender: Sender, now_ms: float) -> list[Output]:
         outputs = self._merge(message.updates, now_ms)
         only_global = sender.data_centre != self._own.data_centre
-        ack = Ack(
-            message.sequence,
-            self.digest,
-            self.table.hash(only_global),
-            self._queue.take(len(self._order), only_global),
-        )
+        updates = self._queue.take(len(self._order), only_global)
+        if any(key_of(u) == key_of(self._own) for u in message.updates):
+            # A suspicion is answered in any case, not only when it is new.
+            updates = [self._own, *updates]
+        ack = Ack(message.sequence, self.digest, self.table.hash(only_global), updates)
         outputs.append(Send(sender.address, ack))
         outputs.extend(self._greet_stranger(sender))
         return outputs
@@ -464,8 +492,11 @@
             return []
         if update.instance == self._own.instance:
             return self._refute(update)
-        if update.status not in LIVE and self.member(update.instance) is None:
+        held = self.member(update.instance)
+        if update.status not in LIVE and held is None:
             return []
+        if held is not None and self._is_doubtful(update, held, now_ms):
+            update = attrs.evolve(update, status=MemberStatus.SUSPECT)
         if not self.table.merge(update):
             return []
         self._pass_on(update, carrier)
@@ -473,6 +504,17 @@
             self._suspected_ms.setdefault(update.instance, now_ms)
         return self._note_member(update, now_ms)
 
+    def _is_doubtful(
+        self, update: MemberState, held: MemberState, now_ms: float
+    ) -> bool:
+        # The two sides of a healed partition believe each other dead. Whoever
+        # still hears a member lets it refute before giving it up.
+        if update.status != MemberStatus.DEAD or held.status not in LIVE:
+            return False
+        since_ms = self._suspected_ms.get(held.instance, now_ms)
+        was_given_time = now_ms - since_ms >= self._settings.suspicion_ms / 2
+        return update.incarnation == held.incarnation and not was_given_time
+
     def _refute(self, update: MemberState) -> list[Output]:
         if update.incarnation < self._own.incarnation:
             return []
@@ -492,6 +534,8 @@
             self._gone_ms.pop(member.instance, None)
         else:
             self._gone_ms[member.instance] = now_ms
+        if member.status == MemberStatus.DEAD:
+            self._seek_again(member.address)
         return [MemberChanged(member)]
 
     def _reorder(self) -> None:
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -147,6 +147,7 @@
         self._readers_epoch = -1
         self._once_services: frozenset[str] = frozenset()
         self.checkpoint_as_of = 0
+        self._checkpoint_at_ms = environment.clock.monotonic_ms()
         sender = Sender(
             own.instance,
             own.data_centre,
@@ -332,12 +333,20 @@
         return self.readers()[:1] == [self.settings.instance]
 
     def is_checkpoint_due(self) -> bool:
-        """Whether enough records came since the last checkpoint."""
+        """Whether enough records or time came since the last checkpoint."""
         state = self.spread.fold.state
         if not state.version or self.spread.fold.is_seeking:
             return False
         behind = state.as_of - self.checkpoint_as_of
-        return behind >= self.settings.control.checkpoint_records
+        if behind >= self.settings.control.checkpoint_records:
+            return True
+        age_ms = self._now_ms() - self._checkpoint_at_ms
+        return age_ms >= self.settings.control.checkpoint_interval_ms
+
+    def note_checkpoint(self, as_of: int) -> None:
+        """Note that a checkpoint stands on the log."""
+        self.checkpoint_as_of = max(self.checkpoint_as_of, as_of)
+        self._checkpoint_at_ms = self._now_ms()
 
     # -- outputs -------------------------------------------------------------
 
@@ -437,7 +446,7 @@
 
     @_note.register
     def _(self, event: CheckpointRead) -> None:
-        self.checkpoint_as_of = max(self.checkpoint_as_of, event.as_of)
+        self.note_checkpoint(event.as_of)
 
     @_note.register
     def _(self, event: Mismatched) -> None:
--- a/azurestep/node/follow.py
+++ b/azurestep/node/follow.py
@@ -75,9 +75,14 @@
             self.control.inputs.put_nowait(LogLost(str(result.failure())))
             await asyncio.sleep(backoff.next_ms() / 1000)
             return
-        backoff.reset()
-        self.control.inputs.put_nowait(PageRead(result.unwrap()))
+        page = result.unwrap()
+        self.control.inputs.put_nowait(PageRead(page))
         await asyncio.sleep(0)
+        if page.records and self.control.spread.fold.next_offset == offset:
+            # The fold halted: asking again at once would bring the same records.
+            await asyncio.sleep(backoff.next_ms() / 1000)
+            return
+        backoff.reset()
         if self.control.is_checkpoint_due():
             await self._append_checkpoint(client)
 
@@ -95,7 +100,7 @@
             STREAM, checkpoint.id, encode_record(checkpoint), deadline_ms
         )
         if isinstance(result, Success):
-            self.control.checkpoint_as_of = state.as_of
+            self.control.note_checkpoint(state.as_of)
             events.emit(events.CHECKPOINT_APPENDED, as_of=state.as_of)
 
     async def stop(self, exception: Exception | None = None) -> None:
--- a/azurestep/settings.py
+++ b/azurestep/settings.py
@@ -96,6 +96,9 @@
         Duration of one long poll at the platform's log.
     checkpoint_records : int
         Records after which a new checkpoint is appended.
+    checkpoint_interval_ms : int
+        Time after which a new checkpoint is appended; keep it under half of the
+        time for which the platform retains records.
     send_deltas : bool
         Whether versions travel as deltas; otherwise as whole snapshots, which
         serves as a baseline of the measurements.
@@ -109,6 +112,7 @@
     bridges_per_data_centre: int = attrs.field(default=2, metadata=shaped(1, 16))
     poll_wait_ms: int = 20_000
     checkpoint_records: int = attrs.field(default=500, metadata=shaped(10, 100000))
+    checkpoint_interval_ms: int = 600_000
     send_deltas: bool = True
 
 
--- /dev/null
+++ b/bench/fake_network.py
@@ -0,0 +1,154 @@
+"""Membership decisions of many nodes over a fake network.
+
+An event queue with a simulated clock carries the messages; nothing opens a
+socket, so faults and their times are exact.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from azurestep.control.membership import Membership
+from azurestep.control.messages import MemberState, MemberStatus, Message, Sender
+from azurestep.control.outputs import MemberChanged, Send
+from azurestep.settings import Address, ControlSettings
+
+TICK_MS = 100.0
+DELAY_MS = 1.5
+HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+
+
+@attrs.frozen
+class Belief:
+    """What a node came to believe of another, and when."""
+
+    at_ms: float
+    by: str
+    about: str
+    status: MemberStatus
+
+
+@attrs.define
+class Node:
+    """One node of the fake network."""
+
+    membership: Membership
+    sender: Sender
+    is_running: bool = True
+
+
+class FakeNetwork:
+    """Nodes of one data centre that exchange messages in simulated time.
+
+    Parameters
+    ----------
+    count : int
+        Number of nodes; each knows the first one from its settings.
+    seed : int
+        Seed of all randomness.
+    loss_ratio : float
+        Share of the messages that are lost.
+    settings : ControlSettings, optional
+        Pace of the probes.
+    """
+
+    def __init__(
+        self,
+        count: int,
+        seed: int = 1,
+        loss_ratio: float = 0.0,
+        settings: ControlSettings | None = None,
+    ) -> None:
+        self.now_ms = 0.0
+        self.beliefs: list[Belief] = []
+        self.sent = 0
+        self.loss_ratio = loss_ratio
+        self.is_cut: Callable[[Address, Address], bool] = lambda one, other: False
+        self._random = random.Random(seed)
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.nodes: dict[Address, Node] = {}
+        for index in range(count):
+            self._add(index, settings or ControlSettings())
+
+    def _add(self, index: int, settings: ControlSettings) -> None:
+        port = FIRST_PORT + index
+        own = MemberState(
+            f"n{index}", "kingston", "r", 1, 1, int(MemberStatus.ALIVE), HOST, port, 1
+        )
+        seeds = [Address(HOST, FIRST_PORT)]
+        source = random.Random(self._random.random())
+        membership = Membership(own, seeds, settings, source)
+        sender = Sender(own.instance, own.data_centre, 1, HOST, port)
+        self.nodes[own.address] = Node(membership, sender)
+        first_ms = self._random.uniform(0, TICK_MS)
+        self._at(first_ms, lambda: self._tick(own.address))
+
+    def _at(self, at_ms: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (at_ms, next(self._order), action))
+
+    def _tick(self, address: Address) -> None:
+        self._at(self.now_ms + TICK_MS, lambda: self._tick(address))
+        node = self.nodes[address]
+        if node.is_running:
+            self._perform(node, node.membership.tick(self.now_ms))
+
+    def _perform(self, node: Node, outputs: list) -> None:
+        for output in outputs:
+            if isinstance(output, Send):
+                self._send(node.sender, output.to, output.message)
+            if isinstance(output, MemberChanged):
+                status = MemberStatus(output.member.status)
+                about = output.member.instance
+                belief = Belief(self.now_ms, node.sender.instance, about, status)
+                self.beliefs.append(belief)
+
+    def _send(self, sender: Sender, to: Address, message: Message) -> None:
+        self.sent += 1
+        if self._random.random() < self.loss_ratio:
+            return
+        if self.is_cut(sender.address, to):
+            return
+        self._at(self.now_ms + DELAY_MS, lambda: self._deliver(sender, to, message))
+
+    def _deliver(self, sender: Sender, to: Address, message: Message) -> None:
+        node = self.nodes.get(to)
+        if node is None or not node.is_running:
+            return
+        handled = node.membership.handle(message, sender, self.now_ms)
+        self._perform(node, handled)
+
+    def run(self, duration_ms: float) -> None:
+        """Let simulated time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._queue)
+            action()
+        self.now_ms = end_ms
+
+    def run_until(
+        self, condition: Callable[[], bool], timeout_ms: float, step_ms: float = 100.0
+    ) -> float:
+        """Let time pass until a condition holds; return how long it took.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold in time.
+        """
+        start_ms = self.now_ms
+        while not condition():
+            if self.now_ms - start_ms > timeout_ms:
+                raise TimeoutError(f"not so after {timeout_ms} ms")
+            self.run(step_ms)
+        return self.now_ms - start_ms
+
+    def is_whole(self) -> bool:
+        """Whether every running node believes just the running ones alive."""
+        running = [node for node in self.nodes.values() if node.is_running]
+        names = {node.sender.instance for node in running}
+        return all(set(node.membership.order) == names for node in running)
--- /dev/null
+++ b/tests/test_control_membership.py
@@ -0,0 +1,87 @@
+import pytest
+
+from azurestep.control.messages import MemberStatus
+from bench.fake_network import FIRST_PORT, FakeNetwork
+
+COUNT = 24
+
+
+def joined(**options):
+    network = FakeNetwork(COUNT, **options)
+    network.run_until(network.is_whole, 60_000)
+    return network
+
+
+def halves(one, other):
+    middle = FIRST_PORT + COUNT // 2
+    return (one.port < middle) != (other.port < middle)
+
+
+def deaths(network, since_ms=0.0):
+    return [
+        belief
+        for belief in network.beliefs
+        if belief.status == MemberStatus.DEAD and belief.at_ms >= since_ms
+    ]
+
+
+def test_nodes_that_know_one_address_find_each_other():
+    assert joined().is_whole()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_nobody_is_declared_dead_at_a_fifth_of_all_messages_lost(seed):
+    network = joined(seed=seed)
+    network.loss_ratio = 0.2
+    network.run(120_000)
+
+    assert deaths(network) == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_halves_of_a_healed_partition_find_each_other(seed):
+    network = joined(seed=seed)
+    network.is_cut = halves
+    network.run(20_000)
+    assert len(deaths(network)) >= COUNT * COUNT // 2
+    network.is_cut = lambda one, other: False
+    healed_ms = network.now_ms
+
+    took_ms = network.run_until(network.is_whole, 30_000)
+
+    assert took_ms < 15_000
+    assert deaths(network, healed_ms) == []
+
+
+def test_dead_node_is_noticed_by_all():
+    network = joined()
+    victim = network.nodes[next(reversed(network.nodes))]
+    victim.is_running = False
+
+    took_ms = network.run_until(network.is_whole, 30_000)
+
+    assert took_ms < 8_000
+
+
+def test_node_that_left_stays_away_while_old_news_of_it_goes_round():
+    network = joined()
+    leaver = network.nodes[next(reversed(network.nodes))]
+    outputs = leaver.membership.change_own(status=MemberStatus.LEFT)
+    network._perform(leaver, outputs)
+    leaver.is_running = False
+    network.run(2_000)
+    left_ms = network.now_ms
+    network.loss_ratio = 0.2
+    network.run(60_000)
+
+    about = [
+        belief.status
+        for belief in network.beliefs
+        if belief.about == leaver.sender.instance and belief.at_ms >= left_ms
+    ]
+    assert MemberStatus.ALIVE not in about
+    assert all(
+        leaver.sender.instance not in node.membership.order
+        for node in network.nodes.values()
+        if node.is_running
+    )
