--- a/bench/fake_network.py
+++ b/bench/fake_network.py
@@ -4,6 +4,7 @@
 socket, so faults and their times are exact.
 """
 
+import functools
 import heapq
 import itertools
 import random
@@ -72,21 +73,41 @@
         self._order = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self.nodes: dict[Address, Node] = {}
+        self._settings = settings or ControlSettings()
         for index in range(count):
-            self._add(index, settings or ControlSettings())
+            address = Address(HOST, FIRST_PORT + index)
+            self.nodes[address] = self._new_node(address, incarnation=1)
+            first_ms = self._random.uniform(0, TICK_MS)
+            self._at(first_ms, functools.partial(self._tick, address))
 
-    def _add(self, index: int, settings: ControlSettings) -> None:
-        port = FIRST_PORT + index
+    def _new_node(self, address: Address, incarnation: int) -> Node:
         own = MemberState(
-            f"n{index}", "kingston", "r", 1, 1, int(MemberStatus.ALIVE), HOST, port, 1
+            f"n{address.port - FIRST_PORT}",
+            "kingston",
+            "caribbean",
+            incarnation,
+            1,
+            int(MemberStatus.ALIVE),
+            address.host,
+            address.port,
+            1,
         )
         seeds = [Address(HOST, FIRST_PORT)]
         source = random.Random(self._random.random())
-        membership = Membership(own, seeds, settings, source)
-        sender = Sender(own.instance, own.data_centre, 1, HOST, port)
-        self.nodes[own.address] = Node(membership, sender)
-        first_ms = self._random.uniform(0, TICK_MS)
-        self._at(first_ms, lambda: self._tick(own.address))
+        membership = Membership(own, seeds, self._settings, source)
+        sender = Sender(
+            own.instance, own.data_centre, incarnation, address.host, address.port
+        )
+        return Node(membership, sender)
+
+    def stop(self, address: Address) -> None:
+        """End a node without notice."""
+        self.nodes[address].is_running = False
+
+    def restart(self, address: Address) -> None:
+        """Start a node again; it remembers nothing."""
+        incarnation = self.nodes[address].sender.incarnation + 1
+        self.nodes[address] = self._new_node(address, incarnation)
 
     def _at(self, at_ms: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._queue, (at_ms, next(self._order), action))
--- /dev/null
+++ b/bench/herds.py
@@ -0,0 +1,166 @@
+"""Measure membership under loss, partitions and herds of restarts.
+
+Usage:
+  herds [--quick] [--output FILE]
+
+Options:
+  --quick        Fewer nodes and seeds, for tests.
+  --output FILE  JSON of the results [default: bench/results/herds.json].
+
+The decisions of one data centre run over a fake network in simulated time; the
+platform's log is not there, so nothing comes from it.
+"""
+
+import pathlib
+import sys
+
+import attrs
+import docopt
+import orjson
+
+from azurestep.control.messages import MemberStatus
+
+from .fake_network import FIRST_PORT, FakeNetwork
+
+NODES = (24, 183)
+QUICK_NODES = (12,)
+SEEDS = range(1, 6)
+QUICK_SEEDS = range(1, 2)
+LOSS_RATIO = 0.2
+LOSS_MS = 60_000
+PARTITION_MS = 20_000
+TIMEOUT_MS = 180_000
+
+
+@attrs.frozen
+class Result:
+    """Figures of one data centre size and seed, in simulated time.
+
+    Attributes
+    ----------
+    join_ms : float
+        From the start of all nodes, each with one seed address, until every
+        node knows every other.
+    false_deaths : int
+        Beliefs that a running node is dead, in ``LOSS_MS`` with a fifth of all
+        messages lost.
+    detection_ms : float
+        From a node's end until no node believes it alive.
+    heal_ms : float
+        From the end of a partition into halves until every node knows every
+        other.
+    deaths_after_heal : int
+        Beliefs, after that end, that a running node is dead.
+    herd_ms : float
+        From the return of half of the nodes until every node knows every other.
+    herd_peak_per_s : float
+        Messages sent for each node and second until then.
+    quiet_per_s : float
+        Messages sent for each node and second in a quiet minute.
+    """
+
+    nodes: int
+    seed: int
+    join_ms: float
+    quiet_per_s: float
+    false_deaths: int
+    detection_ms: float
+    heal_ms: float
+    deaths_after_heal: int
+    herd_ms: float
+    herd_peak_per_s: float
+
+
+def measure(nodes: int, seed: int) -> Result:
+    """Run all situations of one size and seed."""
+    network = FakeNetwork(nodes, seed)
+    join_ms = network.run_until(network.is_whole, TIMEOUT_MS)
+    network.run(30_000)
+    quiet = _rate(network, 60_000)
+    lost_from_ms = network.now_ms
+    network.loss_ratio = LOSS_RATIO
+    network.run(LOSS_MS)
+    network.loss_ratio = 0.0
+    false_deaths = _deaths(network, lost_from_ms)
+    network.run_until(network.is_whole, TIMEOUT_MS)
+    detection_ms = _detect(network)
+    healed_ms, heal_ms = _heal(network, nodes)
+    deaths_after_heal = _deaths(network, healed_ms)
+    herd_ms, herd_rate = _herd(network)
+    return Result(
+        nodes,
+        seed,
+        round(join_ms),
+        round(quiet, 2),
+        false_deaths,
+        round(detection_ms),
+        round(heal_ms),
+        deaths_after_heal,
+        round(herd_ms),
+        round(herd_rate, 2),
+    )
+
+
+def _rate(network: FakeNetwork, duration_ms: float) -> float:
+    before = network.sent
+    network.run(duration_ms)
+    return (network.sent - before) / len(network.nodes) / (duration_ms / 1000)
+
+
+def _deaths(network: FakeNetwork, since_ms: float) -> int:
+    return sum(
+        belief.status == MemberStatus.DEAD and belief.at_ms >= since_ms
+        for belief in network.beliefs
+    )
+
+
+def _detect(network: FakeNetwork) -> float:
+    victim = list(network.nodes)[-1]
+    network.stop(victim)
+    detection_ms = network.run_until(network.is_whole, TIMEOUT_MS)
+    network.restart(victim)
+    network.run_until(network.is_whole, TIMEOUT_MS)
+    return detection_ms
+
+
+def _heal(network: FakeNetwork, nodes: int) -> tuple[float, float]:
+    middle = FIRST_PORT + nodes // 2
+    network.is_cut = lambda one, other: (one.port < middle) != (other.port < middle)
+    network.run(PARTITION_MS)
+    network.is_cut = lambda one, other: False
+    healed_ms = network.now_ms
+    return healed_ms, network.run_until(network.is_whole, TIMEOUT_MS)
+
+
+def _herd(network: FakeNetwork) -> tuple[float, float]:
+    herd = list(network.nodes)[1::2]
+    for address in herd:
+        network.stop(address)
+    network.run(2_000)
+    for address in herd:
+        network.restart(address)
+    before, started_ms = network.sent, network.now_ms
+    herd_ms = network.run_until(network.is_whole, TIMEOUT_MS)
+    elapsed_s = max(1.0, (network.now_ms - started_ms) / 1000)
+    return herd_ms, (network.sent - before) / len(network.nodes) / elapsed_s
+
+
+def main() -> int:
+    """Run the measurement from the command line."""
+    options = docopt.docopt(__doc__ or "")
+    sizes = QUICK_NODES if options["--quick"] else NODES
+    seeds = QUICK_SEEDS if options["--quick"] else SEEDS
+    results = []
+    for nodes in sizes:
+        for seed in seeds:
+            results.append(measure(nodes, seed))
+            print(results[-1], flush=True)
+    path = pathlib.Path(options["--output"])
+    path.parent.mkdir(parents=True, exist_ok=True)
+    plain = [attrs.asdict(result) for result in results]
+    path.write_bytes(orjson.dumps(plain, option=orjson.OPT_INDENT_2))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_control_herds.py
@@ -0,0 +1,9 @@
+from bench.herds import measure
+
+
+def test_small_data_centre_gets_through_every_situation():
+    result = measure(nodes=12, seed=1)
+
+    assert result.false_deaths == 0
+    assert result.deaths_after_heal == 0
+    assert result.herd_ms < 60_000
