--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -68,7 +68,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests that have no whole answer yet."""
+        """Requests that have no whole answer yet, also those run for peers."""
         return self._in_flight
 
     @property
@@ -76,6 +76,12 @@
         """The table in force."""
         return self._table
 
+    def knows_endpoints(self) -> bool:
+        """Whether every service of the table has a backend server."""
+        if self._table is None:
+            return False
+        return all(self._directory.of(name) for name in self._table.services)
+
     def latency_summary(self) -> LatencySummary:
         """Return the distribution of the time that this node adds."""
         return self._latency.summary()
@@ -162,7 +168,11 @@
     async def run_single(self, call: Call) -> RunResult:
         """Run a request that must not repeat, once."""
         pool = self._pools[call.match.service.name]
-        return await run_single(pool, self._forwarder, call, self._clock)
+        self._in_flight += 1
+        try:
+            return await run_single(pool, self._forwarder, call, self._clock)
+        finally:
+            self._in_flight -= 1
 
     def _match(self, request: web.BaseRequest) -> Call | Refusal:
         arrived_ms = self._clock.monotonic_ms()
@@ -188,6 +198,7 @@
             budget,
             arrived_ms,
             is_resend=is_resend(request),
+            is_draining=self._is_draining,
         )
 
     async def _read_body(self, request: web.BaseRequest, call: Call) -> Refusal | None:
--- a/tests/test_traffic_answers.py
+++ b/tests/test_traffic_answers.py
@@ -117,7 +117,7 @@
     http, start_raw_server, start_traffic
 ):
     late = OK.replace(b"hello", b"wrong")
-    server = await start_raw_server([0.3, late], [0.4, OK])
+    server = await start_raw_server([0.3, late], *([[0.4, OK]] * 3))
     rig = await start_traffic(server.port)
     deadline = {"Azurestep-Deadline-Ms": "100"}
     status, _, _ = await fetch(http, f"{rig.url}/songs", headers=deadline)
