--- a/azurestep/traffic/attempt.py
+++ b/azurestep/traffic/attempt.py
@@ -169,14 +169,16 @@
             result = await hedge.result_after_failure()
             if result is None:
                 raise
-            self._retire(address, result)
+            self._retire(address, connection, result)
             return attrs.evolve(result, is_hedged=True)
         finally:
             await hedge.end()
 
-    def _retire(self, address: Address, proof: Exchanged) -> None:
+    def _retire(
+        self, address: Address, silent: BackendConnection, proof: Exchanged
+    ) -> None:
         opened_ms = proof.connection.opened_ms
-        is_news = self._connections.valid_from_ms(address) < opened_ms
+        is_news = silent.opened_ms >= self._connections.valid_from_ms(address)
         retired = self._connections.retire(address, opened_ms)
         if is_news:
             events.emit(
