--- a/azurestep/traffic/call.py
+++ b/azurestep/traffic/call.py
@@ -112,7 +112,7 @@
     target = request.raw_path
     if target.startswith("/") or target == "*":
         return target
-    return str(request.rel_url.relative()) if request.rel_url.host else target
+    return request.rel_url.raw_path_qs
 
 
 def _number(text: str | None) -> float | None:
--- a/tests/test_traffic_answers.py
+++ b/tests/test_traffic_answers.py
@@ -244,3 +244,12 @@
     writer.close()
     assert line == b"HTTP/1.1 100 Continue\r\n"
     assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_an_absolute_target_goes_on_in_origin_form(
+    start_raw_server, start_traffic, raw_call
+):
+    server = await start_raw_server([OK])
+    rig = await start_traffic(server.port)
+    await raw_call(rig.port, GET.replace(b"/songs", b"http://x/a%2Fb?q=1"))
+    assert server.requests[0].startswith(b"GET /a%2Fb?q=1 HTTP/1.1\r\n")
