--- a/azurestep/once/accept.py
+++ b/azurestep/once/accept.py
@@ -17,9 +17,10 @@
     RequestArrived,
     SendToPeer,
 )
-from .owner import OwnerRole, TenureState
+from .owner import OwnerRole
 from .records import NodeId
 from .settings import OnceSettings
+from .tenure import TenureState
 
 FIRST_ATTEMPT = 1
 NOT_ACCEPTED = frozenset({Reason.NOT_OWNER, Reason.KEY_TOO_OLD})
--- a/azurestep/once/claims.py
+++ b/azurestep/once/claims.py
@@ -11,10 +11,11 @@
 from .fold import OwnershipFold, SlotId
 from .members import Members
 from .messages import AppendRecord, Moment
-from .owner import OwnerRole, TenureState
+from .owner import OwnerRole
 from .records import Claim, Extend, IntervalState, NodeId, OwnershipRecord
 from .settings import OnceSettings
 from .slots import SlotState
+from .tenure import TenureState
 
 MIN_CLOCK_WITNESSES = 3
 CLOCK_TOLERANCE_INTERVALS = 2
--- a/azurestep/once/handover.py
+++ b/azurestep/once/handover.py
@@ -18,10 +18,11 @@
     TableTransfer,
     TrustedSlot,
 )
-from .owner import OwnerRole, Tenure, TenureState
+from .owner import OwnerRole
 from .records import HeldSlot, IntervalState, NodeId, Release
 from .settings import OnceSettings
 from .table import digest_of
+from .tenure import Tenure, TenureState
 
 MAX_REBALANCED_SLOTS = 8
 
--- a/azurestep/once/messages.py
+++ b/azurestep/once/messages.py
@@ -1,17 +1,37 @@
-"""Messages into and out of the decision, and between nodes.
-
-Messages between nodes are flat enough for positional arrays; new fields go to
-the end, with a default.
-"""
-
-from enum import StrEnum
+"""Messages into and out of the decision."""
 
 import attrs
 
 from ..events import Event
+from .answers import REMEDIES, Header, KeptAnswer, Outcome, Reason
 from .fold import LogEntry
+from .peers import (
+    ForwardedRequest,
+    KeyState,
+    OwnerAnswer,
+    PeerMessage,
+    TableEntry,
+    TableReceipt,
+    TableTransfer,
+    TrustedSlot,
+)
 from .records import NodeId, OwnershipRecord
 
+__all__ = [
+    "ForwardedRequest",
+    "Header",
+    "KeptAnswer",
+    "KeyState",
+    "Outcome",
+    "OwnerAnswer",
+    "PeerMessage",
+    "Reason",
+    "TableEntry",
+    "TableReceipt",
+    "TableTransfer",
+    "TrustedSlot",
+]
+
 
 @attrs.frozen
 class Moment:
@@ -30,174 +50,6 @@
     monotonic_ms: float
 
 
-class Outcome(StrEnum):
-    """What an answer says of a request."""
-
-    NOT_RUN = "not_run"
-    RAN = "ran"
-    MAY_HAVE_RUN = "may_have_run"
-    KEY_REUSED = "key_reused"
-
-
-class Reason(StrEnum):
-    """Why an answer is what it is."""
-
-    RAN = "ran"
-    KEY_INVALID = "key_invalid"
-    KEY_REUSED = "key_reused"
-    KEY_TOO_OLD = "key_too_old"
-    NO_OWNER = "no_owner"
-    NEVER_OWNED = "never_owned"
-    OWNER_UNREACHABLE = "owner_unreachable"
-    OWNER_SILENT = "owner_silent"
-    NOT_OWNER = "not_owner"
-    HANDOVER = "handover"
-    TABLE_FULL = "table_full"
-    IN_PROGRESS = "in_progress"
-    DEADLINE_PASSED = "deadline_passed"
-    DISPATCH_REFUSED = "dispatch_refused"
-    DISPATCH_LOST = "dispatch_lost"
-
-
-REMEDIES: dict[Reason, str] = {
-    Reason.RAN: "Nothing to do",
-    Reason.KEY_INVALID: "Send a UUID of version 7 as Idempotency-Key",
-    Reason.KEY_REUSED: "Send a new key for a new request",
-    Reason.KEY_TOO_OLD: "Ask the service for the outcome before using a new key",
-    Reason.NO_OWNER: "Send the same request again, or use a key of an open slot",
-    Reason.NEVER_OWNED: "Use a new key, created now",
-    Reason.OWNER_UNREACHABLE: "Send again with the same key, or ask the service",
-    Reason.OWNER_SILENT: "Send again with the same key, or ask the service",
-    Reason.NOT_OWNER: "Send again with the same key",
-    Reason.HANDOVER: "Send again with the same key after the delay",
-    Reason.TABLE_FULL: "Send again with the same key after the delay",
-    Reason.IN_PROGRESS: "Send again with the same key after the delay",
-    Reason.DEADLINE_PASSED: "Send again with the same key and a later deadline",
-    Reason.DISPATCH_REFUSED: "Send again with the same key after the delay",
-    Reason.DISPATCH_LOST: "Ask the service for the outcome",
-}
-
-
-@attrs.frozen
-class Header:
-    """A header of a kept answer."""
-
-    name: str
-    value: str
-
-
-@attrs.frozen
-class KeptAnswer:
-    """An answer of a backend server, kept for callers that send again.
-
-    Attributes
-    ----------
-    trimmed : bool
-        Whether headers and body were left out because they were too large.
-    """
-
-    status: int
-    headers: tuple[Header, ...] = ()
-    body: bytes = b""
-    trimmed: bool = False
-
-    @property
-    def size_bytes(self) -> int:
-        """Size of headers and body."""
-        names = sum(len(header.name) + len(header.value) for header in self.headers)
-        return names + len(self.body)
-
-
-# Between nodes
-
-
-@attrs.frozen
-class ForwardedRequest:
-    """A request on its way from the accepting node to the owner.
-
-    Attributes
-    ----------
-    request_id : str
-        Unique in the fleet and for all time.
-    remaining_ms : int
-        Time left until the caller's deadline.
-    """
-
-    request_id: str
-    service: str
-    key: str
-    fingerprint: str
-    remaining_ms: int
-
-
-@attrs.frozen
-class OwnerAnswer:
-    """The owner's answer to a forwarded request.
-
-    Attributes
-    ----------
-    replayed : bool
-        Whether the answer is the kept one of an earlier attempt.
-    """
-
-    request_id: str
-    outcome: Outcome
-    reason: Reason
-    retry_after_ms: int = 0
-    answer: KeptAnswer | None = None
-    replayed: bool = False
-
-
-class KeyState(StrEnum):
-    """What a table knows of a key."""
-
-    RUNNING = "running"
-    RAN = "ran"
-    MAY_HAVE_RUN = "may_have_run"
-
-
-@attrs.frozen
-class TableEntry:
-    """One key of a table that is handed over."""
-
-    service: str
-    slot: int
-    key: str
-    time_ms: int
-    fingerprint: str
-    state: KeyState
-    answer: KeptAnswer | None = None
-
-
-@attrs.frozen
-class TrustedSlot:
-    """From which key time on a table holds every key of a slot."""
-
-    slot: int
-    trusted_from_ms: int
-
-
-@attrs.frozen
-class TableTransfer:
-    """All keys of some slots, from an owner to its successor."""
-
-    transfer_id: str
-    service: str
-    slots: tuple[TrustedSlot, ...]
-    entries: tuple[TableEntry, ...]
-    digest: str
-
-
-@attrs.frozen
-class TableReceipt:
-    """The successor holds a transferred table."""
-
-    transfer_id: str
-
-
-PeerMessage = ForwardedRequest | OwnerAnswer | TableTransfer | TableReceipt
-
-
 # Inputs
 
 
--- /dev/null
+++ b/azurestep/once/tenure.py
@@ -0,0 +1,49 @@
+"""An interval that this node owns, and whether it still accepts keys of it."""
+
+from enum import StrEnum
+
+import attrs
+
+
+class TenureState(StrEnum):
+    """Whether the owner accepts new keys of a tenure."""
+
+    OPEN = "open"
+    CLOSING = "closing"
+    RELEASING = "releasing"
+
+
+@attrs.define
+class Tenure:
+    """An interval that this node owns, as read back from the log.
+
+    Attributes
+    ----------
+    id : str
+        Id of the record that began it.
+    complete_from_ms : int
+        Key time from which on this node got every key that a former owner
+        accepted.
+    dropped_before_ms : int
+        Key time below which keys were dropped from the table.
+    max_accepted_ms : int
+        Newest key time accepted.
+    """
+
+    id: str
+    start_ms: int
+    end_ms: int
+    complete_from_ms: int
+    digest: str = ""
+    dropped_before_ms: int = 0
+    max_accepted_ms: int = 0
+    state: TenureState = TenureState.OPEN
+
+    @property
+    def trusted_from_ms(self) -> int:
+        """Key time from which on the table holds every accepted key."""
+        return max(self.complete_from_ms, self.dropped_before_ms)
+
+    def covers(self, time_ms: int) -> bool:
+        """Return whether a key time lies inside."""
+        return self.start_ms <= time_ms < self.end_ms
--- a/tests/test_once_histories.py
+++ b/tests/test_once_histories.py
@@ -8,8 +8,9 @@
 from azurestep.once import slots
 from azurestep.once.accept import AcceptRole
 from azurestep.once.messages import Outcome
-from azurestep.once.owner import OwnerRole, Tenure, TenureState
+from azurestep.once.owner import OwnerRole
 from azurestep.once.table import KeyTable
+from azurestep.once.tenure import Tenure, TenureState
 from bench.once_callers import PayingCallers
 from bench.once_faults import Fault, FaultKind, History, Payment, generate
 from bench.once_model import Model, Tally
