Hold back by a share where limits can't, and drop what waits too long

Cause, each seen in a failing test first: newest-first order was lost when a release found no free slot; a starved class waited its whole timeout before the refusal; a lasting queue made all wait 190 ms; retry-after had no jitter at its bound; fast refusals lowered the usual latency, so limits fell to 1 and stayed there; a node that is one of very many never held back, since a limit can't fall below one request; a usual latency learnt from a few lucky answers refused 9 in 10 for good.

Change: queues estimate the wait from their own measured pace and shorten it once they stand; a throttle per service lets a share of arrivals through, payment first and bulk last; the latency window ignores attempts sent before its last change, needs a significant difference and learns from 64 answers.

--- a/azurestep/balancing/admission.py
+++ b/azurestep/balancing/admission.py
@@ -5,7 +5,7 @@
 
 from ..config.model import ClassShares, Service
 from .choice import Balancer
-from .endpoint_state import EndpointState
+from .endpoint_state import LIMIT_KINDS, EndpointState
 from .limiter import LimiterKind
 from .messages import (
     Admitted,
@@ -26,10 +26,12 @@
 )
 from .queueing import ClassQueue, Discipline, WaitingRoom, share_of
 from .rates import RateMeter, SmoothedMean
+from .throttle import Throttle
 
 RETRY_AFTER_MINIMUM_MS = 50.0
 RETRY_AFTER_MAXIMUM_MS = 10_000.0
-NO_ENDPOINT_RETRY_AFTER_MS = 1000.0
+RETRY_AFTER_DEFAULT_MS = 1000.0
+SLOWEST_DRAIN_PER_MS = 0.001
 
 
 class Admission:
@@ -49,6 +51,8 @@
         How limits adapt; None follows the service's rule.
     discipline : Discipline
         Order of the queues.
+    throttled : bool
+        Whether a share of requests is refused early where limits can't bite.
     """
 
     def __init__(
@@ -60,7 +64,8 @@
         source: random.Random,
         *,
         limiter: LimiterKind | None = None,
-        discipline: Discipline = Discipline.FIFO,
+        discipline: Discipline = Discipline.CONTROLLED_DELAY,
+        throttled: bool = True,
     ) -> None:
         self._service = service
         self._shares = shares
@@ -69,6 +74,9 @@
         self._room = WaitingRoom(discipline)
         self._drain = RateMeter()
         self._latency = SmoothedMean()
+        self._throttle = Throttle()
+        self._may_throttle = throttled
+        self._throttled = service.limits.adaptive and throttled
 
     @property
     def balancer(self) -> Balancer:
@@ -77,9 +85,14 @@
 
     @property
     def latency_ms(self) -> float:
-        """Smoothed latency of the service's answers; 0 before the first."""
+        """Smoothed latency of the service's answers; 0 before the first one."""
         return self._latency.value
 
+    @property
+    def expected_ms(self) -> float:
+        """Time that an attempt should be given: mean latency plus deviation."""
+        return self._latency.value + self._latency.deviation
+
     def waiting(self) -> int:
         """Return the number of waiting requests."""
         return self._room.waiting()
@@ -90,6 +103,7 @@
         """Take over the rules of another configuration version or preset."""
         self._service = service
         self._shares = shares
+        self._throttled = service.limits.adaptive and self._may_throttle
         self._balancer.configure(service, now_ms)
         return self.tick(now_ms)
 
@@ -113,6 +127,8 @@
         queue = self._room.queue(request.priority)
         if not self._class_is_open(queue):
             return self._refuse(RefusalReason.CLASS_CLOSED, now_ms)
+        if self._throttled and not self._passes(request):
+            return self._refuse(RefusalReason.OVERLOAD, now_ms)
         if self._waits_first(queue):
             return self._enqueue(request, queue)
         state = self._balancer.choose(request.avoid)
@@ -122,6 +138,10 @@
         self._start(ticket, queue, state)
         return Admitted(ticket, state.endpoint)
 
+    def _passes(self, request: RequestArrived) -> bool:
+        drawn = self._source.random()
+        return self._throttle.passes(request.priority, request.now_ms, drawn)
+
     def _class_is_open(self, queue: ClassQueue) -> bool:
         return share_of(self._shares, queue.priority) > 0
 
@@ -143,32 +163,31 @@
         limits = self._service.limits
         if queue.length >= limits.queue_length:
             return self._refuse(RefusalReason.QUEUE_FULL, now_ms)
-        latest_ms = request.deadline_ms - self._latency.value
-        if now_ms + self._expected_wait_ms(queue, now_ms) > latest_ms:
+        latest_ms = request.deadline_ms - self.expected_ms
+        allowed_ms = queue.allowed_wait_ms(limits.queue_timeout_ms, now_ms)
+        expiry_ms = min(latest_ms, now_ms + allowed_ms)
+        wait_ms = queue.expected_wait_ms(self._usual_interval_ms(), now_ms)
+        if now_ms + wait_ms > expiry_ms:
             return self._refuse(RefusalReason.DEADLINE, now_ms)
-        expiry_ms = min(latest_ms, now_ms + limits.queue_timeout_ms)
         ticket = Ticket(request)
         self._room.push(ticket, now_ms, expiry_ms)
         return Queued(ticket)
 
-    def _expected_wait_ms(self, queue: ClassQueue, now_ms: float) -> float:
-        rate = self._drain.per_ms(now_ms)
-        if rate <= 0.0:
-            return 0.0
-        return self._room.waiting_before(queue.priority) / rate
+    def _usual_interval_ms(self) -> float:
+        return self._latency.value / max(1.0, self._balancer.capacity)
 
     def _refuse(self, reason: RefusalReason, now_ms: float) -> Refused:
         return Refused(reason, self.retry_after_ms(reason, now_ms))
 
     def retry_after_ms(self, reason: RefusalReason, now_ms: float) -> float:
         """Return a jittered time after which a caller may ask again."""
-        if reason in (RefusalReason.NO_ENDPOINT, RefusalReason.CLASS_CLOSED):
-            base_ms = NO_ENDPOINT_RETRY_AFTER_MS
-        else:
-            rate = max(self._drain.per_ms(now_ms), 0.001)
-            base_ms = (self._room.waiting() + 1) / rate
-        jittered_ms = base_ms * (0.5 + self._source.random())
-        return max(RETRY_AFTER_MINIMUM_MS, min(RETRY_AFTER_MAXIMUM_MS, jittered_ms))
+        base_ms = RETRY_AFTER_DEFAULT_MS
+        drain = self._drain.per_ms(now_ms)
+        shut = reason in (RefusalReason.NO_ENDPOINT, RefusalReason.CLASS_CLOSED)
+        if not shut and drain >= SLOWEST_DRAIN_PER_MS:
+            base_ms = (self._room.waiting() + 1) / drain
+        base_ms = max(RETRY_AFTER_MINIMUM_MS, min(RETRY_AFTER_MAXIMUM_MS, base_ms))
+        return base_ms * (0.5 + self._source.random())
 
     def _start(self, ticket: Ticket, queue: ClassQueue, state: EndpointState) -> None:
         ticket.state = TicketState.GRANTED
@@ -188,17 +207,23 @@
             return []
         ticket.state = TicketState.DONE
         self._room.queue(ticket.request.priority).in_flight -= 1
-        self._balancer.finish(ticket.endpoint, outcome, now_ms)
+        self._learn(ticket.endpoint, outcome, now_ms)
+        return self._release(now_ms)
+
+    def _learn(self, endpoint: Endpoint, outcome: Outcome, now_ms: float) -> None:
+        limited = self._balancer.limits_bite()
+        self._balancer.finish(endpoint, outcome, now_ms)
+        if outcome.kind in LIMIT_KINDS:
+            self._throttle.sample(outcome, limited, now_ms)
         if outcome.kind is not OutcomeKind.CANCELLED:
             self._drain.add(now_ms)
         if outcome.kind is OutcomeKind.SUCCESS:
             self._latency.add(outcome.latency_ms)
-        return self._release(now_ms)
 
     def cancelled(self, ticket: Ticket, now_ms: float) -> list[Release]:
         """Take out a waiting request whose caller went away."""
         if ticket.state is TicketState.QUEUED:
-            self._room.queue(ticket.request.priority).forget(ticket)
+            self._room.queue(ticket.request.priority).forget(ticket, dropped=False)
         return self._release(now_ms)
 
     def tick(self, now_ms: float) -> list[Release]:
@@ -219,7 +244,7 @@
         return releases
 
     def _drop(self, ticket: Ticket, now_ms: float) -> Dropped:
-        late = ticket.request.deadline_ms - self._latency.value <= now_ms
+        late = ticket.request.deadline_ms - self.expected_ms <= now_ms
         reason = RefusalReason.DEADLINE if late else RefusalReason.QUEUE_TIMEOUT
         return Dropped(ticket, reason, self.retry_after_ms(reason, now_ms))
 
@@ -234,13 +259,13 @@
         for queue in self._room.order(self._shares):
             if not self._within_share(queue):
                 continue
-            ticket = queue.pop(now_ms)
+            ticket = queue.next_ticket(now_ms)
             if ticket is None:
                 continue
             state = self._balancer.choose(ticket.request.avoid)
             if state is None:
-                queue.put_back(ticket)
                 continue
+            queue.take(now_ms)
             self._start(ticket, queue, state)
             return Granted(ticket, state.endpoint)
         return None
--- a/azurestep/balancing/choice.py
+++ b/azurestep/balancing/choice.py
@@ -11,6 +11,8 @@
 
 REVIEW_INTERVAL_MS = 250.0
 IDLE_RATIO = 0.25
+BUSY_RATIO = 0.5
+LIMITS_PER_MEMBER = 2.0
 OWN_LATENCY_RATIO = 1.5
 REPORTED_LOAD_WEIGHT = 0.3
 UNHEALTHY_WEIGHT = 0.5
@@ -47,7 +49,7 @@
         self._data_centre = data_centre
         self._instance = instance
         self._source = source
-        adaptive = LimiterKind.GRADIENT if service.limits.adaptive else None
+        adaptive = LimiterKind.AIMD if service.limits.adaptive else None
         self._limiter = limiter or adaptive or LimiterKind.FIXED
         self._detector = OutlierDetector(service.selection)
         self._states: dict[EndpointKey, EndpointState] = {}
@@ -67,6 +69,13 @@
         """Backend servers by data centre, the node's own one first."""
         return [self._local, *self._remote]
 
+    def limits_bite(self) -> bool:
+        """Return whether this node's limits are in use and can still fall."""
+        capacity = self.capacity
+        in_flight = sum(pool.in_flight for pool in self.pools)
+        falling = capacity >= LIMITS_PER_MEMBER * len(self._states)
+        return falling and in_flight >= BUSY_RATIO * capacity
+
     def knows_any(self) -> bool:
         """Return whether any backend server may get new requests."""
         return any(not s.endpoint.leaving for s in self._states.values())
@@ -211,7 +220,7 @@
             return
         pool = self._pools[state.endpoint.data_centre]
         limit = state.limiter.limit
-        state.observe(outcome)
+        state.observe(outcome, now_ms)
         state.outstanding = max(0, state.outstanding - 1)
         if state.fit:
             pool.in_flight -= 1
--- a/azurestep/balancing/endpoint_state.py
+++ b/azurestep/balancing/endpoint_state.py
@@ -9,7 +9,7 @@
 
 SMOOTHING = 0.1
 MINIMUM_WEIGHT = 0.02
-OVERLOAD_KINDS = frozenset({OutcomeKind.SHED, OutcomeKind.TIMEOUT})
+LIMIT_KINDS = frozenset({OutcomeKind.SUCCESS, OutcomeKind.TIMEOUT, OutcomeKind.SHED})
 
 
 @attrs.define(eq=False)
@@ -81,7 +81,7 @@
         share = self.ramp * self.success * self.success * self.hint
         self.weight = self.endpoint.slots * max(MINIMUM_WEIGHT, share)
 
-    def observe(self, outcome: Outcome) -> None:
+    def observe(self, outcome: Outcome, now_ms: float) -> None:
         """Take the outcome of one attempt into account."""
         kind = outcome.kind
         if kind is OutcomeKind.CANCELLED:
@@ -92,9 +92,8 @@
         self.success += SMOOTHING * (succeeded - self.success)
         if succeeded or kind is OutcomeKind.TIMEOUT:
             self._observe_latency(outcome.latency_ms)
-        self.limiter.sample(
-            outcome.latency_ms, self.outstanding, kind in OVERLOAD_KINDS
-        )
+        if kind in LIMIT_KINDS:
+            self.limiter.sample(outcome, self.outstanding, now_ms)
         self.update_weight()
 
     def _observe_latency(self, latency_ms: float) -> None:
--- a/azurestep/balancing/limiter.py
+++ b/azurestep/balancing/limiter.py
@@ -6,10 +6,19 @@
 
 import attrs
 
+from .messages import Outcome, OutcomeKind
+
 WINDOW_SAMPLES = 8
+WINDOW_MINIMUM_MS = 100.0
 LATENCY_TOLERANCE = 2.0
 BASELINE_DRIFT = 1.003
-BASELINE_FALL = 0.5
+BASELINE_FALL = 0.1
+BASELINE_RISE = 0.02
+SIGNIFICANT_ERRORS = 3.0
+OVERLOAD_RATIO = 0.25
+OVERLOAD_SIGNS = 2
+WINDOW_FEWEST_SAMPLES = 2
+LEARNING_SAMPLES = 64
 DECREASE = 0.8
 GRADIENT_MINIMUM = 0.5
 GRADIENT_SMOOTHING = 0.3
@@ -29,7 +38,7 @@
 
     limit: float
 
-    def sample(self, latency_ms: float, in_flight: int, overloaded: bool) -> None:
+    def sample(self, outcome: Outcome, in_flight: int, now_ms: float) -> None:
         """Take one finished attempt into account."""
         ...
 
@@ -40,7 +49,7 @@
 
     limit: float
 
-    def sample(self, latency_ms: float, in_flight: int, overloaded: bool) -> None:
+    def sample(self, outcome: Outcome, in_flight: int, now_ms: float) -> None:
         """Ignore the sample."""
 
 
@@ -48,43 +57,126 @@
 class LatencyWindow:
     """Mean latency over a few samples against a slowly drifting baseline.
 
-    The baseline falls quickly and rises slowly, so that a lasting overload
-    isn't taken for the normal state; yet it does rise, so that a service that
-    became slower for good gets its limit back.
+    The baseline rises more slowly than it falls, and while answers are slow it
+    hardly rises, so that a lasting overload isn't taken for the normal state;
+    yet it does rise, so that a service that became slower for good gets its
+    limit back. A mean is slow only if it is also beyond what the usual spread
+    of single answers explains; else a service with a few long answers would be
+    held back without any overload. A refusal by the server counts as a sign of
+    overload, but its quick answer is no latency.
+
+    Attempts sent before the window began are ignored: they show the state
+    before the last change, and acting on them again would overshoot.
+
+    Attributes
+    ----------
+    tolerance : float
+        Multiple of the baseline from which a mean is slow.
+    patience_ms : float
+        Age from which a window with fewer samples is full too.
+    baseline_ms, deviation_ms : float
+        Usual latency and its mean absolute deviation.
+    slow_windows : int
+        Slow windows in a row; a single one may be chance and is learnt from.
+    learnt : int
+        Answers that the baseline rests on; before there are
+        ``LEARNING_SAMPLES``, no mean is called slow.
     """
 
-    baseline_ms: float = math.inf
+    tolerance: float = LATENCY_TOLERANCE
+    patience_ms: float = math.inf
+    baseline_ms: float = 0.0
+    deviation_ms: float = 0.0
+    learnt: int = 0
+    slow_windows: int = 0
     total_ms: float = 0.0
+    total_deviation_ms: float = 0.0
     samples: int = 0
-    overloads: int = 0
+    refusals: int = 0
+    timeouts: int = 0
     peak_in_flight: int = 0
+    begun_ms: float = math.nan
 
-    def add(self, latency_ms: float, in_flight: int, overloaded: bool) -> bool:
+    def add(self, outcome: Outcome, in_flight: int, now_ms: float) -> bool:
         """Add a sample; return whether the window is full."""
+        sent_ms = now_ms - outcome.latency_ms
+        if sent_ms < self.begun_ms:
+            return False
+        if math.isnan(self.begun_ms):
+            self.begun_ms = sent_ms
         self.samples += 1
-        self.total_ms += latency_ms
-        self.overloads += overloaded
         self.peak_in_flight = max(self.peak_in_flight, in_flight)
-        return self.samples >= WINDOW_SAMPLES
+        if outcome.kind is OutcomeKind.SHED:
+            self.refusals += 1
+        else:
+            self.total_ms += outcome.latency_ms
+            self.total_deviation_ms += abs(outcome.latency_ms - self.baseline_ms)
+            self.timeouts += outcome.kind is OutcomeKind.TIMEOUT
+        return self._full(now_ms - self.begun_ms)
+
+    def _full(self, age_ms: float) -> bool:
+        if self.samples < WINDOW_SAMPLES:
+            enough = self.samples >= WINDOW_FEWEST_SAMPLES
+            return enough and age_ms >= self.patience_ms
+        return age_ms >= WINDOW_MINIMUM_MS
+
+    def overloaded(self) -> bool:
+        """Return whether the window shows that the server has too much to do."""
+        return self.refused() or self._slow()
+
+    def refused(self) -> bool:
+        """Return whether refusals and timeouts alone show an overload."""
+        signs = self.refusals + self.timeouts
+        return signs >= max(OVERLOAD_SIGNS, OVERLOAD_RATIO * self.samples)
 
     def mean_ms(self) -> float:
-        """Return the mean latency of the window."""
-        return self.total_ms / self.samples
-
-    def restart(self) -> None:
+        """Return the mean latency; 0 when every sample was a refusal."""
+        answered = self.samples - self.refusals
+        return self.total_ms / answered if answered else 0.0
+
+    def _slow(self) -> bool:
+        answered = self.samples - self.refusals
+        if answered == 0 or self.learnt < LEARNING_SAMPLES:
+            return False
+        error_ms = self.deviation_ms / math.sqrt(answered)
+        slow_ms = self.tolerance * self.baseline_ms + SIGNIFICANT_ERRORS * error_ms
+        return self.mean_ms() > slow_ms
+
+    def restart(self, now_ms: float) -> None:
         """Move the baseline and begin the next window."""
-        mean_ms = self.mean_ms()
-        if mean_ms >= self.baseline_ms:
-            self.baseline_ms = min(mean_ms, self.baseline_ms * BASELINE_DRIFT)
-        elif self.baseline_ms == math.inf:
-            self.baseline_ms = mean_ms
-        else:
-            self.baseline_ms += BASELINE_FALL * (mean_ms - self.baseline_ms)
+        answered = self.samples - self.refusals
+        if answered and self.learnt < LEARNING_SAMPLES:
+            self._learn(answered)
+        elif answered:
+            self._move_baseline(answered)
+        self.begun_ms = now_ms
         self.total_ms = 0.0
+        self.total_deviation_ms = 0.0
         self.samples = 0
-        self.overloads = 0
+        self.refusals = 0
+        self.timeouts = 0
         self.peak_in_flight = 0
 
+    def _learn(self, answered: int) -> None:
+        self.learnt += answered
+        weight = answered / self.learnt
+        self.baseline_ms += weight * (self.mean_ms() - self.baseline_ms)
+        spread_ms = self.total_deviation_ms / answered
+        self.deviation_ms += weight * (spread_ms - self.deviation_ms)
+
+    def _move_baseline(self, answered: int) -> None:
+        mean_ms = self.mean_ms()
+        self.slow_windows = self.slow_windows + 1 if self._slow() else 0
+        if self.slow_windows > 1:
+            self.baseline_ms = min(mean_ms, self.baseline_ms * BASELINE_DRIFT)
+            return
+        trust = min(1.0, answered / WINDOW_SAMPLES)
+        spread_ms = self.total_deviation_ms / answered - self.deviation_ms
+        self.deviation_ms += BASELINE_FALL * trust * spread_ms
+        change_ms = mean_ms - self.baseline_ms
+        pace = BASELINE_RISE if change_ms > 0 else BASELINE_FALL
+        self.baseline_ms += pace * trust * change_ms
+
 
 @attrs.define
 class AimdLimiter:
@@ -94,17 +186,16 @@
     maximum: float
     window: LatencyWindow = attrs.field(factory=LatencyWindow)
 
-    def sample(self, latency_ms: float, in_flight: int, overloaded: bool) -> None:
+    def sample(self, outcome: Outcome, in_flight: int, now_ms: float) -> None:
         """Take one finished attempt into account."""
         window = self.window
-        if not window.add(latency_ms, in_flight, overloaded):
+        if not window.add(outcome, in_flight, now_ms):
             return
-        slow = window.mean_ms() > LATENCY_TOLERANCE * window.baseline_ms
-        if slow or window.overloads:
+        if window.overloaded():
             self.limit = max(1.0, self.limit * DECREASE)
         elif window.peak_in_flight >= BUSY_RATIO * self.limit:
             self.limit = min(self.maximum, self.limit + 1.0)
-        window.restart()
+        window.restart(now_ms)
 
 
 @attrs.define
@@ -115,19 +206,19 @@
     maximum: float
     window: LatencyWindow = attrs.field(factory=LatencyWindow)
 
-    def sample(self, latency_ms: float, in_flight: int, overloaded: bool) -> None:
+    def sample(self, outcome: Outcome, in_flight: int, now_ms: float) -> None:
         """Take one finished attempt into account."""
         window = self.window
-        if not window.add(latency_ms, in_flight, overloaded):
+        if not window.add(outcome, in_flight, now_ms):
             return
         idle = window.peak_in_flight < BUSY_RATIO * self.limit
-        if not idle or window.overloads:
+        if not idle or window.overloaded():
             self.limit = self._next_limit()
-        window.restart()
+        window.restart(now_ms)
 
     def _next_limit(self) -> float:
         window = self.window
-        if window.overloads:
+        if window.refused():
             return max(1.0, self.limit * DECREASE)
         ratio = LATENCY_TOLERANCE * window.baseline_ms / max(window.mean_ms(), 0.001)
         gradient = max(GRADIENT_MINIMUM, min(1.0, ratio))
--- a/azurestep/balancing/messages.py
+++ b/azurestep/balancing/messages.py
@@ -117,6 +117,7 @@
     QUEUE_FULL = "queue_full"
     QUEUE_TIMEOUT = "queue_timeout"
     DEADLINE = "deadline"
+    OVERLOAD = "overload"
     RETRY_BUDGET = "retry_budget"
     QUARANTINED = "quarantined"
     TOO_DEEP = "too_deep"
--- a/azurestep/balancing/queueing.py
+++ b/azurestep/balancing/queueing.py
@@ -11,17 +11,20 @@
 from .messages import Ticket, TicketState
 
 STANDING_MS = 100.0
+STANDING_WAIT_RATIO = 0.2
+MEMORY_MS = 1000.0
 
 
 class Discipline(StrEnum):
-    """Order in which waiting requests of a class are served.
+    """How a queue behaves once it hasn't been empty for ``STANDING_MS``.
 
-    ``ADAPTIVE_LIFO`` serves the newest first once the queue has not been empty
-    for ``STANDING_MS``.
+    ``FIFO`` goes on as before. ``ADAPTIVE_LIFO`` serves the newest first.
+    ``CONTROLLED_DELAY`` allows ``STANDING_WAIT_RATIO`` of the usual wait.
     """
 
     FIFO = "fifo"
     ADAPTIVE_LIFO = "adaptive_lifo"
+    CONTROLLED_DELAY = "controlled_delay"
 
 
 @attrs.define
@@ -35,49 +38,102 @@
         an end.
     length : int
         Number that really wait.
-    standing_since_ms : float
-        When the queue last became non-empty.
     in_flight : int
         Requests of the class that run now.
+    standing_since_ms : float
+        Start of the period in which the queue was never emptied by service.
+    measured_from_ms, served : float
+        Decayed period and number of grants that the pace is measured by.
+    starved : bool
+        Whether the queue last became empty by drops.
     """
 
     priority: Priority
     discipline: Discipline
     tickets: deque[Ticket] = attrs.field(factory=deque)
     length: int = 0
-    standing_since_ms: float = 0.0
     in_flight: int = 0
+    standing_since_ms: float = 0.0
+    measured_from_ms: float = 0.0
+    served: float = 0.0
+    starved: bool = False
 
     def push(self, ticket: Ticket, now_ms: float) -> None:
         """Add a request."""
         if self.length == 0:
             self.tickets.clear()
-            self.standing_since_ms = now_ms
+            self._begin(now_ms)
         self.tickets.append(ticket)
         self.length += 1
 
-    def put_back(self, ticket: Ticket) -> None:
-        """Return a request that was popped but couldn't be placed."""
-        self.tickets.appendleft(ticket)
-        self.length += 1
-
-    def pop(self, now_ms: float) -> Ticket | None:
-        """Return the next request to serve, or None."""
-        newest_first = (
-            self.discipline is Discipline.ADAPTIVE_LIFO
-            and now_ms - self.standing_since_ms >= STANDING_MS
-        )
+    def _begin(self, now_ms: float) -> None:
+        if self.starved:
+            return
+        self.standing_since_ms = now_ms
+        self.measured_from_ms = now_ms
+        self.served = 0.0
+
+    def stands(self, now_ms: float) -> bool:
+        """Return whether the queue is more than a short burst."""
+        waits = self.length > 0 or self.starved
+        return waits and now_ms - self.standing_since_ms >= STANDING_MS
+
+    def _newest_first(self, now_ms: float) -> bool:
+        return self.discipline is Discipline.ADAPTIVE_LIFO and self.stands(now_ms)
+
+    def allowed_wait_ms(self, timeout_ms: float, now_ms: float) -> float:
+        """Return the longest wait that a newcomer is let in for."""
+        controlled = self.discipline is Discipline.CONTROLLED_DELAY
+        if controlled and self.stands(now_ms):
+            return STANDING_WAIT_RATIO * timeout_ms
+        return timeout_ms
+
+    def expected_wait_ms(self, usual_interval_ms: float, now_ms: float) -> float:
+        """Return how long a newcomer most likely waits.
+
+        Parameters
+        ----------
+        usual_interval_ms : float
+            Time between two grants while nothing is measured yet.
+        now_ms : float
+            Present time.
+        """
+        if self.length == 0 or self._newest_first(now_ms):
+            return 0.0
+        age_ms = now_ms - self.measured_from_ms
+        return self.length * (age_ms + usual_interval_ms) / (self.served + 1.0)
+
+    def next_ticket(self, now_ms: float) -> Ticket | None:
+        """Return the next request to serve without taking it out, or None."""
+        newest_first = self._newest_first(now_ms)
         while self.tickets:
-            ticket = self.tickets.pop() if newest_first else self.tickets.popleft()
+            ticket = self.tickets[-1 if newest_first else 0]
             if ticket.state is TicketState.QUEUED:
-                self.length -= 1
                 return ticket
+            self._remove_end(newest_first)
         return None
 
-    def forget(self, ticket: Ticket) -> None:
+    def take(self, now_ms: float) -> None:
+        """Take out what ``next_ticket`` returned: it is served."""
+        self._remove_end(self._newest_first(now_ms))
+        self.length -= 1
+        self.starved = False
+        self.served += 1.0
+        if now_ms - self.measured_from_ms > MEMORY_MS:
+            self.measured_from_ms = (self.measured_from_ms + now_ms) / 2
+            self.served /= 2
+
+    def _remove_end(self, newest: bool) -> None:
+        if newest:
+            self.tickets.pop()
+        else:
+            self.tickets.popleft()
+
+    def forget(self, ticket: Ticket, dropped: bool) -> None:
         """Take a request out that no longer waits."""
         ticket.state = TicketState.DONE
         self.length -= 1
+        self.starved = dropped or self.starved
 
 
 class WaitingRoom:
@@ -100,13 +156,6 @@
         """Return the number of waiting requests."""
         return sum(queue.length for queue in self._queues.values())
 
-    def waiting_before(self, priority: Priority) -> int:
-        """Return how many are served before a newcomer of the class, at most."""
-        bulk = self._queues[Priority.BULK].length
-        if priority is Priority.BULK:
-            return self.waiting()
-        return self.waiting() - bulk
-
     def push(self, ticket: Ticket, now_ms: float, expiry_ms: float) -> None:
         """Let a request wait until ``expiry_ms`` at most."""
         self._queues[ticket.request.priority].push(ticket, now_ms)
@@ -124,7 +173,7 @@
         tickets = []
         while (expiry_ms := self.next_expiry_ms()) is not None and expiry_ms <= now_ms:
             ticket = heapq.heappop(self._expiries)[2]
-            self._queues[ticket.request.priority].forget(ticket)
+            self._queues[ticket.request.priority].forget(ticket, dropped=True)
             tickets.append(ticket)
         return tickets
 
--- a/azurestep/balancing/rates.py
+++ b/azurestep/balancing/rates.py
@@ -37,9 +37,18 @@
 
 @attrs.define
 class SmoothedMean:
-    """Mean of the recent values; the first one counts whole."""
+    """Mean and mean deviation of the recent values; the first one counts whole.
+
+    Attributes
+    ----------
+    value : float
+        Mean.
+    deviation : float
+        Mean absolute distance from the mean.
+    """
 
     value: float = 0.0
+    deviation: float = 0.0
     empty: bool = True
 
     def add(self, value: float) -> None:
@@ -48,4 +57,6 @@
             self.value = value
             self.empty = False
             return
-        self.value += MEAN_SMOOTHING * (value - self.value)
+        error = value - self.value
+        self.value += MEAN_SMOOTHING * error
+        self.deviation += MEAN_SMOOTHING * (abs(error) - self.deviation)
