Lower limits by the extent of the overload, judge the throttle lazily

Change: the decrease follows the ratio of latencies, 0.5 to 0.8. Ruled out: other bounds between limits and throttle (2, 3 or 4 slots a backend server gave the same). The records of the quarantine move into their own module.

--- a/azurestep/balancing/__init__.py
+++ b/azurestep/balancing/__init__.py
@@ -75,7 +75,7 @@
     Ticket,
     TicketState,
 )
-from .quarantine import Quarantine, QuarantineUpdate, Standing
+from .quarantine import Quarantine
 from .queueing import Discipline
 from .retries import (
     FailedAttempt,
@@ -87,6 +87,7 @@
     RetryDecision,
     decide_retry,
 )
+from .suspects import QuarantineUpdate, Standing
 from .whole_answers import (
     Abort,
     CutAnswer,
--- a/azurestep/balancing/admission.py
+++ b/azurestep/balancing/admission.py
@@ -211,10 +211,9 @@
         return self._release(now_ms)
 
     def _learn(self, endpoint: Endpoint, outcome: Outcome, now_ms: float) -> None:
-        limited = self._balancer.limits_bite()
         self._balancer.finish(endpoint, outcome, now_ms)
-        if outcome.kind in LIMIT_KINDS:
-            self._throttle.sample(outcome, limited, now_ms)
+        if outcome.kind in LIMIT_KINDS and self._throttle.collect(outcome, now_ms):
+            self._throttle.judge(self._balancer.limits_bite(), now_ms)
         if outcome.kind is not OutcomeKind.CANCELLED:
             self._drain.add(now_ms)
         if outcome.kind is OutcomeKind.SUCCESS:
--- a/azurestep/balancing/limiter.py
+++ b/azurestep/balancing/limiter.py
@@ -20,6 +20,7 @@
 WINDOW_FEWEST_SAMPLES = 2
 LEARNING_SAMPLES = 64
 DECREASE = 0.8
+STRONGEST_DECREASE = 0.5
 GRADIENT_MINIMUM = 0.5
 GRADIENT_SMOOTHING = 0.3
 BUSY_RATIO = 0.5
@@ -134,6 +135,12 @@
         answered = self.samples - self.refusals
         return self.total_ms / answered if answered else 0.0
 
+    def decrease(self, weakest: float) -> float:
+        """Return the factor that an overload calls for, by its extent."""
+        mean_ms = max(self.mean_ms(), 0.001)
+        ratio = self.tolerance * self.baseline_ms / mean_ms
+        return max(STRONGEST_DECREASE, min(weakest, ratio))
+
     def _slow(self) -> bool:
         answered = self.samples - self.refusals
         if answered == 0 or self.learnt < LEARNING_SAMPLES:
@@ -192,7 +199,7 @@
         if not window.add(outcome, in_flight, now_ms):
             return
         if window.overloaded():
-            self.limit = max(1.0, self.limit * DECREASE)
+            self.limit = max(1.0, self.limit * window.decrease(DECREASE))
         elif window.peak_in_flight >= BUSY_RATIO * self.limit:
             self.limit = min(self.maximum, self.limit + 1.0)
         window.restart(now_ms)
--- a/azurestep/balancing/throttle.py
+++ b/azurestep/balancing/throttle.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..config.model import Priority
-from .limiter import LatencyWindow
+from .limiter import STRONGEST_DECREASE, LatencyWindow
 from .messages import Outcome
 
 MINIMUM_SHARE = 0.05
@@ -19,7 +19,6 @@
 RECOVERY_MS = 3000.0
 LARGEST_INCREASE = 2.0
 WINDOWS_TO_DECREASE = 2
-STRONGEST_DECREASE = 0.5
 WEAKEST_DECREASE = 0.9
 MIX_CONSTANT_MS = 5000.0
 
@@ -98,20 +97,28 @@
         left -= mix.interactive
         return max(MINIMUM_SHARE, left / max(mix.bulk, 1.0))
 
-    def sample(self, outcome: Outcome, limited: bool, now_ms: float) -> None:
-        """Take one finished attempt into account.
+    def collect(self, outcome: Outcome, now_ms: float) -> bool:
+        """Take a finished attempt into account; return whether to ``judge``.
 
         Parameters
         ----------
         outcome : Outcome
             A success, timeout or refusal by the server.
+        now_ms : float
+            Present time.
+        """
+        return self.window.add(outcome, 0, now_ms)
+
+    def judge(self, limited: bool, now_ms: float) -> None:
+        """Move the share by the full window and begin the next.
+
+        Parameters
+        ----------
         limited : bool
             Whether the node's concurrency limits hold the overload back.
         now_ms : float
             Present time.
         """
-        if not self.window.add(outcome, 0, now_ms):
-            return
         if limited or not self.window.overloaded():
             self.overloads = 0
             self.share = min(1.0, self.share * self._increase(now_ms))
@@ -132,6 +139,4 @@
         window = self.window
         if 2 * (window.refusals + window.timeouts) >= window.samples:
             return STRONGEST_DECREASE
-        mean_ms = max(window.mean_ms(), 0.001)
-        ratio = window.tolerance * window.baseline_ms / mean_ms
-        return max(STRONGEST_DECREASE, min(WEAKEST_DECREASE, ratio))
+        return window.decrease(WEAKEST_DECREASE)
--- a/tests/test_balancing_limits.py
+++ b/tests/test_balancing_limits.py
@@ -165,7 +165,9 @@
     for number in range(1000):
         now_ms = 600.0 + 10.0 * number
         latency_ms = 20.0 if number < 200 else 400.0
-        throttle.sample(Outcome(OutcomeKind.SUCCESS, latency_ms), limited, now_ms)
+        outcome = Outcome(OutcomeKind.SUCCESS, latency_ms)
+        if throttle.collect(outcome, now_ms):
+            throttle.judge(limited, now_ms)
     assert (throttle.share == 1.0) is limited
 
 
