--- a/azurestep/environment.py
+++ b/azurestep/environment.py
@@ -1,8 +1,10 @@
 """What a command or a service needs from the outside, passed in explicitly."""
 
-import random
+import os
 import sys
 import time
+from collections.abc import Mapping
+from random import Random
 from typing import Protocol, TextIO
 
 import attrs
@@ -44,6 +46,8 @@
         Source of time.
     random : random.Random
         Source of jitter and of random choices.
+    variables : Mapping of str to str
+        Environment variables.
     debug : bool
         Whether errors show a traceback.
     """
@@ -52,7 +56,8 @@
     stdout: TextIO = attrs.field(factory=lambda: sys.stdout)
     stderr: TextIO = attrs.field(factory=lambda: sys.stderr)
     clock: Clock = attrs.field(factory=SystemClock)
-    random: random.Random = attrs.field(factory=random.Random)
+    random: Random = attrs.field(factory=Random)
+    variables: Mapping[str, str] = attrs.field(factory=lambda: dict(os.environ))
     debug: bool = False
 
     @property
--- /dev/null
+++ b/azurestep/node/control.py
@@ -0,0 +1,455 @@
+"""The control task: owns the peer sockets and drives the control decisions."""
+
+import asyncio
+from functools import singledispatchmethod
+
+import aiomisc
+import attrs
+
+from .. import events
+from ..config.fold import (
+    Accepted,
+    Adopted,
+    CheckpointRead,
+    FoldEvent,
+    GapFound,
+    Mismatched,
+    Refused,
+    Regressed,
+    Unsupported,
+)
+from ..control.link import Links
+from ..control.membership import Membership
+from ..control.messages import (
+    AuditItems,
+    AuditReceipt,
+    MemberState,
+    MemberStatus,
+    OwnerMessage,
+    Sender,
+    ServerStatus,
+)
+from ..control.outputs import (
+    Folded,
+    Learned,
+    MemberChanged,
+    Output,
+    RecordsRelayed,
+    ReplaceLink,
+    Send,
+    VersionApplied,
+    VersionConflict,
+)
+from ..control.relay import LogRelay
+from ..control.ring import rendezvous
+from ..control.spread import Spread
+from ..control.summaries import Summarizer
+from ..environment import Environment
+from ..once.fold import LogEntry
+from ..once.messages import (
+    ForwardFailed,
+    Input,
+    LogRecordsRead,
+    LogRegressed,
+    MembersChanged,
+)
+from ..once.records import NodeId
+from ..settings import Address, Settings
+from ..traffic.directory import DirectoryBuilder
+from ..traffic.table import RoutingTable
+from .messages import (
+    AuditInput,
+    AuditMessageReceived,
+    AuditOut,
+    ControlInput,
+    DirectoryReady,
+    LeaveRequested,
+    LogLost,
+    OwnerMessageOut,
+    OwnerMessageReceived,
+    OwnershipPageRead,
+    PageRead,
+    ServersChanged,
+    ServiceNamed,
+    TableReady,
+    TrafficInput,
+)
+
+OnceInput = Input | OwnerMessageReceived | ServiceNamed
+
+READER = "reader"
+TICK_S = 0.1
+MEMBER_EVENTS = {
+    MemberStatus.ALIVE: events.MEMBER_ALIVE,
+    MemberStatus.SUSPECT: events.MEMBER_SUSPECTED,
+    MemberStatus.DEAD: events.MEMBER_DEAD,
+    MemberStatus.LEFT: events.MEMBER_LEFT,
+}
+
+
+class ControlService(aiomisc.Service):
+    """Runs membership and spreading of one node.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    environment : Environment
+        Clock and randomness.
+    traffic : asyncio.Queue
+        Where tables and directories go.
+    node_run : str
+        Random name of this run of the node.
+
+    Attributes
+    ----------
+    once : asyncio.Queue or None
+        Where the at-most-once task takes its inputs.
+    audit : asyncio.Queue or None
+        Where the audit task takes its inputs.
+    """
+
+    settings: Settings
+    environment: Environment
+    traffic: "asyncio.Queue[TrafficInput]"
+
+    def __init__(
+        self,
+        settings: Settings,
+        environment: Environment,
+        traffic: "asyncio.Queue[TrafficInput]",
+        node_run: str = "",
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.environment = environment
+        self.traffic = traffic
+        self.node_run = node_run
+        self.once: asyncio.Queue[OnceInput] | None = None
+        self.audit: asyncio.Queue[AuditInput] | None = None
+        self.inputs: asyncio.Queue[ControlInput] = asyncio.Queue()
+        own = self._own_record()
+        self.membership = Membership(
+            own, list(settings.peers), settings.control, environment.random
+        )
+        self.spread = Spread(
+            self.membership,
+            settings.control,
+            environment.random,
+            environment.clock.now_ms,
+        )
+        self.relay = LogRelay(self.membership, settings.control, environment.random)
+        self._summarizer = Summarizer(self.membership)
+        self._directory = DirectoryBuilder(settings.data_centre)
+        self._directory_is_stale = True
+        self._nodes: dict[tuple[str, str], Address] = {}
+        self._once_services: set[str] = set()
+        self.checkpoint_as_of = 0
+        sender = Sender(
+            own.instance,
+            own.data_centre,
+            own.incarnation,
+            own.host,
+            own.control_port,
+        )
+        self.links = Links(sender, settings.fleet_key)
+
+    def _own_record(self) -> MemberState:
+        settings = self.settings
+        return MemberState(
+            settings.instance,
+            settings.data_centre,
+            settings.region,
+            self.environment.clock.now_ms(),
+            1,
+            int(MemberStatus.ALIVE),
+            settings.host,
+            settings.control_port,
+            settings.operator_port,
+        )
+
+    async def start(self) -> None:
+        """Open the sockets and run until stopped."""
+        self.links.open()
+        self.start_event.set()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._receive())
+            group.create_task(self._take_inputs())
+            group.create_task(self._tick())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Tell the peers and close the sockets."""
+        self._perform_all(self._leave())
+        await self.links.close()
+
+    # -- tasks ---------------------------------------------------------------
+
+    async def _receive(self) -> None:
+        while True:
+            envelope = await self.links.receive()
+            now_ms = self._now_ms()
+            if isinstance(envelope.message, AuditItems | AuditReceipt):
+                self._tell_audit(
+                    AuditMessageReceived(envelope.sender.instance, envelope.message)
+                )
+                continue
+            if isinstance(envelope.message, OwnerMessage):
+                self._tell_once(
+                    OwnerMessageReceived(envelope.sender.instance, envelope.message)
+                )
+                continue
+            for decision in (self.membership, self.spread, self.relay):
+                self._perform_all(
+                    decision.handle(envelope.message, envelope.sender, now_ms)
+                )
+
+    async def _take_inputs(self) -> None:
+        while True:
+            self._perform_all(self._take(await self.inputs.get()))
+
+    async def _tick(self) -> None:
+        while True:
+            now_ms = self._now_ms()
+            self._perform_all(self.membership.tick(now_ms))
+            self._perform_all(self.spread.tick(now_ms))
+            self._perform_all(self._summarizer.tick(now_ms))
+            self._perform_all(self._tick_relay(now_ms))
+            self._refresh_directory(now_ms)
+            await asyncio.sleep(TICK_S)
+
+    def _tick_relay(self, now_ms: float) -> list[Output]:
+        readers = self.readers()
+        reader = readers[0] if readers else None
+        is_reachable = self.membership.own.log_reachable
+        return self.relay.tick(now_ms, reader, is_reachable)
+
+    def _tell_once(self, message: OnceInput) -> None:
+        if self.once is not None:
+            self.once.put_nowait(message)
+
+    def _tell_audit(self, message: AuditInput) -> None:
+        if self.audit is not None:
+            self.audit.put_nowait(message)
+
+    def _now_ms(self) -> float:
+        return self.environment.clock.monotonic_ms()
+
+    # -- inputs --------------------------------------------------------------
+
+    @singledispatchmethod
+    def _take(self, message: ControlInput) -> list[Output]:
+        raise TypeError(f"{type(message).__name__} is no input")
+
+    @_take.register
+    def _(self, message: ServersChanged) -> list[Output]:
+        self._directory_is_stale = True
+        servers = [
+            attrs.evolve(
+                server,
+                instance=self.settings.instance,
+                node_run=self.node_run,
+                control_port=self.settings.control_port,
+            )
+            for server in message.servers
+        ]
+        return self.membership.change_own(servers=servers)
+
+    @_take.register
+    def _(self, message: PageRead) -> list[Output]:
+        outputs = self.spread.take_page(message.page, self._now_ms())
+        if not self.membership.own.log_reachable:
+            events.emit(events.PLATFORM_REACHED)
+            outputs.extend(self.membership.change_own(log_reachable=True))
+        return outputs
+
+    @_take.register
+    def _(self, message: LogLost) -> list[Output]:
+        if not self.membership.own.log_reachable:
+            return []
+        events.emit(events.PLATFORM_UNREACHABLE, cause=message.cause)
+        return self.membership.change_own(log_reachable=False)
+
+    @_take.register
+    def _(self, message: OwnershipPageRead) -> list[Output]:
+        is_first = self.readers()[:1] == [self.settings.instance]
+        return self.relay.take_page(message.page, is_first)
+
+    @_take.register
+    def _(self, message: OwnerMessageOut) -> list[Output]:
+        to = self._nodes.get((message.instance, message.message.receiver_run))
+        if to is not None and self.links.send(to, message.message):
+            return []
+        if message.request_id:
+            self._tell_once(ForwardFailed(message.request_id, bytes_sent=False))
+        return []
+
+    @_take.register
+    def _(self, message: AuditOut) -> list[Output]:
+        member = self.membership.member(message.instance)
+        return [Send(member.address, message.message)] if member else []
+
+    @_take.register
+    def _(self, message: LeaveRequested) -> list[Output]:
+        return self._leave()
+
+    def _leave(self) -> list[Output]:
+        if self.membership.own.status == MemberStatus.LEFT:
+            return []
+        return self.membership.change_own(status=MemberStatus.LEFT)
+
+    # -- views ---------------------------------------------------------------
+
+    def readers(self) -> list[str]:
+        """Return who follows the platform's log, the first reader first."""
+        members = self.membership.members()
+        able = [m.instance for m in members if m.log_reachable]
+        names = able or [m.instance for m in members]
+        count = self.settings.control.readers_per_data_centre
+        return rendezvous(READER, names, count)
+
+    def is_reader(self) -> bool:
+        """Whether this node follows the platform's log."""
+        return self.settings.instance in self.readers()
+
+    def is_checkpoint_due(self) -> bool:
+        """Whether enough records came since the last checkpoint."""
+        state = self.spread.fold.state
+        if not state.version or self.spread.fold.is_seeking:
+            return False
+        behind = state.as_of - self.checkpoint_as_of
+        return behind >= self.settings.control.checkpoint_records
+
+    # -- outputs -------------------------------------------------------------
+
+    def _perform_all(self, outputs: list[Output]) -> None:
+        for output in outputs:
+            self._perform(output)
+
+    @singledispatchmethod
+    def _perform(self, output: Output) -> None:
+        raise TypeError(f"{type(output).__name__} is no output")
+
+    @_perform.register
+    def _(self, output: Send) -> None:
+        self.links.send(output.to, output.message)
+
+    @_perform.register
+    def _(self, output: ReplaceLink) -> None:
+        events.emit(events.LINK_REPLACED, to=str(output.to))
+        self.links.replace(output.to)
+
+    @_perform.register
+    def _(self, output: MemberChanged) -> None:
+        self._directory_is_stale = True
+        member = output.member
+        event = MEMBER_EVENTS[MemberStatus(member.status)]
+        events.emit(event, instance=member.instance)
+
+    @_perform.register
+    def _(self, output: Learned) -> None:
+        self._directory_is_stale = True
+
+    @_perform.register
+    def _(self, output: VersionApplied) -> None:
+        state = self.spread.fold.state
+        assert state.configuration is not None
+        table = RoutingTable(state.version, state.configuration)
+        self.traffic.put_nowait(TableReady(table))
+        self._directory_is_stale = True
+        events.emit(
+            events.VERSION_IN_FORCE,
+            version=state.version,
+            hash=state.document.hash.hex(),
+            at_ms=self.environment.clock.now_ms(),
+        )
+
+    @_perform.register
+    def _(self, output: VersionConflict) -> None:
+        events.emit(
+            events.VERSION_CONFLICT, version=output.version, peer=str(output.peer)
+        )
+
+    @_perform.register
+    def _(self, output: Folded) -> None:
+        self._note(output.event)
+
+    @_perform.register
+    def _(self, output: RecordsRelayed) -> None:
+        if output.has_regressed:
+            self._tell_once(LogRegressed())
+            return
+        entries = tuple(LogEntry(r.offset, r.payload) for r in output.records)
+        self._tell_once(LogRecordsRead(output.from_offset, entries, output.next_offset))
+
+    def _tell_members(self) -> None:
+        """Tell the at-most-once task which nodes live, by service."""
+        live: dict[str, list[NodeId]] = {}
+        self._nodes = {}
+        for server in self._directory.servers(self.membership.table.updates()):
+            if not server.node_run:
+                continue
+            node = NodeId(server.instance, server.node_run)
+            address = Address(server.host, server.control_port)
+            self._nodes[(server.instance, server.node_run)] = address
+            if server.status == ServerStatus.READY:
+                live.setdefault(server.service, []).append(node)
+        for service in self._once_services | live.keys():
+            nodes = tuple(live.get(service, ()))
+            self._tell_once(MembersChanged(service, nodes))
+        self._once_services = set(live)
+        self._name_service()
+
+    def _name_service(self) -> None:
+        state = self.spread.fold.state
+        if state.configuration is None:
+            return
+        table = RoutingTable(state.version, state.configuration)
+        for server in self.membership.own.servers:
+            if server.service in table.once_services:
+                self._tell_once(ServiceNamed(server.service))
+
+    def _refresh_directory(self, now_ms: float) -> None:
+        if not self._directory_is_stale:
+            return
+        self._directory_is_stale = False
+        self._tell_members()
+        directory = self._directory.build(self.membership.table.updates(), now_ms)
+        self.traffic.put_nowait(DirectoryReady(directory))
+
+    # -- events of the fold --------------------------------------------------
+
+    @singledispatchmethod
+    def _note(self, event: FoldEvent) -> None:
+        raise TypeError(f"{type(event).__name__} is no event of the fold")
+
+    @_note.register
+    def _(self, event: Accepted) -> None:
+        events.emit(events.PUBLICATION_ACCEPTED, **attrs.asdict(event))
+
+    @_note.register
+    def _(self, event: Refused) -> None:
+        events.emit(events.PUBLICATION_REFUSED, **attrs.asdict(event))
+
+    @_note.register
+    def _(self, event: Adopted) -> None:
+        return
+
+    @_note.register
+    def _(self, event: CheckpointRead) -> None:
+        self.checkpoint_as_of = max(self.checkpoint_as_of, event.as_of)
+
+    @_note.register
+    def _(self, event: Mismatched) -> None:
+        events.emit(events.CHECKPOINT_MISMATCH, **attrs.asdict(event))
+
+    @_note.register
+    def _(self, event: Regressed) -> None:
+        events.emit(events.LOG_REGRESSED, **attrs.asdict(event))
+
+    @_note.register
+    def _(self, event: GapFound) -> None:
+        events.emit(events.RETENTION_GAP, **attrs.asdict(event))
+
+    @_note.register
+    def _(self, event: Unsupported) -> None:
+        events.emit(events.FORMAT_UNSUPPORTED, **attrs.asdict(event))
--- /dev/null
+++ b/azurestep/traffic/call.py
@@ -0,0 +1,121 @@
+"""A request on its way through the node."""
+
+from collections.abc import AsyncIterable
+
+import attrs
+from aiohttp import web
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ..balancing import (
+    BODY_PREFIX_BYTES,
+    Budget,
+    EndpointKey,
+    fingerprint,
+    limit_budget,
+)
+from . import headers
+from .table import Match, RoutingTable
+
+BODY_KEPT_MAXIMUM_BYTES = 1024 * 1024
+DEFAULT_PORT_SEPARATOR = ":"
+
+
+@attrs.define
+class Call:
+    """A request together with what was decided about it.
+
+    Attributes
+    ----------
+    method, target : str
+        Method, and path with query as the caller wrote it.
+    fields : CIMultiDict
+        Headers as the caller sent them.
+    table : RoutingTable
+        Table that the request began with.
+    match : Match
+        Route and service.
+    budget : Budget
+        Time and depth at arrival.
+    arrived_ms : float
+        Monotonic time of arrival.
+    body : bytes
+        Whole body of the request, empty for none.
+    tried : list of EndpointKey
+        Backend servers that attempts went to.
+    is_resend : bool
+        Whether the caller says that it sent the request before.
+    stream : AsyncIterable of bytes or None
+        Body of a request too large to be kept; it can be sent only once.
+    is_suspect : bool
+        Whether the quarantine suspects the request.
+    waited_ms : float
+        Time spent waiting for the caller's body and for a slot.
+    """
+
+    method: str
+    target: str
+    fields: "CIMultiDictProxy[str] | CIMultiDict[str]"
+    table: RoutingTable
+    match: Match
+    budget: Budget
+    arrived_ms: float
+    body: bytes = b""
+    tried: list[EndpointKey] = attrs.field(factory=list)
+    is_resend: bool = False
+    stream: AsyncIterable[bytes] | None = None
+    is_suspect: bool = False
+    waited_ms: float = 0.0
+    _fingerprint: int | None = None
+
+    @property
+    def fingerprint(self) -> int:
+        """Fingerprint that tells the same request sent again."""
+        if self._fingerprint is None:
+            prefix = self.body[:BODY_PREFIX_BYTES]
+            route = self.match.route.name
+            self._fingerprint = fingerprint(self.method, route, self.target, prefix)
+        return self._fingerprint
+
+    @property
+    def deadline_ms(self) -> float:
+        """Monotonic time at which the caller gives up."""
+        return self.arrived_ms + self.budget.remaining_ms
+
+    def remaining_ms(self, now_ms: float) -> float:
+        """Return the time left."""
+        return self.deadline_ms - now_ms
+
+
+def host_of(request: web.BaseRequest) -> str:
+    """Return the host that the caller asked for, without the port."""
+    return (request.host or "").partition(DEFAULT_PORT_SEPARATOR)[0]
+
+
+def budget_of(request: web.BaseRequest, match: Match) -> Budget:
+    """Return the time and depth of a request at its arrival."""
+    remaining_ms = _number(request.headers.get(headers.DEADLINE_MS))
+    depth = _number(request.headers.get(headers.DEPTH))
+    return limit_budget(remaining_ms, int(depth or 0), match.timeout_ms)
+
+
+def is_resend(request: web.BaseRequest) -> bool:
+    """Tell whether the caller says that it sent the request before."""
+    attempt = _number(request.headers.get(headers.ATTEMPT))
+    return attempt is not None and attempt > 1
+
+
+def target_of(request: web.BaseRequest) -> str:
+    """Return path and query as the caller wrote them, in origin form."""
+    target = request.raw_path
+    if target.startswith("/") or target == "*":
+        return target
+    return str(request.rel_url.relative()) if request.rel_url.host else target
+
+
+def _number(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/azurestep/traffic/proxy.py
@@ -0,0 +1,247 @@
+"""The proxy: takes a caller's request through the stages to its answer.
+
+Stages: match the route, read the body, admit, send, relay. Each stage takes the
+call and returns the next thing or a refusal.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from aiohttp import web
+
+from ..balancing import LoadReport
+from ..environment import Clock
+from ..settings import Settings
+from .answers import Refusal, answer_of, not_run
+from .attempt import AttemptSender
+from .call import (
+    BODY_KEPT_MAXIMUM_BYTES,
+    Call,
+    budget_of,
+    host_of,
+    is_resend,
+    target_of,
+)
+from .directory import Directory
+from .forward import Forwarder
+from .latency import AddedLatency, LatencySummary
+from .pool import NewsListener, QuarantineNews, ServicePool
+from .single_run import RunResult, run_single
+from .table import RoutingTable
+
+STARTING_RETRY_AFTER_MS = 500.0
+MS_PER_S = 1000
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+OnceHandler = Callable[[Call], Awaitable[web.Response]]
+
+
+class Proxy:
+    """Serves callers with the routing table and the directory of the moment.
+
+    Attributes
+    ----------
+    on_quarantine_news : callable
+        Told what this node learned about requests that crash backend servers,
+        so that the other nodes can be told.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        sender: AttemptSender,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self.on_quarantine_news: NewsListener = _ignore
+        self._settings = settings
+        self._clock = clock
+        self._random = source
+        self._latency = AddedLatency()
+        self._forwarder = Forwarder(sender, clock, self._latency)
+        self._table: RoutingTable | None = None
+        self._directory = Directory()
+        self._pools: dict[str, ServicePool] = {}
+        self._in_flight = 0
+        self._is_draining = False
+        self.once: OnceHandler | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no whole answer yet."""
+        return self._in_flight
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """The table in force."""
+        return self._table
+
+    def latency_summary(self) -> LatencySummary:
+        """Return the distribution of the time that this node adds."""
+        return self._latency.summary()
+
+    def drain(self) -> None:
+        """Ask the callers to go elsewhere: each answer closes its connection."""
+        self._is_draining = True
+
+    def swap_table(self, table: RoutingTable) -> None:
+        """Put a whole new table in force by one assignment."""
+        now_ms = self._clock.monotonic_ms()
+        for name, service in table.services.items():
+            pool = self._pools.get(name)
+            if pool is None:
+                self._pools[name] = self._make_pool(table, name, now_ms)
+            else:
+                pool.configure(service, table.shares, now_ms)
+        self._table = table
+
+    def _make_pool(self, table: RoutingTable, name: str, now_ms: float) -> ServicePool:
+        pool = ServicePool(
+            table.services[name],
+            table.shares,
+            self._settings.data_centre,
+            self._settings.instance,
+            self._random,
+            on_news=self._tell_news,
+        )
+        pool.replace_endpoints(self._directory.of(name), now_ms)
+        return pool
+
+    def _tell_news(self, news: QuarantineNews) -> None:
+        self.on_quarantine_news(news)
+
+    def swap_directory(self, directory: Directory) -> None:
+        """Take over the present backend servers of every service."""
+        now_ms = self._clock.monotonic_ms()
+        self._directory = directory
+        for name, pool in self._pools.items():
+            pool.replace_endpoints(directory.of(name), now_ms)
+
+    def learn_quarantine(self, news: QuarantineNews) -> None:
+        """Take over what another node learned."""
+        pool = self._pools.get(news.service)
+        if pool is not None:
+            pool.quarantine.learn(news.updates, self._clock.monotonic_ms())
+
+    def report_load(self, service: str, report: LoadReport) -> None:
+        """Take a backend server's own word as a hint."""
+        pool = self._pools.get(service)
+        if pool is not None:
+            pool.admission.report(report)
+
+    def tick(self) -> None:
+        """Drop waiting requests whose time is over."""
+        now_ms = self._clock.monotonic_ms()
+        self._latency.flush()
+        for pool in self._pools.values():
+            pool.tick(now_ms)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self._in_flight += 1
+        try:
+            result = await self._serve(request)
+        finally:
+            self._in_flight -= 1
+        response = answer_of(result) if isinstance(result, Refusal) else result
+        if self._is_draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse | Refusal:
+        call = self._match(request)
+        if isinstance(call, Refusal):
+            return call
+        refusal = await self._read_body(request, call)
+        if refusal is not None:
+            return refusal
+        if not call.match.idempotent and self.once is not None:
+            return await self.once(call)
+        return await self.run(request, call)
+
+    async def run_single(self, call: Call) -> RunResult:
+        """Run a request that must not repeat, once."""
+        pool = self._pools[call.match.service.name]
+        return await run_single(pool, self._forwarder, call, self._clock)
+
+    def _match(self, request: web.BaseRequest) -> Call | Refusal:
+        arrived_ms = self._clock.monotonic_ms()
+        table = self._table
+        if table is None:
+            return not_run(503, "starting", STARTING_RETRY_AFTER_MS)
+        match = table.match(
+            host_of(request), request.path, request.method, request.headers
+        )
+        if match is None:
+            return not_run(404, "no_route", None)
+        budget = budget_of(request, match)
+        if budget.expired:
+            return not_run(504, "deadline", None)
+        if budget.too_deep:
+            return not_run(508, "too_deep", None)
+        return Call(
+            request.method,
+            target_of(request),
+            request.headers,
+            table,
+            match,
+            budget,
+            arrived_ms,
+            is_resend=is_resend(request),
+        )
+
+    async def _read_body(self, request: web.BaseRequest, call: Call) -> Refusal | None:
+        if not request.body_exists:
+            return None
+        started_ms = self._clock.monotonic_ms()
+        if "Expect" in request.headers and request.transport is not None:
+            request.transport.write(CONTINUE)
+        remaining_ms = call.remaining_ms(started_ms)
+        try:
+            async with asyncio.timeout(max(0.0, remaining_ms) / MS_PER_S):
+                refusal = await _keep_body(request, call)
+        except TimeoutError:
+            return not_run(408, "body_too_slow", None)
+        call.waited_ms += self._clock.monotonic_ms() - started_ms
+        return refusal
+
+    async def run(
+        self, request: web.BaseRequest | None, call: Call
+    ) -> web.StreamResponse | Refusal:
+        """Send attempts until one is answered or none may follow.
+
+        Parameters
+        ----------
+        request : web.BaseRequest or None
+            Where a large answer is written as it comes; None returns every
+            answer whole, as a ``web.Response``.
+        call : Call
+            What to send.
+        """
+        pool = self._pools[call.match.service.name]
+        return await self._forwarder.run(pool, request, call)
+
+
+async def _keep_body(request: web.BaseRequest, call: Call) -> Refusal | None:
+    """Keep the body for retries; one over the bound is streamed, or refused."""
+    body = bytearray()
+    while chunk := await request.content.readany():
+        body += chunk
+        if len(body) <= BODY_KEPT_MAXIMUM_BYTES:
+            continue
+        if not call.match.idempotent:
+            return not_run(413, "body_too_large", None)
+        call.stream = _stream(bytes(body), request)
+        return None
+    call.body = bytes(body)
+    return None
+
+
+async def _stream(kept: bytes, request: web.BaseRequest) -> AsyncIterator[bytes]:
+    yield kept
+    while chunk := await request.content.readany():
+        yield chunk
+
+
+def _ignore(news: QuarantineNews) -> None:
+    return
