--- a/azurestep/balancing/quarantine.py
+++ b/azurestep/balancing/quarantine.py
@@ -161,7 +161,10 @@
         ]
 
     def learn(
-        self, updates: Iterable[QuarantineUpdate], now_ms: float, servers: int
+        self,
+        updates: Iterable[QuarantineUpdate],
+        now_ms: float,
+        servers: int | None = None,
     ) -> None:
         """Take over what other nodes saw.
 
@@ -171,10 +174,12 @@
             What they told.
         now_ms : float
             Present time.
-        servers : int
-            Backend servers of the service.
+        servers : int or None
+            Backend servers of the service; None keeps the number last told.
+            Too small a number makes refusals rarer, never more frequent.
         """
-        self._servers = max(servers, 1)
+        if servers is not None:
+            self._servers = max(servers, 1)
         for update in updates:
             suspect = self._record(update.fingerprint, now_ms)
             for key in update.deaths:
