--- a/bench/trace.py
+++ b/bench/trace.py
@@ -113,9 +113,10 @@
 
     def apply(self, step: Step) -> list[dict[str, Any]]:
         """Take a page of the log and return the events as plain data."""
-        page = CONVERTER.structure(step.fields, Page)
+        asked = {"from_offset": self._fold.next_offset, **step.fields}
+        page = CONVERTER.structure(asked, Page)
         records = [LogRecord(r.offset, r.time_ms, r.value) for r in page.records]
-        events = self._fold.take(page.first_offset, page.next_offset, records)
+        events = self._fold.take(attrs.evolve(page, records=records))
         state = self._fold.state
         outputs = [_plain(event) for event in events]
         return [*outputs, {"kind": "State", "version": state.version}]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 
 pytest_plugins = [
+    "tests.fixtures_fold",
     "tests.fixtures_standins",
     "tests.fixtures_cli",
     "tests.fixtures_traffic",
