--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -19,13 +19,15 @@
 """
 
 
-def run_pytest(path: pathlib.Path, listed: str) -> subprocess.CompletedProcess[str]:
-    (path / "pytest.ini").write_text("[pytest]\n")
+def run_pytest(
+    path: pathlib.Path, listed: str, *options: str
+) -> subprocess.CompletedProcess[str]:
+    (path / "pytest.ini").write_text("[pytest]\ntestpaths = .\n")
     (path / "conftest.py").write_text(CONFTEST)
     (path / "test_sample.py").write_text(TESTS)
     (path / "KNOWN-RED.txt").write_text(listed)
     return subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", str(path)],
+        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *options],
         cwd=path,
         env={"PYTHONPATH": str(ROOT)},
         capture_output=True,
@@ -52,6 +54,16 @@
     assert "XPASS(strict)" in result.stdout
 
 
+@pytest.mark.parametrize("options", [(), ("-n", "2")])
+def test_line_that_names_no_test_fails(
+    tmp_path: pathlib.Path, options: tuple[str, ...]
+) -> None:
+    listed = "test_sample.py::test_fails; x; 1\ntest_sample.py::test_gone; a fault; 2\n"
+    result = run_pytest(tmp_path, listed, *options)
+    assert result.returncode == 1, result.stdout
+    assert "names no test: test_sample.py::test_gone" in result.stdout
+
+
 def test_fourth_entry_is_refused(tmp_path: pathlib.Path) -> None:
     result = run_pytest(tmp_path, "".join(LINE.format(n) for n in range(4)))
     assert result.returncode != 0
