--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -1,6 +1,7 @@
 """Runs a node: assembles its tasks and stops them in order."""
 
 import asyncio
+import gc
 import signal
 
 import aiomisc
@@ -19,6 +20,10 @@
 from .traffic import TrafficService
 
 DRAIN_SETTLE_S = 2.0
+LEAVE_SETTLE_S = 0.2
+YOUNG_OBJECTS = 10_000
+YOUNG_PASSES = 10
+MIDDLE_PASSES = 20
 DRAIN_TIMEOUT_S = 30.0
 HAND_OVER_TIMEOUT_S = 8.0
 AUDIT_TIMEOUT_S = 3.0
@@ -56,6 +61,7 @@
     try:
         for service in services:
             tasks.append(await _start(service))
+        tune_collector()
         events.emit(events.NODE_STARTED, instance=settings.instance)
         await _wait_for_end(drain, tasks)
         events.emit(events.NODE_STOPPING, instance=settings.instance)
@@ -69,6 +75,13 @@
     events.emit(events.NODE_STOPPED, instance=settings.instance)
 
 
+def tune_collector() -> None:
+    """Keep what lives as long as the process out of the collector's passes."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, YOUNG_PASSES, MIDDLE_PASSES)
+
+
 async def _start(service: aiomisc.Service) -> "asyncio.Task[None]":
     """Start a service and wait until it is ready or has failed."""
     service.set_loop(asyncio.get_running_loop())
@@ -100,14 +113,25 @@
     once: OnceService,
     audit: AuditService,
 ) -> None:
-    """Take no new work from peers, then let what is in flight end."""
+    """Take no new work from peers, then let what is in flight end.
+
+    Callers are asked to go elsewhere from the start; the listener closes only
+    when the peers had time to hear, so that nobody is refused before.
+    """
     begun = audit.begin_drain(traffic.proxy.in_flight)
-    announce.leases.leave_all(announce.environment.clock.monotonic_ms())
-    handed_over = await once.hand_over(HAND_OVER_TIMEOUT_S)
-    control.inputs.put_nowait(LeaveRequested())
-    await asyncio.sleep(DRAIN_SETTLE_S)
+    traffic.proxy.drain()
+    announce.leave_all()
+    _, handed_over = await asyncio.gather(
+        asyncio.sleep(DRAIN_SETTLE_S), once.hand_over(HAND_OVER_TIMEOUT_S)
+    )
+    await traffic.stop_listening()
     deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
     while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
         await asyncio.sleep(DRAIN_CHECK_S)
     cut = traffic.proxy.in_flight
+    if cut:
+        events.emit(events.REQUESTS_CUT, requests=cut)
+    # A node that left hears no more of leaving backend servers, so this is last.
+    control.inputs.put_nowait(LeaveRequested())
     await audit.end_drain(begun, cut, handed_over, AUDIT_TIMEOUT_S)
+    await asyncio.sleep(LEAVE_SETTLE_S)
--- /dev/null
+++ b/bench/request_path.py
@@ -0,0 +1,222 @@
+"""Cost of the request path: paired calls with and without the node.
+
+Usage:
+  request_path [--requests N] [--rounds N] [--per-second RATE] [--profile FILE]
+  request_path serve BACKEND_PORT TRAFFIC_PORT [--profile FILE]
+
+Options:
+  --requests N        Calls of each way in one round. [default: 1500]
+  --rounds N          Rounds; the ways take turns call by call. [default: 4]
+  --per-second RATE   Calls a second, both ways together. [default: 300]
+  --profile FILE      Write a cProfile of the node's process there.
+"""
+
+import asyncio
+import cProfile
+import signal
+import sys
+import time
+
+import aiohttp
+import attrs
+import cattrs
+import docopt
+import orjson
+import uvloop
+
+from azurestep.balancing import Endpoint, EndpointKey
+from azurestep.config.model import Configuration, Preset, Route, Service
+from azurestep.environment import Environment
+from azurestep.node.messages import DirectoryReady, TableReady
+from azurestep.node.run import tune_collector
+from azurestep.node.traffic import TrafficService
+from azurestep.settings import Settings
+from azurestep.traffic.directory import Directory
+from azurestep.traffic.latency import LatencySummary
+from azurestep.traffic.table import RoutingTable
+
+from .fleet import HOST, Fleet, free_ports, wait_for_port
+from .results import Machine, at_end, machine_facts, percentile, write_result
+
+SERVICE = "catalogue"
+PATH = "/songs"
+WARM_UP = 300
+TARGET_MS = 0.76
+
+
+@attrs.frozen
+class Way:
+    """Latency of the calls of one way, in ms."""
+
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+
+
+@attrs.frozen
+class RequestPath:
+    """Result of the paired run.
+
+    Attributes
+    ----------
+    direct, through : Way
+        Calls to the backend server, and calls through the node.
+    direct_again : Way
+        A second way without the node: how much two equal ways differ.
+    added : LatencySummary
+        Time added inside the node, by its own histogram.
+    node_processor_us : float
+        Processor time of the node's process for one call.
+    target_ms : float
+        Target for 99 in 100.
+    """
+
+    requests: int
+    per_second: float
+    direct: Way
+    direct_again: Way
+    through: Way
+    added: LatencySummary
+    node_processor_us: float
+    target_ms: float
+    machine: Machine
+
+
+def way_of(times_ms: list[float]) -> Way:
+    """Return the percentiles of one way."""
+    return Way(*(percentile(times_ms, share) for share in (0.5, 0.9, 0.99)))
+
+
+async def serve(backend_port: int, traffic_port: int, profile: str | None) -> None:
+    """Run a node's traffic task until SIGTERM; print what it added."""
+    _, *ports = free_ports(4)
+    settings = Settings(
+        "node-1", "dc-1", HOST, traffic_port, *ports, platform_url="http://127.0.0.1:1"
+    )
+    traffic = TrafficService(settings, Environment(), asyncio.Queue())
+    traffic.set_loop(asyncio.get_running_loop())
+    configuration = Configuration(
+        1, "ordinary", [Service(SERVICE)], [Route("all", SERVICE)], [Preset("ordinary")]
+    )
+    endpoint = Endpoint(
+        EndpointKey(HOST, backend_port, 1), SERVICE, "node-1", "dc-1", 12
+    )
+    traffic.inputs.put_nowait(TableReady(RoutingTable(1, configuration)))
+    directory = Directory({SERVICE: (endpoint,)}, frozenset({SERVICE}))
+    traffic.inputs.put_nowait(DirectoryReady(directory))
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    task = loop.create_task(traffic.start())
+    tune_collector()
+    profiler = cProfile.Profile()
+    if profile:
+        profiler.enable()
+    await stop.wait()
+    if profile:
+        profiler.disable()
+        profiler.dump_stats(profile)
+    added = attrs.asdict(traffic.proxy.latency_summary())
+    processor_s = time.process_time()
+    print(orjson.dumps({"added": added, "processor_s": processor_s}).decode())
+    await traffic.stop()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def call(session: aiohttp.ClientSession, url: str) -> float:
+    """Send one call; return its time in ms."""
+    started = time.perf_counter()
+    async with session.get(url) as response:
+        await response.read()
+        response.raise_for_status()
+    return (time.perf_counter() - started) * 1000
+
+
+async def take_turns(
+    urls: list[str], requests: int, per_second: float
+) -> list[list[float]]:
+    """Call each address in turn at a steady rate, on a connection of its own."""
+    times: list[list[float]] = [[] for _ in urls]
+    sessions = [aiohttp.ClientSession() for _ in urls]
+    loop = asyncio.get_running_loop()
+    pause_s = 1 / per_second
+    due_s = loop.time()
+    try:
+        for number in range(requests * len(urls)):
+            index = number % len(urls)
+            due_s = max(due_s + pause_s, loop.time() - pause_s)
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
+            times[index].append(await call(sessions[index], urls[index]))
+    finally:
+        for session in sessions:
+            await session.close()
+    return times
+
+
+async def measure(
+    requests: int, rounds: int, per_second: float, profile: str | None
+) -> RequestPath:
+    """Run the pairs."""
+    machine = machine_facts()
+    async with Fleet() as fleet:
+        backend_port, traffic_port = free_ports(2)
+        await fleet.start_lone_backend_server(SERVICE, "--port", str(backend_port))
+        await wait_for_port(backend_port)
+        words = ["serve", str(backend_port), str(traffic_port)]
+        words += ["--profile", profile] if profile else []
+        node = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "bench.request_path", *words),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        await wait_for_port(traffic_port)
+        direct = f"http://{HOST}:{backend_port}{PATH}"
+        through = f"http://{HOST}:{traffic_port}{PATH}"
+        urls = [direct, through, direct]
+        await take_turns(urls, WARM_UP, per_second)
+        times: list[list[float]] = [[], [], []]
+        for _ in range(rounds):
+            for held, found in zip(
+                times, await take_turns(urls, requests, per_second), strict=True
+            ):
+                held.extend(found)
+        node.send_signal(signal.SIGTERM)
+        output, _ = await node.communicate()
+    said = orjson.loads(output.splitlines()[-1])
+    added = cattrs.structure(said["added"], LatencySummary)
+    return RequestPath(
+        requests * rounds,
+        per_second,
+        way_of(times[0]),
+        way_of(times[2]),
+        way_of(times[1]),
+        added,
+        said["processor_s"] / added.count * 1_000_000,
+        TARGET_MS,
+        at_end(machine),
+    )
+
+
+def main() -> None:
+    """Run the measurement, or the node's side of it, from the command line."""
+    options = docopt.docopt(__doc__ or "")
+    profile = options["--profile"]
+    if options["serve"]:
+        ports = int(options["BACKEND_PORT"]), int(options["TRAFFIC_PORT"])
+        uvloop.run(serve(*ports, profile))
+        return
+    result = uvloop.run(
+        measure(
+            int(options["--requests"]),
+            int(options["--rounds"]),
+            float(options["--per-second"]),
+            profile,
+        )
+    )
+    if profile is None:
+        write_result("request_path", result)
+    print(result)
+
+
+if __name__ == "__main__":
+    main()
