--- a/bench/herds.py
+++ b/bench/herds.py
@@ -53,7 +53,7 @@
         Beliefs, after that end, that a running node is dead.
     herd_ms : float
         From the return of half of the nodes until every node knows every other.
-    herd_peak_per_s : float
+    herd_per_s : float
         Messages sent for each node and second until then.
     quiet_per_s : float
         Messages sent for each node and second in a quiet minute.
@@ -68,7 +68,7 @@
     heal_ms: float
     deaths_after_heal: int
     herd_ms: float
-    herd_peak_per_s: float
+    herd_per_s: float
 
 
 def measure(nodes: int, seed: int) -> Result:
