--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,7 +18,15 @@
 import uvloop
 
 # Modules that are commands of their own, run as such.
-COMMANDS = ("once", "races", "rolling", "request_path", "silent_path")
+COMMANDS = (
+    "once",
+    "races",
+    "rolling",
+    "herds",
+    "overload",
+    "request_path",
+    "silent_path",
+)
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines")
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -97,19 +97,19 @@
 
 
 def draw_overload(axes: Axes) -> None:
-    """Draw the goodput under overload, beside its baseline."""
+    """Draw the goodput under overload for each policy."""
     result = orjson.loads((RESULTS / "overload.json").read_bytes())
-    for case in result["cases"]:
-        points = case["points"]
-        axes.plot(
-            [point["offered_per_s"] for point in points],
-            [point["goodput_per_s"] for point in points],
-            marker="o",
-            label=case["label"],
-        )
+    points: dict[str, dict[float, float]] = {}
+    for row in result["tables"]["overload"]:
+        if row["scenario"].endswith("times capacity"):
+            rows = points.setdefault(row["policy"], {})
+            rows[row["load"]] = row["good_ratio"] * row["load"]
+    for policy, rows in points.items():
+        loads = sorted(rows)
+        axes.plot(loads, [rows[load] for load in loads], marker="o", label=policy)
     axes.set(
-        xlabel="calls offered per second",
-        ylabel="answered in time per second",
+        xlabel="load offered, times capacity",
+        ylabel="goodput, times capacity",
         title="Overload",
     )
 
