--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -18,7 +18,8 @@
 KEEP_ALIVE_S = 75.0
 SWEEP_S = 1.0
 READY_CHECK_S = 0.02
-ENDPOINTS_WAIT_S = 3.0
+DIRECTORY_WAIT_S = 3.0
+DIRECTORY_SETTLE_S = 0.3
 
 
 class TrafficService(aiomisc.Service):
@@ -38,31 +39,33 @@
         sender = AttemptSender(self._connections, environment.clock)
         self.proxy = Proxy(settings, sender, environment.clock, environment.random)
         self._runner: web.ServerRunner | None = None
-        self.listening = asyncio.Event()
 
     async def start(self) -> None:
-        """Take tables and directories until stopped; listen once ready."""
+        """Listen and take tables and directories until stopped."""
+        await self._listen()
         self.start_event.set()
         async with asyncio.TaskGroup() as group:
             group.create_task(self._take_inputs())
             group.create_task(self._tick())
             group.create_task(self._sweep())
-            group.create_task(self._listen_when_ready())
+            group.create_task(self._wait_for_directory())
 
-    async def _listen_when_ready(self) -> None:
-        """Listen once there is a table and its services have endpoints.
+    async def _wait_for_directory(self) -> None:
+        """Let requests go on once there is a table and the directory had time.
 
-        A caller that is refused goes to another node at once; one that gets a
-        connection would have to be told "not run".
+        Until then they wait: a node that just started would have to say "not
+        run" to what another node can serve.
         """
+        loop = asyncio.get_running_loop()
+        latest_s = loop.time() + DIRECTORY_WAIT_S
+        while not self.proxy.has_directory and loop.time() < latest_s:
+            await asyncio.sleep(READY_CHECK_S)
+        settled_s = loop.time() + DIRECTORY_SETTLE_S
         while self.proxy.table is None:
             await asyncio.sleep(READY_CHECK_S)
-        loop = asyncio.get_running_loop()
-        latest_s = loop.time() + ENDPOINTS_WAIT_S
-        while not self.proxy.knows_endpoints() and loop.time() < latest_s:
+        while not self.proxy.knows_endpoints() and loop.time() < settled_s:
             await asyncio.sleep(READY_CHECK_S)
-        await self._listen()
-        self.listening.set()
+        self.proxy.ready.set()
 
     async def _listen(self) -> None:
         server = web.Server(
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -31,6 +31,7 @@
 from .table import RoutingTable
 
 STARTING_RETRY_AFTER_MS = 500.0
+STARTING_WAIT_S = 2.0
 MS_PER_S = 1000
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 OnceHandler = Callable[[Call], Awaitable[web.Response]]
@@ -44,6 +45,8 @@
     on_quarantine_news : callable
         Told what this node learned about requests that crash backend servers,
         so that the other nodes can be told.
+    ready : asyncio.Event
+        Set once requests needn't wait for a table and the directory any more.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         self._pools: dict[str, ServicePool] = {}
         self._in_flight = 0
         self._is_draining = False
+        self.ready = asyncio.Event()
         self.once: OnceHandler | None = None
 
     @property
@@ -76,6 +80,11 @@
         """The table in force."""
         return self._table
 
+    @property
+    def has_directory(self) -> bool:
+        """Whether any backend server is known."""
+        return bool(self._directory.endpoints)
+
     def knows_endpoints(self) -> bool:
         """Whether every service of the table has a backend server."""
         if self._table is None:
@@ -154,7 +163,15 @@
             response.force_close()
         return response
 
+    async def _wait_until_ready(self) -> None:
+        try:
+            await asyncio.wait_for(self.ready.wait(), STARTING_WAIT_S)
+        except TimeoutError:
+            return
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse | Refusal:
+        if not self.ready.is_set():
+            await self._wait_until_ready()
         call = self._match(request)
         if isinstance(call, Refusal):
             return call
--- a/bench/silent_path.py
+++ b/bench/silent_path.py
@@ -96,7 +96,7 @@
     traffic.inputs.put_nowait(TableReady(RoutingTable(1, configuration)))
     traffic.inputs.put_nowait(DirectoryReady(directory))
     task = asyncio.create_task(traffic.start())
-    await asyncio.wait_for(traffic.listening.wait(), 10)
+    await asyncio.wait_for(traffic.proxy.ready.wait(), 10)
     return traffic, task
 
 
