--- a/azurestep/balancing/quarantine.py
+++ b/azurestep/balancing/quarantine.py
@@ -10,11 +10,9 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
-from enum import StrEnum
-
-import attrs
 
 from .messages import EndpointKey
+from .suspects import QuarantineUpdate, Standing, Suspect
 
 DEATHS_TO_REFUSE = 2
 TABLE_SIZE = 1024
@@ -27,62 +25,6 @@
 REMEMBERED_DEATHS = 256
 
 
-class Standing(StrEnum):
-    """How a fingerprint is treated."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    REFUSED = "refused"
-
-
-@attrs.frozen
-class QuarantineUpdate:
-    """What one node tells the others of a fingerprint.
-
-    Attributes
-    ----------
-    fingerprint : int
-        Which request.
-    deaths : tuple of EndpointKey
-        Backend servers that died with it in flight.
-    refused_for_ms : float
-        Rest of the refusal; 0 for a mere suspect.
-    """
-
-    fingerprint: int
-    deaths: tuple[EndpointKey, ...]
-    refused_for_ms: float = 0.0
-
-
-@attrs.define
-class Suspect:
-    """Record of one fingerprint.
-
-    Attributes
-    ----------
-    deaths : set of EndpointKey
-        Backend servers that died with it in flight.
-    pending : dict
-        Connections lost with it in flight, by backend server with the time,
-        until that server proves dead or alive.
-    survivals : int
-        Times it ran to an answer since it was first suspected.
-    running : dict
-        Attempts in flight now, by backend server.
-    refused_until_ms : float
-        End of the refusal; negative infinity for none.
-    expiry_ms : float
-        When the record is dropped.
-    """
-
-    deaths: set[EndpointKey] = attrs.field(factory=set)
-    pending: dict[EndpointKey, float] = attrs.field(factory=dict)
-    survivals: int = 0
-    running: dict[EndpointKey, int] = attrs.field(factory=dict)
-    refused_until_ms: float = float("-inf")
-    expiry_ms: float = float("inf")
-
-
 class Quarantine:
     """Bounded table of suspects of one service at one node.
 
@@ -110,6 +52,9 @@
         self._dead: dict[EndpointKey, float] = {}
         self._servers = 1
 
+    def __len__(self) -> int:
+        return len(self._suspects)
+
     @property
     def active(self) -> bool:
         """Whether any fingerprint is on record; if not, none need be computed."""
@@ -170,7 +115,7 @@
         suspect.pending[key] = now_ms
 
     def server_died(
-        self, key: EndpointKey, now_ms: float, servers: int = 1
+        self, key: EndpointKey, now_ms: float, servers: int
     ) -> list[QuarantineUpdate]:
         """Note that a backend server is dead for certain.
 
@@ -215,8 +160,26 @@
             if suspect.deaths
         ]
 
-    def learn(self, updates: Iterable[QuarantineUpdate], now_ms: float) -> None:
-        """Take over what other nodes saw."""
+    def learn(
+        self,
+        updates: Iterable[QuarantineUpdate],
+        now_ms: float,
+        servers: int | None = None,
+    ) -> None:
+        """Take over what other nodes saw.
+
+        Parameters
+        ----------
+        updates : iterable of QuarantineUpdate
+            What they told.
+        now_ms : float
+            Present time.
+        servers : int or None
+            Backend servers of the service; None keeps the number last told.
+            Too small a number makes refusals rarer, never more frequent.
+        """
+        if servers is not None:
+            self._servers = max(servers, 1)
         for update in updates:
             suspect = self._record(update.fingerprint, now_ms)
             for key in update.deaths:
