Keep a payment with its owner when its route moves to another service

Cause, seen failing first: slots were kept by service. When an operator moved a payment's route to another service, the key found another owner, and a payment sent again ran a second time (tests/scenarios/rerouting.feature). Ruled out: taking the service before presets only, since a publication moves a route just as well. Change: the keys of all services share one space of 256 slots, owned by the nodes beside services that take payments; nodes of other services that still own slots stay in reach. Fewer owners also mean fewer extensions: at most 256 for a fleet.

A log has regressed only if it ends below the offset that the read asked for. Also: slots move to preferred members only while the log is in reach, since a slot that began to move stays closed until its release is read back.

The scenarios now wait for the traffic address, which a node opens once it knows the endpoints of its routes; the decision's own tests name the 32 slots that they count on.

--- a/azurestep/control/relay.py
+++ b/azurestep/control/relay.py
@@ -59,7 +59,7 @@
         The first reader pushes them in batches, since ownership is extended long
         before it is needed.
         """
-        if page.next_offset < self._next_offset:
+        if page.next_offset < page.from_offset:
             return self._regress(self._membership.own.instance)
         from_offset = max(self._next_offset, page.first_offset)
         records = [
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -50,6 +50,7 @@
 from ..once.messages import (
     ForwardFailed,
     Input,
+    LogHealth,
     LogRecordsRead,
     LogRegressed,
 )
@@ -67,16 +68,16 @@
     LogLost,
     OwnerMessageOut,
     OwnerMessageReceived,
+    OwnershipAllowed,
     OwnershipPageRead,
     PageRead,
     ServersChanged,
-    ServiceNamed,
     TableReady,
     TrafficInput,
 )
 from .owners import OwnerDirectory
 
-OnceInput = Input | OwnerMessageReceived | ServiceNamed
+OnceInput = Input | OwnerMessageReceived | OwnershipAllowed
 
 READER = "reader"
 TICK_S = 0.1
@@ -143,6 +144,7 @@
         self._summarizer = Summarizer(self.membership)
         self._directory = DirectoryBuilder(settings.data_centre)
         self._owners = OwnerDirectory()
+        self._is_log_reachable = True
         self._readers: list[str] = []
         self._readers_epoch = -1
         self._once_services: frozenset[str] = frozenset()
@@ -225,9 +227,17 @@
     def _tick_relay(self, now_ms: float) -> list[Output]:
         readers = self.readers()
         reader = readers[0] if readers else None
+        self._tell_log_health()
         is_reachable = self.membership.own.log_reachable
         return self.relay.tick(now_ms, reader, is_reachable)
 
+    def _tell_log_health(self) -> None:
+        """Tell the at-most-once task whether a reader reaches the log."""
+        is_reachable = any(m.log_reachable for m in self.membership.members())
+        if is_reachable != self._is_log_reachable:
+            self._is_log_reachable = is_reachable
+            self._tell_once(LogHealth(is_reachable))
+
     def _tell_once(self, message: OnceInput) -> None:
         if self.once is not None:
             self.once.put_nowait(message)
@@ -258,7 +268,6 @@
         ]
         outputs = self.membership.change_own(servers=servers)
         self._directory.take(self.membership.own)
-        self._name_service()
         return outputs
 
     @_take.register
@@ -385,7 +394,8 @@
         table = RoutingTable(state.version, state.configuration)
         self.traffic.put_nowait(TableReady(table))
         self._once_services = table.once_services
-        self._name_service()
+        self._owners.choose(table.once_services)
+        self._tell_owners()
         events.emit(
             events.VERSION_IN_FORCE,
             version=state.version,
@@ -411,10 +421,13 @@
         entries = tuple(LogEntry(r.offset, r.payload) for r in output.records)
         self._tell_once(LogRecordsRead(output.from_offset, entries, output.next_offset))
 
-    def _name_service(self) -> None:
-        for server in self.membership.own.servers:
-            if server.service in self._once_services:
-                self._tell_once(ServiceNamed(server.service))
+    def _tell_owners(self) -> None:
+        """Tell the at-most-once task which nodes own keys, and whether this does."""
+        change = self._owners.change()
+        if change is not None:
+            self._tell_once(change)
+        if any(s.service in self._once_services for s in self.membership.own.servers):
+            self._tell_once(OwnershipAllowed())
 
     def _refresh_directory(self, now_ms: float) -> None:
         if not self._directory.is_stale:
@@ -422,9 +435,8 @@
         directory = self._directory.build(now_ms)
         self.traffic.put_nowait(DirectoryReady(directory))
         for service in directory.changed:
-            servers = self._directory.servers(service)
-            for change in self._owners.replace(service, servers):
-                self._tell_once(change)
+            self._owners.replace(service, self._directory.servers(service))
+        self._tell_owners()
 
     # -- events of the fold --------------------------------------------------
 
--- a/azurestep/node/messages.py
+++ b/azurestep/node/messages.py
@@ -72,11 +72,9 @@
 
 
 @attrs.frozen
-class ServiceNamed:
+class OwnershipAllowed:
     """The service of the local backend server takes payments."""
 
-    service: str
-
 
 @attrs.frozen
 class AuditOut:
--- a/azurestep/node/once.py
+++ b/azurestep/node/once.py
@@ -41,6 +41,7 @@
     Tick,
 )
 from ..once.records import encode_record
+from ..once.settings import KEY_SCOPE
 from ..platform.client import LogClient
 from ..platform.records import FIRST_OFFSET
 from ..settings import Settings
@@ -56,14 +57,14 @@
     ItemArose,
     OwnerMessageOut,
     OwnerMessageReceived,
-    ServiceNamed,
+    OwnershipAllowed,
 )
 
 TICK_S = 0.2
 STREAM = "ownership"
 RUN_SIZE_BYTES = 6
 
-OnceInput = Input | OwnerMessageReceived | ServiceNamed
+OnceInput = Input | OwnerMessageReceived | OwnershipAllowed
 
 
 @attrs.define
@@ -162,7 +163,7 @@
         remaining_ms = call.remaining_ms(self.environment.clock.monotonic_ms())
         return RequestArrived(
             request_id,
-            call.match.service.name,
+            KEY_SCOPE,
             call.fields.get(headers.IDEMPOTENCY_KEY, ""),
             request_digest(call),
             int(attempt) if attempt.isdigit() else 0,
@@ -176,8 +177,8 @@
         self._handle(message)  # type: ignore[arg-type]
 
     @_take.register
-    def _(self, message: ServiceNamed) -> None:
-        self._decision.serve(message.service)
+    def _(self, message: OwnershipAllowed) -> None:
+        self._decision.serve(KEY_SCOPE)
 
     @_take.register
     def _(self, message: OwnerMessageReceived) -> None:
@@ -256,22 +257,23 @@
             result = await self.proxy.run_single(call)
         except Exception:
             self._handle(DispatchFailed(run.run_id, bytes_sent=True))
-            self._note_run(run, Outcome.MAY_HAVE_RUN)
+            self._note_run(run, call, Outcome.MAY_HAVE_RUN)
             raise
         if isinstance(result, RunAnswered):
             self._handle(BackendServerAnswered(run.run_id, result.answer))
-            self._note_run(run, Outcome.RAN)
+            self._note_run(run, call, Outcome.RAN)
             return
         self._handle(DispatchFailed(run.run_id, result.bytes_sent))
         is_sent = result.bytes_sent
-        self._note_run(run, Outcome.MAY_HAVE_RUN if is_sent else Outcome.NOT_RUN)
+        outcome = Outcome.MAY_HAVE_RUN if is_sent else Outcome.NOT_RUN
+        self._note_run(run, call, outcome)
 
-    def _note_run(self, run: RunHere, outcome: Outcome) -> None:
+    def _note_run(self, run: RunHere, call: Call, outcome: Outcome) -> None:
         if self.audit is None or not self.settings.audit.record_runs:
             return
         item = RequestRun(
             run.key,
-            run.service,
+            call.match.service.name,
             self._node.instance,
             self._node.incarnation,
             outcome.value,
@@ -295,7 +297,7 @@
         if table is None:
             return None
         now_ms = self.environment.clock.monotonic_ms()
-        return restore(carried, table, run.service, run.remaining_ms, now_ms)
+        return restore(carried, table, run.remaining_ms, now_ms)
 
     async def _append(self, output: AppendRecord) -> None:
         assert self._log is not None
--- a/azurestep/node/owners.py
+++ b/azurestep/node/owners.py
@@ -1,25 +1,34 @@
-"""Which nodes can own keys of which service, and where they listen."""
+"""Which nodes can own keys, and where they listen."""
 
 from collections.abc import Iterable
 
 from ..control.messages import ServerStatus
 from ..once.messages import MembersChanged
 from ..once.records import NodeId
+from ..once.settings import KEY_SCOPE
 from ..settings import Address
 from ..traffic.directory import Placed
 
 
 class OwnerDirectory:
-    """Runs of nodes by service, as their backend servers announce them."""
+    """Runs of nodes by service, as their backend servers announce them.
+
+    Keys of all services share one space of slots. A route that moves to another
+    service would otherwise take its keys to another owner, and a payment that is
+    sent again after the move could run twice.
+    """
 
     def __init__(self) -> None:
         self._addresses: dict[str, dict[NodeId, Address]] = {}
-        self._live: dict[str, tuple[NodeId, ...]] = {}
+        self._ready: dict[str, tuple[NodeId, ...]] = {}
+        self._services: frozenset[str] = frozenset()
+        self._live: tuple[NodeId, ...] = ()
+        self._others: tuple[NodeId, ...] = ()
 
-    def replace(self, service: str, placed: Iterable[Placed]) -> list[MembersChanged]:
-        """Take over the servers of a service; return the change, if any."""
+    def replace(self, service: str, placed: Iterable[Placed]) -> None:
+        """Take over the servers of a service."""
         addresses: dict[NodeId, Address] = {}
-        live = []
+        ready = []
         for item in placed:
             server = item.server
             if not server.node_run:
@@ -27,13 +36,26 @@
             node = NodeId(server.instance, server.node_run)
             addresses[node] = Address(server.host, server.control_port)
             if server.status == ServerStatus.READY:
-                live.append(node)
+                ready.append(node)
         self._addresses[service] = addresses
-        nodes = tuple(sorted(live))
-        if self._live.get(service) == nodes:
-            return []
-        self._live[service] = nodes
-        return [MembersChanged(service, nodes)]
+        self._ready[service] = tuple(ready)
+
+    def choose(self, services: frozenset[str]) -> None:
+        """Name the services whose nodes own keys: those that take payments."""
+        self._services = services
+
+    def change(self) -> MembersChanged | None:
+        """Return the nodes that can own keys, if they changed."""
+        live = self._ready_of(self._services)
+        others = self._ready_of(self._ready.keys() - self._services)
+        if (live, others) == (self._live, self._others):
+            return None
+        self._live, self._others = live, others
+        return MembersChanged(KEY_SCOPE, live, others)
+
+    def _ready_of(self, services: Iterable[str]) -> tuple[NodeId, ...]:
+        found = {node for service in services for node in self._ready.get(service, ())}
+        return tuple(sorted(found))
 
     def address(self, node: NodeId) -> Address | None:
         """Return the control address of a run of a node."""
--- a/azurestep/once/__init__.py
+++ b/azurestep/once/__init__.py
@@ -31,6 +31,7 @@
 ``AppendFailed``           An append failed or its answer was lost.
 ``MembersChanged``         The live node processes of a service changed, as this
                            node reaches them; send it for every service.
+``LogHealth``              The membership found the log in or out of reach.
 ``Tick``                   Every 100 to 1000 ms.
 ``StopRequested``          The node stops; go on until ``Stopped``.
 =========================  ====================================================
--- a/azurestep/once/accept.py
+++ b/azurestep/once/accept.py
@@ -83,7 +83,7 @@
         interval = self.fold.state(slot_id).covering(key.time_ms)
         if interval is None:
             return self._refuse_unowned(request, slot_id, key, now)
-        if interval.node not in self.members.live(request.service):
+        if interval.node not in self.members.reached(request.service):
             return self.refuse(request, Reason.OWNER_UNREACHABLE, now)
         wait_ms = min(request.remaining_ms, self.settings.forward_timeout_ms)
         self._forwarded[request.request_id] = _Forwarded(
@@ -179,7 +179,7 @@
         if interval is None:
             return False
         if interval.node != self.node:
-            return interval.node in self.members.live(slot_id.service)
+            return interval.node in self.members.reached(slot_id.service)
         tenure = self.owner.tenure_at(slot_id, now.wall_ms)
         return tenure is not None and tenure.state is TenureState.OPEN
 
--- a/azurestep/once/decision.py
+++ b/azurestep/once/decision.py
@@ -22,6 +22,7 @@
     ForwardedRequest,
     ForwardFailed,
     Input,
+    LogHealth,
     LogRecordsRead,
     LogRegressed,
     MembersChanged,
@@ -73,6 +74,7 @@
     handovers: HandoverKeeper = attrs.field(init=False)
     _local: dict[str, RequestArrived] = attrs.field(init=False, factory=dict)
     _has_read: bool = attrs.field(init=False, default=False)
+    _is_log_reachable: bool = attrs.field(init=False, default=True)
     _stopping: bool = attrs.field(init=False, default=False)
     _stopped: bool = attrs.field(init=False, default=False)
 
@@ -216,6 +218,11 @@
         self.members.update(message, now)
         return []
 
+    @_handle.register
+    def _(self, message: LogHealth, now: Moment) -> list[Output]:
+        self._is_log_reachable = message.is_reachable
+        return []
+
     @_handle.register
     def _(self, message: StopRequested, now: Moment) -> list[Output]:
         if not self._stopping:
@@ -229,7 +236,10 @@
         outputs += self._convert(self.owner.tick(now), now)
         if self._has_read and not self._stopping and not self.owner.disabled:
             outputs += self._claim(now)
-            self.handovers.rebalance(self.members, now)
+            # A slot that begins to move stays closed until its release is read
+            # back, which takes the log.
+            if self._is_log_reachable:
+                self.handovers.rebalance(self.members, now)
         outputs += self.handovers.tick(now)
         if self._stopping and not self._stopped and self.handovers.is_idle:
             self._stopped = True
--- a/azurestep/once/messages.py
+++ b/azurestep/once/messages.py
@@ -175,10 +175,26 @@
 
 @attrs.frozen
 class MembersChanged:
-    """Live nodes of a service, over all data centres that this node reaches."""
+    """Live nodes of a service, over all data centres that this node reaches.
+
+    Attributes
+    ----------
+    live : tuple of NodeId
+        Nodes that may claim slots.
+    others : tuple of NodeId
+        Further live nodes, which may still own slots from before.
+    """
 
     service: str
     live: tuple[NodeId, ...]
+    others: tuple[NodeId, ...] = ()
+
+
+@attrs.frozen
+class LogHealth:
+    """Whether the platform's log answers, as far as the membership knows."""
+
+    is_reachable: bool
 
 
 @attrs.frozen
@@ -202,6 +218,7 @@
     | AppendDone
     | AppendFailed
     | MembersChanged
+    | LogHealth
     | Tick
     | StopRequested
 )
--- a/azurestep/once/settings.py
+++ b/azurestep/once/settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 MAX_INTERVAL_MS = 3_600_000
+KEY_SCOPE = "fleet"
 
 
 @attrs.frozen
@@ -12,8 +13,8 @@
     Attributes
     ----------
     slot_count : int
-        Slots of a service, a power of two up to 256. The first claim on the log
-        fixes it for the life of the service.
+        Slots of the key space, a power of two up to 256. The first claim on the
+        log fixes it for the life of the fleet.
     ownership_interval_ms : int
         Length of an ownership interval; at most ``MAX_INTERVAL_MS``. Payments
         go on through a platform outage of at least half of it, and a key whose
@@ -49,7 +50,7 @@
         Delay advised to a refused caller.
     """
 
-    slot_count: int = 32
+    slot_count: int = 256
     ownership_interval_ms: int = 600_000
     extend_jitter_ratio: float = 0.2
     backdate_ms: int = 120_000
--- a/azurestep/traffic/carried.py
+++ b/azurestep/traffic/carried.py
@@ -38,7 +38,6 @@
 def restore(
     carried: CarriedCall,
     table: RoutingTable,
-    service: str,
     remaining_ms: float,
     now_ms: float,
 ) -> Call | None:
@@ -47,12 +46,12 @@
     Returns
     -------
     Call or None
-        None if the owner's table leads the request to another service.
+        None if the owner's table has no route for the request.
     """
     fields = CIMultiDict((field.name, field.value) for field in carried.fields)
     path = carried.target.partition("?")[0]
     match = table.match(carried.host, path, carried.method, fields)
-    if match is None or match.service.name != service:
+    if match is None:
         return None
     depth = fields.get(headers.DEPTH, "")
     return Call(
--- a/tests/fixtures_world.py
+++ b/tests/fixtures_world.py
@@ -16,7 +16,7 @@
 from azurestep.platform.client import LogClient
 from azurestep.settings import Address
 from bench.deployment import load_configuration
-from bench.fleet import Fleet, NodeProcess, Process
+from bench.fleet import Fleet, NodeProcess, Process, wait_for_port
 
 EXAMPLE = "riddim"
 HOST = "vault.riddim.example"
@@ -69,10 +69,10 @@
     async def statuses(self) -> list[NodeStatus]:
         return [await client.status() for client in self.clients()]
 
-    async def start(self, data_centres: int, service: str) -> None:
+    async def start(self, services: list[str]) -> None:
         await self.fleet.start_log()
         seeds: list[Address] = []
-        for number in range(1, data_centres + 1):
+        for number, service in enumerate(services, start=1):
             node = await self.fleet.start_node(f"i-{number}", f"dc-{number}", seeds[:])
             seeds.append(Address(node.settings.host, node.settings.control_port))
             server = await self.fleet.start_backend_server(
@@ -98,6 +98,8 @@
         accepted = [v.event for v in self.verdicts if v.is_accepted]
         version = accepted[-1].version
         await self.until(lambda states: all(s.version == version for s in states))
+        for node in self.nodes:
+            await wait_for_port(node.settings.traffic_port)
 
     async def send(
         self,
--- a/tests/test_once_decision.py
+++ b/tests/test_once_decision.py
@@ -63,7 +63,9 @@
     ids = [NodeId("a", "a1"), NodeId("b", "b1")]
     pair = Pair(
         [
-            OnceDecision(node, SERVICE, OnceSettings(), random.Random(seed))
+            OnceDecision(
+                node, SERVICE, OnceSettings(slot_count=32), random.Random(seed)
+            )
             for seed, node in enumerate(ids)
         ]
     )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,7 +5,7 @@
 import uuid6
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from azurestep.config.document import Section, canonical_json
+from azurestep.config.document import EntryKey, Section, canonical_json
 from azurestep.config.records import EditEntries, Entry, SwitchPreset
 from azurestep.operations.publisher import Verdict
 
@@ -20,7 +20,12 @@
     )
 )
 def start_fleet(world: World, count: int, service: str) -> None:
-    world.run(world.start(count, service))
+    world.run(world.start([service] * count))
+
+
+@given(parsers.parse('a fleet with a "{one}" and a "{other}" backend server'))
+def start_mixed_fleet(world: World, one: str, other: str) -> None:
+    world.run(world.start([one, other]))
 
 
 @given("the example configuration is in force")
@@ -99,6 +104,22 @@
     world.verdicts.append(result.unwrap())
 
 
+@when(parsers.parse('operator "{operator}" moves the route "{route}" to "{service}"'))
+def move_route(world: World, operator: str, route: str, service: str) -> None:
+    async def move() -> None:
+        held = await world.clients()[0].configuration()
+        body = orjson.loads(held.document.entries[EntryKey(Section.ROUTES, route)])
+        text = canonical_json(body | {"service": service}).decode()
+        change = EditEntries([Entry(int(Section.ROUTES), route, text)])
+        result = await world.publisher(operator).publish(
+            change, held, world.deadline_ms()
+        )
+        world.verdicts.append(result.unwrap())
+        await world.wait_in_force()
+
+    world.run(move())
+
+
 @when("the platform has an outage")
 def platform_outage(world: World) -> None:
     world.run(world.set_log_faults({"outage": True}))
