Split membership into modules with one job each

Cause: control/membership.py had 553 lines and five jobs. Change: roster, beliefs, probing, seeds and comparison are modules of their own; Membership keeps the handlers. bench/node_cost.py takes BRIDGE from its new place.

--- /dev/null
+++ b/azurestep/control/roster.py
@@ -0,0 +1,185 @@
+"""The roster of a node: what it announces, and whom it knows.
+
+The table of updates, the ring order and the bridges derived from it, and the
+sending of urgent updates along the tree and to the other data centres.
+"""
+
+import random
+
+import attrs
+
+from ..settings import Address, ControlSettings
+from .gossip import GossipQueue
+from .messages import (
+    LIVE,
+    Broadcast,
+    DataCentreReport,
+    Digest,
+    MemberState,
+    MemberStatus,
+    ServerState,
+    Update,
+)
+from .outputs import Output, Send
+from .ring import children, rendezvous, ring_order
+from .table import UpdateTable, is_global
+
+BRIDGE = "bridge"
+
+
+class Roster:
+    """Own record, members and bridges of one node.
+
+    Parameters
+    ----------
+    own : MemberState
+        The node's own record.
+    settings : ControlSettings
+        Fan-out and the number of bridges.
+    source : random.Random
+        Chooses the bridges that are addressed abroad.
+
+    Attributes
+    ----------
+    table : UpdateTable
+        All updates held.
+    queue : GossipQueue
+        Updates that ride on probes and their answers.
+    digest : Digest
+        Configuration that the node tells of.
+    epoch : int
+        Grows with each change of what is believed of a member.
+    """
+
+    def __init__(
+        self,
+        own: MemberState,
+        settings: ControlSettings,
+        source: random.Random,
+    ) -> None:
+        self.table = UpdateTable()
+        self.queue = GossipQueue()
+        self.digest = Digest(0, b"")
+        self.epoch = 0
+        self._own = own
+        self._settings = settings
+        self._random = source
+        self._order: list[str] = []
+        self._live: list[MemberState] = []
+        self._bridges: list[str] = []
+        self.announce(own)
+
+    @property
+    def own(self) -> MemberState:
+        """The node's own record."""
+        return self._own
+
+    def member(self, instance: str) -> MemberState | None:
+        """Return what is believed of an instance of this data centre."""
+        held = self.table.get(f"m/{instance}")
+        return held if isinstance(held, MemberState) else None
+
+    def members(self) -> list[MemberState]:
+        """Return the live members of this data centre in ring order."""
+        return self._live
+
+    @property
+    def order(self) -> list[str]:
+        """Instances of the live members of this data centre, in ring order."""
+        return self._order
+
+    def reports(self) -> list[DataCentreReport]:
+        """Return the newest report of each data centre."""
+        return [u for u in self.table.updates(True) if isinstance(u, DataCentreReport)]
+
+    def contacts_abroad(self) -> list[Address]:
+        """Return a bridge of each other data centre, in random order."""
+        found = [
+            self._random.choice(report.contacts) for report in self.reports_abroad()
+        ]
+        self._random.shuffle(found)
+        return found
+
+    def bridges(self) -> list[str]:
+        """Return the bridges of this data centre."""
+        return self._bridges
+
+    def is_bridge(self) -> bool:
+        """Whether this node exchanges summaries with other data centres."""
+        return self._own.instance in self.bridges()
+
+    def reports_abroad(self) -> list[DataCentreReport]:
+        """Return the reports of the other data centres that name a bridge."""
+        return [
+            report
+            for report in self.reports()
+            if report.data_centre != self._own.data_centre and report.contacts
+        ]
+
+    def announce(self, own: MemberState) -> None:
+        """Take a newer own record and queue it."""
+        self._own = own
+        self.table.merge(own)
+        self.queue.add(own)
+        self.reorder()
+
+    def change_own(
+        self,
+        servers: list[ServerState] | None = None,
+        log_reachable: bool | None = None,
+        status: MemberStatus | None = None,
+    ) -> list[Output]:
+        """Change what the node announces and broadcast it at once."""
+        own = self._own
+        changed = attrs.evolve(
+            own,
+            sequence=own.sequence + 1,
+            servers=own.servers if servers is None else servers,
+            log_reachable=(
+                own.log_reachable if log_reachable is None else log_reachable
+            ),
+            status=own.status if status is None else status,
+        )
+        self.announce(changed)
+        return self.broadcast([self._own])
+
+    def broadcast(self, updates: list[Update]) -> list[Output]:
+        """Spread urgent updates: merge them and send them down a tree."""
+        fresh = [update for update in updates if self.table.merge(update)]
+        for update in updates:
+            self.queue.add(update, is_broadcast=True)
+        if any(isinstance(update, MemberState) for update in fresh):
+            self.reorder()
+        message = Broadcast(self._own.instance, updates)
+        outputs = self.forward(message)
+        shared = [update for update in updates if is_global(update)]
+        if shared and self.is_bridge():
+            outputs.extend(self._broadcast_abroad(shared))
+        return outputs
+
+    def _broadcast_abroad(self, updates: list[Update]) -> list[Output]:
+        message = Broadcast("", updates)
+        return [Send(to, message) for to in self.contacts_abroad()]
+
+    def forward(self, message: Broadcast) -> list[Output]:
+        """Send a broadcast to the own children in its tree."""
+        fan_out = max(1, self._settings.push_fan_out)
+        names = children(self._order, message.root, self._own.instance, fan_out)
+        return [Send(to, message) for to in self._addresses(names)]
+
+    def _addresses(self, names: list[str]) -> list[Address]:
+        members = (self.member(name) for name in names)
+        return [member.address for member in members if member is not None]
+
+    def reorder(self) -> None:
+        """Derive ring order and bridges again from the table."""
+        live = {
+            update.instance: update
+            for update in self.table.updates()
+            if isinstance(update, MemberState) and update.status in LIVE
+        }
+        self.epoch += 1
+        self._order = ring_order(live)
+        self._live = [live[instance] for instance in self._order]
+        count = self._settings.bridges_per_data_centre
+        self._bridges = rendezvous(BRIDGE, self._order, count)
--- /dev/null
+++ b/azurestep/control/seeds.py
@@ -0,0 +1,63 @@
+"""Seeds: addresses that are tried until their nodes are known as members."""
+
+import random
+from collections import deque
+
+from ..settings import Address
+from .comparison import sync_request
+from .outputs import Output, Send
+from .roster import Roster
+
+SEED_INTERVAL_MS = 1000
+SOUGHT_MAXIMUM = 16
+SEEDS_AT_ONCE = 3
+
+
+class Seeds:
+    """Addresses to try, and those of the dead, who may live beyond a partition.
+
+    Parameters
+    ----------
+    roster : Roster
+        Members that are known already.
+    seeds : list of Address
+        Control addresses to try first.
+    source : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self, roster: Roster, seeds: list[Address], source: random.Random
+    ) -> None:
+        self._roster = roster
+        self._random = source
+        self._seeds = [seed for seed in seeds if seed != roster.own.address]
+        self._sought_again: deque[Address] = deque(maxlen=SOUGHT_MAXIMUM)
+        self._next_seed_ms = 0.0
+
+    def tick(self, now_ms: float) -> list[Output]:
+        """Ask a few seeds that are no members, often while alone."""
+        if now_ms < self._next_seed_ms:
+            return []
+        self._next_seed_ms = now_ms + SEED_INTERVAL_MS * self._random.uniform(1, 2)
+        known = {member.address for member in self._roster.members()}
+        seeds = [*self._seeds, *self._sought_again]
+        strangers = [seed for seed in seeds if seed not in known]
+        is_alone = len(self._roster.order) <= 1
+        if not strangers or (not is_alone and self._random.random() > 0.1):
+            return []
+        count = min(SEEDS_AT_ONCE, len(strangers)) if is_alone else 1
+        chosen = self._random.sample(strangers, count)
+        return [Send(to, sync_request(self._roster.table)) for to in chosen]
+
+    def seek_again(self, address: Address) -> None:
+        """Go on seeking a dead member: it may live beyond a partition."""
+        if address in self._seeds:
+            return
+        self._sought_again.append(address)
+
+    def add(self, seeds: list[Address]) -> None:
+        """Add control addresses to try, for example from join records."""
+        for seed in seeds:
+            if seed != self._roster.own.address and seed not in self._seeds:
+                self._seeds.append(seed)
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -7,8 +7,8 @@
 import aiohttp
 import attrs
 
-from azurestep.control.membership import BRIDGE
 from azurestep.control.ring import rendezvous
+from azurestep.control.roster import BRIDGE
 from azurestep.node.control import READER
 from azurestep.operations.node_client import NodeClient
 from azurestep.settings import Address, ControlSettings
