Replace silent links between nodes at both ends

Cause: each direction between two nodes has a link of its own. Change: a node that gets a probe again replaces its link to the prober; a vouched probe is repeated on a new link, and only its failure is dropped.

--- a/azurestep/control/detector.py
+++ b/azurestep/control/detector.py
@@ -27,12 +27,15 @@
         Monotonic time of the first attempt.
     repeats : int
         How often the probe was repeated on a new connection.
+    is_vouched : bool
+        Whether a helper heard the member.
     """
 
     instance: str
     to: Address
     sent_ms: float
     repeats: int = 0
+    is_vouched: bool = False
 
 
 @attrs.frozen
@@ -86,6 +89,15 @@
         """Note an answer and return the probe that it belongs to."""
         return self._outstanding.pop(sequence, None)
 
+    def vouched(self, sequence: int) -> None:
+        """Note that a helper heard the member.
+
+        The probe is repeated still, since a repetition mends the direct path.
+        """
+        probe = self._outstanding.get(sequence)
+        if probe is not None:
+            probe.is_vouched = True
+
     def expire(self, now_ms: float) -> list[Repeat | Failed]:
         """Return what became of probes whose time is over."""
         timeout_ms = self._settings.probe_timeout_ms
@@ -94,7 +106,8 @@
             waited_ms = now_ms - probe.sent_ms
             if waited_ms >= (REPEATS + 1) * timeout_ms:
                 del self._outstanding[sequence]
-                results.append(Failed(probe))
+                if not probe.is_vouched:
+                    results.append(Failed(probe))
             elif waited_ms >= (probe.repeats + 1) * timeout_ms:
                 probe.repeats += 1
                 results.append(Repeat(sequence, probe))
--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -83,7 +83,8 @@
 
     @handle.register
     def _(self, message: Probe, sender: Sender, now_ms: float) -> list[Output]:
-        outputs = self._beliefs.merge(message.updates, now_ms)
+        outputs = self._prober.hear(message, sender)
+        outputs.extend(self._beliefs.merge(message.updates, now_ms))
         only_global = sender.data_centre != self._own.data_centre
         updates = self.queue.take(len(self._order), only_global)
         if any(key_of(u) == key_of(self._own) for u in message.updates):
--- a/azurestep/control/probing.py
+++ b/azurestep/control/probing.py
@@ -1,9 +1,10 @@
 """Probing: neighbours on the ring, bridges abroad, and helpers for others."""
 
 import random
+from collections import OrderedDict
 
 from ..settings import Address, ControlSettings
-from .beliefs import Beliefs
+from .beliefs import UNCOUNTED, Beliefs
 from .detector import Detector, Failed, Repeat
 from .messages import Ack, Probe, ProbeRelayed, ProbeRequest, Sender
 from .outputs import Output, ReplaceLink, Send
@@ -12,6 +13,7 @@
 
 HELPERS = 2
 RELAYED_MAXIMUM = 256
+HEARD_MAXIMUM = 1024
 
 
 class Prober:
@@ -41,6 +43,7 @@
         self._random = source
         self._detector = Detector(settings, source)
         self._relayed: dict[int, tuple[Address, int]] = {}
+        self._heard: OrderedDict[Sender, int] = OrderedDict()
         self._bridge_turn = 0
 
     def expire(self, now_ms: float) -> list[Output]:
@@ -103,6 +106,22 @@
             outputs.append(Send(helper, ProbeRequest(repeat.sequence, to)))
         return outputs
 
+    def hear(self, probe: Probe, sender: Sender) -> list[Output]:
+        """Replace the own link to a peer whose probe came before.
+
+        The first answer did not arrive, so the link that carried it may swallow
+        what is sent; the peer can replace only the link of the other direction.
+        """
+        if probe.sequence == UNCOUNTED:
+            return []
+        last = self._heard.pop(sender, UNCOUNTED)
+        self._heard[sender] = max(last, probe.sequence)
+        if len(self._heard) > HEARD_MAXIMUM:
+            self._heard.popitem(last=False)
+        if probe.sequence > last:
+            return []
+        return [ReplaceLink(sender.address)]
+
     def answered(self, ack: Ack) -> list[Output]:
         """Note an answer; tell the one that asked for the probe of it."""
         self._detector.answered(ack.sequence)
@@ -114,7 +133,7 @@
 
     def answered_by_helper(self, relayed: ProbeRelayed) -> None:
         """Note that a helper heard the member."""
-        self._detector.answered(relayed.sequence)
+        self._detector.vouched(relayed.sequence)
 
     def help(
         self, request: ProbeRequest, sender: Sender, now_ms: float
--- a/bench/fake_network.py
+++ b/bench/fake_network.py
@@ -14,17 +14,21 @@
 
 from azurestep.control.membership import Membership
 from azurestep.control.messages import (
+    Ack,
     Digest,
     MemberState,
     MemberStatus,
     Message,
     Sender,
 )
-from azurestep.control.outputs import MemberChanged, Output, Send
+from azurestep.control.outputs import MemberChanged, Output, ReplaceLink, Send
 from azurestep.control.reports import Reporter
+from azurestep.control.ring import neighbours
 from azurestep.control.summaries import Summarizer
 from azurestep.settings import Address, ControlSettings
 
+from .fake_links import FakeLinks, Link
+
 TICK_MS = 100.0
 DELAY_MS = 1.5
 HOST = "127.0.0.1"
@@ -82,6 +86,8 @@
         self.beliefs: list[Belief] = []
         self.sent = 0
         self.loss_ratio = loss_ratio
+        self.links = FakeLinks()
+        self._answered_ms: dict[Link, float] = {}
         self.is_cut: Callable[[Address, Address], bool] = lambda one, other: False
         self._random = random.Random(seed)
         self._order = itertools.count()
@@ -120,6 +126,7 @@
     def stop(self, address: Address) -> None:
         """End a node without notice."""
         self.nodes[address].is_running = False
+        self.links.close_all(address)
 
     def restart(self, address: Address) -> None:
         """Start a node again; it remembers nothing."""
@@ -143,6 +150,8 @@
         for output in outputs:
             if isinstance(output, Send):
                 self._send(node.sender, output.to, output.message)
+            if isinstance(output, ReplaceLink):
+                self.links.replace(Link(node.sender.address, output.to))
             if isinstance(output, MemberChanged):
                 status = MemberStatus(output.member.status)
                 about = output.member.instance
@@ -155,12 +164,16 @@
             return
         if self.is_cut(sender.address, to):
             return
+        if not self.links.carries(Link(sender.address, to)):
+            return
         self._at(self.now_ms + DELAY_MS, lambda: self._deliver(sender, to, message))
 
     def _deliver(self, sender: Sender, to: Address, message: Message) -> None:
         node = self.nodes.get(to)
         if node is None or not node.is_running:
             return
+        if isinstance(message, Ack):
+            self._answered_ms[Link(to, sender.address)] = self.now_ms
         handled = node.membership.handle(message, sender, self.now_ms)
         self.perform(node, handled)
 
@@ -200,3 +213,18 @@
             set(node.membership.order) == names[node.sender.data_centre]
             for node in running
         )
+
+    def is_answered(self, since_ms: float) -> bool:
+        """Whether each node had an answer from each neighbour since a time."""
+        for address, node in self.nodes.items():
+            if not node.is_running:
+                continue
+            membership = node.membership
+            for name in neighbours(membership.order, node.sender.instance):
+                member = membership.member(name)
+                if member is None:
+                    continue
+                answered_ms = self._answered_ms.get(Link(address, member.address), 0.0)
+                if answered_ms < since_ms:
+                    return False
+        return True
--- a/bench/herds.py
+++ b/bench/herds.py
@@ -13,6 +13,7 @@
 
 import pathlib
 import sys
+from collections.abc import Callable
 
 import attrs
 import docopt
@@ -20,6 +21,7 @@
 
 from azurestep.control.messages import MemberStatus
 
+from .fake_links import Link
 from .fake_network import FIRST_PORT, FakeNetwork
 
 NODES = (24, 183)
@@ -30,6 +32,9 @@
 LOSS_MS = 60_000
 PARTITION_MS = 20_000
 TIMEOUT_MS = 180_000
+SETTLE_MS = 30_000
+SILENCE_MS = 60_000
+NOT_ALIVE = frozenset(MemberStatus) - {MemberStatus.ALIVE}
 
 
 @attrs.frozen
@@ -57,6 +62,12 @@
         Messages sent for each node and second until then.
     quiet_per_s : float
         Messages sent for each node and second in a quiet minute.
+    answered_ms, silent_ms, one_way_ms : float
+        Until each node had an answer from each neighbour, on quiet links, from
+        the moment when all open links went silent, and when those of one
+        direction did.
+    silent_suspicions : int
+        Beliefs, in the minute after each silence, that a node is not alive.
     """
 
     nodes: int
@@ -69,6 +80,10 @@
     deaths_after_heal: int
     herd_ms: float
     herd_per_s: float
+    answered_ms: float
+    silent_ms: float
+    one_way_ms: float
+    silent_suspicions: int
 
 
 def measure(nodes: int, seed: int) -> Result:
@@ -87,6 +102,12 @@
     healed_ms, heal_ms = _heal(network, nodes)
     deaths_after_heal = _deaths(network, healed_ms)
     herd_ms, herd_rate = _herd(network)
+    network.run(SETTLE_MS)
+    answered_ms = _answer(network)
+    silent_from_ms = network.now_ms
+    silent_ms = _silence(network, lambda link: True)
+    one_way_ms = _silence(network, lambda link: link.source.port > link.to.port)
+    suspicions = _beliefs(network, silent_from_ms, NOT_ALIVE)
     return Result(
         nodes,
         seed,
@@ -98,6 +119,10 @@
         deaths_after_heal,
         round(herd_ms),
         round(herd_rate, 2),
+        round(answered_ms),
+        round(silent_ms),
+        round(one_way_ms),
+        suspicions,
     )
 
 
@@ -108,8 +133,14 @@
 
 
 def _deaths(network: FakeNetwork, since_ms: float) -> int:
+    return _beliefs(network, since_ms, frozenset({MemberStatus.DEAD}))
+
+
+def _beliefs(
+    network: FakeNetwork, since_ms: float, statuses: frozenset[MemberStatus]
+) -> int:
     return sum(
-        belief.status == MemberStatus.DEAD and belief.at_ms >= since_ms
+        belief.status in statuses and belief.at_ms >= since_ms
         for belief in network.beliefs
     )
 
@@ -145,6 +176,18 @@
     return herd_ms, (network.sent - before) / len(network.nodes) / elapsed_s
 
 
+def _answer(network: FakeNetwork) -> float:
+    since_ms = network.now_ms
+    return network.run_until(lambda: network.is_answered(since_ms), TIMEOUT_MS)
+
+
+def _silence(network: FakeNetwork, chosen: Callable[[Link], bool]) -> float:
+    network.links.silence(chosen)
+    took_ms = _answer(network)
+    network.run(SILENCE_MS)
+    return took_ms
+
+
 def main() -> int:
     """Run the measurement from the command line."""
     options = docopt.docopt(__doc__ or "")
--- a/tests/test_control_herds.py
+++ b/tests/test_control_herds.py
@@ -7,3 +7,5 @@
     assert result.false_deaths == 0
     assert result.deaths_after_heal == 0
     assert result.herd_ms < 60_000
+    assert result.silent_suspicions == 0
+    assert result.silent_ms < 8_000
