Measure the price of a payment at real nodes

Cause: the figures of docs/design/once.md came from the model alone; nobody had measured what a payment costs beside an idempotent call, nor what callers get when an owner is killed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,7 +18,7 @@
 import uvloop
 
 # Modules with a coroutine function ``run`` that writes the result of that name.
-MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines")
+MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
 
 
 async def run(names: tuple[str, ...]) -> None:
