--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,7 +28,7 @@
     "silent_path",
 )
 # Modules with a coroutine function ``run`` that writes the result of that name.
-MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines")
+MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
 
 ALL = MEASUREMENTS + COMMANDS
 
