--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -87,9 +87,11 @@
 
 
 def ownership_per_record(inputs: Inputs) -> Spent:
-    """Return what one ownership record costs each node, in the largest fleet."""
-    run = slopes.shipped(inputs.scale)[-1]
-    return slopes.per_window_event(run, OWNERSHIP)
+    """Return what one ownership record costs each node, in the dearest run."""
+    costs = (
+        slopes.per_window_event(run, OWNERSHIP) for run in slopes.shipped(inputs.scale)
+    )
+    return max(costs, key=lambda cost: cost.sent_bytes + cost.received_bytes)
 
 
 def ownership_per_s(inputs: Inputs) -> Spent:
