Tell all nodes of requests that crash backend servers

Cause: each node had to lose two backend servers of its own before it refused a request that crashes them. Change: what a quarantine notices is broadcast in the data centre and carried on by its first bridge; the records are passing news, bounded, neither hashed nor synced, since a sync would renew their refusal for ever.

--- a/azurestep/control/codec.py
+++ b/azurestep/control/codec.py
@@ -40,6 +40,7 @@
     RecordsPush,
     Sender,
     ServiceSummary,
+    SuspectRequest,
     SyncReply,
     SyncRequest,
     Update,
@@ -70,6 +71,7 @@
     1: MemberState,
     2: ServiceSummary,
     3: DataCentreReport,
+    4: SuspectRequest,
 }
 OWNER_KINDS: dict[int, type] = {
     1: ForwardedRequest,
--- a/azurestep/control/messages.py
+++ b/azurestep/control/messages.py
@@ -168,7 +168,45 @@
     contacts: list[Address] = attrs.field(factory=list)
 
 
-Update = MemberState | ServiceSummary | DataCentreReport
+@attrs.frozen
+class DeadServer:
+    """A run of a backend server that died."""
+
+    host: str
+    port: int
+    incarnation: int
+
+
+@attrs.frozen
+class SuspectRequest:
+    """A request in flight on backend servers as they died.
+
+    Attributes
+    ----------
+    data_centre, origin : str
+        Where it was noticed.
+    service : str
+        Service that the request went to.
+    fingerprint : int
+        Which request.
+    stamp : int
+        Order among what its origin says of it.
+    dead : list of DeadServer
+        Backend servers that died with it in flight.
+    refused_for_ms : int
+        Rest of the refusal; 0 for a mere suspect.
+    """
+
+    data_centre: str
+    service: str
+    fingerprint: int
+    origin: str
+    stamp: int
+    dead: list[DeadServer]
+    refused_for_ms: int = 0
+
+
+Update = MemberState | ServiceSummary | DataCentreReport | SuspectRequest
 
 
 @attrs.frozen
--- a/azurestep/control/relay.py
+++ b/azurestep/control/relay.py
@@ -23,6 +23,7 @@
 PULL_MAXIMUM_RECORDS = 500
 PULL_INTERVAL_MS = 10_000
 BATCH_DELAY_MS = 1000
+BATCHED_KINDS = frozenset({"extend", "checkpoint"})
 FIRST_PULL_INTERVAL_MS = 500
 
 
@@ -56,8 +57,8 @@
     ) -> list[Output]:
         """Take records that this node read from the log itself.
 
-        The first reader pushes them in batches, since ownership is extended long
-        before it is needed.
+        The first reader pushes extensions in batches, since they come long before
+        they are needed; a slot that changes its owner is told at once.
         """
         if page.next_offset < page.from_offset:
             return self._regress(self._membership.own.instance)
@@ -71,6 +72,8 @@
         if records and is_first_reader:
             self._batch.extend(records)
             self._batch_due_ms = min(self._batch_due_ms, now_ms + BATCH_DELAY_MS)
+            if any(_is_urgent(record.value) for record in page.records):
+                outputs.extend(self._flush())
         return outputs
 
     def _flush(self) -> list[Output]:
@@ -156,3 +159,7 @@
         next_offset = records[-1].offset + 1 if records else self._next_offset
         reply = RecordsPush("", from_offset, next_offset, pack_records(records))
         return [Send(sender.address, reply)]
+
+
+def _is_urgent(value: object) -> bool:
+    return not isinstance(value, dict) or value.get("kind") not in BATCHED_KINDS
--- a/azurestep/control/table.py
+++ b/azurestep/control/table.py
@@ -1,12 +1,21 @@
 """The replicated table of updates: the newest stamp of each key wins."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from functools import singledispatch
 
 import xxhash
 
-from .messages import LIVE, DataCentreReport, MemberState, ServiceSummary, Update
+from .messages import (
+    LIVE,
+    DataCentreReport,
+    MemberState,
+    ServiceSummary,
+    SuspectRequest,
+    Update,
+)
 
+PASSING_MAXIMUM = 1024
 Stamp = tuple[int, ...]
 
 
@@ -63,6 +72,16 @@
     return (update.stamp, key_hash(update.origin))
 
 
+@key_of.register
+def _(update: SuspectRequest) -> str:
+    return f"q/{update.service}/{update.fingerprint}/{update.origin}"
+
+
+@stamp_of.register
+def _(update: SuspectRequest) -> Stamp:
+    return (update.stamp,)
+
+
 def key_hash(key: str) -> int:
     """Return the short form of a key, for digests."""
     return xxhash.xxh3_64_intdigest(key.encode()) >> 32
@@ -79,9 +98,15 @@
 
 
 class UpdateTable:
-    """Updates by key, with a running hash over the local and global ones."""
+    """Updates by key, with a running hash over the local and global ones.
+
+    Suspect requests are passing news: they are kept apart, bounded, and neither
+    hashed nor brought up to date by comparing tables, which would renew their
+    refusal for ever.
+    """
 
     def __init__(self) -> None:
+        self._passing: OrderedDict[str, SuspectRequest] = OrderedDict()
         self._updates: dict[str, Update] = {}
         self._by_hash: dict[int, str] = {}
         self._local_hash = 0
@@ -95,6 +120,8 @@
 
     def merge(self, update: Update) -> bool:
         """Take an update; return whether it was newer than the one held."""
+        if isinstance(update, SuspectRequest):
+            return self._merge_passing(update)
         key = key_of(update)
         held = self._updates.get(key)
         if held is not None and stamp_of(held) >= stamp_of(update):
@@ -106,6 +133,17 @@
         self._toggle(update)
         return True
 
+    def _merge_passing(self, update: SuspectRequest) -> bool:
+        key = key_of(update)
+        held = self._passing.get(key)
+        if held is not None and held.stamp >= update.stamp:
+            return False
+        self._passing[key] = update
+        self._passing.move_to_end(key)
+        if len(self._passing) > PASSING_MAXIMUM:
+            self._passing.popitem(last=False)
+        return True
+
     def remove(self, key: str) -> None:
         """Forget a key."""
         held = self._updates.pop(key, None)
@@ -124,7 +162,7 @@
 
     def get(self, key: str) -> Update | None:
         """Return the update held for a key."""
-        return self._updates.get(key)
+        return self._updates.get(key) or self._passing.get(key)
 
     def by_hash(self, hashed: int) -> Update | None:
         """Return the update held for the short form of a key."""
--- a/azurestep/node/audit.py
+++ b/azurestep/node/audit.py
@@ -135,7 +135,7 @@
     async def _tick(self, log: LogClient) -> None:
         while True:
             # The last instance of a data centre writes also after it left.
-            readers = self.control.readers() or [self.settings.instance]
+            readers = self.control.readers.names() or [self.settings.instance]
             writer = readers[0]
             self._change_role(writer == self.settings.instance)
             self._hand_over(writer)
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -7,27 +7,20 @@
 import attrs
 
 from .. import events
-from ..config.fold import (
-    Accepted,
-    Adopted,
-    CheckpointRead,
-    FoldEvent,
-    GapFound,
-    Mismatched,
-    Refused,
-    Regressed,
-    Unsupported,
-)
+from ..config.fold import CheckpointRead
 from ..control.codec import Envelope
 from ..control.link import Links
 from ..control.membership import Membership
 from ..control.messages import (
     AuditItems,
     AuditReceipt,
+    Broadcast,
     MemberState,
     MemberStatus,
     OwnerMessage,
     Sender,
+    SuspectRequest,
+    Update,
 )
 from ..control.outputs import (
     Folded,
@@ -41,7 +34,6 @@
     VersionConflict,
 )
 from ..control.relay import LogRelay
-from ..control.ring import rendezvous
 from ..control.spread import Spread
 from ..control.summaries import Summarizer
 from ..environment import Environment
@@ -57,7 +49,10 @@
 from ..once.records import NodeId
 from ..settings import Settings
 from ..traffic.directory import DirectoryBuilder
+from ..traffic.pool import QuarantineNews
 from ..traffic.table import RoutingTable
+from .checkpoints import CheckpointPace
+from .fold_events import log_fold_event
 from .messages import (
     AuditInput,
     AuditMessageReceived,
@@ -71,15 +66,18 @@
     OwnershipAllowed,
     OwnershipPageRead,
     PageRead,
+    QuarantineLearned,
+    QuarantineNoticed,
     ServersChanged,
     TableReady,
     TrafficInput,
 )
 from .owners import OwnerDirectory
+from .readers import Readers
+from .suspects import quarantine_news, suspect_updates
 
 OnceInput = Input | OwnerMessageReceived | OwnershipAllowed
 
-READER = "reader"
 TICK_S = 0.1
 MEMBER_EVENTS = {
     MemberStatus.ALIVE: events.MEMBER_ALIVE,
@@ -145,11 +143,10 @@
         self._directory = DirectoryBuilder(settings.data_centre)
         self._owners = OwnerDirectory()
         self._is_log_reachable = True
-        self._readers: list[str] = []
-        self._readers_epoch = -1
+        count = settings.control.readers_per_data_centre
+        self.readers = Readers(self.membership, count)
         self._once_services: frozenset[str] = frozenset()
-        self.checkpoint_as_of = 0
-        self._checkpoint_at_ms = environment.clock.monotonic_ms()
+        self.checkpoints = CheckpointPace(settings.control, self._now_ms())
         sender = Sender(
             own.instance,
             own.data_centre,
@@ -225,7 +222,7 @@
             await asyncio.sleep(TICK_S)
 
     def _tick_relay(self, now_ms: float) -> list[Output]:
-        readers = self.readers()
+        readers = self.readers.names()
         reader = readers[0] if readers else None
         self._tell_log_health()
         is_reachable = self.membership.own.log_reachable
@@ -273,7 +270,7 @@
     @_take.register
     def _(self, message: PageRead) -> list[Output]:
         outputs = self.spread.take_page(
-            message.page, self._now_ms(), self.is_first_reader()
+            message.page, self._now_ms(), self.readers.is_first()
         )
         if not self.membership.own.log_reachable:
             events.emit(events.PLATFORM_REACHED)
@@ -290,7 +287,7 @@
     @_take.register
     def _(self, message: OwnershipPageRead) -> list[Output]:
         return self.relay.take_page(
-            message.page, self._now_ms(), self.is_first_reader()
+            message.page, self._now_ms(), self.readers.is_first()
         )
 
     @_take.register
@@ -308,6 +305,17 @@
         member = self.membership.member(message.instance)
         return [Send(member.address, message.message)] if member else []
 
+    @_take.register
+    def _(self, message: QuarantineNoticed) -> list[Output]:
+        at_ms = self.environment.clock.now_ms()
+        own = self.membership.own
+        updates: list[Update] = [*suspect_updates(message.news, own, at_ms)]
+        return self.membership.broadcast(updates)
+
+    def notice_quarantine(self, news: QuarantineNews) -> None:
+        """Take what the proxy noticed, to tell the peers."""
+        self.inputs.put_nowait(QuarantineNoticed(news))
+
     @_take.register
     def _(self, message: LeaveRequested) -> list[Output]:
         return self._leave()
@@ -317,45 +325,13 @@
             return []
         return self.membership.change_own(status=MemberStatus.LEFT)
 
-    # -- views ---------------------------------------------------------------
-
-    def readers(self) -> list[str]:
-        """Return who follows the platform's log, the first reader first."""
-        if self._readers_epoch != self.membership.epoch:
-            self._readers_epoch = self.membership.epoch
-            self._readers = self._choose_readers()
-        return self._readers
-
-    def _choose_readers(self) -> list[str]:
-        members = self.membership.members()
-        able = [m.instance for m in members if m.log_reachable]
-        names = able or [m.instance for m in members]
-        count = self.settings.control.readers_per_data_centre
-        return rendezvous(READER, names, count)
-
-    def is_reader(self) -> bool:
-        """Whether this node follows the platform's log."""
-        return self.settings.instance in self.readers()
-
-    def is_first_reader(self) -> bool:
-        """Whether this node pushes what it reads."""
-        return self.readers()[:1] == [self.settings.instance]
-
     def is_checkpoint_due(self) -> bool:
         """Whether enough records or time came since the last checkpoint."""
-        state = self.spread.fold.state
-        if not state.version or self.spread.fold.is_seeking:
-            return False
-        behind = state.as_of - self.checkpoint_as_of
-        if behind >= self.settings.control.checkpoint_records:
-            return True
-        age_ms = self._now_ms() - self._checkpoint_at_ms
-        return age_ms >= self.settings.control.checkpoint_interval_ms
+        return self.checkpoints.is_due(self.spread.fold, self._now_ms())
 
     def note_checkpoint(self, as_of: int) -> None:
         """Note that a checkpoint stands on the log."""
-        self.checkpoint_as_of = max(self.checkpoint_as_of, as_of)
-        self._checkpoint_at_ms = self._now_ms()
+        self.checkpoints.note(as_of, self._now_ms())
 
     # -- outputs -------------------------------------------------------------
 
@@ -385,8 +361,22 @@
 
     @_perform.register
     def _(self, output: Learned) -> None:
+        if isinstance(output.update, SuspectRequest):
+            self._learn_suspect(output.update)
+            return
         self._directory.take(output.update)
 
+    def _learn_suspect(self, update: SuspectRequest) -> None:
+        self.traffic.put_nowait(QuarantineLearned(quarantine_news(update)))
+        own = self.membership.own
+        is_own = update.data_centre == own.data_centre
+        if is_own and self.membership.bridges()[:1] == [own.instance]:
+            self._perform_all(self._tell_abroad([update]))
+
+    def _tell_abroad(self, updates: list[Update]) -> list[Output]:
+        message = Broadcast("", updates)
+        return [Send(to, message) for to in self.membership.contacts_abroad()]
+
     @_perform.register
     def _(self, output: VersionApplied) -> None:
         state = self.spread.fold.state
@@ -411,7 +401,9 @@
 
     @_perform.register
     def _(self, output: Folded) -> None:
-        self._note(output.event)
+        if isinstance(output.event, CheckpointRead):
+            self.checkpoints.note(output.event.as_of, self._now_ms())
+        log_fold_event(output.event)
 
     @_perform.register
     def _(self, output: RecordsRelayed) -> None:
@@ -437,41 +429,3 @@
         for service in directory.changed:
             self._owners.replace(service, self._directory.servers(service))
         self._tell_owners()
-
-    # -- events of the fold --------------------------------------------------
-
-    @singledispatchmethod
-    def _note(self, event: FoldEvent) -> None:
-        raise TypeError(f"{type(event).__name__} is no event of the fold")
-
-    @_note.register
-    def _(self, event: Accepted) -> None:
-        events.emit(events.PUBLICATION_ACCEPTED, **attrs.asdict(event))
-
-    @_note.register
-    def _(self, event: Refused) -> None:
-        events.emit(events.PUBLICATION_REFUSED, **attrs.asdict(event))
-
-    @_note.register
-    def _(self, event: Adopted) -> None:
-        return
-
-    @_note.register
-    def _(self, event: CheckpointRead) -> None:
-        self.note_checkpoint(event.as_of)
-
-    @_note.register
-    def _(self, event: Mismatched) -> None:
-        events.emit(events.CHECKPOINT_MISMATCH, **attrs.asdict(event))
-
-    @_note.register
-    def _(self, event: Regressed) -> None:
-        events.emit(events.LOG_REGRESSED, **attrs.asdict(event))
-
-    @_note.register
-    def _(self, event: GapFound) -> None:
-        events.emit(events.RETENTION_GAP, **attrs.asdict(event))
-
-    @_note.register
-    def _(self, event: Unsupported) -> None:
-        events.emit(events.FORMAT_UNSUPPORTED, **attrs.asdict(event))
--- a/azurestep/node/follow.py
+++ b/azurestep/node/follow.py
@@ -49,7 +49,7 @@
     async def _follow(self, read: ReadOnce, client: LogClient) -> None:
         backoff = Backoff(self.environment.random)
         while True:
-            if not self.control.is_reader():
+            if not self.control.readers.is_reader():
                 await asyncio.sleep(STANDBY_S)
                 continue
             await read(client, backoff)
--- a/azurestep/node/messages.py
+++ b/azurestep/node/messages.py
@@ -12,6 +12,7 @@
 )
 from ..platform.records import Page
 from ..traffic.directory import Directory
+from ..traffic.pool import QuarantineNews
 from ..traffic.table import RoutingTable
 
 
@@ -36,6 +37,13 @@
     cause: str
 
 
+@attrs.frozen
+class QuarantineNoticed:
+    """The proxy noticed a request that crashes backend servers."""
+
+    news: QuarantineNews
+
+
 @attrs.frozen
 class LeaveRequested:
     """The node is to leave the membership."""
@@ -85,7 +93,8 @@
 
 
 ControlInput = (
-    AuditOut
+    QuarantineNoticed
+    | AuditOut
     | ServersChanged
     | PageRead
     | LogLost
@@ -127,7 +136,14 @@
     directory: Directory
 
 
-TrafficInput = TableReady | DirectoryReady
+@attrs.frozen
+class QuarantineLearned:
+    """Another node noticed a request that crashes backend servers."""
+
+    news: QuarantineNews
+
+
+TrafficInput = TableReady | DirectoryReady | QuarantineLearned
 
 
 @attrs.frozen
--- a/azurestep/node/operators.py
+++ b/azurestep/node/operators.py
@@ -64,7 +64,7 @@
             state.document.hash.hex(),
             state.as_of,
             configuration.active_preset if configuration else "",
-            self.control.is_reader(),
+            self.control.readers.is_reader(),
             self.control.membership.is_bridge(),
             self.proxy.in_flight,
             [_view_of(member) for member in self.control.membership.members()],
--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -20,7 +20,7 @@
 from .traffic import TrafficService
 
 DRAIN_SETTLE_S = 2.0
-LEAVE_SETTLE_S = 0.2
+LEAVE_SETTLE_S = 1.5
 YOUNG_OBJECTS = 10_000
 YOUNG_PASSES = 10
 MIDDLE_PASSES = 20
@@ -50,6 +50,7 @@
     announce = AnnounceService(settings, environment, control.inputs)
     once = OnceService(settings, environment, traffic.proxy, control.inputs, node_run)
     control.once = once.inputs
+    traffic.proxy.on_quarantine_news = control.notice_quarantine
     audit = AuditService(settings, environment, control, node_run)
     control.audit = audit.inputs
     once.audit = audit.inputs
--- /dev/null
+++ b/azurestep/node/suspects.py
@@ -0,0 +1,31 @@
+"""Suspect requests on their way between the proxy and the peers."""
+
+from collections.abc import Iterator
+
+from ..balancing import EndpointKey, QuarantineUpdate
+from ..control.messages import DeadServer, MemberState, SuspectRequest
+from ..traffic.pool import QuarantineNews
+
+
+def suspect_updates(
+    news: QuarantineNews, own: MemberState, at_ms: int
+) -> Iterator[SuspectRequest]:
+    """Yield what peers are told of this node's quarantine."""
+    for update in news.updates:
+        dead = [DeadServer(k.host, k.port, k.incarnation) for k in update.deaths]
+        yield SuspectRequest(
+            own.data_centre,
+            news.service,
+            update.fingerprint,
+            own.instance,
+            at_ms,
+            dead,
+            int(update.refused_for_ms),
+        )
+
+
+def quarantine_news(update: SuspectRequest) -> QuarantineNews:
+    """Return what the proxy is told of a peer's quarantine."""
+    deaths = tuple(EndpointKey(d.host, d.port, d.incarnation) for d in update.dead)
+    learned = QuarantineUpdate(update.fingerprint, deaths, update.refused_for_ms)
+    return QuarantineNews(update.service, [learned])
--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -12,7 +12,7 @@
 from ..traffic.connections import Connections
 from ..traffic.proxy import Proxy
 from .http import listen
-from .messages import DirectoryReady, TableReady, TrafficInput
+from .messages import DirectoryReady, QuarantineLearned, TableReady, TrafficInput
 
 TICK_S = 0.05
 KEEP_ALIVE_S = 75.0
@@ -96,6 +96,10 @@
     def _(self, message: DirectoryReady) -> None:
         self.proxy.swap_directory(message.directory)
 
+    @_take.register
+    def _(self, message: QuarantineLearned) -> None:
+        self.proxy.learn_quarantine(message.news)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -136,7 +136,8 @@
         """Take over what another node learned."""
         pool = self._pools.get(news.service)
         if pool is not None:
-            pool.quarantine.learn(news.updates, self._clock.monotonic_ms())
+            now_ms = self._clock.monotonic_ms()
+            pool.quarantine.learn(news.updates, now_ms, len(pool.endpoints))
 
     def report_load(self, service: str, report: LoadReport) -> None:
         """Take a backend server's own word as a hint."""
