--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -9,7 +9,7 @@
 
 from azurestep.control.ring import rendezvous
 from azurestep.control.roster import BRIDGE
-from azurestep.node.control import READER
+from azurestep.node.readers import READER
 from azurestep.operations.node_client import NodeClient
 from azurestep.settings import Address, ControlSettings
 
