Measure herds and cut data centres while versions spread

Cause: restarts of half of all nodes with the platform out, and data centres cut off from the others, the platform or both, had no figures.

--- a/bench/fake_network.py
+++ b/bench/fake_network.py
@@ -143,6 +143,9 @@
             return
         self.perform(node, node.membership.tick(self.now_ms))
         self.perform(node, node.summarizer.tick(self.now_ms))
+        self._tick_reporter(node)
+
+    def _tick_reporter(self, node: Node) -> None:
         self.perform(node, node.reporter.tick(self.now_ms, Digest(0, b"")))
 
     def perform(self, node: Node, outputs: list[Output]) -> None:
--- a/bench/herds.py
+++ b/bench/herds.py
@@ -7,13 +7,16 @@
   --quick        Fewer nodes and seeds, for tests.
   --output FILE  JSON of the results [default: bench/results/herds.json].
 
-The decisions of one data centre run over a fake network in simulated time; the
-platform's log is not there, so nothing comes from it.
+The decisions run over a fake network in simulated time. Membership is measured in
+one data centre without the platform's log; the herds and the cut data centres are
+measured in three, with a log that can be out of reach.
 """
 
+import itertools
 import pathlib
 import sys
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 
 import attrs
 import docopt
@@ -23,6 +26,7 @@
 
 from .fake_links import Link
 from .fake_network import FIRST_PORT, FakeNetwork
+from .fleet_herds import Cut, CutResult, HerdResult, measure_cut, measure_herd
 
 NODES = (24, 183)
 QUICK_NODES = (12,)
@@ -32,6 +36,7 @@
 LOSS_MS = 60_000
 PARTITION_MS = 20_000
 TIMEOUT_MS = 180_000
+WORKERS = 3
 SETTLE_MS = 30_000
 SILENCE_MS = 60_000
 NOT_ALIVE = frozenset(MemberStatus) - {MemberStatus.ALIVE}
@@ -188,19 +193,51 @@
     return took_ms
 
 
+@attrs.frozen
+class Size:
+    """Nodes and the seed of one run."""
+
+    nodes: int
+    seed: int
+
+
+@attrs.frozen
+class Results:
+    """All figures of a run."""
+
+    membership: list[Result] = attrs.field(factory=list)
+    herds: list[HerdResult] = attrs.field(factory=list)
+    cuts: list[CutResult] = attrs.field(factory=list)
+
+
+def _measure_size(size: Size) -> Results:
+    cuts = [measure_cut(size.nodes, size.seed, cut) for cut in Cut]
+    return Results(
+        [measure(size.nodes, size.seed)], [measure_herd(size.nodes, size.seed)], cuts
+    )
+
+
+def _measure_all(sizes: list[Size]) -> Results:
+    results = Results()
+    with ProcessPoolExecutor(max_workers=WORKERS) as pool:
+        for found in pool.map(_measure_size, sizes):
+            results.membership.extend(found.membership)
+            results.herds.extend(found.herds)
+            results.cuts.extend(found.cuts)
+            print(found, flush=True)
+    return results
+
+
 def main() -> int:
     """Run the measurement from the command line."""
     options = docopt.docopt(__doc__ or "")
     sizes = QUICK_NODES if options["--quick"] else NODES
     seeds = QUICK_SEEDS if options["--quick"] else SEEDS
-    results = []
-    for nodes in sizes:
-        for seed in seeds:
-            results.append(measure(nodes, seed))
-            print(results[-1], flush=True)
+    pairs = itertools.product(sizes, seeds)
+    results = _measure_all([Size(nodes, seed) for nodes, seed in pairs])
     path = pathlib.Path(options["--output"])
     path.parent.mkdir(parents=True, exist_ok=True)
-    plain = [attrs.asdict(result) for result in results]
+    plain = attrs.asdict(results)
     path.write_bytes(orjson.dumps(plain, option=orjson.OPT_INDENT_2))
     return 0
 
