--- a/bench/fake_fleet.py
+++ b/bench/fake_fleet.py
@@ -10,7 +10,7 @@
 from azurestep.control.outputs import Output, Send, VersionApplied
 from azurestep.control.ring import rendezvous
 from azurestep.control.spread import Spread
-from azurestep.node.control import READER
+from azurestep.node.readers import READER
 from azurestep.platform.backoff import Backoff
 from azurestep.platform.records import Page
 from azurestep.settings import Address, ControlSettings
