Let data centres meet as soon as they hear of each other

Cause: after a mass start the reports that name the bridges begin 2 s late, and each data centre learned those of the others by a seed that one node in ten tried, or by a probe. Change: a bridge without a contact abroad tries the seeds as often as a node that is alone; a bridge that first hears of a data centre compares the global tables with it at once, so both sides know each other.

--- a/azurestep/control/beliefs.py
+++ b/azurestep/control/beliefs.py
@@ -62,6 +62,7 @@
         self._random = source
         self._suspected_ms: dict[str, float] = {}
         self._gone_ms: dict[str, float] = {}
+        self._met: set[str] = set()
         self._next_ask_ms = 0.0
 
     def tick(self, now_ms: float) -> list[Output]:
@@ -138,12 +139,21 @@
         if not isinstance(update, DataCentreReport):
             return []
         if update.data_centre != self._roster.own.data_centre:
-            return []
+            return self._meet_abroad(update)
         known = {member.address for member in self._roster.members()}
         strangers = [to for to in update.contacts if to not in known]
         self._seeds.add(strangers)
         return [Send(to, sync_request(self._roster.table)) for to in strangers[:1]]
 
+    def _meet_abroad(self, report: DataCentreReport) -> list[Output]:
+        """Compare tables at once with a data centre that was not known."""
+        is_first = report.data_centre not in self._met
+        if not is_first or not report.contacts or not self._roster.is_bridge():
+            return []
+        self._met.add(report.data_centre)
+        to = self._random.choice(report.contacts)
+        return [Send(to, sync_request(self._roster.table, only_global=True))]
+
     def _pass_on(self, update: Update, carrier: Carrier) -> None:
         if carrier is not Carrier.SYNC:
             self._roster.queue.add(update, is_broadcast=carrier is Carrier.BROADCAST)
--- a/azurestep/control/seeds.py
+++ b/azurestep/control/seeds.py
@@ -43,13 +43,17 @@
         known = {member.address for member in self._roster.members()}
         seeds = [*self._seeds, *self._sought_again]
         strangers = [seed for seed in seeds if seed not in known]
-        is_alone = len(self._roster.order) <= 1
+        is_alone = len(self._roster.order) <= 1 or self._is_cut_off()
         if not strangers or (not is_alone and self._random.random() > 0.1):
             return []
         count = min(SEEDS_AT_ONCE, len(strangers)) if is_alone else 1
         chosen = self._random.sample(strangers, count)
         return [Send(to, sync_request(self._roster.table)) for to in chosen]
 
+    def _is_cut_off(self) -> bool:
+        """Whether a bridge knows no bridge of another data centre."""
+        return self._roster.is_bridge() and not self._roster.reports_abroad()
+
     def seek_again(self, address: Address) -> None:
         """Go on seeking a dead member: it may live beyond a partition."""
         if address in self._seeds:
--- a/tests/test_control_directory.py
+++ b/tests/test_control_directory.py
@@ -45,3 +45,17 @@
 
     took_ms = network.run_until(lambda: everywhere(network, True), 60_000)
     assert took_ms <= PROMISE_MS
+
+
+@pytest.mark.parametrize("seed", [1, 15, 20])
+def test_leaving_server_is_known_within_the_promise_just_after_a_mass_start(seed):
+    network = FakeNetwork(24, seed=seed, data_centres=3)
+    network.run_until(network.is_whole, 60_000)
+    node = list(network.nodes.values())[-1]
+    network.perform(node, node.membership.change_own(servers=[SERVER]))
+    network.run_until(lambda: everywhere(network, False), 60_000)
+
+    network.perform(node, node.membership.change_own(servers=[LEAVING]))
+
+    took_ms = network.run_until(lambda: everywhere(network, True), 60_000)
+    assert took_ms <= PROMISE_MS
