Say at once when a payment never left for its owner

Cause: a frame to a peer that is gone was taken as queued, so the accepting node waited 5 s and said "may have run"; a new run of a node dropped requests for the run before it in silence, with the same end. Ruled out: shorter waits, which would make more answers unclear, not fewer. Change: frames wait up to a second for a connection that is up, and are known to be unsent if it does not come; a new run disowns requests for the one before. The rest (an owner silent for 5 s) is not explained yet.

--- a/azurestep/control/link.py
+++ b/azurestep/control/link.py
@@ -13,9 +13,12 @@
 from ..settings import Address, FleetKey
 from .codec import FRAME_MAXIMUM_BYTES, Envelope, decode, encode
 from .messages import Message, Sender
+from .waiting import OnDrop, WaitingFrames
 
 QUEUE_LENGTH = 256
 LINKS_MAXIMUM = 256
+FLUSH_INTERVAL_S = 0.005
+MS_PER_S = 1000
 CURVE_ANY = "*"
 
 
@@ -56,6 +59,8 @@
         self._sync_context = zmq.Context(self._context)
         self._inbound: zmq.asyncio.Socket | None = None
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        self._waiting = WaitingFrames()
+        self._flush_handle: asyncio.TimerHandle | None = None
         self._outbound: OrderedDict[Address, zmq.Socket[bytes]] = OrderedDict()
 
     def open(self) -> None:
@@ -106,22 +111,57 @@
                 self.counters.dropped_frames += 1
                 emit(FRAME_DROPPED, cause=str(error), size_bytes=len(frame))
 
-    def send(self, to: Address, message: Message) -> bool:
-        """Send without waiting; return whether the frame was queued.
+    def send(
+        self, to: Address, message: Message, on_drop: OnDrop | None = None
+    ) -> bool:
+        """Send without waiting; return whether the frame was taken.
 
-        A frame to a peer whose queue is full is dropped.
+        A frame waits up to a second for its connection to come up.
+
+        Parameters
+        ----------
+        on_drop : callable, optional
+            Called if the frame is dropped before any byte of it left, as is the
+            case if it returns False.
         """
         frame = encode(self._own, message)
-        socket = self._socket(to)
+        if not self._waiting.has(to) and self._try(to, frame):
+            return True
+        if self._waiting.add(to, frame, self._now_ms(), on_drop):
+            self._flush_later()
+            return True
+        self.counters.unsent_frames += 1
+        if on_drop is not None:
+            on_drop()
+        return False
+
+    def _try(self, to: Address, frame: bytes) -> bool:
         try:
-            socket.send(frame, zmq.DONTWAIT)
+            self._socket(to).send(frame, zmq.DONTWAIT)
         except zmq.Again:
-            self.counters.unsent_frames += 1
             return False
         self.counters.sent_frames += 1
         self.counters.sent_bytes += len(frame)
         return True
 
+    def _now_ms(self) -> float:
+        return asyncio.get_running_loop().time() * MS_PER_S
+
+    def _flush_later(self) -> None:
+        if self._flush_handle is None:
+            loop = asyncio.get_running_loop()
+            self._flush_handle = loop.call_later(FLUSH_INTERVAL_S, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_handle = None
+        self._waiting.flush(self._try)
+        for dropped in self._waiting.expire(self._now_ms()):
+            self.counters.unsent_frames += 1
+            if dropped.on_drop is not None:
+                dropped.on_drop()
+        if len(self._waiting):
+            self._flush_later()
+
     def _socket(self, to: Address) -> "zmq.Socket[bytes]":
         held = self._outbound.get(to)
         if held is not None:
@@ -130,6 +170,7 @@
         socket = self._sync_context.socket(zmq.PUSH)
         socket.linger = 0
         socket.sndhwm = QUEUE_LENGTH
+        socket.immediate = True
         if self._key is not None:
             socket.curve_serverkey = self._key.public_key.encode()
             socket.curve_secretkey = self._key.secret_key.encode()
@@ -149,6 +190,9 @@
 
     async def close(self, flush_ms: int = 200) -> None:
         """Close all sockets, giving queued frames a moment to leave."""
+        self._waiting.flush(self._try)
+        if self._flush_handle is not None:
+            self._flush_handle.cancel()
         for socket in self._outbound.values():
             socket.close(linger=flush_ms)
         self._outbound.clear()
--- /dev/null
+++ b/azurestep/control/waiting.py
@@ -0,0 +1,66 @@
+"""Frames that wait until the connection to their peer is up.
+
+A pure decision: it holds frames, and says which were given up. A frame that never
+left it was certainly not sent.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from ..settings import Address
+
+FRAMES_PER_PEER = 64
+WAIT_MAXIMUM_MS = 1000
+
+OnDrop = Callable[[], None]
+
+
+@attrs.frozen
+class WaitingFrame:
+    """A frame, the time since which it waits, and who is told if it is dropped."""
+
+    frame: bytes
+    since_ms: float
+    on_drop: OnDrop | None = None
+
+
+class WaitingFrames:
+    """Frames by peer, in the order in which they came."""
+
+    def __init__(self) -> None:
+        self._frames: dict[Address, deque[WaitingFrame]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(frames) for frames in self._frames.values())
+
+    def has(self, to: Address) -> bool:
+        """Whether frames for a peer wait, which later ones must not pass."""
+        return to in self._frames
+
+    def add(
+        self, to: Address, frame: bytes, now_ms: float, on_drop: OnDrop | None = None
+    ) -> bool:
+        """Let a frame wait; return whether there was room."""
+        frames = self._frames.setdefault(to, deque())
+        if len(frames) >= FRAMES_PER_PEER:
+            return False
+        frames.append(WaitingFrame(frame, now_ms, on_drop))
+        return True
+
+    def flush(self, send: Callable[[Address, bytes], bool]) -> None:
+        """Hand the frames of every peer to a sender until it takes no more."""
+        for to, frames in list(self._frames.items()):
+            while frames and send(to, frames[0].frame):
+                frames.popleft()
+            if not frames:
+                del self._frames[to]
+
+    def expire(self, now_ms: float) -> Iterator[WaitingFrame]:
+        """Take out and yield the frames that waited for too long."""
+        for to, frames in list(self._frames.items()):
+            while frames and now_ms - frames[0].since_ms >= WAIT_MAXIMUM_MS:
+                yield frames.popleft()
+            if not frames:
+                del self._frames[to]
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -1,7 +1,7 @@
 """The control task: owns the peer sockets and drives the control decisions."""
 
 import asyncio
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import aiomisc
 import attrs
@@ -294,12 +294,17 @@
     def _(self, message: OwnerMessageOut) -> list[Output]:
         node = NodeId(message.instance, message.message.receiver_run)
         to = self._owners.address(node)
-        if to is not None and self.links.send(to, message.message):
-            return []
-        if message.request_id:
-            self._tell_once(ForwardFailed(message.request_id, bytes_sent=False))
+        on_drop = partial(self._tell_unsent, message.request_id)
+        if to is None:
+            on_drop()
+        else:
+            self.links.send(to, message.message, on_drop)
         return []
 
+    def _tell_unsent(self, request_id: str) -> None:
+        if request_id:
+            self._tell_once(ForwardFailed(request_id, bytes_sent=False))
+
     @_take.register
     def _(self, message: AuditOut) -> list[Output]:
         member = self.membership.member(message.instance)
--- a/azurestep/node/once.py
+++ b/azurestep/node/once.py
@@ -33,6 +33,7 @@
     Output,
     OwnerAnswer,
     PeerSent,
+    Reason,
     RequestArrived,
     RunHere,
     SendToPeer,
@@ -183,6 +184,7 @@
     @_take.register
     def _(self, message: OwnerMessageReceived) -> None:
         if message.message.receiver_run != self._node.incarnation:
+            self._disown(message)
             return
         sender = NodeId(message.instance, message.message.sender_run)
         inner = message.message.message
@@ -192,6 +194,15 @@
             self._carried[(sender, inner.request_id)] = message.message.call
         self._handle(PeerSent(sender, inner))
 
+    def _disown(self, message: OwnerMessageReceived) -> None:
+        """Answer for a run of this node that is gone: it never got the request."""
+        inner = message.message.message
+        if not isinstance(inner, ForwardedRequest):
+            return
+        answer = OwnerAnswer(inner.request_id, Outcome.MAY_HAVE_RUN, Reason.NOT_OWNER)
+        reply = OwnerMessage(message.message.sender_run, self._node.incarnation, answer)
+        self.control.put_nowait(OwnerMessageOut(message.instance, reply))
+
     def _handle(self, message: Input) -> None:
         clock = self.environment.clock
         moment = Moment(clock.now_ms(), clock.monotonic_ms())
--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -127,7 +127,15 @@
     """Return browsing, payments, tracks and listings."""
     return (
         RequestKind("browse", 80, path="/songs", host=host, service="catalogue"),
-        RequestKind("pay", 10, "POST", "/licences", host, new_key=True),
+        RequestKind(
+            "pay",
+            10,
+            "POST",
+            "/licences",
+            host,
+            headers={"Azurestep-Attempt": "1"},
+            new_key=True,
+        ),
         RequestKind(
             "track",
             2,
