Ask first peers abroad only from bridges, count owners by slots

Cause: in the runs of 64 and 128 nodes the three first peers received 7 and 25 KB/s when idle, since every node of another data centre sent them the stamps of its whole table; the capacity page still counted an owner for every node. Change: a seed that answered from abroad is left to bridges and lone nodes; the page's model takes at most one owner for each of the 256 slots. The idle bytes of first peers were not measured again.

--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -145,6 +145,8 @@
 
     @handle.register
     def _(self, message: SyncReply, sender: Sender, now_ms: float) -> list[Output]:
+        if sender.data_centre != self._own.data_centre:
+            self._seeds.note_abroad(sender.address)
         was_alone = len(self._order) <= 1
         is_bulk = len(message.updates) > BULK_UPDATES
         carrier = Carrier.SYNC if is_bulk else Carrier.PROBE
--- a/azurestep/control/seeds.py
+++ b/azurestep/control/seeds.py
@@ -33,8 +33,14 @@
         self._random = source
         self._seeds = [seed for seed in seeds if seed != roster.own.address]
         self._sought_again: deque[Address] = deque(maxlen=SOUGHT_MAXIMUM)
+        self._abroad: set[Address] = set()
         self._next_seed_ms = 0.0
 
+    def note_abroad(self, address: Address) -> None:
+        """Note that a seed belongs to another data centre, where bridges go."""
+        if address in self._seeds:
+            self._abroad.add(address)
+
     def tick(self, now_ms: float) -> list[Output]:
         """Ask a few seeds that are no members, often while alone."""
         if now_ms < self._next_seed_ms:
@@ -42,8 +48,10 @@
         self._next_seed_ms = now_ms + SEED_INTERVAL_MS * self._random.uniform(1, 2)
         known = {member.address for member in self._roster.members()}
         seeds = [*self._seeds, *self._sought_again]
-        strangers = [seed for seed in seeds if seed not in known]
         is_alone = len(self._roster.order) <= 1 or self._is_cut_off()
+        if not is_alone:
+            known |= self._abroad
+        strangers = [seed for seed in seeds if seed not in known]
         if not strangers or (not is_alone and self._random.random() > 0.1):
             return []
         count = min(SEEDS_AT_ONCE, len(strangers)) if is_alone else 1
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -96,7 +96,7 @@
 
 def ownership_per_s(inputs: Inputs) -> Spent:
     """Return what the ownership records of the whole fleet cost each node."""
-    rate = TARGET.nodes * ASSUMED.ownership_records_per_owner_per_s
+    rate = ASSUMED.owners * ASSUMED.ownership_records_per_owner_per_s
     return ownership_per_record(inputs).times(rate)
 
 
--- a/bench/capacity_tables.py
+++ b/bench/capacity_tables.py
@@ -199,10 +199,13 @@
     """Return what ownership records cost every node."""
     one = ownership_per_record(inputs)
     all_of_them = ownership_per_s(inputs)
-    appends = TARGET.nodes * ASSUMED.ownership_records_per_owner_per_s
+    appends = ASSUMED.owners * ASSUMED.ownership_records_per_owner_per_s
     wire = wire_per_s(inputs, all_of_them)
     rows = [
-        ("records of the fleet per second, one per owner in 300 s", f"{appends:.1f}"),
+        (
+            "records of the fleet per second, of 256 owners in 300 s at most",
+            f"{appends:.1f}",
+        ),
         (
             "one record at one node: processor ms, frame bytes both ways, frames",
             f"{one.processor_ms:.2f}, {one.sent_bytes + one.received_bytes:.0f}, "
@@ -221,7 +224,7 @@
     """Return the work of the platform's log."""
     readers = TARGET.data_centres * 2
     polls = readers * 2 / 6
-    ownership = TARGET.nodes * ASSUMED.ownership_records_per_owner_per_s
+    ownership = ASSUMED.owners * ASSUMED.ownership_records_per_owner_per_s
     run = slopes.shipped(inputs.scale)[-1]
     per_start = run.start_log_reads / run.nodes
     rows = [
--- a/bench/target.py
+++ b/bench/target.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from azurestep.once import OnceSettings
+
 DAY_S = 86_400
 
 
@@ -83,6 +85,8 @@
     reports_per_change : float
         Reports that a data centre publishes for a change, when the runs of
         the scale measurement didn't count them.
+    owners : int
+        Nodes that own keys at most: one for each slot of the fleet's key space.
     ownership_records_per_owner_per_s : float
         An owner extends its interval of 600 s every 300 s at the latest.
     platform_appends_per_s : int
@@ -92,6 +96,7 @@
     member_updates_per_restart: int = 6
     summary_updates_per_restart: int = 3
     reports_per_change: float = 3.0
+    owners: int = OnceSettings().slot_count
     ownership_records_per_owner_per_s: float = 1 / 300
     platform_appends_per_s: int = 300
 
