--- a/azurestep/audit/in_force.py
+++ b/azurestep/audit/in_force.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..control.messages import DataCentreReport, MemberStatus
+from ..control.updates import DataCentreReport, MemberStatus
 from .records import MissingInstance, VersionInForce
 
 SETTLE_MS = 5000
--- a/azurestep/audit/lost.py
+++ b/azurestep/audit/lost.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from ..control.messages import MemberState, MemberStatus
+from ..control.updates import MemberState, MemberStatus
 from .records import Gap
 
 HAND_OVER_MS = 2000
--- a/azurestep/control/beliefs.py
+++ b/azurestep/control/beliefs.py
@@ -7,18 +7,12 @@
 
 from ..settings import ControlSettings
 from .comparison import sync_request
-from .messages import (
-    LIVE,
-    DataCentreReport,
-    MemberState,
-    MemberStatus,
-    Probe,
-    Update,
-)
+from .messages import Probe
 from .outputs import Learned, MemberChanged, Output, Send
 from .roster import Roster
 from .seeds import Seeds
 from .table import stamp_of
+from .updates import LIVE, DataCentreReport, MemberState, MemberStatus, Update
 
 FORGET_MS = 120_000
 ASK_INTERVAL_MS = 400
--- a/azurestep/control/codec.py
+++ b/azurestep/control/codec.py
@@ -25,9 +25,7 @@
     AuditItems,
     AuditReceipt,
     Broadcast,
-    DataCentreReport,
     Later,
-    MemberState,
     Message,
     OwnerMessage,
     Probe,
@@ -39,10 +37,14 @@
     RecordsPull,
     RecordsPush,
     Sender,
-    ServiceSummary,
-    SuspectRequest,
     SyncReply,
     SyncRequest,
+)
+from .updates import (
+    DataCentreReport,
+    MemberState,
+    ServiceSummary,
+    SuspectRequest,
     Update,
 )
 
--- a/azurestep/control/comparison.py
+++ b/azurestep/control/comparison.py
@@ -1,7 +1,8 @@
 """Comparison of whole tables: each side asks for what the other holds newer."""
 
-from .messages import ItemStamp, SyncReply, SyncRequest, Update
+from .messages import ItemStamp, SyncReply, SyncRequest
 from .table import UpdateTable, key_hash, key_of, stamp_of
+from .updates import Update
 
 
 def is_news(table: UpdateTable, update: Update) -> bool:
--- a/azurestep/control/gossip.py
+++ b/azurestep/control/gossip.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from .messages import Update
 from .table import is_global, key_of
+from .updates import Update
 
 UPDATES_PER_MESSAGE = 8
 RETRANSMIT_FACTOR = 2
--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -14,10 +14,8 @@
 from .comparison import is_news, sync_reply, sync_request
 from .gossip import UPDATES_PER_MESSAGE
 from .messages import (
-    LIVE,
     Ack,
     Broadcast,
-    MemberState,
     Message,
     Probe,
     ProbeRelayed,
@@ -31,6 +29,7 @@
 from .roster import Roster
 from .seeds import Seeds
 from .table import key_of
+from .updates import LIVE, MemberState
 
 SYNC_INTERVAL_MS = 3000
 BULK_UPDATES = 4
--- a/azurestep/control/outputs.py
+++ b/azurestep/control/outputs.py
@@ -4,7 +4,8 @@
 
 from ..config.fold import FoldEvent
 from ..settings import Address
-from .messages import MemberState, Message, RelayedRecord, Update
+from .messages import Message, RelayedRecord
+from .updates import MemberState, Update
 
 
 @attrs.frozen
--- a/azurestep/control/reports.py
+++ b/azurestep/control/reports.py
@@ -9,8 +9,9 @@
 import attrs
 
 from .membership import Membership
-from .messages import Applied, DataCentreReport, Digest
+from .messages import Applied, Digest
 from .outputs import Output
+from .updates import DataCentreReport
 
 MISSING_MAXIMUM = 16
 VERSIONS_KEPT = 16
--- a/azurestep/control/roster.py
+++ b/azurestep/control/roster.py
@@ -10,19 +10,18 @@
 
 from ..settings import Address, ControlSettings
 from .gossip import GossipQueue
-from .messages import (
+from .messages import Broadcast, Digest
+from .outputs import Output, Send
+from .ring import children, rendezvous, ring_order
+from .table import UpdateTable, is_global
+from .updates import (
     LIVE,
-    Broadcast,
     DataCentreReport,
-    Digest,
     MemberState,
     MemberStatus,
     ServerState,
     Update,
 )
-from .outputs import Output, Send
-from .ring import children, rendezvous, ring_order
-from .table import UpdateTable, is_global
 
 BRIDGE = "bridge"
 
--- a/azurestep/control/summaries.py
+++ b/azurestep/control/summaries.py
@@ -1,8 +1,8 @@
 """Summaries: which backend servers a data centre offers to the others."""
 
 from .membership import Membership
-from .messages import MemberStatus, ServerState, ServiceSummary
 from .outputs import Output
+from .updates import MemberStatus, ServerState, ServiceSummary
 
 SUMMARY_INTERVAL_MS = 200
 SERVERS_PER_SUMMARY = 64
--- a/azurestep/control/table.py
+++ b/azurestep/control/table.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from .messages import (
+from .updates import (
     LIVE,
     DataCentreReport,
     MemberState,
--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -11,17 +11,7 @@
 from ..control.codec import Envelope
 from ..control.link import Links
 from ..control.membership import Membership
-from ..control.messages import (
-    AuditItems,
-    AuditReceipt,
-    Broadcast,
-    MemberState,
-    MemberStatus,
-    OwnerMessage,
-    Sender,
-    SuspectRequest,
-    Update,
-)
+from ..control.messages import AuditItems, AuditReceipt, Broadcast, OwnerMessage, Sender
 from ..control.outputs import (
     Folded,
     Learned,
@@ -36,6 +26,7 @@
 from ..control.relay import LogRelay
 from ..control.spread import Spread
 from ..control.summaries import Summarizer
+from ..control.updates import MemberState, MemberStatus, SuspectRequest, Update
 from ..environment import Environment
 from ..errors import MessageMalformedError
 from ..once.fold import LogEntry
--- a/azurestep/node/leases.py
+++ b/azurestep/node/leases.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..control.messages import ServerState, ServerStatus
+from ..control.updates import ServerState, ServerStatus
 
 LEASE_MS = 3000
 LEAVE_SETTLE_MS = 2000
--- a/azurestep/node/messages.py
+++ b/azurestep/node/messages.py
@@ -3,13 +3,8 @@
 import attrs
 
 from ..audit.records import Item
-from ..control.messages import (
-    AuditItems,
-    AuditReceipt,
-    DataCentreReport,
-    OwnerMessage,
-    ServerState,
-)
+from ..control.messages import AuditItems, AuditReceipt, OwnerMessage
+from ..control.updates import DataCentreReport, ServerState
 from ..platform.records import Page
 from ..traffic.directory import Directory
 from ..traffic.pool import QuarantineNews
--- a/azurestep/node/metrics.py
+++ b/azurestep/node/metrics.py
@@ -8,7 +8,7 @@
 import statsd
 
 from .. import metrics
-from ..control.messages import MemberStatus
+from ..control.updates import MemberStatus
 from ..environment import Environment
 from ..metrics import CounterDeltas, MetricKind, Sample, prefix_of
 from ..settings import Settings
--- a/azurestep/node/operators.py
+++ b/azurestep/node/operators.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ..config.records import entries_of
-from ..control.messages import MemberState, MemberStatus
+from ..control.updates import MemberState, MemberStatus
 from ..settings import Settings
 from ..traffic.proxy import Proxy
 from .control import ControlService
--- a/azurestep/node/owners.py
+++ b/azurestep/node/owners.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..control.messages import ServerStatus
+from ..control.updates import ServerStatus
 from ..once.messages import MembersChanged
 from ..once.records import NodeId
 from ..once.settings import KEY_SCOPE
--- a/azurestep/node/suspects.py
+++ b/azurestep/node/suspects.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from ..balancing import EndpointKey, QuarantineUpdate
-from ..control.messages import DeadServer, MemberState, SuspectRequest
+from ..control.updates import DeadServer, MemberState, SuspectRequest
 from ..traffic.pool import QuarantineNews
 
 
--- a/azurestep/operations/publisher.py
+++ b/azurestep/operations/publisher.py
@@ -19,7 +19,7 @@
     encode_record,
     entries_of,
 )
-from ..control.messages import DataCentreReport
+from ..control.updates import DataCentreReport
 from ..environment import Environment
 from ..errors import (
     AzurestepError,
--- a/azurestep/operations/waiting.py
+++ b/azurestep/operations/waiting.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..control.messages import DataCentreReport
+from ..control.updates import DataCentreReport
 from ..environment import Environment
 from ..errors import NodeUnreachableError
 from .node_client import NodeClient
--- a/azurestep/output/render.py
+++ b/azurestep/output/render.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 from typing import Any
 
-from ..control.messages import DataCentreReport
+from ..control.updates import DataCentreReport
 from ..node.messages import NodeStatus
 from .results import CheckResult, DrainResult, KeysResult, PublishResult
 from .tables import format_table
--- a/azurestep/output/results.py
+++ b/azurestep/output/results.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..control.messages import DataCentreReport
+from ..control.updates import DataCentreReport
 from ..faults import Fault
 from ..settings import FleetKey
 
--- a/azurestep/traffic/directory.py
+++ b/azurestep/traffic/directory.py
@@ -6,7 +6,8 @@
 import xxhash
 
 from ..balancing import Endpoint, EndpointKey
-from ..control.messages import (
+from ..control.table import key_of
+from ..control.updates import (
     LIVE,
     MemberState,
     ServerState,
@@ -14,7 +15,6 @@
     ServiceSummary,
     Update,
 )
-from ..control.table import key_of
 
 
 def endpoint_key(server: ServerState) -> EndpointKey:
--- a/bench/crowd.py
+++ b/bench/crowd.py
@@ -16,19 +16,21 @@
 from azurestep.control.messages import (
     Ack,
     Broadcast,
-    DataCentreReport,
     Digest,
-    MemberState,
-    MemberStatus,
     Probe,
     Pull,
     PullReply,
     Push,
     Sender,
-    ServerState,
-    ServiceSummary,
     SyncReply,
     SyncRequest,
+)
+from azurestep.control.updates import (
+    DataCentreReport,
+    MemberState,
+    MemberStatus,
+    ServerState,
+    ServiceSummary,
     Update,
 )
 from azurestep.settings import Address, FleetKey
--- a/bench/fake_network.py
+++ b/bench/fake_network.py
@@ -13,18 +13,12 @@
 import attrs
 
 from azurestep.control.membership import Membership
-from azurestep.control.messages import (
-    Ack,
-    Digest,
-    MemberState,
-    MemberStatus,
-    Message,
-    Sender,
-)
+from azurestep.control.messages import Ack, Digest, Message, Sender
 from azurestep.control.outputs import MemberChanged, Output, ReplaceLink, Send
 from azurestep.control.reports import Reporter
 from azurestep.control.ring import neighbours
 from azurestep.control.summaries import Summarizer
+from azurestep.control.updates import MemberState, MemberStatus
 from azurestep.settings import Address, ControlSettings
 
 from .fake_links import FakeLinks, Link
--- a/bench/herds.py
+++ b/bench/herds.py
@@ -22,7 +22,7 @@
 import docopt
 import orjson
 
-from azurestep.control.messages import MemberStatus
+from azurestep.control.updates import MemberStatus
 
 from .fake_links import Link
 from .fake_network import FIRST_PORT, FakeNetwork
--- a/tests/fixtures_cli.py
+++ b/tests/fixtures_cli.py
@@ -13,7 +13,7 @@
 
 from azurestep.config.fold import ConfigurationFold
 from azurestep.config.records import STREAM, entries_of
-from azurestep.control.messages import DataCentreReport
+from azurestep.control.updates import DataCentreReport
 from azurestep.core import main
 from azurestep.environment import Environment
 from azurestep.node.messages import NodeStatus
--- a/tests/test_audit_service.py
+++ b/tests/test_audit_service.py
@@ -25,7 +25,7 @@
     entries_of,
 )
 from azurestep.config.validate import read_document
-from azurestep.control.messages import DataCentreReport, MemberState, MemberStatus
+from azurestep.control.updates import DataCentreReport, MemberState, MemberStatus
 from azurestep.environment import Environment
 from azurestep.node.audit import AuditService
 from azurestep.node.messages import AuditMessageReceived, AuditOut, ItemArose
--- a/tests/test_audit_writer.py
+++ b/tests/test_audit_writer.py
@@ -13,7 +13,7 @@
     encode_entry,
 )
 from azurestep.audit.writer import PENDING_MAXIMUM_BYTES, AuditWriter, Receipt
-from azurestep.control.messages import DataCentreReport, MemberState, MemberStatus
+from azurestep.control.updates import DataCentreReport, MemberState, MemberStatus
 
 
 def item(number: int) -> Item:
--- a/tests/test_control_directory.py
+++ b/tests/test_control_directory.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from azurestep.control.messages import ServerState, ServerStatus
+from azurestep.control.updates import ServerState, ServerStatus
 from azurestep.traffic.directory import DirectoryBuilder
 from bench.fake_network import FakeNetwork
 
--- a/tests/test_control_membership.py
+++ b/tests/test_control_membership.py
@@ -1,6 +1,6 @@
 import pytest
 
-from azurestep.control.messages import MemberStatus
+from azurestep.control.updates import MemberStatus
 from bench.fake_network import FIRST_PORT, FakeNetwork
 
 COUNT = 24
--- a/tests/test_control_seeds.py
+++ b/tests/test_control_seeds.py
@@ -3,13 +3,9 @@
 import pytest
 
 from azurestep.control.membership import Membership
-from azurestep.control.messages import (
-    MemberState,
-    MemberStatus,
-    Sender,
-    SyncReply,
-)
+from azurestep.control.messages import Sender, SyncReply
 from azurestep.control.seeds import Seeds
+from azurestep.control.updates import MemberState, MemberStatus
 from azurestep.settings import Address, ControlSettings
 
 ABROAD = Address("127.0.0.1", 9000)
--- a/tests/test_control_versions.py
+++ b/tests/test_control_versions.py
@@ -5,13 +5,8 @@
 
 from azurestep.config.fold import ConfigurationFold
 from azurestep.control.codec import decode, encode
-from azurestep.control.messages import (
-    Digest,
-    MemberState,
-    Probe,
-    Sender,
-    SyncReply,
-)
+from azurestep.control.messages import Digest, Probe, Sender, SyncReply
+from azurestep.control.updates import MemberState
 from azurestep.errors import MessageMalformedError
 from tests.fixtures_fold import initial_change, timeout_change
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from azurestep.control.messages import ServerStatus
+from azurestep.control.updates import ServerStatus
 from azurestep.node.leases import LEASE_MS, LEAVE_SETTLE_MS, Announcement, Leases
 
 
--- a/tests/test_spread_two_readers.py
+++ b/tests/test_spread_two_readers.py
@@ -12,9 +12,10 @@
     entries_of,
 )
 from azurestep.control.membership import Membership
-from azurestep.control.messages import MemberState, Push, Sender, SyncReply
+from azurestep.control.messages import Push, Sender, SyncReply
 from azurestep.control.outputs import Send
 from azurestep.control.spread import Spread
+from azurestep.control.updates import MemberState
 from azurestep.platform.records import LogRecord, Page
 from azurestep.settings import ControlSettings
 from bench.deployment import load_configuration
--- a/tests/test_start_costs.py
+++ b/tests/test_start_costs.py
@@ -6,18 +6,15 @@
 import pytest
 
 from azurestep.control.membership import Membership
-from azurestep.control.messages import (
-    Ack,
+from azurestep.control.messages import Ack, Probe, Sender, SyncReply
+from azurestep.control.outputs import Learned, Output, Send
+from azurestep.control.updates import (
     DataCentreReport,
     MemberState,
-    Probe,
-    Sender,
     ServerState,
     ServiceSummary,
-    SyncReply,
     Update,
 )
-from azurestep.control.outputs import Learned, Output, Send
 from azurestep.environment import Environment
 from azurestep.node.control import ControlService
 from azurestep.settings import ControlSettings, Settings
