--- a/azurestep/control/membership.py
+++ b/azurestep/control/membership.py
@@ -14,10 +14,8 @@
 from .comparison import is_news, sync_reply, sync_request
 from .gossip import UPDATES_PER_MESSAGE
 from .messages import (
-    LIVE,
     Ack,
     Broadcast,
-    MemberState,
     Message,
     Probe,
     ProbeRelayed,
@@ -31,6 +29,7 @@
 from .roster import Roster
 from .seeds import Seeds
 from .table import key_of
+from .updates import LIVE, MemberState
 
 SYNC_INTERVAL_MS = 3000
 BULK_UPDATES = 4
@@ -145,6 +144,8 @@
 
     @handle.register
     def _(self, message: SyncReply, sender: Sender, now_ms: float) -> list[Output]:
+        if sender.data_centre != self._own.data_centre:
+            self._seeds.note_abroad(sender.address)
         was_alone = len(self._order) <= 1
         is_bulk = len(message.updates) > BULK_UPDATES
         carrier = Carrier.SYNC if is_bulk else Carrier.PROBE
