Pass a version on once for each reader's tree

Cause, seen failing first: two nodes that both took themselves for the first reader pushed two trees; a node passed a version on in one tree only, so the leaves of the other waited for a digest, about a second. Change: a version is forwarded once for each root. The test that names one first reader now also runs with two.

--- a/azurestep/control/spread.py
+++ b/azurestep/control/spread.py
@@ -114,7 +114,7 @@
         self._applied_ms = 0
         self._reported_to: str | None = None
         self._stand_in: StandIn | None = None
-        self._forwarded_version = 0
+        self._forwarded_roots: set[str] = set()
 
     @property
     def digest(self) -> Digest:
@@ -151,6 +151,7 @@
         self, before: Document, now_ms: float, parent_name: str | None
     ) -> list[Output]:
         self._remember(before)
+        self._forwarded_roots.clear()
         self._membership.digest = self.digest
         self._applied_ms = self._wall_ms()
         self._note_applied(now_ms, parent_name)
@@ -169,17 +170,20 @@
             self._history.popitem(last=False)
 
     def _push(self, root: str, base: Document) -> list[Output]:
-        self._forwarded_version = self.fold.state.version
         return self._send_down(Push(root, self._delta_from(base)))
 
     def _forward(self, message: Push) -> list[Output]:
-        """Pass on a version that came here by another way before."""
-        if self._forwarded_version >= message.delta.version:
+        """Pass on a version that came here by another way, once for each tree.
+
+        A node that got it down the tree of one reader still stands between the
+        root and the leaves of the other reader's tree.
+        """
+        if message.root in self._forwarded_roots:
             return []
-        self._forwarded_version = message.delta.version
         return self._send_down(message)
 
     def _send_down(self, message: Push) -> list[Output]:
+        self._forwarded_roots.add(message.root)
         names = children(
             self._membership.order,
             message.root,
--- a/tests/test_spread_two_readers.py
+++ b/tests/test_spread_two_readers.py
@@ -52,11 +52,13 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_two_readers_leave_nobody_out(nodes, seed):
+@pytest.mark.parametrize("believe_to_be_first", [1, 2])
+def test_two_readers_leave_nobody_out(nodes, seed, believe_to_be_first):
     source = random.Random(seed)
     queue = []
     for rank, reader in enumerate(source.sample(range(NODES), 2)):
-        sends = nodes[reader].take_page(_page(), 0.0, is_first_reader=rank == 0)
+        is_first = rank < believe_to_be_first
+        sends = nodes[reader].take_page(_page(), 0.0, is_first_reader=is_first)
         queue.extend((reader, s) for s in sends if isinstance(s, Send))
     pushes = 0
     while queue:
