Measure two versions of the request path in the same turns

Such comparisons are printed and don't replace the stored result. The direct calls now come one after the other in a turn, so that the calls through the two nodes do too.

--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -2,13 +2,18 @@
 
 Usage:
   request_path [--requests N] [--rounds N] [--per-second RATE] [--profile FILE]
+               [--against CHECKOUT] [--plain-collector]
   request_path serve BACKEND_PORT TRAFFIC_PORT [--profile FILE]
+               [--plain-collector]
 
 Options:
   --requests N        Calls of each way in one round. [default: 1500]
   --rounds N          Rounds; the ways take turns call by call. [default: 4]
   --per-second RATE   Calls a second, both ways together. [default: 300]
   --profile FILE      Write a cProfile of the node's process there.
+  --against CHECKOUT  Compare with a node that runs the code of that checkout.
+  --plain-collector   Leave Python's collector as it is; with --against, only
+                      in the node compared with.
 """
 
 import asyncio
@@ -53,6 +58,22 @@
     p99_ms: float
 
 
+@attrs.frozen
+class NodeCost:
+    """What one node spent.
+
+    Attributes
+    ----------
+    added : LatencySummary
+        Time added inside the node, by its own histogram.
+    processor_us : float
+        Processor time of the node's process for one call.
+    """
+
+    added: LatencySummary
+    processor_us: float
+
+
 @attrs.frozen
 class RequestPath:
     """Result of the paired run.
@@ -61,12 +82,12 @@
     ----------
     direct, through : Way
         Calls to the backend server, and calls through the node.
+    compared : Way or None
+        Calls through the node compared with, in the same turns.
     direct_again : Way
         A second way without the node: how much two equal ways differ.
-    added : LatencySummary
-        Time added inside the node, by its own histogram.
-    node_processor_us : float
-        Processor time of the node's process for one call.
+    node, node_compared : NodeCost
+        What the nodes told at their end.
     target_ms : float
         Target for 99 in 100.
     """
@@ -76,8 +97,9 @@
     direct: Way
     direct_again: Way
     through: Way
-    added: LatencySummary
-    node_processor_us: float
+    compared: Way | None
+    node: NodeCost
+    node_compared: NodeCost | None
     target_ms: float
     machine: Machine
 
@@ -87,7 +109,9 @@
     return Way(*(percentile(times_ms, share) for share in (0.5, 0.9, 0.99)))
 
 
-async def serve(backend_port: int, traffic_port: int, profile: str | None) -> None:
+async def serve(
+    backend_port: int, traffic_port: int, profile: str | None, is_tuned: bool
+) -> None:
     """Run a node's traffic task until SIGTERM; print what it added."""
     _, *ports = free_ports(4)
     settings = Settings(
@@ -109,7 +133,8 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     task = loop.create_task(traffic.start())
-    tune_collector()
+    if is_tuned:
+        tune_collector()
     profiler = cProfile.Profile()
     if profile:
         profiler.enable()
@@ -155,44 +180,77 @@
     return times
 
 
+@attrs.define
+class Node:
+    """A node's process and its traffic port."""
+
+    process: asyncio.subprocess.Process
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Address of the measured path through the node."""
+        return f"http://{HOST}:{self.port}{PATH}"
+
+    async def stop(self) -> NodeCost:
+        """End the process; return what it told."""
+        self.process.send_signal(signal.SIGTERM)
+        output, _ = await self.process.communicate()
+        said = orjson.loads(output.splitlines()[-1])
+        added = cattrs.structure(said["added"], LatencySummary)
+        return NodeCost(added, said["processor_s"] / added.count * 1_000_000)
+
+
+async def start_node(
+    backend_port: int, options: list[str], checkout: str | None = None
+) -> Node:
+    """Start a node with the code of a checkout, by default the present one."""
+    (port,) = free_ports(1)
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "bench.request_path", "serve"),
+        *(str(backend_port), str(port), *options),
+        stdout=asyncio.subprocess.PIPE,
+        cwd=checkout,
+    )
+    await wait_for_port(port)
+    return Node(process, port)
+
+
 async def measure(
-    requests: int, rounds: int, per_second: float, profile: str | None
+    requests: int,
+    rounds: int,
+    per_second: float,
+    options: list[str],
+    against: str | None,
 ) -> RequestPath:
-    """Run the pairs."""
+    """Run the pairs; the options are those of the node, or the one compared with."""
     machine = machine_facts()
     async with Fleet() as fleet:
-        backend_port, traffic_port = free_ports(2)
+        (backend_port,) = free_ports(1)
         await fleet.start_lone_backend_server(SERVICE, "--port", str(backend_port))
         await wait_for_port(backend_port)
-        words = ["serve", str(backend_port), str(traffic_port)]
-        words += ["--profile", profile] if profile else []
-        node = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "bench.request_path", *words),
-            stdout=asyncio.subprocess.PIPE,
-        )
-        await wait_for_port(traffic_port)
+        nodes = [await start_node(backend_port, [] if against else options)]
+        if against is not None:
+            nodes.append(await start_node(backend_port, options, against))
         direct = f"http://{HOST}:{backend_port}{PATH}"
-        through = f"http://{HOST}:{traffic_port}{PATH}"
-        urls = [direct, through, direct]
+        urls = [direct, direct, *(node.url for node in nodes)]
         await take_turns(urls, WARM_UP, per_second)
-        times: list[list[float]] = [[], [], []]
+        times: list[list[float]] = [[] for _ in urls]
         for _ in range(rounds):
             for held, found in zip(
                 times, await take_turns(urls, requests, per_second), strict=True
             ):
                 held.extend(found)
-        node.send_signal(signal.SIGTERM)
-        output, _ = await node.communicate()
-    said = orjson.loads(output.splitlines()[-1])
-    added = cattrs.structure(said["added"], LatencySummary)
+        costs = [await node.stop() for node in nodes]
     return RequestPath(
         requests * rounds,
         per_second,
         way_of(times[0]),
-        way_of(times[2]),
         way_of(times[1]),
-        added,
-        said["processor_s"] / added.count * 1_000_000,
+        way_of(times[2]),
+        way_of(times[3]) if against else None,
+        costs[0],
+        costs[1] if against else None,
         TARGET_MS,
         at_end(machine),
     )
@@ -202,19 +260,24 @@
     """Run the measurement, or the node's side of it, from the command line."""
     options = docopt.docopt(__doc__ or "")
     profile = options["--profile"]
+    is_plain = bool(options["--plain-collector"])
     if options["serve"]:
         ports = int(options["BACKEND_PORT"]), int(options["TRAFFIC_PORT"])
-        uvloop.run(serve(*ports, profile))
+        uvloop.run(serve(*ports, profile, not is_plain))
         return
+    passed = ["--profile", profile] if profile else []
+    passed += ["--plain-collector"] if is_plain else []
+    against = options["--against"]
     result = uvloop.run(
         measure(
             int(options["--requests"]),
             int(options["--rounds"]),
             float(options["--per-second"]),
-            profile,
+            passed,
+            against,
         )
     )
-    if profile is None:
+    if not passed and against is None:
         write_result("request_path", result)
     print(result)
 
