Learn from an attempt after its answer was written

Change: a relayed answer's attempt is finished by the loop's next step, after aiohttp has written the answer. Failed, cut and cancelled attempts are still finished at once, since the next attempt may need the slot.

--- a/azurestep/traffic/forward.py
+++ b/azurestep/traffic/forward.py
@@ -217,18 +217,21 @@
             self._timer(call, sent.attempt, response),
             is_final,
         )
-        kind = OutcomeKind.CANCELLED
         try:
             answer = await relay.run(request)
-            kind = ENDED_KINDS.get(relay.end, current.attempt.kind)
         except BodyCutError:
-            kind = OutcomeKind.RESET
-            sent.attempt.kind = kind
+            sent.attempt.kind = OutcomeKind.RESET
             sent.attempt.response = None
             response.release()
+            self.finish(current, OutcomeKind.RESET)
             return None
-        finally:
-            self.finish(current, kind)
+        except BaseException:
+            self.finish(current, OutcomeKind.CANCELLED)
+            raise
+        kind = ENDED_KINDS.get(relay.end, current.attempt.kind)
+        # A whole answer is written in this same step of the loop, and what is
+        # learned from the attempt can wait for that.
+        asyncio.get_running_loop().call_soon(self.finish, current, kind)
         return answer
 
     async def _resume(
