--- a/azurestep/traffic/latency.py
+++ b/azurestep/traffic/latency.py
@@ -6,7 +6,7 @@
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 DIGITS = 2
-SIGNIFICANT_BITS = 8
+PENDING_MAXIMUM = 4096
 US_PER_MS = 1000
 
 
@@ -35,32 +35,29 @@
 
 
 class AddedLatency:
-    """Histogram of the added time.
-
-    Requests are counted by the histogram's own buckets, which costs far less than
-    recording each, and recorded when a summary is asked for.
-    """
+    """Histogram of the added time; filled in batches, off the request's path."""
 
     def __init__(self) -> None:
         self._histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-        self._counts: dict[int, int] = {}
+        self._pending_ms: list[float] = []
 
     def add(self, added_ms: float) -> None:
         """Note the added time of one request."""
-        value = min(max(LOWEST_US, int(added_ms * US_PER_MS)), HIGHEST_US)
-        shift = max(0, value.bit_length() - SIGNIFICANT_BITS)
-        bucket = value >> shift << shift
-        self._counts[bucket] = self._counts.get(bucket, 0) + 1
+        self._pending_ms.append(added_ms)
+        if len(self._pending_ms) >= PENDING_MAXIMUM:
+            self.flush()
 
-    def _flush(self) -> None:
-        counts = self._counts
-        self._counts = {}
-        for value, count in counts.items():
-            self._histogram.record_value(value, count)
+    def flush(self) -> None:
+        """Move what was noted into the histogram."""
+        pending = self._pending_ms
+        self._pending_ms = []
+        for added_ms in pending:
+            value = max(LOWEST_US, int(added_ms * US_PER_MS))
+            self._histogram.record_value(min(value, HIGHEST_US))
 
     def summary(self) -> LatencySummary:
         """Return the distribution so far."""
-        self._flush()
+        self.flush()
         histogram = self._histogram
 
         def at(percentile: float) -> float:
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -148,6 +148,7 @@
     def tick(self) -> None:
         """Drop waiting requests whose time is over."""
         now_ms = self._clock.monotonic_ms()
+        self._latency.flush()
         for pool in self._pools.values():
             pool.tick(now_ms)
 
