--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -88,8 +88,12 @@
         Calls through the node compared with, in the same turns.
     direct_again : Way
         A second way without the node: how much two equal ways differ.
-    node, node_compared : NodeCost
-        What the nodes told at their end.
+    added : LatencySummary
+        Time added inside the node, by its own histogram.
+    node_processor_us : float
+        Processor time of the node's process for one call.
+    node_compared : NodeCost or None
+        What the node compared with told.
     target_ms : float
         Target for 99 in 100.
     """
@@ -99,11 +103,12 @@
     direct: Way
     direct_again: Way
     through: Way
-    compared: Way | None
-    node: NodeCost
-    node_compared: NodeCost | None
+    added: LatencySummary
+    node_processor_us: float
     target_ms: float
     machine: Machine
+    compared: Way | None = None
+    node_compared: NodeCost | None = None
 
 
 def way_of(times_ms: list[float]) -> Way:
@@ -279,11 +284,12 @@
         way_of(times[0]),
         way_of(times[1]),
         way_of(times[2]),
-        way_of(times[3]) if against else None,
-        costs[0],
-        costs[1] if against else None,
+        costs[0].added,
+        costs[0].processor_us,
         TARGET_MS,
         at_end(machine),
+        way_of(times[3]) if against else None,
+        costs[1] if against else None,
     )
 
 
