--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,10 @@
 	$(PYTHON) -m bench.demo --deployment $(DEPLOYMENT)
 
 test: install
-	$(PYTHON) -m pytest -n 4
+	$(PYTHON) -m pytest -n 4 --dist worksteal
 
 soak: install
-	HYPOTHESIS_PROFILE=soak $(PYTHON) -m pytest -n 4
+	HYPOTHESIS_PROFILE=soak $(PYTHON) -m pytest -n 4 --dist worksteal
 
 lint: install
 	$(VENV)/bin/ruff format --check .
