--- a/tests/fixtures_world.py
+++ b/tests/fixtures_world.py
@@ -9,6 +9,8 @@
 import uuid6
 import uvloop
 
+from azurestep.config.fold import Accepted, ConfigurationFold, Refused
+from azurestep.config.records import STREAM
 from azurestep.environment import Environment
 from azurestep.node.messages import NodeStatus
 from azurestep.operations.node_client import NodeClient
@@ -44,6 +46,7 @@
     answers: list[Answer] = attrs.field(factory=list)
     key: str = ""
     delay_ms: int = 0
+    seen_versions: dict[str, list[int]] = attrs.field(factory=dict)
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
         return self.runner.run(work)
@@ -143,6 +146,24 @@
             counts.append(plain.get("runs", plain).get(self.key, 0))
         return counts
 
+    async def watch_versions(self) -> None:
+        while True:
+            for state in await self.statuses():
+                self.seen_versions.setdefault(state.instance, []).append(state.version)
+            await asyncio.sleep(0.05)
+
+    async def fold_whole_log(self) -> tuple[ConfigurationFold, dict[str, str]]:
+        log = LogClient(self.session, self.fleet.log_url, self.environment)
+        fold = ConfigurationFold()
+        outcomes: dict[str, str] = {}
+        while True:
+            page = (await log.read(STREAM, fold.next_offset)).unwrap()
+            if not page.records:
+                return fold, outcomes
+            for event in fold.take(page):
+                if isinstance(event, Accepted | Refused):
+                    outcomes.setdefault(event.id, type(event).__name__)
+
     async def set_log_faults(self, faults: dict[str, Any]) -> None:
         url = f"{self.fleet.log_url}/faults"
         async with self.session.put(url, json=faults) as response:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -120,6 +120,47 @@
     world.run(move())
 
 
+@given("the log loses one append answer in ten")
+def lose_answers(world: World) -> None:
+    world.run(world.set_log_faults({"lose_answer_ratio": 0.1, "seed": 7}))
+
+
+@when(
+    parsers.parse(
+        "{operators:d} operators make {count:d} publications each "
+        "while the platform stops twice"
+    )
+)
+def race_many(world: World, operators: int, count: int) -> None:
+    async def publish_all(name: str) -> None:
+        for number in range(count):
+            held = await world.clients()[0].configuration()
+            body = canonical_json({"name": f"{name}-{number}", "service": "catalogue"})
+            entry = Entry(int(Section.ROUTES), f"{name}-{number}", body.decode())
+            result = await world.publisher(name).publish(
+                EditEntries([entry]), held, world.deadline_ms()
+            )
+            world.verdicts.append(result.unwrap())
+
+    async def stop_twice() -> None:
+        for _ in range(2):
+            await asyncio.sleep(1.5)
+            await world.set_log_faults({"outage": True, "lose_answer_ratio": 0.1})
+            await asyncio.sleep(1.0)
+            await world.set_log_faults({"lose_answer_ratio": 0.1, "seed": 7})
+
+    async def race_all() -> None:
+        watch = asyncio.create_task(world.watch_versions())
+        names = [f"operator-{number}" for number in range(operators)]
+        await asyncio.gather(stop_twice(), *(publish_all(name) for name in names))
+        fold, _ = await world.fold_whole_log()
+        newest = fold.state.version
+        await world.until(lambda states: all(s.version == newest for s in states))
+        watch.cancel()
+
+    world.run(race_all())
+
+
 @when("the platform has an outage")
 def platform_outage(world: World) -> None:
     world.run(world.set_log_faults({"outage": True}))
@@ -273,6 +314,31 @@
     world.run(world.wait_in_force())
 
 
+@then("each operator got the true outcome of each publication")
+def true_outcomes(world: World) -> None:
+    _, outcomes = world.run(world.fold_whole_log())
+    told = {v.id: type(v.event).__name__ for v in world.verdicts}
+    assert len(told) == 101
+    assert {id: outcomes[id] for id in told} == told
+    assert "Refused" in told.values()
+
+
+@then("every instance holds the newest version and its hash")
+def newest_everywhere(world: World) -> None:
+    fold, _ = world.run(world.fold_whole_log())
+    newest = (fold.state.version, fold.state.document.hash.hex())
+    held = {(state.version, state.hash) for state in world.run(world.statuses())}
+    assert held == {newest}
+
+
+@then("no instance ever went back")
+def never_back(world: World) -> None:
+    assert len(world.seen_versions) == 2
+    for versions in world.seen_versions.values():
+        assert versions == sorted(versions)
+        assert len(set(versions)) > 3
+
+
 @then("every instance holds the same hash")
 def same_hash(world: World) -> None:
     assert len({state.hash for state in world.run(world.statuses())}) == 1
