Answer a node that forwarded a payment before its server announced itself

Cause, seen failing first: an owner looked up where to send its answer among the announced backend servers. A node that had just started is not among them yet, so its forwarded payments went unanswered for 5 s and ended as "may have run": 13 of 787 payments of a rolling restart, and 3 more timed out. Change: the address that a message came from is remembered, bounded.

--- a/azurestep/node/control.py
+++ b/azurestep/node/control.py
@@ -192,6 +192,8 @@
             self._tell_audit(AuditMessageReceived(sender.instance, message))
             return
         if isinstance(message, OwnerMessage):
+            node = NodeId(sender.instance, message.sender_run)
+            self._owners.note_sender(node, sender.address)
             self._tell_once(OwnerMessageReceived(sender.instance, message))
             return
         now_ms = self._now_ms()
--- a/azurestep/node/owners.py
+++ b/azurestep/node/owners.py
@@ -1,5 +1,6 @@
 """Which nodes can own keys, and where they listen."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from ..control.updates import ServerStatus
@@ -9,6 +10,8 @@
 from ..settings import Address
 from ..traffic.directory import Placed
 
+SENDERS_MAXIMUM = 4096
+
 
 class OwnerDirectory:
     """Runs of nodes by service, as their backend servers announce them.
@@ -20,6 +23,7 @@
 
     def __init__(self) -> None:
         self._addresses: dict[str, dict[NodeId, Address]] = {}
+        self._senders: OrderedDict[NodeId, Address] = OrderedDict()
         self._ready: dict[str, tuple[NodeId, ...]] = {}
         self._services: frozenset[str] = frozenset()
         self._live: tuple[NodeId, ...] = ()
@@ -57,9 +61,20 @@
         found = {node for service in services for node in self._ready.get(service, ())}
         return tuple(sorted(found))
 
+    def note_sender(self, node: NodeId, address: Address) -> None:
+        """Remember where a message came from.
+
+        A node whose backend server has not announced itself yet is in no
+        directory, but has to get the answers to what it forwarded.
+        """
+        self._senders[node] = address
+        self._senders.move_to_end(node)
+        if len(self._senders) > SENDERS_MAXIMUM:
+            self._senders.popitem(last=False)
+
     def address(self, node: NodeId) -> Address | None:
         """Return the control address of a run of a node."""
         for addresses in self._addresses.values():
             if node in addresses:
                 return addresses[node]
-        return None
+        return self._senders.get(node)
