Make two checks able to fail

The leaving scenario only asked that one backend server answered, whichever it was; it now asks that the one which left is not among them. The trace test asserted a length that is equal by construction; that line is gone, the check it stood beside stays.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -390,7 +390,8 @@
 @then(parsers.parse("the backend server of data centre {number:d} ran none of them"))
 def ran_none(world: World, number: int) -> None:
     instances = {orjson.loads(answer.body)["instance"] for answer in world.answers}
-    assert len(instances) == 1
+    assert instances
+    assert f"127.0.0.1:{world.port_of(world.servers[number - 1])}" not in instances
 
 
 @then("the node ends by itself")
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -1,6 +1,5 @@
 import pathlib
 
-import attrs
 import pytest
 
 from bench.trace import read_trace, record, replay
@@ -18,14 +17,12 @@
     path: pathlib.Path, tmp_path: pathlib.Path
 ) -> None:
     header, steps = read_trace(path)
-    changed = [attrs.evolve(step, outputs=[*step.outputs, {}]) for step in steps]
     copy = tmp_path / path.name
     record(copy, header, steps)
     lines = copy.read_text().splitlines()
     lines[-1] = lines[-1].replace('"outputs":[', '"outputs":[{},', 1)
     copy.write_text("\n".join(lines))
     assert len(list(replay(copy))) == 1
-    assert len(changed) == len(steps)
 
 
 def test_traces_cover_the_decisions() -> None:
