--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -29,6 +29,12 @@
     "log lines were left out above the rate",
     "use the counters of the metrics address for totals",
 )
+TASK_FAILED = register(
+    9007,
+    logging.ERROR,
+    "a part of the node ended by an error",
+    "report the cause; restart the node if it does not serve",
+)
 STORE_LOST = register(
     9101,
     logging.WARNING,
--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -94,7 +94,6 @@
         self._unacknowledged = 0
         self._ungranted = 0
         self._sent_ms = 0.0
-        self._connecting: asyncio.Task[None] | None = None
 
     # From the sender of the request.
 
@@ -134,7 +133,7 @@
         if connection is not None:
             self._send(connection)
             return
-        self._connecting = inbound.runtime.loop.create_task(self._connect())
+        inbound.runtime.spawn(self._connect())
 
     async def _connect(self) -> None:
         connection = await self.inbound.connect()
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -193,12 +193,12 @@
     --------
     >>> decoder = Decoder()
     >>> list(decoder.feed(encode(Kind.CANCEL, 7)))
-    [[7, 7]]
+    [(7, 7)]
     """
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(
-            raw=False, use_list=True, max_buffer_size=BUFFER_BYTES
+            raw=False, use_list=False, max_buffer_size=BUFFER_BYTES
         )
 
     def feed(self, data: bytes) -> Any:
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -106,6 +106,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Greet the other node."""
         self._transport = transport  # type: ignore[assignment]
+        self.link.connection = self
         self.send(Kind.HELLO, *fields_of(self.link.news.hello()))
         self.ping()
 
@@ -163,7 +164,7 @@
                 self.send(Kind.CANCEL, number)
             stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
 
-    def _take(self, message: list[Any]) -> None:
+    def _take(self, message: tuple[Any, ...]) -> None:
         kind = message[0]
         if kind in (Kind.STATE, Kind.PONG):
             self.link.on_state(self, State(*message[1:]))
@@ -174,7 +175,7 @@
         else:
             self._take_outcome(kind, message[1], message[2:])
 
-    def _take_outcome(self, kind: int, number: int, fields: list[Any]) -> None:
+    def _take_outcome(self, kind: int, number: int, fields: tuple[Any, ...]) -> None:
         stream = self.streams.get(number)
         if stream is None:
             return
@@ -305,10 +306,9 @@
             self.news.on_link_down(self, cause)
 
     async def _dial(self) -> None:
-        connection: PeerConnection | None = None
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
-                _, connection = await self.runtime.loop.create_connection(
+                await self.runtime.loop.create_connection(
                     lambda: PeerConnection(self), *self.address
                 )
         except OSError:
@@ -318,4 +318,3 @@
             self._next_dial_ms = self.runtime.now_ms() + REDIAL_MS[pause] * jitter
         finally:
             self._dialing = False
-        self.connection = connection
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -153,12 +153,12 @@
         """Forget a request that ended."""
         self._runs.pop(stream, None)
 
-    def close(self) -> None:
-        """Close the link."""
+    def abort(self) -> None:
+        """Reset the link."""
         if self._transport is not None:
-            self._transport.close()
+            self._transport.abort()
 
-    def _take(self, message: list[Any]) -> None:
+    def _take(self, message: tuple[Any, ...]) -> None:
         kind = message[0]
         if kind == Kind.REQUEST:
             self._request(message[1], message[2:])
@@ -183,7 +183,7 @@
         elif kind == Kind.CONFIGURATION_WANTED:
             self.send(Kind.CONFIGURATION, *self.listener.configuration())
 
-    def _request(self, stream: int, fields: list[Any]) -> None:
+    def _request(self, stream: int, fields: tuple[Any, ...]) -> None:
         request = Request(*fields)
         late_ms = self._delay_ms(request.sent_ms)
         if late_ms > STALE_MS:
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -62,6 +62,7 @@
     callers: ServerState = attrs.field(init=False)
     started_ms: float = 0.0
     stopping_since_ms: float | None = None
+    listening: asyncio.Event = attrs.field(factory=asyncio.Event)
     _servers: list[asyncio.AbstractServer] = attrs.field(factory=list)
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_due: bool = False
@@ -136,6 +137,7 @@
         for address, handler in small:
             states.append(await self._listen_small(address, handler))
         await self._listen_peers(settings.peer_address)
+        self.listening.set()
         events.log(
             events.STARTED,
             node=settings.instance,
@@ -164,6 +166,17 @@
         events.log(events.STOPPING, node=self.settings.instance)
         self.tell_state()
 
+    def abort(self) -> None:
+        """Close all sockets at once, as a crash does."""
+        for server in self._servers:
+            server.close()
+        self.members.close()
+        for peer in list(self.listener.servers):
+            peer.abort()
+        for connection in list(self.callers.connections):
+            connection.abort()
+        self.runtime.cancel_all()
+
     def reload(self) -> None:
         """Read the settings file again."""
         try:
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from . import events
 from .metrics import Metrics
 
 
@@ -28,4 +29,14 @@
         """Run a coroutine beside the others."""
         task = self.loop.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            events.log(events.TASK_FAILED, cause=repr(task.exception()))
+
+    def cancel_all(self) -> None:
+        """Cancel all coroutines."""
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/standins/signing_server.py
@@ -0,0 +1,155 @@
+"""Stand-in of a backend server as the users' platform runs them.
+
+It signs its answers, echoes the id of a request, checks which incarnation a
+request is meant for, counts runs, and misbehaves where a test asks for it.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+Handler = Callable[["Received"], bytes | None]
+
+
+@attrs.frozen
+class Received:
+    """One request as the backend server got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.define
+class SigningServer:
+    """A backend server on a real socket.
+
+    Attributes
+    ----------
+    instance_id : str
+        Its incarnation.
+    work_s : float
+        Time that a request takes.
+    misbehave : Callable or None
+        Returns the bytes of the answer in place of the usual ones, or None to
+        close the connection without an answer.
+    runs : Counter
+        How often each request ran, by its id.
+    """
+
+    instance_id: str
+    work_s: float = 0.0
+    healthy: bool = True
+    misbehave: Handler | None = None
+    runs: Counter[str] = attrs.field(factory=Counter)
+    received: list[Received] = attrs.field(factory=list)
+    connections: int = 0
+    running: int = 0
+    most_running: int = 0
+    cancelled: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def stop(self) -> None:
+        """Close everything at once, as a crash does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                received = await _read_request(reader)
+                if received is None:
+                    return
+                answer = await self._answer(received, reader)
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, received: Received, reader: asyncio.StreamReader
+    ) -> bytes | None:
+        if received.target == "/health":
+            status = 200 if self.healthy else 503
+            return _text(status, [f"Instance-Id: {self.instance_id}"], b"")
+        if received.headers.get("expected-instance") != self.instance_id:
+            return _text(421, [f"Instance-Id: {self.instance_id}"], b"")
+        self.received.append(received)
+        name = received.headers.get("attempt-id", "")
+        self.runs[name] += 1
+        if self.misbehave is not None:
+            return self.misbehave(received)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self._work(reader)
+        finally:
+            self.running -= 1
+        return signed(received, received.body or b"hello")
+
+    async def _work(self, reader: asyncio.StreamReader) -> None:
+        end = asyncio.get_running_loop().time() + self.work_s
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0.005)
+            if reader.at_eof():
+                self.cancelled += 1
+                raise ConnectionError
+
+
+def signed(received: Received, body: bytes, status: int = 200) -> bytes:
+    """Return a whole signed answer to a request."""
+    name = received.headers.get("attempt-id", "")
+    return _text(status, [f"Attempt-Id: {name}", "Response-Signature: s1"], body)
+
+
+def _text(status: int, headers: list[str], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", *headers, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Received | None:
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.rstrip("\r\n").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    method, target, _ = first.split(" ")
+    if headers.get("transfer-encoding") == "chunked":
+        body = await _read_chunks(reader)
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Received(method, target, headers, body)
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b""
+    while True:
+        size = int((await reader.readline()).strip(), 16)
+        body += await reader.readexactly(size)
+        await reader.readline()
+        if size == 0:
+            return body
--- /dev/null
+++ b/tests/fixtures_mesh.py
@@ -0,0 +1,198 @@
+"""A fleet of real nodes on loopback addresses, with stand-ins around it."""
+
+import asyncio
+import pathlib
+from collections.abc import AsyncIterator
+
+import attrs
+import orjson
+import pytest
+import pytest_asyncio
+from aiohttp import ClientSession, web
+
+from azurestep.mesh.run import Node
+from azurestep.mesh.runtime import Runtime
+from azurestep.mesh.settings import MeshSettings
+from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+from standins.signing_server import SigningServer
+from standins.store import StoreStandIn
+
+CALLER_PORT, PEER_PORT, READY_PORT, ANNOUNCE_PORT = 7101, 7102, 7103, 7104
+METRICS_PORT, BACKEND_PORT, STORE_PORT = 7105, 7106, 7107
+STORE_HOST = "127.9.0.1"
+
+
+def document(version: int, **changes: object) -> bytes:
+    """Return an operator's document with a read and a payment route."""
+    common = {"host": "shop.example", "max_attempts": 2, "aim": "400ms"}
+    routes = {
+        "read": {
+            **common,
+            "path_prefix": "/read/",
+            "route_kind": "safe",
+            "timeout": "1200ms",
+            "priority": 2,
+            "service": "shop",
+        },
+        "pay": {
+            **common,
+            "path_prefix": "/pay/",
+            "route_kind": "unsafe",
+            "timeout": "1500ms",
+            "priority": 1,
+            "service": "shop",
+        },
+    }
+    fields = {
+        "version": version,
+        "routes": routes,
+        "services": {"shop": {"health_check_path": "/health", "connection_limit": 130}},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4_000_000,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+    }
+    fields.update(changes)
+    return orjson.dumps(fields)
+
+
+@attrs.define
+class MeshInstance:
+    """One instance: its node and the backend server beside it."""
+
+    host: str
+    node: Node
+    server: SigningServer
+    task: asyncio.Task[None] | None = None
+    beats: int = 0
+
+    def url(self, path: str) -> str:
+        """Return the address of a path for callers of this instance."""
+        return f"http://{self.host}:{CALLER_PORT}{path}"
+
+    async def beat(self, session: ClientSession, state: str = "ready") -> int:
+        """Send a heartbeat of the backend server."""
+        self.beats += 1
+        body = {
+            "address": f"{self.host}:{BACKEND_PORT}",
+            "information": {"service": "shop", "version": "v1", "slots": 4},
+            "status": {
+                "state": state,
+                "sequence": self.beats,
+                "cold_remaining": "0ms",
+            },
+        }
+        name = self.server.instance_id
+        address = f"http://{self.host}:{ANNOUNCE_PORT}/v1/instances/{name}/heartbeat"
+        async with session.post(address, json=body) as answer:
+            return answer.status
+
+
+@attrs.define
+class Fleet:
+    """Several instances and the store."""
+
+    store: StoreStandIn
+    session: ClientSession
+    path: pathlib.Path
+    instances: list[MeshInstance] = attrs.field(factory=list)
+
+    async def add(self, index: int) -> MeshInstance:
+        """Start an instance."""
+        host = f"127.9.1.{index}"
+        server = SigningServer(f"i-{index}")
+        await server.start(host, BACKEND_PORT)
+        instance = MeshInstance(host, self._node(host, index), server)
+        self.start_node(instance)
+        self.instances.append(instance)
+        return instance
+
+    def start_node(self, instance: MeshInstance) -> None:
+        """Run an instance's node."""
+        instance.task = asyncio.create_task(instance.node.run())
+
+    async def settle(self) -> None:
+        """Wait until all nodes know the configuration and all backend servers."""
+        for instance in self.instances:
+            await instance.node.listening.wait()
+            await instance.beat(self.session)
+        async with asyncio.timeout(10):
+            while not all(self._knows_all(item.node) for item in self.instances):
+                await asyncio.sleep(0.02)
+
+    async def get(
+        self, instance: MeshInstance, path: str, name: str, budget_ms: int = 2000
+    ) -> tuple[int, bytes]:
+        """Send an idempotent request as a caller does."""
+        async with self.session.get(
+            instance.url(path), headers=caller_headers(name, budget_ms)
+        ) as answer:
+            return answer.status, await answer.read()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for instance in self.instances:
+            if instance.task is not None:
+                instance.task.cancel()
+            instance.node.abort()
+            await instance.server.stop()
+
+    def _knows_all(self, node: Node) -> bool:
+        endpoints = node.members.endpoints("shop")
+        opened = sum(1 for endpoint in endpoints if endpoint.open)
+        return bool(node.configuration.version) and opened == len(self.instances)
+
+    def _node(self, host: str, index: int) -> Node:
+        settings = MeshSettings(
+            instance=f"node-{index}",
+            data_centre=f"dc-{index % 2}",
+            service="shop",
+            first_start=True,
+            caller_address=(host, CALLER_PORT),
+            peer_address=(host, PEER_PORT),
+            ready_address=(host, READY_PORT),
+            announce_address=(host, ANNOUNCE_PORT),
+            metrics_address=(host, METRICS_PORT),
+            backend_address=(host, BACKEND_PORT),
+            store_address=(STORE_HOST, STORE_PORT),
+        )
+        return Node(settings, self.path, Runtime(asyncio.get_running_loop()))
+
+
+def caller_headers(name: str, budget_ms: int = 2000) -> dict[str, str]:
+    """Return the headers that a caller sends."""
+    return {
+        "Host": "shop.example",
+        "Attempt-Id": name,
+        "Deadline-Milliseconds": str(budget_ms),
+    }
+
+
+@pytest_asyncio.fixture
+async def mesh_store() -> AsyncIterator[StoreStandIn]:
+    """Run the stand-in of the store with a first configuration."""
+    store = StoreStandIn()
+    store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(3))
+    runner = web.AppRunner(store.application(), shutdown_timeout=0)
+    await runner.setup()
+    await web.TCPSite(runner, STORE_HOST, STORE_PORT).start()
+    yield store
+    await runner.cleanup()
+
+
+@pytest_asyncio.fixture
+async def fleet(
+    mesh_store: StoreStandIn, tmp_path: pathlib.Path
+) -> AsyncIterator[Fleet]:
+    """Run three instances that know one another."""
+    async with ClientSession() as session:
+        fleet = Fleet(mesh_store, session, tmp_path / "settings.json")
+        for index in (1, 2, 3):
+            await fleet.add(index)
+        await fleet.settle()
+        yield fleet
+        await fleet.stop()
+
+
--- /dev/null
+++ b/tests/test_mesh_path.py
@@ -0,0 +1,67 @@
+"""The whole path: callers, two nodes, a backend server."""
+
+import asyncio
+
+from .fixtures_mesh import Fleet, caller_headers
+
+
+async def test_read_is_answered_whole(fleet: Fleet) -> None:
+    for index in range(20):
+        status, body = await fleet.get(fleet.instances[0], "/read/1", f"r{index}")
+        assert (status, body) == (200, b"hello")
+
+
+async def test_payment_reaches_a_backend_server_once(fleet: Fleet) -> None:
+    instance = fleet.instances[1]
+    async with fleet.session.post(
+        instance.url("/pay/1"), data=b"x" * 5000, headers=caller_headers("p1")
+    ) as answer:
+        assert answer.status == 200
+        assert await answer.read() == b"x" * 5000
+    assert sum(item.server.runs["p1"] for item in fleet.instances) == 1
+
+
+async def test_unknown_path_is_not_found(fleet: Fleet) -> None:
+    status, _ = await fleet.get(fleet.instances[0], "/none/1", "n1")
+    assert status == 404
+
+
+async def test_backend_server_learns_the_calling_service(fleet: Fleet) -> None:
+    await fleet.get(fleet.instances[0], "/read/1", "c1")
+    received = next(
+        item
+        for instance in fleet.instances
+        for item in instance.server.received
+        if item.headers["attempt-id"] == "c1"
+    )
+    assert received.headers["calling-service"] == "shop"
+    assert 0 < int(received.headers["deadline-milliseconds"]) <= 1200
+
+
+async def test_requests_of_one_connection_run_side_by_side(fleet: Fleet) -> None:
+    for instance in fleet.instances:
+        instance.server.work_s = 0.15
+    reader, writer = await asyncio.open_connection(fleet.instances[0].host, 7101)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    for index in range(4):
+        head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers(f"s{index}").items())
+        writer.write(f"GET /read/{index} HTTP/1.1\r\n{head}\r\n\r\n".encode())
+    names = []
+    while len(names) < 4:
+        line = (await reader.readline()).decode().lower()
+        if line.startswith("attempt-id:"):
+            names.append(line.split(":")[1].strip())
+    assert names == ["s0", "s1", "s2", "s3"]
+    assert loop.time() - began < 0.45
+    writer.close()
+
+
+async def test_backend_server_runs_no_more_than_its_slots(fleet: Fleet) -> None:
+    for instance in fleet.instances:
+        instance.server.work_s = 0.03
+    answers = await asyncio.gather(
+        *(fleet.get(fleet.instances[i % 3], "/read/1", f"b{i}") for i in range(60))
+    )
+    assert all(instance.server.most_running <= 4 for instance in fleet.instances)
+    assert {status for status, _ in answers} <= {200, 503}
