--- a/azurestep/cli/commands/sidecar.py
+++ b/azurestep/cli/commands/sidecar.py
@@ -10,7 +10,9 @@
 from ..options import SidecarOptions
 
 
-def run_sidecar_command(options: SidecarOptions, environment: Environment) -> ExitStatus:
+def run_sidecar_command(
+    options: SidecarOptions, environment: Environment
+) -> ExitStatus:
     """Run a node until it is asked to stop."""
     path = options.settings
     if path is None:
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/choice.py
@@ -70,18 +70,20 @@
         Time left until the answer loses value.
     size_kib : float
         Bytes that would cross between data centres, in KiB.
+    data_centre : str
+        Where the caller is.
     """
 
     service: str
     route: str
     aim_ms: float
     size_kib: float
+    data_centre: str
 
 
 def choose(
     endpoints: Iterable[Endpoint],
     wish: Wish,
-    data_centre: str,
     excluded: set[object],
     now_ms: float,
     random: Random,
@@ -92,13 +94,13 @@
     for endpoint in endpoints:
         if not endpoint.open or endpoint.key in excluded:
             continue
-        value = _value(endpoint, wish, data_centre, now_ms) + random.random() * TIE
+        value = _value(endpoint, wish, now_ms) + random.random() * TIE
         if best is None or value > best_value:
             best, best_value = endpoint, value
     return best
 
 
-def _value(endpoint: Endpoint, wish: Wish, data_centre: str, now_ms: float) -> float:
+def _value(endpoint: Endpoint, wish: Wish, now_ms: float) -> float:
     run_ms = endpoint.run_ms.get(wish.route, RUN_FIRST_MS)
     if now_ms < endpoint.cold_until_ms:
         run_ms *= COLD_FACTOR
@@ -109,6 +111,6 @@
     value -= BALANCE_WEIGHT * load / endpoint.slots
     if now_ms < endpoint.failed_until_ms:
         value -= 1.0
-    if endpoint.data_centre != data_centre:
+    if endpoint.data_centre != wish.data_centre:
         value -= ABROAD_COST * wish.size_kib
     return value
--- a/azurestep/mesh/configuration.py
+++ b/azurestep/mesh/configuration.py
@@ -45,7 +45,10 @@
         self.table = table
         self.content = content
         events.log(
-            events.VERSION, version=table.version, routes=len(table.routes), source=source
+            events.VERSION,
+            version=table.version,
+            routes=len(table.routes),
+            source=source,
         )
         self.on_change(table)
         return True
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -157,7 +157,7 @@
         "event": event.number,
         "message": event.summary,
     }
-    line.update({name: _text(value) for name, value in fields.items()})  # type: ignore[misc]
+    line.update({name: _text(value) for name, value in fields.items()})
     return orjson.dumps(line, default=str) + b"\n"
 
 
--- a/azurestep/mesh/http_client.py
+++ b/azurestep/mesh/http_client.py
@@ -206,7 +206,9 @@
     idle_limit_ms: float
     _connections: list[ClientConnection] = attrs.field(factory=list)
 
-    def take(self, now_s: float, fresh_ms: float | None = None) -> ClientConnection | None:
+    def take(
+        self, now_s: float, fresh_ms: float | None = None
+    ) -> ClientConnection | None:
         """Return a usable connection, or None.
 
         Parameters
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -13,6 +13,10 @@
 Headers = list[tuple[bytes, bytes]]
 FORMAT = 1
 BUFFER_BYTES = 96 * 1024 * 1024
+"""Longest message that is taken."""
+READ_BYTES = 8192
+"""First size of a link's buffer. The library's own choice of 1 MiB for each link
+made the peak memory of a node with 24 links 39 MB."""
 
 
 class Kind(IntEnum):
@@ -198,7 +202,10 @@
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(
-            raw=False, use_list=False, max_buffer_size=BUFFER_BYTES
+            raw=False,
+            use_list=False,
+            read_size=READ_BYTES,
+            max_buffer_size=BUFFER_BYTES,
         )
 
     def feed(self, data: bytes) -> Any:
@@ -220,4 +227,6 @@
     >>> fields_of(Failure(3, 0))
     [3, 0]
     """
-    return [getattr(message, name) for name in type(message).__slots__ if name[0] != "_"]
+    return [
+        getattr(message, name) for name in type(message).__slots__ if name[0] != "_"
+    ]
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -1,11 +1,10 @@
 """Requests of callers: match, choose a backend server, send, answer."""
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
 
-from ..platform.headers import CallerFields, read_caller
+from ..platform.headers import REQUEST_ID, CallerFields, read_caller
 from . import events
 from .choice import Endpoint, Wish, choose
 from .http_server import Exchange
@@ -35,19 +34,31 @@
 GOOD_BELOW = 300
 
 
+@attrs.frozen(slots=True)
+class Target:
+    """Where a configuration sends a request."""
+
+    route: Route
+    service: str
+    version: int
+
+
 class Call:
     """One attempt of a caller, until it is answered."""
 
     def __init__(
-        self, outbound: "Outbound", exchange: Exchange, caller: CallerFields,
-        route: Route, service: str, version: int,
+        self,
+        outbound: "Outbound",
+        exchange: Exchange,
+        caller: CallerFields,
+        target: Target,
     ) -> None:
         self.outbound = outbound
         self.exchange = exchange
         self.caller = caller
-        self.route = route
-        self.service = service
-        self.version = version
+        self.route = route = target.route
+        self.service = target.service
+        self.version = target.version
         self.arrived_ms = outbound.runtime.now_ms()
         budget_ms = min(caller.budget_ms or route.timeout_ms, route.timeout_ms)
         self.ends_ms = self.arrived_ms + budget_ms
@@ -62,7 +73,7 @@
         self._endpoint: Endpoint | None = None
         self._stream: Stream | None = None
         self._fallback: Answer | None = None
-        self._last_reason = ""
+        self._may_have_run = False
         self._unacknowledged = 0
         self._answering = False
         self._chunked = False
@@ -124,11 +135,11 @@
             self.route.name,
             self.route.aim_ms - (now_ms - self.arrived_ms),
             1.5 + max(self._size, self.exchange.length) / 1024,
+            outbound.members.data_centre,
         )
         endpoint = choose(
             outbound.members.endpoints(self.service),
             wish,
-            outbound.members.data_centre,
             self._excluded,
             now_ms,
             outbound.runtime.random,
@@ -190,7 +201,6 @@
             return
         endpoint = self._leave_endpoint()
         reason = Reason(refusal.reason)
-        self._last_reason = reason.name
         if endpoint is not None:
             endpoint.tell(refusal.busy)
             self._excluded.add(endpoint.key)
@@ -213,8 +223,8 @@
             return
         endpoint = self._leave_endpoint()
         reason = Reason(failure.reason)
-        self._last_reason = reason.name
         self._runs += 1
+        self._may_have_run = True
         if endpoint is not None:
             self._excluded.add(endpoint.key)
             endpoint.failed_until_ms = self.outbound.runtime.now_ms() + FAILED_MS
@@ -238,6 +248,7 @@
         retryable = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
         if retryable and self.route.idempotent and not self._streamed:
             self._runs += 1
+            self._may_have_run = True
             if self._may_run_again():
                 self._fallback = answer
                 self._leave_endpoint()
@@ -300,24 +311,12 @@
         return self.outbound.budget.spend(self.service, now_ms)
 
     def _give_up(self) -> None:
-        if self._fallback is not None:
-            answer, self._fallback = self._fallback, None
-            self._pass_on(answer)
-        elif self._runs and self._last_failed:
-            self._fail(Reason.UNREACHABLE)
-        else:
-            self._refuse(Reason.NO_BACKEND, RETRY_WITHOUT_BACKEND_MS)
-
-    @property
-    def _last_failed(self) -> bool:
-        return self._runs > 0 and self._last_reason not in ("", "BACKEND_REFUSED")
+        self._refuse(Reason.NO_BACKEND, RETRY_WITHOUT_BACKEND_MS)
 
     def _refuse(self, reason: Reason, retry_ms: float) -> None:
-        if self._fallback is not None or self._last_failed and self._runs:
+        if self._may_have_run:
             self._fail(reason)
             return
-        if not self.outbound.counts_as_loss:
-            retry_ms = max(retry_ms, RETRY_WITHOUT_BACKEND_MS)
         events.log(events.CALL_REFUSED, **self._outcome(UNAVAILABLE, reason.name))
         self.outbound.runtime.metrics.count("calls", "refused")
         self._close(cancel=True)
@@ -364,7 +363,6 @@
         endpoint, self._endpoint = self._endpoint, None
         if endpoint is not None:
             endpoint.mine -= 1
-            self._left = endpoint
         return endpoint
 
     def _instance(self) -> bytes:
@@ -411,7 +409,6 @@
     budget: RetryBudget
     table: Callable[[], RoutingTable | None]
     calling_service: str
-    counts_as_loss: bool = True
 
     def handle(self, exchange: Exchange) -> None:
         """Take a request whose head was read."""
@@ -429,7 +426,8 @@
             service = table.service_of(route)
             self.budget.members = self.members.count()
             self.budget.earn(service)
-            exchange.sink = Call(self, exchange, caller, route, service, table.version)
+            target = Target(route, service, table.version)
+            exchange.sink = Call(self, exchange, caller, target)
 
     def refuse(self, exchange: Exchange, request_id: bytes, retry_ms: float) -> None:
         """Answer that a request has not run, and when to come back."""
@@ -441,8 +439,6 @@
     @staticmethod
     def id_header(request_id: bytes) -> list[tuple[bytes, bytes]]:
         """Return the header that names the request that is answered."""
-        from ..platform.headers import REQUEST_ID
-
         return [(REQUEST_ID, request_id)] if request_id else []
 
 
@@ -477,6 +473,3 @@
 
     def on_writable(self) -> None:
         """Ignore; the answer is short."""
-
-
-Timer = asyncio.TimerHandle
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -121,7 +121,13 @@
         try:
             for message in self._decoder.feed(data):
                 self._take(message)
-        except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            IndexError,
+            msgpack.UnpackException,
+        ) as error:
             events.log(events.PEER_MALFORMED, cause=repr(error))
             self.abort()
 
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -135,7 +135,13 @@
         try:
             for message in self._decoder.feed(data):
                 self._take(message)
-        except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            IndexError,
+            msgpack.UnpackException,
+        ) as error:
             events.log(events.PEER_MALFORMED, cause=repr(error))
             if self._transport is not None:
                 self._transport.abort()
@@ -168,18 +174,11 @@
         elif kind == Kind.BODY:
             self._body(message[1], message[2], message[3])
         elif kind == Kind.CANCEL:
-            run = self._runs.pop(message[1], None)
-            if run is not None:
-                run.cancel()
+            self._cancel(message[1])
         elif kind == Kind.CREDIT:
-            run = self._runs.get(message[1])
-            if run is not None:
-                run.grant(message[2])
+            self._grant(message[1], message[2])
         elif kind == Kind.HELLO:
-            self.peer = Hello(*message[1:6])
-            if self.peer.format != FORMAT:
-                raise ValueError(f"protocol format {self.peer.format}")
-            self.listener.on_peer(self.peer)
+            self._greet(Hello(*message[1:6]))
         elif kind == Kind.CONFIGURATION_WANTED:
             self.send(Kind.CONFIGURATION, *self.listener.configuration())
 
@@ -197,6 +196,22 @@
         if not run.done:
             self._runs[stream] = run
 
+    def _greet(self, hello: Hello) -> None:
+        if hello.format != FORMAT:
+            raise ValueError(f"protocol format {hello.format}")
+        self.peer = hello
+        self.listener.on_peer(hello)
+
+    def _cancel(self, stream: int) -> None:
+        run = self._runs.pop(stream, None)
+        if run is not None:
+            run.cancel()
+
+    def _grant(self, stream: int, size: int) -> None:
+        run = self._runs.get(stream)
+        if run is not None:
+            run.grant(size)
+
     def _body(self, stream: int, data: bytes, whole: bool) -> None:
         run = self._runs.get(stream)
         if run is not None:
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -4,6 +4,7 @@
 import gc
 import pathlib
 import signal
+from collections.abc import Callable
 
 import attrs
 import uvloop
@@ -43,6 +44,9 @@
 """Allocations between collections; requests leave no cycles behind."""
 
 
+ProtocolFactory = Callable[[], asyncio.Protocol]
+
+
 @attrs.define(eq=False)
 class Node:
     """All parts of one node."""
@@ -275,7 +279,7 @@
     async def _listen_peers(self, address: Address) -> None:
         await self._bind(address, lambda: PeerServer(self.listener))
 
-    async def _bind(self, address: Address, factory: type) -> None:  # type: ignore[type-arg]
+    async def _bind(self, address: Address, factory: ProtocolFactory) -> None:
         try:
             server = await self.runtime.loop.create_server(
                 factory, *address, backlog=1024, reuse_address=True
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -172,7 +172,9 @@
             return Refused(status)
         return self._decoded(content, lambda fields: _append_outcome(status, fields))
 
-    async def put(self, topic: str, key: str, value: bytes) -> Appended | Conflict | Failed:
+    async def put(
+        self, topic: str, key: str, value: bytes
+    ) -> Appended | Conflict | Failed:
         """Set the value of a key of a keyed topic; an empty one drops the key."""
         name = key.encode()
         return await self.append(topic, [bytes([len(name)]) + name + value])
@@ -184,7 +186,9 @@
         path = f"/v1/log-read?topic={quote(topic)}&part=0&from={from_offset}"
         if wait_ms:
             path += f"&wait_ms={wait_ms}"
-        answer = await self._call("read", b"GET", path, b"", wait_ms + CALL_TIMEOUT_MS / 2)
+        answer = await self._call(
+            "read", b"GET", path, b"", wait_ms + CALL_TIMEOUT_MS / 2
+        )
         if isinstance(answer, Unanswered):
             return answer
         status, content = answer
@@ -261,7 +265,9 @@
             return Unanswered(f"malformed answer: {error!r}")
 
 
-def _append_outcome(status: int, fields: dict[str, Any]) -> Appended | Conflict | Refused:
+def _append_outcome(
+    status: int, fields: dict[str, Any]
+) -> Appended | Conflict | Refused:
     if status == OK:
         return Appended(int(fields["offset"]), int(fields["end_offset"]))
     if status == PRECONDITION_FAILED:
@@ -297,11 +303,11 @@
 
 
 def split_keyed(record: bytes) -> tuple[str, bytes]:
-    """Return key and value of a record of a keyed topic.
+    r"""Return key and value of a record of a keyed topic.
 
     Examples
     --------
-    >>> split_keyed(b"\\x02abvalue")
+    >>> split_keyed(b"\x02abvalue")
     ('ab', b'value')
     """
     size = record[0]
--- a/standins/store.py
+++ b/standins/store.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import contextlib
 import struct
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 import attrs
@@ -12,6 +14,7 @@
 LENGTH = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 KEYED_PREFIX = "keyed."
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 class Trouble(StrEnum):
@@ -94,7 +97,7 @@
 
     @web.middleware
     async def _misbehave(
-        self, request: web.Request, handler: web.RequestHandler
+        self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         self.calls.append(request.path)
         if self.trouble is Trouble.BUSY:
@@ -105,7 +108,7 @@
             await asyncio.sleep(3600)
         if self.trouble is Trouble.RESET:
             _abort(request)
-        answer = await handler(request)  # type: ignore[operator]
+        answer = await handler(request)
         if self.trouble is Trouble.ANSWER_LOST:
             _abort(request)
         return answer
@@ -131,10 +134,8 @@
             return web.json_response({"first_offset": topic.first_offset}, status=410)
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
         if start >= topic.end_offset and wait_s:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.grown.wait(), wait_s)
-            except TimeoutError:
-                pass
         records = topic.records[max(0, start - topic.first_offset) :]
         body = ENDS.pack(topic.end_offset, topic.first_offset)
         body += b"".join(LENGTH.pack(len(item)) + item for item in records)
@@ -147,9 +148,7 @@
             for key, (offset, value) in sorted(topic.newest.items())
         ]
         fields = {"items": items, "has_more": False, "end_offset": topic.end_offset}
-        return web.Response(
-            body=orjson.dumps(fields), content_type="application/json"
-        )
+        return web.Response(body=orjson.dumps(fields), content_type="application/json")
 
 
 def _abort(request: web.Request) -> None:
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -6,7 +6,6 @@
 
 import attrs
 import orjson
-import pytest
 import pytest_asyncio
 from aiohttp import ClientSession, web
 
@@ -194,5 +193,3 @@
         await fleet.settle()
         yield fleet
         await fleet.stop()
-
-
