Doubt nodes that owe an answer, weigh bytes abroad as they are priced; tests of the path

A document or heartbeat with an unreadable time ended the reader's task: the settings' error passed its guard (test_mesh_routes, failed first).

--- a/azurestep/mesh/admission.py
+++ b/azurestep/mesh/admission.py
@@ -27,6 +27,8 @@
         When an answer loses its full value.
     deadline_at_ms : float
         When nobody waits for an answer any more.
+    late : bool
+        Whether it waits although its aim will be missed.
     """
 
     route: str
@@ -35,6 +37,7 @@
     aim_at_ms: float
     deadline_at_ms: float
     owner: object = None
+    late: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -147,5 +150,6 @@
         return late, ticket.priority, ticket.arrived_ms
 
     def _admits_late(self, ticket: Ticket) -> bool:
-        late = sum(1 for other in self._waiting if other.aim_at_ms < ticket.arrived_ms)
-        return late < self.slots * LATE_QUEUE_SHARE
+        late = sum(1 for other in self._waiting if other.late)
+        ticket.late = late < self.slots * LATE_QUEUE_SHARE
+        return ticket.late
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/choice.py
@@ -9,11 +9,13 @@
 """Run time assumed where no answer of a route was seen yet."""
 AIM_STEEPNESS = 3
 """How fast the value of an answer falls as its time nears the aim."""
-ABROAD_COST = 0.01
+ABROAD_COST = 0.014
 """Value lost for each KiB that crosses data centres: a read of 1.7 KiB costs some
-0.02 to 0.03 of its worth, an upload of 60 KiB some 0.4."""
+0.024 of its worth, an upload of 60 KiB some 0.84, where the operators pay 14,000
+times a read's worth for a GB."""
 BALANCE_WEIGHT = 0.1
-"""Value lost at a full backend server; it spreads load where times are equal."""
+"""Value lost at a full backend server, growing with the square of its load; it
+spreads load where times are equal."""
 COLD_FACTOR = 2.0
 """How much slower a backend server is while it is cold."""
 TIE = 0.01
@@ -34,6 +36,10 @@
         This node's requests there now, and when that was told.
     cold_until_ms : float
         Until when it is slow after its start.
+    failed_until_ms : float
+        Until when it is chosen only without another.
+    doubted : bool
+        Whether its node owes an answer to a probe; the same holds.
     """
 
     key: object
@@ -48,6 +54,7 @@
     cold_until_ms: float = 0.0
     run_ms: dict[str, float] = attrs.field(factory=dict)
     failed_until_ms: float = 0.0
+    doubted: bool = False
 
     @property
     def load(self) -> float:
@@ -108,8 +115,8 @@
     wait_ms = max(0.0, load + 1 - endpoint.slots) / endpoint.slots * run_ms
     aim_ms = max(wish.aim_ms, 1.0)
     value = 1.0 / (1.0 + ((wait_ms + run_ms) / aim_ms) ** AIM_STEEPNESS)
-    value -= BALANCE_WEIGHT * load / endpoint.slots
-    if now_ms < endpoint.failed_until_ms:
+    value -= BALANCE_WEIGHT * (load / endpoint.slots) ** 2
+    if now_ms < endpoint.failed_until_ms or endpoint.doubted:
         value -= 1.0
     if endpoint.data_centre != wish.data_centre:
         value -= ABROAD_COST * wish.size_kib
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -35,6 +35,12 @@
     "a part of the node ended by an error",
     "report the cause; restart the node if it does not serve",
 )
+PAUSED = register(
+    9008,
+    logging.WARNING,
+    "this node stood still",
+    "look at the instance's processor if it comes often",
+)
 STORE_LOST = register(
     9101,
     logging.WARNING,
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -95,6 +95,11 @@
                 continue
             link.tick(now_ms)
 
+    def excuse(self, pause_ms: float) -> None:
+        """Leave out a pause of this node's own from the silence of the others."""
+        for link in self.links.values():
+            link.excuse(pause_ms)
+
     def close(self) -> None:
         """Close all links."""
         for link in self.links.values():
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -27,6 +27,10 @@
 
 PING_MS = 400.0
 """Time between probes of a link."""
+DOUBT_MS = 250.0
+"""Time without an answer to a probe after which a node gets no new requests. An
+answer takes some 3 ms; a node that gets its processor in tenths of a second may
+take 100 ms."""
 SILENT_MS = 900.0
 """Silence after which a node counts as lost: two probes unanswered, with room for
 a node that runs several times slower for a moment."""
@@ -248,12 +252,21 @@
                 self._dialing = True
                 self.runtime.spawn(self._dial())
             return
+        waited_ms = now_ms - connection.pinged_ms
+        answered = connection.received_ms >= connection.pinged_ms
+        self.endpoint.doubted = not answered and waited_ms > DOUBT_MS
         if now_ms - connection.received_ms > SILENT_MS:
             self._lose(connection, "silent")
             connection.retire()
-        elif now_ms - connection.pinged_ms >= PING_MS:
+        elif waited_ms >= PING_MS and answered:
             connection.ping()
 
+    def excuse(self, pause_ms: float) -> None:
+        """Leave out a pause of this node's own from the silence of the other."""
+        if self.connection is not None:
+            self.connection.received_ms += pause_ms
+            self.connection.pinged_ms += pause_ms
+
     def ask_configuration(self) -> None:
         """Ask the node for the configuration that it holds."""
         if self.connection is not None:
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -40,6 +40,9 @@
 READY_AFTER_MS = 600.0
 """Time from the start after which a node without links counts as ready all the
 same: it serves what it can."""
+OWN_PAUSE_MS = 300.0
+"""Delay of a tick from which on this node itself stood still: silence of others in
+that time says nothing about them."""
 GC_THRESHOLD = 20_000
 """Allocations between collections; requests leave no cycles behind."""
 
@@ -71,6 +74,7 @@
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_due: bool = False
     _ticks: int = 0
+    _ticked_ms: float = 0.0
     _settings_seen: bytes = b""
 
     def __attrs_post_init__(self) -> None:
@@ -154,6 +158,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
+        self._ticked_ms = self.runtime.now_ms()
         while not self._stopped.is_set():
             self._tick(states)
             await asyncio.sleep(TICK_S)
@@ -294,6 +299,11 @@
     def _tick(self, states: list[ServerState]) -> None:
         now_ms = self.runtime.now_ms()
         now_s = self.runtime.loop.time()
+        pause_ms = now_ms - self._ticked_ms - TICK_S * 1000
+        self._ticked_ms = now_ms
+        if pause_ms > OWN_PAUSE_MS:
+            events.log(events.PAUSED, pause_ms=round(pause_ms))
+            self.members.excuse(pause_ms)
         self.members.tick(now_ms)
         self.inbound.tick()
         self.follower.tick(now_ms)
--- a/azurestep/platform/announcement.py
+++ b/azurestep/platform/announcement.py
@@ -5,10 +5,11 @@
 import attrs
 import orjson
 
-from ..errors import MessageMalformedError
+from ..errors import MessageMalformedError, SettingsError
 from .units import parse_duration_ms
 
 PREFIX = "/v1/instances/"
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, SettingsError)
 
 
 @attrs.frozen(slots=True)
@@ -60,7 +61,7 @@
         )
     try:
         return _heartbeat(instance_id, orjson.loads(body))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise MessageMalformedError(
             f"a heartbeat of {instance_id} can't be read: {error!r}",
             "Send information and status as agreed",
--- a/azurestep/platform/document.py
+++ b/azurestep/platform/document.py
@@ -4,13 +4,14 @@
 
 import orjson
 
-from ..errors import ConfigurationError
+from ..errors import ConfigurationError, SettingsError
 from ..mesh.routes import Limits, Part, Route, RoutingTable, Service
 from .units import parse_duration_ms
 
 IDEMPOTENT_KIND = "safe"
 DEFAULT_TIMEOUT_MS = 30_000.0
 LOWEST_PRIORITY = 9
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, SettingsError)
 
 
 def read_document(content: bytes) -> RoutingTable:
@@ -30,7 +31,7 @@
         return RoutingTable(
             int(fields["version"]), services, _limits(fields["limits"]), routes
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise ConfigurationError(
             f"the configuration can't be read: {error!r}",
             "The version in force stays; publish one of the agreed shape",
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -108,6 +108,10 @@
         self.instances.append(instance)
         return instance
 
+    def new_node(self, instance: MeshInstance) -> Node:
+        """Return a new node of an instance, as after a crash."""
+        return self._node(instance.host, int(instance.host.rpartition(".")[2]))
+
     def start_node(self, instance: MeshInstance) -> None:
         """Run an instance's node."""
         instance.task = asyncio.create_task(instance.node.run())
--- /dev/null
+++ b/tests/test_mesh_admission.py
@@ -0,0 +1,92 @@
+"""Slots and queue beside a backend server."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurestep.mesh.admission import Admission, Refused, Ticket
+
+
+def ticket(priority: int = 2, arrived_ms: float = 0.0, aim_ms: float = 400.0) -> Ticket:
+    return Ticket("read", priority, arrived_ms, arrived_ms + aim_ms, arrived_ms + 1200)
+
+
+def test_a_free_slot_is_given_at_once() -> None:
+    admission = Admission(slots=1)
+    assert admission.offer(ticket(), 0.0) is True
+
+
+def test_a_request_waits_for_a_slot_that_comes_in_time() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 100.0)
+    first, second = ticket(), ticket()
+    admission.offer(first, 0.0)
+    assert admission.offer(second, 0.0) is False
+    assert admission.release(first, 100.0) == [second]
+
+
+def test_a_request_that_can_not_meet_its_aim_is_refused_at_once() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 150.0)
+    decisions = [admission.offer(ticket(), 0.0) for _ in range(6)]
+    assert isinstance(decisions[-1], Refused)
+    assert decisions[-1].retry_ms > 0
+
+
+def test_the_urgent_class_goes_first_in_overload() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 50.0)
+    running = ticket()
+    admission.offer(running, 0.0)
+    bulk = ticket(priority=3)
+    payment = ticket(priority=1)
+    admission.offer(bulk, 0.0)
+    admission.offer(payment, 1.0)
+    assert admission.release(running, 50.0) == [payment]
+
+
+def test_one_that_can_still_meet_its_aim_goes_before_one_that_is_late() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 50.0)
+    running = ticket()
+    admission.offer(running, 0.0)
+    late = ticket(priority=0, aim_ms=60.0)
+    timely = ticket(priority=2)
+    admission.offer(late, 0.0)
+    admission.offer(timely, 0.0)
+    assert admission.release(running, 30.0)[0] is timely
+
+
+def test_what_can_not_be_answered_any_more_is_given_back() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 100.0)
+    admission.offer(ticket(), 0.0)
+    waiting = ticket()
+    admission.offer(waiting, 0.0)
+    assert admission.expire(1000.0) == []
+    assert admission.expire(1101.0) == [waiting]
+
+
+@given(
+    st.lists(
+        st.tuples(st.booleans(), st.integers(0, 3), st.floats(1, 300)), max_size=80
+    )
+)
+def test_slots_are_never_exceeded_and_nothing_is_lost(
+    steps: list[tuple[bool, int, float]],
+) -> None:
+    admission = Admission(slots=3)
+    now_ms = 0.0
+    offered = started = refused = 0
+    for finishes, priority, gap_ms in steps:
+        now_ms += gap_ms
+        if finishes and admission.running:
+            done = next(iter(admission.running))
+            started += len(admission.release(done, now_ms))
+        else:
+            offered += 1
+            decision = admission.offer(ticket(priority, now_ms), now_ms)
+            started += decision is True
+            refused += isinstance(decision, Refused)
+        assert len(admission.running) <= 3
+    waiting = len(admission.flush())
+    assert offered == started + refused + waiting
--- /dev/null
+++ b/tests/test_mesh_choice.py
@@ -0,0 +1,80 @@
+"""Which backend server a request goes to."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from azurestep.mesh.choice import Endpoint, Wish, choose
+
+
+def endpoint(name: str, data_centre: str = "dc-1", **fields: object) -> Endpoint:
+    made = Endpoint(name, "shop", name.encode(), data_centre, slots=4)
+    for field, value in fields.items():
+        setattr(made, field, value)
+    return made
+
+
+@pytest.fixture
+def random() -> Random:
+    return Random(7)
+
+
+def pick(endpoints: list[Endpoint], random: Random, size_kib: float = 1.5) -> object:
+    wish = Wish("shop", "read", 400.0, size_kib, "dc-1")
+    found = choose(endpoints, wish, set(), 0.0, random)
+    return found and found.key
+
+
+def test_the_own_data_centre_goes_first(random: Random) -> None:
+    near, far = endpoint("near"), endpoint("far", "dc-2")
+    assert {pick([near, far], random) for _ in range(50)} == {"near"}
+
+
+def test_a_read_goes_abroad_when_all_slots_near_are_taken(random: Random) -> None:
+    near, far = endpoint("near", busy=8), endpoint("far", "dc-2")
+    assert pick([near, far], random) == "far"
+
+
+def test_an_upload_waits_near_rather_than_going_abroad(random: Random) -> None:
+    near, far = endpoint("near", busy=5), endpoint("far", "dc-2")
+    assert pick([near, far], random, size_kib=60.0) == "near"
+
+
+def test_a_faster_backend_server_gets_more(random: Random) -> None:
+    slow = endpoint("slow", run_ms={"read": 300.0})
+    fast = endpoint("fast", run_ms={"read": 80.0})
+    assert pick([slow, fast], random) == "fast"
+
+
+def test_equal_backend_servers_share_the_load(random: Random) -> None:
+    endpoints = [endpoint(f"e{index}") for index in range(4)]
+    counts: Counter[object] = Counter()
+    for _ in range(400):
+        key = pick(endpoints, random)
+        counts[key] += 1
+    assert min(counts.values()) > 50
+
+
+def test_a_closed_or_excluded_one_is_never_chosen(random: Random) -> None:
+    closed = endpoint("closed", open=False)
+    wish = Wish("shop", "read", 400.0, 1.5, "dc-1")
+    assert choose([closed], wish, set(), 0.0, random) is None
+    assert choose([endpoint("a")], wish, {"a"}, 0.0, random) is None
+
+
+def test_one_that_failed_or_is_doubted_is_the_last_resort(random: Random) -> None:
+    failed = endpoint("failed", failed_until_ms=100.0)
+    doubted = endpoint("doubted", doubted=True)
+    sound = endpoint("sound", busy=4)
+    assert pick([failed, doubted, sound], random) == "sound"
+    assert pick([doubted], random) == "doubted"
+
+
+def test_own_requests_count_until_the_other_node_tells(random: Random) -> None:
+    one = endpoint("one")
+    one.tell(3)
+    one.mine += 2
+    assert one.load == 5
+    one.tell(1)
+    assert one.load == 2
--- /dev/null
+++ b/tests/test_mesh_faults.py
@@ -0,0 +1,177 @@
+"""The whole path under faults: drains, crashes, garbled answers, a lost store."""
+
+import asyncio
+
+import pytest
+
+from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+from standins.signing_server import Received, signed
+from standins.store import Trouble
+
+from .fixtures_mesh import Fleet, MeshInstance, caller_headers, document
+
+
+async def pay(fleet: Fleet, instance: MeshInstance, name: str) -> int:
+    async with fleet.session.post(
+        instance.url("/pay/1"), data=b"x", headers=caller_headers(name)
+    ) as answer:
+        await answer.read()
+        return answer.status
+
+
+async def eventually(condition, seconds: float = 3.0) -> None:  # type: ignore[no-untyped-def]
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_a_leaving_server_gets_nothing_and_nothing_is_lost(fleet: Fleet) -> None:
+    leaving = fleet.instances[0]
+    assert await leaving.beat(fleet.session, "draining") == 200
+    await asyncio.sleep(0.1)
+    before = len(leaving.server.received)
+    for index in range(30):
+        status, _ = await fleet.get(fleet.instances[index % 3], "/read/1", f"d{index}")
+        assert status == 200
+    assert len(leaving.server.received) == before
+
+
+async def test_a_payment_on_a_dying_server_runs_once(fleet: Fleet) -> None:
+    for instance in fleet.instances:
+        instance.server.misbehave = lambda received: None
+    assert await pay(fleet, fleet.instances[0], "k1") == 502
+    assert sum(item.server.runs["k1"] for item in fleet.instances) == 1
+
+
+async def test_a_read_on_a_dying_server_is_tried_elsewhere_within_its_attempts(
+    fleet: Fleet,
+) -> None:
+    fleet.instances[0].server.misbehave = lambda received: None
+    statuses = [
+        (await fleet.get(fleet.instances[0], "/read/1", f"t{index}"))[0]
+        for index in range(5)
+    ]
+    assert statuses == [200] * 5
+    for name in ("t0", "t1"):
+        assert sum(item.server.runs[name] for item in fleet.instances) <= 2
+
+
+def extra_answer(received: Received) -> bytes:
+    other = Received("GET", "/", {"attempt-id": "somebody-else"}, b"")
+    return signed(other, b"wrong") + signed(received, b"right")
+
+
+def trailing_bytes(received: Received) -> bytes:
+    return (
+        signed(received, b"right") + b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+    )
+
+
+@pytest.mark.parametrize("misbehave", [extra_answer, trailing_bytes])
+async def test_bytes_of_other_answers_reach_nobody(fleet: Fleet, misbehave) -> None:  # type: ignore[no-untyped-def]
+    for instance in fleet.instances:
+        instance.server.misbehave = misbehave
+    for index in range(12):
+        answer = await fleet.get(fleet.instances[0], "/read/1", f"x{index}")
+        assert answer == (200, b"right")
+
+
+def cut_short(received: Received) -> bytes | None:
+    return signed(received, b"a whole answer")[:-4]
+
+
+def unsigned(received: Received) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"
+
+
+@pytest.mark.parametrize("misbehave", [cut_short, unsigned])
+async def test_a_spoiled_answer_never_looks_whole(fleet: Fleet, misbehave) -> None:  # type: ignore[no-untyped-def]
+    for instance in fleet.instances:
+        instance.server.misbehave = misbehave
+    status, body = await fleet.get(fleet.instances[0], "/read/1", "u1", 600)
+    assert status in (502, 504)
+    assert body == b""
+
+
+async def test_a_new_version_is_in_force_everywhere(fleet: Fleet) -> None:
+    fleet.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
+    await eventually(
+        lambda: all(item.node.configuration.version == 8 for item in fleet.instances), 1
+    )
+
+
+async def test_a_version_arrives_when_the_reader_died(fleet: Fleet) -> None:
+    reader = min(fleet.instances, key=lambda item: item.host)
+    assert reader.task is not None
+    reader.task.cancel()
+    reader.node.abort()
+    await reader.server.stop()
+    fleet.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
+    rest = [item for item in fleet.instances if item is not reader]
+    await eventually(
+        lambda: all(item.node.configuration.version == 8 for item in rest), 2
+    )
+
+
+@pytest.mark.parametrize("trouble", [Trouble.BUSY, Trouble.RESET, Trouble.SILENT])
+async def test_reads_and_payments_go_on_while_the_store_is_away(
+    fleet: Fleet, trouble: Trouble
+) -> None:
+    fleet.store.trouble = trouble
+    assert (await fleet.get(fleet.instances[0], "/read/1", "s1"))[0] == 200
+    assert await pay(fleet, fleet.instances[1], "s2") == 200
+
+
+async def test_a_node_that_starts_without_the_store_learns_from_its_peers(
+    fleet: Fleet,
+) -> None:
+    fleet.store.trouble = Trouble.BUSY
+    instance = fleet.instances[0]
+    assert instance.task is not None
+    instance.task.cancel()
+    instance.node.abort()
+    await asyncio.sleep(0.05)
+    instance.node = fleet.new_node(instance)
+    fleet.start_node(instance)
+    await instance.node.listening.wait()
+    await instance.beat(fleet.session)
+    await eventually(lambda: instance.node.configuration.version == 3)
+    await eventually(lambda: instance.node.members.count() == 3)
+    assert (await fleet.get(instance, "/read/1", "w1"))[0] == 200
+
+
+async def test_a_caller_who_leaves_stops_the_run(fleet: Fleet) -> None:
+    for instance in fleet.instances:
+        instance.server.work_s = 1.0
+    reader, writer = await asyncio.open_connection(fleet.instances[0].host, 7101)
+    head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers("g1").items())
+    writer.write(f"GET /read/1 HTTP/1.1\r\n{head}\r\n\r\n".encode())
+    await eventually(lambda: sum(item.server.running for item in fleet.instances) == 1)
+    writer.close()
+    await eventually(
+        lambda: sum(item.server.running for item in fleet.instances) == 0, 0.5
+    )
+
+
+async def test_a_read_past_its_timeout_is_answered(fleet: Fleet) -> None:
+    for instance in fleet.instances:
+        instance.server.work_s = 3.0
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    status, _ = await fleet.get(fleet.instances[0], "/read/1", "o1", 2500)
+    assert status == 504
+    assert 1.1 < loop.time() - began < 1.6
+
+
+async def test_a_stopping_node_finishes_what_is_under_way(fleet: Fleet) -> None:
+    for instance in fleet.instances:
+        instance.server.work_s = 0.4
+    instance = fleet.instances[0]
+    calls = [
+        asyncio.create_task(fleet.get(instance, "/read/1", f"q{index}"))
+        for index in range(4)
+    ]
+    await asyncio.sleep(0.1)
+    instance.node.stop()
+    assert not instance.node.is_ready()
+    assert [status for status, _ in await asyncio.gather(*calls)] == [200] * 4
--- /dev/null
+++ b/tests/test_mesh_headers.py
@@ -0,0 +1,52 @@
+"""Headers between callers, nodes and backend servers."""
+
+from azurestep.platform.headers import read_answer, read_caller, to_backend
+
+
+def test_headers_of_one_connection_and_forged_ones_are_dropped() -> None:
+    caller = read_caller(
+        [
+            (b"Host", b"Shop.example"),
+            (b"Attempt-Id", b"a1"),
+            (b"Deadline-Milliseconds", b"700"),
+            (b"Calling-Service", b"forged"),
+            (b"Expected-Instance", b"forged"),
+            (b"Connection", b"close, X-Own"),
+            (b"X-Own", b"1"),
+            (b"X-Kept", b"2"),
+        ]
+    )
+    assert caller.host == b"shop.example"
+    assert caller.budget_ms == 700.0
+    assert caller.forwarded == [
+        (b"Host", b"Shop.example"),
+        (b"Attempt-Id", b"a1"),
+        (b"X-Kept", b"2"),
+    ]
+
+
+def test_an_unreadable_deadline_is_none() -> None:
+    for value in (b"", b"-1", b"1e9", b"soon"):
+        assert read_caller([(b"Deadline-Milliseconds", value)]).budget_ms is None
+
+
+def test_the_backend_server_learns_what_is_left() -> None:
+    lines = b"".join(to_backend([(b"A", b"b")], 512.7, b"i-1", b"shop"))
+    assert b"Deadline-Milliseconds: 512\r\n" in lines
+    assert b"Expected-Instance: i-1\r\n" in lines
+    assert b"Calling-Service: shop\r\n" in lines
+
+
+def test_an_answer_is_read() -> None:
+    answer = read_answer(
+        [
+            (b"Attempt-Id", b"a1"),
+            (b"Response-Signature", b"s"),
+            (b"Keep-Alive", b"max=3, timeout=5"),
+            (b"Connection", b"close"),
+        ]
+    )
+    assert answer.signed
+    assert answer.closing
+    assert answer.keep_alive_ms == 5000.0
+    assert (b"Response-Signature", b"s") in answer.forwarded
