--- a/tools/pages.py
+++ b/tools/pages.py
@@ -18,6 +18,7 @@
 import orjson
 
 from azurestep.events import REGISTRY, REMEDIES
+from azurestep.mesh import events as mesh_events
 from azurestep.metrics import METRICS
 from azurestep.settings import Settings
 from azurestep.shape import shape_of
@@ -34,6 +35,10 @@
 }
 
 
+EVENT_MODULES = (mesh_events,)
+"""Modules that register events of their own when they are imported."""
+
+
 def events_table() -> str:
     """Return the table of docs/EVENTS.md."""
     lines = ["| number | level | event | what to do |", "|---|---|---|---|"]
