--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -37,6 +37,9 @@
 OVERTIME_MS = 150.0
 """Time past the deadline after which a run is broken off here; the backend server
 stops by itself at the deadline."""
+HELD_MS = 400.0
+"""Longest time that a held request keeps a slot; its sender answers within some 3 ms
+and gives a silent link up after 250 ms."""
 DOWN_RETRY_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
 MISDIRECTED = 421
@@ -61,6 +64,9 @@
     def on_credit(self, size: int) -> None:
         """Learn that so many bytes of the body were taken."""
 
+    def on_ready(self) -> None:
+        """Learn that a held request has a slot and waits to be let go."""
+
 
 class Run:
     """One request on its way through this node to the backend server."""
@@ -94,6 +100,8 @@
         self._unacknowledged = 0
         self._ungranted = 0
         self._sent_ms = 0.0
+        self._held = request.held
+        self._ready_ms = 0.0
 
     # From the sender of the request.
 
@@ -108,9 +116,17 @@
         self._connection.send_more(self._framed(data, whole), whole)
         self._grant(len(data))
 
+    def go(self) -> None:
+        """Send a held request on."""
+        if self._held:
+            self._held = False
+            if not self.done and self._ready_ms:
+                self.start()
+
     def cancel(self) -> None:
         """Stop the request; nobody waits for its answer."""
         if not self.done:
+            self._learn_slowness()
             self._end()
             self._drop_connection()
 
@@ -128,6 +144,10 @@
         if not inbound.backend.admits(inbound.now_ms()):
             self.refuse(Reason.LEAVING)
             return
+        if self._held:
+            self._ready_ms = inbound.now_ms()
+            self.receiver.on_ready()
+            return
         fresh_ms = None if self.request.idempotent else FRESH_MS
         connection = inbound.idle.take(inbound.runtime.loop.time(), fresh_ms)
         if connection is not None:
@@ -302,6 +322,13 @@
         self.inbound.broke_off(kind)
         self.fail(Reason.TRUNCATED if self._fields is not None else kind)
 
+    def check_age(self, now_ms: float) -> None:
+        """Give up what nobody lets go, and what runs past its deadline."""
+        if self._held and self._ready_ms and now_ms - self._ready_ms > HELD_MS:
+            self.refuse(Reason.TOO_LATE)
+        elif now_ms > self.deadline_ms + OVERTIME_MS:
+            self.fail(Reason.TIMEOUT)
+
     # Ends.
 
     def refuse(self, reason: Reason, arrived: bool = False) -> None:
@@ -329,6 +356,7 @@
         """Say that the request may have run."""
         if self.done:
             return
+        self._learn_slowness()
         self._end()
         self._drop_connection()
         events.log(
@@ -341,6 +369,13 @@
         self.inbound.runtime.metrics.count("failed_here", reason.name)
         self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
 
+    def _learn_slowness(self) -> None:
+        """Count a run without an answer, if it was longer than usual."""
+        admission, route = self.inbound.admission, self.request.route
+        run_ms = self.inbound.now_ms() - self._sent_ms
+        if self._sent_ms and run_ms > admission.run_ms(route):
+            admission.learn(route, run_ms)
+
     def _end(self) -> None:
         self.done = True
         self.inbound.release(self)
@@ -477,8 +512,7 @@
                 if isinstance(ticket.owner, Run):
                     ticket.owner.refuse(Reason.LEAVING)
         for run in list(self._runs):
-            if now_ms > run.deadline_ms + OVERTIME_MS:
-                run.fail(Reason.TIMEOUT)
+            run.check_age(now_ms)
         self.idle.sweep(self.runtime.loop.time())
         if self.unreachable and now_ms > self._next_try_ms and self.backend.is_open():
             self._next_try_ms = now_ms + DOWN_RETRY_MS
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -10,9 +10,9 @@
 
 from . import events
 from .choice import Endpoint
-from .inbound import AnswerReceiver, Inbound
+from .inbound import Inbound
 from .messages import Hello, Request, State
-from .peer_link import PeerLink, Stream
+from .peer_link import CallReceiver, PeerLink, Stream
 from .runtime import Runtime
 from .settings import Address
 
@@ -70,10 +70,12 @@
         return found
 
     def send(
-        self, endpoint: Endpoint, request: Request, receiver: AnswerReceiver
+        self, endpoint: Endpoint, request: Request, receiver: CallReceiver
     ) -> Stream | None:
         """Send a request to the node beside a backend server."""
         if endpoint is self._own:
+            if request.held:
+                request = attrs.evolve(request, held=False)
             return self.inbound.submit(request, receiver)
         link = self.links.get(endpoint.key)  # type: ignore[call-overload]
         return None if link is None else link.send(request, receiver)
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -36,6 +36,8 @@
     CREDIT = 12
     CONFIGURATION = 13
     CONFIGURATION_WANTED = 14
+    READY = 15
+    GO = 16
 
 
 class Reason(IntEnum):
@@ -128,6 +130,9 @@
         Whether the body is complete with this message.
     length : int
         Length of the body; -1 if it is not known yet.
+    held : bool
+        Whether the receiver asks again, once there is a slot, before it sends the
+        request on. Until it was told to, the sender knows that it has not run.
     """
 
     method: bytes
@@ -146,6 +151,7 @@
     length: int
     whole: bool
     body: bytes
+    held: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -177,6 +177,7 @@
             -1 if exchange.chunked else exchange.length,
             self._whole,
             b"".join(self._body),
+            held=not route.idempotent and not self._streamed,
         )
 
     def _send_body(self, data: bytes, whole: bool) -> None:
@@ -195,6 +196,41 @@
         if self._unacknowledged <= WINDOW_BYTES:
             self.exchange.connection.resume_reading()
 
+    def on_ready(self) -> None:
+        """Ignore; only the link of a remote node asks."""
+
+    def on_doubt(self, let_go: bool) -> None:
+        """Go elsewhere, if that is safe and there is another way."""
+        endpoint = self._endpoint
+        if self.done or self._answering or self._streamed or endpoint is None:
+            return
+        if not self._has_other(endpoint):
+            return
+        if let_go and not (self.route.idempotent and self._doubt_allows_run()):
+            return
+        stream, self._stream = self._stream, None
+        self._leave_endpoint()
+        self._excluded.add(endpoint.key)
+        if stream is not None:
+            stream.cancel()
+        self._log_retry(Reason.LINK_LOST)
+        self._dispatch()
+
+    def _doubt_allows_run(self) -> bool:
+        self._runs += 1
+        if self._may_run_again():
+            self._may_have_run = True
+            return True
+        self._runs -= 1
+        return False
+
+    def _has_other(self, endpoint: Endpoint) -> bool:
+        return any(
+            other.open and not other.doubted and other.key not in self._excluded
+            for other in self.outbound.members.endpoints(self.service)
+            if other is not endpoint
+        )
+
     def on_refusal(self, refusal: Refusal) -> None:
         """Ask another node: the request has not run."""
         if self.done:
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -26,8 +26,10 @@
 from .settings import Address
 
 PING_MS = 400.0
-"""Time between probes of a link."""
-DOUBT_MS = 250.0
+"""Time between probes of a link without requests."""
+BUSY_PING_MS = 90.0
+"""Time between probes of a link with requests under way."""
+DOUBT_MS = 200.0
 """Time without an answer to a probe after which a node gets no new requests. An
 answer takes some 3 ms; a node that gets its processor in tenths of a second may
 take 100 ms."""
@@ -53,6 +55,19 @@
         """Take more of the answer."""
 
 
+class CallReceiver(AnswerReceiver, Protocol):
+    """What sent a request over a link."""
+
+    def on_doubt(self, let_go: bool) -> None:
+        """Learn that the node owes a sign of life.
+
+        Parameters
+        ----------
+        let_go : bool
+            Whether the request may have run; False if it surely has not.
+        """
+
+
 class LinkEvents(Protocol):
     """What hears of news from other nodes."""
 
@@ -78,8 +93,9 @@
 
     connection: "PeerConnection"
     number: int
-    receiver: AnswerReceiver
+    receiver: CallReceiver
     idempotent: bool
+    let_go: bool
 
     def body(self, data: bytes, whole: bool) -> None:
         """Send more of the body."""
@@ -135,21 +151,33 @@
             events.log(events.PEER_MALFORMED, cause=repr(error))
             self.abort()
 
-    def open(self, request: Request, receiver: AnswerReceiver) -> RemoteStream:
+    def open(self, request: Request, receiver: CallReceiver) -> RemoteStream:
         """Send a request."""
         self._next += 1
-        stream = RemoteStream(self, self._next, receiver, request.idempotent)
+        stream = RemoteStream(
+            self, self._next, receiver, request.idempotent, not request.held
+        )
         self.streams[self._next] = stream
         self.send(Kind.REQUEST, self._next, *fields_of(request))
         return stream
 
+    @property
+    def answered(self) -> bool:
+        """Whether something came since the last probe."""
+        return self.received_ms >= self.pinged_ms
+
+    def doubt(self) -> None:
+        """Let the senders of all requests look for another way."""
+        for stream in list(self.streams.values()):
+            stream.receiver.on_doubt(stream.let_go)
+
     def send(self, kind: Kind, *fields: object) -> None:
         """Send a message."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encode(kind, *fields))
 
     def ping(self) -> None:
-        """Ask for a sign of life and the other node's state."""
+        """Ask for a sign of life."""
         self.pinged_ms = self.link.runtime.now_ms()
         self.send(Kind.PING, self.pinged_ms)
 
@@ -166,17 +194,22 @@
 
     def _fail_streams(self, only_idempotent: bool) -> None:
         for number, stream in list(self.streams.items()):
-            if only_idempotent and not stream.idempotent:
+            if only_idempotent and not stream.idempotent and stream.let_go:
                 continue
             if self.streams.pop(number, None) is None:
                 continue
             if only_idempotent:
                 self.send(Kind.CANCEL, number)
-            stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
+            if stream.let_go:
+                stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
+            else:
+                stream.receiver.on_refusal(Refusal(int(Reason.LINK_LOST), 0, 0.0))
 
     def _take(self, message: tuple[Any, ...]) -> None:
         kind = message[0]
-        if kind in (Kind.STATE, Kind.PONG):
+        if kind == Kind.PONG:
+            return
+        if kind == Kind.STATE:
             self.link.on_state(self, State(*message[1:]))
         elif kind == Kind.HELLO:
             self.link.on_hello(self, Hello(*message[1:6]))
@@ -205,6 +238,9 @@
         elif kind == Kind.FAILURE:
             self.streams.pop(number, None)
             receiver.on_failure(Failure(*fields))
+        elif kind == Kind.READY:
+            stream.let_go = True
+            self.send(Kind.GO, number)
         elif kind == Kind.CREDIT:
             receiver.on_credit(fields[0])
 
@@ -238,7 +274,7 @@
         self.endpoint = Endpoint(self.address, "", b"", "", open=False)
         self.lost_since_ms = self.runtime.now_ms()
 
-    def send(self, request: Request, receiver: AnswerReceiver) -> Stream | None:
+    def send(self, request: Request, receiver: CallReceiver) -> Stream | None:
         """Send a request; None if the node can't be reached."""
         if self.connection is None or not self.up:
             return None
@@ -253,12 +289,18 @@
                 self.runtime.spawn(self._dial())
             return
         waited_ms = now_ms - connection.pinged_ms
-        answered = connection.received_ms >= connection.pinged_ms
-        self.endpoint.doubted = not answered and waited_ms > DOUBT_MS
+        answered = connection.answered
+        doubted = not answered and waited_ms > DOUBT_MS
+        if doubted and not self.endpoint.doubted:
+            self.endpoint.doubted = True
+            connection.doubt()
+        self.endpoint.doubted = doubted
         if now_ms - connection.received_ms > SILENT_MS:
             self._lose(connection, "silent")
             connection.retire()
-        elif waited_ms >= PING_MS and answered:
+        elif answered and waited_ms >= (
+            BUSY_PING_MS if connection.streams else PING_MS
+        ):
             connection.ping()
 
     def excuse(self, pause_ms: float) -> None:
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -24,6 +24,7 @@
 )
 from .runtime import Runtime
 
+PONG = encode(Kind.PONG)
 STALE_MS = 100.0
 """Delay beyond a link's usual one from which on a request counts as held up, so
 that it isn't run for longer than its caller waits."""
@@ -65,6 +66,10 @@
         """Let the sender send more of the body."""
         self.server.send(Kind.CREDIT, self.stream, size)
 
+    def on_ready(self) -> None:
+        """Ask the sender whether the request still stands."""
+        self.server.send(Kind.READY, self.stream)
+
 
 @attrs.define(eq=False)
 class PeerListener:
@@ -87,10 +92,14 @@
     on_peer: Callable[[Hello], None]
     configuration: Callable[[], tuple[int, bytes]]
     servers: "set[PeerServer]" = attrs.field(factory=set)
+    _told: bytes = b""
 
     def broadcast_state(self) -> None:
-        """Tell all nodes the state of this one."""
+        """Tell all nodes the state of this one, if it changed."""
         data = encode(Kind.STATE, *fields_of(self.state()))
+        if data == self._told:
+            return
+        self._told = data
         for server in self.servers:
             server.write(data)
 
@@ -170,11 +179,13 @@
             self._request(message[1], message[2:])
         elif kind == Kind.PING:
             self._delay_ms(message[1])
-            self.send(Kind.PONG, *fields_of(self.listener.state()))
+            self.write(PONG)
         elif kind == Kind.BODY:
             self._body(message[1], message[2], message[3])
         elif kind == Kind.CANCEL:
             self._cancel(message[1])
+        elif kind == Kind.GO:
+            self._go(message[1])
         elif kind == Kind.CREDIT:
             self._grant(message[1], message[2])
         elif kind == Kind.HELLO:
@@ -202,6 +213,11 @@
         self.peer = hello
         self.listener.on_peer(hello)
 
+    def _go(self, stream: int) -> None:
+        run = self._runs.get(stream)
+        if run is not None:
+            run.go()
+
     def _cancel(self, stream: int) -> None:
         run = self._runs.pop(stream, None)
         if run is not None:
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -30,6 +30,8 @@
 
 TICK_S = 0.1
 """How often links, queues and connections are looked after."""
+STATE_TICKS = 4
+"""Ticks between looks whether the load here is news for the other nodes."""
 SETTINGS_CHECK_TICKS = 20
 """Ticks between looks at the settings file, which may change without a signal."""
 LINGER_MS = 2300.0
@@ -308,6 +310,8 @@
         self.inbound.tick()
         self.follower.tick(now_ms)
         self._ticks += 1
+        if self._ticks % STATE_TICKS == 0:
+            self.tell_state()
         if self._ticks % 5 == 0:
             for state in states:
                 state.sweep(now_s)
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -175,3 +175,37 @@
     instance.node.stop()
     assert not instance.node.is_ready()
     assert [status for status, _ in await asyncio.gather(*calls)] == [200] * 4
+
+
+def silence(instance: MeshInstance) -> None:
+    """Let a node's answers to other nodes get lost; it still receives."""
+    for server in list(instance.node.listener.servers):
+        server.write = lambda data: None  # type: ignore[method-assign]
+
+
+async def test_payments_survive_a_link_that_is_cut_one_way(fleet: Fleet) -> None:
+    caller, silent, sound = fleet.instances
+    await caller.beat(fleet.session, "draining")
+    await asyncio.sleep(0.05)
+    silence(silent)
+    statuses = await asyncio.gather(
+        *(pay(fleet, caller, f"c{index}") for index in range(6))
+    )
+    assert statuses == [200] * 6
+    for index in range(6):
+        runs = [item.server.runs[f"c{index}"] for item in fleet.instances]
+        assert runs == [0, 0, 1]
+
+
+async def test_reads_leave_a_silent_node_before_their_aim(fleet: Fleet) -> None:
+    caller, silent, _ = fleet.instances
+    await caller.beat(fleet.session, "draining")
+    await asyncio.sleep(0.05)
+    silence(silent)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    answers = await asyncio.gather(
+        *(fleet.get(caller, "/read/1", f"h{index}") for index in range(4))
+    )
+    assert [status for status, _ in answers] == [200] * 4
+    assert loop.time() - began < 0.45
