End a stopping node under load: refuse new requests 2.3 s after SIGTERM

Ruled out: the answers' 'Connection: close' (sent; the callers opened new connections). Test failed first: the node did not end in 4 s.

--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -438,6 +438,8 @@
         Returns the configuration in force, or None.
     calling_service : str
         Service of this instance, which backend servers are told.
+    closed : bool
+        Whether new requests are refused, since the node ends.
     """
 
     runtime: Runtime
@@ -445,12 +447,13 @@
     budget: RetryBudget
     table: Callable[[], RoutingTable | None]
     calling_service: str
+    closed: bool = False
 
     def handle(self, exchange: Exchange) -> None:
         """Take a request whose head was read."""
         table = self.table()
         caller = read_caller(exchange.headers)
-        if table is None:
+        if table is None or self.closed:
             exchange.sink = Rejection(self, exchange, UNAVAILABLE, caller.request_id)
             return
         route = table.match(caller.host, exchange.target)
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -35,8 +35,10 @@
 SETTINGS_CHECK_TICKS = 20
 """Ticks between looks at the settings file, which may change without a signal."""
 LINGER_MS = 2300.0
-"""Least time from SIGTERM to the end: callers go elsewhere after two answers of
-the readiness endpoint, one second apart, that say so."""
+"""Time from SIGTERM until new requests are refused: callers go elsewhere after two
+answers of the readiness endpoint, one second apart, that say so. What was taken
+before has the rest of the grace time; without this, callers who find no other node
+kept a stopping one busy until it was killed, and their requests were cut."""
 GRACE_MARGIN_MS = 400.0
 """Time kept between the end of a stopping node and SIGKILL."""
 READY_AFTER_MS = 600.0
@@ -333,6 +335,9 @@
     def _check_stop(self, age_ms: float) -> None:
         grace_ms = self.settings.bounds.grace_ms - GRACE_MARGIN_MS
         busy = self.callers.busy or self.inbound.busy
+        if age_ms >= LINGER_MS and not self.outbound.closed:
+            self.outbound.closed = True
+            self._servers[0].close()
         if age_ms >= grace_ms or (age_ms >= LINGER_MS and not busy):
             for connection in list(self.callers.connections):
                 connection.close_if_idle()
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -1,8 +1,10 @@
 """The whole path under faults: drains, crashes, garbled answers, a lost store."""
 
 import asyncio
+import contextlib
 
 import pytest
+from aiohttp import ClientConnectorError
 
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 from standins.signing_server import Received, signed
@@ -209,3 +211,28 @@
     )
     assert [status for status, _ in answers] == [200] * 4
     assert loop.time() - began < 0.45
+
+
+async def press(fleet: Fleet, instance: MeshInstance, name: str) -> set[int]:
+    """Send one request after the other until the node takes no connections."""
+    statuses = set()
+    with contextlib.suppress(ClientConnectorError):
+        for index in range(1000):
+            status, _ = await fleet.get(instance, "/read/1", f"{name}-{index}")
+            statuses.add(status)
+    return statuses
+
+
+async def test_a_stopping_node_ends_under_load_and_cuts_nothing(fleet: Fleet) -> None:
+    for item in fleet.instances:
+        item.server.work_s = 0.2
+    instance = fleet.instances[0]
+    callers = [
+        asyncio.create_task(press(fleet, instance, f"w{index}")) for index in range(3)
+    ]
+    instance.node.stop()
+    assert instance.task is not None
+    await asyncio.wait_for(instance.task, 4)
+    instance.node.abort()
+    for statuses in await asyncio.gather(*callers):
+        assert 200 in statuses <= {200, 503}
