--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -16,6 +16,7 @@
 from .backend import Backend
 from .http_client import ClientConnection, Headers, Idle
 from .messages import Answer, Failure, Reason, Refusal, Request
+from .pressure import PressureMeter
 from .runtime import Runtime
 from .settings import Address
 
@@ -42,6 +43,7 @@
 and gives a silent link up after 250 ms."""
 DOWN_RETRY_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
+NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
 MISDIRECTED = 421
 FIRST_FAILURE_STATUS = 300
 
@@ -338,6 +340,8 @@
         self._end()
         self._drop_connection()
         admission = self.inbound.admission
+        if reason in NO_ROOM:
+            self.inbound.pressure.refused(self.request.route)
         events.log(
             events.RUN_REFUSED,
             id=self.request.request_id,
@@ -403,6 +407,7 @@
     on_change: Callable[[], None]
     admission: Admission = attrs.field(factory=Admission)
     idle: Idle = attrs.field(factory=lambda: Idle(IDLE_MS))
+    pressure: PressureMeter = attrs.field(factory=PressureMeter)
     unreachable: bool = False
     stopping: bool = False
     _runs: set[Run] = attrs.field(factory=set)
@@ -431,6 +436,7 @@
             run.refuse(reason)
             return run
         self.admission.slots = self.backend.slots
+        self.pressure.offered(request.route, request.priority, request.calling_service)
         decision = self.admission.offer(run.ticket, self.now_ms())
         if isinstance(decision, Refused):
             run.refuse(Reason.OVERLOADED)
@@ -505,6 +511,7 @@
     def tick(self) -> None:
         """Refuse what waits in vain, break off overtime, retry the address."""
         now_ms = self.now_ms()
+        self.pressure.tick()
         for ticket in self.admission.expire(now_ms):
             if isinstance(ticket.owner, Run):
                 ticket.owner.refuse(Reason.TOO_LATE)
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -60,6 +60,7 @@
     TIMEOUT = 15
     BUDGET = 16
     QUARANTINED = 17
+    PRESSURE = 18
 
 
 @attrs.frozen(slots=True)
@@ -101,6 +102,8 @@
         Configuration that the node holds.
     store_ok : bool
         Whether its last call to the platform's store was answered.
+    pressure : tuple
+        Reports of ``pressure.PressureMeter``.
     """
 
     service: str
@@ -112,6 +115,7 @@
     version: int
     store_ok: bool
     stopping: bool
+    pressure: tuple[tuple[str, int, float], ...] = ()
 
 
 @attrs.frozen(slots=True)
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -12,6 +12,7 @@
 from .members import Members
 from .messages import Answer, Failure, Reason, Refusal, Request
 from .peer_link import Stream
+from .pressure import PressureView
 from .retry_budget import RetryBudget
 from .routes import Route, RoutingTable
 from .runtime import Runtime
@@ -27,6 +28,9 @@
 """Share by which the time to come back is varied, so that callers that were
 refused together do not return together."""
 RETRY_WITHOUT_BACKEND_MS = 250.0
+RETRY_SHED_MS = 120.0
+"""Time to come back after a refusal for another service's sake: short enough that
+an answer to the second attempt is still in aim."""
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
@@ -449,6 +453,7 @@
     table: Callable[[], RoutingTable | None]
     calling_service: str
     closed: bool = False
+    pressure: PressureView = attrs.field(factory=PressureView)
 
     def handle(self, exchange: Exchange) -> None:
         """Take a request whose head was read."""
@@ -464,11 +469,20 @@
             exchange.sink = Rejection(self, exchange, 400, b"")
         else:
             service = table.service_of(route)
+            if self._sheds(service, route.priority):
+                exchange.sink = Rejection(
+                    self, exchange, UNAVAILABLE, caller.request_id, Reason.PRESSURE
+                )
+                return
             self.budget.members = self.members.count()
             self.budget.earn(service)
             target = Target(route, service, table.version)
             exchange.sink = Call(self, exchange, caller, target)
 
+    def _sheds(self, service: str, priority: int) -> bool:
+        share = self.pressure.share(service, priority)
+        return share > 0 and self.runtime.random.random() < share
+
     def refuse(self, exchange: Exchange, request_id: bytes, retry_ms: float) -> None:
         """Answer that a request has not run, and when to come back."""
         spread = 1 + RETRY_SPREAD * (2 * self.runtime.random.random() - 1)
@@ -492,18 +506,24 @@
         self._exchange = exchange
         self._status = status
         self._request_id = request_id
+        self._reason = reason
 
     def on_body(self, data: bytes) -> None:
         """Drop the body."""
 
     def on_end(self) -> None:
         """Answer."""
-        events.log(events.CALL_REFUSED, id=self._request_id, status=self._status)
+        events.log(
+            events.CALL_REFUSED,
+            id=self._request_id,
+            status=self._status,
+            reason=self._reason.name,
+        )
         self._outbound.runtime.metrics.count("calls", f"rejected_{self._status}")
         if self._status == UNAVAILABLE:
-            self._outbound.refuse(
-                self._exchange, self._request_id, RETRY_WITHOUT_BACKEND_MS
-            )
+            shed = self._reason is Reason.PRESSURE
+            retry_ms = RETRY_SHED_MS if shed else RETRY_WITHOUT_BACKEND_MS
+            self._outbound.refuse(self._exchange, self._request_id, retry_ms)
         else:
             headers = self._outbound.id_header(self._request_id)
             self._exchange.answer(self._status, headers, b"")
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -22,6 +22,7 @@
 from .messages import FORMAT, Hello, State
 from .outbound import Outbound
 from .peer_server import PeerListener, PeerServer
+from .pressure import Report
 from .probing import Prober
 from .retry_budget import RetryBudget
 from .routes import RoutingTable
@@ -242,6 +243,7 @@
             self.configuration.version,
             self.follower.store_ok,
             self.stopping_since_ms is not None,
+            self.inbound.pressure.report(),
         )
 
     def tell_state(self) -> None:
@@ -311,6 +313,7 @@
             self.members.excuse(pause_ms)
         self.members.tick(now_ms)
         self.inbound.tick()
+        self.outbound.pressure.update(self._reports())
         self.follower.tick(now_ms)
         self._ticks += 1
         if self._ticks % STATE_TICKS == 0:
@@ -324,6 +327,15 @@
             self._check_stop(now_ms - self.stopping_since_ms)
         events.WRITER.flush()
 
+    def _reports(self) -> list[tuple[str, tuple[Report, ...]]]:
+        reports = [
+            (link.state.service, link.state.pressure)
+            for link in self.members.alive()
+            if link.state is not None
+        ]
+        reports.append((self.backend.service, self.inbound.pressure.report()))
+        return reports
+
     def _check_settings(self) -> None:
         try:
             content = self.path.read_bytes()
