--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -24,6 +24,12 @@
     "this node stood still",
     "look at the instance's processor if it comes often",
 )
+HANDLER_FAILED = register(
+    9009,
+    logging.ERROR,
+    "a request could not be handled, its connection is closed",
+    "report the cause: it is an error of the program",
+)
 STORE_LOST = register(
     9101,
     logging.WARNING,
--- a/azurestep/mesh/http_server.py
+++ b/azurestep/mesh/http_server.py
@@ -14,6 +14,7 @@
 import attrs
 import httptools
 
+from . import events
 from .routes import Limits
 
 Headers = list[tuple[bytes, bytes]]
@@ -194,6 +195,9 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserCallbackError as error:
+            events.log(events.HANDLER_FAILED, cause=repr(error.__context__))
+            self.abort()
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
 
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -500,7 +500,12 @@
     """Answers a request that goes to no backend server, once it is read."""
 
     def __init__(
-        self, outbound: Outbound, exchange: Exchange, status: int, request_id: bytes
+        self,
+        outbound: Outbound,
+        exchange: Exchange,
+        status: int,
+        request_id: bytes,
+        reason: Reason = Reason.NO_BACKEND,
     ) -> None:
         self._outbound = outbound
         self._exchange = exchange
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from azurestep.mesh.pressure import PressureView
+
 from .fixtures_mesh import Fleet, caller_headers
 
 
@@ -65,3 +67,25 @@
     )
     assert all(instance.server.most_running <= 4 for instance in fleet.instances)
     assert {status for status, _ in answers} <= {200, 503}
+
+
+class SpareUrgent(PressureView):
+    """Sheds all but the most urgent requests, whatever nodes report."""
+
+    def share(self, service: str, priority: int) -> float:
+        return float(priority > 1)
+
+
+async def test_a_request_is_shed_at_the_first_node_and_told_when_to_come_back(
+    fleet: Fleet,
+) -> None:
+    node = fleet.instances[0].node
+    node.outbound.pressure = SpareUrgent()
+    url = fleet.instances[0].url("/read/1")
+    async with fleet.session.get(url, headers=caller_headers("l1")) as answer:
+        assert answer.status == 503
+        assert 0 < float(answer.headers["Retry-After"]) < 1
+    url = fleet.instances[0].url("/pay/1")
+    async with fleet.session.post(url, headers=caller_headers("l2")) as answer:
+        assert answer.status == 200
+    assert sum(item.server.runs["l1"] for item in fleet.instances) == 0
