--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -16,7 +16,7 @@
 from .backend import Backend
 from .http_client import ClientConnection, Headers, Idle
 from .messages import Answer, Failure, Reason, Refusal, Request
-from .pressure import PressureMeter
+from .pressure import CallerLearner
 from .runtime import Runtime
 from .settings import Address
 
@@ -43,7 +43,6 @@
 and gives a silent link up after 250 ms."""
 DOWN_RETRY_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
-NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
 MISDIRECTED = 421
 FIRST_FAILURE_STATUS = 300
 
@@ -340,8 +339,6 @@
         self._end()
         self._drop_connection()
         admission = self.inbound.admission
-        if reason in NO_ROOM:
-            self.inbound.pressure.refused(self.request.route)
         events.log(
             events.RUN_REFUSED,
             id=self.request.request_id,
@@ -407,7 +404,7 @@
     on_change: Callable[[], None]
     admission: Admission = attrs.field(factory=Admission)
     idle: Idle = attrs.field(factory=lambda: Idle(IDLE_MS))
-    pressure: PressureMeter = attrs.field(factory=PressureMeter)
+    callers: CallerLearner = attrs.field(factory=CallerLearner)
     unreachable: bool = False
     stopping: bool = False
     _runs: set[Run] = attrs.field(factory=set)
@@ -511,7 +508,6 @@
     def tick(self) -> None:
         """Refuse what waits in vain, break off overtime, retry the address."""
         now_ms = self.now_ms()
-        self.pressure.tick()
         for ticket in self.admission.expire(now_ms):
             if isinstance(ticket.owner, Run):
                 ticket.owner.refuse(Reason.TOO_LATE)
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -102,8 +102,8 @@
         Configuration that the node holds.
     store_ok : bool
         Whether its last call to the platform's store was answered.
-    pressure : tuple
-        Reports of ``pressure.PressureMeter``.
+    callers, refusals : tuple
+        What ``pressure.Report`` holds.
     """
 
     service: str
@@ -115,7 +115,8 @@
     version: int
     store_ok: bool
     stopping: bool
-    pressure: tuple[tuple[str, int, float], ...] = ()
+    callers: tuple[tuple[str, int], ...] = ()
+    refusals: tuple[tuple[str, int, float], ...] = ()
 
 
 @attrs.frozen(slots=True)
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -12,7 +12,7 @@
 from .members import Members
 from .messages import Answer, Failure, Reason, Refusal, Request
 from .peer_link import Stream
-from .pressure import PressureView
+from .pressure import PressureView, RefusalMeter
 from .retry_budget import RetryBudget
 from .routes import Route, RoutingTable
 from .runtime import Runtime
@@ -31,6 +31,7 @@
 RETRY_SHED_MS = 120.0
 """Time to come back after a refusal for another service's sake: short enough that
 an answer to the second attempt is still in aim."""
+NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
@@ -359,6 +360,8 @@
             return
         events.log(events.CALL_REFUSED, **self._outcome(UNAVAILABLE, reason.name))
         self.outbound.runtime.metrics.count("calls", "refused")
+        if reason in NO_ROOM:
+            self.outbound.refusals.refused(self.route.name)
         self._close(cancel=True)
         self.outbound.refuse(self.exchange, self.caller.request_id, retry_ms)
 
@@ -454,6 +457,7 @@
     calling_service: str
     closed: bool = False
     pressure: PressureView = attrs.field(factory=PressureView)
+    refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
 
     def handle(self, exchange: Exchange) -> None:
         """Take a request whose head was read."""
@@ -474,6 +478,7 @@
                     self, exchange, UNAVAILABLE, caller.request_id, Reason.PRESSURE
                 )
                 return
+            self.refusals.offered(route.name, service, route.priority)
             self.budget.members = self.members.count()
             self.budget.earn(service)
             target = Target(route, service, table.version)
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -243,7 +243,8 @@
             self.configuration.version,
             self.follower.store_ok,
             self.stopping_since_ms is not None,
-            self.inbound.pressure.report(),
+            self.inbound.callers.callers(),
+            self.outbound.refusals.report(),
         )
 
     def tell_state(self) -> None:
@@ -313,6 +314,7 @@
             self.members.excuse(pause_ms)
         self.members.tick(now_ms)
         self.inbound.tick()
+        self.outbound.refusals.tick()
         self.outbound.pressure.update(self._reports())
         self.follower.tick(now_ms)
         self._ticks += 1
@@ -327,14 +329,14 @@
             self._check_stop(now_ms - self.stopping_since_ms)
         events.WRITER.flush()
 
-    def _reports(self) -> list[tuple[str, tuple[Report, ...]]]:
-        reports = [
-            (link.state.service, link.state.pressure)
-            for link in self.members.alive()
-            if link.state is not None
+    def _reports(self) -> list[Report]:
+        states = [link.state for link in self.members.alive()]
+        states.append(self.state())
+        return [
+            Report(state.service, state.callers, state.refusals)
+            for state in states
+            if state is not None
         ]
-        reports.append((self.backend.service, self.inbound.pressure.report()))
-        return reports
 
     def _check_settings(self) -> None:
         try:
