--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -433,7 +433,7 @@
             run.refuse(reason)
             return run
         self.admission.slots = self.backend.slots
-        self.pressure.offered(request.route, request.priority, request.calling_service)
+        self.callers.arrived(request.route, request.priority, request.calling_service)
         decision = self.admission.offer(run.ticket, self.now_ms())
         if isinstance(decision, Refused):
             run.refuse(Reason.OVERLOADED)
