--- a/azurestep/mesh/pressure.py
+++ b/azurestep/mesh/pressure.py
@@ -17,6 +17,9 @@
 LEARN_REQUESTS = 60
 """Requests of a route that are looked at before it counts as calls: with callers
 spread over three services, 60 from one service come by chance once in 3^59."""
+CALLS_SHARE = 0.95
+"""Share of a route's requests that come from one service if they are its calls; an
+instance that changes its service mislabels a few."""
 FORGET_REQUESTS = 600
 """Requests after which the older half is forgotten."""
 DECAY = 0.95
@@ -46,8 +49,9 @@
         total = sum(origins.values())
         if total < LEARN_REQUESTS:
             return
-        if len(origins) == 1:
-            self._callers[route] = (calling_service.decode("latin-1"), priority)
+        name, most = max(origins.items(), key=lambda item: item[1])
+        if most >= total * CALLS_SHARE:
+            self._callers[route] = (name.decode("latin-1"), priority)
         else:
             self._callers.pop(route, None)
         if total >= FORGET_REQUESTS:
