--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -79,6 +79,7 @@
         self._stream: Stream | None = None
         self._fallback: Answer | None = None
         self._may_have_run = False
+        self._refusal: Refusal | None = None
         self._unacknowledged = 0
         self._answering = False
         self._chunked = False
@@ -242,6 +243,7 @@
             return
         endpoint = self._leave_endpoint()
         reason = Reason(refusal.reason)
+        self._refusal = refusal
         if endpoint is not None:
             endpoint.tell(refusal.busy)
             self._excluded.add(endpoint.key)
@@ -352,7 +354,11 @@
         return self.outbound.budget.spend(self.service, now_ms)
 
     def _give_up(self) -> None:
-        self._refuse(Reason.NO_BACKEND, RETRY_WITHOUT_BACKEND_MS)
+        refusal = self._refusal
+        if refusal is None:
+            self._refuse(Reason.NO_BACKEND, RETRY_WITHOUT_BACKEND_MS)
+        else:
+            self._refuse(Reason(refusal.reason), refusal.retry_ms)
 
     def _refuse(self, reason: Reason, retry_ms: float) -> None:
         if self._may_have_run:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -89,3 +89,18 @@
     async with fleet.session.post(url, headers=caller_headers("l2")) as answer:
         assert answer.status == 200
     assert sum(item.server.runs["l1"] for item in fleet.instances) == 0
+
+
+async def test_a_refusal_by_all_backend_servers_counts_as_one_for_want_of_room(
+    fleet: Fleet,
+) -> None:
+    for instance in fleet.instances:
+        instance.server.work_s = 0.5
+    node = fleet.instances[0].node
+    calls = [fleet.get(fleet.instances[0], "/read/1", f"f{i}") for i in range(60)]
+    answers = await asyncio.gather(*calls)
+    refused = [status for status, _ in answers].count(503)
+    assert refused >= 20
+    (told,) = node.outbound.refusals.report()
+    assert told[:2] == ("shop", 2)
+    assert told[2] > 0.2
