--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -1,5 +1,10 @@
 """Slots and queue beside a backend server."""
 
+import heapq
+from collections import Counter
+from random import Random
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -102,3 +107,45 @@
         assert len(admission.running) <= 3
     waiting = len(admission.flush())
     assert offered == started + refused + waiting
+
+
+def served_shares(load: float, seconds: float = 20.0) -> dict[int, float]:
+    """Offer three classes in equal parts and return the share of each that ran."""
+    random = Random(11)
+    admission = Admission(slots=8)
+    run_ms = {0: 30.0, 1: 150.0, 2: 120.0}
+    offered: Counter[int] = Counter()
+    served: Counter[int] = Counter()
+    ends: list[tuple[float, int, Ticket]] = []
+    now_ms = 0.0
+    gap_ms = sum(run_ms.values()) / 3 / 8 / load
+    while now_ms < seconds * 1000:
+        now_ms += random.expovariate(1 / gap_ms)
+        while ends and ends[0][0] <= now_ms:
+            end_ms, _, done = heapq.heappop(ends)
+            admission.learn(done.route, run_ms[done.priority])
+            for started in admission.release(done, end_ms):
+                served[started.priority] += 1
+                end = end_ms + run_ms[started.priority]
+                heapq.heappush(ends, (end, id(started), started))
+        admission.expire(now_ms)
+        priority = random.randrange(3)
+        offered[priority] += 1
+        new = ticket(priority, now_ms)
+        new.route = f"class-{priority}"
+        if admission.offer(new, now_ms) is True:
+            served[priority] += 1
+            heapq.heappush(ends, (now_ms + run_ms[priority], id(new), new))
+    return {priority: served[priority] / offered[priority] for priority in run_ms}
+
+
+@pytest.mark.parametrize("load", [1.5, 4.0])
+def test_classes_are_served_in_their_order_under_overload(load: float) -> None:
+    shares = served_shares(load)
+    assert shares[0] > 0.95
+    assert shares[0] >= shares[1] >= shares[2]
+    assert sum(shares.values()) > 0.9
+
+
+def test_without_overload_everything_is_served() -> None:
+    assert min(served_shares(0.7).values()) > 0.99
