--- /dev/null
+++ b/azurestep/mesh/backend_run.py
@@ -0,0 +1,371 @@
+"""One request at the backend server beside this node."""
+
+from typing import TYPE_CHECKING, Protocol
+
+from ..platform.headers import AnswerFields, read_answer, to_backend
+from . import events
+from .admission import Ticket
+from .http_client import ClientConnection, Headers
+from .messages import Answer, Failure, Reason, Refusal, Request
+
+if TYPE_CHECKING:
+    from .inbound import Inbound
+
+BUFFER_BYTES = 262_144
+"""Answers up to this size are read whole before they are passed on, so that one
+that is cut short can be tried elsewhere; longer ones are streamed."""
+WINDOW_BYTES = 262_144
+"""Bytes of a streamed body that may be on their way between two nodes."""
+FRESH_MS = 2000.0
+"""Most idle time of a connection that carries a request that must not run twice:
+backend servers close idle connections after seconds, and a request that crosses
+the close may have run."""
+OVERTIME_MS = 150.0
+"""Time past the deadline after which a run is broken off here; the backend server
+stops by itself at the deadline."""
+HELD_MS = 400.0
+"""Longest time that a held request keeps a slot; its sender answers within some 3 ms
+and gives a silent link up after 250 ms."""
+MISDIRECTED = 421
+FIRST_FAILURE_STATUS = 300
+
+
+class AnswerReceiver(Protocol):
+    """What hears of the outcome of one request."""
+
+    def on_answer(self, answer: Answer) -> None:
+        """Take the answer, or its head and first bytes."""
+
+    def on_answer_data(self, data: bytes, whole: bool) -> None:
+        """Take more of the answer."""
+
+    def on_refusal(self, refusal: Refusal) -> None:
+        """Learn that the request has not run and will not."""
+
+    def on_failure(self, failure: Failure) -> None:
+        """Learn that no whole answer comes."""
+
+    def on_credit(self, size: int) -> None:
+        """Learn that so many bytes of the body were taken."""
+
+    def on_ready(self) -> None:
+        """Learn that a held request has a slot and waits to be let go."""
+
+
+class Run:
+    """One request on its way through this node to the backend server."""
+
+    def __init__(
+        self, inbound: "Inbound", request: Request, receiver: AnswerReceiver
+    ) -> None:
+        now_ms = inbound.now_ms()
+        self.inbound = inbound
+        self.request = request
+        self.receiver = receiver
+        self.deadline_ms = now_ms + request.budget_ms
+        self.ticket = Ticket(
+            request.route,
+            request.priority,
+            now_ms,
+            now_ms + request.aim_ms,
+            self.deadline_ms,
+            self,
+        )
+        self.done = False
+        self._connection: ClientConnection | None = None
+        self._early: list[bytes] = []
+        self._whole = request.whole
+        self._status = 0
+        self._fields: AnswerFields | None = None
+        self._length = -1
+        self._body: list[bytes] = []
+        self._size = 0
+        self._streaming = False
+        self._unacknowledged = 0
+        self._ungranted = 0
+        self._sent_ms = 0.0
+        self._held = request.held
+        self._ready_ms = 0.0
+
+    # From the sender of the request.
+
+    def body(self, data: bytes, whole: bool) -> None:
+        """Take more of the request's body."""
+        if self.done:
+            return
+        self._whole = whole
+        if self._connection is None:
+            self._early.append(data)
+            return
+        self._connection.send_more(self._framed(data, whole), whole)
+        self._grant(len(data))
+
+    def go(self) -> None:
+        """Send a held request on."""
+        if self._held:
+            self._held = False
+            if not self.done and self._ready_ms:
+                self.start()
+
+    def cancel(self) -> None:
+        """Stop the request; nobody waits for its answer."""
+        if not self.done:
+            self._learn_slowness()
+            self._end()
+            self._drop_connection()
+
+    def grant(self, size: int) -> None:
+        """Learn that the receiver took bytes of the answer."""
+        self._unacknowledged -= size
+        if self._unacknowledged < WINDOW_BYTES and self._connection is not None:
+            self._connection.resume_reading()
+
+    # From the queue.
+
+    def start(self) -> None:
+        """Send the request to the backend server; it holds a slot."""
+        inbound = self.inbound
+        if not inbound.backend.admits(inbound.now_ms()):
+            self.refuse(Reason.LEAVING)
+            return
+        if self._held:
+            self._ready_ms = inbound.now_ms()
+            self.receiver.on_ready()
+            return
+        fresh_ms = None if self.request.idempotent else FRESH_MS
+        connection = inbound.idle.take(inbound.runtime.loop.time(), fresh_ms)
+        if connection is not None:
+            self._send(connection)
+            return
+        inbound.runtime.spawn(self._connect())
+
+    async def _connect(self) -> None:
+        connection = await self.inbound.connect()
+        if self.done:
+            if connection is not None:
+                self.inbound.keep(connection)
+            return
+        if connection is None:
+            self.refuse(Reason.UNREACHABLE)
+        elif not self.inbound.backend.admits(self.inbound.now_ms()):
+            self.inbound.keep(connection)
+            self.refuse(Reason.LEAVING)
+        else:
+            self._send(connection)
+
+    def _send(self, connection: ClientConnection) -> None:
+        request = self.request
+        self._connection = connection
+        self._sent_ms = self.inbound.now_ms()
+        data = [request.body, *self._early]
+        lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+        lines += to_backend(
+            request.headers,
+            self.deadline_ms - self._sent_ms,
+            request.instance_id,
+            request.calling_service,
+        )
+        body = b"".join(data)
+        if self._whole:
+            if body or request.length > 0 or request.method not in (b"GET", b"HEAD"):
+                lines.append(b"Content-Length: %d\r\n" % len(body))
+        elif request.length >= 0:
+            lines.append(b"Content-Length: %d\r\n" % request.length)
+        else:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+            body = self._framed(body, False)
+        lines.append(b"\r\n")
+        lines.append(body)
+        connection.send(b"".join(lines), self, self._whole)
+        self._grant(sum(len(part) for part in self._early))
+        self._early = []
+
+    def _framed(self, data: bytes, whole: bool) -> bytes:
+        if self.request.length >= 0:
+            return data
+        framed = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+        return framed + (b"0\r\n\r\n" if whole else b"")
+
+    def _grant(self, size: int) -> None:
+        self._ungranted += size
+        connection = self._connection
+        if self._ungranted and connection is not None and connection.writable:
+            size, self._ungranted = self._ungranted, 0
+            self.receiver.on_credit(size)
+
+    # From the connection to the backend server.
+
+    def on_writable(self) -> None:
+        """Grant the sender more bytes."""
+        self._grant(0)
+
+    def on_head(self, status: int, headers: Headers) -> bool:
+        """Take the head of an answer; an extra one names another request."""
+        fields = read_answer(headers)
+        if fields.request_id != self.request.request_id:
+            unnamed = not fields.request_id
+            if not (unnamed and (fields.not_run or status == MISDIRECTED)):
+                events.log(
+                    events.EXTRA_ANSWER,
+                    id=self.request.request_id,
+                    named=fields.request_id,
+                    status=status,
+                )
+                return False
+        self._status = status
+        self._fields = fields
+        for name, value in headers:
+            if name.lower() == b"content-length" and value.isdigit():
+                self._length = int(value)
+        return True
+
+    def on_data(self, data: bytes) -> None:
+        """Take a piece of the answer's body."""
+        if self._streaming:
+            self._pass_on(data, False)
+            return
+        self._body.append(data)
+        self._size += len(data)
+        if self._size > BUFFER_BYTES and self._is_good():
+            self._streaming = True
+            body = b"".join(self._body)
+            self._body = []
+            self._unacknowledged = len(body)
+            self.receiver.on_answer(self._answer(body, whole=False))
+
+    def _pass_on(self, data: bytes, whole: bool) -> None:
+        self._unacknowledged += len(data)
+        if self._unacknowledged > WINDOW_BYTES and self._connection is not None:
+            self._connection.pause_reading()
+        self.receiver.on_answer_data(data, whole)
+
+    def on_complete(self, reusable: bool) -> None:
+        """Pass the whole answer on, or say why it can't be."""
+        connection, self._connection = self._connection, None
+        fields = self._fields
+        if connection is not None and reusable and fields is not None:
+            if fields.keep_alive_ms is not None:
+                connection.idle_limit_ms = max(0.0, fields.keep_alive_ms - 1000) * 0.9
+            self.inbound.keep(connection)
+        if self._streaming:
+            self._finish_run()
+            self.receiver.on_answer_data(b"", True)
+            return
+        self._judge(fields)
+
+    def _judge(self, fields: AnswerFields | None) -> None:
+        inbound = self.inbound
+        if fields is None:
+            self.fail(Reason.MALFORMED)
+        elif self._status == MISDIRECTED and not fields.signed:
+            inbound.other_instance(self.request, fields.instance_id.decode("latin-1"))
+            self.refuse(Reason.OTHER_INSTANCE)
+        elif fields.not_run and self._status != 400:
+            self.refuse(Reason.BACKEND_REFUSED, arrived=True)
+        elif self._is_good() or self._status >= FIRST_FAILURE_STATUS:
+            self._finish_run()
+            self.receiver.on_answer(self._answer(b"".join(self._body), whole=True))
+        else:
+            self.fail(Reason.UNSIGNED)
+
+    def _is_good(self) -> bool:
+        fields = self._fields
+        return fields is not None and fields.signed and not fields.encoded
+
+    def _answer(self, body: bytes, whole: bool) -> Answer:
+        assert self._fields is not None
+        inbound = self.inbound
+        return Answer(
+            self._status,
+            self._fields.forwarded,
+            self._fields.signed,
+            len(body) if whole else self._length,
+            whole,
+            body,
+            inbound.admission.busy,
+            inbound.admission.run_ms(self.request.route),
+        )
+
+    def _finish_run(self) -> None:
+        inbound = self.inbound
+        run_ms = inbound.now_ms() - self._sent_ms
+        if self._status < FIRST_FAILURE_STATUS:
+            inbound.admission.learn(self.request.route, run_ms)
+            inbound.backend.answered(
+                self.request.instance_id.decode("latin-1"), inbound.now_ms()
+            )
+        inbound.runtime.metrics.run_ms.record(run_ms)
+        self._end()
+
+    def on_failed(self, reason: str) -> None:
+        """Learn that the backend server broke off."""
+        if self.done:
+            return
+        kinds = {"closed": Reason.CLOSED, "reset": Reason.RESET}
+        kind = kinds.get(reason, Reason.MALFORMED)
+        self.inbound.broke_off(kind)
+        self.fail(Reason.TRUNCATED if self._fields is not None else kind)
+
+    def check_age(self, now_ms: float) -> None:
+        """Give up what nobody lets go, and what runs past its deadline."""
+        if self._held and self._ready_ms and now_ms - self._ready_ms > HELD_MS:
+            self.refuse(Reason.TOO_LATE)
+        elif now_ms > self.deadline_ms + OVERTIME_MS:
+            self.fail(Reason.TIMEOUT)
+
+    # Ends.
+
+    def refuse(self, reason: Reason, arrived: bool = False) -> None:
+        """Say that the request has not run."""
+        if self.done:
+            return
+        self._end()
+        self._drop_connection()
+        admission = self.inbound.admission
+        events.log(
+            events.RUN_REFUSED,
+            id=self.request.request_id,
+            reason=reason.name,
+            instance=self.request.instance_id,
+            running=len(admission.running),
+            busy=admission.busy,
+            slots=admission.slots,
+        )
+        self.inbound.runtime.metrics.count("refused_here", reason.name)
+        self.receiver.on_refusal(
+            Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
+        )
+
+    def fail(self, reason: Reason) -> None:
+        """Say that the request may have run."""
+        if self.done:
+            return
+        self._learn_slowness()
+        self._end()
+        self._drop_connection()
+        events.log(
+            events.RUN_FAILED,
+            id=self.request.request_id,
+            reason=reason.name,
+            instance=self.request.instance_id,
+            run_ms=round(self.inbound.now_ms() - self._sent_ms),
+        )
+        self.inbound.runtime.metrics.count("failed_here", reason.name)
+        self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
+
+    def _learn_slowness(self) -> None:
+        """Count a run without an answer, if it was longer than usual."""
+        admission, route = self.inbound.admission, self.request.route
+        run_ms = self.inbound.now_ms() - self._sent_ms
+        if self._sent_ms and run_ms > admission.run_ms(route):
+            admission.learn(route, run_ms)
+
+    def _end(self) -> None:
+        self.done = True
+        self.inbound.release(self)
+        self.ticket.owner = None
+
+    def _drop_connection(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
--- /dev/null
+++ b/azurestep/mesh/call.py
@@ -0,0 +1,458 @@
+"""One attempt of a caller: choose, send, try elsewhere, answer."""
+
+import attrs
+
+from ..platform.headers import CallerFields
+from . import events
+from .backend_run import WINDOW_BYTES
+from .choice import Endpoint, Wish, choose
+from .http_server import Exchange
+from .members import Members
+from .messages import Answer, Failure, Reason, Refusal, Request
+from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
+from .peer_link import Stream
+from .pressure import RefusalMeter
+from .retry_budget import RetryBudget
+from .routes import Route
+from .runtime import Runtime
+
+BODY_BUFFER_BYTES = 524_288
+"""Bodies up to this size are read whole before they are sent, so that a request
+that was refused can be sent to another backend server; longer ones are streamed."""
+ASKED_MOST = 4
+"""Most nodes that are asked for one request before its caller is refused."""
+FAILED_MS = 400.0
+"""Time for which a backend server that failed is chosen only without another."""
+ANSWER_KIB = 1.5
+"""Size assumed for an answer, in KiB; the mean of the reads that were measured."""
+NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GOOD_BELOW = 300
+
+
+@attrs.define(eq=False)
+class CallContext:
+    """What the calls of a node share.
+
+    Attributes
+    ----------
+    calling_service : str
+        Service of this instance, which backend servers are told.
+    """
+
+    runtime: Runtime
+    members: Members
+    budget: RetryBudget
+    calling_service: str
+    refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
+
+    def offered(self, route: Route, service: str) -> None:
+        """Count a request for a service."""
+        self.refusals.offered(route.name, service, route.priority)
+        self.budget.members = self.members.count()
+        self.budget.earn(service)
+
+
+@attrs.frozen(slots=True)
+class Target:
+    """Where a configuration sends a request."""
+
+    route: Route
+    service: str
+    version: int
+
+
+class Call:
+    """One attempt of a caller, until it is answered."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        exchange: Exchange,
+        caller: CallerFields,
+        target: Target,
+    ) -> None:
+        self.context = context
+        self.exchange = exchange
+        self.caller = caller
+        self.route = route = target.route
+        self.service = target.service
+        self.version = target.version
+        self.arrived_ms = context.runtime.now_ms()
+        budget_ms = min(caller.budget_ms or route.timeout_ms, route.timeout_ms)
+        self.ends_ms = self.arrived_ms + budget_ms
+        self.done = False
+        self._body: list[bytes] = []
+        self._size = 0
+        self._whole = False
+        self._streamed = False
+        self._excluded: set[object] = set()
+        self._asked = 0
+        self._runs = 0
+        self._endpoint: Endpoint | None = None
+        self._asked_last = b""
+        self._stream: Stream | None = None
+        self._fallback: Answer | None = None
+        self._may_have_run = False
+        self._refusal: Refusal | None = None
+        self._unacknowledged = 0
+        self._answering = False
+        self._chunked = False
+        self._ungranted = 0
+        self._timer = context.runtime.loop.call_later(
+            budget_ms / 1000, self._on_timeout
+        )
+
+    # From the caller's connection.
+
+    def on_body(self, data: bytes) -> None:
+        """Keep the body, or pass it on if it is long."""
+        if self.done:
+            return
+        if self._streamed:
+            self._send_body(data, False)
+            return
+        self._body.append(data)
+        self._size += len(data)
+        if self._size > BODY_BUFFER_BYTES and not self.exchange.started:
+            self._streamed = True
+            self._dispatch()
+
+    def on_end(self) -> None:
+        """Send the request, or the end of its body."""
+        if self.done:
+            return
+        self._whole = True
+        if self._streamed:
+            self._send_body(b"", True)
+        else:
+            self._dispatch()
+
+    def on_gone(self) -> None:
+        """Stop the request; its caller left."""
+        if self.done:
+            return
+        events.log(
+            events.CALL_GONE,
+            id=self.caller.request_id,
+            route=self.route.name,
+            instance=self._asked_last,
+            after_ms=self._age_ms(),
+        )
+        self.context.runtime.metrics.count("calls", "gone")
+        self._close(cancel=True)
+
+    def on_writable(self) -> None:
+        """Grant the other end more bytes of the answer."""
+        self._grant(0)
+
+    # To a backend server.
+
+    def _dispatch(self) -> None:
+        context = self.context
+        now_ms = context.runtime.now_ms()
+        wish = Wish(
+            self.service,
+            self.route.name,
+            self.route.aim_ms - (now_ms - self.arrived_ms),
+            ANSWER_KIB + max(self._size, self.exchange.length) / 1024,
+            context.members.data_centre,
+        )
+        endpoint = choose(
+            context.members.endpoints(self.service),
+            wish,
+            self._excluded,
+            now_ms,
+            context.runtime.random,
+        )
+        if endpoint is None:
+            self._give_up()
+            return
+        self._endpoint = endpoint
+        self._asked_last = endpoint.instance_id
+        self._asked += 1
+        endpoint.mine += 1
+        stream = context.members.send(endpoint, self._request(now_ms, endpoint), self)
+        if stream is None:
+            self._leave_endpoint()
+            self._excluded.add(endpoint.key)
+            self._dispatch()
+        elif not self.done and self._endpoint is endpoint:
+            self._stream = stream
+
+    def _request(self, now_ms: float, endpoint: Endpoint) -> Request:
+        exchange, route = self.exchange, self.route
+        return Request(
+            exchange.method,
+            exchange.target,
+            self.caller.forwarded,
+            self.service,
+            endpoint.instance_id,
+            route.name,
+            self.caller.request_id,
+            self.context.calling_service.encode(),
+            route.idempotent,
+            route.priority,
+            self.ends_ms - now_ms,
+            route.aim_ms - (now_ms - self.arrived_ms),
+            now_ms,
+            -1 if exchange.chunked else exchange.length,
+            self._whole,
+            b"".join(self._body),
+            held=not route.idempotent and not self._streamed,
+        )
+
+    def _send_body(self, data: bytes, whole: bool) -> None:
+        if self._stream is None:
+            return
+        self._unacknowledged += len(data)
+        if self._unacknowledged > WINDOW_BYTES:
+            self.exchange.connection.pause_reading()
+        self._stream.body(data, whole)
+
+    # From the node beside the backend server.
+
+    def on_credit(self, size: int) -> None:
+        """Take more of the caller's body."""
+        self._unacknowledged -= size
+        if self._unacknowledged <= WINDOW_BYTES:
+            self.exchange.connection.resume_reading()
+
+    def on_ready(self) -> None:
+        """Ignore; only the link of a remote node asks."""
+
+    def on_doubt(self, let_go: bool) -> None:
+        """Go elsewhere, if that is safe and there is another way."""
+        endpoint = self._endpoint
+        if self.done or self._answering or self._streamed or endpoint is None:
+            return
+        if not self._has_other(endpoint):
+            return
+        if let_go and not (self.route.idempotent and self._doubt_allows_run()):
+            return
+        stream, self._stream = self._stream, None
+        self._leave_endpoint()
+        self._excluded.add(endpoint.key)
+        if stream is not None:
+            stream.cancel()
+        self._log_retry(Reason.LINK_LOST)
+        self._dispatch()
+
+    def _doubt_allows_run(self) -> bool:
+        self._runs += 1
+        if self._may_run_again():
+            self._may_have_run = True
+            return True
+        self._runs -= 1
+        return False
+
+    def _has_other(self, endpoint: Endpoint) -> bool:
+        return any(
+            other.open and not other.doubted and other.key not in self._excluded
+            for other in self.context.members.endpoints(self.service)
+            if other is not endpoint
+        )
+
+    def on_refusal(self, refusal: Refusal) -> None:
+        """Ask another node: the request has not run."""
+        if self.done:
+            return
+        endpoint = self._leave_endpoint()
+        reason = Reason(refusal.reason)
+        self._refusal = refusal
+        if endpoint is not None:
+            endpoint.tell(refusal.busy)
+            self._excluded.add(endpoint.key)
+            if reason is not Reason.OVERLOADED:
+                endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
+        if refusal.arrived:
+            self._runs += 1
+        may_repeat = not self._streamed and self._asked < ASKED_MOST
+        if refusal.arrived and may_repeat:
+            may_repeat = self._may_run_again()
+        if may_repeat:
+            self._log_retry(reason)
+            self._dispatch()
+        else:
+            self._refuse(reason, refusal.retry_ms)
+
+    def on_failure(self, failure: Failure) -> None:
+        """Run an idempotent request elsewhere; fail another one: it may have run."""
+        if self.done:
+            return
+        endpoint = self._leave_endpoint()
+        reason = Reason(failure.reason)
+        self._runs += 1
+        self._may_have_run = True
+        if endpoint is not None:
+            self._excluded.add(endpoint.key)
+            endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
+        if self._answering:
+            events.log(events.CALL_FAILED, **self._outcome(0, reason.name))
+            self._close(cancel=False)
+            self.exchange.break_off()
+        elif self.route.idempotent and not self._streamed and self._may_run_again():
+            self._log_retry(reason)
+            self._dispatch()
+        else:
+            self._fail(reason)
+
+    def on_answer(self, answer: Answer) -> None:
+        """Answer the caller, or run an idempotent request elsewhere."""
+        if self.done:
+            return
+        endpoint = self._endpoint
+        if endpoint is not None:
+            endpoint.run_ms[self.route.name] = answer.run_ms
+        retryable = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
+        if retryable and self.route.idempotent and not self._streamed:
+            self._runs += 1
+            self._may_have_run = True
+            if self._may_run_again():
+                self._fallback = answer
+                self._leave_endpoint()
+                if endpoint is not None:
+                    self._excluded.add(endpoint.key)
+                    endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
+                self._log_retry(Reason.MALFORMED, answer.status)
+                self._dispatch()
+                return
+        self._leave_endpoint()
+        if endpoint is not None:
+            endpoint.tell(answer.busy)
+        self._pass_on(answer)
+
+    def on_answer_data(self, data: bytes, whole: bool) -> None:
+        """Pass on more of a long answer."""
+        if self.done:
+            return
+        if data:
+            self.exchange.write(self._framed(data))
+            self._grant(len(data))
+        if whole:
+            if self._chunked:
+                self.exchange.write(b"0\r\n\r\n")
+            self._close(cancel=False)
+            self.exchange.finish()
+
+    def _pass_on(self, answer: Answer) -> None:
+        if answer.whole:
+            self._ended(answer.status)
+            self.exchange.answer(answer.status, answer.headers, answer.body)
+            return
+        self._answering = True
+        self._chunked = answer.length < 0
+        length = None if self._chunked else answer.length
+        events.log(events.CALL_ENDED, **self._outcome(answer.status, ""))
+        self.exchange.begin(answer.status, answer.headers, length)
+        self.exchange.write(self._framed(answer.body))
+        self._grant(len(answer.body))
+
+    def _framed(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data
+
+    def _grant(self, size: int) -> None:
+        self._ungranted += size
+        if self._ungranted and self._stream is not None and self.exchange.writable:
+            size, self._ungranted = self._ungranted, 0
+            self._stream.grant(size)
+
+    # Ends.
+
+    def _may_run_again(self) -> bool:
+        now_ms = self.context.runtime.now_ms()
+        if self._runs >= self.route.max_attempts or now_ms >= self.ends_ms:
+            return False
+        if self._asked >= ASKED_MOST:
+            return False
+        return self.context.budget.spend(self.service, now_ms)
+
+    def _give_up(self) -> None:
+        refusal = self._refusal
+        if refusal is None:
+            self._refuse(Reason.NO_BACKEND, RETRY_WITHOUT_BACKEND_MS)
+        else:
+            self._refuse(Reason(refusal.reason), refusal.retry_ms)
+
+    def _refuse(self, reason: Reason, retry_ms: float) -> None:
+        if self._may_have_run:
+            self._fail(reason)
+            return
+        events.log(events.CALL_REFUSED, **self._outcome(UNAVAILABLE, reason.name))
+        self.context.runtime.metrics.count("calls", "refused")
+        if reason in NO_ROOM:
+            self.context.refusals.refused(self.route.name)
+        self._close(cancel=True)
+        answer_refused(
+            self.context.runtime, self.exchange, self.caller.request_id, retry_ms
+        )
+
+    def _fail(self, reason: Reason) -> None:
+        if self._fallback is not None:
+            answer, self._fallback = self._fallback, None
+            self._pass_on(answer)
+            return
+        events.log(events.CALL_FAILED, **self._outcome(BAD_GATEWAY, reason.name))
+        self.context.runtime.metrics.count("calls", "failed")
+        self._close(cancel=True)
+        self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
+
+    def _on_timeout(self) -> None:
+        if self.done:
+            return
+        events.log(events.CALL_FAILED, **self._outcome(GATEWAY_TIMEOUT, "TIMEOUT"))
+        self.context.runtime.metrics.count("calls", "timeout")
+        self._close(cancel=True)
+        if self._answering:
+            self.exchange.break_off()
+        else:
+            self.exchange.answer(GATEWAY_TIMEOUT, self._id_header(), b"")
+
+    def _ended(self, status: int) -> None:
+        runtime = self.context.runtime
+        runtime.metrics.call_ms.record(runtime.now_ms() - self.arrived_ms)
+        runtime.metrics.count("calls", "good" if status < GOOD_BELOW else "error")
+        events.log(events.CALL_ENDED, **self._outcome(status, ""))
+        self._close(cancel=False)
+
+    def _close(self, cancel: bool) -> None:
+        self.done = True
+        self._timer.cancel()
+        self._leave_endpoint()
+        stream, self._stream = self._stream, None
+        if cancel and stream is not None:
+            stream.cancel()
+        self._body = []
+        self.exchange.sink = None
+
+    def _leave_endpoint(self) -> Endpoint | None:
+        endpoint, self._endpoint = self._endpoint, None
+        if endpoint is not None:
+            endpoint.mine -= 1
+        return endpoint
+
+    def _age_ms(self) -> int:
+        return round(self.context.runtime.now_ms() - self.arrived_ms)
+
+    def _id_header(self) -> list[tuple[bytes, bytes]]:
+        return id_header(self.caller.request_id)
+
+    def _outcome(self, status: int, reason: str) -> dict[str, object]:
+        return {
+            "id": self.caller.request_id,
+            "route": self.route.name,
+            "service": self.service,
+            "version": self.version,
+            "instance": self._asked_last,
+            "status": status,
+            "reason": reason,
+            "asked": self._asked,
+            "runs": self._runs,
+            "after_ms": self._age_ms(),
+        }
+
+    def _log_retry(self, reason: Reason, status: int = 0) -> None:
+        events.log(events.CALL_RETRIED, **self._outcome(status, reason.name))
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -6,7 +6,7 @@
 from ..platform.announcement import Heartbeat, read_announcement
 from . import events
 from .backend import Backend
-from .http_server import CollectedRequest, Exchange, Handler
+from .http_server import Exchange, Handler
 from .runtime import Runtime
 
 JSON = [(b"Content-Type", b"application/json")]
@@ -74,3 +74,36 @@
         exchange.sink = CollectedRequest(exchange, respond)
 
     return handle
+
+
+class CollectedRequest:
+    """Collects a short request and answers it by a function.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    respond : Callable
+        Called with the exchange and the whole body.
+    """
+
+    def __init__(
+        self, exchange: Exchange, respond: Callable[[Exchange, bytes], None]
+    ) -> None:
+        self._exchange = exchange
+        self._respond = respond
+        self._parts: list[bytes] = []
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a piece of the body."""
+        self._parts.append(data)
+
+    def on_end(self) -> None:
+        """Answer."""
+        self._respond(self._exchange, b"".join(self._parts))
+
+    def on_gone(self) -> None:
+        """Forget the request."""
+
+    def on_writable(self) -> None:
+        """Ignore; the answer is short."""
--- a/azurestep/mesh/http_server.py
+++ b/azurestep/mesh/http_server.py
@@ -375,36 +375,3 @@
         exchange.received = False
         exchange.keep_alive = False
         exchange.answer(int(status), [], b"")
-
-
-class CollectedRequest:
-    """Collects a short request and answers it by a function.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        The request.
-    respond : Callable
-        Called with the exchange and the whole body.
-    """
-
-    def __init__(
-        self, exchange: Exchange, respond: Callable[[Exchange, bytes], None]
-    ) -> None:
-        self._exchange = exchange
-        self._respond = respond
-        self._parts: list[bytes] = []
-
-    def on_body(self, data: bytes) -> None:
-        """Keep a piece of the body."""
-        self._parts.append(data)
-
-    def on_end(self) -> None:
-        """Answer."""
-        self._respond(self._exchange, b"".join(self._parts))
-
-    def on_gone(self) -> None:
-        """Forget the request."""
-
-    def on_writable(self) -> None:
-        """Ignore; the answer is short."""
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -7,8 +7,8 @@
 import msgpack
 
 from . import events
+from .backend_run import AnswerReceiver
 from .choice import Endpoint
-from .inbound import AnswerReceiver
 from .messages import (
     Answer,
     Decoder,
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -8,7 +8,8 @@
 import msgpack
 
 from . import events
-from .inbound import Inbound, Run
+from .backend_run import Run
+from .inbound import Inbound
 from .messages import (
     FORMAT,
     Answer,
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -13,6 +13,7 @@
 from ..platform.store import StoreClient
 from . import endpoints, events
 from .backend import Backend
+from .call import CallContext
 from .configuration import Configuration
 from .discovery import Discovery
 from .following import Follower
@@ -69,6 +70,7 @@
     configuration: Configuration = attrs.field(init=False)
     follower: Follower = attrs.field(init=False)
     discovery: Discovery = attrs.field(init=False)
+    calls: CallContext = attrs.field(init=False)
     outbound: Outbound = attrs.field(init=False)
     listener: PeerListener = attrs.field(init=False)
     prober: Prober = attrs.field(init=False)
@@ -108,13 +110,8 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_ms
         )
-        self.outbound = Outbound(
-            runtime,
-            self.members,
-            budget,
-            lambda: self.configuration.table,
-            settings.service,
-        )
+        self.calls = CallContext(runtime, self.members, budget, settings.service)
+        self.outbound = Outbound(self.calls, lambda: self.configuration.table)
         self.listener = PeerListener(
             runtime,
             self.inbound,
@@ -204,8 +201,8 @@
             return
         self.settings = settings
         self.backend.drain_ms = settings.bounds.drain_ms
-        self.outbound.calling_service = settings.service
-        budget = self.outbound.budget
+        self.calls.calling_service = settings.service
+        budget = self.calls.budget
         budget.ratio = settings.bounds.retry_ratio
         budget.extra = settings.bounds.retry_extra
         budget.window_ms = settings.bounds.retry_window_ms
@@ -244,7 +241,7 @@
             self.follower.store_ok,
             self.stopping_since_ms is not None,
             self.inbound.callers.callers(),
-            self.outbound.refusals.report(),
+            self.calls.refusals.report(),
         )
 
     def tell_state(self) -> None:
@@ -314,7 +311,7 @@
             self.members.excuse(pause_ms)
         self.members.tick(now_ms)
         self.inbound.tick()
-        self.outbound.refusals.tick()
+        self.calls.refusals.tick()
         self.outbound.pressure.update(self._reports())
         self.follower.tick(now_ms)
         self._ticks += 1
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -101,6 +101,6 @@
     answers = await asyncio.gather(*calls)
     refused = [status for status, _ in answers].count(503)
     assert refused >= 20
-    (told,) = node.outbound.refusals.report()
+    (told,) = node.calls.refusals.report()
     assert told[:2] == ("shop", 2)
     assert told[2] > 0.2
