Write log lines without blocking and bound what waits for the reader

Found by a test: with a reader that stands still, unwritten lines grew without a bound, and standard output was never made non-blocking (test_mesh_lines).

--- a/azurestep/mesh/line_writer.py
+++ b/azurestep/mesh/line_writer.py
@@ -37,7 +37,7 @@
     Attributes
     ----------
     descriptor : int
-        Where lines go; it is set to non-blocking.
+        Where lines go.
     left_out : int
         Lines left out since the last note of it.
     """
@@ -50,6 +50,10 @@
     _tokens: float = BURST_LINES
     _filled_s: float = 0.0
 
+    def open(self) -> None:
+        """Make writes return at once when nobody reads."""
+        os.set_blocking(self.descriptor, False)
+
     def add(self, event: Event, fields: dict[str, object]) -> None:
         """Add a line, or count it as left out."""
         now_s = self.clock()
@@ -68,15 +72,17 @@
         if self.left_out and self._tokens >= 1 and len(self._lines) < BUFFER_LINES:
             left_out, self.left_out = self.left_out, 0
             self._lines.append(_line(LINES_LEFT_OUT, {"lines": left_out}))
-        data = self._rest + b"".join(self._lines)
-        self._lines = []
-        if not data:
-            return
+        if not self._rest:
+            self._rest = b"".join(self._lines)
+            self._lines = []
+        if self._rest:
+            self._rest = self._rest[self._write(self._rest) :]
+
+    def _write(self, data: bytes) -> int:
         try:
-            written = os.write(self.descriptor, data)
+            return os.write(self.descriptor, data)
         except BlockingIOError:
-            written = 0
-        self._rest = data[written:]
+            return 0
 
 
 def _text(value: object) -> object:
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -380,6 +380,7 @@
         If a listening address is taken.
     """
     settings = read_settings(path)
+    events.WRITER.open()
     uvloop.run(_serve(settings, path))
 
 
--- /dev/null
+++ b/tests/test_mesh_lines.py
@@ -0,0 +1,46 @@
+"""Log lines: bounded in rate, never blocking, left out ones counted."""
+
+import os
+
+import orjson
+
+from azurestep.mesh import events
+from azurestep.mesh.line_writer import BUFFER_LINES, BURST_LINES, LineWriter
+
+
+def test_a_flood_is_cut_and_counted() -> None:
+    reader, writer_end = os.pipe()
+    os.set_blocking(writer_end, False)
+    now_s = 0.0
+    writer = LineWriter(writer_end, clock=lambda: now_s)
+    for index in range(int(BURST_LINES) + 50):
+        writer.add(events.CALL_ENDED, {"id": index})
+    assert writer.left_out == 50
+    writer.flush()
+    now_s = 1.0
+    writer.add(events.CALL_ENDED, {"id": "last"})
+    writer.flush()
+    lines = [orjson.loads(line) for line in os.read(reader, 1 << 20).splitlines()]
+    assert [line["lines"] for line in lines if line["event"] == 9006] == [50]
+
+
+def test_an_error_is_written_above_the_rate() -> None:
+    writer = LineWriter(clock=lambda: 0.0)
+    for index in range(int(BURST_LINES) + 1):
+        writer.add(events.CALL_ENDED, {"id": index})
+    left_out = writer.left_out
+    writer.add(events.VERSION_REFUSED, {"cause": "x"})
+    assert writer.left_out == left_out
+
+
+def test_a_reader_that_stands_still_blocks_nothing() -> None:
+    _, writer_end = os.pipe()
+    now_s = 0.0
+    writer = LineWriter(writer_end, clock=lambda: now_s)
+    writer.open()
+    for index in range(20 * BUFFER_LINES):
+        now_s += 0.01
+        writer.add(events.CALL_ENDED, {"id": index, "text": "x" * 100})
+        if index % 100 == 0:
+            writer.flush()
+    assert writer.left_out > 0
--- /dev/null
+++ b/tests/test_mesh_settings.py
@@ -0,0 +1,80 @@
+"""Settings of the node on the platform."""
+
+import pathlib
+import re
+
+import orjson
+import pytest
+
+from azurestep.errors import SettingsError
+from azurestep.mesh.settings import decode_settings, read_settings
+
+TEMPLATE = pathlib.Path(__file__).parents[1] / "deploy" / "settings.json"
+VALUES = {
+    "node": "node-1",
+    "zone": "dc-1",
+    "service": "shop",
+    "first_start": True,
+    "ip_address": "10.1.0.4",
+    "listen_addresses.outbound": "10.1.0.4:8629",
+    "listen_addresses.inbound": "10.1.0.4:8624",
+    "listen_addresses.ready": "10.1.0.4:8625",
+    "listen_addresses.control": "10.1.0.4:8620",
+    "application_address": "10.1.0.4:8628",
+    "heartbeat_interval": "1500ms",
+    "limits.memory_mb": 300,
+    "bounds": {"drain": "2500ms", "retry_budget_ratio": 0.2, "recovery": "15s"},
+    "platform": {"address": "10.2.0.7:8627", "form": "log"},
+}
+
+
+def rendered() -> dict[str, object]:
+    """Render the template as the platform does."""
+    text = re.sub(
+        r"\{\{([^|}]+)\|json\}\}",
+        lambda found: orjson.dumps(VALUES[found.group(1)]).decode(),
+        TEMPLATE.read_text(),
+    )
+    fields: dict[str, object] = orjson.loads(text)
+    return fields
+
+
+def test_the_template_renders_settings_that_are_taken() -> None:
+    settings = decode_settings(rendered())
+    assert settings.caller_address == ("10.1.0.4", 8629)
+    assert settings.peer_address == ("10.1.0.4", 8624)
+    assert settings.store_address == ("10.2.0.7", 8627)
+    assert settings.bounds.drain_ms == 2500.0
+    assert settings.bounds.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("caller_address", "10.1.0.4"),
+        ("peer_address", None),
+        ("heartbeat_interval", "soon"),
+        ("bounds", {"drain": "-1s"}),
+        ("store", {}),
+        ("metrics_port", "x"),
+    ],
+)
+def test_a_wrong_field_is_named_with_a_remedy(field: str, value: object) -> None:
+    with pytest.raises(SettingsError) as error:
+        decode_settings({**rendered(), field: value})
+    assert error.value.remedy
+
+
+def test_a_missing_field_is_refused() -> None:
+    for field in rendered():
+        with pytest.raises(SettingsError):
+            decode_settings({k: v for k, v in rendered().items() if k != field})
+
+
+def test_a_file_that_is_no_json_is_refused(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text("node: 1")
+    with pytest.raises(SettingsError):
+        read_settings(path)
+    with pytest.raises(SettingsError):
+        read_settings(tmp_path / "none.json")
