--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -1,6 +1,7 @@
 """A fleet of real nodes on loopback addresses, with stand-ins around it."""
 
 import asyncio
+import os
 import pathlib
 from collections.abc import AsyncIterator
 
@@ -18,7 +19,9 @@
 
 CALLER_PORT, PEER_PORT, READY_PORT, ANNOUNCE_PORT = 7101, 7102, 7103, 7104
 METRICS_PORT, BACKEND_PORT, STORE_PORT = 7105, 7106, 7107
-STORE_HOST = "127.9.0.1"
+NETWORK = f"127.{16 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}"
+"""Loopback addresses of this process's own, so that test processes can run at once."""
+STORE_HOST = f"{NETWORK}.250"
 
 
 def document(version: int, **changes: object) -> bytes:
@@ -90,7 +93,7 @@
 
 
 @attrs.define
-class Fleet:
+class MeshFleet:
     """Several instances and the store."""
 
     store: StoreStandIn
@@ -100,7 +103,7 @@
 
     async def add(self, index: int) -> MeshInstance:
         """Start an instance."""
-        host = f"127.9.1.{index}"
+        host = f"{NETWORK}.{index}"
         server = SigningServer(f"i-{index}")
         await server.start(host, BACKEND_PORT)
         instance = MeshInstance(host, self._node(host, index), server)
@@ -186,14 +189,14 @@
 
 
 @pytest_asyncio.fixture
-async def fleet(
+async def mesh(
     mesh_store: StoreStandIn, tmp_path: pathlib.Path
-) -> AsyncIterator[Fleet]:
+) -> AsyncIterator[MeshFleet]:
     """Run three instances that know one another."""
     async with ClientSession() as session:
-        fleet = Fleet(mesh_store, session, tmp_path / "settings.json")
+        mesh = MeshFleet(mesh_store, session, tmp_path / "settings.json")
         for index in (1, 2, 3):
-            await fleet.add(index)
-        await fleet.settle()
-        yield fleet
-        await fleet.stop()
+            await mesh.add(index)
+        await mesh.settle()
+        yield mesh
+        await mesh.stop()
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -10,11 +10,11 @@
 from standins.signing_server import Received, signed
 from standins.store import Trouble
 
-from .fixtures_mesh import Fleet, MeshInstance, caller_headers, document
+from .fixtures_mesh import MeshFleet, MeshInstance, caller_headers, document
 
 
-async def pay(fleet: Fleet, instance: MeshInstance, name: str) -> int:
-    async with fleet.session.post(
+async def pay(mesh: MeshFleet, instance: MeshInstance, name: str) -> int:
+    async with mesh.session.post(
         instance.url("/pay/1"), data=b"x", headers=caller_headers(name)
     ) as answer:
         await answer.read()
@@ -27,35 +27,37 @@
             await asyncio.sleep(0.01)
 
 
-async def test_a_leaving_server_gets_nothing_and_nothing_is_lost(fleet: Fleet) -> None:
-    leaving = fleet.instances[0]
-    assert await leaving.beat(fleet.session, "draining") == 200
+async def test_a_leaving_server_gets_nothing_and_nothing_is_lost(
+    mesh: MeshFleet,
+) -> None:
+    leaving = mesh.instances[0]
+    assert await leaving.beat(mesh.session, "draining") == 200
     await asyncio.sleep(0.1)
     before = len(leaving.server.received)
     for index in range(30):
-        status, _ = await fleet.get(fleet.instances[index % 3], "/read/1", f"d{index}")
+        status, _ = await mesh.get(mesh.instances[index % 3], "/read/1", f"d{index}")
         assert status == 200
     assert len(leaving.server.received) == before
 
 
-async def test_a_payment_on_a_dying_server_runs_once(fleet: Fleet) -> None:
-    for instance in fleet.instances:
+async def test_a_payment_on_a_dying_server_runs_once(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
         instance.server.misbehave = lambda received: None
-    assert await pay(fleet, fleet.instances[0], "k1") == 502
-    assert sum(item.server.runs["k1"] for item in fleet.instances) == 1
+    assert await pay(mesh, mesh.instances[0], "k1") == 502
+    assert sum(item.server.runs["k1"] for item in mesh.instances) == 1
 
 
 async def test_a_read_on_a_dying_server_is_tried_elsewhere_within_its_attempts(
-    fleet: Fleet,
+    mesh: MeshFleet,
 ) -> None:
-    fleet.instances[0].server.misbehave = lambda received: None
+    mesh.instances[0].server.misbehave = lambda received: None
     statuses = [
-        (await fleet.get(fleet.instances[0], "/read/1", f"t{index}"))[0]
+        (await mesh.get(mesh.instances[0], "/read/1", f"t{index}"))[0]
         for index in range(5)
     ]
     assert statuses == [200] * 5
     for name in ("t0", "t1"):
-        assert sum(item.server.runs[name] for item in fleet.instances) <= 2
+        assert sum(item.server.runs[name] for item in mesh.instances) <= 2
 
 
 def extra_answer(received: Received) -> bytes:
@@ -70,11 +72,11 @@
 
 
 @pytest.mark.parametrize("misbehave", [extra_answer, trailing_bytes])
-async def test_bytes_of_other_answers_reach_nobody(fleet: Fleet, misbehave) -> None:  # type: ignore[no-untyped-def]
-    for instance in fleet.instances:
+async def test_bytes_of_other_answers_reach_nobody(mesh: MeshFleet, misbehave) -> None:  # type: ignore[no-untyped-def]
+    for instance in mesh.instances:
         instance.server.misbehave = misbehave
     for index in range(12):
-        answer = await fleet.get(fleet.instances[0], "/read/1", f"x{index}")
+        answer = await mesh.get(mesh.instances[0], "/read/1", f"x{index}")
         assert answer == (200, b"right")
 
 
@@ -87,29 +89,29 @@
 
 
 @pytest.mark.parametrize("misbehave", [cut_short, unsigned])
-async def test_a_spoiled_answer_never_looks_whole(fleet: Fleet, misbehave) -> None:  # type: ignore[no-untyped-def]
-    for instance in fleet.instances:
+async def test_a_spoiled_answer_never_looks_whole(mesh: MeshFleet, misbehave) -> None:  # type: ignore[no-untyped-def]
+    for instance in mesh.instances:
         instance.server.misbehave = misbehave
-    status, body = await fleet.get(fleet.instances[0], "/read/1", "u1", 600)
+    status, body = await mesh.get(mesh.instances[0], "/read/1", "u1", 600)
     assert status in (502, 504)
     assert body == b""
 
 
-async def test_a_new_version_is_in_force_everywhere(fleet: Fleet) -> None:
-    fleet.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
+async def test_a_new_version_is_in_force_everywhere(mesh: MeshFleet) -> None:
+    mesh.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
     await eventually(
-        lambda: all(item.node.configuration.version == 8 for item in fleet.instances), 1
+        lambda: all(item.node.configuration.version == 8 for item in mesh.instances), 1
     )
 
 
-async def test_a_version_arrives_when_the_reader_died(fleet: Fleet) -> None:
-    reader = min(fleet.instances, key=lambda item: item.host)
+async def test_a_version_arrives_when_the_reader_died(mesh: MeshFleet) -> None:
+    reader = min(mesh.instances, key=lambda item: item.host)
     assert reader.task is not None
     reader.task.cancel()
     reader.node.abort()
     await reader.server.stop()
-    fleet.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
-    rest = [item for item in fleet.instances if item is not reader]
+    mesh.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
+    rest = [item for item in mesh.instances if item is not reader]
     await eventually(
         lambda: all(item.node.configuration.version == 8 for item in rest), 2
     )
@@ -117,60 +119,60 @@
 
 @pytest.mark.parametrize("trouble", [Trouble.BUSY, Trouble.RESET, Trouble.SILENT])
 async def test_reads_and_payments_go_on_while_the_store_is_away(
-    fleet: Fleet, trouble: Trouble
+    mesh: MeshFleet, trouble: Trouble
 ) -> None:
-    fleet.store.trouble = trouble
-    assert (await fleet.get(fleet.instances[0], "/read/1", "s1"))[0] == 200
-    assert await pay(fleet, fleet.instances[1], "s2") == 200
+    mesh.store.trouble = trouble
+    assert (await mesh.get(mesh.instances[0], "/read/1", "s1"))[0] == 200
+    assert await pay(mesh, mesh.instances[1], "s2") == 200
 
 
 async def test_a_node_that_starts_without_the_store_learns_from_its_peers(
-    fleet: Fleet,
+    mesh: MeshFleet,
 ) -> None:
-    fleet.store.trouble = Trouble.BUSY
-    instance = fleet.instances[0]
+    mesh.store.trouble = Trouble.BUSY
+    instance = mesh.instances[0]
     assert instance.task is not None
     instance.task.cancel()
     instance.node.abort()
     await asyncio.sleep(0.05)
-    instance.node = fleet.new_node(instance)
-    fleet.start_node(instance)
+    instance.node = mesh.new_node(instance)
+    mesh.start_node(instance)
     await instance.node.listening.wait()
-    await instance.beat(fleet.session)
+    await instance.beat(mesh.session)
     await eventually(lambda: instance.node.configuration.version == 3)
     await eventually(lambda: instance.node.members.count() == 3)
-    assert (await fleet.get(instance, "/read/1", "w1"))[0] == 200
+    assert (await mesh.get(instance, "/read/1", "w1"))[0] == 200
 
 
-async def test_a_caller_who_leaves_stops_the_run(fleet: Fleet) -> None:
-    for instance in fleet.instances:
+async def test_a_caller_who_leaves_stops_the_run(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
         instance.server.work_s = 1.0
-    reader, writer = await asyncio.open_connection(fleet.instances[0].host, 7101)
+    reader, writer = await asyncio.open_connection(mesh.instances[0].host, 7101)
     head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers("g1").items())
     writer.write(f"GET /read/1 HTTP/1.1\r\n{head}\r\n\r\n".encode())
-    await eventually(lambda: sum(item.server.running for item in fleet.instances) == 1)
+    await eventually(lambda: sum(item.server.running for item in mesh.instances) == 1)
     writer.close()
     await eventually(
-        lambda: sum(item.server.running for item in fleet.instances) == 0, 0.5
+        lambda: sum(item.server.running for item in mesh.instances) == 0, 0.5
     )
 
 
-async def test_a_read_past_its_timeout_is_answered(fleet: Fleet) -> None:
-    for instance in fleet.instances:
+async def test_a_read_past_its_timeout_is_answered(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
         instance.server.work_s = 3.0
     loop = asyncio.get_running_loop()
     began = loop.time()
-    status, _ = await fleet.get(fleet.instances[0], "/read/1", "o1", 2500)
+    status, _ = await mesh.get(mesh.instances[0], "/read/1", "o1", 2500)
     assert status == 504
     assert 1.1 < loop.time() - began < 1.6
 
 
-async def test_a_stopping_node_finishes_what_is_under_way(fleet: Fleet) -> None:
-    for instance in fleet.instances:
+async def test_a_stopping_node_finishes_what_is_under_way(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
         instance.server.work_s = 0.4
-    instance = fleet.instances[0]
+    instance = mesh.instances[0]
     calls = [
-        asyncio.create_task(fleet.get(instance, "/read/1", f"q{index}"))
+        asyncio.create_task(mesh.get(instance, "/read/1", f"q{index}"))
         for index in range(4)
     ]
     await asyncio.sleep(0.1)
@@ -185,50 +187,52 @@
         server.write = lambda data: None  # type: ignore[method-assign]
 
 
-async def test_payments_survive_a_link_that_is_cut_one_way(fleet: Fleet) -> None:
-    caller, silent, sound = fleet.instances
-    await caller.beat(fleet.session, "draining")
+async def test_payments_survive_a_link_that_is_cut_one_way(mesh: MeshFleet) -> None:
+    caller, silent, sound = mesh.instances
+    await caller.beat(mesh.session, "draining")
     await asyncio.sleep(0.05)
     silence(silent)
     statuses = await asyncio.gather(
-        *(pay(fleet, caller, f"c{index}") for index in range(6))
+        *(pay(mesh, caller, f"c{index}") for index in range(6))
     )
     assert statuses == [200] * 6
     for index in range(6):
-        runs = [item.server.runs[f"c{index}"] for item in fleet.instances]
+        runs = [item.server.runs[f"c{index}"] for item in mesh.instances]
         assert runs == [0, 0, 1]
 
 
-async def test_reads_leave_a_silent_node_before_their_aim(fleet: Fleet) -> None:
-    caller, silent, _ = fleet.instances
-    await caller.beat(fleet.session, "draining")
+async def test_reads_leave_a_silent_node_before_their_aim(mesh: MeshFleet) -> None:
+    caller, silent, _ = mesh.instances
+    await caller.beat(mesh.session, "draining")
     await asyncio.sleep(0.05)
     silence(silent)
     loop = asyncio.get_running_loop()
     began = loop.time()
     answers = await asyncio.gather(
-        *(fleet.get(caller, "/read/1", f"h{index}") for index in range(4))
+        *(mesh.get(caller, "/read/1", f"h{index}") for index in range(4))
     )
     assert [status for status, _ in answers] == [200] * 4
     assert loop.time() - began < 0.45
 
 
-async def press(fleet: Fleet, instance: MeshInstance, name: str) -> set[int]:
+async def press(mesh: MeshFleet, instance: MeshInstance, name: str) -> set[int]:
     """Send one request after the other until the node takes no connections."""
     statuses = set()
     with contextlib.suppress(ClientConnectorError):
         for index in range(1000):
-            status, _ = await fleet.get(instance, "/read/1", f"{name}-{index}")
+            status, _ = await mesh.get(instance, "/read/1", f"{name}-{index}")
             statuses.add(status)
     return statuses
 
 
-async def test_a_stopping_node_ends_under_load_and_cuts_nothing(fleet: Fleet) -> None:
-    for item in fleet.instances:
+async def test_a_stopping_node_ends_under_load_and_cuts_nothing(
+    mesh: MeshFleet,
+) -> None:
+    for item in mesh.instances:
         item.server.work_s = 0.2
-    instance = fleet.instances[0]
+    instance = mesh.instances[0]
     callers = [
-        asyncio.create_task(press(fleet, instance, f"w{index}")) for index in range(3)
+        asyncio.create_task(press(mesh, instance, f"w{index}")) for index in range(3)
     ]
     instance.node.stop()
     assert instance.task is not None
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -4,35 +4,35 @@
 
 from azurestep.mesh.pressure import PressureView
 
-from .fixtures_mesh import Fleet, caller_headers
+from .fixtures_mesh import MeshFleet, caller_headers
 
 
-async def test_read_is_answered_whole(fleet: Fleet) -> None:
+async def test_read_is_answered_whole(mesh: MeshFleet) -> None:
     for index in range(20):
-        status, body = await fleet.get(fleet.instances[0], "/read/1", f"r{index}")
+        status, body = await mesh.get(mesh.instances[0], "/read/1", f"r{index}")
         assert (status, body) == (200, b"hello")
 
 
-async def test_payment_reaches_a_backend_server_once(fleet: Fleet) -> None:
-    instance = fleet.instances[1]
-    async with fleet.session.post(
+async def test_payment_reaches_a_backend_server_once(mesh: MeshFleet) -> None:
+    instance = mesh.instances[1]
+    async with mesh.session.post(
         instance.url("/pay/1"), data=b"x" * 5000, headers=caller_headers("p1")
     ) as answer:
         assert answer.status == 200
         assert await answer.read() == b"x" * 5000
-    assert sum(item.server.runs["p1"] for item in fleet.instances) == 1
+    assert sum(item.server.runs["p1"] for item in mesh.instances) == 1
 
 
-async def test_unknown_path_is_not_found(fleet: Fleet) -> None:
-    status, _ = await fleet.get(fleet.instances[0], "/none/1", "n1")
+async def test_unknown_path_is_not_found(mesh: MeshFleet) -> None:
+    status, _ = await mesh.get(mesh.instances[0], "/none/1", "n1")
     assert status == 404
 
 
-async def test_backend_server_learns_the_calling_service(fleet: Fleet) -> None:
-    await fleet.get(fleet.instances[0], "/read/1", "c1")
+async def test_backend_server_learns_the_calling_service(mesh: MeshFleet) -> None:
+    await mesh.get(mesh.instances[0], "/read/1", "c1")
     received = next(
         item
-        for instance in fleet.instances
+        for instance in mesh.instances
         for item in instance.server.received
         if item.headers["attempt-id"] == "c1"
     )
@@ -40,10 +40,10 @@
     assert 0 < int(received.headers["deadline-milliseconds"]) <= 1200
 
 
-async def test_requests_of_one_connection_run_side_by_side(fleet: Fleet) -> None:
-    for instance in fleet.instances:
+async def test_requests_of_one_connection_run_side_by_side(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
         instance.server.work_s = 0.15
-    reader, writer = await asyncio.open_connection(fleet.instances[0].host, 7101)
+    reader, writer = await asyncio.open_connection(mesh.instances[0].host, 7101)
     loop = asyncio.get_running_loop()
     began = loop.time()
     for index in range(4):
@@ -59,13 +59,13 @@
     writer.close()
 
 
-async def test_backend_server_runs_no_more_than_its_slots(fleet: Fleet) -> None:
-    for instance in fleet.instances:
+async def test_backend_server_runs_no_more_than_its_slots(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
         instance.server.work_s = 0.03
     answers = await asyncio.gather(
-        *(fleet.get(fleet.instances[i % 3], "/read/1", f"b{i}") for i in range(60))
+        *(mesh.get(mesh.instances[i % 3], "/read/1", f"b{i}") for i in range(60))
     )
-    assert all(instance.server.most_running <= 4 for instance in fleet.instances)
+    assert all(instance.server.most_running <= 4 for instance in mesh.instances)
     assert {status for status, _ in answers} <= {200, 503}
 
 
@@ -77,27 +77,27 @@
 
 
 async def test_a_request_is_shed_at_the_first_node_and_told_when_to_come_back(
-    fleet: Fleet,
+    mesh: MeshFleet,
 ) -> None:
-    node = fleet.instances[0].node
+    node = mesh.instances[0].node
     node.outbound.pressure = SpareUrgent()
-    url = fleet.instances[0].url("/read/1")
-    async with fleet.session.get(url, headers=caller_headers("l1")) as answer:
+    url = mesh.instances[0].url("/read/1")
+    async with mesh.session.get(url, headers=caller_headers("l1")) as answer:
         assert answer.status == 503
         assert 0 < float(answer.headers["Retry-After"]) < 1
-    url = fleet.instances[0].url("/pay/1")
-    async with fleet.session.post(url, headers=caller_headers("l2")) as answer:
+    url = mesh.instances[0].url("/pay/1")
+    async with mesh.session.post(url, headers=caller_headers("l2")) as answer:
         assert answer.status == 200
-    assert sum(item.server.runs["l1"] for item in fleet.instances) == 0
+    assert sum(item.server.runs["l1"] for item in mesh.instances) == 0
 
 
 async def test_a_refusal_by_all_backend_servers_counts_as_one_for_want_of_room(
-    fleet: Fleet,
+    mesh: MeshFleet,
 ) -> None:
-    for instance in fleet.instances:
+    for instance in mesh.instances:
         instance.server.work_s = 0.5
-    node = fleet.instances[0].node
-    calls = [fleet.get(fleet.instances[0], "/read/1", f"f{i}") for i in range(60)]
+    node = mesh.instances[0].node
+    calls = [mesh.get(mesh.instances[0], "/read/1", f"f{i}") for i in range(60)]
     answers = await asyncio.gather(*calls)
     refused = [status for status, _ in answers].count(503)
     assert refused >= 20
