--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -122,8 +122,6 @@
     metrics_address: Address
     backend_address: Address
     store_address: Address
-    heartbeat_ms: float = 1500.0
-    memory_mb: float = 256.0
     bounds: Bounds = Bounds()
 
 
@@ -166,8 +164,6 @@
             metrics_address=(str(fields["ip_address"]), int(fields["metrics_port"])),
             backend_address=parse_address(fields["backend_address"]),
             store_address=parse_address(fields["store"]["address"]),
-            heartbeat_ms=parse_duration_ms(fields["heartbeat_interval"]),
-            memory_mb=float(fields["memory_mb"]),
             bounds=parse_bounds(fields["bounds"]),
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -75,8 +75,6 @@
         How long it keeps an idle connection open.
     encoded : bool
         Whether the body is not the one that was asked for.
-    leaving : bool
-        Always the same as ``closing``; a hint, never a proof.
     forwarded : Headers
         Headers for the caller.
     """
