--- a/azurestep/mesh/admission.py
+++ b/azurestep/mesh/admission.py
@@ -150,8 +150,8 @@
 
         Calls of backend servers have the shortest aims. They go before longer
         requests of their class, since a call that fails wastes the run that made it:
-        60% of a service's runs ended as errors while its calls stood in line. What
-        is late goes last: it took half of the answers in aim when it kept its place.
+        59% of a service's runs ended badly while its calls stood in line. What is
+        late goes last: when it kept its place, a hard day's credit was 0.55, not 0.69.
         """
         late = now_ms + self.run_ms(ticket.route) > ticket.aim_at_ms
         return late, ticket.priority, ticket.aim_at_ms
--- a/azurestep/mesh/pressure.py
+++ b/azurestep/mesh/pressure.py
@@ -27,10 +27,9 @@
 LEAST_REQUESTS = 4.0
 """Requests in that memory below which no share is told."""
 SHED_MOST = 0.5
-"""Largest share that is shed. Without it, a service of which one backend server was
-left refused nine in ten of all requests, 0.22 of them served: calls are short, so
-reads that need them get further than the requests that they would make room for.
-"""
+"""Largest share that is shed. Without a limit, a called service far short of room
+left 0.22 of all requests served in the seconds after a restart of the fleet, below
+the quarter that is the least; with it the same seed kept that bound."""
 STEP = 0.05
 """Steps in which shares are told, so that small changes cost no messages."""
 
