--- a/azurestep/mesh/backend.py
+++ b/azurestep/mesh/backend.py
@@ -10,6 +10,9 @@
 
 DRAIN_SHARE = 0.5
 """Share of the drain bound in which requests on their way still get in."""
+UNKNOWN_SINCE_MS = float("-inf")
+"""Begin of the leaving of an incarnation that this process never saw serving: the
+process before it may have acknowledged the leaving long ago."""
 
 
 @attrs.define(slots=True)
@@ -44,7 +47,7 @@
         """Take a heartbeat in; a late or overtaken one changes nothing."""
         name = heartbeat.instance_id
         if heartbeat.leaving:
-            self._leaving_since_ms.setdefault(name, now_ms)
+            self._begin_leaving(name, now_ms)
         if heartbeat.sequence <= self._sequences.get(name, -1) or name in self._ended:
             return
         self._sequences[name] = heartbeat.sequence
@@ -58,7 +61,23 @@
 
     def leave(self, notice: Leaving, now_ms: float) -> None:
         """Take a leaving notice in."""
-        self._leaving_since_ms.setdefault(notice.instance_id, now_ms)
+        self._begin_leaving(notice.instance_id, now_ms)
+
+    def discover(self, instance_id: str, service: str, slots: int) -> bool:
+        """Take in what a health probe found where nothing was announced.
+
+        Returns
+        -------
+        bool
+            Whether this is the incarnation that gets the requests now.
+        """
+        unknown = instance_id not in self._ended | self._leaving_since_ms.keys()
+        if self.instance_id or not unknown:
+            return False
+        self.instance_id = instance_id
+        self.service = service
+        self.slots = slots
+        return True
 
     def answered(self, instance_id: str, now_ms: float) -> None:
         """Learn from an answer which incarnation runs at the address."""
@@ -100,6 +119,11 @@
         """Return how much longer the backend server is slow after its start."""
         return max(0.0, self._cold_until_ms - now_ms)
 
+    def _begin_leaving(self, name: str, now_ms: float) -> None:
+        known = name == self.instance_id or name in self._sequences
+        since_ms = now_ms if known else UNKNOWN_SINCE_MS
+        self._leaving_since_ms.setdefault(name, since_ms)
+
     def _replace(self, heartbeat: Heartbeat, now_ms: float) -> None:
         self.instance_id = heartbeat.instance_id
         self.doubted_id = ""
--- a/azurestep/mesh/probing.py
+++ b/azurestep/mesh/probing.py
@@ -1,6 +1,7 @@
 """Health probes: which incarnation runs beside this node.
 
-Asked only where heartbeats don't tell: after a restart of the node, and when two
+Asked only where heartbeats don't tell: after a restart of the node, which would
+otherwise leave the backend server unused for up to a heartbeat, 1.5 s, and when two
 incarnations announced themselves at the same address.
 """
 
@@ -17,23 +18,45 @@
 from .runtime import Runtime
 
 PROBE_TIMEOUT_S = 1.0
+SEARCH_MS = 3000.0
+"""Time from the start in which a restarted node looks for the backend server beside
+it: two heartbeats, after which its silence means that it is gone."""
+SLOTS_ASSUMED = 4
+"""Slots of a backend server that a probe found and that tells no load, until its
+heartbeat says how many; the least that was seen on a deployment is 6."""
 PROBE_GAP_MS = 300.0
 """Least time between two probes."""
 OK = 200
 
 
+@attrs.frozen(slots=True)
+class Found:
+    """The healthy incarnation that answered a probe.
+
+    Attributes
+    ----------
+    slots : int or None
+        How many requests it runs at once, where it tells it.
+    """
+
+    instance_id: str
+    slots: int | None
+
+
 class ProbeSink:
     """Collects the answer to a probe."""
 
-    def __init__(self, future: "asyncio.Future[str]") -> None:
+    def __init__(self, future: "asyncio.Future[Found | None]") -> None:
         self._future = future
         self._status = 0
-        self._instance_id = ""
+        self._found: Found | None = None
 
     def on_head(self, status: int, headers: Headers) -> bool:
         """Keep status and incarnation."""
         self._status = status
-        self._instance_id = read_answer(headers).instance_id.decode("latin-1")
+        fields = read_answer(headers)
+        if fields.instance_id:
+            self._found = Found(fields.instance_id.decode("latin-1"), fields.slots)
         return True
 
     def on_data(self, data: bytes) -> None:
@@ -43,12 +66,12 @@
         """Hand the incarnation over if it is healthy."""
         healthy = self._status == OK
         if not self._future.done():
-            self._future.set_result(self._instance_id if healthy else "")
+            self._future.set_result(self._found if healthy else None)
 
     def on_failed(self, reason: str) -> None:
         """Hand over that nobody is known to run there."""
         if not self._future.done():
-            self._future.set_result("")
+            self._future.set_result(None)
 
     def on_writable(self) -> None:
         """Ignore; probes have no body."""
@@ -56,18 +79,32 @@
 
 @attrs.define(eq=False)
 class Prober:
-    """Sends a health probe to the backend server where it is in doubt."""
+    """Sends a health probe to the backend server where it is in doubt.
+
+    Attributes
+    ----------
+    service : str
+        Service of the backend server, as the settings say.
+    restarted : bool
+        Whether the backend server may have been running before this process, so
+        that it is looked for instead of waiting for its next heartbeat.
+    """
 
     runtime: Runtime
     inbound: Inbound
     table: Callable[[], RoutingTable | None]
+    service: str
+    restarted: bool
     _probing: bool = False
     _last_ms: float = 0.0
+    _started_ms: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._started_ms = self.runtime.now_ms()
 
     def check(self) -> None:
         """Probe if it is not clear which incarnation runs."""
-        backend = self.inbound.backend
-        if not backend.doubted_id or self._probing:
+        if self._probing or not self._is_due() or self.table() is None:
             return
         if self.runtime.now_ms() - self._last_ms < PROBE_GAP_MS:
             return
@@ -75,6 +112,15 @@
         self._last_ms = self.runtime.now_ms()
         self.runtime.spawn(self._probe())
 
+    def _is_due(self) -> bool:
+        backend = self.inbound.backend
+        if backend.doubted_id:
+            return True
+        return self.restarted and not backend.instance_id and self._searches()
+
+    def _searches(self) -> bool:
+        return self.runtime.now_ms() - self._started_ms < SEARCH_MS
+
     async def _probe(self) -> None:
         backend = self.inbound.backend
         try:
@@ -83,23 +129,31 @@
             self._probing = False
         events.log(
             events.BACKEND_PROBED,
-            found=found,
+            found=found.instance_id if found else "",
             known=backend.instance_id,
             doubted=backend.doubted_id,
         )
-        if found:
-            backend.answered(found, self.runtime.now_ms())
-            self.inbound.on_change()
+        if found is not None:
+            self._take(found)
+
+    def _take(self, found: Found) -> None:
+        backend = self.inbound.backend
+        slots = found.slots or SLOTS_ASSUMED
+        if backend.discover(found.instance_id, self.service, slots):
+            self.inbound.changed()
+            return
+        backend.answered(found.instance_id, self.runtime.now_ms())
+        self.inbound.on_change()
 
-    async def _ask(self) -> str:
+    async def _ask(self) -> Found | None:
         table = self.table()
-        service = self.inbound.backend.service
+        service = self.inbound.backend.service or self.service
         if table is None or service not in table.services:
-            return ""
+            return None
         connection = await self.inbound.connect()
         if connection is None:
-            return ""
-        future: asyncio.Future[str] = self.runtime.loop.create_future()
+            return None
+        future: asyncio.Future[Found | None] = self.runtime.loop.create_future()
         host, port = self.inbound.address
         path = table.services[service].health_path.decode("latin-1")
         head = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
@@ -109,6 +163,6 @@
                 found = await future
         except TimeoutError:
             connection.abort()
-            return ""
+            return None
         self.inbound.keep(connection)
         return found
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -122,7 +122,13 @@
             ),
             lambda: (self.configuration.version, self.configuration.content),
         )
-        self.prober = Prober(runtime, self.inbound, lambda: self.configuration.table)
+        self.prober = Prober(
+            runtime,
+            self.inbound,
+            lambda: self.configuration.table,
+            settings.service,
+            restarted=not settings.first_start,
+        )
         self.callers = ServerState(self.outbound.handle)
 
     async def run(self) -> None:
@@ -311,6 +317,7 @@
             self.members.excuse(pause_ms)
         self.members.tick(now_ms)
         self.inbound.tick()
+        self.prober.check()
         self.calls.refusals.tick()
         self.outbound.pressure.update(self._reports())
         self.follower.tick(now_ms)
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -75,6 +75,8 @@
         How long it keeps an idle connection open.
     encoded : bool
         Whether the body is not the one that was asked for.
+    slots : int or None
+        How many requests the backend server runs at once, where it tells it.
     forwarded : Headers
         Headers for the caller.
     """
@@ -86,6 +88,7 @@
     closing: bool
     keep_alive_ms: float | None
     encoded: bool
+    slots: int | None
     forwarded: Headers
 
 
@@ -146,7 +149,7 @@
     """Read a backend server's headers."""
     request_id = instance_id = b""
     signed = not_run = closing = encoded = False
-    keep_alive_ms = None
+    keep_alive_ms = slots = None
     dropped = _named_by_connection(headers)
     forwarded = []
     for name, value in headers:
@@ -165,6 +168,8 @@
             keep_alive_ms = _keep_alive_ms(value)
         elif lower == b"content-encoding":
             encoded = True
+        elif lower == SERVER_LOAD:
+            slots = _slots(value)
         if lower in ONE_CONNECTION or lower in dropped or lower == SERVER_LOAD:
             continue
         forwarded.append((name, value))
@@ -176,10 +181,27 @@
         closing,
         keep_alive_ms,
         encoded,
+        slots,
         forwarded,
     )
 
 
+def _slots(load: bytes) -> int | None:
+    """Return the slots of a load header: requests running, waiting, slots.
+
+    Examples
+    --------
+    >>> _slots(b"3,0,8")
+    8
+    >>> _slots(b"3") is None
+    True
+    """
+    parts = load.split(b",")
+    if len(parts) != 3 or not parts[2].strip().isdigit():
+        return None
+    return max(1, int(parts[2]))
+
+
 def to_backend(
     forwarded: Headers, budget_ms: float, instance_id: bytes, calling_service: bytes
 ) -> list[bytes]:
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -42,6 +42,7 @@
 
     instance_id: str
     work_s: float = 0.0
+    slots: int = 4
     healthy: bool = True
     misbehave: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
@@ -91,7 +92,8 @@
     ) -> bytes | None:
         if received.target == "/health":
             status = 200 if self.healthy else 503
-            return _text(status, [f"Instance-Id: {self.instance_id}"], b"")
+            load = f"Server-Load: {self.running},0,{self.slots}"
+            return _text(status, [f"Instance-Id: {self.instance_id}", load], b"")
         if received.headers.get("expected-instance") != self.instance_id:
             return _text(421, [f"Instance-Id: {self.instance_id}"], b"")
         self.received.append(received)
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -113,7 +113,8 @@
 
     def new_node(self, instance: MeshInstance) -> Node:
         """Return a new node of an instance, as after a crash."""
-        return self._node(instance.host, int(instance.host.rpartition(".")[2]))
+        index = int(instance.host.rpartition(".")[2])
+        return self._node(instance.host, index, first_start=False)
 
     def start_node(self, instance: MeshInstance) -> None:
         """Run an instance's node."""
@@ -150,12 +151,12 @@
         opened = sum(1 for endpoint in endpoints if endpoint.open)
         return bool(node.configuration.version) and opened == len(self.instances)
 
-    def _node(self, host: str, index: int) -> Node:
+    def _node(self, host: str, index: int, first_start: bool = True) -> Node:
         settings = MeshSettings(
             instance=f"node-{index}",
             data_centre=f"dc-{index % 2}",
             service="shop",
-            first_start=True,
+            first_start=first_start,
             caller_address=(host, CALLER_PORT),
             peer_address=(host, PEER_PORT),
             ready_address=(host, READY_PORT),
--- /dev/null
+++ b/tests/test_mesh_restart.py
@@ -0,0 +1,84 @@
+"""A node that was restarted while the backend server beside it ran on."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from azurestep.mesh.backend import Backend
+from azurestep.platform.announcement import Heartbeat, Leaving
+
+from .fixtures_mesh import MeshFleet, MeshInstance
+
+BEAT = Heartbeat("i-1", "shop", 7, 4, False, 0.0)
+DRAIN_MS = 2000.0
+
+
+async def restart(mesh: MeshFleet, instance: MeshInstance) -> None:
+    assert instance.task is not None
+    instance.task.cancel()
+    instance.node.abort()
+    await asyncio.sleep(0.05)
+    instance.node = mesh.new_node(instance)
+    mesh.start_node(instance)
+    await instance.node.listening.wait()
+
+
+async def test_its_backend_server_is_used_before_the_next_heartbeat(
+    mesh: MeshFleet,
+) -> None:
+    instance = mesh.instances[0]
+    await restart(mesh, instance)
+    async with asyncio.timeout(1.4):
+        while not instance.node.inbound.open:
+            await asyncio.sleep(0.02)
+    backend = instance.node.backend
+    assert (backend.instance_id, backend.service, backend.slots) == ("i-1", "shop", 4)
+
+
+async def test_a_backend_server_that_says_no_is_not_used(mesh: MeshFleet) -> None:
+    instance = mesh.instances[0]
+    instance.server.healthy = False
+    await restart(mesh, instance)
+    await asyncio.sleep(1.0)
+    assert not instance.node.inbound.open
+
+
+def test_a_heartbeat_corrects_what_a_probe_found() -> None:
+    backend = Backend(DRAIN_MS)
+    assert backend.discover("i-1", "shop", 4)
+    backend.announce(attrs.evolve(BEAT, slots=9, cold_ms=500.0), 10.0)
+    assert backend.slots == 9
+    assert backend.cold_ms(10.0) == 500.0
+
+
+def test_a_probe_changes_nothing_that_was_announced() -> None:
+    backend = Backend(DRAIN_MS)
+    backend.announce(BEAT, 0.0)
+    assert not backend.discover("i-2", "shop", 4)
+    assert backend.instance_id == "i-1"
+
+
+@pytest.mark.parametrize(
+    "notice", [attrs.evolve(BEAT, leaving=True), Leaving("i-1")], ids=["beat", "end"]
+)
+def test_who_leaves_as_the_first_thing_heard_of_it_gets_nothing(
+    notice: Heartbeat | Leaving,
+) -> None:
+    backend = Backend(DRAIN_MS)
+    if isinstance(notice, Heartbeat):
+        backend.announce(notice, 100.0)
+    else:
+        backend.leave(notice, 100.0)
+    backend.announce(attrs.evolve(BEAT, sequence=8), 110.0)
+    assert not backend.discover("i-1", "shop", 4)
+    assert not backend.admits(120.0)
+
+
+def test_who_leaves_after_it_was_found_has_half_the_bound() -> None:
+    backend = Backend(DRAIN_MS)
+    backend.discover("i-1", "shop", 4)
+    backend.leave(Leaving("i-1"), 100.0)
+    assert not backend.is_open()
+    assert backend.admits(150.0)
+    assert not backend.admits(100.0 + DRAIN_MS)
