--- a/azurestep/mesh/backend_run.py
+++ b/azurestep/mesh/backend_run.py
@@ -28,6 +28,8 @@
 and gives a silent link up after 250 ms."""
 MISDIRECTED = 421
 FIRST_FAILURE_STATUS = 300
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
 
 
 class AnswerReceiver(Protocol):
@@ -261,6 +263,7 @@
             inbound.other_instance(self.request, fields.instance_id.decode("latin-1"))
             self.refuse(Reason.OTHER_INSTANCE)
         elif fields.not_run and self._status != 400:
+            inbound.ran(failed=True)
             self.refuse(Reason.BACKEND_REFUSED, arrived=True)
         elif self._is_good() or self._status >= FIRST_FAILURE_STATUS:
             self._finish_run()
@@ -295,6 +298,7 @@
                 self.request.instance_id.decode("latin-1"), inbound.now_ms()
             )
         inbound.runtime.metrics.run_ms.record(run_ms)
+        inbound.ran(self._status >= SERVER_ERROR and self._status != GATEWAY_TIMEOUT)
         self._end()
 
     def on_failed(self, reason: str) -> None:
@@ -303,7 +307,9 @@
             return
         kinds = {"closed": Reason.CLOSED, "reset": Reason.RESET}
         kind = kinds.get(reason, Reason.MALFORMED)
-        self.inbound.broke_off(kind)
+        connection = self._connection
+        if self._fields is None and connection is not None:
+            self.inbound.broke_off(connection, self._sent_ms)
         self.fail(Reason.TRUNCATED if self._fields is not None else kind)
 
     def check_age(self, now_ms: float) -> None:
@@ -341,6 +347,7 @@
         if self.done:
             return
         self._learn_slowness()
+        self.inbound.ran(failed=True)
         self._end()
         self._drop_connection()
         events.log(
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/choice.py
@@ -18,6 +18,9 @@
 spreads load where times are equal."""
 COLD_FACTOR = 2.0
 """How much slower a backend server is while it is cold."""
+FAILURE_COST = 1.0
+"""Value lost at a backend server all of whose runs fail: all that an answer is
+worth, since a failed run is lost or costs a retry and its time."""
 TIE = 0.01
 """Random part that keeps nodes with the same news from choosing the same one."""
 
@@ -38,6 +41,8 @@
         Until when it is slow after its start.
     failed_until_ms : float
         Until when it is chosen only without another.
+    failing : float
+        Share of its runs that failed of late, from 0 to 1.
     doubted : bool
         Whether its node owes an answer to a probe; the same holds.
     """
@@ -54,6 +59,7 @@
     cold_until_ms: float = 0.0
     run_ms: dict[str, float] = attrs.field(factory=dict)
     failed_until_ms: float = 0.0
+    failing: float = 0.0
     doubted: bool = False
 
     @property
@@ -115,6 +121,7 @@
     wait_ms = max(0.0, load + 1 - endpoint.slots) / endpoint.slots * run_ms
     aim_ms = max(wish.aim_ms, 1.0)
     value = 1.0 / (1.0 + ((wait_ms + run_ms) / aim_ms) ** AIM_STEEPNESS)
+    value -= FAILURE_COST * endpoint.failing
     value -= BALANCE_WEIGHT * (load / endpoint.slots) ** 2
     if now_ms < endpoint.failed_until_ms or endpoint.doubted:
         value -= 1.0
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -75,6 +75,9 @@
     "an announcement can't be read",
     "compare it with the agreed heartbeat",
 )
+CONNECTION_FORGOTTEN = register(
+    9308, logging.INFO, "the backend server had forgotten an idle connection"
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused, it has not run")
--- a/azurestep/mesh/http_client.py
+++ b/azurestep/mesh/http_client.py
@@ -13,6 +13,14 @@
 Headers = list[tuple[bytes, bytes]]
 FIRST_FINAL_STATUS = 200
 WITHOUT_BODY = frozenset({204, 304})
+TRUST_SHARE = 0.6
+"""Part of the idle time at which a connection was found forgotten up to which the
+others are trusted: the true limit is below that time, by an unknown amount."""
+TRUST_LEAST_MS = 50.0
+"""Idle time that is always trusted; with less, most requests would need a new
+connection, each of which takes the backend server about 1 ms."""
+DISTRUST_S = 10.0
+"""Time after which longer idle times are tried again."""
 
 
 class AnswerSink(Protocol):
@@ -51,6 +59,7 @@
         self.lost = False
         self.used = 0
         self.idle_since_s = 0.0
+        self.rested_ms = 0.0
         self.idle_limit_ms: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -205,6 +214,23 @@
 
     idle_limit_ms: float
     _connections: list[ClientConnection] = attrs.field(factory=list)
+    _distrusted_ms: float = float("inf")
+    _distrusted_s: float = 0.0
+
+    @property
+    def trusted_ms(self) -> float:
+        """Idle time up to which the other end is known to keep a connection."""
+        return min(self.idle_limit_ms, self._distrusted_ms)
+
+    def distrust(self, rested_ms: float, now_s: float) -> None:
+        """Learn that the other end forgot a connection that rested so long."""
+        least_ms = max(TRUST_LEAST_MS, rested_ms * TRUST_SHARE)
+        self._distrusted_ms = min(self.trusted_ms, least_ms)
+        self._distrusted_s = now_s
+
+    def trust_again(self) -> None:
+        """Forget what was learned of the other end."""
+        self._distrusted_ms = float("inf")
 
     def take(
         self, now_s: float, fresh_ms: float | None = None
@@ -220,13 +246,14 @@
         """
         while self._connections:
             connection = self._connections.pop()
-            limit_ms = self.idle_limit_ms
+            limit_ms = self.trusted_ms
             if connection.idle_limit_ms is not None:
                 limit_ms = min(limit_ms, connection.idle_limit_ms)
             if fresh_ms is not None:
                 limit_ms = min(limit_ms, fresh_ms)
             idle_ms = (now_s - connection.idle_since_s) * 1000
             if connection.usable and idle_ms < limit_ms:
+                connection.rested_ms = idle_ms
                 return connection
             connection.close()
         return None
@@ -238,10 +265,12 @@
 
     def sweep(self, now_s: float) -> None:
         """Close connections that were idle for too long."""
+        if now_s - self._distrusted_s > DISTRUST_S:
+            self.trust_again()
         kept = []
         for connection in self._connections:
             idle_ms = (now_s - connection.idle_since_s) * 1000
-            limit_ms = min(self.idle_limit_ms, connection.idle_limit_ms or 1e9)
+            limit_ms = min(self.trusted_ms, connection.idle_limit_ms or 1e9)
             if connection.usable and idle_ms < limit_ms:
                 kept.append(connection)
             else:
--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -13,6 +13,7 @@
 from .admission import Admission, Refused
 from .backend import Backend
 from .backend_run import AnswerReceiver, Run
+from .health import Health
 from .http_client import ClientConnection, Idle
 from .messages import Reason, Request
 from .pressure import CallerLearner
@@ -25,6 +26,10 @@
 IDLE_MS = 8000.0
 """Idle time after which a connection is closed here; backend servers close theirs
 after about 10 s and say so where the time is another."""
+FORGOTTEN_MS = 30.0
+"""Time from a request on an idle connection within which its end means that the
+backend server had forgotten the connection; the round trip takes about 1 ms and
+the shortest runs that were measured take 30 ms."""
 DOWN_RETRY_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
 
@@ -45,11 +50,13 @@
     on_change: Callable[[], None]
     admission: Admission = attrs.field(factory=Admission)
     idle: Idle = attrs.field(factory=lambda: Idle(IDLE_MS))
+    health: Health = attrs.field(factory=Health)
     callers: CallerLearner = attrs.field(factory=CallerLearner)
     unreachable: bool = False
     stopping: bool = False
     _runs: set[Run] = attrs.field(factory=set)
     _next_try_ms: float = 0.0
+    _judged_id: str = ""
 
     def now_ms(self) -> float:
         """Return the monotonic time."""
@@ -136,10 +143,25 @@
         self.backend.answered(instance_id, self.now_ms())
         self.on_change()
 
-    def broke_off(self, reason: Reason) -> None:
-        """Learn that a connection ended under a request."""
-        if reason in (Reason.RESET, Reason.CLOSED):
-            self._next_try_ms = 0.0
+    def ran(self, failed: bool) -> None:
+        """Count a run that ended, and tell all nodes at once of a failing server."""
+        before = self.health.failing
+        self.health.record(failed)
+        if failed and self.health.failing > before:
+            self.on_change()
+
+    def broke_off(self, connection: ClientConnection, sent_ms: float) -> None:
+        """Learn that a connection ended under a request, before any answer."""
+        self._next_try_ms = 0.0
+        forgotten = self.now_ms() - sent_ms < FORGOTTEN_MS
+        if forgotten and connection.used > 1:
+            self.idle.distrust(connection.rested_ms, self.runtime.loop.time())
+            events.log(
+                events.CONNECTION_FORGOTTEN,
+                instance=self.backend.instance_id,
+                rested_ms=round(connection.rested_ms),
+                trusted_ms=round(self.idle.trusted_ms),
+            )
 
     def changed(self) -> None:
         """Apply a change of what the backend server announced."""
@@ -149,6 +171,7 @@
     def tick(self) -> None:
         """Refuse what waits in vain, break off overtime, retry the address."""
         now_ms = self.now_ms()
+        self._tick_health()
         for ticket in self.admission.expire(now_ms):
             if isinstance(ticket.owner, Run):
                 ticket.owner.refuse(Reason.TOO_LATE)
@@ -168,6 +191,13 @@
         if connection is not None:
             self.keep(connection)
 
+    def _tick_health(self) -> None:
+        if self.backend.instance_id != self._judged_id:
+            self._judged_id = self.backend.instance_id
+            self.health.clear()
+            self.idle.trust_again()
+        self.health.tick()
+
     def _set_unreachable(self, unreachable: bool, cause: str) -> None:
         if unreachable == self.unreachable:
             return
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -136,6 +136,7 @@
         own.instance_id = backend.instance_id.encode()
         own.open = inbound.open
         own.slots = backend.slots
+        own.failing = inbound.health.failing
         own.busy = inbound.admission.busy
         own.mine_told = own.mine
         own.cold_until_ms = self.runtime.now_ms() + backend.cold_ms(
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -102,6 +102,8 @@
         Configuration that the node holds.
     store_ok : bool
         Whether its last call to the platform's store was answered.
+    failing : float
+        Share of the backend server's runs that failed of late.
     callers, refusals : tuple
         What ``pressure.Report`` holds.
     """
@@ -115,6 +117,7 @@
     version: int
     store_ok: bool
     stopping: bool
+    failing: float
     callers: tuple[tuple[str, int], ...] = ()
     refusals: tuple[tuple[str, int, float], ...] = ()
 
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -348,6 +348,7 @@
         endpoint.instance_id = state.instance_id
         endpoint.open = state.open
         endpoint.slots = state.slots
+        endpoint.failing = state.failing
         endpoint.cold_until_ms = self.runtime.now_ms() + state.cold_ms
         endpoint.tell(state.busy)
         self.news.on_state(self, state)
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -246,6 +246,7 @@
             self.configuration.version,
             self.follower.store_ok,
             self.stopping_since_ms is not None,
+            self.inbound.health.failing,
             self.inbound.callers.callers(),
             self.calls.refusals.report(),
         )
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -147,42 +147,20 @@
 
 def read_answer(headers: Headers) -> AnswerFields:
     """Read a backend server's headers."""
-    request_id = instance_id = b""
-    signed = not_run = closing = encoded = False
-    keep_alive_ms = slots = None
-    dropped = _named_by_connection(headers)
-    forwarded = []
-    for name, value in headers:
-        lower = name.lower()
-        if lower == REQUEST_ID:
-            request_id = value
-        elif lower == SIGNATURE:
-            signed = True
-        elif lower == NOT_RUN:
-            not_run = True
-        elif lower == INSTANCE:
-            instance_id = value
-        elif lower == b"connection":
-            closing = closing or b"close" in value.lower()
-        elif lower == b"keep-alive":
-            keep_alive_ms = _keep_alive_ms(value)
-        elif lower == b"content-encoding":
-            encoded = True
-        elif lower == SERVER_LOAD:
-            slots = _slots(value)
-        if lower in ONE_CONNECTION or lower in dropped or lower == SERVER_LOAD:
-            continue
-        forwarded.append((name, value))
+    known = {name.lower(): value for name, value in headers}
+    by_connection = _named_by_connection(headers)
+    unforwarded = ONE_CONNECTION | by_connection | {SERVER_LOAD}
+    keep_alive = known.get(b"keep-alive")
     return AnswerFields(
-        request_id,
-        signed,
-        not_run,
-        instance_id,
-        closing,
-        keep_alive_ms,
-        encoded,
-        slots,
-        forwarded,
+        request_id=known.get(REQUEST_ID, b""),
+        signed=SIGNATURE in known,
+        not_run=NOT_RUN in known,
+        instance_id=known.get(INSTANCE, b""),
+        closing=b"close" in by_connection,
+        keep_alive_ms=None if keep_alive is None else _keep_alive_ms(keep_alive),
+        encoded=b"content-encoding" in known,
+        slots=_slots(known.get(SERVER_LOAD, b"")),
+        forwarded=[field for field in headers if field[0].lower() not in unforwarded],
     )
 
 
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -53,6 +53,7 @@
     cancelled: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    _forgotten: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
@@ -65,6 +66,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def forget_connections(self) -> None:
+        """Reset each open connection once something is sent on it."""
+        self._forgotten |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -75,6 +80,9 @@
                 received = await _read_request(reader)
                 if received is None:
                     return
+                if writer in self._forgotten:
+                    writer.transport.abort()
+                    return
                 answer = await self._answer(received, reader)
                 if answer is None:
                     writer.transport.abort()
@@ -85,6 +93,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._forgotten.discard(writer)
             writer.close()
 
     async def _answer(
--- /dev/null
+++ b/tests/test_mesh_health.py
@@ -0,0 +1,99 @@
+"""Backend servers that fail while their health probe is good."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from azurestep.mesh.choice import Endpoint, Wish, choose
+from azurestep.mesh.health import Health
+from standins.signing_server import Received, signed
+
+from .fixtures_mesh import MeshFleet
+
+TICKS_IN_3_S = 30
+
+
+def failed_often(runs: int) -> Health:
+    health = Health()
+    for _ in range(runs):
+        health.record(failed=True)
+    return health
+
+
+def test_one_failure_does_not_close_a_quiet_server() -> None:
+    assert failed_often(1).failing <= 0.4
+
+
+def test_a_server_that_fails_all_is_told_so() -> None:
+    assert failed_often(15).failing >= 0.8
+
+
+def test_a_server_that_is_avoided_is_tried_again_after_three_seconds() -> None:
+    health = failed_often(15)
+    for _ in range(TICKS_IN_3_S):
+        health.tick()
+    assert health.failing <= 0.3
+
+
+def test_a_new_incarnation_starts_afresh() -> None:
+    health = failed_often(15)
+    health.clear()
+    assert health.failing == 0.0
+
+
+def test_a_failing_server_is_chosen_only_when_the_others_are_past_their_room() -> None:
+    failing = Endpoint("failing", "shop", b"f", "dc", slots=4, failing=0.6)
+    other = Endpoint("other", "shop", b"o", "dc", slots=4, busy=4)
+    wish = Wish("shop", "read", 400.0, 1.5, "dc")
+    random = Random(3)
+    found = {choose([failing, other], wish, set(), 0.0, random) for _ in range(50)}
+    assert found == {other}
+    other.busy = 40
+    assert choose([failing, other], wish, set(), 0.0, random) is failing
+
+
+def refuses(received: Received) -> bytes:
+    return signed(received, b"no", status=500)
+
+
+async def test_payments_avoid_a_server_that_fails_while_its_probe_is_good(
+    mesh: MeshFleet,
+) -> None:
+    sick = mesh.instances[0].server
+    sick.misbehave = refuses
+    for index in range(20):
+        await mesh.get(mesh.instances[index % 3], "/read/1", f"r{index}")
+    async with asyncio.timeout(2):
+        while not all(
+            any(
+                endpoint.failing > 0.2
+                for endpoint in item.node.members.endpoints("shop")
+            )
+            for item in mesh.instances
+        ):
+            await mesh.get(mesh.instances[0], "/read/1", "again")
+    statuses = []
+    for index in range(12):
+        async with mesh.session.post(
+            mesh.instances[index % 3].url("/pay/1"),
+            data=b"x",
+            headers={
+                "Host": "shop.example",
+                "Attempt-Id": f"p{index}",
+                "Deadline-Milliseconds": "1500",
+            },
+        ) as answer:
+            statuses.append(answer.status)
+    assert statuses == [200] * 12
+
+
+@pytest.mark.parametrize("status", [504, 404])
+async def test_answers_at_the_deadline_and_refusals_of_content_are_no_failure(
+    mesh: MeshFleet, status: int
+) -> None:
+    instance = mesh.instances[0]
+    instance.server.misbehave = lambda received: signed(received, b"", status)
+    for index in range(6):
+        await mesh.get(instance, "/read/1", f"s{index}")
+    assert instance.node.inbound.health.failing == 0.0
