--- a/azurestep/balancing/__init__.py
+++ b/azurestep/balancing/__init__.py
@@ -52,10 +52,16 @@
 []
 """
 
+from ..quarantine import (
+    BODY_PREFIX_BYTES,
+    Quarantine,
+    QuarantineUpdate,
+    Standing,
+    fingerprint,
+)
 from .admission import Admission
 from .choice import Balancer
 from .deadlines import Budget, limit_budget, next_budget
-from .fingerprints import BODY_PREFIX_BYTES, fingerprint
 from .limiter import LimiterKind
 from .messages import (
     Admitted,
@@ -75,7 +81,6 @@
     Ticket,
     TicketState,
 )
-from .quarantine import Quarantine
 from .queueing import Discipline
 from .retries import (
     FailedAttempt,
@@ -87,7 +92,6 @@
     RetryDecision,
     decide_retry,
 )
-from .suspects import QuarantineUpdate, Standing
 from .whole_answers import (
     Abort,
     CutAnswer,
--- a/azurestep/balancing/messages.py
+++ b/azurestep/balancing/messages.py
@@ -9,25 +9,7 @@
 import attrs
 
 from ..config.model import Priority
-
-
-@attrs.frozen(cache_hash=True)
-class EndpointKey:
-    """Identity of one life of a backend server.
-
-    Attributes
-    ----------
-    host : str
-        IP number.
-    port : int
-        TCP port.
-    incarnation : int
-        Number that grows each time the backend server starts anew.
-    """
-
-    host: str
-    port: int
-    incarnation: int
+from ..endpoint_key import EndpointKey
 
 
 @attrs.frozen
--- a/azurestep/mesh/backend_run.py
+++ b/azurestep/mesh/backend_run.py
@@ -298,6 +298,7 @@
                 self.request.instance_id.decode("latin-1"), inbound.now_ms()
             )
         inbound.runtime.metrics.run_ms.record(run_ms)
+        inbound.crashes.answered(self.request, inbound.now_ms())
         inbound.ran(self._status >= SERVER_ERROR and self._status != GATEWAY_TIMEOUT)
         self._end()
 
@@ -309,7 +310,7 @@
         kind = kinds.get(reason, Reason.MALFORMED)
         connection = self._connection
         if self._fields is None and connection is not None:
-            self.inbound.broke_off(connection, self._sent_ms)
+            self.inbound.broke_off(self.request, connection, self._sent_ms)
         self.fail(Reason.TRUNCATED if self._fields is not None else kind)
 
     def check_age(self, now_ms: float) -> None:
--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/call.py
@@ -6,6 +6,8 @@
 from . import events
 from .backend_run import WINDOW_BYTES
 from .choice import Endpoint, Wish, choose
+from .crashes import RETRY_MS as CRASH_RETRY_MS
+from .crashes import CrashWatch
 from .http_server import Exchange
 from .members import Members
 from .messages import Answer, Failure, Reason, Refusal, Request
@@ -47,6 +49,7 @@
     members: Members
     budget: RetryBudget
     calling_service: str
+    crashes: CrashWatch
     refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
 
     def offered(self, route: Route, service: str) -> None:
@@ -171,11 +174,15 @@
         if endpoint is None:
             self._give_up()
             return
+        request = self._request(now_ms, endpoint)
+        if context.crashes.refuses(request, now_ms):
+            self._refuse(Reason.QUARANTINED, CRASH_RETRY_MS)
+            return
         self._endpoint = endpoint
         self._asked_last = endpoint.instance_id
         self._asked += 1
         endpoint.mine += 1
-        stream = context.members.send(endpoint, self._request(now_ms, endpoint), self)
+        stream = context.members.send(endpoint, request, self)
         if stream is None:
             self._leave_endpoint()
             self._excluded.add(endpoint.key)
--- /dev/null
+++ b/azurestep/mesh/crashes.py
@@ -0,0 +1,131 @@
+"""Requests that crash the backend servers that run them.
+
+The node beside a backend server knows which requests were under way as it died and
+tells all nodes; the node that a caller asks refuses a request that was under way at
+the deaths of several. The judgement is that of ``quarantine``.
+"""
+
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+
+from ..endpoint_key import EndpointKey
+from ..quarantine import Quarantine, QuarantineUpdate, Standing, fingerprint
+from .messages import Request
+
+RETRY_MS = 10_000.0
+"""Time to come back after such a refusal: no request of a caller lives that long, so
+the request isn't sent again."""
+
+Tell = Callable[[str, list[QuarantineUpdate]], None]
+"""Tells all nodes news of a service."""
+
+
+def fingerprint_of(request: Request) -> int:
+    """Return what tells the same request sent again."""
+    return fingerprint(
+        request.method.decode("latin-1"),
+        request.route,
+        request.target.decode("latin-1"),
+        request.body,
+    )
+
+
+def encode_updates(updates: Iterable[QuarantineUpdate]) -> list[object]:
+    """Return updates as plain values, for a message."""
+    return [
+        [
+            update.fingerprint,
+            [[key.host, key.port, key.incarnation] for key in update.deaths],
+            update.refused_for_ms,
+        ]
+        for update in updates
+    ]
+
+
+def decode_updates(rows: Iterable[Any]) -> list[QuarantineUpdate]:
+    """Return the updates of a message.
+
+    Examples
+    --------
+    >>> update = QuarantineUpdate(7, (EndpointKey("10.0.0.1", 80, 3),), 5.0)
+    >>> decode_updates(encode_updates([update])) == [update]
+    True
+    """
+    return [
+        QuarantineUpdate(row[0], tuple(EndpointKey(*key) for key in row[1]), row[2])
+        for row in rows
+    ]
+
+
+@attrs.define(eq=False)
+class CrashWatch:
+    """What one node knows of requests that crash backend servers.
+
+    Attributes
+    ----------
+    host : str
+        Address of this instance.
+    tell : Callable
+        Tells all nodes what was learned here.
+    servers : Callable
+        Returns how many backend servers a service has.
+    """
+
+    host: str
+    tell: Tell = lambda service, updates: None
+    servers: Callable[[str], int] = lambda service: 1
+    _tables: dict[str, Quarantine] = attrs.field(factory=dict)
+
+    def lost(self, request: Request, now_ms: float) -> None:
+        """Note that a backend server broke off before its answer began."""
+        if request.whole:
+            table = self._tables.setdefault(request.service, Quarantine())
+            table.lost(fingerprint_of(request), self._key(request.instance_id), now_ms)
+
+    def answered(self, request: Request, now_ms: float) -> None:
+        """Note that a backend server outlived a request."""
+        table = self._tables.get(request.service)
+        if table is not None and table.active:
+            key = self._key(request.instance_id)
+            table.answered(fingerprint_of(request), key, now_ms)
+
+    def died(self, service: str, instance_id: str, now_ms: float) -> None:
+        """Note that the backend server beside this node died, and tell all nodes."""
+        table = self._tables.get(service)
+        if table is None:
+            return
+        key = self._key(instance_id.encode())
+        updates = table.server_died(key, now_ms, self.servers(service))
+        if updates:
+            self.tell(service, updates)
+
+    def alive(self, service: str, instance_id: str) -> None:
+        """Note that the backend server beside this node takes connections."""
+        table = self._tables.get(service)
+        if table is not None:
+            table.server_alive(self._key(instance_id.encode()))
+
+    def learn(
+        self, service: str, updates: list[QuarantineUpdate], now_ms: float
+    ) -> None:
+        """Take in what another node saw."""
+        table = self._tables.setdefault(service, Quarantine())
+        table.learn(updates, now_ms, self.servers(service))
+
+    def export(self, now_ms: float) -> list[tuple[str, list[QuarantineUpdate]]]:
+        """Return all that a node which has just been met should know."""
+        known = ((name, table.export(now_ms)) for name, table in self._tables.items())
+        return [(name, updates) for name, updates in known if updates]
+
+    def refuses(self, request: Request, now_ms: float) -> bool:
+        """Whether a request crashed too many backend servers to be run again."""
+        table = self._tables.get(request.service)
+        if table is None or not table.active or not request.whole:
+            return False
+        return table.standing(fingerprint_of(request), now_ms) is Standing.REFUSED
+
+    def _key(self, instance_id: bytes) -> EndpointKey:
+        return EndpointKey(self.host, 0, zlib.crc32(instance_id))
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -78,6 +78,12 @@
 CONNECTION_FORGOTTEN = register(
     9308, logging.INFO, "the backend server had forgotten an idle connection"
 )
+CRASH_SUSPECTED = register(
+    9309,
+    logging.WARNING,
+    "the backend server died, and requests were under way",
+    "look at the requests that are refused as quarantined, if there are any",
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused, it has not run")
--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -13,6 +13,7 @@
 from .admission import Admission, Refused
 from .backend import Backend
 from .backend_run import AnswerReceiver, Run
+from .crashes import CrashWatch
 from .health import Health
 from .http_client import ClientConnection, Idle
 from .messages import Reason, Request
@@ -48,6 +49,7 @@
     address: Address
     backend: Backend
     on_change: Callable[[], None]
+    crashes: CrashWatch
     admission: Admission = attrs.field(factory=Admission)
     idle: Idle = attrs.field(factory=lambda: Idle(IDLE_MS))
     health: Health = attrs.field(factory=Health)
@@ -121,8 +123,11 @@
                 )
         except OSError as error:
             self._set_unreachable(True, type(error).__name__)
+            backend = self.backend
+            self.crashes.died(backend.service, backend.instance_id, self.now_ms())
             return None
         self.runtime.metrics.count("connections_opened")
+        self.crashes.alive(self.backend.service, self.backend.instance_id)
         self._set_unreachable(False, "")
         return connection
 
@@ -150,8 +155,14 @@
         if failed and self.health.failing > before:
             self.on_change()
 
-    def broke_off(self, connection: ClientConnection, sent_ms: float) -> None:
-        """Learn that a connection ended under a request, before any answer."""
+    def broke_off(
+        self, request: Request, connection: ClientConnection, sent_ms: float
+    ) -> None:
+        """Learn that a connection ended under a request, before any answer.
+
+        A backend server that dies ends all its connections; the last one of them
+        has it looked at whether it still listens.
+        """
         self._next_try_ms = 0.0
         forgotten = self.now_ms() - sent_ms < FORGOTTEN_MS
         if forgotten and connection.used > 1:
@@ -162,6 +173,10 @@
                 rested_ms=round(connection.rested_ms),
                 trusted_ms=round(self.idle.trusted_ms),
             )
+            return
+        self.crashes.lost(request, self.now_ms())
+        if len(self._runs) == 1:
+            self.runtime.spawn(self._try_again())
 
     def changed(self) -> None:
         """Apply a change of what the backend server announced."""
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..quarantine import QuarantineUpdate
 from . import events
 from .choice import Endpoint
 from .inbound import Inbound
@@ -129,6 +130,10 @@
         """Pass a configuration on."""
         self.take_configuration(version, content)
 
+    def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
+        """Take in which requests were under way as backend servers died."""
+        self.inbound.crashes.learn(service, updates, self.runtime.now_ms())
+
     def _refreshed(self) -> Endpoint:
         own, inbound = self._own, self.inbound
         backend = inbound.backend
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -38,6 +38,7 @@
     CONFIGURATION_WANTED = 14
     READY = 15
     GO = 16
+    CRASHES = 17
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -6,9 +6,11 @@
 import attrs
 import msgpack
 
+from ..quarantine import QuarantineUpdate
 from . import events
 from .backend_run import AnswerReceiver
 from .choice import Endpoint
+from .crashes import decode_updates
 from .messages import (
     Answer,
     Decoder,
@@ -83,6 +85,9 @@
     def on_configuration(self, version: int, content: bytes) -> None:
         """Take a configuration that a node sent."""
 
+    def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
+        """Learn which requests were under way as backend servers died."""
+
     def hello(self) -> Hello:
         """Return this node's greeting."""
 
@@ -215,6 +220,8 @@
             self.link.on_hello(self, Hello(*message[1:6]))
         elif kind == Kind.CONFIGURATION:
             self.link.news.on_configuration(message[1], message[2])
+        elif kind == Kind.CRASHES:
+            self.link.news.on_crashes(message[1], decode_updates(message[2]))
         else:
             self._take_outcome(kind, message[1], message[2:])
 
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -7,8 +7,10 @@
 import attrs
 import msgpack
 
+from ..quarantine import QuarantineUpdate
 from . import events
 from .backend_run import Run
+from .crashes import encode_updates
 from .inbound import Inbound
 from .messages import (
     FORMAT,
@@ -104,6 +106,12 @@
         for server in self.servers:
             server.write(data)
 
+    def tell_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
+        """Tell all nodes which requests were under way as a backend server died."""
+        data = encode(Kind.CRASHES, service, encode_updates(updates))
+        for server in self.servers:
+            server.write(data)
+
     def push_configuration(self, data_centre: str) -> None:
         """Send the configuration in force to the nodes of a data centre."""
         version, content = self.configuration()
@@ -132,6 +140,9 @@
         listener.servers.add(self)
         self.send(Kind.HELLO, *fields_of(listener.hello()))
         self.send(Kind.STATE, *fields_of(listener.state()))
+        crashes = listener.inbound.crashes
+        for service, updates in crashes.export(listener.runtime.now_ms()):
+            self.send(Kind.CRASHES, service, encode_updates(updates))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop what nobody waits for any more."""
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -11,10 +11,12 @@
 
 from ..errors import PortInUseError, SettingsError
 from ..platform.store import StoreClient
+from ..quarantine import QuarantineUpdate
 from . import endpoints, events
 from .backend import Backend
 from .call import CallContext
 from .configuration import Configuration
+from .crashes import CrashWatch
 from .discovery import Discovery
 from .following import Follower
 from .http_server import Handler, ServerConnection, ServerState
@@ -65,6 +67,7 @@
     path: pathlib.Path
     runtime: Runtime
     backend: Backend = attrs.field(init=False)
+    crashes: CrashWatch = attrs.field(init=False)
     inbound: Inbound = attrs.field(init=False)
     members: Members = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
@@ -90,8 +93,15 @@
         bounds = settings.bounds
         self.started_ms = runtime.now_ms()
         self.backend = Backend(bounds.drain_ms)
+        self.crashes = CrashWatch(
+            settings.peer_address[0], self._tell_crashes, self._count_servers
+        )
         self.inbound = Inbound(
-            runtime, settings.backend_address, self.backend, self.tell_state
+            runtime,
+            settings.backend_address,
+            self.backend,
+            self.tell_state,
+            self.crashes,
         )
         self.members = Members(
             runtime,
@@ -110,7 +120,9 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_ms
         )
-        self.calls = CallContext(runtime, self.members, budget, settings.service)
+        self.calls = CallContext(
+            runtime, self.members, budget, settings.service, self.crashes
+        )
         self.outbound = Outbound(self.calls, lambda: self.configuration.table)
         self.listener = PeerListener(
             runtime,
@@ -261,6 +273,19 @@
         self._state_due = False
         self.listener.broadcast_state()
 
+    def _tell_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
+        events.log(
+            events.CRASH_SUSPECTED,
+            service=service,
+            instance=self.backend.instance_id,
+            suspects=len(updates),
+            refused=sum(1 for update in updates if update.refused_for_ms > 0),
+        )
+        self.listener.tell_crashes(service, updates)
+
+    def _count_servers(self, service: str) -> int:
+        return len(self.members.endpoints(service))
+
     def _announced(self) -> None:
         self.inbound.changed()
         self.prober.check()
--- a/azurestep/balancing/suspects.py
+++ b/azurestep/quarantine/suspects.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .messages import EndpointKey
+from ..endpoint_key import EndpointKey
 
 
 class Standing(StrEnum):
--- a/azurestep/balancing/quarantine.py
+++ b/azurestep/quarantine/table.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 
-from .messages import EndpointKey
+from ..endpoint_key import EndpointKey
 from .suspects import QuarantineUpdate, Standing, Suspect
 
 DEATHS_TO_REFUSE = 2
--- /dev/null
+++ b/tests/test_mesh_crashes.py
@@ -0,0 +1,111 @@
+"""Requests that crash the backend servers that run them."""
+
+import asyncio
+
+import pytest
+
+from azurestep.mesh.crashes import CrashWatch
+from azurestep.mesh.messages import Request
+
+from .fixtures_mesh import MeshFleet, MeshInstance
+from .test_mesh_faults import eventually
+
+POISON = "/read/poison"
+
+
+def request(target: bytes = b"/read/1", instance_id: bytes = b"i-1") -> Request:
+    return Request(
+        method=b"GET",
+        target=target,
+        headers=[],
+        service="shop",
+        instance_id=instance_id,
+        route="read",
+        request_id=b"r",
+        calling_service=b"shop",
+        idempotent=True,
+        priority=2,
+        budget_ms=1000.0,
+        aim_ms=400.0,
+        sent_ms=0.0,
+        length=0,
+        whole=True,
+        body=b"",
+    )
+
+
+@pytest.fixture
+def watch() -> CrashWatch:
+    return CrashWatch("127.0.0.1", servers=lambda service: 6)
+
+
+def crash(watch: CrashWatch, request: Request, now_ms: float) -> None:
+    watch.lost(request, now_ms)
+    watch.died("shop", request.instance_id.decode(), now_ms + 1)
+
+
+def test_a_request_that_was_under_way_at_two_deaths_is_refused(
+    watch: CrashWatch,
+) -> None:
+    crash(watch, request(), 0.0)
+    assert not watch.refuses(request(), 10.0)
+    crash(watch, request(instance_id=b"i-2"), 20.0)
+    assert watch.refuses(request(), 30.0)
+    assert not watch.refuses(request(b"/read/2"), 30.0)
+
+
+def test_a_connection_that_ended_while_the_server_lives_is_no_death(
+    watch: CrashWatch,
+) -> None:
+    for name in (b"i-1", b"i-2", b"i-3"):
+        watch.lost(request(instance_id=name), 0.0)
+        watch.alive("shop", name.decode())
+        watch.died("shop", name.decode(), 1.0)
+    assert not watch.refuses(request(), 30.0)
+
+
+def test_a_request_that_is_answered_again_is_cleared(watch: CrashWatch) -> None:
+    crash(watch, request(), 0.0)
+    watch.answered(request(instance_id=b"i-2"), 10.0)
+    crash(watch, request(instance_id=b"i-3"), 20.0)
+    assert not watch.refuses(request(), 30.0)
+
+
+def test_what_one_node_saw_another_learns(watch: CrashWatch) -> None:
+    crash(watch, request(), 0.0)
+    crash(watch, request(instance_id=b"i-2"), 20.0)
+    other = CrashWatch("127.0.0.2", servers=lambda service: 6)
+    for service, updates in watch.export(30.0):
+        other.learn(service, updates, 30.0)
+    assert other.refuses(request(), 40.0)
+
+
+async def test_a_request_reaches_no_third_server_after_it_crashed_two(
+    mesh: MeshFleet,
+) -> None:
+    crashed: list[str] = []
+
+    def poisoned(instance: MeshInstance):  # type: ignore[no-untyped-def]
+        def misbehave(received):  # type: ignore[no-untyped-def]
+            crashed.append(instance.host)
+            stops.append(asyncio.ensure_future(instance.server.stop()))
+
+        return misbehave
+
+    stops: list[asyncio.Future[None]] = []
+    for instance in mesh.instances:
+        instance.server.misbehave = poisoned(instance)
+    status, _ = await mesh.get(mesh.instances[0], POISON, "x1")
+    assert status == 502
+    assert len(crashed) == 2
+    spared = next(item for item in mesh.instances if item.host not in crashed)
+    refuses = spared.node.crashes.refuses
+    await eventually(lambda: refuses(request(POISON.encode()), loop_ms()))
+    for index, instance in enumerate(mesh.instances):
+        status, _ = await mesh.get(instance, POISON, f"x{index + 2}")
+        assert status == 503
+    assert len(crashed) == 2
+
+
+def loop_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000
