--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -10,6 +10,7 @@
 
 from ..quarantine import QuarantineUpdate
 from . import events
+from .cadence import idle_probe_ms
 from .choice import Endpoint
 from .inbound import Inbound
 from .messages import Hello, Request, State
@@ -44,6 +45,7 @@
     take_configuration: Callable[[int, bytes], None]
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     _own: Endpoint = attrs.field(init=False)
+    _count: int = 1
 
     def __attrs_post_init__(self) -> None:
         self._own = Endpoint(self.own_address, "", b"", self.data_centre, open=False)
@@ -86,17 +88,20 @@
         return (link for link in self.links.values() if link.up)
 
     def count(self) -> int:
-        """Return how many nodes answer, this one included."""
-        return 1 + sum(1 for _ in self.alive())
+        """Return how many nodes answered at the last tick, this one included."""
+        return self._count
 
     def tick(self, now_ms: float) -> None:
         """Look after all links."""
+        pause_ms = idle_probe_ms(len(self.links))
         for link in list(self.links.values()):
             if not link.up and now_ms - link.lost_since_ms > FORGET_MS:
                 link.close()
                 del self.links[link.address]
                 continue
+            link.idle_probe_ms = pause_ms
             link.tick(now_ms)
+        self._count = 1 + sum(1 for _ in self.alive())
 
     def excuse(self, pause_ms: float) -> None:
         """Leave out a pause of this node's own from the silence of the others."""
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -4,6 +4,7 @@
 stream of messages needs no further framing.
 """
 
+import zlib
 from enum import IntEnum
 from typing import Any
 
@@ -14,6 +15,8 @@
 FORMAT = 1
 BUFFER_BYTES = 96 * 1024 * 1024
 """Longest message that is taken."""
+COMPRESSION_LEVEL = 1
+"""Least effort: 200 KB take some 2 ms, and higher levels save little more."""
 READ_BYTES = 8192
 """First size of a link's buffer. The library's own choice of 1 MiB for each link
 made the peak memory of a node with 24 links 39 MB."""
@@ -234,6 +237,38 @@
     return msgpack.packb([int(kind), *fields], use_bin_type=True)
 
 
+def compress(content: bytes) -> bytes:
+    """Return a configuration in the form in which nodes send it.
+
+    A document of thousands of routes shrinks to a tenth; at its full size, one node
+    needs seconds on a link of 10 Mbit/s to send it to the 24 others nearby.
+
+    Examples
+    --------
+    >>> decompress(compress(b"{}"))
+    b'{}'
+    """
+    return zlib.compress(content, COMPRESSION_LEVEL)
+
+
+def decompress(data: bytes) -> bytes:
+    """Return the configuration that a node sent.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are none or far too many.
+    """
+    expander = zlib.decompressobj()
+    try:
+        content = expander.decompress(data, BUFFER_BYTES)
+    except zlib.error as error:
+        raise ValueError("a configuration can't be decompressed") from error
+    if not expander.eof:
+        raise ValueError("a configuration is cut or too long")
+    return content
+
+
 def fields_of(message: Any) -> list[object]:
     """Return a message's fields in order, for ``encode``.
 
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -9,6 +9,7 @@
 from ..quarantine import QuarantineUpdate
 from . import events
 from .backend_run import AnswerReceiver
+from .cadence import IDLE_PROBE_LEAST_MS
 from .choice import Endpoint
 from .crashes import decode_updates
 from .messages import (
@@ -21,23 +22,22 @@
     Refusal,
     Request,
     State,
+    decompress,
     encode,
     fields_of,
 )
 from .runtime import Runtime
 from .settings import Address
 
-PING_MS = 400.0
-"""Time between probes of a link without requests."""
 BUSY_PING_MS = 90.0
 """Time between probes of a link with requests under way."""
 DOUBT_MS = 200.0
 """Time without an answer to a probe after which a node gets no new requests. An
 answer takes some 3 ms; a node that gets its processor in tenths of a second may
 take 100 ms."""
-SILENT_MS = 900.0
-"""Silence after which a node counts as lost: two probes unanswered, with room for
-a node that runs several times slower for a moment."""
+LOST_MS = 650.0
+"""Time without an answer to a probe after which a node counts as lost, with room for
+one that runs several times slower for a moment."""
 DIAL_TIMEOUT_S = 1.0
 REDIAL_MS = (50.0, 200.0, 500.0, 1000.0)
 """Pauses before the next attempts to reach a node; the last one repeats, so that a
@@ -164,8 +164,15 @@
         )
         self.streams[self._next] = stream
         self.send(Kind.REQUEST, self._next, *fields_of(request))
+        self._probe_rested()
         return stream
 
+    def _probe_rested(self) -> None:
+        """Probe along with a request if the link rested: it may have died meanwhile."""
+        age_ms = self.link.runtime.now_ms() - self.received_ms
+        if self.answered and age_ms > BUSY_PING_MS:
+            self.ping()
+
     @property
     def answered(self) -> bool:
         """Whether something came since the last probe."""
@@ -219,7 +226,7 @@
         elif kind == Kind.HELLO:
             self.link.on_hello(self, Hello(*message[1:6]))
         elif kind == Kind.CONFIGURATION:
-            self.link.news.on_configuration(message[1], message[2])
+            self.link.news.on_configuration(message[1], decompress(message[2]))
         elif kind == Kind.CRASHES:
             self.link.news.on_crashes(message[1], decode_updates(message[2]))
         else:
@@ -262,6 +269,8 @@
         Whether the node answers.
     endpoint : Endpoint
         The backend server beside that node.
+    idle_probe_ms : float
+        Time between probes while no request is under way.
     """
 
     runtime: Runtime
@@ -273,6 +282,7 @@
     state: State | None = None
     peer: Hello | None = None
     lost_since_ms: float = 0.0
+    idle_probe_ms: float = IDLE_PROBE_LEAST_MS
     _dialing: bool = False
     _attempts: int = 0
     _next_dial_ms: float = 0.0
@@ -302,13 +312,13 @@
             self.endpoint.doubted = True
             connection.doubt()
         self.endpoint.doubted = doubted
-        if now_ms - connection.received_ms > SILENT_MS:
+        if not answered and waited_ms > LOST_MS:
             self._lose(connection, "silent")
             connection.retire()
-        elif answered and waited_ms >= (
-            BUSY_PING_MS if connection.streams else PING_MS
-        ):
-            connection.ping()
+        elif answered:
+            pause_ms = BUSY_PING_MS if connection.streams else self.idle_probe_ms
+            if waited_ms >= pause_ms:
+                connection.ping()
 
     def excuse(self, pause_ms: float) -> None:
         """Leave out a pause of this node's own from the silence of the other."""
@@ -346,7 +356,7 @@
         """Take the other node's state."""
         if connection is not self.connection:
             return
-        self.state = state
+        former, self.state = self.state, state
         endpoint = self.endpoint
         if endpoint.instance_id != state.instance_id:
             endpoint.run_ms.clear()
@@ -358,7 +368,8 @@
         endpoint.failing = state.failing
         endpoint.cold_until_ms = self.runtime.now_ms() + state.cold_ms
         endpoint.tell(state.busy)
-        self.news.on_state(self, state)
+        if former is None or _matters(former) != _matters(state):
+            self.news.on_state(self, state)
 
     def on_connection_lost(self, connection: PeerConnection) -> None:
         """Dial again after a lost connection."""
@@ -387,3 +398,8 @@
             self._next_dial_ms = self.runtime.now_ms() + REDIAL_MS[pause] * jitter
         finally:
             self._dialing = False
+
+
+def _matters(state: State) -> tuple[bool, bool]:
+    """Return what decides who reads the configuration."""
+    return state.store_ok, state.stopping
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -10,6 +10,7 @@
 from ..quarantine import QuarantineUpdate
 from . import events
 from .backend_run import Run
+from .cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, Audience
 from .crashes import encode_updates
 from .inbound import Inbound
 from .messages import (
@@ -22,6 +23,7 @@
     Refusal,
     Request,
     State,
+    compress,
     encode,
     fields_of,
 )
@@ -31,6 +33,8 @@
 STALE_MS = 100.0
 """Delay beyond a link's usual one from which on a request counts as held up, so
 that it isn't run for longer than its caller waits."""
+FAILING_NEWS = 0.3
+"""Failing share from which on nodes are told at once."""
 OFFSET_RISE = 0.01
 """How fast the known least delay of a link rises again, so that a clock that
 stood still at one end doesn't make all later requests look late."""
@@ -94,32 +98,64 @@
     state: Callable[[], State]
     on_peer: Callable[[Hello], None]
     configuration: Callable[[], tuple[int, bytes]]
+    data_centre: str
     servers: "set[PeerServer]" = attrs.field(factory=set)
-    _told: bytes = b""
+    _essence: tuple[object, ...] = ()
+    _near: Audience = attrs.field(factory=lambda: Audience(NEAR_REPORTS_PER_S))
+    _far: Audience = attrs.field(factory=lambda: Audience(FAR_REPORTS_PER_S))
 
     def broadcast_state(self) -> None:
-        """Tell all nodes the state of this one, if it changed."""
-        data = encode(Kind.STATE, *fields_of(self.state()))
-        if data == self._told:
+        """Tell all nodes the state of this one: what matters at once, load in turn."""
+        state = self.state()
+        data = encode(Kind.STATE, *fields_of(state))
+        now_ms = self.runtime.now_ms()
+        essence = _essence(state)
+        if essence != self._essence:
+            self._essence = essence
+            self._near.sent(data, now_ms)
+            self._far.sent(data, now_ms)
+            self._write(self.servers, data)
             return
-        self._told = data
-        for server in self.servers:
+        near = {server for server in self.servers if self._is_near(server)}
+        far = self.servers - near
+        if self._near.is_due(data, len(near), now_ms):
+            self._write(near, data)
+        if self._far.is_due(data, len(far), now_ms):
+            self._write(far, data)
+
+    def push_configuration(self) -> None:
+        """Send the configuration in force to the nodes of this data centre."""
+        version, content = self.configuration()
+        data = encode(Kind.CONFIGURATION, version, compress(content))
+        self._write({one for one in self.servers if self._is_near(one)}, data)
+
+    def _is_near(self, server: "PeerServer") -> bool:
+        peer = server.peer
+        return peer is not None and peer.data_centre == self.data_centre
+
+    def _write(self, servers: "set[PeerServer]", data: bytes) -> None:
+        for server in servers:
             server.write(data)
 
     def tell_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
         """Tell all nodes which requests were under way as a backend server died."""
-        data = encode(Kind.CRASHES, service, encode_updates(updates))
-        for server in self.servers:
-            server.write(data)
+        self._write(
+            self.servers, encode(Kind.CRASHES, service, encode_updates(updates))
+        )
 
-    def push_configuration(self, data_centre: str) -> None:
-        """Send the configuration in force to the nodes of a data centre."""
-        version, content = self.configuration()
-        data = encode(Kind.CONFIGURATION, version, content)
-        for server in self.servers:
-            peer = server.peer
-            if peer is not None and peer.data_centre == data_centre:
-                server.write(data)
+
+def _essence(state: State) -> tuple[object, ...]:
+    """Return what other nodes must not act on a moment longer once it changed."""
+    return (
+        state.service,
+        state.instance_id,
+        state.open,
+        state.slots,
+        state.version,
+        state.store_ok,
+        state.stopping,
+        state.failing >= FAILING_NEWS,
+    )
 
 
 class PeerServer(asyncio.Protocol):
@@ -203,7 +239,8 @@
         elif kind == Kind.HELLO:
             self._greet(Hello(*message[1:6]))
         elif kind == Kind.CONFIGURATION_WANTED:
-            self.send(Kind.CONFIGURATION, *self.listener.configuration())
+            version, content = self.listener.configuration()
+            self.send(Kind.CONFIGURATION, version, compress(content))
 
     def _request(self, stream: int, fields: tuple[Any, ...]) -> None:
         request = Request(*fields)
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -133,6 +133,7 @@
                 (hello.peer_address[0], hello.peer_address[1])
             ),
             lambda: (self.configuration.version, self.configuration.content),
+            settings.data_centre,
         )
         self.prober = Prober(
             runtime,
@@ -299,7 +300,7 @@
     def _on_version(self, table: RoutingTable) -> None:
         self.callers.limits = table.limits
         self.tell_state()
-        self.listener.push_configuration(self.settings.data_centre)
+        self.listener.push_configuration()
         self.prober.check()
 
     def _client(self) -> StoreClient:
