--- /dev/null
+++ b/tests/test_mesh_cadence.py
@@ -0,0 +1,72 @@
+"""What nodes tell one another stays bounded as the fleet grows."""
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurestep.mesh.cadence import (
+    IDLE_PROBE_LEAST_MS,
+    IDLE_PROBES_PER_S,
+    REPORT_LEAST_MS,
+    Audience,
+    idle_probe_ms,
+)
+from azurestep.mesh.messages import compress, decompress
+
+from .fixtures_mesh import MeshFleet, document
+
+LINKS = st.integers(min_value=1, max_value=2000)
+
+
+@given(links=LINKS)
+def test_a_node_sends_no_more_probes_than_its_rate(links: int) -> None:
+    per_s = links * 1000 / idle_probe_ms(links)
+    assert per_s <= IDLE_PROBES_PER_S + 1e-6
+    assert idle_probe_ms(links) >= IDLE_PROBE_LEAST_MS
+
+
+@given(links=LINKS)
+def test_load_reports_keep_to_their_rate(links: int) -> None:
+    audience = Audience(per_s=40.0)
+    seconds = 100
+    sent = sum(
+        audience.is_due(str(tick).encode(), links, tick * 100.0)
+        for tick in range(seconds * 10)
+    )
+    assert (sent - 1) * links <= 40.0 * seconds
+    assert sent <= seconds * 1000 / REPORT_LEAST_MS + 1
+
+
+def test_a_report_that_says_nothing_new_is_not_sent() -> None:
+    audience = Audience(per_s=40.0)
+    assert audience.is_due(b"a", 2, 0.0)
+    assert not audience.is_due(b"a", 2, 10_000.0)
+    assert not audience.is_due(b"b", 2, 100.0)
+    assert audience.is_due(b"b", 2, 500.0)
+
+
+@pytest.mark.parametrize("data", [b"", b"no zlib", compress(b"x" * 100)[:-3]])
+def test_a_cut_configuration_is_no_configuration(data: bytes) -> None:
+    with pytest.raises(ValueError, match="configuration"):
+        decompress(data)
+
+
+def test_a_large_configuration_shrinks_on_the_link() -> None:
+    routes = {f"route-{index}": {"path_prefix": f"/{index}/"} for index in range(3000)}
+    content = document(1, routes=routes)
+    assert len(compress(content)) * 4 < len(content)
+    assert decompress(compress(content)) == content
+
+
+async def test_a_server_that_leaves_is_told_at_once_between_load_reports(
+    mesh: MeshFleet,
+) -> None:
+    leaving, other = mesh.instances[0], mesh.instances[1]
+    for server in (item.node.listener for item in mesh.instances):
+        server.broadcast_state()
+    await leaving.beat(mesh.session, "draining")
+    async with asyncio.timeout(0.2):
+        while sum(e.open for e in other.node.members.endpoints("shop")) == 3:
+            await asyncio.sleep(0.01)
