--- a/azurestep/mesh/admission.py
+++ b/azurestep/mesh/admission.py
@@ -12,7 +12,7 @@
 RUN_GAIN = 0.1
 """Weight of a new run time in the moving mean: about the last twenty runs."""
 LATE_QUEUE_SHARE = 0.25
-"""Share of the slots that may be waited for by requests past their aim."""
+"""Share of the slots that may be waited for by requests past their objective."""
 RETRY_LEAST_MS = 40.0
 """Shortest time after which a refused caller is asked to come back."""
 
@@ -23,18 +23,18 @@
 
     Attributes
     ----------
-    aim_at_ms : float
+    objective_at_ms : float
         When an answer loses its full value.
     deadline_at_ms : float
         When nobody waits for an answer any more.
     late : bool
-        Whether it waits although its aim will be missed.
+        Whether it waits although its objective will be missed.
     """
 
     route: str
     priority: int
     arrived_ms: float
-    aim_at_ms: float
+    objective_at_ms: float
     deadline_at_ms: float
     owner: object = None
     late: bool = False
@@ -96,7 +96,7 @@
         end_ms = now_ms + wait_ms + self.run_ms(ticket.route)
         if end_ms > ticket.deadline_at_ms:
             return Refused(self.retry_ms())
-        if end_ms > ticket.aim_at_ms and not self._admits_late(ticket):
+        if end_ms > ticket.objective_at_ms and not self._admits_late(ticket):
             return Refused(self.retry_ms())
         self._waiting.append(ticket)
         return False
@@ -146,15 +146,15 @@
         return (ahead_ms + first_ms / max(1, len(self.running))) / self.slots
 
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[bool, int, float]:
-        """Order the queue: what meets its aim, then the urgent, then the earlier aim.
+        """Order the queue: what meets its objective, the urgent, the earlier due.
 
-        Calls of backend servers have the shortest aims. They go before longer
+        Calls of backend servers have the shortest objectives. They go before longer
         requests of their class, since a call that fails wastes the run that made it:
         59% of a service's runs ended badly while its calls stood in line. What is
         late goes last: when it kept its place, a hard day's credit was 0.55, not 0.69.
         """
-        late = now_ms + self.run_ms(ticket.route) > ticket.aim_at_ms
-        return late, ticket.priority, ticket.aim_at_ms
+        late = now_ms + self.run_ms(ticket.route) > ticket.objective_at_ms
+        return late, ticket.priority, ticket.objective_at_ms
 
     def _admits_late(self, ticket: Ticket) -> bool:
         late = sum(1 for other in self._waiting if other.late)
--- a/azurestep/mesh/backend_run.py
+++ b/azurestep/mesh/backend_run.py
@@ -69,7 +69,7 @@
             request.route,
             request.priority,
             now_ms,
-            now_ms + request.aim_ms,
+            now_ms + request.objective_ms,
             self.deadline_ms,
             self,
         )
--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/call.py
@@ -160,7 +160,7 @@
         wish = Wish(
             self.service,
             self.route.name,
-            self.route.aim_ms - (now_ms - self.arrived_ms),
+            self.route.objective_ms - (now_ms - self.arrived_ms),
             ANSWER_KIB + max(self._size, self.exchange.length) / 1024,
             context.members.data_centre,
         )
@@ -204,7 +204,7 @@
             route.idempotent,
             route.priority,
             self.ends_ms - now_ms,
-            route.aim_ms - (now_ms - self.arrived_ms),
+            route.objective_ms - (now_ms - self.arrived_ms),
             now_ms,
             -1 if exchange.chunked else exchange.length,
             self._whole,
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/choice.py
@@ -7,8 +7,8 @@
 
 RUN_FIRST_MS = 150.0
 """Run time assumed where no answer of a route was seen yet."""
-AIM_STEEPNESS = 3
-"""How fast the value of an answer falls as its time nears the aim."""
+OBJECTIVE_STEEPNESS = 3
+"""How fast the value of an answer falls as its time nears the objective."""
 ABROAD_COST = 0.014
 """Value lost for each KiB that crosses data centres: a read of 1.7 KiB costs some
 0.024 of its worth, an upload of 60 KiB some 0.84, where the operators pay 14,000
@@ -79,7 +79,7 @@
 
     Attributes
     ----------
-    aim_ms : float
+    objective_ms : float
         Time left until the answer loses value.
     size_kib : float
         Bytes that would cross between data centres, in KiB.
@@ -89,7 +89,7 @@
 
     service: str
     route: str
-    aim_ms: float
+    objective_ms: float
     size_kib: float
     data_centre: str
 
@@ -119,8 +119,8 @@
         run_ms *= COLD_FACTOR
     load = endpoint.load
     wait_ms = max(0.0, load + 1 - endpoint.slots) / endpoint.slots * run_ms
-    aim_ms = max(wish.aim_ms, 1.0)
-    value = 1.0 / (1.0 + ((wait_ms + run_ms) / aim_ms) ** AIM_STEEPNESS)
+    objective_ms = max(wish.objective_ms, 1.0)
+    value = 1.0 / (1.0 + ((wait_ms + run_ms) / objective_ms) ** OBJECTIVE_STEEPNESS)
     value -= FAILURE_COST * endpoint.failing
     value -= BALANCE_WEIGHT * (load / endpoint.slots) ** 2
     if now_ms < endpoint.failed_until_ms or endpoint.doubted:
--- a/azurestep/mesh/http_server.py
+++ b/azurestep/mesh/http_server.py
@@ -2,7 +2,7 @@
 
 A request behind another on its connection does not wait for it. With aiohttp's
 server, which handles one request of a connection at a time, 67% of pipelined
-reads were answered within their aim on a quiet day; side by side it was 93%.
+reads were answered within their objective on a quiet day; side by side it was 93%.
 """
 
 import asyncio
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -136,7 +136,7 @@
         The sender's clock when it sent the request.
     budget_ms : float
         Time left to the caller's deadline and the route's timeout.
-    aim_ms : float
+    objective_ms : float
         Time left until the answer loses value; it may be negative.
     whole : bool
         Whether the body is complete with this message.
@@ -158,7 +158,7 @@
     idempotent: bool
     priority: int
     budget_ms: float
-    aim_ms: float
+    objective_ms: float
     sent_ms: float
     length: int
     whole: bool
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -16,7 +16,7 @@
 
 RETRY_SHED_MS = 120.0
 """Time to come back after a refusal for another service's sake: short enough that
-an answer to the second attempt is still in aim."""
+an answer to the second attempt is within its objective."""
 NOT_FOUND = 404
 BAD_REQUEST = 400
 
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -249,7 +249,7 @@
             request = attrs.evolve(
                 request,
                 budget_ms=request.budget_ms - late_ms,
-                aim_ms=request.aim_ms - late_ms,
+                objective_ms=request.objective_ms - late_ms,
             )
         receiver = RemoteReceiver(self, stream)
         run = self.listener.inbound.submit(request, receiver)
--- a/azurestep/mesh/routes.py
+++ b/azurestep/mesh/routes.py
@@ -21,7 +21,7 @@
         Whether a request may run more than once.
     timeout_ms : float
         Longest time that a caller is kept waiting.
-    aim_ms : float
+    objective_ms : float
         Time within which an answer has its full value.
     priority : int
         Rank under overload; 0 is the highest.
@@ -34,7 +34,7 @@
     prefix: bytes
     idempotent: bool
     timeout_ms: float
-    aim_ms: float
+    objective_ms: float
     priority: int
     max_attempts: int
     parts: tuple[Part, ...]
--- a/azurestep/platform/document.py
+++ b/azurestep/platform/document.py
@@ -52,14 +52,14 @@
         if fields.get("timeout")
         else DEFAULT_TIMEOUT_MS
     )
-    aim = fields.get("aim")
+    objective = fields.get("aim")
     return Route(
         name=name,
         host=str(fields["host"]).lower().encode(),
         prefix=str(fields["path_prefix"]).encode(),
         idempotent=fields["route_kind"] == IDEMPOTENT_KIND,
         timeout_ms=timeout_ms,
-        aim_ms=parse_duration_ms(aim) if aim else timeout_ms,
+        objective_ms=parse_duration_ms(objective) if objective else timeout_ms,
         priority=int(fields.get("priority", LOWEST_PRIORITY)),
         max_attempts=max(1, int(fields.get("max_attempts", 1))),
         parts=_parts(fields),
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -11,8 +11,12 @@
 from azurestep.mesh.admission import Admission, Refused, Ticket
 
 
-def ticket(priority: int = 2, arrived_ms: float = 0.0, aim_ms: float = 400.0) -> Ticket:
-    return Ticket("read", priority, arrived_ms, arrived_ms + aim_ms, arrived_ms + 1200)
+def ticket(
+    priority: int = 2, arrived_ms: float = 0.0, objective_ms: float = 400.0
+) -> Ticket:
+    return Ticket(
+        "read", priority, arrived_ms, arrived_ms + objective_ms, arrived_ms + 1200
+    )
 
 
 def test_a_free_slot_is_given_at_once() -> None:
@@ -54,7 +58,7 @@
     admission.learn("read", 50.0)
     running = ticket()
     admission.offer(running, 0.0)
-    late = ticket(priority=0, aim_ms=60.0)
+    late = ticket(priority=0, objective_ms=60.0)
     timely = ticket(priority=2)
     admission.offer(late, 0.0)
     admission.offer(timely, 0.0)
@@ -66,8 +70,8 @@
     admission.learn("read", 20.0)
     running = ticket()
     admission.offer(running, 0.0)
-    payment = ticket(priority=1, aim_ms=500.0)
-    call = ticket(priority=1, aim_ms=120.0)
+    payment = ticket(priority=1, objective_ms=500.0)
+    call = ticket(priority=1, objective_ms=120.0)
     admission.offer(payment, 0.0)
     admission.offer(call, 5.0)
     assert admission.release(running, 20.0) == [call]
