--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/call.py
@@ -4,6 +4,7 @@
 
 from ..platform.headers import CallerFields
 from . import events
+from .answer_writer import AnswerWriter
 from .backend_run import WINDOW_BYTES
 from .choice import Endpoint, Wish, choose
 from .crashes import RETRY_MS as CRASH_RETRY_MS
@@ -102,9 +103,7 @@
         self._may_have_run = False
         self._refusal: Refusal | None = None
         self._unacknowledged = 0
-        self._answering = False
-        self._chunked = False
-        self._ungranted = 0
+        self._writer = AnswerWriter(exchange)
         self._timer = context.runtime.loop.call_later(
             budget_ms / 1000, self._on_timeout
         )
@@ -150,7 +149,7 @@
 
     def on_writable(self) -> None:
         """Grant the other end more bytes of the answer."""
-        self._grant(0)
+        self._grant()
 
     # To a backend server.
 
@@ -234,7 +233,7 @@
     def on_doubt(self, let_go: bool) -> None:
         """Go elsewhere, if that is safe and there is another way."""
         endpoint = self._endpoint
-        if self.done or self._answering or self._streamed or endpoint is None:
+        if self.done or self._writer.started or self._streamed or endpoint is None:
             return
         if not self._has_other(endpoint):
             return
@@ -297,10 +296,10 @@
         if endpoint is not None:
             self._excluded.add(endpoint.key)
             endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
-        if self._answering:
+        if self._writer.started:
             events.log(events.CALL_FAILED, **self._outcome(0, reason.name))
             self._close(cancel=False)
-            self.exchange.break_off()
+            self._writer.break_off()
         elif self.route.idempotent and not self._streamed and self._may_run_again():
             self._log_retry(reason)
             self._dispatch()
@@ -336,36 +335,27 @@
         """Pass on more of a long answer."""
         if self.done:
             return
-        if data:
-            self.exchange.write(self._framed(data))
-            self._grant(len(data))
+        self._writer.more(data)
+        self._grant()
         if whole:
-            if self._chunked:
-                self.exchange.write(b"0\r\n\r\n")
             self._close(cancel=False)
-            self.exchange.finish()
+            self._writer.end()
 
     def _pass_on(self, answer: Answer) -> None:
         if answer.whole:
             self._ended(answer.status)
-            self.exchange.answer(answer.status, answer.headers, answer.body)
+            self._writer.whole(answer)
             return
-        self._answering = True
-        self._chunked = answer.length < 0
-        length = None if self._chunked else answer.length
         events.log(events.CALL_ENDED, **self._outcome(answer.status, ""))
-        self.exchange.begin(answer.status, answer.headers, length)
-        self.exchange.write(self._framed(answer.body))
-        self._grant(len(answer.body))
+        self._writer.begin(answer)
+        self._grant()
 
-    def _framed(self, data: bytes) -> bytes:
-        return b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data
-
-    def _grant(self, size: int) -> None:
-        self._ungranted += size
-        if self._ungranted and self._stream is not None and self.exchange.writable:
-            size, self._ungranted = self._ungranted, 0
-            self._stream.grant(size)
+    def _grant(self) -> None:
+        if self._stream is None:
+            return
+        credit = self._writer.take_credit()
+        if credit:
+            self._stream.grant(credit)
 
     # Ends.
 
@@ -413,8 +403,8 @@
         events.log(events.CALL_FAILED, **self._outcome(GATEWAY_TIMEOUT, "TIMEOUT"))
         self.context.runtime.metrics.count("calls", "timeout")
         self._close(cancel=True)
-        if self._answering:
-            self.exchange.break_off()
+        if self._writer.started:
+            self._writer.break_off()
         else:
             self.exchange.answer(GATEWAY_TIMEOUT, self._id_header(), b"")
 
