--- a/azurestep/mesh/discovery.py
+++ b/azurestep/mesh/discovery.py
@@ -9,7 +9,14 @@
 import attrs
 import orjson
 
-from ..platform.store import Appended, Newest, StoreClient
+from ..platform.store import (
+    Appended,
+    AppendOutcome,
+    Fenced,
+    Newest,
+    Producer,
+    StoreClient,
+)
 from ..platform.topics import MEMBERS_TOPIC
 from . import events
 from .members import Members
@@ -18,25 +25,34 @@
 PAUSE_S = (0.1, 0.3, 0.6, 1.2)
 """Pauses between attempts while the store does not answer."""
 FORMAT = 1
+EPOCH_STEP = 60_000
+"""Step to a higher epoch, in ms, if a process before this one had a later clock."""
 
 
 @attrs.define(eq=False)
 class Discovery:
-    """Writes this node's address to the store and reads those of the others."""
+    """Writes this node's address to the store and reads those of the others.
+
+    Attributes
+    ----------
+    epoch : int
+        Start of this process by the time of day in ms, above that of the process
+        before it on the same instance.
+    """
 
     runtime: Runtime
     client: StoreClient
     members: Members
+    epoch: int
     done: bool = False
+    _sequence: int = 0
 
     async def run(self) -> None:
         """Write and read once, until both were answered."""
-        host, port = self.members.own_address
+        _, port = self.members.own_address
         value = orjson.dumps({"format": FORMAT, "port": port})
         attempts = 0
-        while not isinstance(
-            await self.client.put(MEMBERS_TOPIC, host, value), Appended
-        ):
+        while not isinstance(await self._put(value), Appended):
             await self._pause(attempts)
             attempts += 1
         while not await self._read():
@@ -45,8 +61,22 @@
         self.done = True
 
     async def leave(self) -> None:
-        """Drop this node's address."""
-        await self.client.put(MEMBERS_TOPIC, self.members.own_address[0], b"")
+        """Drop this node's address, which nobody needs to dial any more.
+
+        One attempt: if it is lost, others dial the address in vain. If it is carried
+        out late, the epoch keeps it from dropping what a next process wrote.
+        """
+        if self.done:
+            self._sequence += 1
+            await self._put(b"")
+
+    async def _put(self, value: bytes) -> AppendOutcome:
+        host = self.members.own_address[0]
+        producer = Producer(host, self.epoch, self._sequence)
+        outcome = await self.client.put(MEMBERS_TOPIC, host, value, producer)
+        if isinstance(outcome, Fenced):
+            self.epoch += EPOCH_STEP
+        return outcome
 
     async def _read(self) -> bool:
         outcome = await self.client.newest(MEMBERS_TOPIC)
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -4,6 +4,7 @@
 import gc
 import pathlib
 import signal
+import time
 from collections.abc import Callable
 
 import attrs
@@ -116,7 +117,9 @@
         self.follower = Follower(
             runtime, self._client(), self.configuration, self.members, self.tell_state
         )
-        self.discovery = Discovery(runtime, self._client(), self.members)
+        self.discovery = Discovery(
+            runtime, self._client(), self.members, epoch=time.time_ns() // 1_000_000
+        )
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_ms
         )
@@ -195,6 +198,7 @@
         self.callers.draining = True
         self.inbound.stopping = True
         events.log(events.STOPPING, node=self.settings.instance)
+        self.runtime.spawn(self.discovery.leave())
         self.tell_state()
 
     def abort(self) -> None:
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -25,6 +25,7 @@
 CONFLICT = 409
 PRECONDITION_FAILED = 412
 THROTTLED = 429
+FENCED = "fenced"
 LENGTH = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 
@@ -76,6 +77,43 @@
     end_offset: int
 
 
+@attrs.frozen(slots=True)
+class Fenced:
+    """A process with a higher epoch has written as the same producer."""
+
+
+@attrs.frozen(slots=True)
+class OutOfSequence:
+    """An append of the producer before this one is missing.
+
+    Attributes
+    ----------
+    expected : int or None
+        Number that the store waits for, where it tells it.
+    """
+
+    expected: int | None
+
+
+@attrs.frozen(slots=True)
+class Producer:
+    """Who appends, so that a repeated or late append is told from a new one.
+
+    Attributes
+    ----------
+    name : str
+        Identity that outlives a process.
+    epoch : int
+        Number of the process; appends of an earlier one are refused.
+    sequence : int
+        Number of the append within the epoch; a repeat gets its first answer.
+    """
+
+    name: str
+    epoch: int
+    sequence: int
+
+
 @attrs.frozen(slots=True)
 class Refused:
     """The store did nothing.
@@ -97,6 +135,7 @@
 
 
 Failed = Refused | Unanswered
+AppendOutcome = Appended | Conflict | Fenced | OutOfSequence | Failed
 
 
 class Reply:
@@ -147,8 +186,12 @@
     _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def append(
-        self, topic: str, records: list[bytes], at: int | None = None
-    ) -> Appended | Conflict | Failed:
+        self,
+        topic: str,
+        records: list[bytes],
+        at: int | None = None,
+        producer: Producer | None = None,
+    ) -> AppendOutcome:
         """Append records to the only partition of a topic.
 
         Parameters
@@ -159,10 +202,15 @@
             Appended all or none.
         at : int, optional
             Offset at which the log must end.
+        producer : Producer, optional
+            Who appends, if a repeat or a late append must do no harm.
         """
         path = f"/v1/log-append?topic={quote(topic)}&part=0"
         if at is not None:
             path += f"&at={at}"
+        if producer is not None:
+            path += f"&producer={quote(producer.name)}"
+            path += f"&epoch={producer.epoch}&sequence={producer.sequence}"
         body = b"".join(LENGTH.pack(len(record)) + record for record in records)
         answer = await self._call("append", b"POST", path, body, CALL_TIMEOUT_MS)
         if isinstance(answer, Unanswered):
@@ -173,11 +221,12 @@
         return self._decoded(content, lambda fields: _append_outcome(status, fields))
 
     async def put(
-        self, topic: str, key: str, value: bytes
-    ) -> Appended | Conflict | Failed:
+        self, topic: str, key: str, value: bytes, producer: Producer | None = None
+    ) -> AppendOutcome:
         """Set the value of a key of a keyed topic; an empty one drops the key."""
         name = key.encode()
-        return await self.append(topic, [bytes([len(name)]) + name + value])
+        record = bytes([len(name)]) + name + value
+        return await self.append(topic, [record], producer=producer)
 
     async def read(
         self, topic: str, from_offset: int, wait_ms: int
@@ -265,14 +314,15 @@
             return Unanswered(f"malformed answer: {error!r}")
 
 
-def _append_outcome(
-    status: int, fields: dict[str, Any]
-) -> Appended | Conflict | Refused:
+def _append_outcome(status: int, fields: dict[str, Any]) -> AppendOutcome:
     if status == OK:
         return Appended(int(fields["offset"]), int(fields["end_offset"]))
     if status == PRECONDITION_FAILED:
         return Conflict(int(fields["end_offset"]))
-    return Refused(status)
+    if fields.get("why") == FENCED:
+        return Fenced()
+    expected = fields.get("sequence")
+    return OutOfSequence(None if expected is None else int(expected))
 
 
 def _newest_page(fields: dict[str, Any]) -> tuple[Newest, bool]:
--- a/standins/store.py
+++ b/standins/store.py
@@ -4,7 +4,8 @@
 import base64
 import contextlib
 import struct
-from collections.abc import Awaitable, Callable
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
 
 import attrs
@@ -14,6 +15,9 @@
 LENGTH = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 KEYED_PREFIX = "keyed."
+SILENCE_CHECK_S = 0.02
+ANSWERS_KEPT = 5
+"""Appends of a producer whose repeats get their first answer."""
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -26,6 +30,7 @@
     RESET = "reset"
     SILENT = "silent"
     ANSWER_LOST = "answer lost"
+    LATE = "late"
 
 
 @attrs.define
@@ -62,6 +67,15 @@
         self.records = []
 
 
+@attrs.define
+class Written:
+    """What a producer wrote last, and the answers to its last appends."""
+
+    epoch: int
+    sequence: int
+    answers: OrderedDict[int, dict[str, int]] = attrs.field(factory=OrderedDict)
+
+
 @attrs.define
 class StoreStandIn:
     """The store's calls that azurestep uses, over real HTTP.
@@ -70,13 +84,24 @@
     ----------
     trouble : Trouble
         How it misbehaves now.
+    refused_hosts : set of str
+        Callers that are turned away while others are served.
+    late_s : float
+        Delay of an append that is carried out after its call broke off.
+    page_items : int
+        Most keys of one page.
     calls : list of str
         Paths of all calls, for tests that count them.
     """
 
     trouble: Trouble = Trouble.NONE
+    refused_hosts: set[str] = attrs.field(factory=set)
+    late_s: float = 0.5
+    page_items: int = 500
     calls: list[str] = attrs.field(factory=list)
     topics: dict[str, Topic] = attrs.field(factory=dict)
+    _producers: dict[tuple[str, str], Written] = attrs.field(factory=dict)
+    _late: set[asyncio.Task[web.Response]] = attrs.field(factory=set)
 
     def topic(self, name: str) -> Topic:
         """Return a topic; it is created on first use."""
@@ -100,12 +125,12 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         self.calls.append(request.path)
-        if self.trouble is Trouble.BUSY:
+        if self.trouble is Trouble.BUSY or request.remote in self.refused_hosts:
             return web.json_response({}, status=503)
         if self.trouble is Trouble.THROTTLED:
             return web.json_response({}, status=429)
         if self.trouble is Trouble.SILENT:
-            await asyncio.sleep(3600)
+            await self._fall_silent()
         if self.trouble is Trouble.RESET:
             _abort(request)
         answer = await handler(request)
@@ -113,19 +138,73 @@
             _abort(request)
         return answer
 
+    async def _fall_silent(self) -> None:
+        while self.trouble is Trouble.SILENT:
+            await asyncio.sleep(SILENCE_CHECK_S)
+
     async def _append(self, request: web.Request) -> web.Response:
         name = request.query["topic"]
+        body = await request.read()
+        if self.trouble is Trouble.LATE:
+            task = asyncio.create_task(self._append_late(name, request.query, body))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            _abort(request)
+        return self._append_now(name, request.query, body)
+
+    async def _append_late(
+        self, name: str, query: Mapping[str, str], body: bytes
+    ) -> web.Response:
+        await asyncio.sleep(self.late_s)
+        return self._append_now(name, query, body)
+
+    def _append_now(
+        self, name: str, query: Mapping[str, str], body: bytes
+    ) -> web.Response:
         topic = self.topic(name)
-        at = request.query.get("at")
-        if at is not None and int(at) != topic.end_offset:
+        if int(query.get("at", topic.end_offset)) != topic.end_offset:
             return web.json_response({"end_offset": topic.end_offset}, status=412)
-        offset = topic.end_offset
-        body = await request.read()
+        answer = self._repeated(name, query)
+        if answer is not None:
+            return answer
+        fields = {"offset": topic.end_offset}
         while body:
             (size,) = LENGTH.unpack_from(body)
             topic.append(body[4 : 4 + size], name.startswith(KEYED_PREFIX))
             body = body[4 + size :]
-        return web.json_response({"offset": offset, "end_offset": topic.end_offset})
+        fields["end_offset"] = topic.end_offset
+        self._remember(name, query, fields)
+        return web.json_response(fields)
+
+    def _repeated(self, topic: str, query: Mapping[str, str]) -> web.Response | None:
+        written = self._producers.get((topic, query.get("producer", "")))
+        if written is None:
+            return None
+        epoch, sequence = int(query["epoch"]), int(query["sequence"])
+        if epoch < written.epoch:
+            return web.json_response({"why": "fenced"}, status=409)
+        if epoch > written.epoch or sequence == written.sequence + 1:
+            return None
+        if sequence in written.answers:
+            return web.json_response(written.answers[sequence])
+        expected = {"why": "seq", "sequence": written.sequence + 1}
+        return web.json_response(expected, status=409)
+
+    def _remember(
+        self, topic: str, query: Mapping[str, str], fields: dict[str, int]
+    ) -> None:
+        producer = query.get("producer")
+        if producer is None:
+            return
+        epoch, sequence = int(query["epoch"]), int(query["sequence"])
+        written = self._producers.get((topic, producer))
+        if written is None or epoch > written.epoch:
+            written = Written(epoch, sequence)
+            self._producers[topic, producer] = written
+        written.sequence = sequence
+        written.answers[sequence] = fields
+        while len(written.answers) > ANSWERS_KEPT:
+            written.answers.popitem(last=False)
 
     async def _read(self, request: web.Request) -> web.Response:
         topic = self.topic(request.query["topic"])
@@ -143,11 +222,18 @@
 
     async def _newest(self, request: web.Request) -> web.Response:
         topic = self.topic(request.query["topic"])
+        after = request.query.get("after", "")
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (offset, value) in sorted(topic.newest.items())
+            if key > after
         ]
-        fields = {"items": items, "has_more": False, "end_offset": topic.end_offset}
+        page = items[: self.page_items]
+        fields = {
+            "items": page,
+            "has_more": len(page) < len(items),
+            "end_offset": topic.end_offset,
+        }
         return web.Response(body=orjson.dumps(fields), content_type="application/json")
 
 
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -15,7 +15,7 @@
 from azurestep.mesh.settings import MeshSettings
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 from standins.signing_server import SigningServer
-from standins.store import StoreStandIn
+from standins.store import StoreStandIn, Trouble
 
 CALLER_PORT, PEER_PORT, READY_PORT, ANNOUNCE_PORT = 7101, 7102, 7103, 7104
 METRICS_PORT, BACKEND_PORT, STORE_PORT = 7105, 7106, 7107
@@ -186,6 +186,7 @@
     await runner.setup()
     await web.TCPSite(runner, STORE_HOST, STORE_PORT).start()
     yield store
+    store.trouble = Trouble.NONE
     await runner.cleanup()
 
 
--- /dev/null
+++ b/tests/test_mesh_store.py
@@ -0,0 +1,139 @@
+"""Calls to the platform's store: typed outcomes, repeats, late appends."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from azurestep.platform.store import (
+    Appended,
+    Conflict,
+    Fenced,
+    Forgotten,
+    Newest,
+    OutOfSequence,
+    Producer,
+    Records,
+    Refused,
+    StoreClient,
+    Unanswered,
+)
+from azurestep.platform.topics import MEMBERS_TOPIC
+from standins.store import StoreStandIn, Trouble
+
+from .fixtures_mesh import STORE_HOST, STORE_PORT, MeshFleet
+from .test_mesh_faults import eventually
+
+TOPIC = "log"
+
+
+@pytest_asyncio.fixture
+async def client(mesh_store: StoreStandIn) -> AsyncIterator[StoreClient]:
+    loop = asyncio.get_running_loop()
+    client = StoreClient(loop, (STORE_HOST, STORE_PORT), lambda kind: None)
+    yield client
+    client.close()
+
+
+async def test_what_was_appended_is_read_back(client: StoreClient) -> None:
+    assert await client.append(TOPIC, [b"a", b"bc"]) == Appended(0, 2)
+    assert await client.read(TOPIC, 0, 0) == Records([b"a", b"bc"], 2)
+
+
+async def test_a_condition_that_does_not_hold_is_a_conflict(
+    client: StoreClient,
+) -> None:
+    await client.append(TOPIC, [b"a"])
+    assert await client.append(TOPIC, [b"b"], at=0) == Conflict(1)
+    assert await client.append(TOPIC, [b"b"], at=1) == Appended(1, 2)
+
+
+async def test_a_repeated_append_stands_once(client: StoreClient) -> None:
+    first = await client.append(TOPIC, [b"a"], producer=Producer("p", 7, 0))
+    assert await client.append(TOPIC, [b"a"], producer=Producer("p", 7, 0)) == first
+    assert await client.read(TOPIC, 0, 0) == Records([b"a"], 1)
+
+
+async def test_a_gap_and_an_earlier_epoch_are_told_apart(client: StoreClient) -> None:
+    await client.append(TOPIC, [b"a"], producer=Producer("p", 7, 0))
+    gap = await client.append(TOPIC, [b"c"], producer=Producer("p", 7, 2))
+    assert gap == OutOfSequence(1)
+    older = await client.append(TOPIC, [b"b"], producer=Producer("p", 6, 1))
+    assert older == Fenced()
+
+
+async def test_forgotten_history_names_its_beginning(
+    client: StoreClient, mesh_store: StoreStandIn
+) -> None:
+    await client.append(TOPIC, [b"a", b"b"])
+    mesh_store.topic(TOPIC).forget()
+    assert await client.read(TOPIC, 0, 0) == Forgotten(2)
+
+
+async def test_pages_of_keys_are_joined(
+    client: StoreClient, mesh_store: StoreStandIn
+) -> None:
+    mesh_store.page_items = 2
+    for index in range(5):
+        mesh_store.put("keyed.some", f"k{index}", b"v")
+    newest = await client.newest("keyed.some")
+    assert isinstance(newest, Newest)
+    assert [item.key for item in newest.items] == [f"k{index}" for index in range(5)]
+
+
+@pytest.mark.parametrize(
+    ("trouble", "outcome"),
+    [
+        (Trouble.BUSY, Refused(503)),
+        (Trouble.THROTTLED, Refused(429)),
+        (Trouble.RESET, Unanswered),
+        (Trouble.SILENT, Unanswered),
+        (Trouble.ANSWER_LOST, Unanswered),
+        (Trouble.LATE, Unanswered),
+    ],
+)
+async def test_each_trouble_is_a_typed_outcome(
+    client: StoreClient, mesh_store: StoreStandIn, trouble: Trouble, outcome: object
+) -> None:
+    mesh_store.trouble = trouble
+    found = await client.append(TOPIC, [b"a"])
+    if isinstance(outcome, type):
+        assert isinstance(found, outcome)
+    else:
+        assert found == outcome
+
+
+async def test_only_the_refused_caller_is_turned_away(
+    client: StoreClient, mesh_store: StoreStandIn
+) -> None:
+    mesh_store.refused_hosts.add("127.0.0.1")
+    assert await client.append(TOPIC, [b"a"]) == Refused(503)
+    mesh_store.refused_hosts.clear()
+    assert await client.append(TOPIC, [b"a"]) == Appended(0, 1)
+
+
+async def test_a_node_that_stops_drops_its_address(mesh: MeshFleet) -> None:
+    known = mesh.store.topic(MEMBERS_TOPIC).newest
+    assert len(known) == 3
+    stopping = mesh.instances[0]
+    stopping.node.stop()
+    await eventually(lambda: stopping.host not in known)
+
+
+async def test_a_late_drop_leaves_what_the_next_process_wrote(
+    mesh: MeshFleet,
+) -> None:
+    instance = mesh.instances[0]
+    mesh.store.trouble, mesh.store.late_s = Trouble.LATE, 0.6
+    await instance.node.discovery.leave()
+    mesh.store.trouble = Trouble.NONE
+    assert instance.task is not None
+    instance.task.cancel()
+    instance.node.abort()
+    await asyncio.sleep(0.05)
+    instance.node = mesh.new_node(instance)
+    mesh.start_node(instance)
+    await eventually(lambda: instance.node.discovery.done)
+    await asyncio.sleep(0.8)
+    assert instance.host in mesh.store.topic(MEMBERS_TOPIC).newest
