--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 DEPLOYMENT ?= riddim
+SEEDS ?= x10
+REPORT ?= build/soak.html
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test soak lint format bench report pages binary clean
+.PHONY: install demo test properties soak lint format bench report pages binary clean
 
 install: $(STAMP)
 
@@ -18,9 +20,12 @@
 test: install
 	$(PYTHON) -m pytest -n 4 --dist worksteal
 
-soak: install
+properties: install
 	HYPOTHESIS_PROFILE=soak $(PYTHON) -m pytest -n 4 --dist worksteal
 
+soak: install
+	$(PYTHON) -m soak --seeds $(SEEDS) --report $(REPORT)
+
 lint: install
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -169,7 +169,7 @@
         await self._listen(settings.caller_address, self.callers)
         for address, handler in small:
             states.append(await self._listen_small(address, handler))
-        await self._listen_peers(settings.peer_address)
+        await self._listen_peers(settings.peer_listen_address or settings.peer_address)
         self.listening.set()
         events.log(
             events.STARTED,
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -109,6 +109,8 @@
         The backend server of this instance.
     store_address : Address
         The platform's store.
+    peer_listen_address : Address, optional
+        Where to listen for other nodes, if a relay stands at ``peer_address``.
     """
 
     instance: str
@@ -123,6 +125,7 @@
     backend_address: Address
     store_address: Address
     bounds: Bounds = Bounds()
+    peer_listen_address: Address | None = None
 
 
 def read_settings(path: pathlib.Path) -> MeshSettings:
@@ -165,9 +168,14 @@
             backend_address=parse_address(fields["backend_address"]),
             store_address=parse_address(fields["store"]["address"]),
             bounds=parse_bounds(fields["bounds"]),
+            peer_listen_address=_optional_address(fields.get("peer_listen_address")),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(
             f"field missing or wrong: {error!r}",
             "Compare the file with deploy/settings.json",
         ) from error
+
+
+def _optional_address(value: Any) -> Address | None:
+    return parse_address(value) if value else None
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,100 @@
+"""Command of the soak."""
+
+import asyncio
+import pathlib
+import sys
+import time
+
+from docopt import docopt
+
+from .plan import draw
+from .report import write
+from .run import Result, play
+
+USAGE = """Run real nodes under random faults and check the promises.
+
+Usage:
+  soak [--seeds LIST] [--nodes N] [--faults N] [--at-once N] [--report FILE]
+
+Options:
+  --seeds LIST    Seeds, as 3,7,20-29, or the number of fresh ones, as x5 [default: x3].
+  --nodes N       Nodes of each run [default: 5].
+  --faults N      Faults of each run [default: 8].
+  --at-once N     Runs at the same time [default: 2].
+  --report FILE   Report with plots, as HTML.
+"""
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Return the seeds that a list names.
+
+    Examples
+    --------
+    >>> parse_seeds("3,7-9")
+    [3, 7, 8, 9]
+    >>> len(parse_seeds("x4"))
+    4
+    """
+    if text.startswith("x"):
+        first = time.time_ns() // 1000 % 1_000_000_000
+        return list(range(first, first + int(text[1:])))
+    seeds: list[int] = []
+    for part in text.split(","):
+        first_text, _, last_text = part.partition("-")
+        seeds += range(int(first_text), int(last_text or first_text) + 1)
+    return seeds
+
+
+async def play_all(
+    seeds: list[int], nodes: int, faults: int, at_once: int
+) -> list[Result]:
+    """Play all seeds, some at the same time."""
+    slots = asyncio.Queue[int]()
+    for slot in range(at_once):
+        slots.put_nowait(slot)
+
+    async def one(seed: int) -> Result:
+        slot = await slots.get()
+        try:
+            result = await play(draw(seed, nodes, faults), slot)
+        finally:
+            slots.put_nowait(slot)
+        print(line_of(result), flush=True)
+        return result
+
+    return list(await asyncio.gather(*(one(seed) for seed in seeds)))
+
+
+def line_of(result: Result) -> str:
+    """Return one line on a run."""
+    kinds = " ".join(type(fault).__name__ for fault in result.plan.faults)
+    if not result.broken:
+        return f"seed {result.plan.seed}: kept, {len(result.seen.calls)} calls; {kinds}"
+    cases = "; ".join(
+        f"{name} {len(found)}: {found[0]}" for name, found in result.broken.items()
+    )
+    return f"seed {result.plan.seed}: BROKEN {cases}; {kinds}; logs in {result.logs}"
+
+
+def main() -> int:
+    """Run the command; 1 if a promise was broken."""
+    arguments = docopt(USAGE)
+    results = asyncio.run(
+        play_all(
+            parse_seeds(arguments["--seeds"]),
+            int(arguments["--nodes"]),
+            int(arguments["--faults"]),
+            int(arguments["--at-once"]),
+        )
+    )
+    failed = [result for result in results if result.broken]
+    print(f"{len(results)} seeds, {len(failed)} with a broken promise")
+    if arguments["--report"]:
+        report = pathlib.Path(arguments["--report"])
+        report.parent.mkdir(parents=True, exist_ok=True)
+        report.write_text(write(results))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,126 @@
+"""The promises, checked on what was seen. Pure: each yields what broke it."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from .records import Observations
+
+NOT_RUN = frozenset({429, 503})
+GOOD = 200
+NOT_FOUND = 404
+DRAIN_S = 2.0
+PROPAGATION_S = 2.0
+STABILITY_S = 3.0
+ANSWER_S = 2.5
+"""Longest that a caller may wait: its deadline of 2 s, and half a second."""
+RECOVERED_SHARE = 0.9
+FEW_CALLS = 20
+Check = Callable[[Observations], Iterator[str]]
+
+
+def ran_once(seen: Observations) -> Iterator[str]:
+    """Yield requests that must not repeat and ran more than once."""
+    runs = Counter(arrival.name for arrival in seen.arrivals)
+    for call in seen.calls:
+        if not call.idempotent and runs[call.name] > 1:
+            yield f"{call.name} ran {runs[call.name]} times"
+
+
+def refusals_are_true(seen: Observations) -> Iterator[str]:
+    """Yield requests that were answered as not run and ran."""
+    runs = Counter(arrival.name for arrival in seen.arrivals)
+    for call in seen.calls:
+        if call.status in NOT_RUN and not call.idempotent and runs[call.name]:
+            yield f"{call.name} was refused with {call.status} and ran"
+
+
+def answers_are_own(seen: Observations) -> Iterator[str]:
+    """Yield successes that are not the whole answer to their own request."""
+    for call in seen.calls:
+        if call.status == GOOD and not call.own:
+            yield f"{call.name} got an answer that is not its own"
+
+
+def answers_come_in_time(seen: Observations) -> Iterator[str]:
+    """Yield requests that a running node left unanswered past their deadline."""
+    for call in seen.calls:
+        late = call.ended_s - call.sent_s > ANSWER_S
+        if late and not seen.troubled(call.node, call.sent_s - 1, call.ended_s):
+            yield f"{call.name} waited {call.ended_s - call.sent_s:.1f} s"
+
+
+def drained_servers_are_left_alone(seen: Observations) -> Iterator[str]:
+    """Yield requests that reached a leaving server later than the bound."""
+    for leaving in seen.leavings:
+        for arrival in seen.arrivals:
+            name = arrival.instance_id
+            late_s = arrival.at_s - leaving.acknowledged_s - DRAIN_S
+            if name == leaving.instance_id and late_s > 0:
+                yield f"{arrival.name} reached {name} {late_s:.2f} s late"
+
+
+def versions_come_in_force(seen: Observations) -> Iterator[str]:
+    """Yield requests that a node without trouble handled by an overdue version."""
+    for publication in seen.publications:
+        bound_s = publication.at_s + PROPAGATION_S
+        for call in seen.calls:
+            if call.path != publication.path or call.sent_s < bound_s:
+                continue
+            from_s = call.sent_s - STABILITY_S
+            troubled = seen.troubled(call.node, from_s, call.ended_s)
+            if call.status == NOT_FOUND and not troubled:
+                yield f"{call.name} got 404 {call.sent_s - publication.at_s:.1f} s after"
+
+
+def versions_never_go_back(seen: Observations) -> Iterator[str]:
+    """Yield requests that a process handled by a version older than it had."""
+    first_s: dict[tuple[int, str], float] = {}
+    for call in sorted(seen.calls, key=lambda call: call.sent_s):
+        key = (call.node, call.path)
+        if call.status == GOOD:
+            first_s.setdefault(key, call.ended_s)
+            continue
+        served_s = first_s.get(key, call.sent_s)
+        went_back = call.status == NOT_FOUND and served_s < call.sent_s
+        if went_back and not seen.troubled(call.node, served_s, call.ended_s):
+            yield f"{call.name} got 404 after {call.path} was served"
+
+
+def planned_stops_cut_nothing(seen: Observations) -> Iterator[str]:
+    """Yield requests that ran and were cut, with no more than planned stops near."""
+    ran = {arrival.name for arrival in seen.arrivals}
+    for call in seen.calls:
+        unplanned = seen.troubled(
+            call.node, call.sent_s - STABILITY_S, call.ended_s, planned=False
+        )
+        if call.status == 0 and call.name in ran and not unplanned:
+            yield f"{call.name} ran, and its connection ended without an answer"
+
+
+def fleet_recovers(seen: Observations) -> Iterator[str]:
+    """Say if requests are not served in the calm after the last fault."""
+    calm = [call for call in seen.calls if call.sent_s > seen.calm_from_s]
+    good = sum(call.status == GOOD for call in calm)
+    if len(calm) < FEW_CALLS:
+        yield f"only {len(calm)} requests were sent after the last fault"
+    elif good < len(calm) * RECOVERED_SHARE:
+        yield f"{good} of {len(calm)} requests were served after the last fault"
+
+
+CHECKS: tuple[Check, ...] = (
+    ran_once,
+    refusals_are_true,
+    answers_are_own,
+    answers_come_in_time,
+    drained_servers_are_left_alone,
+    versions_come_in_force,
+    versions_never_go_back,
+    planned_stops_cut_nothing,
+    fleet_recovers,
+)
+
+
+def broken(seen: Observations) -> dict[str, list[str]]:
+    """Return what broke each promise that was broken, by its check's name."""
+    found = {check.__name__: list(check(seen)) for check in CHECKS}
+    return {name: cases for name, cases in found.items() if cases}
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,247 @@
+"""The fleet of one run: node processes, stand-ins and relays on loopback addresses."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import attrs
+import orjson
+from aiohttp import ClientSession, ClientTimeout, web
+
+from azurestep.platform.boot import SETTINGS_VARIABLE
+from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+from standins.serving import Address
+from standins.signing_server import SigningServer
+from standins.silent_proxy import SilentProxy
+from standins.store import StoreStandIn
+
+CALLER_PORT, PEER_PORT, PEER_LISTEN_PORT, READY_PORT = 7201, 7202, 7203, 7204
+ANNOUNCE_PORT, METRICS_PORT, BACKEND_PORT, STORE_PORT = 7205, 7206, 7207, 7208
+HEARTBEAT_S = 0.5
+ACKNOWLEDGED_WITHIN_S = 1.0
+OK = 200
+
+
+def document(version: int, paths: list[str]) -> bytes:
+    """Return the operators' document with a payment route and one per path."""
+    common = {
+        "host": "shop.example",
+        "max_attempts": 2,
+        "aim": "400ms",
+        "timeout": "1800ms",
+        "service": "shop",
+    }
+    routes = {
+        f"read-{index}": {
+            **common,
+            "path_prefix": path,
+            "route_kind": "safe",
+            "priority": 2,
+        }
+        for index, path in enumerate(paths)
+    }
+    routes["pay"] = {
+        **common,
+        "path_prefix": "/pay/",
+        "route_kind": "unsafe",
+        "priority": 1,
+    }
+    return orjson.dumps(
+        {
+            "version": version,
+            "routes": routes,
+            "services": {"shop": {"health_check_path": "/health"}},
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 4_000_000,
+                "header_timeout": "3000ms",
+                "idle_timeout": "15000ms",
+            },
+        }
+    )
+
+
+@attrs.define(eq=False)
+class Instance:
+    """One instance: a node process, its relay, and a backend server.
+
+    Attributes
+    ----------
+    wanted : bool
+        Whether the process is to run; it is started again while it is.
+    beating : bool
+        Whether the backend server sends heartbeats.
+    """
+
+    index: int
+    host: str
+    directory: pathlib.Path
+    store: Address
+    relay: SilentProxy
+    server: SigningServer
+    process: subprocess.Popen[bytes] | None = None
+    first_start: bool = True
+    wanted: bool = True
+    beating: bool = True
+    beats: int = 0
+    starts: int = 0
+
+    def start(self) -> None:
+        """Start the node's process."""
+        path = self.directory / f"settings-{self.index}.json"
+        path.write_bytes(orjson.dumps(self._settings()))
+        log = (self.directory / f"node-{self.index}.log").open("ab")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "azurestep", "sidecar"],
+            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+        self.first_start = False
+        self.starts += 1
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def _settings(self) -> dict[str, object]:
+        host = self.host
+        return {
+            "instance": f"node-{self.index}",
+            "data_centre": f"dc-{self.index % 2}",
+            "service": "shop",
+            "first_start": self.first_start,
+            "ip_address": host,
+            "caller_address": f"{host}:{CALLER_PORT}",
+            "peer_address": f"{host}:{PEER_PORT}",
+            "peer_listen_address": f"{host}:{PEER_LISTEN_PORT}",
+            "ready_address": f"{host}:{READY_PORT}",
+            "announce_address": f"{host}:{ANNOUNCE_PORT}",
+            "backend_address": f"{host}:{BACKEND_PORT}",
+            "metrics_port": METRICS_PORT,
+            "bounds": {"drain": "2s", "grace": "6s"},
+            "store": {"address": f"{self.store.host}:{self.store.port}"},
+        }
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """All instances of a run, and the store."""
+
+    network: str
+    directory: pathlib.Path
+    store: StoreStandIn
+    session: ClientSession
+    instances: list[Instance] = attrs.field(factory=list)
+    paths: list[str] = attrs.field(factory=lambda: ["/read/"])
+    version: int = 0
+    _runner: web.AppRunner | None = None
+    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+
+    async def start(self, count: int) -> None:
+        """Start the store and all instances, and wait until all are ready."""
+        self.publish()
+        self._runner = web.AppRunner(self.store.application(), shutdown_timeout=0)
+        await self._runner.setup()
+        store = Address(f"{self.network}.250", STORE_PORT)
+        await web.TCPSite(self._runner, store.host, store.port).start()
+        for index in range(count):
+            self.instances.append(await self._new_instance(index, store))
+        for instance in self.instances:
+            instance.start()
+            self._tasks.append(asyncio.create_task(self._keep_running(instance)))
+            self._tasks.append(asyncio.create_task(self._beat(instance)))
+        await asyncio.gather(*(self._ready(one) for one in self.instances))
+
+    def publish(self, path: str = "") -> int:
+        """Publish a version, with one more route if a path is given."""
+        self.version += 1
+        if path:
+            self.paths.append(path)
+        content = document(self.version, self.paths)
+        self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
+        return self.version
+
+    async def announce(self, instance: Instance, state: str = "ready") -> bool:
+        """Send a heartbeat; return whether it was acknowledged."""
+        instance.beats += 1
+        body = {
+            "address": f"{instance.host}:{BACKEND_PORT}",
+            "information": {
+                "service": "shop",
+                "version": "v1",
+                "slots": instance.server.slots,
+            },
+            "status": {
+                "state": state,
+                "sequence": instance.beats,
+                "cold_remaining": "0ms",
+            },
+        }
+        name = instance.server.instance_id
+        path = f"/v1/instances/{name}/heartbeat"
+        url = f"http://{instance.host}:{ANNOUNCE_PORT}{path}"
+        timeout = ClientTimeout(total=ACKNOWLEDGED_WITHIN_S)
+        try:
+            async with self.session.post(url, json=body, timeout=timeout) as answer:
+                return answer.status == OK
+        except (OSError, TimeoutError):
+            return False
+
+    async def stop(self) -> None:
+        """End all processes that were started here, and the stand-ins."""
+        for task in self._tasks:
+            task.cancel()
+        for instance in self.instances:
+            instance.wanted = False
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+        for instance in self.instances:
+            if instance.process is not None:
+                instance.process.wait()
+            await instance.server.stop()
+            await instance.relay.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _new_instance(self, index: int, store: Address) -> Instance:
+        host = f"{self.network}.{index + 1}"
+        server = SigningServer(f"i-{index}-0", work_s=0.02, slots=8)
+        await server.start(host, BACKEND_PORT)
+        relay = SilentProxy(Address(host, PEER_LISTEN_PORT), Address(host, PEER_PORT))
+        await relay.start()
+        return Instance(index, host, self.directory, store, relay, server)
+
+    async def _keep_running(self, instance: Instance) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            if instance.wanted and not instance.running:
+                instance.start()
+
+    async def _beat(self, instance: Instance) -> None:
+        while True:
+            if instance.beating:
+                await self.announce(instance)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _ready(self, instance: Instance) -> None:
+        url = f"http://{instance.host}:{READY_PORT}/v1/ready"
+        async with asyncio.timeout(20):
+            while True:
+                await asyncio.sleep(0.05)
+                try:
+                    async with self.session.get(url) as answer:
+                        if answer.status == OK:
+                            return
+                except OSError:
+                    continue
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,158 @@
+"""Which faults strike when: drawn from a seed. Pure."""
+
+from random import Random
+
+import attrs
+
+SETTLE_S = 1.5
+"""Time before the first fault: all nodes know one another after some 0.5 s."""
+CALM_S = 5.0
+"""Time after the last fault: stability of 3 s, then what recovery is judged by."""
+LONGEST_S = 2.5
+SHORTEST_S = 0.3
+GAP_S = 1.2
+"""Mean pause between two faults; with durations up to 2.5 s, many overlap."""
+
+
+@attrs.frozen
+class Fault:
+    """Something that happens to one part of the fleet.
+
+    Attributes
+    ----------
+    at_s, for_s : float
+        Begin, from the start of the traffic, and duration.
+    target : int
+        Index of the instance it strikes.
+    """
+
+    at_s: float
+    for_s: float
+    target: int
+
+    @property
+    def end_s(self) -> float:
+        """When it is over."""
+        return self.at_s + self.for_s
+
+
+class Kill(Fault):
+    """SIGKILL; the process starts again after ``for_s``."""
+
+
+class Pause(Fault):
+    """SIGSTOP, and SIGCONT after ``for_s``."""
+
+
+class Stop(Fault):
+    """SIGTERM; the process starts again once it has ended."""
+
+
+class Silence(Fault):
+    """Open links to the node swallow all bytes; new ones work."""
+
+
+class Hold(Fault):
+    """Bytes to the node wait and are delivered late."""
+
+
+class CutOneWay(Fault):
+    """Bytes from the node to those that opened links wait; the others pass."""
+
+
+class Reset(Fault):
+    """Links to the node are reset, and new ones refused."""
+
+
+class StoreBusy(Fault):
+    """The store refuses all calls."""
+
+
+class StoreSilent(Fault):
+    """The store does not answer."""
+
+
+class StoreLosesAnswers(Fault):
+    """The store carries calls out and breaks off."""
+
+
+class StoreRefusesNode(Fault):
+    """The store turns one node away."""
+
+
+class StoreForgets(Fault):
+    """The store drops its history."""
+
+
+class ServerReplaced(Fault):
+    """The backend server drains and another incarnation takes its place."""
+
+
+class ServerCrash(Fault):
+    """The backend server ends at once and is back after ``for_s``."""
+
+
+class ServerForgets(Fault):
+    """The backend server forgets its idle connections."""
+
+
+class Publish(Fault):
+    """The operators publish a version with one more route."""
+
+
+KINDS: tuple[type[Fault], ...] = (
+    Kill,
+    Pause,
+    Stop,
+    Silence,
+    Hold,
+    CutOneWay,
+    Reset,
+    StoreBusy,
+    StoreSilent,
+    StoreLosesAnswers,
+    StoreRefusesNode,
+    StoreForgets,
+    ServerReplaced,
+    ServerCrash,
+    ServerForgets,
+    Publish,
+    Publish,
+)
+"""All kinds; publications come twice as often, as they meet every other fault."""
+
+
+@attrs.frozen
+class Plan:
+    """What happens in one run."""
+
+    seed: int
+    instances: int
+    faults: tuple[Fault, ...]
+
+    @property
+    def duration_s(self) -> float:
+        """Length of the traffic."""
+        return max((fault.end_s for fault in self.faults), default=0.0) + CALM_S
+
+
+def draw(seed: int, instances: int, faults: int) -> Plan:
+    """Draw a plan.
+
+    Examples
+    --------
+    >>> plan = draw(seed=7, instances=4, faults=3)
+    >>> plan == draw(seed=7, instances=4, faults=3)
+    True
+    >>> len(plan.faults)
+    3
+    """
+    random = Random(seed)
+    at_s = SETTLE_S
+    drawn = []
+    for _ in range(faults):
+        kind = random.choice(KINDS)
+        for_s = random.uniform(SHORTEST_S, LONGEST_S)
+        drawn.append(kind(at_s, for_s, random.randrange(instances)))
+        at_s += random.expovariate(1 / GAP_S)
+    return Plan(seed, instances, tuple(drawn))
--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,97 @@
+"""What callers and backend servers saw in one run."""
+
+import attrs
+
+
+@attrs.frozen
+class Call:
+    """One attempt of a caller.
+
+    Attributes
+    ----------
+    node : int
+        Index of the instance whose node was asked.
+    sent_s, ended_s : float
+        By the event loop.
+    status : int
+        Answer's status; 0 if the connection ended without one, -1 if there was none.
+    own : bool
+        Whether the answer names this request and its body is the one owed.
+    """
+
+    name: str
+    node: int
+    path: str
+    idempotent: bool
+    sent_s: float
+    ended_s: float
+    status: int
+    own: bool
+
+
+@attrs.frozen
+class Arrival:
+    """One request at a backend server."""
+
+    name: str
+    instance_id: str
+    at_s: float
+
+
+@attrs.frozen
+class Leaving:
+    """A backend server's leaving, acknowledged by its node."""
+
+    instance_id: str
+    acknowledged_s: float
+
+
+@attrs.frozen
+class Publication:
+    """A version that the operators published, and the path that it adds."""
+
+    version: int
+    path: str
+    at_s: float
+
+
+@attrs.frozen
+class Trouble:
+    """A span in which a node, or all of them, can't be held to time bounds.
+
+    Attributes
+    ----------
+    node : int or None
+        Index of the instance; None for all.
+    planned : bool
+        Whether the operators caused it by a stop.
+    """
+
+    node: int | None
+    from_s: float
+    to_s: float
+    planned: bool = False
+
+
+@attrs.define
+class Observations:
+    """All that was seen in one run."""
+
+    calls: list[Call] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    leavings: list[Leaving] = attrs.field(factory=list)
+    publications: list[Publication] = attrs.field(factory=list)
+    troubles: list[Trouble] = attrs.field(factory=list)
+    calm_from_s: float = 0.0
+
+    def troubled(
+        self, node: int, from_s: float, to_s: float, planned: bool = True
+    ) -> bool:
+        """Whether a node was in trouble in a span; planned trouble counts or not."""
+        return any(
+            trouble.node in (None, node)
+            and trouble.from_s < to_s
+            and trouble.to_s > from_s
+            and (planned or not trouble.planned)
+            for trouble in self.troubles
+        )
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,106 @@
+"""One run: a plan carried out on a fleet while callers send, then the checks."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import tempfile
+from random import Random
+
+import attrs
+from aiohttp import ClientSession
+
+from standins.store import StoreStandIn
+
+from .callers import Caller
+from .checks import broken
+from .faults import BACK_S, Stage, strike
+from .fleet import Fleet
+from .plan import CALM_S, Plan
+from .records import Arrival, Observations
+
+CALLERS_PER_NODE = 3
+REST_S = 2.5
+"""Time after the last request in which a late one would still run."""
+
+
+@attrs.frozen
+class Result:
+    """What one seed came to.
+
+    Attributes
+    ----------
+    broken : dict
+        Cases by the check that found them; empty if all promises were kept.
+    logs : pathlib.Path or None
+        Where the nodes' logs are, if a promise was broken.
+    """
+
+    plan: Plan
+    seen: Observations
+    broken: dict[str, list[str]]
+    logs: pathlib.Path | None
+
+
+def network_of(slot: int) -> str:
+    """Return loopback addresses that no other run uses."""
+    return f"127.{100 + os.getpid() % 100}.{slot % 250 + 1}"
+
+
+async def play(plan: Plan, slot: int) -> Result:
+    """Carry one plan out."""
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
+    seen = Observations()
+    async with ClientSession() as session:
+        fleet = Fleet(network_of(slot), directory, StoreStandIn(), session)
+        try:
+            await fleet.start(plan.instances)
+            await _traffic(plan, fleet, seen)
+        finally:
+            arrivals = [one.server.arrivals for one in fleet.instances]
+            await fleet.stop()
+    seen.arrivals = [
+        Arrival(name, instance_id, at_s)
+        for rows in arrivals
+        for name, instance_id, at_s in rows
+    ]
+    found = broken(seen)
+    if not found:
+        _remove(directory)
+    return Result(plan, seen, found, directory if found else None)
+
+
+async def _traffic(plan: Plan, fleet: Fleet, seen: Observations) -> None:
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    stage = Stage(fleet, seen)
+    random = Random(plan.seed)
+    callers = [
+        asyncio.create_task(
+            Caller(index, index % plan.instances, fleet, seen, random).run()
+        )
+        for index in range(plan.instances * CALLERS_PER_NODE)
+    ]
+    faults = [
+        asyncio.create_task(_strike_at(fault.at_s, start_s, fault, stage))
+        for fault in plan.faults
+    ]
+    seen.calm_from_s = start_s + plan.duration_s - CALM_S + BACK_S
+    await asyncio.sleep(plan.duration_s)
+    for task in callers:
+        task.cancel()
+    await asyncio.gather(*callers, return_exceptions=True)
+    await asyncio.gather(*faults)
+    await asyncio.sleep(REST_S)
+
+
+async def _strike_at(at_s: float, start_s: float, fault, stage: Stage) -> None:  # type: ignore[no-untyped-def]
+    await asyncio.sleep(start_s + at_s - asyncio.get_running_loop().time())
+    await strike(fault, stage)
+
+
+def _remove(directory: pathlib.Path) -> None:
+    for path in directory.iterdir():
+        with contextlib.suppress(OSError):
+            path.unlink()
+    directory.rmdir()
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -15,12 +15,13 @@
 
 @attrs.frozen
 class Received:
-    """One request as the backend server got it."""
+    """One request as the backend server got it, and when, by the event loop."""
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at_s: float = 0.0
 
 
 @attrs.define
@@ -38,6 +39,8 @@
         close the connection without an answer.
     runs : Counter
         How often each request ran, by its id.
+    arrivals : list of tuple
+        Id, incarnation and time of each request that ran.
     """
 
     instance_id: str
@@ -47,6 +50,7 @@
     misbehave: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
     received: list[Received] = attrs.field(factory=list)
+    arrivals: list[tuple[str, str, float]] = attrs.field(factory=list)
     connections: int = 0
     running: int = 0
     most_running: int = 0
@@ -108,6 +112,7 @@
         self.received.append(received)
         name = received.headers.get("attempt-id", "")
         self.runs[name] += 1
+        self.arrivals.append((name, self.instance_id, received.at_s))
         if self.misbehave is not None:
             return self.misbehave(received)
         self.running += 1
@@ -153,7 +158,8 @@
         body = await _read_chunks(reader)
     else:
         body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return Received(method, target, headers, body)
+    at_s = asyncio.get_running_loop().time()
+    return Received(method, target, headers, body, at_s)
 
 
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
