--- a/soak/checks.py
+++ b/soak/checks.py
@@ -69,7 +69,8 @@
             from_s = call.sent_s - STABILITY_S
             troubled = seen.troubled(call.node, from_s, call.ended_s)
             if call.status == NOT_FOUND and not troubled:
-                yield f"{call.name} got 404 {call.sent_s - publication.at_s:.1f} s after"
+                age_s = call.sent_s - publication.at_s
+                yield f"{call.name} got 404 {age_s:.1f} s after the version"
 
 
 def versions_never_go_back(seen: Observations) -> Iterator[str]:
