--- a/azurestep/platform/document.py
+++ b/azurestep/platform/document.py
@@ -1,5 +1,6 @@
 """The operator's document, read into a routing table."""
 
+import functools
 from typing import Any
 
 import orjson
@@ -11,6 +12,8 @@
 IDEMPOTENT_KIND = "safe"
 DEFAULT_TIMEOUT_MS = 30_000.0
 LOWEST_PRIORITY = 9
+SERVICES_KEPT = 64
+"""Services whose parts are shared between routes."""
 UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, SettingsError)
 
 
@@ -69,10 +72,16 @@
 def _parts(fields: dict[str, Any]) -> tuple[Part, ...]:
     split = fields.get("traffic_split")
     if not split:
-        return (Part(str(fields["service"]), 1.0),)
+        return _only_part(str(fields["service"]))
     return tuple(Part(str(part["service"]), float(part["weight"])) for part in split)
 
 
+@functools.lru_cache(maxsize=SERVICES_KEPT)
+def _only_part(service: str) -> tuple[Part, ...]:
+    """Return the parts of a route without a split, shared by all such routes."""
+    return (Part(service, 1.0),)
+
+
 def _limits(fields: dict[str, Any]) -> Limits:
     return Limits(
         int(fields["max_header_bytes"]),
--- a/azurestep/platform/units.py
+++ b/azurestep/platform/units.py
@@ -1,12 +1,16 @@
 """Times with a unit, as the platform writes them."""
 
+import functools
 import math
 
 from ..errors import SettingsError
 
 UNITS_MS = {"ms": 1.0, "s": 1000.0}
+DURATIONS_KEPT = 256
+"""Durations whose value is kept: thousands of routes have a few between them."""
 
 
+@functools.lru_cache(maxsize=DURATIONS_KEPT)
 def parse_duration_ms(text: str) -> float:
     """Return a duration in milliseconds.
 
