--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -127,7 +127,11 @@
             self._write(far, data)
 
     def push_configuration(self) -> None:
-        """Send the configuration in force to the nodes of this data centre."""
+        """Send the configuration in force to the nodes of this data centre.
+
+        Done by the node that read it. Passed on by each of 24 nodes to all others, one
+        version of 20 KB kept links of 10 Mbit/s busy for 0.4 s.
+        """
         version, content = self.configuration()
         data = encode(Kind.CONFIGURATION, version, compress(content))
         self._write({one for one in self.servers if self._is_near(one)}, data)
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -308,7 +308,8 @@
     def _on_version(self, table: RoutingTable) -> None:
         self.callers.limits = table.limits
         self.tell_state()
-        self.listener.push_configuration()
+        if self.configuration.version_read == table.version:
+            self.listener.push_configuration()
         self.prober.check()
 
     def _client(self) -> StoreClient:
--- a/tests/test_mesh_cadence.py
+++ b/tests/test_mesh_cadence.py
@@ -111,3 +111,15 @@
     time.sleep(DOUBT_MS / 1000 + 0.05)
     node._tick([])
     assert not any(link.endpoint.doubted for link in links)
+
+
+async def test_a_version_is_pushed_by_the_node_that_read_it_only(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    pushed: list[PeerListener] = []
+    monkeypatch.setattr(PeerListener, "push_configuration", pushed.append)
+    node = mesh.instances[0].node
+    node.configuration.offer(document(50), PEER)
+    assert pushed == []
+    node.configuration.offer(document(51), STORE)
+    assert pushed == [node.listener]
