--- a/tests/test_mesh_cadence.py
+++ b/tests/test_mesh_cadence.py
@@ -117,9 +117,11 @@
     mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     pushed: list[PeerListener] = []
-    monkeypatch.setattr(
-        PeerListener, "push_configuration", lambda listener: pushed.append(listener)
-    )
+
+    def note(self: PeerListener) -> None:
+        pushed.append(self)
+
+    monkeypatch.setattr(PeerListener, "push_configuration", note)
     node = mesh.instances[0].node
     node.configuration.offer(document(50), PEER)
     assert pushed == []
