--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -163,22 +163,23 @@
         """Learn that a connection ended under a request, before any answer.
 
         A backend server that dies ends all its connections; the last one of them
-        has it looked at whether it still listens.
+        has it looked at whether it still listens. If it does, no request is blamed.
         """
         self._next_try_ms = 0.0
-        forgotten = self.now_ms() - sent_ms < FORGOTTEN_MS
-        if forgotten and connection.used > 1:
-            self.idle.distrust(connection.rested_ms, self.runtime.loop.time())
-            events.log(
-                events.CONNECTION_FORGOTTEN,
-                instance=self.backend.instance_id,
-                rested_ms=round(connection.rested_ms),
-                trusted_ms=round(self.idle.trusted_ms),
-            )
-            return
         self.crashes.lost(request, self.now_ms())
         if len(self._runs) == 1:
             self.runtime.spawn(self._try_again())
+        if connection.used > 1 and self.now_ms() - sent_ms < FORGOTTEN_MS:
+            self._distrust_idle(connection.rested_ms)
+
+    def _distrust_idle(self, rested_ms: float) -> None:
+        self.idle.distrust(rested_ms, self.runtime.loop.time())
+        events.log(
+            events.CONNECTION_FORGOTTEN,
+            instance=self.backend.instance_id,
+            rested_ms=round(rested_ms),
+            trusted_ms=round(self.idle.trusted_ms),
+        )
 
     def changed(self) -> None:
         """Apply a change of what the backend server announced."""
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -92,6 +92,8 @@
 
         return misbehave
 
+    for index, instance in enumerate(mesh.instances):
+        await mesh.get(instance, "/read/1", f"opens-a-connection-{index}")
     stops: list[asyncio.Future[None]] = []
     for instance in mesh.instances:
         instance.server.misbehave = poisoned(instance)
