--- a/azurestep/mesh/backend_run.py
+++ b/azurestep/mesh/backend_run.py
@@ -152,9 +152,9 @@
         self._awaits_body = not self._whole
         if self._awaits_body and not self.inbound.transfers.begin(self):
             return
-        self.call_in()
+        self.ask_for_body()
 
-    def call_in(self) -> None:
+    def ask_for_body(self) -> None:
         """Ask the sender to let the request go, and for its body if that is long."""
         self._ready_ms = self.inbound.now_ms()
         self.receiver.on_ready()
--- a/azurestep/mesh/cadence.py
+++ b/azurestep/mesh/cadence.py
@@ -38,8 +38,8 @@
 
 
 @attrs.define(slots=True)
-class Audience:
-    """Nodes that get load reports at the same pace.
+class ReportPace:
+    """When load reports to a group of nodes are due.
 
     Attributes
     ----------
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/choice.py
@@ -10,7 +10,7 @@
 workloads that were measured."""
 RUN_GAIN = 0.1
 """Weight of a new run time in the mean over all backend servers."""
-CROWD = 8
+SAMPLED_ABOVE = 8
 """Backend servers above which only some are weighed for one request: with 71 nodes,
 load is told too seldom for a choice of the best of all."""
 NEAR_SAMPLE = 4
@@ -161,7 +161,7 @@
 
     Many nodes that choose the best of the same old news all choose the same one.
     """
-    if len(endpoints) <= CROWD:
+    if len(endpoints) <= SAMPLED_ABOVE:
         return endpoints
     near = [one for one in endpoints if one.data_centre == data_centre]
     far = [one for one in endpoints if one.data_centre != data_centre]
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -10,7 +10,7 @@
 from ..quarantine import QuarantineUpdate
 from . import events
 from .backend_run import Run
-from .cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, Audience
+from .cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, ReportPace
 from .crashes import encode_updates
 from .inbound import Inbound
 from .messages import (
@@ -103,18 +103,18 @@
     version_read: Callable[[], int]
     data_centre: str
     servers: "set[PeerServer]" = attrs.field(factory=set)
-    _essence: tuple[object, ...] = ()
-    _near: Audience = attrs.field(factory=lambda: Audience(NEAR_REPORTS_PER_S))
-    _far: Audience = attrs.field(factory=lambda: Audience(FAR_REPORTS_PER_S))
+    _urgent: tuple[object, ...] = ()
+    _near: ReportPace = attrs.field(factory=lambda: ReportPace(NEAR_REPORTS_PER_S))
+    _far: ReportPace = attrs.field(factory=lambda: ReportPace(FAR_REPORTS_PER_S))
 
     def broadcast_state(self) -> None:
         """Tell all nodes the state of this one: what matters at once, load in turn."""
         state = self.state()
         data = encode(Kind.STATE, *fields_of(state))
         now_ms = self.runtime.now_ms()
-        essence = (self.version_read(), *_essence(state))
-        if essence != self._essence:
-            self._essence = essence
+        urgent = (self.version_read(), *_urgent(state))
+        if urgent != self._urgent:
+            self._urgent = urgent
             self._near.sent(data, now_ms)
             self._far.sent(data, now_ms)
             self._write(self.servers, data)
@@ -151,7 +151,7 @@
         )
 
 
-def _essence(state: State) -> tuple[object, ...]:
+def _urgent(state: State) -> tuple[object, ...]:
     """Return what other nodes must not act on a moment longer once it changed.
 
     A version is news when it was read from the store. If all nodes told it at once,
--- a/azurestep/mesh/transfers.py
+++ b/azurestep/mesh/transfers.py
@@ -14,7 +14,7 @@
 class Transfer(Protocol):
     """A request whose body is fetched when its turn comes."""
 
-    def call_in(self) -> None:
+    def ask_for_body(self) -> None:
         """Ask the sender for the body."""
 
 
@@ -26,7 +26,7 @@
     _waiting: deque[Transfer] = attrs.field(factory=deque)
 
     def begin(self, transfer: Transfer) -> bool:
-        """Whether a body may be fetched now; if not, it is called in later."""
+        """Whether a body may be fetched now; if not, it is asked for later."""
         if len(self._fetching) < AT_ONCE:
             self._fetching.add(transfer)
             return True
@@ -34,7 +34,7 @@
         return False
 
     def end(self, transfer: Transfer) -> None:
-        """Note that a body came or is not needed, and call the next one in."""
+        """Note that a body came or is not needed, and ask for the next one."""
         if transfer in self._waiting:
             self._waiting.remove(transfer)
             return
@@ -44,4 +44,4 @@
         if self._waiting:
             following = self._waiting.popleft()
             self._fetching.add(following)
-            following.call_in()
+            following.ask_for_body()
--- a/tests/test_mesh_cadence.py
+++ b/tests/test_mesh_cadence.py
@@ -11,7 +11,7 @@
     IDLE_PROBE_LEAST_MS,
     IDLE_PROBES_PER_S,
     REPORT_LEAST_MS,
-    Audience,
+    ReportPace,
     idle_probe_ms,
 )
 from azurestep.mesh.configuration import PEER, STORE
@@ -33,7 +33,7 @@
 
 @given(links=LINKS)
 def test_load_reports_keep_to_their_rate(links: int) -> None:
-    audience = Audience(per_s=40.0)
+    audience = ReportPace(per_s=40.0)
     seconds = 100
     sent = sum(
         audience.is_due(str(tick).encode(), links, tick * 100.0)
@@ -44,7 +44,7 @@
 
 
 def test_a_report_that_says_nothing_new_is_not_sent() -> None:
-    audience = Audience(per_s=40.0)
+    audience = ReportPace(per_s=40.0)
     assert audience.is_due(b"a", 2, 0.0)
     assert not audience.is_due(b"a", 2, 10_000.0)
     assert not audience.is_due(b"b", 2, 100.0)
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self.called = 0
 
-    def call_in(self) -> None:
+    def ask_for_body(self) -> None:
         self.called += 1
 
 
@@ -36,7 +36,7 @@
     assert [one.called for one in fetches[AT_ONCE:]] == [1, 0]
 
 
-def test_who_gives_up_while_it_waits_is_not_called_in(transfers: Transfers) -> None:
+def test_who_gives_up_while_it_waits_is_not_asked(transfers: Transfers) -> None:
     fetches = [Fetch() for _ in range(AT_ONCE + 2)]
     for one in fetches:
         transfers.begin(one)
