--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/call.py
@@ -1,23 +1,16 @@
 """One attempt of a caller: choose, send, try elsewhere, answer."""
 
-import attrs
-
 from ..platform.headers import CallerFields
 from . import events
 from .answer_writer import AnswerWriter
 from .backend_run import WINDOW_BYTES
-from .choice import Endpoint, UsualTimes, Wish, choose
+from .call_context import CallContext, Target
+from .choice import Endpoint, Wish, choose
 from .crashes import RETRY_MS as CRASH_RETRY_MS
-from .crashes import CrashWatch
 from .http_server import Exchange
-from .members import Members
 from .messages import Answer, Failure, Reason, Refusal, Request
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
-from .peer_link import Stream
-from .pressure import RefusalMeter
-from .retry_budget import RetryBudget
-from .routes import Route
-from .runtime import Runtime
+from .peer_connection import Stream
 
 BODY_BUFFER_BYTES = 524_288
 """Bodies up to this size are read whole before they are sent, so that a request
@@ -41,40 +34,6 @@
 GOOD_BELOW = 300
 
 
-@attrs.define(eq=False)
-class CallContext:
-    """What the calls of a node share.
-
-    Attributes
-    ----------
-    calling_service : str
-        Service of this instance, which backend servers are told.
-    """
-
-    runtime: Runtime
-    members: Members
-    budget: RetryBudget
-    calling_service: str
-    crashes: CrashWatch
-    usual: UsualTimes = attrs.field(factory=UsualTimes)
-    refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
-
-    def offered(self, route: Route, service: str) -> None:
-        """Count a request for a service."""
-        self.refusals.offered(route.name, service, route.priority)
-        self.budget.members = self.members.count()
-        self.budget.earn(service)
-
-
-@attrs.frozen(slots=True)
-class Target:
-    """Where a configuration sends a request."""
-
-    route: Route
-    service: str
-    version: int
-
-
 class Call:
     """One attempt of a caller, until it is answered."""
 
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -14,7 +14,8 @@
 from .choice import Endpoint
 from .inbound import Inbound
 from .messages import Hello, Request, State
-from .peer_link import CallReceiver, PeerLink, Stream
+from .peer_connection import CallReceiver, Stream
+from .peer_link import PeerLink
 from .runtime import Runtime
 from .settings import Address
 
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -6,7 +6,8 @@
 
 from ..platform.headers import read_caller
 from . import events
-from .call import UNAVAILABLE, Call, CallContext, Target
+from .call import UNAVAILABLE, Call
+from .call_context import CallContext, Target
 from .http_server import Exchange
 from .messages import Reason
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
--- /dev/null
+++ b/azurestep/mesh/peer_connection.py
@@ -0,0 +1,248 @@
+"""One connection of a link: requests and probes out, outcomes and state in."""
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Protocol
+
+import attrs
+import msgpack
+
+from ..quarantine import QuarantineUpdate
+from . import events
+from .backend_run import AnswerReceiver
+from .crashes import decode_updates
+from .messages import (
+    Answer,
+    Decoder,
+    Failure,
+    Hello,
+    Kind,
+    Reason,
+    Refusal,
+    Request,
+    State,
+    decompress,
+    encode,
+    fields_of,
+)
+
+if TYPE_CHECKING:
+    from .peer_link import PeerLink
+
+BUSY_PING_MS = 90.0
+"""Time between probes of a link with requests under way."""
+
+
+class Stream(Protocol):
+    """The sender's hold on one request."""
+
+    def body(self, data: bytes, whole: bool) -> None:
+        """Send more of the body."""
+
+    def cancel(self) -> None:
+        """Stop the request; nobody waits for it."""
+
+    def grant(self, size: int) -> None:
+        """Take more of the answer."""
+
+
+class CallReceiver(AnswerReceiver, Protocol):
+    """What sent a request over a link."""
+
+    def on_doubt(self, let_go: bool) -> None:
+        """Learn that the node owes a sign of life.
+
+        Parameters
+        ----------
+        let_go : bool
+            Whether the request may have run; False if it surely has not.
+        """
+
+
+class LinkEvents(Protocol):
+    """What hears of news from other nodes."""
+
+    def on_link_up(self, link: "PeerLink", hello: Hello) -> None:
+        """Learn that a node answers."""
+
+    def on_link_down(self, link: "PeerLink", cause: str) -> None:
+        """Learn that a node does not answer."""
+
+    def on_state(self, link: "PeerLink", state: State) -> None:
+        """Learn a node's state."""
+
+    def on_configuration(self, version: int, content: bytes) -> None:
+        """Take a configuration that a node sent."""
+
+    def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
+        """Learn which requests were under way as backend servers died."""
+
+    def hello(self) -> Hello:
+        """Return this node's greeting."""
+
+
+@attrs.define(eq=False)
+class RemoteStream:
+    """One request on a link."""
+
+    connection: "PeerConnection"
+    number: int
+    receiver: CallReceiver
+    idempotent: bool
+    let_go: bool
+
+    def body(self, data: bytes, whole: bool) -> None:
+        """Send more of the body."""
+        self.connection.send(Kind.BODY, self.number, data, whole)
+
+    def cancel(self) -> None:
+        """Stop the request."""
+        if self.connection.streams.pop(self.number, None) is not None:
+            self.connection.send(Kind.CANCEL, self.number)
+
+    def grant(self, size: int) -> None:
+        """Take more of the answer."""
+        self.connection.send(Kind.CREDIT, self.number, size)
+
+
+class PeerConnection(asyncio.Protocol):
+    """One TCP connection of a link."""
+
+    def __init__(self, link: "PeerLink") -> None:
+        self.link = link
+        self.streams: dict[int, RemoteStream] = {}
+        self.received_ms = link.runtime.now_ms()
+        self.pinged_ms = self.received_ms
+        self._decoder = Decoder()
+        self._transport: asyncio.Transport | None = None
+        self._next = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Greet the other node."""
+        self._transport = transport  # type: ignore[assignment]
+        self.link.connection = self
+        self.send(Kind.HELLO, *fields_of(self.link.news.hello()))
+        self.ping()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what is unanswered; it may have run."""
+        self.link.on_connection_lost(self)
+        self._fail_streams(only_idempotent=False)
+
+    def data_received(self, data: bytes) -> None:
+        """Take messages."""
+        self.received_ms = self.link.runtime.now_ms()
+        try:
+            for message in self._decoder.feed(data):
+                self._take(message)
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            IndexError,
+            msgpack.UnpackException,
+        ) as error:
+            events.log(events.PEER_MALFORMED, cause=repr(error))
+            self.abort()
+
+    def open(self, request: Request, receiver: CallReceiver) -> RemoteStream:
+        """Send a request."""
+        self._next += 1
+        stream = RemoteStream(
+            self, self._next, receiver, request.idempotent, not request.held
+        )
+        self.streams[self._next] = stream
+        self.send(Kind.REQUEST, self._next, *fields_of(request))
+        self._probe_rested()
+        return stream
+
+    def _probe_rested(self) -> None:
+        """Probe along with a request if the link rested: it may have died meanwhile."""
+        age_ms = self.link.runtime.now_ms() - self.received_ms
+        if self.answered and age_ms > BUSY_PING_MS:
+            self.ping()
+
+    @property
+    def answered(self) -> bool:
+        """Whether something came since the last probe."""
+        return self.received_ms >= self.pinged_ms
+
+    def doubt(self) -> None:
+        """Let the senders of all requests look for another way."""
+        for stream in list(self.streams.values()):
+            stream.receiver.on_doubt(stream.let_go)
+
+    def send(self, kind: Kind, *fields: object) -> None:
+        """Send a message."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(encode(kind, *fields))
+
+    def ping(self) -> None:
+        """Ask for a sign of life."""
+        self.pinged_ms = self.link.runtime.now_ms()
+        self.send(Kind.PING, self.pinged_ms)
+
+    def abort(self) -> None:
+        """Reset the connection, so that bytes held up on the way are lost."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def retire(self) -> None:
+        """Give up on what may be repeated; let the rest wait for its answer."""
+        self._fail_streams(only_idempotent=True)
+        if not self.streams:
+            self.abort()
+
+    def _fail_streams(self, only_idempotent: bool) -> None:
+        for number, stream in list(self.streams.items()):
+            if only_idempotent and not stream.idempotent and stream.let_go:
+                continue
+            if self.streams.pop(number, None) is None:
+                continue
+            if only_idempotent:
+                self.send(Kind.CANCEL, number)
+            if stream.let_go:
+                stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
+            else:
+                stream.receiver.on_refusal(Refusal(int(Reason.LINK_LOST), 0, 0.0))
+
+    def _take(self, message: tuple[Any, ...]) -> None:
+        kind = message[0]
+        if kind == Kind.PONG:
+            return
+        if kind == Kind.STATE:
+            self.link.on_state(self, State(*message[1:]))
+        elif kind == Kind.HELLO:
+            self.link.on_hello(self, Hello(*message[1:6]))
+        elif kind == Kind.CONFIGURATION:
+            self.link.news.on_configuration(message[1], decompress(message[2]))
+        elif kind == Kind.CRASHES:
+            self.link.news.on_crashes(message[1], decode_updates(message[2]))
+        else:
+            self._take_outcome(kind, message[1], message[2:])
+
+    def _take_outcome(self, kind: int, number: int, fields: tuple[Any, ...]) -> None:
+        stream = self.streams.get(number)
+        if stream is None:
+            return
+        receiver = stream.receiver
+        if kind == Kind.ANSWER:
+            answer = Answer(*fields)
+            if answer.whole:
+                self.streams.pop(number, None)
+            receiver.on_answer(answer)
+        elif kind == Kind.ANSWER_DATA:
+            if fields[1]:
+                self.streams.pop(number, None)
+            receiver.on_answer_data(fields[0], fields[1])
+        elif kind == Kind.REFUSAL:
+            self.streams.pop(number, None)
+            receiver.on_refusal(Refusal(*fields))
+        elif kind == Kind.FAILURE:
+            self.streams.pop(number, None)
+            receiver.on_failure(Failure(*fields))
+        elif kind == Kind.READY:
+            stream.let_go = True
+            self.send(Kind.GO, number)
+            receiver.on_ready()
+        elif kind == Kind.CREDIT:
+            receiver.on_credit(fields[0])
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -15,7 +15,7 @@
 from ..quarantine import QuarantineUpdate
 from . import endpoints, events
 from .backend import Backend
-from .call import CallContext
+from .call_context import CallContext
 from .configuration import PEER, Configuration
 from .crashes import CrashWatch
 from .discovery import Discovery
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -6,7 +6,7 @@
 
 from azurestep.mesh.call import BULK_BYTES
 from azurestep.mesh.messages import Kind
-from azurestep.mesh.peer_link import PeerConnection
+from azurestep.mesh.peer_connection import PeerConnection
 from azurestep.mesh.transfers import AT_ONCE, Transfers
 
 from .fixtures_mesh import MeshFleet, MeshInstance, caller_headers
