Deliver answers behind a long one on the same connection

Cause: the last bytes of an answer above 256 KiB fill the window and pause the reading of the connection to the backend server. The run ends, the connection is kept idle while paused, and the credit that comes later finds no connection to resume. The next request on it runs, and its answer is never read: its node says TIMEOUT at the deadline, the node beside the server nothing.

Ruled out: lost links (none at these moments), GO messages overtaken by a cancel (the requests ran), an answer sent on a closed link (logged nowhere, but links stood). A caller's connection is read on in the same way after its request ended.

--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/call.py
@@ -401,6 +401,7 @@
         if cancel and stream is not None:
             stream.cancel()
         self._body = []
+        self.exchange.connection.resume_reading()
         self.exchange.sink = None
 
     def _leave_endpoint(self) -> Endpoint | None:
--- a/azurestep/mesh/http_client.py
+++ b/azurestep/mesh/http_client.py
@@ -54,6 +54,7 @@
         self._informational = False
         self._dirty = False
         self._paused_writing = False
+        self._paused_reading = False
         self._sent_whole = True
         self._parser = httptools.HttpResponseParser(self)
         self.lost = False
@@ -106,12 +107,14 @@
 
     def pause_reading(self) -> None:
         """Take no more bytes of the answer."""
-        if self._transport is not None and not self.lost:
+        if self._transport is not None and not (self.lost or self._paused_reading):
+            self._paused_reading = True
             self._transport.pause_reading()
 
     def resume_reading(self) -> None:
         """Take bytes of the answer again."""
-        if self._transport is not None and not self.lost:
+        if self._transport is not None and self._paused_reading and not self.lost:
+            self._paused_reading = False
             self._transport.resume_reading()
 
     def pause_writing(self) -> None:
@@ -188,6 +191,13 @@
         self._finish()
 
     def _finish(self) -> None:
+        """End the answer.
+
+        Its last bytes may have filled the receiver's window. A connection that was kept
+        with its reading paused lost the answer to the next request, which then timed
+        out: three to six times a day of 35,000 requests.
+        """
+        self.resume_reading()
         sink, self._sink = self._sink, None
         if not self._sent_whole:
             self._dirty = True
--- /dev/null
+++ b/tests/test_mesh_downloads.py
@@ -0,0 +1,110 @@
+"""Long answers: whole or visibly broken off, and none lost behind another."""
+
+import asyncio
+
+import pytest
+
+from azurestep.mesh.http_client import ClientConnection, Headers
+from standins.signing_server import Received, signed
+
+from .fixtures_mesh import MeshFleet
+
+HALF_A_MEGABYTE = 540_000
+
+
+class PausingSink:
+    """Pauses its connection at the last piece of an answer, as a full window does."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        self.completed = False
+
+    def on_head(self, status: int, headers: Headers) -> bool:
+        return True
+
+    def on_data(self, data: bytes) -> None:
+        self.connection.pause_reading()
+
+    def on_complete(self, reusable: bool) -> None:
+        self.completed = True
+
+    def on_failed(self, reason: str) -> None:
+        raise AssertionError(reason)
+
+    def on_writable(self) -> None:
+        pass
+
+
+class FakeTransport(asyncio.Transport):
+    """Notes whether reading is paused."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reading = True
+
+    def write(self, data: bytes) -> None:  # type: ignore[override]
+        pass
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+
+def test_a_connection_paused_at_the_end_of_an_answer_reads_the_next_one() -> None:
+    connection, transport = ClientConnection(), FakeTransport()
+    connection.connection_made(transport)
+    sink = PausingSink(connection)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", sink, True)
+    connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+    assert sink.completed
+    assert connection.usable
+    assert transport.reading
+
+
+def body_of(received: Received) -> bytes:
+    size = int(received.target.rpartition("/")[2])
+    return received.headers["attempt-id"].encode().ljust(size, b".")
+
+
+def long_answer(received: Received) -> bytes:
+    return signed(received, body_of(received))
+
+
+async def test_answers_behind_a_long_one_are_delivered(mesh: MeshFleet) -> None:
+    for instance in mesh.instances:
+        instance.server.misbehave = long_answer
+    for index in range(12):
+        size = HALF_A_MEGABYTE if index % 2 == 0 else 300
+        path = f"/read/{size}"
+        caller = mesh.instances[index % 3]
+        status, body = await mesh.get(caller, path, f"d{index}")
+        assert status == 200
+        assert body == f"d{index}".encode().ljust(size, b".")
+
+
+@pytest.mark.parametrize("kept", [1000, 300_000])
+async def test_a_long_answer_that_is_cut_never_looks_whole(
+    mesh: MeshFleet, kept: int
+) -> None:
+    for instance in mesh.instances:
+        instance.server.misbehave = lambda received: long_answer(received)[:kept]
+    reader, writer = await asyncio.open_connection(mesh.instances[0].host, 7101)
+    writer.write(
+        f"GET /read/{HALF_A_MEGABYTE} HTTP/1.1\r\nHost: shop.example\r\n"
+        "Attempt-Id: c1\r\nDeadline-Milliseconds: 900\r\n\r\n".encode()
+    )
+    answer = b""
+    try:
+        async with asyncio.timeout(3):
+            while data := await reader.read(65536):
+                answer += data
+                if answer.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504")):
+                    break
+    except ConnectionError:
+        pass
+    writer.close()
+    head, _, body = answer.partition(b"\r\n\r\n")
+    whole = f"Content-Length: {len(body)}".encode() in head
+    assert not (head.startswith(b"HTTP/1.1 200") and whole)
