--- a/azurestep/mesh/admission.py
+++ b/azurestep/mesh/admission.py
@@ -7,8 +7,8 @@
 import attrs
 
 RUN_FIRST_MS = 150.0
-"""Run time assumed for a route that was not seen yet; near the mean of the
-workloads that were measured (30 to 160 ms)."""
+"""Run time assumed for a route that no node has seen an answer of yet; near the mean
+of the workloads that were measured (16 to 360 ms)."""
 RUN_GAIN = 0.1
 """Weight of a new run time in the moving mean: about the last twenty runs."""
 LATE_QUEUE_SHARE = 0.25
@@ -63,6 +63,7 @@
     running: set[Ticket] = attrs.field(factory=set)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _run_ms: dict[str, float] = attrs.field(factory=dict)
+    _usual_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def busy(self) -> int:
@@ -70,8 +71,13 @@
         return len(self.running) + len(self._waiting)
 
     def run_ms(self, route: str) -> float:
-        """Return the mean run time of a route's requests."""
-        return self._run_ms.get(route, RUN_FIRST_MS)
+        """Return the mean run time of a route's requests, here or as usual."""
+        known = self._run_ms.get(route)
+        return self._usual_ms.get(route, RUN_FIRST_MS) if known is None else known
+
+    def expect(self, route: str, usual_ms: float) -> None:
+        """Learn how long a route's requests take at other backend servers."""
+        self._usual_ms[route] = usual_ms
 
     def learn(self, route: str, run_ms: float) -> None:
         """Take the run time of one request in."""
@@ -81,6 +87,10 @@
         else:
             self._run_ms[route] = known + RUN_GAIN * (run_ms - known)
 
+    def forget(self) -> None:
+        """Forget the run times; another incarnation serves."""
+        self._run_ms.clear()
+
     def offer(self, ticket: Ticket, now_ms: float) -> bool | Refused:
         """Decide on a new request.
 
--- a/azurestep/mesh/backend.py
+++ b/azurestep/mesh/backend.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..platform.announcement import Heartbeat, Leaving
+from .incarnation import BIRTH_UNKNOWN, NO_INCARNATION, Incarnation
 
 DRAIN_SHARE = 0.5
 """Share of the drain bound in which requests on their way still get in."""
@@ -15,6 +16,45 @@
 process before it may have acknowledged the leaving long ago."""
 
 
+@attrs.define(slots=True)
+class History:
+    """What is known of the newest incarnation under one id.
+
+    Attributes
+    ----------
+    born_ms : int or None
+        Its start; None until it told it.
+    heartbeat : Heartbeat or None
+        The newest one.
+    leaving_since_ms : float or None
+        When it first said that it leaves.
+    ended : bool
+        Whether another one was found at its address.
+    """
+
+    born_ms: int | None
+    heartbeat: Heartbeat | None = None
+    leaving_since_ms: float | None = None
+    ended: bool = False
+
+    def is_followed_by(self, born_ms: int | None) -> bool:
+        """Whether an incarnation with that start is a later one.
+
+        One that ended before it told its start may have been an earlier one too.
+        """
+        if born_ms is None:
+            return False
+        if self.born_ms is None:
+            return self.ended
+        return born_ms > self.born_ms
+
+    def is_after(self, born_ms: int | None) -> bool:
+        """Whether an incarnation with that start is an earlier one."""
+        return (
+            born_ms is not None and self.born_ms is not None and born_ms < self.born_ms
+        )
+
+
 @attrs.define(slots=True)
 class Backend:
     """The backend server beside this node, as it announced itself.
@@ -26,7 +66,7 @@
     service, slots : str, int
         As announced; the service is empty until the first heartbeat.
     instance_id : str
-        Incarnation that gets the requests.
+        Id of the incarnation that gets the requests.
     doubted_id : str
         An incarnation that announced itself at the same address while another
         one is known; a health probe decides which of them runs.
@@ -38,20 +78,32 @@
     slots: int = 1
     doubted_id: str = ""
     _cold_until_ms: float = 0.0
-    _sequences: dict[str, int] = attrs.field(factory=dict)
-    _leaving_since_ms: dict[str, float] = attrs.field(factory=dict)
-    _ended: set[str] = attrs.field(factory=set)
-    _announced: dict[str, Heartbeat] = attrs.field(factory=dict)
+    _histories: dict[str, History] = attrs.field(factory=dict)
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The one that gets the requests."""
+        if not self.instance_id:
+            return NO_INCARNATION
+        history = self._histories.get(self.instance_id)
+        born_ms = history.born_ms if history is not None else None
+        name = self.instance_id.encode("latin-1", "replace")
+        return Incarnation(name, born_ms or BIRTH_UNKNOWN)
 
     def announce(self, heartbeat: Heartbeat, now_ms: float) -> None:
         """Take a heartbeat in; a late or overtaken one changes nothing."""
         name = heartbeat.instance_id
+        history = self._history(name, heartbeat.born_ms)
+        if history is None:
+            return
         if heartbeat.leaving:
-            self._begin_leaving(name, now_ms)
-        if heartbeat.sequence <= self._sequences.get(name, -1) or name in self._ended:
+            self._begin_leaving(name, history, now_ms)
+        newest = history.heartbeat
+        if newest is not None and heartbeat.sequence <= newest.sequence:
+            return
+        if history.ended:
             return
-        self._sequences[name] = heartbeat.sequence
-        self._announced[name] = heartbeat
+        history.heartbeat = heartbeat
         if name == self.instance_id:
             self._adopt(heartbeat, now_ms)
         elif not self.instance_id:
@@ -61,7 +113,16 @@
 
     def leave(self, notice: Leaving, now_ms: float) -> None:
         """Take a leaving notice in."""
-        self._begin_leaving(notice.instance_id, now_ms)
+        history = self._history(notice.instance_id, notice.born_ms)
+        if history is not None:
+            self._begin_leaving(notice.instance_id, history, now_ms)
+
+    def announced_service(self, instance_id: str) -> str:
+        """Return the service that was announced under an id; empty for none."""
+        history = self._histories.get(instance_id)
+        if history is None or history.heartbeat is None:
+            return ""
+        return history.heartbeat.service
 
     def discover(self, instance_id: str, service: str, slots: int) -> bool:
         """Take in what a health probe found where nothing was announced.
@@ -71,8 +132,11 @@
         bool
             Whether this is the incarnation that gets the requests now.
         """
-        unknown = instance_id not in self._ended | self._leaving_since_ms.keys()
-        if self.instance_id or not unknown:
+        history = self._histories.get(instance_id)
+        gone = history is not None and (
+            history.ended or history.leaving_since_ms is not None
+        )
+        if self.instance_id or gone:
             return False
         self.instance_id = instance_id
         self.service = service
@@ -81,28 +145,35 @@
 
     def answered(self, instance_id: str, now_ms: float) -> None:
         """Learn from an answer which incarnation runs at the address."""
-        if not instance_id or instance_id in self._ended:
+        history = self._histories.get(instance_id)
+        if not instance_id or (history is not None and history.ended):
             return
         if instance_id == self.instance_id:
             self.doubted_id = ""
             return
         if self.instance_id:
-            self._ended.add(self.instance_id)
-        heartbeat = self._announced.get(instance_id)
+            self._note_end(self.instance_id)
         self.instance_id = ""
         self.doubted_id = ""
-        if heartbeat is not None:
-            self._replace(heartbeat, now_ms)
+        if history is not None and history.heartbeat is not None:
+            self._replace(history.heartbeat, now_ms)
 
-    def mark_gone(self, instance_id: str) -> None:
-        """Note that an incarnation does not run at the address any more."""
-        self._ended.add(instance_id)
-        if instance_id == self.instance_id:
+    def mark_gone(self, incarnation: Incarnation) -> None:
+        """Note that an incarnation does not run at the address any more.
+
+        A later one under the same id is not concerned.
+        """
+        name = incarnation.instance_id.decode("latin-1")
+        history = self._histories.get(name)
+        if history is not None and history.is_after(incarnation.born_ms or None):
+            return
+        self._note_end(name)
+        if name == self.instance_id:
             self.instance_id = ""
 
     def is_leaving(self) -> bool:
         """Whether the incarnation that gets requests said that it leaves."""
-        return self.instance_id in self._leaving_since_ms
+        return self._leaving_since_ms() is not None
 
     def is_open(self) -> bool:
         """Whether other nodes may choose this backend server."""
@@ -112,17 +183,40 @@
         """Whether a request that arrives now may be sent to it."""
         if not self.instance_id:
             return False
-        since_ms = self._leaving_since_ms.get(self.instance_id)
+        since_ms = self._leaving_since_ms()
         return since_ms is None or now_ms - since_ms < self.drain_ms * DRAIN_SHARE
 
     def cold_ms(self, now_ms: float) -> float:
         """Return how much longer the backend server is slow after its start."""
         return max(0.0, self._cold_until_ms - now_ms)
 
-    def _begin_leaving(self, name: str, now_ms: float) -> None:
-        known = name == self.instance_id or name in self._sequences
-        since_ms = now_ms if known else UNKNOWN_SINCE_MS
-        self._leaving_since_ms.setdefault(name, since_ms)
+    def _history(self, name: str, born_ms: int | None) -> History | None:
+        """Return the history that news of an incarnation belong to.
+
+        None if they are late news of a start before the newest one. A later start
+        begins anew: its heartbeats count from one again, and what the earlier one
+        said of leaving does not hold.
+        """
+        history = self._histories.get(name)
+        if history is None or history.is_followed_by(born_ms):
+            history = self._histories[name] = History(born_ms)
+        if history.is_after(born_ms):
+            return None
+        if history.born_ms is None:
+            history.born_ms = born_ms
+        return history
+
+    def _note_end(self, name: str) -> None:
+        self._histories.setdefault(name, History(None)).ended = True
+
+    def _leaving_since_ms(self) -> float | None:
+        history = self._histories.get(self.instance_id)
+        return None if history is None else history.leaving_since_ms
+
+    def _begin_leaving(self, name: str, history: History, now_ms: float) -> None:
+        if history.leaving_since_ms is None:
+            known = name == self.instance_id or history.heartbeat is not None
+            history.leaving_since_ms = now_ms if known else UNKNOWN_SINCE_MS
 
     def _replace(self, heartbeat: Heartbeat, now_ms: float) -> None:
         self.instance_id = heartbeat.instance_id
--- a/azurestep/mesh/backend_run.py
+++ b/azurestep/mesh/backend_run.py
@@ -119,10 +119,19 @@
 
     def cancel(self) -> None:
         """Stop the request; nobody waits for its answer."""
-        if not self.done:
-            self._learn_slowness()
-            self._end()
-            self._drop_connection()
+        if self.done:
+            return
+        if self._sent_ms:
+            events.log(
+                events.RUN_CANCELLED,
+                id=self.request.request_id,
+                instance=self.request.instance_id,
+                run_ms=round(self.inbound.now_ms() - self._sent_ms),
+                answer_bytes=self._size,
+            )
+        self._learn_slowness()
+        self._end()
+        self._drop_connection()
 
     def grant(self, size: int) -> None:
         """Learn that the receiver took bytes of the answer."""
--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/call.py
@@ -144,7 +144,7 @@
             self._refuse(Reason.QUARANTINED, CRASH_RETRY_MS)
             return
         self._endpoint = endpoint
-        self._asked_last = endpoint.instance_id
+        self._asked_last = endpoint.incarnation.instance_id
         self._asked += 1
         endpoint.mine += 1
         stream = context.members.send(endpoint, request, self)
@@ -163,7 +163,7 @@
             exchange.target,
             self.caller.forwarded,
             self.service,
-            endpoint.instance_id,
+            endpoint.incarnation.instance_id,
             route.name,
             self.caller.request_id,
             self.context.calling_service.encode(),
@@ -175,6 +175,8 @@
             -1 if exchange.chunked else exchange.length,
             self._whole and not bulk,
             b"" if bulk else b"".join(self._body),
+            endpoint.incarnation.born_ms,
+            self.context.usual.known(route.name),
             held=not self._streamed and (bulk or not route.idempotent),
         )
 
--- a/azurestep/mesh/call_context.py
+++ b/azurestep/mesh/call_context.py
@@ -2,12 +2,12 @@
 
 import attrs
 
+from ..routing.model import Route
 from .choice import UsualTimes
 from .crashes import CrashWatch
 from .members import Members
 from .pressure import RefusalMeter
 from .retry_budget import RetryBudget
-from .routes import Route
 from .runtime import Runtime
 
 
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/choice.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from .incarnation import Incarnation
+
 RUN_FIRST_MS = 150.0
 """Run time assumed for a route while no answer was seen; near the mean of the
 workloads that were measured."""
@@ -58,7 +60,7 @@
 
     key: object
     service: str
-    instance_id: bytes
+    incarnation: Incarnation
     data_centre: str
     open: bool = True
     slots: int = 1
@@ -130,6 +132,10 @@
         """Return the mean of a route."""
         return self._mean_ms.get(route, RUN_FIRST_MS)
 
+    def known(self, route: str) -> float:
+        """Return the mean of a route, or 0 before the first answer."""
+        return self._mean_ms.get(route, 0.0)
+
     def learn(self, route: str, run_ms: float) -> None:
         """Take the run time that a backend server told in."""
         known = self._mean_ms.get(route, run_ms)
--- a/azurestep/mesh/configuration.py
+++ b/azurestep/mesh/configuration.py
@@ -1,13 +1,15 @@
 """The configuration in force at this node: it only ever gets newer."""
 
 from collections.abc import Callable
+from random import Random
 
 import attrs
 
 from ..errors import ConfigurationError
 from ..platform.document import read_document
+from ..routing.model import Document
+from ..routing.table import RoutingTable
 from . import events
-from .routes import RoutingTable
 
 STORE = "store"
 PEER = "node"
@@ -30,6 +32,7 @@
 
     on_change: Callable[[RoutingTable], None]
     table: RoutingTable | None = None
+    random: Random = attrs.field(factory=Random)
     content: bytes = b""
     version_read: int = 0
 
@@ -38,26 +41,35 @@
         """Version in force; 0 for none."""
         return 0 if self.table is None else self.table.version
 
+    def names_service(self, service: str) -> bool:
+        """Whether a service may be routed to; any may while no version is known."""
+        return self.table is None or service in self.table.services
+
     def offer(self, content: bytes, source: str) -> bool:
         """Put a document in force if it is newer; return whether it is."""
         if content == self.content:
             return False
         try:
-            table = read_document(content)
+            document = read_document(content)
         except ConfigurationError as error:
             events.log(events.VERSION_REFUSED, source=source, cause=error.problem)
             return False
-        if table.version <= self.version:
+        if document.version <= self.version:
             return False
-        self.table = table
+        self.table = self._table_of(document)
         self.content = content
         if source == STORE:
-            self.version_read = table.version
+            self.version_read = document.version
         events.log(
             events.VERSION,
-            version=table.version,
-            routes=len(table.routes),
+            version=document.version,
+            routes=len(document.routes),
             source=source,
         )
-        self.on_change(table)
+        self.on_change(self.table)
         return True
+
+    def _table_of(self, document: Document) -> RoutingTable:
+        if self.table is None:
+            return RoutingTable(document, self.random)
+        return self.table.followed_by(document)
--- a/azurestep/mesh/crashes.py
+++ b/azurestep/mesh/crashes.py
@@ -13,6 +13,7 @@
 
 from ..endpoint_key import EndpointKey
 from ..quarantine import Quarantine, QuarantineUpdate, Standing, fingerprint
+from .incarnation import Incarnation
 from .messages import Request
 
 RETRY_MS = 10_000.0
@@ -83,30 +84,30 @@
         """Note that a backend server broke off before its answer began."""
         if request.whole:
             table = self._tables.setdefault(request.service, Quarantine())
-            table.lost(fingerprint_of(request), self._key(request.instance_id), now_ms)
+            table.lost(fingerprint_of(request), self._key(request.incarnation), now_ms)
 
     def answered(self, request: Request, now_ms: float) -> None:
         """Note that a backend server outlived a request."""
         table = self._tables.get(request.service)
         if table is not None and table.active:
-            key = self._key(request.instance_id)
+            key = self._key(request.incarnation)
             table.answered(fingerprint_of(request), key, now_ms)
 
-    def died(self, service: str, instance_id: str, now_ms: float) -> None:
+    def died(self, service: str, incarnation: Incarnation, now_ms: float) -> None:
         """Note that the backend server beside this node died, and tell all nodes."""
         table = self._tables.get(service)
         if table is None:
             return
-        key = self._key(instance_id.encode())
+        key = self._key(incarnation)
         updates = table.server_died(key, now_ms, self.servers(service))
         if updates:
             self.tell(service, updates)
 
-    def alive(self, service: str, instance_id: str) -> None:
+    def alive(self, service: str, incarnation: Incarnation) -> None:
         """Note that the backend server beside this node takes connections."""
         table = self._tables.get(service)
         if table is not None:
-            table.server_alive(self._key(instance_id.encode()))
+            table.server_alive(self._key(incarnation))
 
     def learn(
         self, service: str, updates: list[QuarantineUpdate], now_ms: float
@@ -127,5 +128,6 @@
             return False
         return table.standing(fingerprint_of(request), now_ms) is Standing.REFUSED
 
-    def _key(self, instance_id: bytes) -> EndpointKey:
-        return EndpointKey(self.host, 0, zlib.crc32(instance_id))
+    def _key(self, incarnation: Incarnation) -> EndpointKey:
+        name = b"%b@%d" % (incarnation.instance_id, incarnation.born_ms)
+        return EndpointKey(self.host, 0, zlib.crc32(name))
--- a/azurestep/mesh/discovery.py
+++ b/azurestep/mesh/discovery.py
@@ -7,8 +7,9 @@
 import asyncio
 
 import attrs
-import orjson
 
+from ..errors import MessageMalformedError
+from ..platform.members import read_member, write_member
 from ..platform.store import (
     Appended,
     AppendOutcome,
@@ -24,7 +25,6 @@
 
 PAUSE_S = (0.1, 0.3, 0.6, 1.2)
 """Pauses between attempts while the store does not answer."""
-FORMAT = 1
 EPOCH_STEP = 60_000
 """Step to a higher epoch, in ms, if a process before this one had a later clock."""
 
@@ -50,7 +50,7 @@
     async def run(self) -> None:
         """Write and read once, until both were answered."""
         _, port = self.members.own_address
-        value = orjson.dumps({"format": FORMAT, "port": port})
+        value = write_member(port)
         attempts = 0
         while not isinstance(await self._put(value), Appended):
             await self._pause(attempts)
@@ -82,6 +82,12 @@
         outcome = await self.client.newest(MEMBERS_TOPIC)
         if not isinstance(outcome, Newest):
             return False
+        if outcome.unreadable:
+            events.log(
+                events.RECORD_UNREADABLE,
+                topic=MEMBERS_TOPIC,
+                records=outcome.unreadable,
+            )
         for item in outcome.items:
             self._learn(item.key, item.value)
         return True
@@ -90,10 +96,9 @@
         if not value:
             return
         try:
-            fields = orjson.loads(value)
-            self.members.learn((host, int(fields["port"])))
-        except (KeyError, TypeError, ValueError) as error:
-            events.log(events.PEER_MALFORMED, peer=host, cause=repr(error))
+            self.members.learn(read_member(host, value))
+        except MessageMalformedError as error:
+            events.log(events.PEER_MALFORMED, peer=host[:80], cause=error.problem)
 
     async def _pause(self, attempts: int) -> None:
         pause = PAUSE_S[min(attempts, len(PAUSE_S) - 1)]
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..errors import MessageMalformedError
-from ..platform.announcement import Heartbeat, read_announcement
+from ..platform.announcement import Heartbeat, Leaving, read_announcement
 from . import events
 from .backend import Backend
 from .http_server import Exchange, Handler
@@ -33,37 +33,73 @@
 
 
 def announcements(
-    backend: Backend, runtime: Runtime, on_change: Callable[[], None]
+    backend: Backend,
+    runtime: Runtime,
+    is_service: Callable[[str], bool],
+    on_change: Callable[[], None],
 ) -> Handler:
-    """Return the handler that takes the backend server's announcements."""
+    """Return the handler that takes the backend server's announcements.
+
+    Parameters
+    ----------
+    backend : Backend
+        What is known of the backend server.
+    runtime : Runtime
+        Clock.
+    is_service : Callable
+        Whether the configuration in force names a service.
+    on_change : Callable
+        Called after each announcement that was taken.
+    """
 
     def respond(exchange: Exchange, body: bytes) -> None:
         try:
             notice = read_announcement(exchange.target.decode("latin-1"), body)
+            _check_service(notice, backend, is_service)
         except MessageMalformedError as error:
             events.log(events.ANNOUNCEMENT_REFUSED, cause=error.problem)
             exchange.answer(400, JSON, b"{}")
             return
-        before = (backend.instance_id, backend.is_leaving())
+        before = (backend.incarnation, backend.is_leaving())
         now_ms = runtime.now_ms()
         if isinstance(notice, Heartbeat):
             backend.announce(notice, now_ms)
         else:
             backend.leave(notice, now_ms)
         exchange.answer(200, JSON, b"{}")
-        if (backend.instance_id, backend.is_leaving()) != before:
+        if (backend.incarnation, backend.is_leaving()) != before:
             _log_change(backend)
         on_change()
 
     return _collecting(respond)
 
 
+def _check_service(
+    notice: Heartbeat | Leaving, backend: Backend, is_service: Callable[[str], bool]
+) -> None:
+    """Refuse a heartbeat that names a service which no route could lead to.
+
+    What was taken before is heard all the same: its leaving must count, also after
+    the operators dropped its service.
+    """
+    if not isinstance(notice, Heartbeat):
+        return
+    known = backend.announced_service(notice.instance_id)
+    if notice.service != known and not is_service(notice.service):
+        raise MessageMalformedError(
+            f"{notice.instance_id[:80]!r} announces the unknown service"
+            f" {notice.service!r}",
+            "Publish the service, or correct the backend server's settings",
+        )
+
+
 def _log_change(backend: Backend) -> None:
     leaving = backend.is_leaving()
     event = events.BACKEND_LEAVING if leaving else events.BACKEND_ANNOUNCED
     events.log(
         event,
         instance=backend.instance_id,
+        born_ms=backend.incarnation.born_ms,
         service=backend.service,
         slots=backend.slots,
     )
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -44,6 +44,12 @@
     "a configuration can't be read, the former one stays",
     "publish one of the agreed shape",
 )
+RECORD_UNREADABLE = register(
+    9105,
+    logging.ERROR,
+    "records of the store can't be read, the others hold",
+    "find out who wrote to that topic",
+)
 PEER_LOST = register(
     9201,
     logging.WARNING,
@@ -103,6 +109,9 @@
     "look at the backend server at that time; the reason says how it broke off",
 )
 EXTRA_ANSWER = register(9503, logging.INFO, "answer to another request skipped")
+RUN_CANCELLED = register(
+    9504, logging.INFO, "run cancelled by the node that sent it, before its answer"
+)
 
 WRITER = LineWriter()
 
--- a/azurestep/mesh/following.py
+++ b/azurestep/mesh/following.py
@@ -109,11 +109,7 @@
         if isinstance(outcome, Records):
             self._answered()
             self._offset = outcome.next_offset
-            for record in reversed(outcome.values):
-                key, value = split_keyed(record)
-                if key == CONFIGURATION_KEY and value:
-                    self.configuration.offer(value, STORE)
-                    break
+            self._offer_newest(outcome.values)
             return True
         if isinstance(outcome, Forgotten):
             self._answered()
@@ -122,6 +118,21 @@
         self._unanswered(repr(outcome))
         return False
 
+    def _offer_newest(self, records: list[bytes]) -> None:
+        """Offer the newest document that can be read, and pass other writers' by."""
+        for record in reversed(records):
+            if self._takes(record):
+                return
+
+    def _takes(self, record: bytes) -> bool:
+        keyed = split_keyed(record)
+        if keyed is None:
+            events.log(events.RECORD_UNREADABLE, topic=OPERATOR_TOPIC, records=1)
+            return False
+        if keyed.key != CONFIGURATION_KEY or not keyed.value:
+            return False
+        return self.configuration.offer(keyed.value, STORE)
+
     async def _read_newest(self) -> bool:
         outcome = await self.client.newest(OPERATOR_TOPIC)
         if not isinstance(outcome, Newest):
@@ -129,6 +140,12 @@
             return False
         self._answered()
         self._offset = outcome.end_offset
+        if outcome.unreadable:
+            events.log(
+                events.RECORD_UNREADABLE,
+                topic=OPERATOR_TOPIC,
+                records=outcome.unreadable,
+            )
         for item in outcome.items:
             if item.key == CONFIGURATION_KEY and item.value:
                 self.configuration.offer(item.value, STORE)
--- a/azurestep/mesh/http_server.py
+++ b/azurestep/mesh/http_server.py
@@ -14,8 +14,8 @@
 import attrs
 import httptools
 
+from ..routing.model import Limits
 from . import events
-from .routes import Limits
 
 Headers = list[tuple[bytes, bytes]]
 HEAD_SLACK_BYTES = 65_536
--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/inbound.py
@@ -16,6 +16,7 @@
 from .crashes import CrashWatch
 from .health import Health
 from .http_client import ClientConnection, Idle
+from .incarnation import NO_INCARNATION, Incarnation
 from .messages import Reason, Request
 from .pressure import CallerLearner
 from .runtime import Runtime
@@ -60,7 +61,7 @@
     stopping: bool = False
     _runs: set[Run] = attrs.field(factory=set)
     _next_try_ms: float = 0.0
-    _judged_id: str = ""
+    _judged: Incarnation = NO_INCARNATION
 
     def now_ms(self) -> float:
         """Return the monotonic time."""
@@ -85,6 +86,8 @@
             run.refuse(reason)
             return run
         self.admission.slots = self.backend.slots
+        if request.usual_ms:
+            self.admission.expect(request.route, request.usual_ms)
         self.callers.arrived(request.route, request.priority, request.calling_service)
         decision = self.admission.offer(run.ticket, self.now_ms())
         if isinstance(decision, Refused):
@@ -97,7 +100,7 @@
         backend = self.backend
         if not backend.instance_id or backend.service != request.service:
             return Reason.NO_BACKEND
-        if backend.instance_id.encode() != request.instance_id:
+        if not backend.incarnation.may_be(request.incarnation):
             return Reason.OTHER_INSTANCE
         if not backend.admits(self.now_ms()):
             return Reason.LEAVING
@@ -126,10 +129,10 @@
         except OSError as error:
             self._set_unreachable(True, type(error).__name__)
             backend = self.backend
-            self.crashes.died(backend.service, backend.instance_id, self.now_ms())
+            self.crashes.died(backend.service, backend.incarnation, self.now_ms())
             return None
         self.runtime.metrics.count("connections_opened")
-        self.crashes.alive(self.backend.service, self.backend.instance_id)
+        self.crashes.alive(self.backend.service, self.backend.incarnation)
         self._set_unreachable(False, "")
         return connection
 
@@ -146,7 +149,7 @@
             expected=request.instance_id,
             found=instance_id,
         )
-        self.backend.mark_gone(request.instance_id.decode("latin-1"))
+        self.backend.mark_gone(request.incarnation)
         self.backend.answered(instance_id, self.now_ms())
         self.on_change()
 
@@ -210,10 +213,12 @@
             self.keep(connection)
 
     def _tick_health(self) -> None:
-        if self.backend.instance_id != self._judged_id:
-            self._judged_id = self.backend.instance_id
+        incarnation = self.backend.incarnation
+        if not incarnation.may_be(self._judged):
             self.health.clear()
             self.idle.trust_again()
+            self.admission.forget()
+        self._judged = incarnation
         self.health.tick()
 
     def _set_unreachable(self, unreachable: bool, cause: str) -> None:
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/members.py
@@ -13,6 +13,7 @@
 from .cadence import idle_probe_ms
 from .choice import Endpoint
 from .inbound import Inbound
+from .incarnation import NO_INCARNATION
 from .messages import Hello, Request, State
 from .peer_connection import CallReceiver, Stream
 from .peer_link import PeerLink
@@ -49,7 +50,9 @@
     _count: int = 1
 
     def __attrs_post_init__(self) -> None:
-        self._own = Endpoint(self.own_address, "", b"", self.data_centre, open=False)
+        self._own = Endpoint(
+            self.own_address, "", NO_INCARNATION, self.data_centre, open=False
+        )
 
     def learn(self, address: Address) -> None:
         """Open a link to a node unless there is one."""
@@ -148,7 +151,7 @@
         own, inbound = self._own, self.inbound
         backend = inbound.backend
         own.service = backend.service
-        own.instance_id = backend.instance_id.encode()
+        own.incarnation = backend.incarnation
         own.open = inbound.open
         own.slots = backend.slots
         own.failing = inbound.health.failing
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -11,8 +11,10 @@
 import attrs
 import msgpack
 
+from .incarnation import BIRTH_UNKNOWN, Incarnation
+
 Headers = list[tuple[bytes, bytes]]
-FORMAT = 1
+FORMAT = 2
 BUFFER_BYTES = 96 * 1024 * 1024
 """Longest message that is taken."""
 COMPRESSION_LEVEL = 1
@@ -100,6 +102,8 @@
         Whether the backend server takes new requests.
     busy : int
         Requests that run or wait there.
+    born_ms : int
+        Start of the backend server, which may have the id of an earlier one.
     cold_ms : float
         How much longer the backend server is slow.
     version : int
@@ -114,6 +118,7 @@
 
     service: str
     instance_id: bytes
+    born_ms: int
     open: bool
     slots: int
     busy: int
@@ -142,6 +147,11 @@
         Whether the body is complete with this message.
     length : int
         Length of the body; -1 if it is not known yet.
+    born_ms : int
+        Start of the backend server that is meant.
+    usual_ms : float
+        Mean run time of the route at all backend servers that the sender knows; 0 if
+        it knows none.
     held : bool
         Whether the receiver asks again, once there is a slot, before it sends the
         request on. Until it was told to, the sender knows that it has not run.
@@ -163,8 +173,15 @@
     length: int
     whole: bool
     body: bytes
+    born_ms: int = BIRTH_UNKNOWN
+    usual_ms: float = 0.0
     held: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Backend server that is meant."""
+        return Incarnation(self.instance_id, self.born_ms)
+
 
 @attrs.frozen(slots=True)
 class Answer:
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/outbound.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..platform.headers import read_caller
+from ..routing.table import RoutingTable
 from . import events
 from .call import UNAVAILABLE, Call
 from .call_context import CallContext, Target
@@ -12,7 +13,6 @@
 from .messages import Reason
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
 from .pressure import PressureView
-from .routes import RoutingTable
 from .runtime import Runtime
 
 RETRY_SHED_MS = 120.0
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/peer_link.py
@@ -6,6 +6,7 @@
 
 from .cadence import IDLE_PROBE_LEAST_MS
 from .choice import Endpoint
+from .incarnation import NO_INCARNATION, Incarnation
 from .messages import Hello, Kind, Request, State
 from .peer_connection import (
     BUSY_PING_MS,
@@ -59,7 +60,7 @@
     _next_dial_ms: float = 0.0
 
     def __attrs_post_init__(self) -> None:
-        self.endpoint = Endpoint(self.address, "", b"", "", open=False)
+        self.endpoint = Endpoint(self.address, "", NO_INCARNATION, "", open=False)
         self.lost_since_ms = self.runtime.now_ms()
 
     def send(self, request: Request, receiver: CallReceiver) -> Stream | None:
@@ -129,11 +130,12 @@
             return
         former, self.state = self.state, state
         endpoint = self.endpoint
-        if endpoint.instance_id != state.instance_id:
+        incarnation = Incarnation(state.instance_id, state.born_ms)
+        if not endpoint.incarnation.may_be(incarnation):
             endpoint.run_ms.clear()
             endpoint.failed_until_ms = 0.0
         endpoint.service = state.service
-        endpoint.instance_id = state.instance_id
+        endpoint.incarnation = incarnation
         endpoint.open = state.open
         endpoint.slots = state.slots
         endpoint.failing = state.failing
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/peer_server.py
@@ -160,6 +160,7 @@
     return (
         state.service,
         state.instance_id,
+        state.born_ms,
         state.open,
         state.slots,
         state.store_ok,
--- a/azurestep/mesh/probing.py
+++ b/azurestep/mesh/probing.py
@@ -11,10 +11,10 @@
 import attrs
 
 from ..platform.headers import read_answer
+from ..routing.table import RoutingTable
 from . import events
 from .http_client import Headers
 from .inbound import Inbound
-from .routes import RoutingTable
 from .runtime import Runtime
 
 PROBE_TIMEOUT_S = 1.0
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/run.py
@@ -13,6 +13,7 @@
 from ..errors import PortInUseError, SettingsError
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
+from ..routing.table import RoutingTable
 from . import endpoints, events
 from .backend import Backend
 from .call_context import CallContext
@@ -29,7 +30,6 @@
 from .pressure import Report
 from .probing import Prober
 from .retry_budget import RetryBudget
-from .routes import RoutingTable
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
 
@@ -116,7 +116,7 @@
             self._on_news,
             self._take_configuration,
         )
-        self.configuration = Configuration(self._on_version)
+        self.configuration = Configuration(self._on_version, random=runtime.random)
         self.follower = Follower(
             runtime, self._client(), self.configuration, self.members, self.tell_state
         )
@@ -162,7 +162,12 @@
             (settings.ready_address, endpoints.readiness(self.is_ready)),
             (
                 settings.announce_address,
-                endpoints.announcements(self.backend, self.runtime, self._announced),
+                endpoints.announcements(
+                    self.backend,
+                    self.runtime,
+                    self.configuration.names_service,
+                    self._announced,
+                ),
             ),
             (
                 settings.metrics_address,
@@ -259,7 +264,8 @@
         backend = self.backend
         return State(
             backend.service,
-            backend.instance_id.encode(),
+            backend.incarnation.instance_id,
+            backend.incarnation.born_ms,
             self.inbound.open,
             backend.slots,
             self.inbound.admission.busy,
--- a/azurestep/platform/announcement.py
+++ b/azurestep/platform/announcement.py
@@ -1,15 +1,27 @@
 """Heartbeats and leaving notices of backend servers."""
 
-from typing import Any
+import enum
+from typing import Annotated
 
 import attrs
-import orjson
+import msgspec
 
-from ..errors import MessageMalformedError, SettingsError
-from .units import parse_duration_ms
+from ..errors import MessageMalformedError
+from .units import DURATION_PATTERN, parse_duration_ms
 
 PREFIX = "/v1/instances/"
-UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, SettingsError)
+MOST_SLOTS = 100_000
+"""Slots above which an announcement counts as damaged: 5,000 times the largest backend
+server that was measured."""
+LARGEST_WHOLE = 2**53
+"""Largest whole number that every JSON reader keeps exactly."""
+BODY_MOST_BYTES = 65_536
+"""Longest body that is read: 200 times a heartbeat."""
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Duration = Annotated[str, msgspec.Meta(pattern=DURATION_PATTERN)]
+Whole = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_WHOLE)]
+HostPort = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
 
 
 @attrs.frozen(slots=True)
@@ -19,13 +31,16 @@
     Attributes
     ----------
     instance_id : str
-        Incarnation of the backend server; each start has a new one.
+        Id of the backend server.
     sequence : int
-        Grows with each heartbeat, so a late one can be told.
+        Grows with each heartbeat of one start, so a late one can be told.
     leaving : bool
         Whether the backend server takes no new work soon.
     cold_ms : float
         How much longer it stays slow after its start.
+    born_ms : int or None
+        Its start in Unix milliseconds. The same id with a later start is another
+        incarnation; None where the backend server doesn't tell it.
     """
 
     instance_id: str
@@ -34,6 +49,7 @@
     slots: int
     leaving: bool
     cold_ms: float
+    born_ms: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -41,6 +57,44 @@
     """A backend server's notice that it ends, without a heartbeat before."""
 
     instance_id: str
+    born_ms: int | None = None
+
+
+class _ReportedState(enum.StrEnum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen(slots=True)
+class _Information:
+    service: Name
+    version: str
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+
+
+@attrs.frozen(slots=True)
+class _Status:
+    state: _ReportedState
+    sequence: Whole
+    cold_remaining: Duration
+
+
+@attrs.frozen(slots=True)
+class _HeartbeatBody:
+    address: HostPort
+    information: _Information
+    status: _Status
+    born: Whole | msgspec.UnsetType = msgspec.UNSET
+
+
+@attrs.frozen(slots=True)
+class _LeavingBody:
+    born: Whole | msgspec.UnsetType = msgspec.UNSET
+
+
+_HEARTBEAT = msgspec.json.Decoder(_HeartbeatBody)
+_LEAVING = msgspec.json.Decoder(_LeavingBody)
 
 
 def read_announcement(target: str, body: bytes) -> Heartbeat | Leaving:
@@ -49,33 +103,44 @@
     Raises
     ------
     MessageMalformedError
-        If the path or the body has another shape than the agreed one.
+        If the path or the body has another shape than the agreed one: a field is
+        missing, of another type or out of range, or the state is not a known one.
     """
     instance_id, _, verb = target.partition("?")[0].removeprefix(PREFIX).partition("/")
-    if verb == "deregister" and instance_id:
-        return Leaving(instance_id)
-    if verb != "heartbeat" or not instance_id:
+    if not instance_id or verb not in ("heartbeat", "deregister"):
         raise MessageMalformedError(
-            f"{target} is no call of a backend server",
+            f"{target[:80]!r} is no call of a backend server",
             "Send a heartbeat or a deregistration",
         )
     try:
-        return _heartbeat(instance_id, orjson.loads(body))
-    except UNREADABLE as error:
+        if verb == "deregister":
+            return _leaving(instance_id, body)
+        return _heartbeat(instance_id, body)
+    except (msgspec.DecodeError, RecursionError) as error:
         raise MessageMalformedError(
-            f"a heartbeat of {instance_id} can't be read: {error!r}",
-            "Send information and status as agreed",
+            f"a {verb} of {instance_id[:80]!r} can't be read: {error}",
+            "Send address, information and status as agreed",
         ) from error
 
 
-def _heartbeat(instance_id: str, fields: dict[str, Any]) -> Heartbeat:
-    information = fields["information"]
-    status = fields["status"]
+def _leaving(instance_id: str, body: bytes) -> Leaving:
+    if not body.strip():
+        return Leaving(instance_id)
+    return Leaving(instance_id, _known(_LEAVING.decode(body).born))
+
+
+def _heartbeat(instance_id: str, body: bytes) -> Heartbeat:
+    fields = _HEARTBEAT.decode(body)
     return Heartbeat(
         instance_id=instance_id,
-        service=str(information["service"]),
-        sequence=int(status["sequence"]),
-        slots=max(1, int(information["slots"])),
-        leaving=status["state"] != "ready",
-        cold_ms=parse_duration_ms(status.get("cold_remaining") or "0ms"),
+        service=fields.information.service,
+        sequence=fields.status.sequence,
+        slots=fields.information.slots,
+        leaving=fields.status.state is _ReportedState.DRAINING,
+        cold_ms=parse_duration_ms(fields.status.cold_remaining),
+        born_ms=_known(fields.born),
     )
+
+
+def _known(born: int | msgspec.UnsetType) -> int | None:
+    return None if isinstance(born, msgspec.UnsetType) else born
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import base64
+import binascii
 import struct
 from collections.abc import Callable
-from typing import Any
+from typing import TypeVar
 from urllib.parse import quote
 
 import attrs
-import orjson
+import msgspec
 
 from ..mesh.http_client import ClientConnection, Headers
 
@@ -57,10 +58,17 @@
 
 @attrs.frozen(slots=True)
 class Newest:
-    """The newest record of each key, and where to read on."""
+    """The newest record of each key, and where to read on.
+
+    Attributes
+    ----------
+    unreadable : int
+        Records left out, since their key or value can't be read.
+    """
 
     items: list[KeyedRecord]
     end_offset: int
+    unreadable: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -138,6 +146,46 @@
 AppendOutcome = Appended | Conflict | Fenced | OutOfSequence | Failed
 
 
+@attrs.frozen(slots=True)
+class _AppendAnswer:
+    offset: int
+    end_offset: int
+
+
+@attrs.frozen(slots=True)
+class _ConditionAnswer:
+    end_offset: int
+
+
+@attrs.frozen(slots=True)
+class _ConflictAnswer:
+    why: str = ""
+    sequence: int | None = None
+
+
+@attrs.frozen(slots=True)
+class _ForgottenAnswer:
+    first_offset: int
+
+
+@attrs.frozen(slots=True)
+class _Item:
+    key: str
+    offset: int
+    value: str | None = None
+
+
+@attrs.frozen(slots=True)
+class _Page:
+    items: list[msgspec.Raw]
+    end_offset: int
+    has_more: bool = False
+
+
+_ITEM = msgspec.json.Decoder(_Item)
+Shape = TypeVar("Shape")
+
+
 class Reply:
     """Collects the answer to one call."""
 
@@ -218,7 +266,7 @@
         status, content = answer
         if status not in (OK, CONFLICT, PRECONDITION_FAILED):
             return Refused(status)
-        return self._decoded(content, lambda fields: _append_outcome(status, fields))
+        return self._append_outcome(status, content)
 
     async def put(
         self, topic: str, key: str, value: bytes, producer: Producer | None = None
@@ -242,7 +290,10 @@
             return answer
         status, content = answer
         if status == GONE:
-            return self._decoded(content, lambda f: Forgotten(int(f["first_offset"])))
+            gone = self._decoded(content, _ForgottenAnswer)
+            if isinstance(gone, Unanswered):
+                return gone
+            return Forgotten(gone.first_offset)
         if status != OK:
             return Refused(status)
         return _split_records(content, from_offset)
@@ -250,6 +301,7 @@
     async def newest(self, topic: str) -> Newest | Failed:
         """Return the newest record of each key of a keyed topic."""
         items: list[KeyedRecord] = []
+        unreadable = 0
         after = ""
         while True:
             path = f"/v1/log-newest?topic={quote(topic)}&part=0"
@@ -261,13 +313,15 @@
             status, content = answer
             if status != OK:
                 return Refused(status)
-            page = self._decoded(content, _newest_page)
+            page = self._decoded(content, _Page)
             if isinstance(page, Unanswered):
                 return page
-            items += page[0].items
-            if not page[1] or not page[0].items:
-                return Newest(items, page[0].end_offset)
-            after = page[0].items[-1].key
+            readable = [item for item in map(_keyed_record, page.items) if item]
+            items += readable
+            unreadable += len(page.items) - len(readable)
+            if not page.has_more or not readable:
+                return Newest(items, page.end_offset, unreadable)
+            after = readable[-1].key
 
     def close(self) -> None:
         """Close the connection."""
@@ -306,35 +360,40 @@
         connection.send(head.encode() + body, Reply(future), True)
         return await future
 
-    def _decoded(self, content: bytes, read: Callable[[Any], Any]) -> Any:
+    def _append_outcome(self, status: int, content: bytes) -> AppendOutcome:
+        if status == OK:
+            done = self._decoded(content, _AppendAnswer)
+            if isinstance(done, Unanswered):
+                return done
+            return Appended(done.offset, done.end_offset)
+        if status == PRECONDITION_FAILED:
+            moved = self._decoded(content, _ConditionAnswer)
+            return (
+                moved if isinstance(moved, Unanswered) else Conflict(moved.end_offset)
+            )
+        conflict = self._decoded(content, _ConflictAnswer)
+        if isinstance(conflict, Unanswered):
+            return conflict
+        if conflict.why == FENCED:
+            return Fenced()
+        return OutOfSequence(conflict.sequence)
+
+    def _decoded(self, content: bytes, shape: type[Shape]) -> Shape | Unanswered:
         try:
-            return read(orjson.loads(content))
-        except (KeyError, TypeError, ValueError) as error:
+            return msgspec.json.decode(content, type=shape)
+        except (msgspec.DecodeError, RecursionError) as error:
             self.close()
-            return Unanswered(f"malformed answer: {error!r}")
-
-
-def _append_outcome(status: int, fields: dict[str, Any]) -> AppendOutcome:
-    if status == OK:
-        return Appended(int(fields["offset"]), int(fields["end_offset"]))
-    if status == PRECONDITION_FAILED:
-        return Conflict(int(fields["end_offset"]))
-    if fields.get("why") == FENCED:
-        return Fenced()
-    expected = fields.get("sequence")
-    return OutOfSequence(None if expected is None else int(expected))
-
-
-def _newest_page(fields: dict[str, Any]) -> tuple[Newest, bool]:
-    items = [
-        KeyedRecord(
-            str(item["key"]),
-            base64.b64decode(item.get("value") or ""),
-            int(item["offset"]),
-        )
-        for item in fields["items"]
-    ]
-    return Newest(items, int(fields["end_offset"])), bool(fields.get("has_more"))
+            return Unanswered(f"malformed answer: {error}")
+
+
+def _keyed_record(raw: msgspec.Raw) -> KeyedRecord | None:
+    """Return a record of a page, or None if another writer made it unreadable."""
+    try:
+        item = _ITEM.decode(raw)
+        value = base64.b64decode(item.value or "", validate=True)
+    except (msgspec.DecodeError, binascii.Error, RecursionError):
+        return None
+    return KeyedRecord(item.key, value, item.offset)
 
 
 def _split_records(content: bytes, from_offset: int) -> Records | Unanswered:
@@ -352,13 +411,28 @@
     return Records(values, from_offset + len(values))
 
 
-def split_keyed(record: bytes) -> tuple[str, bytes]:
-    r"""Return key and value of a record of a keyed topic.
+@attrs.frozen(slots=True)
+class KeyValue:
+    """What a record of a keyed topic holds; an empty value drops the key."""
+
+    key: str
+    value: bytes
+
+
+def split_keyed(record: bytes) -> KeyValue | None:
+    r"""Return key and value of a record of a keyed topic; None if it is damaged.
 
     Examples
     --------
     >>> split_keyed(b"\x02abvalue")
-    ('ab', b'value')
+    KeyValue(key='ab', value=b'value')
+    >>> split_keyed(b"\x09ab") is None
+    True
     """
-    size = record[0]
-    return record[1 : 1 + size].decode(), record[1 + size :]
+    if not record or len(record) <= record[0]:
+        return None
+    end = 1 + record[0]
+    try:
+        return KeyValue(record[1:end].decode(), record[end:])
+    except UnicodeDecodeError:
+        return None
--- a/azurestep/platform/units.py
+++ b/azurestep/platform/units.py
@@ -1,14 +1,18 @@
 """Times with a unit, as the platform writes them."""
 
 import functools
-import math
+import re
 
 from ..errors import SettingsError
 
 UNITS_MS = {"ms": 1.0, "s": 1000.0}
+DURATION_PATTERN = r"^([0-9]{1,12}(?:\.[0-9]{1,9})?)(ms|s)\Z"
+"""A number and its unit; twelve digits of seconds are 30,000 years."""
 DURATIONS_KEPT = 256
 """Durations whose value is kept: thousands of routes have a few between them."""
 
+_DURATION = re.compile(DURATION_PATTERN)
+
 
 @functools.lru_cache(maxsize=DURATIONS_KEPT)
 def parse_duration_ms(text: str) -> float:
@@ -24,14 +28,9 @@
     >>> parse_duration_ms("1500ms"), parse_duration_ms("2.5s")
     (1500.0, 2500.0)
     """
-    number = str(text).strip().rstrip("ms")
-    unit = str(text).strip()[len(number) :]
-    try:
-        value = float(number) * UNITS_MS[unit]
-    except (ValueError, KeyError):
-        value = math.nan
-    if not 0 <= value < math.inf:
+    found = _DURATION.match(text) if isinstance(text, str) else None
+    if found is None:
         raise SettingsError(
             f"{text!r} is no duration", "Write a number and ms or s, such as 1500ms"
         )
-    return value
+    return float(found.group(1)) * UNITS_MS[found.group(2)]
--- /dev/null
+++ b/azurestep/routing/table.py
@@ -0,0 +1,117 @@
+"""Look-up of routes by host and longest prefix, and the split of a route."""
+
+from random import Random
+
+import attrs
+
+from .model import Document, Limits, Part, Route, Service
+
+SKIPPED_MOST = 1000
+"""Requests of a split that are skipped at most before its first one: ten times round
+for weights in whole percents. They take some 0.5 ms, once for each split."""
+
+
+@attrs.define(slots=True)
+class Split:
+    """Deals requests to the parts of a route by smooth weighted round robin.
+
+    Examples
+    --------
+    >>> split = Split((Part("a", 3), Part("b", 1)))
+    >>> [split.take() for _ in range(4)]
+    ['a', 'a', 'b', 'a']
+    """
+
+    parts: tuple[Part, ...]
+    _credit: list[float] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._credit = [0.0] * len(self.parts)
+
+    @classmethod
+    def started_anywhere(cls, parts: tuple[Part, ...], random: Random) -> "Split":
+        """Return a split that begins at a random place of its round.
+
+        With a few requests at each node the shares of all nodes then add up to the
+        weights too: when all began with the largest part, and anew with each version,
+        13 nodes never sent any of their first three requests to a part of a tenth.
+        """
+        split = cls(parts)
+        for _ in range(random.randrange(SKIPPED_MOST)):
+            split.take()
+        return split
+
+    def take(self) -> str:
+        """Return the service of the next request."""
+        total = 0.0
+        best = 0
+        for index, part in enumerate(self.parts):
+            self._credit[index] += part.weight
+            total += part.weight
+            if self._credit[index] > self._credit[best]:
+                best = index
+        self._credit[best] -= total
+        return self.parts[best].service
+
+
+@attrs.define(slots=True)
+class RoutingTable:
+    """One version of the configuration, ready for look-ups.
+
+    Attributes
+    ----------
+    splits : dict
+        Where each route with several parts stands; kept from version to version.
+    """
+
+    document: Document
+    random: Random
+    splits: dict[str, Split] = attrs.field(factory=dict)
+    _by_place: dict[tuple[bytes, bytes], Route] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._by_place = {
+            (route.host, route.prefix): route for route in self.document.routes
+        }
+
+    @property
+    def version(self) -> int:
+        """Version of the document."""
+        return self.document.version
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """Services that a route may lead to."""
+        return self.document.services
+
+    @property
+    def limits(self) -> Limits:
+        """Limits for callers."""
+        return self.document.limits
+
+    def match(self, host: bytes, target: bytes) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        path = target.partition(b"?")[0]
+        end = path.rfind(b"/")
+        while end >= 0:
+            route = self._by_place.get((host, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind(b"/", 0, end)
+        return None
+
+    def service_of(self, route: Route) -> str:
+        """Return the service of a route's next request, by the parts' weights."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        split = self.splits.get(route.name)
+        if split is None or split.parts != route.parts:
+            split = Split.started_anywhere(route.parts, self.random)
+            self.splits[route.name] = split
+        return split.take()
+
+    def followed_by(self, document: Document) -> "RoutingTable":
+        """Return the table of a later document, whose splits go on where they are."""
+        names = {route.name for route in document.routes if len(route.parts) > 1}
+        kept = {name: split for name, split in self.splits.items() if name in names}
+        return RoutingTable(document, self.random, kept)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -188,6 +188,7 @@
             "information": {
                 "service": "shop",
                 "version": "v1",
+                "zone": "dc-0",
                 "slots": instance.server.slots,
             },
             "status": {
--- a/standins/store.py
+++ b/standins/store.py
@@ -57,6 +57,10 @@
                 self.newest[key] = (self.end_offset, value)
             else:
                 self.newest.pop(key, None)
+        self.append_raw(record)
+
+    def append_raw(self, record: bytes) -> None:
+        """Add a record as it is, as another writer may."""
         self.records.append(record)
         grown, self.grown = self.grown, asyncio.Event()
         grown.set()
@@ -90,6 +94,8 @@
         Delay of an append that is carried out after its call broke off.
     page_items : int
         Most keys of one page.
+    raw_items : list
+        Items of another writer that stand on each page of newest records.
     calls : list of str
         Paths of all calls, for tests that count them.
     """
@@ -98,6 +104,7 @@
     refused_hosts: set[str] = attrs.field(factory=set)
     late_s: float = 0.5
     page_items: int = 500
+    raw_items: list[object] = attrs.field(factory=list)
     calls: list[str] = attrs.field(factory=list)
     topics: dict[str, Topic] = attrs.field(factory=dict)
     _producers: dict[tuple[str, str], Written] = attrs.field(factory=dict)
@@ -230,7 +237,7 @@
         ]
         page = items[: self.page_items]
         fields = {
-            "items": page,
+            "items": [*self.raw_items, *page],
             "has_more": len(page) < len(items),
             "end_offset": topic.end_offset,
         }
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -79,7 +79,12 @@
         self.beats += 1
         body = {
             "address": f"{self.host}:{BACKEND_PORT}",
-            "information": {"service": "shop", "version": "v1", "slots": 4},
+            "information": {
+                "service": "shop",
+                "version": "v1",
+                "zone": "dc-0",
+                "slots": 4,
+            },
             "status": {
                 "state": state,
                 "sequence": self.beats,
--- a/tests/test_mesh_choice.py
+++ b/tests/test_mesh_choice.py
@@ -6,10 +6,11 @@
 import pytest
 
 from azurestep.mesh.choice import Endpoint, Wish, choose
+from azurestep.mesh.incarnation import Incarnation
 
 
 def endpoint(name: str, data_centre: str = "dc-1", **fields: object) -> Endpoint:
-    made = Endpoint(name, "shop", name.encode(), data_centre, slots=4)
+    made = Endpoint(name, "shop", Incarnation(name.encode()), data_centre, slots=4)
     for field, value in fields.items():
         setattr(made, field, value)
     return made
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 
 from azurestep.mesh.crashes import CrashWatch
+from azurestep.mesh.incarnation import Incarnation
 from azurestep.mesh.messages import Request
 
 from .fixtures_mesh import MeshFleet, MeshInstance
@@ -41,7 +42,7 @@
 
 def crash(watch: CrashWatch, request: Request, now_ms: float) -> None:
     watch.lost(request, now_ms)
-    watch.died("shop", request.instance_id.decode(), now_ms + 1)
+    watch.died("shop", request.incarnation, now_ms + 1)
 
 
 def test_a_request_that_was_under_way_at_two_deaths_is_refused(
@@ -59,8 +60,8 @@
 ) -> None:
     for name in (b"i-1", b"i-2", b"i-3"):
         watch.lost(request(instance_id=name), 0.0)
-        watch.alive("shop", name.decode())
-        watch.died("shop", name.decode(), 1.0)
+        watch.alive("shop", Incarnation(name))
+        watch.died("shop", Incarnation(name), 1.0)
     assert not watch.refuses(request(), 30.0)
 
 
--- /dev/null
+++ b/tests/test_mesh_foreign_records.py
@@ -0,0 +1,237 @@
+"""Announcements and store records from another writer: refused, and the others hold."""
+
+import asyncio
+import json
+
+import orjson
+import pytest
+from aiohttp import ClientSession
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurestep.errors import MessageMalformedError
+from azurestep.platform.announcement import Heartbeat, Leaving, read_announcement
+from azurestep.platform.topics import CONFIGURATION_KEY, MEMBERS_TOPIC, OPERATOR_TOPIC
+from standins.store import StoreStandIn
+
+from .fixtures_mesh import ANNOUNCE_PORT, MeshFleet, document
+from .test_mesh_faults import eventually
+
+TARGET = "/v1/instances/i-1/heartbeat"
+BEAT = {
+    "address": "10.1.0.4:8080",
+    "information": {"service": "shop", "version": "v1", "zone": "dc-1", "slots": 4},
+    "status": {"state": "ready", "sequence": 7, "cold_remaining": "0ms"},
+    "born": 1_764_000_000_000,
+}
+FIELDS = [
+    ("address",),
+    ("information",),
+    ("information", "service"),
+    ("information", "version"),
+    ("information", "zone"),
+    ("information", "slots"),
+    ("status",),
+    ("status", "state"),
+    ("status", "sequence"),
+    ("status", "cold_remaining"),
+]
+OF_ANOTHER_TYPE = [True, None, [], {}, 1.5, -3, 10**30, "", "12", "\u0000"]
+
+
+def changed(path: tuple[str, ...], value: object) -> bytes:
+    beat = json.loads(json.dumps(BEAT))
+    holder = beat
+    for name in path[:-1]:
+        holder = holder[name]
+    if value is KeyError:
+        del holder[path[-1]]
+    else:
+        holder[path[-1]] = value
+    return json.dumps(beat).encode()
+
+
+def test_an_announcement_as_agreed_is_read() -> None:
+    found = read_announcement(TARGET, json.dumps(BEAT).encode())
+    assert found == Heartbeat("i-1", "shop", 7, 4, False, 0.0, 1_764_000_000_000)
+
+
+def test_new_fields_are_ignored() -> None:
+    body = json.dumps({**BEAT, "more": {"a": [1]}}).encode()
+    assert read_announcement(TARGET, body).instance_id == "i-1"
+
+
+@pytest.mark.parametrize("path", FIELDS)
+def test_a_missing_field_is_refused(path: tuple[str, ...]) -> None:
+    with pytest.raises(MessageMalformedError):
+        read_announcement(TARGET, changed(path, KeyError))
+
+
+@pytest.mark.parametrize("path", [*FIELDS, ("born",)])
+@pytest.mark.parametrize("value", OF_ANOTHER_TYPE, ids=repr)
+def test_a_field_of_another_type_is_refused(
+    path: tuple[str, ...], value: object
+) -> None:
+    if path[-1] in ("version", "zone") and isinstance(value, str):
+        return
+    if path[-1] == "service" and value in ("12", "\u0000"):
+        return
+    with pytest.raises(MessageMalformedError):
+        read_announcement(TARGET, changed(path, value))
+
+
+@pytest.mark.parametrize("state", ["Ready", "leaving", "draining "])
+def test_an_unknown_state_is_refused(state: str) -> None:
+    with pytest.raises(MessageMalformedError):
+        read_announcement(TARGET, changed(("status", "state"), state))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff\xfe",
+        b"{",
+        b"[]",
+        b"null",
+        b'{"born": NaN}',
+        b"[" * 90_000 + b"]" * 90_000,
+    ],
+    ids=["bytes", "cut", "list", "null", "NaN", "deep"],
+)
+@pytest.mark.parametrize("verb", ["heartbeat", "deregister"])
+def test_a_body_that_can_not_be_read_is_refused(verb: str, body: bytes) -> None:
+    with pytest.raises(MessageMalformedError):
+        read_announcement(f"/v1/instances/i-1/{verb}", body)
+
+
+def test_a_leaving_notice_tells_its_start_or_not() -> None:
+    target = "/v1/instances/i-1/deregister"
+    assert read_announcement(target, b"") == Leaving("i-1")
+    assert read_announcement(target, b"{}") == Leaving("i-1")
+    assert read_announcement(target, b'{"born": 5}') == Leaving("i-1", 5)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["state", "slots", "born", "x"]), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_are_read_or_refused(body: bytes) -> None:
+    for verb in ("heartbeat", "deregister"):
+        try:
+            read_announcement(f"/v1/instances/i-1/{verb}", body)
+        except MessageMalformedError:
+            continue
+
+
+@given(st.sampled_from([*FIELDS, ("born",)]), JSON_VALUES)
+def test_any_value_is_taken_as_it_is_typed_or_refused(
+    path: tuple[str, ...], value: object
+) -> None:
+    try:
+        found = read_announcement(TARGET, changed(path, value))
+    except MessageMalformedError:
+        return
+    assert isinstance(found, Heartbeat)
+    assert type(found.slots) is int and found.slots >= 1
+    assert type(found.sequence) is int and found.sequence >= 0
+    assert type(found.service) is str and found.service
+    assert found.born_ms is None or type(found.born_ms) is int
+
+
+async def announce(session: ClientSession, host: str, name: str, body: bytes) -> int:
+    address = f"http://{host}:{ANNOUNCE_PORT}/v1/instances/{name}/heartbeat"
+    async with session.post(address, data=body) as answer:
+        return answer.status
+
+
+async def test_foreign_announcements_are_refused_and_the_server_serves_on(
+    mesh: MeshFleet,
+) -> None:
+    instance = mesh.instances[0]
+    unknown_service = changed(("information", "service"), "elsewhere")
+    unknown_state = changed(("status", "state"), "zombie")
+    for body in (b"\xff", unknown_service, unknown_state):
+        for name in ("i-1", "i-9"):
+            assert await announce(mesh.session, instance.host, name, body) == 400
+    backend = instance.node.backend
+    assert backend.instance_id == "i-1"
+    assert not backend.doubted_id
+
+
+async def test_a_service_that_was_known_may_leave_after_it_was_dropped(
+    mesh: MeshFleet,
+) -> None:
+    instance = mesh.instances[0]
+    plain = orjson.loads(document(9))
+    plain["services"] = {"other": {}}
+    for route in plain["routes"].values():
+        route["service"] = "other"
+    mesh.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, orjson.dumps(plain))
+    await eventually(lambda: instance.node.configuration.version == 9)
+    assert await instance.beat(mesh.session, "draining") == 200
+    assert instance.node.backend.is_leaving()
+
+
+BAD_MEMBERS = [
+    ("10.9.9.1", b"\xff\xfe"),
+    ("10.9.9.2", b"[]"),
+    ("10.9.9.3", b'{"format": 1}'),
+    ("10.9.9.4", b'{"format": 1, "port": "7102"}'),
+    ("10.9.9.5", b'{"format": 1, "port": true}'),
+    ("10.9.9.6", b'{"format": 1, "port": 70000}'),
+    ("no-address", b'{"format": 1, "port": 7102}'),
+    ("10.9.9.8", b'{"format": "1", "port": 7102}'),
+    ("10.9.9.9", b"[" * 50_000 + b"]" * 50_000),
+]
+
+
+async def test_foreign_records_among_the_members_hide_nobody(
+    mesh_store: StoreStandIn, mesh: MeshFleet
+) -> None:
+    for key, value in BAD_MEMBERS:
+        mesh_store.put(MEMBERS_TOPIC, key, value)
+    mesh_store.raw_items.append({"key": 5, "value": "eA==", "offset": 1})
+    mesh_store.raw_items.append({"key": "10.9.9.10", "value": "*", "offset": 1})
+    mesh_store.raw_items.append({"offset": 1})
+    mesh_store.raw_items.append("no item")
+    instance = mesh.instances[2]
+    assert instance.task is not None
+    instance.task.cancel()
+    instance.node.abort()
+    await asyncio.sleep(0.05)
+    instance.node = mesh.new_node(instance)
+    mesh.start_node(instance)
+    await eventually(lambda: instance.node.discovery.done)
+    known = {host for host, _ in instance.node.members.links}
+    assert known == {item.host for item in mesh.instances[:2]}
+
+
+async def test_foreign_records_in_the_configuration_topic_stop_no_reader(
+    mesh_store: StoreStandIn, mesh: MeshFleet
+) -> None:
+    topic = mesh_store.topic(OPERATOR_TOPIC)
+    for raw in (b"", b"\x09ab", b"\x02\xff\xfe", b"\x06config{", b"\x06config[]"):
+        topic.append_raw(raw)
+    await asyncio.sleep(0.3)
+    assert all(item.node.configuration.version == 3 for item in mesh.instances)
+    mesh_store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
+    await eventually(
+        lambda: all(item.node.configuration.version == 8 for item in mesh.instances), 2
+    )
+
+
+async def test_a_good_version_behind_a_foreign_record_is_taken(
+    mesh_store: StoreStandIn, mesh: MeshFleet
+) -> None:
+    mesh_store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(8))
+    mesh_store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, b"no document")
+    await eventually(
+        lambda: all(item.node.configuration.version == 8 for item in mesh.instances), 2
+    )
--- /dev/null
+++ b/tests/test_mesh_incarnations.py
@@ -0,0 +1,195 @@
+"""Backend servers that start again under the id that they had."""
+
+import asyncio
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurestep.mesh.backend import Backend
+from azurestep.mesh.crashes import CrashWatch
+from azurestep.mesh.incarnation import Incarnation
+from azurestep.platform.announcement import Heartbeat, Leaving
+
+from .fixtures_mesh import MeshFleet
+from .test_mesh_crashes import request as crash_request
+
+DRAIN_MS = 2000.0
+FIRST = Heartbeat("i-1", "shop", 40, 4, False, 0.0, born_ms=1_000)
+AGAIN = Heartbeat("i-1", "shop", 1, 6, False, 500.0, born_ms=9_000)
+"""The same id, started later: its heartbeats count from one."""
+
+
+@pytest.fixture
+def backend() -> Backend:
+    backend = Backend(DRAIN_MS)
+    backend.announce(FIRST, 0.0)
+    return backend
+
+
+def test_a_later_start_is_another_incarnation(backend: Backend) -> None:
+    backend.announce(AGAIN, 10.0)
+    assert backend.incarnation == Incarnation(b"i-1", 9_000)
+    assert backend.slots == 6
+    assert backend.cold_ms(10.0) == 500.0
+
+
+def test_heartbeats_count_anew(backend: Backend) -> None:
+    backend.announce(AGAIN, 10.0)
+    backend.announce(attrs.evolve(AGAIN, sequence=2, slots=7), 20.0)
+    assert backend.slots == 7
+
+
+def test_leaving_of_the_earlier_start_does_not_hold(backend: Backend) -> None:
+    backend.announce(attrs.evolve(FIRST, sequence=41, leaving=True), 10.0)
+    assert not backend.is_open()
+    backend.announce(AGAIN, 20.0)
+    assert backend.is_open()
+    assert backend.admits(20.0 + 2 * DRAIN_MS)
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        attrs.evolve(FIRST, sequence=99, slots=1),
+        attrs.evolve(FIRST, sequence=99, leaving=True),
+    ],
+)
+def test_a_late_heartbeat_of_the_earlier_start_changes_nothing(
+    backend: Backend, late: Heartbeat
+) -> None:
+    backend.announce(AGAIN, 10.0)
+    backend.announce(late, 20.0)
+    assert backend.is_open()
+    assert backend.slots == 6
+
+
+def test_a_late_leaving_notice_of_the_earlier_start_changes_nothing(
+    backend: Backend,
+) -> None:
+    backend.announce(AGAIN, 10.0)
+    backend.leave(Leaving("i-1", born_ms=1_000), 20.0)
+    assert backend.is_open()
+    backend.leave(Leaving("i-1", born_ms=9_000), 30.0)
+    assert not backend.is_open()
+
+
+def test_an_ended_mark_of_the_earlier_start_does_not_hold(backend: Backend) -> None:
+    backend.mark_gone(Incarnation(b"i-1", 1_000))
+    backend.announce(attrs.evolve(FIRST, sequence=50), 10.0)
+    assert not backend.is_open()
+    backend.announce(AGAIN, 20.0)
+    assert backend.is_open()
+
+
+def test_news_that_the_earlier_start_is_gone_leaves_the_later_one(
+    backend: Backend,
+) -> None:
+    backend.announce(AGAIN, 10.0)
+    backend.mark_gone(Incarnation(b"i-1", 1_000))
+    assert backend.is_open()
+
+
+def test_a_start_that_leaves_first_of_all_is_bound_from_then_on() -> None:
+    backend = Backend(DRAIN_MS)
+    backend.announce(attrs.evolve(FIRST, leaving=True), 10.0)
+    assert not backend.admits(10.0)
+    backend.announce(AGAIN, 20.0)
+    assert backend.is_open()
+
+
+def test_a_notice_without_a_start_concerns_the_newest_one(backend: Backend) -> None:
+    backend.announce(AGAIN, 10.0)
+    backend.leave(Leaving("i-1"), 20.0)
+    assert not backend.is_open()
+
+
+def test_without_starts_all_is_as_before() -> None:
+    backend = Backend(DRAIN_MS)
+    plain = attrs.evolve(FIRST, born_ms=None)
+    backend.announce(plain, 0.0)
+    backend.announce(attrs.evolve(plain, sequence=39, slots=9), 1.0)
+    assert backend.slots == 4
+    assert backend.incarnation == Incarnation(b"i-1")
+
+
+def test_a_start_learned_after_a_probe_is_no_other_incarnation() -> None:
+    backend = Backend(DRAIN_MS)
+    backend.discover("i-1", "shop", 4)
+    before = backend.incarnation
+    backend.announce(FIRST, 10.0)
+    assert backend.incarnation.may_be(before)
+    assert backend.is_open()
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from([1_000, 2_000, 3_000]),
+        st.integers(1, 6),
+        st.booleans(),
+        st.booleans(),
+    ),
+    max_size=40,
+)
+
+
+@given(STEPS)
+def test_the_newest_start_rules_and_a_leaving_is_never_taken_back(
+    steps: list[tuple[int, int, bool, bool]],
+) -> None:
+    backend = Backend(DRAIN_MS)
+    newest = 0
+    leaving: set[int] = set()
+    for now_ms, (born_ms, sequence, leaves, by_notice) in enumerate(steps):
+        if by_notice:
+            backend.leave(Leaving("i-1", born_ms), float(now_ms))
+        else:
+            beat = Heartbeat("i-1", "shop", sequence, 4, leaves, 0.0, born_ms)
+            backend.announce(beat, float(now_ms))
+        newest = max(newest, born_ms)
+        if born_ms == newest and (leaves or by_notice):
+            leaving.add(born_ms)
+        assert backend.is_open() == (
+            bool(backend.instance_id) and newest not in leaving
+        )
+        if backend.instance_id:
+            assert backend.incarnation.born_ms == newest
+
+
+def test_two_deaths_under_one_id_are_two_deaths() -> None:
+    watch = CrashWatch("127.0.0.1", servers=lambda service: 6)
+    for now_ms, born_ms in ((0.0, 1_000), (20.0, 9_000)):
+        request = attrs.evolve(crash_request(), born_ms=born_ms)
+        watch.lost(request, now_ms)
+        watch.died("shop", request.incarnation, now_ms + 1)
+    assert watch.refuses(crash_request(), 30.0)
+
+
+async def beat(mesh: MeshFleet, index: int, born_ms: int, **status: object) -> int:
+    instance = mesh.instances[index]
+    body = {
+        "address": f"{instance.host}:7106",
+        "information": {"service": "shop", "version": "v1", "zone": "z", "slots": 4},
+        "status": {"state": "ready", "sequence": 1, "cold_remaining": "0ms", **status},
+        "born": born_ms,
+    }
+    address = f"http://{instance.host}:7104/v1/instances/i-{index + 1}/heartbeat"
+    async with mesh.session.post(address, json=body) as answer:
+        return answer.status
+
+
+async def test_a_server_that_started_again_is_used_by_all_nodes(
+    mesh: MeshFleet,
+) -> None:
+    for index in range(3):
+        assert await beat(mesh, index, 1_000, sequence=100) == 200
+        assert await beat(mesh, index, 1_000, sequence=101, state="draining") == 200
+    await asyncio.sleep(0.1)
+    assert (await mesh.get(mesh.instances[0], "/read/1", "b0"))[0] == 503
+    assert await beat(mesh, 1, 2_000) == 200
+    assert await beat(mesh, 1, 1_000, sequence=102, state="draining") == 200
+    await asyncio.sleep(0.1)
+    for index, instance in enumerate(mesh.instances):
+        assert (await mesh.get(instance, "/read/1", f"b{index + 1}"))[0] == 200
+    assert mesh.instances[1].server.runs["b3"] == 1
--- a/tests/test_mesh_routes.py
+++ b/tests/test_mesh_routes.py
@@ -1,12 +1,17 @@
 """Routes, splits and the operator's document."""
 
+from random import Random
+
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from azurestep.errors import ConfigurationError
 from azurestep.mesh.configuration import Configuration
-from azurestep.mesh.routes import Part, Split
 from azurestep.platform.document import read_document
+from azurestep.routing.model import Part
+from azurestep.routing.table import RoutingTable, Split
 
 from .fixtures_mesh import document
 
@@ -18,7 +23,8 @@
 
 
 def test_the_longest_prefix_wins() -> None:
-    table = read_document(with_route(path_prefix="/read/deep/", service="shop"))
+    document = read_document(with_route(path_prefix="/read/deep/", service="shop"))
+    table = RoutingTable(document, Random(1))
     assert table.match(b"shop.example", b"/read/deep/1").name == "more"  # type: ignore[union-attr]
     assert table.match(b"shop.example", b"/read/deep?x=/").name == "read"  # type: ignore[union-attr]
     assert table.match(b"shop.example", b"/reader/1") is None
@@ -31,6 +37,127 @@
     assert taken.count("b") == 10
 
 
+def with_split(version: int, a: float = 90, b: float = 10) -> bytes:
+    plain = orjson.loads(document(version))
+    plain["services"] = {"shop": {}, "a": {}, "b": {}}
+    plain["routes"]["split"] = {
+        **plain["routes"]["read"],
+        "path_prefix": "/split/",
+        "traffic_split": [{"service": "a", "weight": a}, {"service": "b", "weight": b}],
+    }
+    return orjson.dumps(plain)
+
+
+def split_share(nodes: int, requests: int, a: float, b: float, seed: int) -> float:
+    """Return the share of the smaller part at nodes with few requests of their own.
+
+    A new version comes after each request, as in a storm of configurations.
+    """
+    taken = []
+    for index in range(nodes):
+        configuration = Configuration(lambda table: None, random=Random(seed + index))
+        for version in range(1, requests + 1):
+            configuration.offer(with_split(version, a, b), "test")
+            table = configuration.table
+            assert table is not None
+            route = table.match(b"shop.example", b"/split/1")
+            assert route is not None
+            taken.append(table.service_of(route))
+    return taken.count("b") / len(taken)
+
+
+@pytest.mark.parametrize(("nodes", "requests"), [(61, 5), (13, 24), (25, 12)])
+@pytest.mark.parametrize(("a", "b"), [(90, 10), (70, 30), (1, 1)])
+@pytest.mark.parametrize("seed", [1, 1000, 2000])
+def test_shares_are_near_the_weights_with_few_requests_at_each_node(
+    nodes: int, requests: int, a: float, b: float, seed: int
+) -> None:
+    share = split_share(nodes, requests, a, b, seed)
+    assert abs(share - b / (a + b)) < 0.1
+
+
+def test_the_requests_of_one_node_are_near_the_weights_after_ten() -> None:
+    for seed in range(50):
+        assert abs(split_share(1, 10, 70, 30, seed) - 0.3) < 0.11
+
+
+def test_a_part_without_weight_gets_nothing() -> None:
+    split = Split.started_anywhere((Part("a", 1), Part("b", 0)), Random(3))
+    assert {split.take() for _ in range(200)} == {"a"}
+
+
+FAULTY = {
+    "version of another type": {"version": "7"},
+    "version is a bool": {"version": True},
+    "a route without a host": {"routes": {"r": {"path_prefix": "/", "service": "s"}}},
+    "services no table": {"services": []},
+    "an unknown service": {"services": {"other": {}}},
+    "limits of another type": {"limits": {"max_header_bytes": 1.5}},
+}
+
+
+@pytest.mark.parametrize("change", FAULTY.values(), ids=FAULTY.keys())
+def test_a_document_with_a_fault_is_refused_whole(change: dict[str, object]) -> None:
+    with pytest.raises(ConfigurationError):
+        read_document(orjson.dumps({**orjson.loads(document(7)), **change}))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"route_kind": 3},
+        {"priority": True},
+        {"max_attempts": 0},
+        {"max_attempts": "2"},
+        {"path_prefix": "no-slash"},
+        {"timeout": 1200},
+        {"aim": "1_000ms"},
+        {"service": None},
+        {"traffic_split": [{"service": "shop"}]},
+        {"traffic_split": [{"service": "shop", "weight": -1}]},
+        {"traffic_split": [{"service": "shop", "weight": 0}]},
+        {"traffic_split": [{"service": "nowhere", "weight": 1}]},
+    ],
+)
+def test_a_route_with_a_fault_refuses_the_document(fields: dict[str, object]) -> None:
+    with pytest.raises(ConfigurationError):
+        read_document(with_route(**fields))
+
+
+def test_a_version_beyond_all_numbers_is_refused() -> None:
+    with pytest.raises(ConfigurationError):
+        read_document(document(7).replace(b'"version":7', b'"version":1%030d' % 0))
+
+
+@given(st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+def test_bytes_that_are_no_document_are_refused(content: bytes) -> None:
+    with pytest.raises(ConfigurationError):
+        read_document(content)
+
+
+def test_deep_nesting_is_refused() -> None:
+    deep = b"[" * 100_000 + b"]" * 100_000
+    with pytest.raises(ConfigurationError):
+        read_document(document(7)[:-1] + b',"x":' + deep + b"}")
+
+
+def test_new_fields_are_ignored() -> None:
+    assert read_document(document(7, more={"a": [1]})).version == 7
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False)],
+)
+def test_reads_and_downloads_may_run_again(kind: str, idempotent: bool) -> None:
+    table = RoutingTable(
+        read_document(with_route(route_kind=kind, path_prefix="/more/")), Random(1)
+    )
+    route = table.match(b"shop.example", b"/more/1")
+    assert route is not None
+    assert route.idempotent is idempotent
+
+
 @pytest.mark.parametrize(
     "content",
     [b"{", b"[]", b'{"version": 1}', with_route(timeout="5 minutes")],
