Keep the upload test's servers unreachable for as long as it says

The test set a mark that the node's next tick (0.1 s) clears, since the server does accept connections; beside other processes the tick came first and the upload was answered 200. The mark is now kept until the test takes it away; what it asserts is unchanged.

--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -1,6 +1,7 @@
 """Long bodies: fetched once there is a slot, a few at once."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -83,6 +84,7 @@
     await asked.beat(mesh.session, "draining")
     for instance in mesh.instances[1:]:
         instance.node.inbound.unreachable = True
+        instance.node.inbound._next_try_ms = math.inf
     assert await upload(mesh, asked, "refused") == 503
     assert sum(sent) < BULK_BYTES
     for instance in mesh.instances[1:]:
