Rooms by stage: callers, decisions, links, backend, knowledge

The 36 modules of the node stood side by side, with two import circles and an arrow from the adapter back up. Folders now follow a request's way, and each imports only those below it; the HTTP plumbing and the routing table stand outside the node, so the adapter depends on neither. No behaviour changes.

--- a/azurestep/cli/commands/sidecar.py
+++ b/azurestep/cli/commands/sidecar.py
@@ -4,7 +4,7 @@
 
 from ...environment import Environment
 from ...errors import UsageError
-from ...mesh.run import serve
+from ...mesh.node import serve
 from ...platform.boot import SETTINGS_VARIABLE
 from ...status import ExitStatus
 from ..options import SidecarOptions
--- /dev/null
+++ b/azurestep/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over the library's parser: serving callers, asking servers."""
--- a/azurestep/mesh/http_server.py
+++ b/azurestep/http/server.py
@@ -15,7 +15,6 @@
 import httptools
 
 from ..routing.model import Limits
-from . import events
 
 Headers = list[tuple[bytes, bytes]]
 HEAD_SLACK_BYTES = 65_536
@@ -125,11 +124,14 @@
         Called when the head of a request is read; it sets the exchange's sink.
     limits : Limits
         What a caller may send.
+    on_error : Callable
+        Called with the cause when a handler failed; its connection is reset.
     draining : bool
         Whether answers ask callers to close their connections.
     """
 
     handler: Handler
+    on_error: Callable[[str], None]
     limits: Limits = Limits()
     draining: bool = False
     connections: "set[ServerConnection]" = attrs.field(factory=set)
@@ -196,7 +198,7 @@
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserCallbackError as error:
-            events.log(events.HANDLER_FAILED, cause=repr(error.__context__))
+            self.state.on_error(repr(error.__context__))
             self.abort()
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
--- /dev/null
+++ b/azurestep/mesh/backend/__init__.py
@@ -0,0 +1,1 @@
+"""The backend server beside a node: admit, run, watch."""
--- a/azurestep/mesh/crashes.py
+++ b/azurestep/mesh/backend/crashes.py
@@ -11,10 +11,10 @@
 
 import attrs
 
-from ..endpoint_key import EndpointKey
-from ..quarantine import Quarantine, QuarantineUpdate, Standing, fingerprint
-from .incarnation import Incarnation
-from .messages import Request
+from ...endpoint_key import EndpointKey
+from ...quarantine import Quarantine, QuarantineUpdate, Standing, fingerprint
+from ..incarnation import Incarnation
+from ..messages import Request
 
 RETRY_MS = 10_000.0
 """Time to come back after such a refusal: no request of a caller lives that long, so
--- a/azurestep/mesh/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -9,18 +9,18 @@
 
 import attrs
 
-from . import events
-from .admission import Admission, Refused
-from .backend import Backend
-from .backend_run import AnswerReceiver, Run
+from ...http.client import ClientConnection, Idle
+from .. import events
+from ..decisions.admission import Admission, Refused
+from ..decisions.health import Health
+from ..decisions.pressure import CallerLearner
+from ..incarnation import NO_INCARNATION, Incarnation
+from ..messages import Reason, Request
+from ..runtime import Runtime
+from ..settings import Address
 from .crashes import CrashWatch
-from .health import Health
-from .http_client import ClientConnection, Idle
-from .incarnation import NO_INCARNATION, Incarnation
-from .messages import Reason, Request
-from .pressure import CallerLearner
-from .runtime import Runtime
-from .settings import Address
+from .run import AnswerReceiver, Run
+from .state import Backend
 from .transfers import Transfers
 
 CONNECT_TIMEOUT_S = 1.0
--- a/azurestep/mesh/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -10,12 +10,12 @@
 
 import attrs
 
-from ..platform.headers import read_answer
-from ..routing.table import RoutingTable
-from . import events
-from .http_client import Headers
+from ...http.client import Headers
+from ...platform.headers import read_answer
+from ...routing.table import RoutingTable
+from .. import events
+from ..runtime import Runtime
 from .inbound import Inbound
-from .runtime import Runtime
 
 PROBE_TIMEOUT_S = 1.0
 SEARCH_MS = 3000.0
--- a/azurestep/mesh/backend_run.py
+++ b/azurestep/mesh/backend/run.py
@@ -1,15 +1,16 @@
 """One request at the backend server beside this node."""
 
-from typing import TYPE_CHECKING, Protocol
-
-from ..platform.headers import AnswerFields, read_answer, to_backend
-from . import events
-from .admission import Ticket
-from .http_client import ClientConnection, Headers
-from .messages import Answer, Failure, Reason, Refusal, Request
-
-if TYPE_CHECKING:
-    from .inbound import Inbound
+from typing import Protocol
+
+from ...http.client import ClientConnection, Headers, Idle
+from ...platform.headers import AnswerFields, read_answer, to_backend
+from .. import events
+from ..decisions.admission import Admission, Ticket
+from ..messages import Answer, Failure, Reason, Refusal, Request
+from ..runtime import Runtime
+from .crashes import CrashWatch
+from .state import Backend
+from .transfers import Transfers
 
 BUFFER_BYTES = 262_144
 """Answers up to this size are read whole before they are passed on, so that one
@@ -54,11 +55,45 @@
         """Learn that a held request has a slot and waits to be let go."""
 
 
+class RunHost(Protocol):
+    """The way to the backend server that runs share."""
+
+    runtime: Runtime
+    backend: Backend
+    admission: Admission
+    idle: Idle
+    transfers: Transfers
+    crashes: CrashWatch
+
+    def now_ms(self) -> float:
+        """Return the monotonic time."""
+
+    async def connect(self) -> ClientConnection | None:
+        """Open a connection to the backend server; None if it takes none."""
+
+    def keep(self, connection: ClientConnection) -> None:
+        """Keep an idle connection."""
+
+    def release(self, run: "Run") -> None:
+        """Give a run's slot back."""
+
+    def ran(self, failed: bool) -> None:
+        """Count a run that ended."""
+
+    def broke_off(
+        self, request: Request, connection: ClientConnection, sent_ms: float
+    ) -> None:
+        """Learn that a connection ended under a request, before any answer."""
+
+    def other_instance(self, request: Request, instance_id: str) -> None:
+        """Learn that another incarnation answered."""
+
+
 class Run:
     """One request on its way through this node to the backend server."""
 
     def __init__(
-        self, inbound: "Inbound", request: Request, receiver: AnswerReceiver
+        self, inbound: RunHost, request: Request, receiver: AnswerReceiver
     ) -> None:
         now_ms = inbound.now_ms()
         self.inbound = inbound
--- a/azurestep/mesh/backend.py
+++ b/azurestep/mesh/backend/state.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from ..platform.announcement import Heartbeat, Leaving
-from .incarnation import BIRTH_UNKNOWN, NO_INCARNATION, Incarnation
+from ...platform.announcement import Heartbeat, Leaving
+from ..incarnation import BIRTH_UNKNOWN, NO_INCARNATION, Incarnation
 
 DRAIN_SHARE = 0.5
 """Share of the drain bound in which requests on their way still get in."""
--- a/azurestep/mesh/answer_writer.py
+++ b/azurestep/mesh/callers/answer_writer.py
@@ -1,7 +1,7 @@
 """Passing a backend server's answer on to the caller."""
 
-from .http_server import Exchange
-from .messages import Answer
+from ...http.server import Exchange
+from ..messages import Answer
 
 LAST_CHUNK = b"0\r\n\r\n"
 
--- a/azurestep/mesh/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -1,16 +1,16 @@
 """One attempt of a caller: choose, send, try elsewhere, answer."""
 
-from ..platform.headers import CallerFields
-from . import events
+from ...http.server import Exchange
+from ...platform.headers import CallerFields
+from .. import events
+from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
+from ..backend.run import WINDOW_BYTES
+from ..decisions.choice import Endpoint, Wish, choose
+from ..links.connection import Stream
+from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_writer import AnswerWriter
-from .backend_run import WINDOW_BYTES
-from .call_context import CallContext, Target
-from .choice import Endpoint, Wish, choose
-from .crashes import RETRY_MS as CRASH_RETRY_MS
-from .http_server import Exchange
-from .messages import Answer, Failure, Reason, Refusal, Request
+from .context import CallContext, Target
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
-from .peer_connection import Stream
 
 BODY_BUFFER_BYTES = 524_288
 """Bodies up to this size are read whole before they are sent, so that a request
--- a/azurestep/mesh/call_context.py
+++ b/azurestep/mesh/callers/context.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from ..routing.model import Route
-from .choice import UsualTimes
-from .crashes import CrashWatch
-from .members import Members
-from .pressure import RefusalMeter
-from .retry_budget import RetryBudget
-from .runtime import Runtime
+from ...routing.model import Route
+from ..backend.crashes import CrashWatch
+from ..decisions.choice import UsualTimes
+from ..decisions.pressure import RefusalMeter
+from ..decisions.retry_budget import RetryBudget
+from ..links.members import Members
+from ..runtime import Runtime
 
 
 @attrs.define(eq=False)
--- a/azurestep/mesh/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -4,16 +4,16 @@
 
 import attrs
 
-from ..platform.headers import read_caller
-from ..routing.table import RoutingTable
-from . import events
+from ...http.server import Exchange
+from ...platform.headers import read_caller
+from ...routing.table import RoutingTable
+from .. import events
+from ..decisions.pressure import PressureView
+from ..messages import Reason
+from ..runtime import Runtime
 from .call import UNAVAILABLE, Call
-from .call_context import CallContext, Target
-from .http_server import Exchange
-from .messages import Reason
+from .context import CallContext, Target
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
-from .pressure import PressureView
-from .runtime import Runtime
 
 RETRY_SHED_MS = 120.0
 """Time to come back after a refusal for another service's sake: short enough that
--- a/azurestep/mesh/own_answers.py
+++ b/azurestep/mesh/callers/own_answers.py
@@ -1,8 +1,8 @@
 """Answers that a node gives in its own name."""
 
-from ..platform.headers import REQUEST_ID
-from .http_server import Exchange, Headers
-from .runtime import Runtime
+from ...http.server import Exchange, Headers
+from ...platform.headers import REQUEST_ID
+from ..runtime import Runtime
 
 RETRY_SPREAD = 0.5
 """Share by which the time to come back is varied, so that callers that were
--- a/azurestep/mesh/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from .incarnation import Incarnation
+from ..incarnation import Incarnation
 
 RUN_FIRST_MS = 150.0
 """Run time assumed for a route while no answer was seen; near the mean of the
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 from ..errors import MessageMalformedError
+from ..http.server import Exchange, Handler
 from ..platform.announcement import Heartbeat, Leaving, read_announcement
 from . import events
-from .backend import Backend
-from .http_server import Exchange, Handler
+from .backend.state import Backend
 from .runtime import Runtime
 
 JSON = [(b"Content-Type", b"application/json")]
--- a/azurestep/mesh/configuration.py
+++ b/azurestep/mesh/knowledge/configuration.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from ..errors import ConfigurationError
-from ..platform.document import read_document
-from ..routing.model import Document
-from ..routing.table import RoutingTable
-from . import events
+from ...errors import ConfigurationError
+from ...platform.document import read_document
+from ...routing.model import Document
+from ...routing.table import RoutingTable
+from .. import events
 
 STORE = "store"
 PEER = "node"
--- a/azurestep/mesh/discovery.py
+++ b/azurestep/mesh/knowledge/discovery.py
@@ -8,9 +8,9 @@
 
 import attrs
 
-from ..errors import MessageMalformedError
-from ..platform.members import read_member, write_member
-from ..platform.store import (
+from ...errors import MessageMalformedError
+from ...platform.members import read_member, write_member
+from ...platform.store import (
     Appended,
     AppendOutcome,
     Fenced,
@@ -18,10 +18,10 @@
     Producer,
     StoreClient,
 )
-from ..platform.topics import MEMBERS_TOPIC
-from . import events
-from .members import Members
-from .runtime import Runtime
+from ...platform.topics import MEMBERS_TOPIC
+from .. import events
+from ..links.members import Members
+from ..runtime import Runtime
 
 PAUSE_S = (0.1, 0.3, 0.6, 1.2)
 """Pauses between attempts while the store does not answer."""
--- a/azurestep/mesh/following.py
+++ b/azurestep/mesh/knowledge/following.py
@@ -10,12 +10,12 @@
 
 import attrs
 
-from ..platform.store import Forgotten, Newest, Records, StoreClient, split_keyed
-from ..platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
-from . import events
+from ...platform.store import Forgotten, Newest, Records, StoreClient, split_keyed
+from ...platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+from .. import events
+from ..links.members import Members
+from ..runtime import Runtime
 from .configuration import STORE, Configuration
-from .members import Members
-from .runtime import Runtime
 
 POLL_MS = 1000
 """Length of a long poll. A reader whose connection went silent knows it after this
--- /dev/null
+++ b/azurestep/mesh/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between nodes: requests, answers and news."""
--- a/azurestep/mesh/peer_connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -1,16 +1,16 @@
 """One connection of a link: requests and probes out, outcomes and state in."""
 
 import asyncio
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 import attrs
 import msgpack
 
-from ..quarantine import QuarantineUpdate
-from . import events
-from .backend_run import AnswerReceiver
-from .crashes import decode_updates
-from .messages import (
+from ...quarantine import QuarantineUpdate
+from .. import events
+from ..backend.crashes import decode_updates
+from ..backend.run import AnswerReceiver
+from ..messages import (
     Answer,
     Decoder,
     Failure,
@@ -24,9 +24,7 @@
     encode,
     fields_of,
 )
-
-if TYPE_CHECKING:
-    from .peer_link import PeerLink
+from ..runtime import Runtime
 
 BUSY_PING_MS = 90.0
 """Time between probes of a link with requests under way."""
@@ -58,17 +56,8 @@
         """
 
 
-class LinkEvents(Protocol):
-    """What hears of news from other nodes."""
-
-    def on_link_up(self, link: "PeerLink", hello: Hello) -> None:
-        """Learn that a node answers."""
-
-    def on_link_down(self, link: "PeerLink", cause: str) -> None:
-        """Learn that a node does not answer."""
-
-    def on_state(self, link: "PeerLink", state: State) -> None:
-        """Learn a node's state."""
+class PeerNews(Protocol):
+    """What hears of news that concern the whole fleet, whichever node tells them."""
 
     def on_configuration(self, version: int, content: bytes) -> None:
         """Take a configuration that a node sent."""
@@ -80,6 +69,26 @@
         """Return this node's greeting."""
 
 
+class ConnectionOwner(Protocol):
+    """The link that a connection belongs to."""
+
+    runtime: Runtime
+    connection: "PeerConnection | None"
+
+    @property
+    def fleet(self) -> PeerNews:
+        """What hears of news that concern the whole fleet."""
+
+    def on_hello(self, connection: "PeerConnection", hello: Hello) -> None:
+        """Take the other node's greeting."""
+
+    def on_state(self, connection: "PeerConnection", state: State) -> None:
+        """Take the other node's state."""
+
+    def on_connection_lost(self, connection: "PeerConnection") -> None:
+        """Learn that the connection ended."""
+
+
 @attrs.define(eq=False)
 class RemoteStream:
     """One request on a link."""
@@ -107,7 +116,7 @@
 class PeerConnection(asyncio.Protocol):
     """One TCP connection of a link."""
 
-    def __init__(self, link: "PeerLink") -> None:
+    def __init__(self, link: ConnectionOwner) -> None:
         self.link = link
         self.streams: dict[int, RemoteStream] = {}
         self.received_ms = link.runtime.now_ms()
@@ -120,7 +129,7 @@
         """Greet the other node."""
         self._transport = transport  # type: ignore[assignment]
         self.link.connection = self
-        self.send(Kind.HELLO, *fields_of(self.link.news.hello()))
+        self.send(Kind.HELLO, *fields_of(self.link.fleet.hello()))
         self.ping()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -214,9 +223,9 @@
         elif kind == Kind.HELLO:
             self.link.on_hello(self, Hello(*message[1:6]))
         elif kind == Kind.CONFIGURATION:
-            self.link.news.on_configuration(message[1], decompress(message[2]))
+            self.link.fleet.on_configuration(message[1], decompress(message[2]))
         elif kind == Kind.CRASHES:
-            self.link.news.on_crashes(message[1], decode_updates(message[2]))
+            self.link.fleet.on_crashes(message[1], decode_updates(message[2]))
         else:
             self._take_outcome(kind, message[1], message[2:])
 
--- a/azurestep/mesh/peer_link.py
+++ b/azurestep/mesh/links/link.py
@@ -1,22 +1,23 @@
 """Links that this node opens to others, over one connection after the other."""
 
 import asyncio
+from typing import Protocol
 
 import attrs
 
-from .cadence import IDLE_PROBE_LEAST_MS
-from .choice import Endpoint
-from .incarnation import NO_INCARNATION, Incarnation
-from .messages import Hello, Kind, Request, State
-from .peer_connection import (
+from ..decisions.cadence import IDLE_PROBE_LEAST_MS
+from ..decisions.choice import Endpoint
+from ..incarnation import NO_INCARNATION, Incarnation
+from ..messages import Hello, Kind, Request, State
+from ..runtime import Runtime
+from ..settings import Address
+from .connection import (
     BUSY_PING_MS,
     CallReceiver,
-    LinkEvents,
     PeerConnection,
+    PeerNews,
     Stream,
 )
-from .runtime import Runtime
-from .settings import Address
 
 DOUBT_MS = 200.0
 """Time without an answer to a probe after which a node gets no new requests. An
@@ -31,6 +32,19 @@
 node that restarts while the store is away is found within about a second."""
 
 
+class LinkEvents(PeerNews, Protocol):
+    """What hears of the nodes at the other ends of links."""
+
+    def on_link_up(self, link: "PeerLink", hello: Hello) -> None:
+        """Learn that a node answers."""
+
+    def on_link_down(self, link: "PeerLink", cause: str) -> None:
+        """Learn that a node does not answer."""
+
+    def on_state(self, link: "PeerLink", state: State) -> None:
+        """Learn a node's state."""
+
+
 @attrs.define(eq=False)
 class PeerLink:
     """The way to one other node, over one connection after the other.
@@ -63,6 +77,11 @@
         self.endpoint = Endpoint(self.address, "", NO_INCARNATION, "", open=False)
         self.lost_since_ms = self.runtime.now_ms()
 
+    @property
+    def fleet(self) -> PeerNews:
+        """What hears of news that concern the whole fleet."""
+        return self.news
+
     def send(self, request: Request, receiver: CallReceiver) -> Stream | None:
         """Send a request; None if the node can't be reached."""
         if self.connection is None or not self.up:
--- a/azurestep/mesh/members.py
+++ b/azurestep/mesh/links/members.py
@@ -8,17 +8,17 @@
 
 import attrs
 
-from ..quarantine import QuarantineUpdate
-from . import events
-from .cadence import idle_probe_ms
-from .choice import Endpoint
-from .inbound import Inbound
-from .incarnation import NO_INCARNATION
-from .messages import Hello, Request, State
-from .peer_connection import CallReceiver, Stream
-from .peer_link import PeerLink
-from .runtime import Runtime
-from .settings import Address
+from ...quarantine import QuarantineUpdate
+from .. import events
+from ..backend.inbound import Inbound
+from ..decisions.cadence import idle_probe_ms
+from ..decisions.choice import Endpoint
+from ..incarnation import NO_INCARNATION
+from ..messages import Hello, Request, State
+from ..runtime import Runtime
+from ..settings import Address
+from .connection import CallReceiver, Stream
+from .link import PeerLink
 
 FORGET_MS = 300_000.0
 """Time without an answer after which a node is no longer dialled."""
--- a/azurestep/mesh/peer_server.py
+++ b/azurestep/mesh/links/server.py
@@ -7,13 +7,13 @@
 import attrs
 import msgpack
 
-from ..quarantine import QuarantineUpdate
-from . import events
-from .backend_run import Run
-from .cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, ReportPace
-from .crashes import encode_updates
-from .inbound import Inbound
-from .messages import (
+from ...quarantine import QuarantineUpdate
+from .. import events
+from ..backend.crashes import encode_updates
+from ..backend.inbound import Inbound
+from ..backend.run import Run
+from ..decisions.cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, ReportPace
+from ..messages import (
     FORMAT,
     Answer,
     Decoder,
@@ -27,7 +27,7 @@
     encode,
     fields_of,
 )
-from .runtime import Runtime
+from ..runtime import Runtime
 
 PONG = encode(Kind.PONG)
 STALE_MS = 100.0
--- a/azurestep/mesh/run.py
+++ b/azurestep/mesh/node.py
@@ -11,25 +11,25 @@
 import uvloop
 
 from ..errors import PortInUseError, SettingsError
+from ..http.server import Handler, ServerConnection, ServerState
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
 from ..routing.table import RoutingTable
 from . import endpoints, events
-from .backend import Backend
-from .call_context import CallContext
-from .configuration import PEER, Configuration
-from .crashes import CrashWatch
-from .discovery import Discovery
-from .following import Follower
-from .http_server import Handler, ServerConnection, ServerState
-from .inbound import Inbound
-from .members import Members
+from .backend.crashes import CrashWatch
+from .backend.inbound import Inbound
+from .backend.probing import Prober
+from .backend.state import Backend
+from .callers.context import CallContext
+from .callers.outbound import Outbound
+from .decisions.pressure import Report
+from .decisions.retry_budget import RetryBudget
+from .knowledge.configuration import PEER, Configuration
+from .knowledge.discovery import Discovery
+from .knowledge.following import Follower
+from .links.members import Members
+from .links.server import PeerListener, PeerServer
 from .messages import FORMAT, Hello, State
-from .outbound import Outbound
-from .peer_server import PeerListener, PeerServer
-from .pressure import Report
-from .probing import Prober
-from .retry_budget import RetryBudget
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
 
@@ -149,7 +149,7 @@
             settings.service,
             restarted=not settings.first_start,
         )
-        self.callers = ServerState(self.outbound.handle)
+        self.callers = ServerState(self.outbound.handle, _log_failure)
 
     async def run(self) -> None:
         """Serve until a signal asks for the end."""
@@ -330,7 +330,7 @@
         await self._bind(address, lambda: ServerConnection(state))
 
     async def _listen_small(self, address: Address, handler: Handler) -> ServerState:
-        state = ServerState(handler)
+        state = ServerState(handler, _log_failure)
         await self._listen(address, state)
         return state
 
@@ -414,6 +414,10 @@
         gauges["store_reachable"] = float(self.follower.store_ok)
 
 
+def _log_failure(cause: str) -> None:
+    events.log(events.HANDLER_FAILED, cause=cause)
+
+
 def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
 
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -15,7 +15,7 @@
 import attrs
 import msgspec
 
-from ..mesh.http_client import ClientConnection, Headers
+from ..http.client import ClientConnection, Headers
 
 CALL_TIMEOUT_MS = 1000.0
 """Longest wait for an answer; the store takes some 4 ms, or 60 times that when it
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -9,9 +9,11 @@
 import attrs
 
 from azurestep.core import main
-from azurestep.mesh import call, configuration, run
-from azurestep.mesh.answer_writer import AnswerWriter
-from azurestep.mesh.backend import Backend
+from azurestep.mesh import node as run
+from azurestep.mesh.backend.state import Backend
+from azurestep.mesh.callers import call
+from azurestep.mesh.callers.answer_writer import AnswerWriter
+from azurestep.mesh.knowledge import configuration
 from azurestep.mesh.messages import Answer, Failure, Reason
 
 
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -10,7 +10,7 @@
 import pytest_asyncio
 from aiohttp import ClientSession, web
 
-from azurestep.mesh.run import Node
+from azurestep.mesh.node import Node
 from azurestep.mesh.runtime import Runtime
 from azurestep.mesh.settings import MeshSettings
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurestep.mesh.admission import Admission, Refused, Ticket
+from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
 
 
 def ticket(
--- a/tests/test_mesh_backend.py
+++ b/tests/test_mesh_backend.py
@@ -4,7 +4,7 @@
 import pytest
 
 from azurestep.errors import MessageMalformedError
-from azurestep.mesh.backend import DRAIN_SHARE, Backend
+from azurestep.mesh.backend.state import DRAIN_SHARE, Backend
 from azurestep.platform.announcement import Heartbeat, Leaving, read_announcement
 
 DRAIN_MS = 2000.0
--- a/tests/test_mesh_cadence.py
+++ b/tests/test_mesh_cadence.py
@@ -7,17 +7,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurestep.mesh.cadence import (
+from azurestep.mesh.decisions.cadence import (
     IDLE_PROBE_LEAST_MS,
     IDLE_PROBES_PER_S,
     REPORT_LEAST_MS,
     ReportPace,
     idle_probe_ms,
 )
-from azurestep.mesh.configuration import PEER, STORE
+from azurestep.mesh.knowledge.configuration import PEER, STORE
+from azurestep.mesh.links.link import DOUBT_MS
+from azurestep.mesh.links.server import PeerListener, PeerServer
 from azurestep.mesh.messages import Kind, compress, decompress
-from azurestep.mesh.peer_link import DOUBT_MS
-from azurestep.mesh.peer_server import PeerListener, PeerServer
 
 from .fixtures_mesh import MeshFleet, document
 
--- a/tests/test_mesh_choice.py
+++ b/tests/test_mesh_choice.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from azurestep.mesh.choice import Endpoint, Wish, choose
+from azurestep.mesh.decisions.choice import Endpoint, Wish, choose
 from azurestep.mesh.incarnation import Incarnation
 
 
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azurestep.mesh.crashes import CrashWatch
+from azurestep.mesh.backend.crashes import CrashWatch
 from azurestep.mesh.incarnation import Incarnation
 from azurestep.mesh.messages import Request
 
--- a/tests/test_mesh_downloads.py
+++ b/tests/test_mesh_downloads.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azurestep.mesh.http_client import ClientConnection, Headers
+from azurestep.http.client import ClientConnection, Headers
 from standins.signing_server import Received, signed
 
 from .fixtures_mesh import MeshFleet
--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from azurestep.mesh.choice import Endpoint, Wish, choose
-from azurestep.mesh.health import Health
+from azurestep.mesh.decisions.choice import Endpoint, Wish, choose
+from azurestep.mesh.decisions.health import Health
 from standins.signing_server import Received, signed
 
 from .fixtures_mesh import MeshFleet
--- a/tests/test_mesh_idle.py
+++ b/tests/test_mesh_idle.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from azurestep.mesh.http_client import (
+from azurestep.http.client import (
     DISTRUST_S,
     TRUST_LEAST_MS,
     ClientConnection,
--- a/tests/test_mesh_incarnations.py
+++ b/tests/test_mesh_incarnations.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurestep.mesh.backend import Backend
-from azurestep.mesh.crashes import CrashWatch
+from azurestep.mesh.backend.crashes import CrashWatch
+from azurestep.mesh.backend.state import Backend
 from azurestep.mesh.incarnation import Incarnation
 from azurestep.platform.announcement import Heartbeat, Leaving
 
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from azurestep.mesh.pressure import PressureView
+from azurestep.mesh.decisions.pressure import PressureView
 
 from .fixtures_mesh import MeshFleet, caller_headers
 
--- a/tests/test_mesh_pressure.py
+++ b/tests/test_mesh_pressure.py
@@ -1,6 +1,6 @@
 """Shedding for the sake of the service behind the next one."""
 
-from azurestep.mesh.pressure import (
+from azurestep.mesh.decisions.pressure import (
     CallerLearner,
     PressureView,
     RefusalMeter,
--- a/tests/test_mesh_restart.py
+++ b/tests/test_mesh_restart.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from azurestep.mesh.backend import Backend
+from azurestep.mesh.backend.state import Backend
 from azurestep.platform.announcement import Heartbeat, Leaving
 
 from .fixtures_mesh import MeshFleet, MeshInstance
--- a/tests/test_mesh_routes.py
+++ b/tests/test_mesh_routes.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from azurestep.errors import ConfigurationError
-from azurestep.mesh.configuration import Configuration
+from azurestep.mesh.knowledge.configuration import Configuration
 from azurestep.platform.document import read_document
 from azurestep.routing.model import Part
 from azurestep.routing.table import RoutingTable, Split
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -4,11 +4,11 @@
 import math
 
 import pytest
+from azurestep.mesh.backend.transfers import AT_ONCE, Transfers
 
-from azurestep.mesh.call import BULK_BYTES
+from azurestep.mesh.callers.call import BULK_BYTES
+from azurestep.mesh.links.connection import PeerConnection
 from azurestep.mesh.messages import Kind
-from azurestep.mesh.peer_connection import PeerConnection
-from azurestep.mesh.transfers import AT_ONCE, Transfers
 
 from .fixtures_mesh import MeshFleet, MeshInstance, caller_headers
 
