Learn how long the answers of each route are

Cause: the choice took every answer for 1.5 KiB, so downloads of 90 KB in the mean went abroad for a free slot like reads do. Hypothesis: with the size learned from the route's own answers they stay near. The constant stays as the guess before a route's first answer. The test fails with the former constant.

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -24,8 +24,6 @@
 """Most nodes that are asked for one request before its caller is refused."""
 FAILED_MS = 400.0
 """Time for which a backend server that failed is chosen only without another."""
-ANSWER_KIB = 1.5
-"""Size assumed for an answer, in KiB; the mean of the reads that were measured."""
 NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
@@ -126,7 +124,7 @@
             self.route.name,
             self.route.objective_ms - (now_ms - self.arrived_ms),
             context.usual.get(self.route.name),
-            ANSWER_KIB + max(self._size, self.exchange.length) / 1024,
+            self._size_kib(),
             context.members.data_centre,
         )
         endpoint = choose(
@@ -155,6 +153,11 @@
         elif not self.done and self._endpoint is endpoint:
             self._stream = stream
 
+    def _size_kib(self) -> float:
+        """Return the size of the request's body and its likely answer."""
+        body_bytes = max(self._size, self.exchange.length)
+        return self.context.sizes.kib(self.route.name) + body_bytes / 1024
+
     def _request(self, now_ms: float, endpoint: Endpoint) -> Request:
         exchange, route = self.exchange, self.route
         bulk = self._sends_later(endpoint)
@@ -322,6 +325,9 @@
             self._writer.end()
 
     def _pass_on(self, answer: Answer) -> None:
+        if answer.status < GOOD_BELOW:
+            size_bytes = max(answer.length, len(answer.body))
+            self.context.sizes.learn(self.route.name, size_bytes)
         if answer.whole:
             self._ended(answer.status)
             self._writer.whole(answer)
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -7,6 +7,7 @@
 from ..decisions.choice import UsualTimes
 from ..decisions.pressure import RefusalMeter
 from ..decisions.retry_budget import RetryBudget
+from ..decisions.sizes import AnswerSizes
 from ..links.members import Members
 from ..runtime import Runtime
 
@@ -27,6 +28,7 @@
     calling_service: str
     crashes: CrashWatch
     usual: UsualTimes = attrs.field(factory=UsualTimes)
+    sizes: AnswerSizes = attrs.field(factory=AnswerSizes)
     refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
 
     def offered(self, route: Route, service: str) -> None:
--- a/tests/test_mesh_choice.py
+++ b/tests/test_mesh_choice.py
@@ -6,6 +6,7 @@
 import pytest
 
 from azurestep.mesh.decisions.choice import Endpoint, Wish, choose
+from azurestep.mesh.decisions.sizes import AnswerSizes
 from azurestep.mesh.incarnation import Incarnation
 
 
@@ -104,3 +105,13 @@
     far = [endpoint(f"f{index}", "dc-2") for index in range(27)]
     picks = Counter(str(pick(near + far, random))[0] for _ in range(200))
     assert picks["f"] == 0
+
+
+def test_a_long_answer_stays_near_where_a_read_goes_abroad(random: Random) -> None:
+    sizes = AnswerSizes()
+    for _ in range(30):
+        sizes.learn("download", 90_000)
+        sizes.learn("read", 1_500)
+    near, far = endpoint("near", busy=7), endpoint("far", "dc-2")
+    assert pick([near, far], random, sizes.kib("download")) == "near"
+    assert pick([near, far], random, sizes.kib("read")) == "far"
