Count a returning caller's objective from its first attempt

Cause: callers that were refused come back, and each attempt was taken for new. Its objective had partly or wholly passed, so attempts that could only be late took slots and places in the queue from fresh ones. Ruled out as a sign: what an attempt lacks of its route's usual deadline (a caller with a short deadline of its own would be taken for one that returns). A caller's deadline stays where it is in time, so an attempt is told by its place and that moment, exactly, at the node that refused it.

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -6,6 +6,7 @@
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
 from ..backend.run import WINDOW_BYTES
 from ..decisions.choice import Endpoint, Wish, choose
+from ..decisions.returning import Attempt
 from ..links.connection import Stream
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_writer import AnswerWriter
@@ -41,6 +42,7 @@
         exchange: Exchange,
         caller: CallerFields,
         target: Target,
+        attempt: Attempt,
     ) -> None:
         self.context = context
         self.exchange = exchange
@@ -49,6 +51,7 @@
         self.service = target.service
         self.version = target.version
         self.arrived_ms = context.runtime.now_ms()
+        self.attempt = attempt
         budget_ms = min(caller.budget_ms or route.timeout_ms, route.timeout_ms)
         self.ends_ms = self.arrived_ms + budget_ms
         self.done = False
@@ -122,7 +125,7 @@
         wish = Wish(
             self.service,
             self.route.name,
-            self.route.objective_ms - (now_ms - self.arrived_ms),
+            self._objective_ms(now_ms),
             context.usual.get(self.route.name),
             self._size_kib(),
             context.members.data_centre,
@@ -153,6 +156,10 @@
         elif not self.done and self._endpoint is endpoint:
             self._stream = stream
 
+    def _objective_ms(self, now_ms: float) -> float:
+        """Return the time until the answer loses value, negative once it has."""
+        return self.route.objective_ms - (now_ms - self.attempt.first_ms)
+
     def _size_kib(self) -> float:
         """Return the size of the request's body and its likely answer."""
         body_bytes = max(self._size, self.exchange.length)
@@ -173,7 +180,7 @@
             route.idempotent,
             route.priority,
             self.ends_ms - now_ms,
-            route.objective_ms - (now_ms - self.arrived_ms),
+            self._objective_ms(now_ms),
             now_ms,
             -1 if exchange.chunked else exchange.length,
             self._whole and not bulk,
@@ -368,6 +375,7 @@
         self.context.runtime.metrics.count("calls", "refused")
         if reason in NO_ROOM:
             self.context.refusals.refused(self.route.name)
+        self.context.returning.remember(self.attempt)
         self._close(cancel=True)
         answer_refused(
             self.context.runtime, self.exchange, self.caller.request_id, retry_ms
@@ -380,6 +388,7 @@
             return
         events.log(events.CALL_FAILED, **self._outcome(BAD_GATEWAY, reason.name))
         self.context.runtime.metrics.count("calls", "failed")
+        self.context.returning.remember(self.attempt)
         self._close(cancel=True)
         self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
 
@@ -398,6 +407,8 @@
         runtime = self.context.runtime
         runtime.metrics.call_ms.record(runtime.now_ms() - self.arrived_ms)
         runtime.metrics.count("calls", "good" if status < GOOD_BELOW else "error")
+        if status >= GOOD_BELOW:
+            self.context.returning.remember(self.attempt)
         events.log(events.CALL_ENDED, **self._outcome(status, ""))
         self._close(cancel=False)
 
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -2,11 +2,14 @@
 
 import attrs
 
+from ...http.server import Exchange
+from ...platform.headers import CallerFields
 from ...routing.model import Route
 from ..backend.crashes import CrashWatch
 from ..decisions.choice import UsualTimes
 from ..decisions.pressure import RefusalMeter
 from ..decisions.retry_budget import RetryBudget
+from ..decisions.returning import Attempt, ReturningCallers
 from ..decisions.sizes import AnswerSizes
 from ..links.members import Members
 from ..runtime import Runtime
@@ -28,9 +31,20 @@
     calling_service: str
     crashes: CrashWatch
     usual: UsualTimes = attrs.field(factory=UsualTimes)
+    returning: ReturningCallers = attrs.field(factory=ReturningCallers)
     sizes: AnswerSizes = attrs.field(factory=AnswerSizes)
     refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
 
+    def attempt(self, exchange: Exchange, caller: CallerFields) -> Attempt:
+        """Return what a request that has just come is an attempt of."""
+        now_ms = self.runtime.now_ms()
+        place = (exchange.method, caller.host, exchange.target)
+        if caller.budget_ms is None:
+            return Attempt(place, now_ms, now_ms)
+        deadline_at_ms = now_ms + caller.budget_ms
+        first_ms = self.returning.first_ms(place, now_ms, deadline_at_ms)
+        return Attempt(place, first_ms, deadline_at_ms)
+
     def offered(self, route: Route, service: str) -> None:
         """Count a request for a service."""
         self.refusals.offered(route.name, service, route.priority)
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -56,14 +56,16 @@
             exchange.sink = Rejection(context.runtime, exchange, BAD_REQUEST, name)
             return
         service = table.service_of(route)
+        attempt = context.attempt(exchange, caller)
         if self._sheds(service, route.priority):
             exchange.sink = Rejection(
                 context.runtime, exchange, UNAVAILABLE, name, Reason.PRESSURE
             )
+            context.returning.remember(attempt)
             return
         context.offered(route, service)
         target = Target(route, service, table.version)
-        exchange.sink = Call(context, exchange, caller, target)
+        exchange.sink = Call(context, exchange, caller, target, attempt)
 
     def _sheds(self, service: str, priority: int) -> bool:
         share = self.pressure.share(service, priority)
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -37,6 +37,8 @@
 """How often links, queues and connections are looked after."""
 STATE_TICKS = 2
 """Ticks between looks whether the load here is news for the other nodes."""
+FORGET_TICKS = 10
+"""Ticks between looks which callers have given up."""
 SETTINGS_CHECK_TICKS = 20
 """Ticks between looks at the settings file, which may change without a signal."""
 LINGER_MS = 2300.0
@@ -367,6 +369,8 @@
         self._ticks += 1
         if self._ticks % STATE_TICKS == 0:
             self.tell_state()
+        if self._ticks % FORGET_TICKS == 0:
+            self.calls.returning.forget(now_ms)
         if self._ticks % 5 == 0:
             for state in states:
                 state.sweep(now_s)
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -4,8 +4,8 @@
 import math
 
 import pytest
-from azurestep.mesh.backend.transfers import AT_ONCE, Transfers
 
+from azurestep.mesh.backend.transfers import AT_ONCE, Transfers
 from azurestep.mesh.callers.call import BULK_BYTES
 from azurestep.mesh.links.connection import PeerConnection
 from azurestep.mesh.messages import Kind
