Refuse at the deadline what has not run; tell more with the last line

Now a queue is looked at whenever a slot is freed, and at the deadline the node that was asked says whether the request ran, for which its first node waits 50 ms at most. An answer that crosses the question is delivered. Ruled out: holding each request that waits until its sender lets it go, which costs a slot a round trip for each of them.

The last line of an attempt tells the time left of its objective, whether its caller had asked before, and its time beside the server and at it. Lines of answers in time leave half of the burst to the others.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -113,11 +113,23 @@
     def release(self, run: Run) -> None:
         """Give a run's slot back and start the next ones."""
         self._runs.discard(run)
+        self._refuse_expired(self.now_ms())
         for ticket in self.admission.release(run.ticket, self.now_ms()):
             owner = ticket.owner
             if isinstance(owner, Run):
                 owner.start()
 
+    def _refuse_expired(self, now_ms: float) -> None:
+        """Refuse what can't be answered in time any more, as soon as that is known.
+
+        Looked at every 0.1 s only, requests with run times below that reached their
+        callers' deadline in the queue: 1,650 of 83,000 attempts of a day of high load
+        were answered 504 though they had not run.
+        """
+        for ticket in self.admission.expire(now_ms):
+            if isinstance(ticket.owner, Run):
+                ticket.owner.refuse(Reason.TOO_LATE)
+
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it takes none."""
         loop = self.runtime.loop
@@ -193,9 +205,7 @@
         """Refuse what waits in vain, break off overtime, retry the address."""
         now_ms = self.now_ms()
         self._tick_health()
-        for ticket in self.admission.expire(now_ms):
-            if isinstance(ticket.owner, Run):
-                ticket.owner.refuse(Reason.TOO_LATE)
+        self._refuse_expired(now_ms)
         if not self.backend.admits(now_ms):
             for ticket in self.admission.flush():
                 if isinstance(ticket.owner, Run):
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -96,6 +96,7 @@
         self, inbound: RunHost, request: Request, receiver: AnswerReceiver
     ) -> None:
         now_ms = inbound.now_ms()
+        self._submitted_ms = now_ms
         self.inbound = inbound
         self.request = request
         self.receiver = receiver
@@ -168,6 +169,18 @@
         self._end()
         self._drop_connection()
 
+    @property
+    def may_run(self) -> bool:
+        """Whether the request was sent to the backend server."""
+        return self._sent_ms > 0
+
+    def withdraw(self) -> None:
+        """Stop the request and tell the receiver whether it had not run."""
+        if self.may_run:
+            self.fail(Reason.TIMEOUT)
+        else:
+            self.refuse(Reason.TOO_LATE)
+
     def grant(self, size: int) -> None:
         """Learn that the receiver took bytes of the answer."""
         self._unacknowledged -= size
@@ -349,6 +362,8 @@
             body,
             inbound.admission.busy,
             inbound.admission.run_ms(self.request.route),
+            self._sent_ms - self._submitted_ms,
+            inbound.now_ms() - self._sent_ms,
         )
 
     def _finish_run(self) -> None:
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -5,6 +5,7 @@
 from .. import events
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
 from ..backend.run import WINDOW_BYTES
+from ..decisions.admission import RETRY_LEAST_MS
 from ..decisions.choice import Endpoint, Wish, choose
 from ..decisions.returning import Attempt
 from ..links.connection import Stream
@@ -26,6 +27,10 @@
 FAILED_MS = 400.0
 """Time for which a backend server that failed is chosen only without another."""
 NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
+WITHDRAWAL_MS = 50.0
+"""Longest wait at the deadline for the word whether a request ran: ten times the round
+trip between data centres that was measured (3 ms), and a fifth of the time by which an
+answer past its timeout counts as held."""
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
@@ -67,8 +72,11 @@
         self._stream: Stream | None = None
         self._fallback: Answer | None = None
         self._may_have_run = False
+        self._withdrawn = False
         self._refusal: Refusal | None = None
         self._unacknowledged = 0
+        self._waited_ms = 0.0
+        self._ran_ms = 0.0
         self._writer = AnswerWriter(exchange)
         self._timer = context.runtime.loop.call_later(
             budget_ms / 1000, self._on_timeout
@@ -224,7 +232,7 @@
         endpoint = self._endpoint
         if self.done or self._writer.started or self._streamed or endpoint is None:
             return
-        if not self._has_other(endpoint):
+        if self._withdrawn or not self._has_other(endpoint):
             return
         if let_go and not (self.route.idempotent and self._doubt_allows_run()):
             return
@@ -255,6 +263,9 @@
         """Ask another node: the request has not run."""
         if self.done:
             return
+        if self._withdrawn:
+            self._refuse_late()
+            return
         endpoint = self._leave_endpoint()
         reason = Reason(refusal.reason)
         self._refusal = refusal
@@ -278,6 +289,9 @@
         """Run an idempotent request elsewhere; fail another one: it may have run."""
         if self.done:
             return
+        if self._withdrawn:
+            self._time_out()
+            return
         endpoint = self._leave_endpoint()
         reason = Reason(failure.reason)
         self._runs += 1
@@ -300,6 +314,7 @@
         if self.done:
             return
         endpoint = self._endpoint
+        self._waited_ms, self._ran_ms = answer.waited_ms, answer.ran_ms
         if endpoint is not None:
             endpoint.run_ms[self.route.name] = answer.run_ms
             self.context.usual.learn(self.route.name, answer.run_ms)
@@ -339,7 +354,7 @@
             self._ended(answer.status)
             self._writer.whole(answer)
             return
-        events.log(events.CALL_ENDED, **self._outcome(answer.status, ""))
+        self._log_end(answer.status)
         self._writer.begin(answer)
         self._grant()
 
@@ -393,10 +408,39 @@
         self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
 
     def _on_timeout(self) -> None:
+        """Answer at the deadline; where the request has not run, say so.
+
+        The node that it was sent to is asked whether it ran. An answer that crosses
+        the question is delivered.
+        """
         if self.done:
             return
+        stream = self._stream
+        if stream is not None and stream.may_run and not self._asks_whether_it_ran():
+            self._withdrawn = True
+            self._timer = self.context.runtime.loop.call_later(
+                WITHDRAWAL_MS / 1000, self._on_timeout
+            )
+            stream.withdraw()
+        elif self._writer.started or (stream is not None and stream.may_run):
+            self._time_out()
+        else:
+            self._refuse_late()
+
+    def _asks_whether_it_ran(self) -> bool:
+        return self._withdrawn or self._writer.started
+
+    def _refuse_late(self) -> None:
+        """Answer at the deadline that the request has not run, if it has not."""
+        if self._may_have_run:
+            self._time_out()
+        else:
+            self._refuse(Reason.TOO_LATE, RETRY_LEAST_MS)
+
+    def _time_out(self) -> None:
         events.log(events.CALL_FAILED, **self._outcome(GATEWAY_TIMEOUT, "TIMEOUT"))
         self.context.runtime.metrics.count("calls", "timeout")
+        self.context.returning.remember(self.attempt)
         self._close(cancel=True)
         if self._writer.started:
             self._writer.break_off()
@@ -409,7 +453,7 @@
         runtime.metrics.count("calls", "good" if status < GOOD_BELOW else "error")
         if status >= GOOD_BELOW:
             self.context.returning.remember(self.attempt)
-        events.log(events.CALL_ENDED, **self._outcome(status, ""))
+        self._log_end(status)
         self._close(cancel=False)
 
     def _close(self, cancel: bool) -> None:
@@ -447,7 +491,19 @@
             "asked": self._asked,
             "runs": self._runs,
             "after_ms": self._age_ms(),
+            "left_ms": round(self._objective_ms(self.context.runtime.now_ms())),
+            "returned": self.attempt.first_ms < self.arrived_ms,
+            "waited_ms": round(self._waited_ms),
+            "ran_ms": round(self._ran_ms),
         }
 
+    def _log_end(self, status: int) -> None:
+        outcome = self._outcome(status, "")
+        now_ms = self.context.runtime.now_ms()
+        if status < GOOD_BELOW and self._objective_ms(now_ms) >= 0:
+            events.log_routine(events.CALL_ENDED, **outcome)
+        else:
+            events.log(events.CALL_ENDED, **outcome)
+
     def _log_retry(self, reason: Reason, status: int = 0) -> None:
         events.log(events.CALL_RETRIED, **self._outcome(status, reason.name))
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -46,20 +46,25 @@
         caller = read_caller(exchange.headers)
         name = caller.request_id
         if table is None or self.closed:
-            exchange.sink = Rejection(context.runtime, exchange, UNAVAILABLE, name)
+            exchange.sink = Rejection(context.runtime, exchange, name, UNAVAILABLE)
             return
         route = table.match(caller.host, exchange.target)
         if route is None:
-            exchange.sink = Rejection(context.runtime, exchange, NOT_FOUND, name)
+            exchange.sink = Rejection(context.runtime, exchange, name, NOT_FOUND)
             return
         if not name:
-            exchange.sink = Rejection(context.runtime, exchange, BAD_REQUEST, name)
+            exchange.sink = Rejection(context.runtime, exchange, name, BAD_REQUEST)
             return
         service = table.service_of(route)
         attempt = context.attempt(exchange, caller)
         if self._sheds(service, route.priority):
             exchange.sink = Rejection(
-                context.runtime, exchange, UNAVAILABLE, name, Reason.PRESSURE
+                context.runtime,
+                exchange,
+                name,
+                UNAVAILABLE,
+                Reason.PRESSURE,
+                route.name,
             )
             context.returning.remember(attempt)
             return
@@ -72,22 +77,24 @@
         return share > 0 and self.context.runtime.random.random() < share
 
 
+@attrs.define(eq=False)
 class Rejection:
-    """Answers a request that goes to no backend server, once it is read."""
-
-    def __init__(
-        self,
-        runtime: Runtime,
-        exchange: Exchange,
-        status: int,
-        request_id: bytes,
-        reason: Reason = Reason.NO_BACKEND,
-    ) -> None:
-        self._runtime = runtime
-        self._exchange = exchange
-        self._status = status
-        self._request_id = request_id
-        self._reason = reason
+    """Answers a request that goes to no backend server, once it is read.
+
+    Attributes
+    ----------
+    status : int
+        Of the answer.
+    route : str
+        Route of the request; empty where none matched.
+    """
+
+    runtime: Runtime
+    exchange: Exchange
+    request_id: bytes
+    status: int
+    reason: Reason = Reason.NO_BACKEND
+    route: str = ""
 
     def on_body(self, data: bytes) -> None:
         """Drop the body."""
@@ -96,18 +103,19 @@
         """Answer."""
         events.log(
             events.CALL_REFUSED,
-            id=self._request_id,
-            status=self._status,
-            reason=self._reason.name,
+            id=self.request_id,
+            route=self.route,
+            status=self.status,
+            reason=self.reason.name,
         )
-        self._runtime.metrics.count("calls", f"rejected_{self._status}")
-        if self._status == UNAVAILABLE:
-            shed = self._reason is Reason.PRESSURE
+        self.runtime.metrics.count("calls", f"rejected_{self.status}")
+        if self.status == UNAVAILABLE:
+            shed = self.reason is Reason.PRESSURE
             retry_ms = RETRY_SHED_MS if shed else RETRY_WITHOUT_BACKEND_MS
-            answer_refused(self._runtime, self._exchange, self._request_id, retry_ms)
+            answer_refused(self.runtime, self.exchange, self.request_id, retry_ms)
         else:
-            headers = id_header(self._request_id)
-            self._exchange.answer(self._status, headers, b"")
+            headers = id_header(self.request_id)
+            self.exchange.answer(self.status, headers, b"")
 
     def on_gone(self) -> None:
         """Forget the request."""
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -119,3 +119,8 @@
 def log(event: Event, **fields: object) -> None:
     """Log an event with its fields."""
     WRITER.add(event, fields)
+
+
+def log_routine(event: Event, **fields: object) -> None:
+    """Log what went as it should; it is left out before other lines are."""
+    WRITER.add(event, fields, routine=True)
--- a/azurestep/mesh/line_writer.py
+++ b/azurestep/mesh/line_writer.py
@@ -26,6 +26,9 @@
 """Lines that are written in a second; a node of the sizes measured carries some
 160 requests a second, and each has one line."""
 BURST_LINES = 600.0
+RESERVED_LINES = 300.0
+"""Lines of the burst that routine lines leave to those of refused, failed and late
+requests: one second of them."""
 BUFFER_LINES = 2000
 """Lines kept while standard output takes none."""
 
@@ -54,14 +57,29 @@
         """Make writes return at once when nobody reads."""
         os.set_blocking(self.descriptor, False)
 
-    def add(self, event: Event, fields: dict[str, object]) -> None:
-        """Add a line, or count it as left out."""
+    def add(
+        self, event: Event, fields: dict[str, object], routine: bool = False
+    ) -> None:
+        """Add a line, or count it as left out.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        fields : dict
+            What it is told with.
+        routine : bool
+            Whether it went as it should. Such lines leave a part of the rate to the
+            others: on a day of high load, 63,000 of 150,000 lines were left out, those
+            of refused and late requests as often as those of answers in time.
+        """
         now_s = self.clock()
         grown = self._tokens + (now_s - self._filled_s) * RATE_LINES_S
         self._tokens = min(BURST_LINES, grown)
         self._filled_s = now_s
         urgent = event.level >= logging.ERROR
-        if (self._tokens < 1 and not urgent) or len(self._lines) >= BUFFER_LINES:
+        least = RESERVED_LINES if routine else 1
+        if (self._tokens < least and not urgent) or len(self._lines) >= BUFFER_LINES:
             self.left_out += 1
             return
         self._tokens -= 1
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -36,9 +36,16 @@
     def body(self, data: bytes, whole: bool) -> None:
         """Send more of the body."""
 
+    @property
+    def may_run(self) -> bool:
+        """Whether the request may have run, or may run yet."""
+
     def cancel(self) -> None:
         """Stop the request; nobody waits for it."""
 
+    def withdraw(self) -> None:
+        """Stop the request; its receiver is told whether it had not run."""
+
     def grant(self, size: int) -> None:
         """Take more of the answer."""
 
@@ -108,6 +115,15 @@
         if self.connection.streams.pop(self.number, None) is not None:
             self.connection.send(Kind.CANCEL, self.number)
 
+    @property
+    def may_run(self) -> bool:
+        """Whether the request may have run, or may run yet."""
+        return self.let_go
+
+    def withdraw(self) -> None:
+        """Stop the request and have the other node say whether it had not run."""
+        self.connection.send(Kind.WITHDRAW, self.number)
+
     def grant(self, size: int) -> None:
         """Take more of the answer."""
         self.connection.send(Kind.CREDIT, self.number, size)
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -243,6 +243,8 @@
             self._body(message[1], message[2], message[3])
         elif kind == Kind.CANCEL:
             self._cancel(message[1])
+        elif kind == Kind.WITHDRAW:
+            self._withdraw(message[1])
         elif kind == Kind.GO:
             self._go(message[1])
         elif kind == Kind.CREDIT:
@@ -283,6 +285,11 @@
         if run is not None:
             run.cancel()
 
+    def _withdraw(self, stream: int) -> None:
+        run = self._runs.get(stream)
+        if run is not None:
+            run.withdraw()
+
     def _grant(self, stream: int, size: int) -> None:
         run = self._runs.get(stream)
         if run is not None:
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -44,6 +44,7 @@
     READY = 15
     GO = 16
     CRASHES = 17
+    WITHDRAW = 18
 
 
 class Reason(IntEnum):
@@ -195,6 +196,8 @@
         Requests that run or wait at the backend server now.
     run_ms : float
         Mean time that the backend server takes for this route.
+    waited_ms, ran_ms : float
+        Time that this request waited beside the backend server, and ran there.
     """
 
     status: int
@@ -205,6 +208,8 @@
     body: bytes
     busy: int
     run_ms: float
+    waited_ms: float = 0.0
+    ran_ms: float = 0.0
 
 
 @attrs.frozen(slots=True)
