explain and losses: what became of a request, and what is lost to which decision

azurestep explain ID LOG... follows one request through the lines of all nodes; azurestep losses LOG... counts the attempts refused, failed or late by route, second, node and what decided it, as a table, JSON or plot.

--- a/azurestep/cli/definition.py
+++ b/azurestep/cli/definition.py
@@ -19,6 +19,8 @@
   azurestep audit requests KEY [--service NAME] [--platform URL] [--json]
                     [--debug]
   azurestep audit gaps [--platform URL] [--json] [--debug]
+  azurestep explain ID LOG... [--json] [--debug]
+  azurestep losses LOG... [--plot FILE] [--json] [--debug]
   azurestep keys [--json]
   azurestep --version
   azurestep --help
@@ -32,12 +34,16 @@
   status      Show what a node holds and what it knows of the fleet.
   drain       Stop a node gracefully.
   audit       Show from the platform's log what was in force, where and when.
+  explain     Tell from log lines what became of a request, and why.
+  losses      Tell from log lines which requests were lost, when, where and why.
   keys        Make the key pair that authenticates the nodes of a fleet.
 
 Arguments:
   SETTINGS    Settings file of the node, in JSON.
   FILE        Settings or configuration, in JSON.
   NAME        Preset of the configuration in force.
+  ID          Id of a request, as its caller sent it.
+  LOG         Lines that a node wrote; those of all nodes tell the whole story.
   KEY         Idempotency-Key of a request.
 
 Options:
@@ -49,6 +55,7 @@
   --at TIME          Moment, as 2026-01-31T23:59:59Z or ms since the epoch.
   --instance NAME    Show one instance only.
   --service NAME     Service of the request; all services when left out.
+  --plot FILE        Draw the losses by second into a file such as losses.png.
   --json             Write one JSON object, for programs.
   --debug            Show a traceback with an error.
   --version          Show the version.
--- a/azurestep/cli/options.py
+++ b/azurestep/cli/options.py
@@ -123,6 +123,24 @@
     as_json: bool = False
 
 
+@attrs.frozen
+class ExplainOptions:
+    """Options of ``azurestep explain``."""
+
+    request_id: str
+    files: tuple[pathlib.Path, ...]
+    as_json: bool = False
+
+
+@attrs.frozen
+class LossesOptions:
+    """Options of ``azurestep losses``; None draws no plot."""
+
+    files: tuple[pathlib.Path, ...]
+    plot: pathlib.Path | None = None
+    as_json: bool = False
+
+
 Options = (
     NodeOptions
     | SidecarOptions
@@ -133,4 +151,6 @@
     | DrainOptions
     | AuditOptions
     | KeysOptions
+    | ExplainOptions
+    | LossesOptions
 )
--- a/azurestep/cli/parse.py
+++ b/azurestep/cli/parse.py
@@ -18,8 +18,10 @@
     AuditQuestion,
     CheckOptions,
     DrainOptions,
+    ExplainOptions,
     FleetOptions,
     KeysOptions,
+    LossesOptions,
     NodeOptions,
     Options,
     PresetOptions,
@@ -120,6 +122,20 @@
     return KeysOptions(parsed["--json"])
 
 
+def _explain(parsed: Parsed) -> Options:
+    return ExplainOptions(parsed["ID"], _logs(parsed), parsed["--json"])
+
+
+def _losses(parsed: Parsed) -> Options:
+    plot = parsed["--plot"]
+    path = pathlib.Path(plot) if plot else None
+    return LossesOptions(_logs(parsed), path, parsed["--json"])
+
+
+def _logs(parsed: Parsed) -> tuple[pathlib.Path, ...]:
+    return tuple(pathlib.Path(name) for name in parsed["LOG"])
+
+
 MAKERS: dict[str, Callable[[Parsed], Options]] = {
     "node": _node,
     "sidecar": _sidecar,
@@ -130,6 +146,8 @@
     "drain": _drain,
     "audit": _audit,
     "keys": _keys,
+    "explain": _explain,
+    "losses": _losses,
 }
 
 
--- a/azurestep/cli/registry.py
+++ b/azurestep/cli/registry.py
@@ -13,7 +13,9 @@
     AuditOptions,
     CheckOptions,
     DrainOptions,
+    ExplainOptions,
     KeysOptions,
+    LossesOptions,
     NodeOptions,
     Options,
     PresetOptions,
@@ -32,6 +34,8 @@
     DrainOptions: ("drain", "run_drain_command"),
     AuditOptions: ("audit", "run_audit_command"),
     KeysOptions: ("keys", "run_keys_command"),
+    ExplainOptions: ("lines", "run_explain_command"),
+    LossesOptions: ("lines", "run_losses_command"),
 }
 
 
--- /dev/null
+++ b/azurestep/lines/reader.py
@@ -0,0 +1,191 @@
+"""Log lines of nodes, decoded into typed fields."""
+
+import pathlib
+from collections.abc import Iterable, Iterator
+from datetime import datetime
+
+import attrs
+import msgspec
+
+from ..errors import UsageError
+
+
+@attrs.frozen(slots=True)
+class _Fields:
+    time: datetime
+    event: int
+    message: str
+    id: str = ""
+    route: str = ""
+    service: str = ""
+    instance: str = ""
+    status: int = 0
+    reason: str = ""
+    asked: int = 0
+    runs: int = 0
+    after_ms: int = 0
+    left_ms: int | None = None
+    returned: bool = False
+    waited_ms: int = 0
+    ran_ms: int = 0
+    running: int = 0
+    busy: int = 0
+    slots: int = 0
+    run_ms: int = 0
+    lines: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Fields)
+
+
+@attrs.frozen(slots=True)
+class LogLine:
+    """One line of a node.
+
+    Attributes
+    ----------
+    node : str
+        Who wrote it.
+    at_ms : float
+        When, in Unix milliseconds.
+    event, message : int, str
+        What happened, by its number in the catalogue.
+    request_id, route, service, instance : str
+        What it concerns; empty where the event has no such thing.
+    status : int
+        Of the answer to the caller; 0 where there is none.
+    reason : str
+        Why a request was refused or failed.
+    asked, runs : int
+        Nodes that were asked, and backend servers that may have run the request.
+    after_ms : int
+        Time since the attempt came.
+    left_ms : int or None
+        Time left until the answer loses value, negative once it has; None where the
+        line does not tell it.
+    returned : bool
+        Whether the caller had asked before.
+    waited_ms, ran_ms : int
+        Time beside the backend server, and at it.
+    running, busy, slots : int
+        Load of the backend server when its node refused.
+    run_ms : int
+        How long a run without an answer took.
+    left_out : int
+        Lines that the node left out above its rate.
+    """
+
+    node: str
+    at_ms: float
+    event: int
+    message: str
+    request_id: str = ""
+    route: str = ""
+    service: str = ""
+    instance: str = ""
+    status: int = 0
+    reason: str = ""
+    asked: int = 0
+    runs: int = 0
+    after_ms: int = 0
+    left_ms: int | None = None
+    returned: bool = False
+    waited_ms: int = 0
+    ran_ms: int = 0
+    running: int = 0
+    busy: int = 0
+    slots: int = 0
+    run_ms: int = 0
+    left_out: int = 0
+
+
+@attrs.frozen(slots=True)
+class LineFile:
+    """The lines of one file, and how many could not be read."""
+
+    lines: list[LogLine]
+    unreadable: int
+
+
+def read_files(paths: Iterable[pathlib.Path]) -> LineFile:
+    """Return the lines of several files in the order of their times.
+
+    Raises
+    ------
+    UsageError
+        If a file can't be opened.
+    """
+    found: list[LogLine] = []
+    unreadable = 0
+    for path in paths:
+        for line in _texts(path):
+            decoded = decode_line(line, path.stem)
+            if isinstance(decoded, LogLine):
+                found.append(decoded)
+            elif decoded:
+                unreadable += 1
+    found.sort(key=lambda line: line.at_ms)
+    return LineFile(found, unreadable)
+
+
+def _texts(path: pathlib.Path) -> Iterator[bytes]:
+    try:
+        with path.open("rb") as stream:
+            yield from stream
+    except OSError as error:
+        raise UsageError(
+            f"{path} can't be read: {error.strerror}", "Name files of log lines"
+        ) from error
+
+
+def decode_line(text: bytes, node: str) -> LogLine | bool:
+    """Return a line; False for text that is none, True for one that is damaged.
+
+    Parameters
+    ----------
+    text : bytes
+        A JSON object, perhaps behind what a log collector put before it: the last
+        word of that names the node.
+    node : str
+        The node, where nothing stands before the object.
+
+    Examples
+    --------
+    >>> text = b'{"time":"2026-01-31T10:00:00.5Z","event":9402,"message":"refused"}'
+    >>> decode_line(b"1.5 node-7 " + text, "file").node
+    'node-7'
+    >>> decode_line(b"no line", "file"), decode_line(b"{}", "file")
+    (False, True)
+    """
+    start = text.find(b"{")
+    if start < 0:
+        return False
+    words = text[:start].split()
+    try:
+        fields = _DECODER.decode(text[start:])
+    except (msgspec.DecodeError, RecursionError):
+        return True
+    return LogLine(
+        words[-1].decode("utf-8", "replace") if words else node,
+        fields.time.timestamp() * 1000,
+        fields.event,
+        fields.message,
+        fields.id,
+        fields.route,
+        fields.service,
+        fields.instance,
+        fields.status,
+        fields.reason,
+        fields.asked,
+        fields.runs,
+        fields.after_ms,
+        fields.left_ms,
+        fields.returned,
+        fields.waited_ms,
+        fields.ran_ms,
+        fields.running,
+        fields.busy,
+        fields.slots,
+        fields.run_ms,
+        fields.lines,
+    )
