--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -492,7 +492,7 @@
             "runs": self._runs,
             "after_ms": self._age_ms(),
             "left_ms": round(self._objective_ms(self.context.runtime.now_ms())),
-            "returned": self.attempt.first_ms < self.arrived_ms,
+            "returned": self.attempt.returned,
             "waited_ms": round(self._waited_ms),
             "ran_ms": round(self._ran_ms),
         }
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -43,7 +43,7 @@
             return Attempt(place, now_ms, now_ms)
         deadline_at_ms = now_ms + caller.budget_ms
         first_ms = self.returning.first_ms(place, now_ms, deadline_at_ms)
-        return Attempt(place, first_ms, deadline_at_ms)
+        return Attempt(place, first_ms, deadline_at_ms, first_ms < now_ms)
 
     def offered(self, route: Route, service: str) -> None:
         """Count a request for a service."""
--- a/azurestep/mesh/decisions/returning.py
+++ b/azurestep/mesh/decisions/returning.py
@@ -33,11 +33,14 @@
         When the caller first asked, as far as it is known.
     deadline_at_ms : float
         When the caller gives up.
+    returned : bool
+        Whether the caller is known to have asked before.
     """
 
     place: tuple[bytes, ...]
     first_ms: float
     deadline_at_ms: float
+    returned: bool = False
 
 
 @attrs.define(slots=True)
--- a/tests/test_mesh_returning.py
+++ b/tests/test_mesh_returning.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from azurestep.mesh.callers.context import CallContext
 from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
 from azurestep.mesh.decisions.returning import Attempt, ReturningCallers
 
@@ -143,3 +144,22 @@
     assert credit(known) > credit(taken_for_new) + 0.05
     served = known["in time"] + known["late"]
     assert served > 0.95 * (taken_for_new["in time"] + taken_for_new["late"])
+
+
+async def test_only_attempts_that_came_before_count_as_returned(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked: list[Attempt] = []
+    plain = CallContext.attempt
+
+    def noting(self, exchange, caller) -> Attempt:  # type: ignore[no-untyped-def]
+        asked.append(plain(self, exchange, caller))
+        return asked[-1]
+
+    monkeypatch.setattr(CallContext, "attempt", noting)
+    await mesh.get(mesh.instances[0], "/read/8", "n1", 900)
+    for instance in mesh.instances:
+        await instance.beat(mesh.session, "draining")
+    await mesh.get(mesh.instances[0], "/read/9", "n2", 900)
+    await mesh.get(mesh.instances[0], "/read/9", "n3", 895)
+    assert [attempt.returned for attempt in asked] == [False, False, True]
