--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -19,6 +19,7 @@
 from ..runtime import Runtime
 from ..settings import Address
 from .crashes import CrashWatch
+from .load import LoadSummary
 from .run import AnswerReceiver, Run
 from .state import Backend
 from .transfers import Transfers
@@ -55,6 +56,7 @@
     admission: Admission = attrs.field(factory=Admission)
     idle: Idle = attrs.field(factory=lambda: Idle(IDLE_MS))
     transfers: Transfers = attrs.field(factory=Transfers)
+    load: LoadSummary = attrs.field(factory=LoadSummary)
     health: Health = attrs.field(factory=Health)
     callers: CallerLearner = attrs.field(factory=CallerLearner)
     unreachable: bool = False
@@ -205,6 +207,7 @@
         """Refuse what waits in vain, break off overtime, retry the address."""
         now_ms = self.now_ms()
         self._tick_health()
+        self._tick_load()
         self._refuse_expired(now_ms)
         if not self.backend.admits(now_ms):
             for ticket in self.admission.flush():
@@ -222,6 +225,24 @@
         if connection is not None:
             self.keep(connection)
 
+    def _tick_load(self) -> None:
+        running = len(self.admission.running)
+        if not self.load.tick(running, self.admission.busy - running):
+            return
+        load, self.load = self.load, LoadSummary()
+        if self.backend.instance_id:
+            events.log(
+                events.BACKEND_LOAD,
+                instance=self.backend.instance_id,
+                service=self.backend.service,
+                slots=self.admission.slots,
+                running=load.running,
+                waiting=load.waiting,
+                answered=load.answered,
+                refused=load.refused,
+                failed=load.failed,
+            )
+
     def _tick_health(self) -> None:
         incarnation = self.backend.incarnation
         if not incarnation.may_be(self._judged):
--- /dev/null
+++ b/azurestep/mesh/backend/load.py
@@ -0,0 +1,44 @@
+"""How full the backend server was in the last second, for one log line."""
+
+import attrs
+
+TICKS = 10
+"""Ticks of 0.1 s that one line sums up."""
+
+
+@attrs.define(slots=True)
+class LoadSummary:
+    """Sums over the ticks of one line.
+
+    Examples
+    --------
+    >>> summary = LoadSummary()
+    >>> [summary.tick(running=3, waiting=1) for _ in range(TICKS)][-1]
+    True
+    >>> summary.running, summary.waiting
+    (3.0, 1.0)
+    """
+
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    _ticks: int = 0
+    _running: int = 0
+    _waiting: int = 0
+
+    @property
+    def running(self) -> float:
+        """Mean of the requests that ran."""
+        return round(self._running / max(1, self._ticks), 1)
+
+    @property
+    def waiting(self) -> float:
+        """Mean of the requests that waited."""
+        return round(self._waiting / max(1, self._ticks), 1)
+
+    def tick(self, running: int, waiting: int) -> bool:
+        """Take a look at the queue in; return whether the line is due."""
+        self._ticks += 1
+        self._running += running
+        self._waiting += waiting
+        return self._ticks >= TICKS
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -9,6 +9,7 @@
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from ..runtime import Runtime
 from .crashes import CrashWatch
+from .load import LoadSummary
 from .state import Backend
 from .transfers import Transfers
 
@@ -64,6 +65,7 @@
     idle: Idle
     transfers: Transfers
     crashes: CrashWatch
+    load: LoadSummary
 
     def now_ms(self) -> float:
         """Return the monotonic time."""
@@ -368,6 +370,7 @@
 
     def _finish_run(self) -> None:
         inbound = self.inbound
+        inbound.load.answered += 1
         run_ms = inbound.now_ms() - self._sent_ms
         if self._status < FIRST_FAILURE_STATUS:
             inbound.admission.learn(self.request.route, run_ms)
@@ -415,6 +418,7 @@
             busy=admission.busy,
             slots=admission.slots,
         )
+        self.inbound.load.refused += 1
         self.inbound.runtime.metrics.count("refused_here", reason.name)
         self.receiver.on_refusal(
             Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
@@ -435,6 +439,7 @@
             instance=self.request.instance_id,
             run_ms=round(self.inbound.now_ms() - self._sent_ms),
         )
+        self.inbound.load.failed += 1
         self.inbound.runtime.metrics.count("failed_here", reason.name)
         self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
 
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -90,6 +90,9 @@
     "the backend server died, and requests were under way",
     "look at the requests that are refused as quarantined, if there are any",
 )
+BACKEND_LOAD = register(
+    9310, logging.INFO, "load of the backend server in the last second"
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused, it has not run")
