Refuse at once what could only be late, unless a slot is free

Cause: a quarter of the slots could be waited for by requests past their objective. They stand behind what can be in time, so under lasting load most waited in vain until near their deadline.

--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -11,8 +11,6 @@
 of the workloads that were measured (16 to 360 ms)."""
 RUN_GAIN = 0.1
 """Weight of a new run time in the moving mean: about the last twenty runs."""
-LATE_QUEUE_SHARE = 0.25
-"""Share of the slots that may be waited for by requests past their objective."""
 RETRY_LEAST_MS = 40.0
 """Shortest time after which a refused caller is asked to come back."""
 
@@ -27,8 +25,6 @@
         When an answer loses its full value.
     deadline_at_ms : float
         When nobody waits for an answer any more.
-    late : bool
-        Whether it waits although its objective will be missed.
     """
 
     route: str
@@ -37,7 +33,6 @@
     objective_at_ms: float
     deadline_at_ms: float
     owner: object = None
-    late: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -94,6 +89,12 @@
     def offer(self, ticket: Ticket, now_ms: float) -> bool | Refused:
         """Decide on a new request.
 
+        One that could only be late runs if a slot is free, and is refused at once if
+        not. Kept waiting behind what can be in time, most of such requests were
+        refused in the end, near their deadline: with a quarter of the slots for them,
+        a day of high load was worth 0.57 for 0.58, 0.47 for 0.49 and 0.11 for 0.15 at
+        three deployments' hardest days.
+
         Returns
         -------
         bool or Refused
@@ -104,9 +105,7 @@
             return True
         wait_ms = self._wait_ms(ticket, now_ms)
         end_ms = now_ms + wait_ms + self.run_ms(ticket.route)
-        if end_ms > ticket.deadline_at_ms:
-            return Refused(self.retry_ms())
-        if end_ms > ticket.objective_at_ms and not self._admits_late(ticket):
+        if end_ms > min(ticket.deadline_at_ms, ticket.objective_at_ms):
             return Refused(self.retry_ms())
         self._waiting.append(ticket)
         return False
@@ -165,8 +164,3 @@
         """
         late = now_ms + self.run_ms(ticket.route) > ticket.objective_at_ms
         return late, ticket.priority, ticket.objective_at_ms
-
-    def _admits_late(self, ticket: Ticket) -> bool:
-        late = sum(1 for other in self._waiting if other.late)
-        ticket.late = late < self.slots * LATE_QUEUE_SHARE
-        return ticket.late
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -153,3 +153,38 @@
 
 def test_without_overload_everything_is_served() -> None:
     assert min(served_shares(0.7).values()) > 0.99
+
+
+def held_ms(load: float, seconds: float = 20.0) -> list[float]:
+    """Return how long each refused request was kept, under a load that lasts.
+
+    Half of the requests come back past their objective with time to their deadline.
+    """
+    random = Random(5)
+    admission = Admission(slots=8)
+    admission.learn("read", 60.0)
+    held: list[float] = []
+    ends: list[tuple[float, int, Ticket]] = []
+    now_ms = 0.0
+    while now_ms < seconds * 1000:
+        now_ms += random.expovariate(8 * load / 60.0)
+        while ends and ends[0][0] <= now_ms:
+            end_ms, _, done = heapq.heappop(ends)
+            held += [end_ms - one.arrived_ms for one in admission.expire(end_ms)]
+            for started in admission.release(done, end_ms):
+                heapq.heappush(ends, (end_ms + 60.0, id(started), started))
+        objective_ms = random.choice([200.0, -100.0])
+        new = ticket(2, now_ms, objective_ms)
+        decision = admission.offer(new, now_ms)
+        if isinstance(decision, Refused):
+            held.append(0.0)
+        elif decision:
+            heapq.heappush(ends, (now_ms + 60.0, id(new), new))
+    return held
+
+
+@pytest.mark.parametrize("load", [1.5, 3.0])
+def test_what_could_only_be_late_is_not_held_in_vain(load: float) -> None:
+    held = held_ms(load)
+    assert len(held) > 500
+    assert sum(time_ms > 100 for time_ms in held) < 0.01 * len(held)
