Revert the age of what runs as a sign of a slow server

Hypothesis: a server that turns slow is told by the age of what runs there before its first slow answer.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 from collections.abc import Callable
 
 import attrs
@@ -80,14 +79,6 @@
         """Whether a request runs or waits."""
         return bool(self._runs)
 
-    @property
-    def slowness(self) -> float:
-        """How many times longer than usual runs seem to take, in steps of a half.
-
-        The steps keep small changes from costing messages.
-        """
-        return math.floor(2 * self.admission.slowness(self.now_ms())) / 2
-
     def submit(self, request: Request, receiver: AnswerReceiver) -> Run:
         """Take a request; the receiver hears of its outcome."""
         run = Run(self, request, receiver)
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -11,11 +11,6 @@
 of the workloads that were measured (16 to 360 ms)."""
 RUN_GAIN = 0.1
 """Weight of a new run time in the moving mean: about the last twenty runs."""
-AGED_LEAST = 3
-"""Requests that must run for their age to tell anything."""
-AGED_PRIOR = 4
-"""Usual runs that are assumed beside those that are seen, so that a few long ones don't
-make a server look slow."""
 RETRY_LEAST_MS = 40.0
 """Shortest time after which a refused caller is asked to come back."""
 
@@ -30,8 +25,6 @@
         When an answer loses its full value.
     deadline_at_ms : float
         When nobody waits for an answer any more.
-    started_ms : float
-        When it got its slot.
     """
 
     route: str
@@ -40,7 +33,6 @@
     objective_at_ms: float
     deadline_at_ms: float
     owner: object = None
-    started_ms: float = 0.0
 
 
 @attrs.frozen(slots=True)
@@ -109,10 +101,10 @@
             True if it runs now, False if it waits, or the refusal.
         """
         if len(self.running) < self.slots and not self._waiting:
-            self._start(ticket, now_ms)
+            self.running.add(ticket)
             return True
-        work_ms = self._wait_ms(ticket, now_ms) + self.run_ms(ticket.route)
-        end_ms = now_ms + work_ms * self.slowness(now_ms)
+        wait_ms = self._wait_ms(ticket, now_ms)
+        end_ms = now_ms + wait_ms + self.run_ms(ticket.route)
         if end_ms > min(ticket.deadline_at_ms, ticket.objective_at_ms):
             return Refused(self.retry_ms())
         self._waiting.append(ticket)
@@ -127,36 +119,10 @@
         while self._waiting and len(self.running) < self.slots:
             best = min(self._waiting, key=lambda item: self._rank(item, now_ms))
             self._waiting.remove(best)
-            self._start(best, now_ms)
+            self.running.add(best)
             started.append(best)
         return started
 
-    def slowness(self, now_ms: float) -> float:
-        """Return how many times longer than usual what runs now seems to take.
-
-        Run times are learned from answers, and slow answers come late: of 13 slots of a
-        server that turned 12 times slower, none tells anything for 0.7 s. The age of
-        what runs says it sooner. Seen at a moment, runs that vary little are half
-        through, and those that vary like lots are as old as the usual run is long, so
-        only what is beyond that counts.
-
-        Examples
-        --------
-        >>> admission = Admission(slots=8)
-        >>> admission.learn("read", 60.0)
-        >>> for _ in range(8):
-        ...     _ = admission.offer(Ticket("read", 2, 0.0, 200.0, 1200.0), 0.0)
-        >>> admission.slowness(60.0), admission.slowness(300.0)
-        (1.0, 6.3)
-        """
-        count = len(self.running)
-        if count < AGED_LEAST:
-            return 1.0
-        age_ms = sum(now_ms - ticket.started_ms for ticket in self.running)
-        usual_ms = sum(self.run_ms(ticket.route) for ticket in self.running)
-        seen = 2 * age_ms / max(usual_ms, 1.0) - 1
-        return round(max(1.0, (count * seen + AGED_PRIOR) / (count + AGED_PRIOR)), 1)
-
     def expire(self, now_ms: float) -> list[Ticket]:
         """Return and forget the waiting requests that can't be answered in time."""
         late = [
@@ -178,10 +144,6 @@
         work_ms = sum(self.run_ms(ticket.route) for ticket in self._waiting)
         return RETRY_LEAST_MS + work_ms / self.slots
 
-    def _start(self, ticket: Ticket, now_ms: float) -> None:
-        ticket.started_ms = now_ms
-        self.running.add(ticket)
-
     def _wait_ms(self, ticket: Ticket, now_ms: float) -> float:
         rank = self._rank(ticket, now_ms)
         ahead_ms = sum(
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -54,8 +54,6 @@
         Until when it is chosen only without another.
     failing : float
         Share of its runs that failed of late, from 0 to 1.
-    slowness : float
-        How many times longer than usual its runs seem to take now.
     doubted : bool
         Whether its node owes an answer to a probe; the same holds.
     """
@@ -73,7 +71,6 @@
     run_ms: dict[str, float] = attrs.field(factory=dict)
     failed_until_ms: float = 0.0
     failing: float = 0.0
-    slowness: float = 1.0
     doubted: bool = False
 
     @property
@@ -179,7 +176,7 @@
 
 
 def _value(endpoint: Endpoint, wish: Wish, now_ms: float) -> float:
-    run_ms = endpoint.run_ms.get(wish.route, wish.usual_ms) * endpoint.slowness
+    run_ms = endpoint.run_ms.get(wish.route, wish.usual_ms)
     if now_ms < endpoint.cold_until_ms:
         run_ms *= COLD_FACTOR
     load = endpoint.load
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -158,7 +158,6 @@
         endpoint.open = state.open
         endpoint.slots = state.slots
         endpoint.failing = state.failing
-        endpoint.slowness = state.slowness
         endpoint.cold_until_ms = self.runtime.now_ms() + state.cold_ms
         endpoint.tell(state.busy)
         if former is None or _matters(former) != _matters(state):
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -155,7 +155,6 @@
         own.open = inbound.open
         own.slots = backend.slots
         own.failing = inbound.health.failing
-        own.slowness = inbound.slowness
         own.busy = inbound.admission.busy
         own.mine_told = own.mine
         own.cold_until_ms = self.runtime.now_ms() + backend.cold_ms(
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -35,8 +35,6 @@
 that it isn't run for longer than its caller waits."""
 FAILING_NEWS = 0.3
 """Failing share from which on nodes are told at once."""
-SLOW_NEWS = 2.0
-"""Slowness from which on nodes are told at once."""
 OFFSET_RISE = 0.01
 """How fast the known least delay of a link rises again, so that a clock that
 stood still at one end doesn't make all later requests look late."""
@@ -168,7 +166,6 @@
         state.store_ok,
         state.stopping,
         state.failing >= FAILING_NEWS,
-        state.slowness >= SLOW_NEWS,
     )
 
 
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -113,8 +113,6 @@
         Whether its last call to the platform's store was answered.
     failing : float
         Share of the backend server's runs that failed of late.
-    slowness : float
-        How many times longer than usual the runs there seem to take now.
     callers, refusals : tuple
         What ``pressure.Report`` holds.
     """
@@ -130,7 +128,6 @@
     store_ok: bool
     stopping: bool
     failing: float
-    slowness: float = 1.0
     callers: tuple[tuple[str, int], ...] = ()
     refusals: tuple[tuple[str, int, float], ...] = ()
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -276,7 +276,6 @@
             self.follower.store_ok,
             self.stopping_since_ms is not None,
             self.inbound.health.failing,
-            self.inbound.slowness,
             self.inbound.callers.callers(),
             self.calls.refusals.report(),
         )
