--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -75,6 +75,7 @@
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._unacknowledged = 0
+        self._sent_ms = 0.0
         self._waited_ms = 0.0
         self._ran_ms = 0.0
         self._writer = AnswerWriter(exchange)
@@ -153,6 +154,7 @@
             self._refuse(Reason.QUARANTINED, CRASH_RETRY_MS)
             return
         self._endpoint = endpoint
+        self._sent_ms = now_ms
         self._asked_last = endpoint.incarnation.instance_id
         self._asked += 1
         endpoint.mine += 1
@@ -317,6 +319,7 @@
         self._waited_ms, self._ran_ms = answer.waited_ms, answer.ran_ms
         if endpoint is not None:
             endpoint.run_ms[self.route.name] = answer.run_ms
+            self._learn_transfer(endpoint)
             self.context.usual.learn(self.route.name, answer.run_ms)
         retryable = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
         if retryable and self.route.idempotent and not self._streamed:
@@ -336,6 +339,11 @@
             endpoint.tell(answer.busy)
         self._pass_on(answer)
 
+    def _learn_transfer(self, endpoint: Endpoint) -> None:
+        now_ms = self.context.runtime.now_ms()
+        transfer_ms = now_ms - self._sent_ms - self._waited_ms - self._ran_ms
+        endpoint.transfers.learn(self.route.name, max(0.0, transfer_ms), now_ms)
+
     def on_answer_data(self, data: bytes, whole: bool) -> None:
         """Pass on more of a long answer."""
         if self.done:
