--- a/tests/test_mesh_downloads.py
+++ b/tests/test_mesh_downloads.py
@@ -8,6 +8,7 @@
 from standins.signing_server import Received, signed
 
 from .fixtures_mesh import MeshFleet
+from .test_mesh_faults import eventually, silence
 
 HALF_A_MEGABYTE = 540_000
 
@@ -108,3 +109,31 @@
     head, _, body = answer.partition(b"\r\n\r\n")
     whole = f"Content-Length: {len(body)}".encode() in head
     assert not (head.startswith(b"HTTP/1.1 200") and whole)
+
+
+async def runs_beside_a_silent_link(mesh: MeshFleet, answer_bytes: int) -> int:
+    """Let the link to a running read's node fall silent for a while; count its runs."""
+    caller, *servers = mesh.instances
+    await caller.beat(mesh.session, "draining")
+    await asyncio.sleep(0.05)
+    for _ in range(40):
+        caller.node.calls.sizes.learn("read", answer_bytes)
+    for instance in servers:
+        instance.server.work_s = 0.5
+    task = asyncio.create_task(mesh.get(caller, "/read/1", "m1"))
+    await eventually(lambda: any(one.server.runs["m1"] for one in servers))
+    silent = next(one for one in servers if one.server.runs["m1"])
+    silence(silent)
+    await asyncio.sleep(0.35)
+    for server in list(silent.node.listener.servers):
+        del server.write
+    assert (await task)[0] == 200
+    return sum(one.server.runs["m1"] for one in servers)
+
+
+async def test_a_download_is_not_sent_again_on_a_mere_doubt(mesh: MeshFleet) -> None:
+    assert await runs_beside_a_silent_link(mesh, 90_000) == 1
+
+
+async def test_a_short_read_is(mesh: MeshFleet) -> None:
+    assert await runs_beside_a_silent_link(mesh, 1_500) == 2
