Split the attempt and the run; take the time on the way back out

The queue knows runs by their tickets.

Reverted: the time that answers take beyond waiting and running, learned for each link and counted in the choice, with a limit of 0.8 to what bytes may cost. Hypothesis: full links look slow, so downloads leave them.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -11,7 +11,7 @@
 
 from ...http.client import ClientConnection, Idle
 from .. import events
-from ..decisions.admission import Admission, Refused
+from ..decisions.admission import Admission, Refused, Ticket
 from ..decisions.health import Health
 from ..decisions.pressure import CallerLearner
 from ..incarnation import NO_INCARNATION, Incarnation
@@ -61,7 +61,7 @@
     callers: CallerLearner = attrs.field(factory=CallerLearner)
     unreachable: bool = False
     stopping: bool = False
-    _runs: set[Run] = attrs.field(factory=set)
+    _runs: dict[Ticket, Run] = attrs.field(factory=dict)
     _next_try_ms: float = 0.0
     _judged: Incarnation = NO_INCARNATION
 
@@ -82,7 +82,7 @@
     def submit(self, request: Request, receiver: AnswerReceiver) -> Run:
         """Take a request; the receiver hears of its outcome."""
         run = Run(self, request, receiver)
-        self._runs.add(run)
+        self._runs[run.ticket] = run
         reason = self._obstacle(request)
         if reason is not None:
             run.refuse(reason)
@@ -112,14 +112,12 @@
             return Reason.TOO_LATE
         return None
 
-    def release(self, run: Run) -> None:
+    def release(self, ticket: Ticket) -> None:
         """Give a run's slot back and start the next ones."""
-        self._runs.discard(run)
+        self._runs.pop(ticket, None)
         self._refuse_expired(self.now_ms())
-        for ticket in self.admission.release(run.ticket, self.now_ms()):
-            owner = ticket.owner
-            if isinstance(owner, Run):
-                owner.start()
+        for started in self.admission.release(ticket, self.now_ms()):
+            self._runs[started].start()
 
     def _refuse_expired(self, now_ms: float) -> None:
         """Refuse what can't be answered in time any more, as soon as that is known.
@@ -129,8 +127,7 @@
         were answered 504 though they had not run.
         """
         for ticket in self.admission.expire(now_ms):
-            if isinstance(ticket.owner, Run):
-                ticket.owner.refuse(Reason.TOO_LATE)
+            self._runs[ticket].refuse(Reason.TOO_LATE)
 
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it takes none."""
@@ -211,9 +208,8 @@
         self._refuse_expired(now_ms)
         if not self.backend.admits(now_ms):
             for ticket in self.admission.flush():
-                if isinstance(ticket.owner, Run):
-                    ticket.owner.refuse(Reason.LEAVING)
-        for run in list(self._runs):
+                self._runs[ticket].refuse(Reason.LEAVING)
+        for run in list(self._runs.values()):
             run.check_age(now_ms)
         self.idle.sweep(self.runtime.loop.time())
         if self.unreachable and now_ms > self._next_try_ms and self.backend.is_open():
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -1,17 +1,11 @@
 """One request at the backend server beside this node."""
 
-from typing import Protocol
-
-from ...http.client import ClientConnection, Headers, Idle
+from ...http.client import ClientConnection, Headers
 from ...platform.headers import AnswerFields, read_answer, to_backend
 from .. import events
-from ..decisions.admission import Admission, Ticket
+from ..decisions.admission import Ticket
 from ..messages import Answer, Failure, Reason, Refusal, Request
-from ..runtime import Runtime
-from .crashes import CrashWatch
-from .load import LoadSummary
-from .state import Backend
-from .transfers import Transfers
+from .interfaces import AnswerReceiver, RunHost
 
 BUFFER_BYTES = 262_144
 """Answers up to this size are read whole before they are passed on, so that one
@@ -34,63 +28,6 @@
 GATEWAY_TIMEOUT = 504
 
 
-class AnswerReceiver(Protocol):
-    """What hears of the outcome of one request."""
-
-    def on_answer(self, answer: Answer) -> None:
-        """Take the answer, or its head and first bytes."""
-
-    def on_answer_data(self, data: bytes, whole: bool) -> None:
-        """Take more of the answer."""
-
-    def on_refusal(self, refusal: Refusal) -> None:
-        """Learn that the request has not run and will not."""
-
-    def on_failure(self, failure: Failure) -> None:
-        """Learn that no whole answer comes."""
-
-    def on_credit(self, size: int) -> None:
-        """Learn that so many bytes of the body were taken."""
-
-    def on_ready(self) -> None:
-        """Learn that a held request has a slot and waits to be let go."""
-
-
-class RunHost(Protocol):
-    """The way to the backend server that runs share."""
-
-    runtime: Runtime
-    backend: Backend
-    admission: Admission
-    idle: Idle
-    transfers: Transfers
-    crashes: CrashWatch
-    load: LoadSummary
-
-    def now_ms(self) -> float:
-        """Return the monotonic time."""
-
-    async def connect(self) -> ClientConnection | None:
-        """Open a connection to the backend server; None if it takes none."""
-
-    def keep(self, connection: ClientConnection) -> None:
-        """Keep an idle connection."""
-
-    def release(self, run: "Run") -> None:
-        """Give a run's slot back."""
-
-    def ran(self, failed: bool) -> None:
-        """Count a run that ended."""
-
-    def broke_off(
-        self, request: Request, connection: ClientConnection, sent_ms: float
-    ) -> None:
-        """Learn that a connection ended under a request, before any answer."""
-
-    def other_instance(self, request: Request, instance_id: str) -> None:
-        """Learn that another incarnation answered."""
-
-
 class Run:
     """One request on its way through this node to the backend server."""
 
@@ -109,7 +46,6 @@
             now_ms,
             now_ms + request.objective_ms,
             self.deadline_ms,
-            self,
         )
         self.done = False
         self._connection: ClientConnection | None = None
@@ -453,8 +389,7 @@
     def _end(self) -> None:
         self.done = True
         self.inbound.transfers.end(self)
-        self.inbound.release(self)
-        self.ticket.owner = None
+        self.inbound.release(self.ticket)
 
     def _drop_connection(self) -> None:
         connection, self._connection = self._connection, None
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -2,30 +2,21 @@
 
 from ...http.server import Exchange
 from ...platform.headers import CallerFields
-from .. import events
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
-from ..backend.run import WINDOW_BYTES
 from ..decisions.admission import RETRY_LEAST_MS
-from ..decisions.choice import Endpoint, Wish, choose
+from ..decisions.choice import Endpoint, Wish
 from ..decisions.returning import Attempt
 from ..links.connection import Stream
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_writer import AnswerWriter
+from .body import BUFFER_BYTES, BULK_BYTES, RequestBody
 from .context import CallContext, Target
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
+from .placement import Placement
+from .record import GOOD_BELOW, CallRecord
 
-BODY_BUFFER_BYTES = 524_288
-"""Bodies up to this size are read whole before they are sent, so that a request
-that was refused can be sent to another backend server; longer ones are streamed."""
-BULK_BYTES = 16_384
-"""Bodies above this size wait for a slot beside the backend server before they are
-sent. Sent along with the request, uploads of 60 KB that were refused or doubted were
-sent again elsewhere until links of 10 Mbit/s kept probes waiting for over 650 ms and
-nodes lost sight of one another."""
 ASKED_MOST = 4
 """Most nodes that are asked for one request before its caller is refused."""
-FAILED_MS = 400.0
-"""Time for which a backend server that failed is chosen only without another."""
 NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
 WITHDRAWAL_MS = 50.0
 """Longest wait at the deadline for the word whether a request ran: ten times the round
@@ -35,7 +26,6 @@
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
-GOOD_BELOW = 300
 
 
 class Call:
@@ -54,30 +44,20 @@
         self.caller = caller
         self.route = route = target.route
         self.service = target.service
-        self.version = target.version
-        self.arrived_ms = context.runtime.now_ms()
-        self.attempt = attempt
+        now_ms = context.runtime.now_ms()
+        self.record = CallRecord(
+            caller.request_id, route, target.service, target.version, attempt, now_ms
+        )
         budget_ms = min(caller.budget_ms or route.timeout_ms, route.timeout_ms)
-        self.ends_ms = self.arrived_ms + budget_ms
+        self.ends_ms = now_ms + budget_ms
         self.done = False
-        self._body: list[bytes] = []
-        self._size = 0
-        self._whole = False
-        self._streamed = False
-        self._excluded: set[object] = set()
-        self._asked = 0
-        self._runs = 0
-        self._endpoint: Endpoint | None = None
-        self._asked_last = b""
+        self._body = RequestBody()
+        self._placement = Placement(context, target.service)
         self._stream: Stream | None = None
         self._fallback: Answer | None = None
         self._may_have_run = False
         self._withdrawn = False
         self._refusal: Refusal | None = None
-        self._unacknowledged = 0
-        self._sent_ms = 0.0
-        self._waited_ms = 0.0
-        self._ran_ms = 0.0
         self._writer = AnswerWriter(exchange)
         self._timer = context.runtime.loop.call_later(
             budget_ms / 1000, self._on_timeout
@@ -89,21 +69,20 @@
         """Keep the body, or pass it on if it is long."""
         if self.done:
             return
-        if self._streamed:
+        if self._body.streamed:
             self._send_body(data, False)
             return
-        self._body.append(data)
-        self._size += len(data)
-        if self._size > BODY_BUFFER_BYTES and not self.exchange.started:
-            self._streamed = True
+        self._body.keep(data)
+        if self._body.size_bytes > BUFFER_BYTES and not self.exchange.started:
+            self._body.streamed = True
             self._dispatch()
 
     def on_end(self) -> None:
         """Send the request, or the end of its body."""
         if self.done:
             return
-        self._whole = True
-        if self._streamed:
+        self._body.whole = True
+        if self._body.streamed:
             self._send_body(b"", True)
         else:
             self._dispatch()
@@ -112,13 +91,7 @@
         """Stop the request; its caller left."""
         if self.done:
             return
-        events.log(
-            events.CALL_GONE,
-            id=self.caller.request_id,
-            route=self.route.name,
-            instance=self._asked_last,
-            after_ms=self._age_ms(),
-        )
+        self.record.log_gone(self._now_ms())
         self.context.runtime.metrics.count("calls", "gone")
         self._close(cancel=True)
 
@@ -134,18 +107,12 @@
         wish = Wish(
             self.service,
             self.route.name,
-            self._objective_ms(now_ms),
+            self.record.objective_ms(now_ms),
             context.usual.get(self.route.name),
             self._size_kib(),
             context.members.data_centre,
         )
-        endpoint = choose(
-            context.members.endpoints(self.service),
-            wish,
-            self._excluded,
-            now_ms,
-            context.runtime.random,
-        )
+        endpoint = self._placement.choose(wish, now_ms)
         if endpoint is None:
             self._give_up()
             return
@@ -153,26 +120,20 @@
         if context.crashes.refuses(request, now_ms):
             self._refuse(Reason.QUARANTINED, CRASH_RETRY_MS)
             return
-        self._endpoint = endpoint
-        self._sent_ms = now_ms
-        self._asked_last = endpoint.incarnation.instance_id
-        self._asked += 1
-        endpoint.mine += 1
+        self.record.instance = endpoint.incarnation.instance_id
+        self.record.asked += 1
+        self._placement.take(endpoint)
         stream = context.members.send(endpoint, request, self)
         if stream is None:
-            self._leave_endpoint()
-            self._excluded.add(endpoint.key)
+            self._placement.leave()
+            self._placement.exclude(endpoint)
             self._dispatch()
-        elif not self.done and self._endpoint is endpoint:
+        elif not self.done and self._placement.endpoint is endpoint:
             self._stream = stream
 
-    def _objective_ms(self, now_ms: float) -> float:
-        """Return the time until the answer loses value, negative once it has."""
-        return self.route.objective_ms - (now_ms - self.attempt.first_ms)
-
     def _size_kib(self) -> float:
         """Return the size of the request's body and its likely answer."""
-        body_bytes = max(self._size, self.exchange.length)
+        body_bytes = max(self._body.size_bytes, self.exchange.length)
         return self.context.sizes.kib(self.route.name) + body_bytes / 1024
 
     def _request(self, now_ms: float, endpoint: Endpoint) -> Request:
@@ -190,14 +151,14 @@
             route.idempotent,
             route.priority,
             self.ends_ms - now_ms,
-            self._objective_ms(now_ms),
+            self.record.objective_ms(now_ms),
             now_ms,
             -1 if exchange.chunked else exchange.length,
-            self._whole and not bulk,
-            b"" if bulk else b"".join(self._body),
+            self._body.whole and not bulk,
+            b"" if bulk else self._body.content(),
             endpoint.incarnation.born_ms,
             self.context.usual.known(route.name),
-            held=not self._streamed and (bulk or not self._is_movable()),
+            held=not self._body.streamed and (bulk or not self._is_movable()),
         )
 
     def _is_movable(self) -> bool:
@@ -213,14 +174,12 @@
 
     def _sends_later(self, endpoint: Endpoint) -> bool:
         """Whether the body is sent only once the other node asks for it."""
-        far = not self.context.members.is_own(endpoint)
-        return far and self._size > BULK_BYTES and not self._streamed
+        return self._body.is_bulk and not self.context.members.is_own(endpoint)
 
     def _send_body(self, data: bytes, whole: bool) -> None:
         if self._stream is None:
             return
-        self._unacknowledged += len(data)
-        if self._unacknowledged > WINDOW_BYTES:
+        if self._body.sent(data):
             self.exchange.connection.pause_reading()
         self._stream.body(data, whole)
 
@@ -228,50 +187,42 @@
 
     def on_credit(self, size: int) -> None:
         """Take more of the caller's body."""
-        self._unacknowledged -= size
-        if self._unacknowledged <= WINDOW_BYTES:
+        if self._body.acknowledged(size):
             self.exchange.connection.resume_reading()
 
     def on_ready(self) -> None:
         """Send a long body, which was kept until there was a slot for it."""
-        endpoint = self._endpoint
+        endpoint = self._placement.endpoint
         if self._stream is None or endpoint is None:
             return
         if self._sends_later(endpoint):
-            self._stream.body(b"".join(self._body), True)
+            self._stream.body(self._body.content(), True)
 
     def on_doubt(self, let_go: bool) -> None:
         """Go elsewhere, if that is safe and there is another way."""
-        endpoint = self._endpoint
-        if self.done or self._writer.started or self._streamed or endpoint is None:
+        endpoint = self._placement.endpoint
+        if self.done or self._writer.started or self._body.streamed or endpoint is None:
             return
-        if self._withdrawn or not self._has_other(endpoint):
+        if self._withdrawn or not self._placement.has_other():
             return
         if let_go and not (self._is_movable() and self._doubt_allows_run()):
             return
         stream, self._stream = self._stream, None
-        self._leave_endpoint()
-        self._excluded.add(endpoint.key)
+        self._placement.leave()
+        self._placement.exclude(endpoint)
         if stream is not None:
             stream.cancel()
         self._log_retry(Reason.LINK_LOST)
         self._dispatch()
 
     def _doubt_allows_run(self) -> bool:
-        self._runs += 1
+        self.record.runs += 1
         if self._may_run_again():
             self._may_have_run = True
             return True
-        self._runs -= 1
+        self.record.runs -= 1
         return False
 
-    def _has_other(self, endpoint: Endpoint) -> bool:
-        return any(
-            other.open and not other.doubted and other.key not in self._excluded
-            for other in self.context.members.endpoints(self.service)
-            if other is not endpoint
-        )
-
     def on_refusal(self, refusal: Refusal) -> None:
         """Ask another node: the request has not run."""
         if self.done:
@@ -279,17 +230,18 @@
         if self._withdrawn:
             self._refuse_late()
             return
-        endpoint = self._leave_endpoint()
+        endpoint = self._placement.leave()
         reason = Reason(refusal.reason)
         self._refusal = refusal
         if endpoint is not None:
             endpoint.tell(refusal.busy)
-            self._excluded.add(endpoint.key)
-            if reason is not Reason.OVERLOADED:
-                endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
+            if reason is Reason.OVERLOADED:
+                self._placement.exclude(endpoint)
+            else:
+                self._placement.avoid(endpoint)
         if refusal.arrived:
-            self._runs += 1
-        may_repeat = not self._streamed and self._asked < ASKED_MOST
+            self.record.runs += 1
+        may_repeat = not self._body.streamed and self.record.asked < ASKED_MOST
         if refusal.arrived and may_repeat:
             may_repeat = self._may_run_again()
         if may_repeat:
@@ -305,18 +257,19 @@
         if self._withdrawn:
             self._time_out()
             return
-        endpoint = self._leave_endpoint()
+        endpoint = self._placement.leave()
         reason = Reason(failure.reason)
-        self._runs += 1
+        self.record.runs += 1
         self._may_have_run = True
         if endpoint is not None:
-            self._excluded.add(endpoint.key)
-            endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
+            self._placement.avoid(endpoint)
         if self._writer.started:
-            events.log(events.CALL_FAILED, **self._outcome(0, reason.name))
+            self.record.log_failed(0, reason, self._now_ms())
             self._close(cancel=False)
             self._writer.break_off()
-        elif self.route.idempotent and not self._streamed and self._may_run_again():
+        elif (
+            self.route.idempotent and not self._body.streamed and self._may_run_again()
+        ):
             self._log_retry(reason)
             self._dispatch()
         else:
@@ -326,35 +279,28 @@
         """Answer the caller, or run an idempotent request elsewhere."""
         if self.done:
             return
-        endpoint = self._endpoint
-        self._waited_ms, self._ran_ms = answer.waited_ms, answer.ran_ms
+        endpoint = self._placement.endpoint
+        self.record.answered(answer)
         if endpoint is not None:
             endpoint.run_ms[self.route.name] = answer.run_ms
-            self._learn_transfer(endpoint)
             self.context.usual.learn(self.route.name, answer.run_ms)
         retryable = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
-        if retryable and self.route.idempotent and not self._streamed:
-            self._runs += 1
+        if retryable and self.route.idempotent and not self._body.streamed:
+            self.record.runs += 1
             self._may_have_run = True
             if self._may_run_again():
                 self._fallback = answer
-                self._leave_endpoint()
+                self._placement.leave()
                 if endpoint is not None:
-                    self._excluded.add(endpoint.key)
-                    endpoint.failed_until_ms = self.context.runtime.now_ms() + FAILED_MS
+                    self._placement.avoid(endpoint)
                 self._log_retry(Reason.MALFORMED, answer.status)
                 self._dispatch()
                 return
-        self._leave_endpoint()
+        self._placement.leave()
         if endpoint is not None:
             endpoint.tell(answer.busy)
         self._pass_on(answer)
 
-    def _learn_transfer(self, endpoint: Endpoint) -> None:
-        now_ms = self.context.runtime.now_ms()
-        transfer_ms = now_ms - self._sent_ms - self._waited_ms - self._ran_ms
-        endpoint.transfers.learn(self.route.name, max(0.0, transfer_ms), now_ms)
-
     def on_answer_data(self, data: bytes, whole: bool) -> None:
         """Pass on more of a long answer."""
         if self.done:
@@ -373,7 +319,7 @@
             self._ended(answer.status)
             self._writer.whole(answer)
             return
-        self._log_end(answer.status)
+        self.record.log_end(answer.status, self._now_ms())
         self._writer.begin(answer)
         self._grant()
 
@@ -387,10 +333,10 @@
     # Ends.
 
     def _may_run_again(self) -> bool:
-        now_ms = self.context.runtime.now_ms()
-        if self._runs >= self.route.max_attempts or now_ms >= self.ends_ms:
+        now_ms = self._now_ms()
+        if self.record.runs >= self.route.max_attempts or now_ms >= self.ends_ms:
             return False
-        if self._asked >= ASKED_MOST:
+        if self.record.asked >= ASKED_MOST:
             return False
         return self.context.budget.spend(self.service, now_ms)
 
@@ -405,11 +351,11 @@
         if self._may_have_run:
             self._fail(reason)
             return
-        events.log(events.CALL_REFUSED, **self._outcome(UNAVAILABLE, reason.name))
+        self.record.log_refused(UNAVAILABLE, reason, self._now_ms())
         self.context.runtime.metrics.count("calls", "refused")
         if reason in NO_ROOM:
             self.context.refusals.refused(self.route.name)
-        self.context.returning.remember(self.attempt)
+        self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
         answer_refused(
             self.context.runtime, self.exchange, self.caller.request_id, retry_ms
@@ -420,9 +366,9 @@
             answer, self._fallback = self._fallback, None
             self._pass_on(answer)
             return
-        events.log(events.CALL_FAILED, **self._outcome(BAD_GATEWAY, reason.name))
+        self.record.log_failed(BAD_GATEWAY, reason, self._now_ms())
         self.context.runtime.metrics.count("calls", "failed")
-        self.context.returning.remember(self.attempt)
+        self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
         self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
 
@@ -457,9 +403,9 @@
             self._refuse(Reason.TOO_LATE, RETRY_LEAST_MS)
 
     def _time_out(self) -> None:
-        events.log(events.CALL_FAILED, **self._outcome(GATEWAY_TIMEOUT, "TIMEOUT"))
+        self.record.log_failed(GATEWAY_TIMEOUT, Reason.TIMEOUT, self._now_ms())
         self.context.runtime.metrics.count("calls", "timeout")
-        self.context.returning.remember(self.attempt)
+        self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
         if self._writer.started:
             self._writer.break_off()
@@ -468,61 +414,29 @@
 
     def _ended(self, status: int) -> None:
         runtime = self.context.runtime
-        runtime.metrics.call_ms.record(runtime.now_ms() - self.arrived_ms)
+        runtime.metrics.call_ms.record(runtime.now_ms() - self.record.arrived_ms)
         runtime.metrics.count("calls", "good" if status < GOOD_BELOW else "error")
         if status >= GOOD_BELOW:
-            self.context.returning.remember(self.attempt)
-        self._log_end(status)
+            self.context.returning.remember(self.record.attempt)
+        self.record.log_end(status, self._now_ms())
         self._close(cancel=False)
 
     def _close(self, cancel: bool) -> None:
         self.done = True
         self._timer.cancel()
-        self._leave_endpoint()
+        self._placement.leave()
         stream, self._stream = self._stream, None
         if cancel and stream is not None:
             stream.cancel()
-        self._body = []
+        self._body.drop()
         self.exchange.connection.resume_reading()
         self.exchange.sink = None
 
-    def _leave_endpoint(self) -> Endpoint | None:
-        endpoint, self._endpoint = self._endpoint, None
-        if endpoint is not None:
-            endpoint.mine -= 1
-        return endpoint
-
-    def _age_ms(self) -> int:
-        return round(self.context.runtime.now_ms() - self.arrived_ms)
+    def _now_ms(self) -> float:
+        return self.context.runtime.now_ms()
 
     def _id_header(self) -> list[tuple[bytes, bytes]]:
         return id_header(self.caller.request_id)
 
-    def _outcome(self, status: int, reason: str) -> dict[str, object]:
-        return {
-            "id": self.caller.request_id,
-            "route": self.route.name,
-            "service": self.service,
-            "version": self.version,
-            "instance": self._asked_last,
-            "status": status,
-            "reason": reason,
-            "asked": self._asked,
-            "runs": self._runs,
-            "after_ms": self._age_ms(),
-            "left_ms": round(self._objective_ms(self.context.runtime.now_ms())),
-            "returned": self.attempt.returned,
-            "waited_ms": round(self._waited_ms),
-            "ran_ms": round(self._ran_ms),
-        }
-
-    def _log_end(self, status: int) -> None:
-        outcome = self._outcome(status, "")
-        now_ms = self.context.runtime.now_ms()
-        if status < GOOD_BELOW and self._objective_ms(now_ms) >= 0:
-            events.log_routine(events.CALL_ENDED, **outcome)
-        else:
-            events.log(events.CALL_ENDED, **outcome)
-
     def _log_retry(self, reason: Reason, status: int = 0) -> None:
-        events.log(events.CALL_RETRIED, **self._outcome(status, reason.name))
+        self.record.log_retried(status, reason, self._now_ms())
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -6,7 +6,6 @@
 import attrs
 
 from ..incarnation import Incarnation
-from .transfer import TransferTimes
 
 RUN_FIRST_MS = 150.0
 """Run time assumed for a route while no answer was seen; near the mean of the
@@ -25,9 +24,6 @@
 """Value lost for each KiB that crosses data centres: a read of 1.7 KiB costs some
 0.024 of its worth, an upload of 60 KiB some 0.84, where the operators pay 14,000
 times a read's worth for a GB."""
-ABROAD_COST_MOST = 0.8
-"""Most that bytes between data centres may cost: an answer in time is worth more than
-its bytes, so a long one goes abroad rather than be late or lost nearby."""
 BALANCE_WEIGHT = 0.1
 """Value lost at a full backend server, growing with the square of its load; it
 spreads load where times are equal."""
@@ -73,7 +69,6 @@
     mine_told: int = 0
     cold_until_ms: float = 0.0
     run_ms: dict[str, float] = attrs.field(factory=dict)
-    transfers: TransferTimes = attrs.field(factory=TransferTimes)
     failed_until_ms: float = 0.0
     failing: float = 0.0
     doubted: bool = False
@@ -187,12 +182,11 @@
     load = endpoint.load
     wait_ms = max(0.0, load + 1 - endpoint.slots) / endpoint.slots * run_ms
     objective_ms = max(wish.objective_ms, 1.0)
-    total_ms = wait_ms + run_ms + endpoint.transfers.ms(wish.route, now_ms)
-    value = 1.0 / (1.0 + (total_ms / objective_ms) ** OBJECTIVE_STEEPNESS)
+    value = 1.0 / (1.0 + ((wait_ms + run_ms) / objective_ms) ** OBJECTIVE_STEEPNESS)
     value -= FAILURE_COST * endpoint.failing
     value -= BALANCE_WEIGHT * (load / endpoint.slots) ** 2
     if now_ms < endpoint.failed_until_ms or endpoint.doubted:
         value -= 1.0
     if endpoint.data_centre != wish.data_centre:
-        value -= min(ABROAD_COST * wish.size_kib, ABROAD_COST_MOST)
+        value -= ABROAD_COST * wish.size_kib
     return value
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -152,7 +152,6 @@
         incarnation = Incarnation(state.instance_id, state.born_ms)
         if not endpoint.incarnation.may_be(incarnation):
             endpoint.run_ms.clear()
-            endpoint.transfers.clear()
             endpoint.failed_until_ms = 0.0
         endpoint.service = state.service
         endpoint.incarnation = incarnation
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -21,9 +21,11 @@
     """Run a payment that failed on another backend server, as if it were a read."""
     plain = call.Call.__init__
 
-    def init(self, context, exchange, caller, target) -> None:  # type: ignore[no-untyped-def]
+    def init(self, *arguments) -> None:  # type: ignore[no-untyped-def]
+        context, exchange, caller, target, attempt = arguments
         route = attrs.evolve(target.route, idempotent=True, max_attempts=4)
-        plain(self, context, exchange, caller, attrs.evolve(target, route=route))
+        changed = attrs.evolve(target, route=route)
+        plain(self, context, exchange, caller, changed, attempt)
 
     call.Call.__init__ = init  # type: ignore[method-assign]
 
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -6,7 +6,7 @@
 import pytest
 
 from azurestep.mesh.backend.transfers import AT_ONCE, Transfers
-from azurestep.mesh.callers.call import BULK_BYTES
+from azurestep.mesh.callers.body import BULK_BYTES
 from azurestep.mesh.links.connection import PeerConnection
 from azurestep.mesh.messages import Kind
 
