--- a/azurestep/lines/explanation.py
+++ b/azurestep/lines/explanation.py
@@ -71,7 +71,7 @@
 
 def explain(request_id: str, lines: Iterable[LogLine]) -> ExplainResult:
     """Follow one attempt through lines that are in the order of their times."""
-    own = [line for line in lines if line.request_id == request_id]
+    own = [line for line in lines if line.id == request_id]
     if not own:
         return ExplainResult(
             request_id,
@@ -113,7 +113,7 @@
     """Return what the node went by, as far as the line tells."""
     parts = [line.reason] if line.reason else []
     if line.event == events.RUN_REFUSED.number:
-        parts.append(f"{line.running} ran and {line.busy - line.running} waited")
+        parts.append(f"{line.running:g} ran and {line.busy - line.running:g} waited")
         parts.append(f"for {line.slots} slots")
     elif line.run_ms:
         parts.append(f"ran {line.run_ms} ms")
--- a/azurestep/lines/losses.py
+++ b/azurestep/lines/losses.py
@@ -79,7 +79,7 @@
     begin_ms: float | None = None
     for line in lines:
         begin_ms = line.at_ms if begin_ms is None else begin_ms
-        left_out += line.left_out
+        left_out += line.lines
         verdict = judge(line)
         if verdict is None:
             continue
--- a/azurestep/lines/reader.py
+++ b/azurestep/lines/reader.py
@@ -10,48 +10,20 @@
 from ..errors import UsageError
 
 
-@attrs.frozen(slots=True)
-class _Fields:
-    time: datetime
-    event: int
-    message: str
-    id: str = ""
-    route: str = ""
-    service: str = ""
-    instance: str = ""
-    status: int = 0
-    reason: str = ""
-    asked: int = 0
-    runs: int = 0
-    after_ms: int = 0
-    left_ms: int | None = None
-    returned: bool = False
-    waited_ms: int = 0
-    ran_ms: int = 0
-    running: int = 0
-    busy: int = 0
-    slots: int = 0
-    run_ms: int = 0
-    lines: int = 0
-
-
-_DECODER = msgspec.json.Decoder(_Fields)
-
-
 @attrs.frozen(slots=True)
 class LogLine:
     """One line of a node.
 
     Attributes
     ----------
-    node : str
-        Who wrote it.
-    at_ms : float
-        When, in Unix milliseconds.
+    time : datetime
+        When it was written.
     event, message : int, str
         What happened, by its number in the catalogue.
-    request_id, route, service, instance : str
-        What it concerns; empty where the event has no such thing.
+    node : str
+        Who wrote it.
+    id, route, service, instance : str
+        The request and what else it concerns; empty where the event has no such thing.
     status : int
         Of the answer to the caller; 0 where there is none.
     reason : str
@@ -67,19 +39,19 @@
         Whether the caller had asked before.
     waited_ms, ran_ms : int
         Time beside the backend server, and at it.
-    running, busy, slots : int
+    running, busy, slots : float
         Load of the backend server when its node refused.
     run_ms : int
         How long a run without an answer took.
-    left_out : int
+    lines : int
         Lines that the node left out above its rate.
     """
 
-    node: str
-    at_ms: float
+    time: datetime
     event: int
     message: str
-    request_id: str = ""
+    node: str = ""
+    id: str = ""
     route: str = ""
     service: str = ""
     instance: str = ""
@@ -92,11 +64,19 @@
     returned: bool = False
     waited_ms: int = 0
     ran_ms: int = 0
-    running: int = 0
+    running: float = 0
     busy: int = 0
     slots: int = 0
     run_ms: int = 0
-    left_out: int = 0
+    lines: int = 0
+
+    @property
+    def at_ms(self) -> float:
+        """When it was written, in Unix milliseconds."""
+        return self.time.timestamp() * 1000
+
+
+_DECODER = msgspec.json.Decoder(LogLine)
 
 
 @attrs.frozen(slots=True)
@@ -124,7 +104,7 @@
                 found.append(decoded)
             elif decoded:
                 unreadable += 1
-    found.sort(key=lambda line: line.at_ms)
+    found.sort(key=lambda line: line.time)
     return LineFile(found, unreadable)
 
 
@@ -162,30 +142,8 @@
         return False
     words = text[:start].split()
     try:
-        fields = _DECODER.decode(text[start:])
+        line = _DECODER.decode(text[start:])
     except (msgspec.DecodeError, RecursionError):
         return True
-    return LogLine(
-        words[-1].decode("utf-8", "replace") if words else node,
-        fields.time.timestamp() * 1000,
-        fields.event,
-        fields.message,
-        fields.id,
-        fields.route,
-        fields.service,
-        fields.instance,
-        fields.status,
-        fields.reason,
-        fields.asked,
-        fields.runs,
-        fields.after_ms,
-        fields.left_ms,
-        fields.returned,
-        fields.waited_ms,
-        fields.ran_ms,
-        fields.running,
-        fields.busy,
-        fields.slots,
-        fields.run_ms,
-        fields.lines,
-    )
+    name = words[-1].decode("utf-8", "replace") if words else node
+    return attrs.evolve(line, node=name)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import pathlib
+from datetime import UTC, datetime
 
 import orjson
 import pytest
@@ -28,7 +29,8 @@
 
 
 def line(event: int, at_ms: float = 0.0, **fields: object) -> LogLine:
-    return LogLine("n-1", at_ms, event, "", **fields)  # type: ignore[arg-type]
+    time = datetime.fromtimestamp(at_ms / 1000, UTC)
+    return LogLine(time, event, "", "n-1", **fields)  # type: ignore[arg-type]
 
 
 @pytest.mark.parametrize(
@@ -98,7 +100,7 @@
             returned=True,
         ),
         line(REFUSED, 1200.0, route="read", status=503, reason="OVERLOADED"),
-        line(9006, 1300.0, left_out=7),
+        line(9006, 1300.0, lines=7),
     ]
     result = find_losses(lines)
     assert [(one.second, one.attempts, one.returned) for one in result.losses] == [
