Wait for a run on a silent link where it can't go elsewhere

Cause: when a link owed an answer to a probe for 650 ms, what may run again was given up on it at once, also without budget or another server for it. Full links of 7.5 Mbit/s keep probes waiting that long while their nodes are sound. Such a request now moves if it can, as on a doubt, and else waits on the former connection until that ends, its answer comes or its time is over. The new test answers 502 without the change.

--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -159,7 +159,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail what is unanswered; it may have run."""
         self.link.on_connection_lost(self)
-        self._fail_streams(only_movable=False)
+        self._fail_streams()
 
     def data_received(self, data: bytes) -> None:
         """Take messages."""
@@ -224,23 +224,32 @@
             self._transport.abort()
 
     def retire(self) -> None:
-        """Give up on what may be repeated; let the rest wait for its answer."""
-        self._fail_streams(only_movable=True)
+        """Take back what has not run; let the rest wait here unless it can move.
+
+        The node may be alive behind a full link, with the runs that were let go still
+        at work. Given up without another way, such a request failed though its answer
+        was on the way; on a stopping node that cuts a caller's request.
+        """
+        for number, stream in list(self.streams.items()):
+            if stream.let_go and stream.movable:
+                stream.receiver.on_doubt(True)
+            elif not stream.let_go:
+                self.send(Kind.CANCEL, number)
+                self._fail(number, stream)
         if not self.streams:
             self.abort()
 
-    def _fail_streams(self, only_movable: bool) -> None:
+    def _fail_streams(self) -> None:
         for number, stream in list(self.streams.items()):
-            if only_movable and not stream.movable and stream.let_go:
-                continue
-            if self.streams.pop(number, None) is None:
-                continue
-            if only_movable:
-                self.send(Kind.CANCEL, number)
-            if stream.let_go:
-                stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
-            else:
-                stream.receiver.on_refusal(Refusal(int(Reason.LINK_LOST), 0, 0.0))
+            self._fail(number, stream)
+
+    def _fail(self, number: int, stream: RemoteStream) -> None:
+        if self.streams.pop(number, None) is None:
+            return
+        if stream.let_go:
+            stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
+        else:
+            stream.receiver.on_refusal(Refusal(int(Reason.LINK_LOST), 0, 0.0))
 
     def _take(self, message: tuple[Any, ...]) -> None:
         kind = message[0]
--- a/tests/test_mesh_refusals.py
+++ b/tests/test_mesh_refusals.py
@@ -79,3 +79,19 @@
     statuses = await asyncio.gather(*(read(mesh, serving, name) for name in names))
     for name, status in zip(names, statuses, strict=True):
         assert (status == 503) == (serving.server.runs[name] == 0)
+
+
+async def test_a_run_is_not_given_up_for_a_silent_link_without_another_way(
+    mesh: MeshFleet,
+) -> None:
+    serving = mesh.instances[0]
+    await only(mesh, serving)
+    serving.server.work_s = 1.0
+    task = asyncio.create_task(read(mesh, mesh.instances[1], "g1"))
+    await eventually(lambda: serving.server.runs["g1"] == 1)
+    silence(serving)
+    await asyncio.sleep(0.85)
+    for server in list(serving.node.listener.servers):
+        vars(server).pop("write", None)
+    assert await task == 200
+    assert serving.server.runs["g1"] == 1
