--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -62,6 +62,7 @@
         self._timer = context.runtime.loop.call_later(
             budget_ms / 1000, self._on_timeout
         )
+        context.under_way.add(self)
 
     # From the caller's connection.
 
@@ -412,6 +413,10 @@
         else:
             self.exchange.answer(GATEWAY_TIMEOUT, self._id_header(), b"")
 
+    def log_cut(self) -> None:
+        """Log that the node ends before the answer; its connection ends with it."""
+        self.record.log_failed(0, Reason.STOPPING, self._now_ms())
+
     def _ended(self, status: int) -> None:
         runtime = self.context.runtime
         runtime.metrics.call_ms.record(runtime.now_ms() - self.record.arrived_ms)
@@ -423,6 +428,7 @@
 
     def _close(self, cancel: bool) -> None:
         self.done = True
+        self.context.under_way.discard(self)
         self._timer.cancel()
         self._placement.leave()
         stream, self._stream = self._stream, None
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -1,5 +1,7 @@
 """What the attempts of all callers of a node share, and where one of them goes."""
 
+from typing import Protocol
+
 import attrs
 
 from ...http.server import Exchange
@@ -15,6 +17,13 @@
 from ..runtime import Runtime
 
 
+class OpenCall(Protocol):
+    """An attempt that is not answered yet."""
+
+    def log_cut(self) -> None:
+        """Log that the node ends before the answer."""
+
+
 @attrs.define(eq=False)
 class CallContext:
     """What the calls of a node share.
@@ -23,6 +32,8 @@
     ----------
     calling_service : str
         Service of this instance, which backend servers are told.
+    under_way : set of OpenCall
+        Attempts that are not answered yet.
     """
 
     runtime: Runtime
@@ -34,6 +45,7 @@
     returning: ReturningCallers = attrs.field(factory=ReturningCallers)
     sizes: AnswerSizes = attrs.field(factory=AnswerSizes)
     refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
+    under_way: set[OpenCall] = attrs.field(factory=set)
 
     def attempt(self, exchange: Exchange, caller: CallerFields) -> Attempt:
         """Return what a request that has just come is an attempt of."""
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from ..errors import PortInUseError, SettingsError
+from ..events import Event
 from ..http.server import Handler, ServerConnection, ServerState
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
@@ -24,6 +25,7 @@
 from .callers.outbound import Outbound
 from .decisions.pressure import Report
 from .decisions.retry_budget import RetryBudget
+from .decisions.stopping import StopPlan
 from .knowledge.configuration import PEER, Configuration
 from .knowledge.discovery import Discovery
 from .knowledge.following import Follower
@@ -41,13 +43,6 @@
 """Ticks between looks which callers have given up."""
 SETTINGS_CHECK_TICKS = 20
 """Ticks between looks at the settings file, which may change without a signal."""
-LINGER_MS = 2300.0
-"""Time from SIGTERM until new requests are refused: callers go elsewhere after two
-answers of the readiness endpoint, one second apart, that say so. What was taken
-before has the rest of the grace time; without this, callers who find no other node
-kept a stopping one busy until it was killed, and their requests were cut."""
-GRACE_MARGIN_MS = 400.0
-"""Time kept between the end of a stopping node and SIGKILL."""
 READY_AFTER_MS = 600.0
 """Time from the start after which a node without links counts as ready all the
 same: it serves what it can."""
@@ -85,7 +80,7 @@
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
     started_ms: float = 0.0
-    stopping_since_ms: float | None = None
+    stop_plan: StopPlan | None = None
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
     _servers: list[asyncio.AbstractServer] = attrs.field(factory=list)
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -203,12 +198,13 @@
 
     def stop(self) -> None:
         """Begin an orderly stop: finish what is under way, take nothing new."""
-        if self.stopping_since_ms is not None:
+        if self.stop_plan is not None:
             return
-        self.stopping_since_ms = self.runtime.now_ms()
+        grace_ms = self.settings.bounds.grace_ms
+        self.stop_plan = StopPlan(self.runtime.now_ms(), grace_ms)
         self.callers.draining = True
         self.inbound.stopping = True
-        events.log(events.STOPPING, node=self.settings.instance)
+        self._log_stop(events.STOPPING)
         self.runtime.spawn(self.discovery.leave())
         self.tell_state()
 
@@ -245,7 +241,7 @@
 
     def is_ready(self) -> bool:
         """Whether callers should send requests here."""
-        if self.stopping_since_ms is not None or not self.configuration.version:
+        if self.stop_plan is not None or not self.configuration.version:
             return False
         age_ms = self.runtime.now_ms() - self.started_ms
         linked = self.members.count() > 1 and self.discovery.done
@@ -274,7 +270,7 @@
             backend.cold_ms(self.runtime.now_ms()),
             self.configuration.version,
             self.follower.store_ok,
-            self.stopping_since_ms is not None,
+            self.stop_plan is not None,
             self.inbound.health.failing,
             self.inbound.callers.callers(),
             self.calls.refusals.report(),
@@ -376,8 +372,8 @@
                 state.sweep(now_s)
         if self._ticks % SETTINGS_CHECK_TICKS == 0:
             self._check_settings()
-        if self.stopping_since_ms is not None:
-            self._check_stop(now_ms - self.stopping_since_ms)
+        if self.stop_plan is not None:
+            self._check_stop(self.stop_plan, now_ms)
         events.WRITER.flush()
 
     def _reports(self) -> list[Report]:
@@ -398,17 +394,29 @@
             self.reload()
         self._settings_seen = content
 
-    def _check_stop(self, age_ms: float) -> None:
-        grace_ms = self.settings.bounds.grace_ms - GRACE_MARGIN_MS
+    def _check_stop(self, plan: StopPlan, now_ms: float) -> None:
         busy = self.callers.busy or self.inbound.busy
-        if age_ms >= LINGER_MS and not self.outbound.closed:
+        if now_ms < plan.refuses_from_ms:
+            return
+        if not self.outbound.closed:
             self.outbound.closed = True
             self._servers[0].close()
-        if age_ms >= grace_ms or (age_ms >= LINGER_MS and not busy):
+        if now_ms >= plan.ends_ms or not busy:
             for connection in list(self.callers.connections):
                 connection.close_if_idle()
             self._stopped.set()
 
+    def _log_stop(self, event: Event) -> None:
+        """Log what is under way as a stop begins, or is left as the node ends."""
+        admission = self.inbound.admission
+        events.log(
+            event,
+            node=self.settings.instance,
+            calls=len(self.calls.under_way),
+            runs=len(admission.running),
+            waiting=admission.busy - len(admission.running),
+        )
+
     def _refresh_gauges(self) -> None:
         gauges = self.runtime.metrics.gauges
         gauges["members"] = self.members.count()
