A stopping node must answer what outlasts it: tests that fail

On the code as it stands, three nodes on the stand-ins, one server of 4 slots that takes 8.5 s, 8 reads with a timeout of 9 s, the asked node stopped 0.1 s later: all 8 connections end without an answer when it ends (assert 0 == 504, at the node beside the server and at another one). A request that comes to a stopping node is handed 8999 ms though the node lives for 5.6 s.

--- /dev/null
+++ b/tests/test_mesh_stopping.py
@@ -0,0 +1,107 @@
+"""A stopping node answers every request that it read whole before it ends.
+
+Two uploads were cut with the processes of two stopping nodes, 5.77 s and 5.79 s after
+SIGTERM. At the end of its grace time a node closed its idle connections and ended,
+whatever still waited elsewhere for an answer. They waited beside servers of a service
+that was short of room ("load of the backend server": running 6, waiting 18.5 of 6
+slots), where late requests stand last until their deadline, later than the node's end.
+With requests that outlast the grace time, eight of eight callers on the stand-ins lost
+their connection.
+"""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+from aiohttp import ClientError
+
+from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+
+from .fixtures_mesh import MeshFleet, MeshInstance, document
+from .test_mesh_faults import eventually
+from .test_mesh_refusals import only
+
+LONG_MS = 9000
+"""Longer than a stopping node lives."""
+CUT = 0
+"""In place of a status: the connection ended without an answer."""
+
+
+def long_document(version: int, **read: object) -> bytes:
+    """Return a document whose reads may last longer than a node stops."""
+    route = {
+        "host": "shop.example",
+        "path_prefix": "/read/",
+        "route_kind": "safe",
+        "max_attempts": 2,
+        "timeout": f"{LONG_MS}ms",
+        "aim": f"{LONG_MS}ms",
+        "priority": 2,
+        "service": "shop",
+    }
+    return document(version, routes={"read": {**route, **read}})
+
+
+@pytest_asyncio.fixture
+async def patient(mesh: MeshFleet) -> MeshFleet:
+    """Run the fleet with a route whose requests may last long."""
+    mesh.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, long_document(8))
+    await eventually(
+        lambda: all(item.node.configuration.version == 8 for item in mesh.instances)
+    )
+    return mesh
+
+
+async def read(mesh: MeshFleet, instance: MeshInstance, name: str) -> int:
+    try:
+        return (await mesh.get(instance, "/read/1", name, LONG_MS))[0]
+    except ClientError:
+        return CUT
+
+
+async def stop(instance: MeshInstance) -> None:
+    """Stop a node as SIGTERM does, and end it as its process ends."""
+    instance.node.stop()
+    assert instance.task is not None
+    await instance.task
+    instance.node.abort()
+
+
+@pytest.mark.parametrize("asked", [0, 1])
+async def test_a_stopping_node_answers_what_outlasts_it(
+    patient: MeshFleet, asked: int
+) -> None:
+    serving, stopping = patient.instances[0], patient.instances[asked]
+    await only(patient, serving)
+    serving.server.work_s = 8.5
+    names = [f"w{index}" for index in range(8)]
+    calls = [asyncio.create_task(read(patient, stopping, name)) for name in names]
+    await asyncio.sleep(0.1)
+    await stop(stopping)
+    statuses = await asyncio.gather(*calls)
+    for name, status in zip(names, statuses, strict=True):
+        assert status == (504 if serving.server.runs[name] else 503)
+    assert statuses.count(504) == serving.server.slots
+
+
+async def test_a_stopping_node_does_not_give_up_a_run_that_ends_in_time(
+    patient: MeshFleet,
+) -> None:
+    serving, stopping = patient.instances[:2]
+    await only(patient, serving)
+    serving.server.work_s = 5.0
+    calls = [asyncio.create_task(read(patient, stopping, f"r{i}")) for i in range(3)]
+    await asyncio.sleep(0.1)
+    await stop(stopping)
+    assert await asyncio.gather(*calls) == [200] * 3
+
+
+async def test_a_request_that_comes_to_a_stopping_node_gets_no_more_time_than_it_has(
+    patient: MeshFleet,
+) -> None:
+    serving, stopping = patient.instances[:2]
+    await only(patient, serving)
+    stopping.node.stop()
+    assert await read(patient, stopping, "late-1") == 200
+    left_ms = float(serving.server.received[-1].headers["deadline-milliseconds"])
+    assert left_ms < stopping.node.settings.bounds.grace_ms
