End all calls of a stopping node before the node ends

Cause: at the end of its grace time a stopping node ended whatever was unanswered, and nothing told a call of it: neither its own deadline nor the one that went with the request, so other nodes kept it in their queues for longer than the node lived.

Their reason is STOPPING, and explain and losses know it.

--- a/azurestep/lines/explanation.py
+++ b/azurestep/lines/explanation.py
@@ -59,6 +59,7 @@
     Decision.SERVER_ERROR: "{instance} answered {status} itself",
     Decision.LINK_LOST: "the link to the node beside {instance} was lost",
     Decision.TIMEOUT: "its time was over after {after_ms} ms while {instance} ran it",
+    Decision.STOPPED: "the node it came to was stopped, {after_ms} ms after it came",
     Decision.CAME_BACK_LATE: "its caller came back when the objective had passed",
     Decision.QUEUED: "it waited {waited_ms} ms for a slot and ran {ran_ms} ms",
     Decision.SLOW_RUN: "{instance} ran it for {ran_ms} ms",
--- a/azurestep/lines/verdict.py
+++ b/azurestep/lines/verdict.py
@@ -38,6 +38,7 @@
     SERVER_ERROR = "server answered with an error"
     LINK_LOST = "link to the server's node lost"
     TIMEOUT = "deadline passed while it ran"
+    STOPPED = "the asked node's stop left no more time"
     CAME_BACK_LATE = "came back after its objective"
     QUEUED = "waited for a slot"
     SLOW_RUN = "ran long at the server"
@@ -71,6 +72,7 @@
     "UNSIGNED": Decision.SERVER_BROKE_OFF,
     "LINK_LOST": Decision.LINK_LOST,
     "TIMEOUT": Decision.TIMEOUT,
+    "STOPPING": Decision.STOPPED,
 }
 NOT_FOUND = 404
 
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -1,5 +1,8 @@
 """One attempt of a caller: choose, send, try elsewhere, answer."""
 
+import asyncio
+from collections.abc import Callable
+
 from ...http.server import Exchange
 from ...platform.headers import CallerFields
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
@@ -49,7 +52,8 @@
             caller.request_id, route, target.service, target.version, attempt, now_ms
         )
         budget_ms = min(caller.budget_ms or route.timeout_ms, route.timeout_ms)
-        self.ends_ms = now_ms + budget_ms
+        self._deadline_ms = now_ms + budget_ms
+        self.ends_ms = min(self._deadline_ms, context.answer_by_ms)
         self.done = False
         self._body = RequestBody()
         self._placement = Placement(context, target.service)
@@ -59,9 +63,7 @@
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
-        self._timer = context.runtime.loop.call_later(
-            budget_ms / 1000, self._on_timeout
-        )
+        self._timer = self._call_at(self.ends_ms, self._on_timeout)
         context.under_way.add(self)
 
     # From the caller's connection.
@@ -373,6 +375,18 @@
         self._close(cancel=True)
         self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
 
+    def end_by(self, answer_by_ms: float) -> None:
+        """Answer by then: this node is stopping.
+
+        Without it, a node ended under requests that waited elsewhere for longer than it
+        lived: eight of eight callers with requests of 8.5 s lost their connection.
+        """
+        if answer_by_ms >= self.ends_ms or self._withdrawn:
+            return
+        self.ends_ms = answer_by_ms
+        self._timer.cancel()
+        self._timer = self._call_at(answer_by_ms, self._on_timeout)
+
     def _on_timeout(self) -> None:
         """Answer at the deadline; where the request has not run, say so.
 
@@ -381,12 +395,14 @@
         """
         if self.done:
             return
+        now_ms = self._now_ms()
+        if self._writer.started and now_ms < self._deadline_ms:
+            self._timer = self._call_at(self._deadline_ms, self._on_timeout)
+            return
         stream = self._stream
         if stream is not None and stream.may_run and not self._asks_whether_it_ran():
             self._withdrawn = True
-            self._timer = self.context.runtime.loop.call_later(
-                WITHDRAWAL_MS / 1000, self._on_timeout
-            )
+            self._timer = self._call_at(now_ms + WITHDRAWAL_MS, self._on_timeout)
             stream.withdraw()
         elif self._writer.started or (stream is not None and stream.may_run):
             self._time_out()
@@ -401,10 +417,16 @@
         if self._may_have_run:
             self._time_out()
         else:
-            self._refuse(Reason.TOO_LATE, RETRY_LEAST_MS)
+            self._refuse(self._late_reason(Reason.TOO_LATE), RETRY_LEAST_MS)
+
+    def _late_reason(self, reason: Reason) -> Reason:
+        """Return the reason at the deadline, or that this node's stop set it."""
+        stopped = self.ends_ms < self._deadline_ms
+        return Reason.STOPPING if stopped else reason
 
     def _time_out(self) -> None:
-        self.record.log_failed(GATEWAY_TIMEOUT, Reason.TIMEOUT, self._now_ms())
+        reason = self._late_reason(Reason.TIMEOUT)
+        self.record.log_failed(GATEWAY_TIMEOUT, reason, self._now_ms())
         self.context.runtime.metrics.count("calls", "timeout")
         self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
@@ -438,6 +460,10 @@
         self.exchange.connection.resume_reading()
         self.exchange.sink = None
 
+    def _call_at(self, time_ms: float, act: Callable[[], None]) -> asyncio.TimerHandle:
+        runtime = self.context.runtime
+        return runtime.loop.call_later((time_ms - runtime.now_ms()) / 1000, act)
+
     def _now_ms(self) -> float:
         return self.context.runtime.now_ms()
 
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -1,5 +1,6 @@
 """What the attempts of all callers of a node share, and where one of them goes."""
 
+import math
 from typing import Protocol
 
 import attrs
@@ -20,6 +21,9 @@
 class OpenCall(Protocol):
     """An attempt that is not answered yet."""
 
+    def end_by(self, answer_by_ms: float) -> None:
+        """Answer by then: the node is stopping."""
+
     def log_cut(self) -> None:
         """Log that the node ends before the answer."""
 
@@ -34,6 +38,8 @@
         Service of this instance, which backend servers are told.
     under_way : set of OpenCall
         Attempts that are not answered yet.
+    answer_by_ms : float
+        When the last of them is answered; a time only once the node is stopping.
     """
 
     runtime: Runtime
@@ -46,6 +52,13 @@
     sizes: AnswerSizes = attrs.field(factory=AnswerSizes)
     refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
     under_way: set[OpenCall] = attrs.field(factory=set)
+    answer_by_ms: float = math.inf
+
+    def end_by(self, answer_by_ms: float) -> None:
+        """Answer all attempts by then, those that come later too."""
+        self.answer_by_ms = answer_by_ms
+        for call in list(self.under_way):
+            call.end_by(answer_by_ms)
 
     def attempt(self, exchange: Exchange, caller: CallerFields) -> Attempt:
         """Return what a request that has just come is an attempt of."""
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -203,6 +203,7 @@
         grace_ms = self.settings.bounds.grace_ms
         self.stop_plan = StopPlan(self.runtime.now_ms(), grace_ms)
         self.callers.draining = True
+        self.calls.end_by(self.stop_plan.answer_by_ms)
         self.inbound.stopping = True
         self._log_stop(events.STOPPING)
         self.runtime.spawn(self.discovery.leave())
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -61,6 +61,7 @@
         (line(REFUSED, status=503, reason="PRESSURE"), Outcome.REFUSED, Decision.SHED),
         (line(REFUSED, status=404), Outcome.REFUSED, Decision.NO_ROUTE),
         (line(FAILED, reason="TIMEOUT"), Outcome.FAILED, Decision.TIMEOUT),
+        (line(FAILED, reason="STOPPING"), Outcome.FAILED, Decision.STOPPED),
         (line(FAILED, reason="NEW"), Outcome.FAILED, Decision.OTHER),
         (line(events.CALL_GONE.number), Outcome.GONE, Decision.CALLER),
     ],
@@ -74,7 +75,7 @@
 
 
 def test_every_reason_of_the_node_has_a_decision() -> None:
-    unknown = {"STOPPING", "BUDGET"}
+    unknown = {"BUDGET"}
     for reason in events_reasons() - unknown:
         verdict = judge(line(REFUSED, status=503, reason=reason))
         assert verdict is not None
