A stopping node must send what it has written: a test that fails

A caller that takes an answer of 4 MB slowly gets all but its end: the node counts as idle once the last bytes are in its send buffer and ends 0.1 s later (assert received.endswith(body) fails).

--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -10,14 +10,22 @@
 """
 
 import asyncio
+import socket
 
 import pytest
 import pytest_asyncio
 from aiohttp import ClientError
 
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
-
-from .fixtures_mesh import MeshFleet, MeshInstance, document
+from standins.signing_server import signed
+
+from .fixtures_mesh import (
+    CALLER_PORT,
+    MeshFleet,
+    MeshInstance,
+    caller_headers,
+    document,
+)
 from .test_mesh_faults import eventually
 from .test_mesh_refusals import only
 
@@ -105,3 +113,37 @@
     assert await read(patient, stopping, "late-1") == 200
     left_ms = float(serving.server.received[-1].headers["deadline-milliseconds"])
     assert left_ms < stopping.node.settings.bounds.grace_ms
+
+
+def slow_caller() -> socket.socket:
+    """Return the socket of a caller that takes few bytes at a time."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setblocking(False)
+    return caller
+
+
+async def test_a_stopping_node_ends_after_its_answers_have_left(
+    mesh: MeshFleet,
+) -> None:
+    body = b"x" * 4_000_000
+    for instance in mesh.instances:
+        instance.server.misbehave = lambda received: signed(received, body)
+    stopping = mesh.instances[0]
+    loop = asyncio.get_running_loop()
+    with slow_caller() as caller:
+        await loop.sock_connect(caller, (stopping.host, CALLER_PORT))
+        head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers("d1", 9000).items())
+        request = f"GET /read/1 HTTP/1.1\r\n{head}\r\n\r\n"
+        await loop.sock_sendall(caller, request.encode())
+        received = bytearray(await loop.sock_recv(caller, 4096))
+        while any(item.exchanges for item in stopping.node.callers.connections):
+            received += await loop.sock_recv(caller, 4096)
+            await asyncio.sleep(0.001)
+        ended = asyncio.create_task(stop(stopping))
+        await asyncio.sleep(2.6)
+        while data := await loop.sock_recv(caller, 65_536):
+            received += data
+        await ended
+    assert received.endswith(body)
+    assert len(received) > len(body)
