A stopping node stays until its answers have left

The node's own idleness did not count what its callers' send buffers held. Now it does: the caller that was missing the end of 4 MB gets all of it; one that takes nothing keeps the node for the grace time and no longer.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -143,8 +143,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is unanswered."""
-        return any(connection.exchanges for connection in self.connections)
+        """Whether a request is unanswered, or bytes of an answer have not left."""
+        return any(connection.busy for connection in self.connections)
 
 
 class ServerConnection(asyncio.Protocol):
@@ -311,6 +311,18 @@
             return True
         return self._closing and exchange is self.exchanges[-1]
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is unanswered, or bytes of an answer have not left.
+
+        A process that ends drops what its send buffers hold: a caller that takes 4 MB
+        slowly was missing the end of its answer.
+        """
+        if self.exchanges:
+            return True
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def is_writable(self, exchange: Exchange) -> bool:
         """Whether an answer's bytes leave now, with room in the send buffer."""
         first = bool(self.exchanges) and self.exchanges[0] is exchange
