A stopping node must send what it has for other nodes: a test that fails

40 answers of 240 KB behind a link whose other end takes nothing for 2.6 s: the stopping node counts as idle and ends, and answers that its server had given come out as 502 at the node that asked (assert [200, 200, ..., 502, ...] == [200] * 40, from the 17th on).

--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -147,3 +147,27 @@
         await ended
     assert received.endswith(body)
     assert len(received) > len(body)
+
+
+async def test_a_stopping_node_ends_after_its_answers_to_other_nodes_have_left(
+    patient: MeshFleet,
+) -> None:
+    serving, asking = patient.instances[:2]
+    await only(patient, serving)
+    body = b"x" * 240_000
+    serving.server.misbehave = lambda received: signed(received, body)
+    link = asking.node.members.links[serving.node.settings.peer_address]
+    assert link.connection is not None
+    transport = link.connection._transport
+    assert transport is not None
+    transport.pause_reading()
+    calls = [
+        asyncio.create_task(patient.get(asking, "/read/1", f"o{index}", 9000))
+        for index in range(40)
+    ]
+    await eventually(lambda: len(serving.server.arrivals) >= 46)
+    ended = asyncio.create_task(stop(serving))
+    await asyncio.sleep(2.6)
+    transport.resume_reading()
+    assert [status for status, _ in await asyncio.gather(*calls)] == [200] * 40
+    await ended
