Decode apart from handling: a fault of our own fails its request, not the link

Cause: both ends of a link guarded decoding and handling together, so that a KeyError of our own passed for a malformed message (9203) and reset the link with every request on it.

Change: messages are decoded into typed classes before they are handled, and what can't be decoded resets the link as before (the messages before it are handled). A fault in handling one is logged with its traceback (event 9010), counted (azurestep_faults_total), and ends that request: beside the server its run is cancelled and its sender is told FAULT; beside the caller the other node is told, and the caller gets 502. On a lost or doubted link one sender's or run's fault keeps no other from being told. A sender beside its own server is guarded likewise. A greeting of another format, an unknown reason, numbers below 1 and arrays of over a million items can't be decoded.

--- a/azurestep/lines/explanation.py
+++ b/azurestep/lines/explanation.py
@@ -63,6 +63,7 @@
     Decision.QUEUED: "it waited {waited_ms} ms for a slot and ran {ran_ms} ms",
     Decision.SLOW_RUN: "{instance} ran it for {ran_ms} ms",
     Decision.ASKED_BEFORE: "it reached a server late, after {asked} nodes were asked",
+    Decision.FAULT: "a fault of the program came; azurestep faults shows its cause",
     Decision.CALLER: "its caller left after {after_ms} ms",
     Decision.OTHER: "the reason is {reason}",
     Decision.NONE: "{instance} answered after {after_ms} ms",
--- a/azurestep/lines/verdict.py
+++ b/azurestep/lines/verdict.py
@@ -42,6 +42,7 @@
     QUEUED = "waited for a slot"
     SLOW_RUN = "ran long at the server"
     ASKED_BEFORE = "asked other nodes before, or was on its way"
+    FAULT = "a fault of the program"
     CALLER = "the caller left"
     OTHER = "another reason"
 
@@ -71,6 +72,7 @@
     "UNSIGNED": Decision.SERVER_BROKE_OFF,
     "LINK_LOST": Decision.LINK_LOST,
     "TIMEOUT": Decision.TIMEOUT,
+    "FAULT": Decision.FAULT,
 }
 NOT_FOUND = 404
 
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -6,7 +6,7 @@
 from ..decisions.admission import RETRY_LEAST_MS
 from ..decisions.choice import Endpoint, Wish
 from ..decisions.returning import Attempt
-from ..links.connection import Stream
+from ..links.interfaces import Stream
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_writer import AnswerWriter
 from .body import BUFFER_BYTES, BULK_BYTES, RequestBody
@@ -412,6 +412,24 @@
         else:
             self.exchange.answer(GATEWAY_TIMEOUT, self._id_header(), b"")
 
+    def on_fault(self) -> None:
+        """Answer 502 after a fault of this program: the request may have run."""
+        if self.exchange.finished:
+            return
+        runtime = self.context.runtime
+        runtime.contain("call", self._count_fault)
+        runtime.contain("call", self._close, True)
+        self.done = True
+        if self.exchange.started:
+            self.exchange.break_off()
+        else:
+            self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
+
+    def _count_fault(self) -> None:
+        self.record.log_failed(BAD_GATEWAY, Reason.FAULT, self._now_ms())
+        self.context.runtime.metrics.count("calls", "failed")
+        self.context.returning.remember(self.record.attempt)
+
     def _ended(self, status: int) -> None:
         runtime = self.context.runtime
         runtime.metrics.call_ms.record(runtime.now_ms() - self.record.arrived_ms)
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -30,6 +30,12 @@
     "a request could not be handled, its connection is closed",
     "report the cause: it is an error of the program",
 )
+FAULT = register(
+    9010,
+    logging.ERROR,
+    "a fault of the program ended one request or one piece of work",
+    "report the line, and what else azurestep faults shows; nothing else stopped",
+)
 STORE_LOST = register(
     9101,
     logging.WARNING,
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -1,18 +1,23 @@
 """One connection of a link: requests and probes out, outcomes and state in."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import attrs
-import msgpack
 
-from ...quarantine import QuarantineUpdate
 from .. import events
-from ..backend.crashes import decode_updates
-from ..backend.run import AnswerReceiver
+from ..decoding import OF_CALLED_NODES, WHOLE_LINK, Decoder
+from ..link_messages import (
+    AnswerData,
+    ConfigurationNews,
+    CrashNews,
+    Credit,
+    Pong,
+    Ready,
+)
 from ..messages import (
     Answer,
-    Decoder,
     Failure,
     Hello,
     Kind,
@@ -20,62 +25,16 @@
     Refusal,
     Request,
     State,
-    decompress,
     encode,
     fields_of,
 )
 from ..runtime import Runtime
+from .interfaces import CallReceiver, PeerNews
 
 BUSY_PING_MS = 90.0
 """Time between probes of a link with requests under way."""
 
 
-class Stream(Protocol):
-    """The sender's hold on one request."""
-
-    def body(self, data: bytes, whole: bool) -> None:
-        """Send more of the body."""
-
-    @property
-    def may_run(self) -> bool:
-        """Whether the request may have run, or may run yet."""
-
-    def cancel(self) -> None:
-        """Stop the request; nobody waits for it."""
-
-    def withdraw(self) -> None:
-        """Stop the request; its receiver is told whether it had not run."""
-
-    def grant(self, size: int) -> None:
-        """Take more of the answer."""
-
-
-class CallReceiver(AnswerReceiver, Protocol):
-    """What sent a request over a link."""
-
-    def on_doubt(self, let_go: bool) -> None:
-        """Learn that the node owes a sign of life.
-
-        Parameters
-        ----------
-        let_go : bool
-            Whether the request may have run; False if it surely has not.
-        """
-
-
-class PeerNews(Protocol):
-    """What hears of news that concern the whole fleet, whichever node tells them."""
-
-    def on_configuration(self, version: int, content: bytes) -> None:
-        """Take a configuration that a node sent."""
-
-    def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
-        """Learn which requests were under way as backend servers died."""
-
-    def hello(self) -> Hello:
-        """Return this node's greeting."""
-
-
 class ConnectionOwner(Protocol):
     """The link that a connection belongs to."""
 
@@ -113,6 +72,7 @@
     receiver: CallReceiver
     movable: bool
     let_go: bool
+    request_id: bytes = b""
 
     def body(self, data: bytes, whole: bool) -> None:
         """Send more of the body."""
@@ -145,7 +105,7 @@
         self.streams: dict[int, RemoteStream] = {}
         self.received_ms = link.runtime.now_ms()
         self.pinged_ms = self.received_ms
-        self._decoder = Decoder()
+        self._decoder = Decoder(OF_CALLED_NODES)
         self._transport: asyncio.Transport | None = None
         self._next = 0
 
@@ -158,25 +118,35 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail what is unanswered; it may have run."""
-        self.link.on_connection_lost(self)
+        self.link.runtime.contain("link_out", self.link.on_connection_lost, self)
         self._fail_streams()
 
     def data_received(self, data: bytes) -> None:
         """Take messages."""
         self.received_ms = self.link.runtime.now_ms()
-        try:
-            for message in self._decoder.feed(data):
-                self._take(message)
-        except (
-            ValueError,
-            TypeError,
-            KeyError,
-            IndexError,
-            msgpack.UnpackException,
-        ) as error:
-            events.log(events.PEER_MALFORMED, cause=repr(error))
+        for number, message in self._decoder.feed(data):
+            stream = None
+            if number != WHOLE_LINK:
+                stream = self.streams.get(number)
+                if stream is None:
+                    continue
+            try:
+                HANDLERS[type(message)](self, stream, message)
+            except Exception as error:
+                self._contain(stream, error)
+        if self._decoder.fault:
+            events.log(events.PEER_MALFORMED, cause=self._decoder.fault)
             self.abort()
 
+    def _contain(self, stream: RemoteStream | None, error: Exception) -> None:
+        """End the request that met a fault of this program; the others go on."""
+        runtime = self.link.runtime
+        name = b"" if stream is None else stream.request_id
+        runtime.fault("link_out", error, id=name)
+        if stream is not None:
+            stream.cancel()
+            runtime.contain("call", stream.receiver.on_fault)
+
     def open(self, request: Request, receiver: CallReceiver) -> RemoteStream:
         """Send a request."""
         self._next += 1
@@ -186,6 +156,7 @@
             receiver,
             movable=request.idempotent and not request.held,
             let_go=not request.held,
+            request_id=request.request_id,
         )
         self.streams[self._next] = stream
         self.send(Kind.REQUEST, self._next, *fields_of(request))
@@ -206,7 +177,19 @@
     def doubt(self) -> None:
         """Let the senders of all requests look for another way."""
         for stream in list(self.streams.values()):
-            stream.receiver.on_doubt(stream.let_go)
+            self._doubt(stream)
+
+    def _doubt(self, stream: RemoteStream) -> None:
+        self._tell(stream, stream.receiver.on_doubt, stream.let_go)
+
+    def _tell(
+        self, stream: RemoteStream, hear: Callable[[Any], None], news: object
+    ) -> None:
+        """Tell one sender; a fault there keeps no other from being told."""
+        try:
+            hear(news)
+        except Exception as error:
+            self._contain(stream, error)
 
     def send(self, kind: Kind, *fields: object) -> None:
         """Send a message."""
@@ -232,7 +215,7 @@
         """
         for number, stream in list(self.streams.items()):
             if stream.let_go and stream.movable:
-                stream.receiver.on_doubt(True)
+                self._doubt(stream)
             elif not stream.let_go:
                 self.send(Kind.CANCEL, number)
                 self._fail(number, stream)
@@ -246,49 +229,66 @@
     def _fail(self, number: int, stream: RemoteStream) -> None:
         if self.streams.pop(number, None) is None:
             return
+        receiver, reason = stream.receiver, int(Reason.LINK_LOST)
         if stream.let_go:
-            stream.receiver.on_failure(Failure(int(Reason.LINK_LOST), 0))
+            self._tell(stream, receiver.on_failure, Failure(reason, 0))
         else:
-            stream.receiver.on_refusal(Refusal(int(Reason.LINK_LOST), 0, 0.0))
-
-    def _take(self, message: tuple[Any, ...]) -> None:
-        kind = message[0]
-        if kind == Kind.PONG:
-            return
-        if kind == Kind.STATE:
-            self.link.on_state(self, State(*message[1:]))
-        elif kind == Kind.HELLO:
-            self.link.on_hello(self, Hello(*message[1:6]))
-        elif kind == Kind.CONFIGURATION:
-            self.link.fleet.on_configuration(message[1], decompress(message[2]))
-        elif kind == Kind.CRASHES:
-            self.link.fleet.on_crashes(message[1], decode_updates(message[2]))
-        else:
-            self._take_outcome(kind, message[1], message[2:])
-
-    def _take_outcome(self, kind: int, number: int, fields: tuple[Any, ...]) -> None:
-        stream = self.streams.get(number)
-        if stream is None:
-            return
-        receiver = stream.receiver
-        if kind == Kind.ANSWER:
-            answer = Answer(*fields)
-            if answer.whole:
-                self.streams.pop(number, None)
-            receiver.on_answer(answer)
-        elif kind == Kind.ANSWER_DATA:
-            if fields[1]:
-                self.streams.pop(number, None)
-            receiver.on_answer_data(fields[0], fields[1])
-        elif kind == Kind.REFUSAL:
-            self.streams.pop(number, None)
-            receiver.on_refusal(Refusal(*fields))
-        elif kind == Kind.FAILURE:
-            self.streams.pop(number, None)
-            receiver.on_failure(Failure(*fields))
-        elif kind == Kind.READY:
-            stream.let_go = True
-            self.send(Kind.GO, number)
-            receiver.on_ready()
-        elif kind == Kind.CREDIT:
-            receiver.on_credit(fields[0])
+            self._tell(stream, receiver.on_refusal, Refusal(reason, 0, 0.0))
+
+    def _tell_state(self, _: None, state: State) -> None:
+        self.link.on_state(self, state)
+
+    def _greet(self, _: None, hello: Hello) -> None:
+        self.link.on_hello(self, hello)
+
+    def _pong(self, _: None, pong: Pong) -> None:
+        """Any message is a sign of life."""
+
+    def _configuration(self, _: None, news: ConfigurationNews) -> None:
+        self.link.fleet.on_configuration(news.version, news.content)
+
+    def _crashes(self, _: None, news: CrashNews) -> None:
+        self.link.fleet.on_crashes(news.service, news.updates)
+
+    def _answer(self, stream: RemoteStream, answer: Answer) -> None:
+        if answer.whole:
+            self.streams.pop(stream.number, None)
+        stream.receiver.on_answer(answer)
+
+    def _answer_data(self, stream: RemoteStream, more: AnswerData) -> None:
+        if more.whole:
+            self.streams.pop(stream.number, None)
+        stream.receiver.on_answer_data(more.data, more.whole)
+
+    def _refusal(self, stream: RemoteStream, refusal: Refusal) -> None:
+        self.streams.pop(stream.number, None)
+        stream.receiver.on_refusal(refusal)
+
+    def _failure(self, stream: RemoteStream, failure: Failure) -> None:
+        self.streams.pop(stream.number, None)
+        stream.receiver.on_failure(failure)
+
+    def _ready(self, stream: RemoteStream, _: Ready) -> None:
+        stream.let_go = True
+        self.send(Kind.GO, stream.number)
+        stream.receiver.on_ready()
+
+    def _credit(self, stream: RemoteStream, credit: Credit) -> None:
+        stream.receiver.on_credit(credit.size)
+
+
+HANDLERS: dict[type, Callable[[PeerConnection, Any, Any], None]] = {
+    State: PeerConnection._tell_state,
+    Hello: PeerConnection._greet,
+    Pong: PeerConnection._pong,
+    ConfigurationNews: PeerConnection._configuration,
+    CrashNews: PeerConnection._crashes,
+    Answer: PeerConnection._answer,
+    AnswerData: PeerConnection._answer_data,
+    Refusal: PeerConnection._refusal,
+    Failure: PeerConnection._failure,
+    Ready: PeerConnection._ready,
+    Credit: PeerConnection._credit,
+}
+"""What is done with a message, by its type: a table costs less than ``singledispatch``,
+and each request passes here several times."""
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -11,13 +11,8 @@
 from ..messages import Hello, Kind, Request, State
 from ..runtime import Runtime
 from ..settings import Address
-from .connection import (
-    BUSY_PING_MS,
-    CallReceiver,
-    PeerConnection,
-    PeerNews,
-    Stream,
-)
+from .connection import BUSY_PING_MS, PeerConnection
+from .interfaces import CallReceiver, PeerNews, Stream
 
 DOUBT_MS = 200.0
 """Time without an answer to a probe after which a node gets no new requests. An
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -17,7 +17,8 @@
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
-from .connection import CallReceiver, Stream
+from .guarded import GuardedReceiver
+from .interfaces import CallReceiver, Stream
 from .link import PeerLink
 
 FORGET_MS = 300_000.0
@@ -87,7 +88,8 @@
         if endpoint is self._own:
             if request.held:
                 request = attrs.evolve(request, held=False)
-            return self.inbound.submit(request, receiver)
+            guarded = GuardedReceiver(self.runtime, receiver, request.request_id)
+            return self.inbound.submit(request, guarded)
         link = self.links.get(endpoint.key)  # type: ignore[call-overload]
         return None if link is None else link.send(request, receiver)
 
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import attrs
-import msgpack
 
 from ...quarantine import QuarantineUpdate
 from .. import events
@@ -13,14 +12,20 @@
 from ..backend.inbound import Inbound
 from ..backend.run import Run
 from ..decisions.cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, ReportPace
+from ..decoding import OF_CALLING_NODES, WHOLE_LINK, Decoder, Message
+from ..link_messages import (
+    Body,
+    Cancel,
+    ConfigurationWanted,
+    Credit,
+    Go,
+    Ping,
+    Withdraw,
+)
 from ..messages import (
-    FORMAT,
-    Answer,
-    Decoder,
-    Failure,
     Hello,
     Kind,
-    Refusal,
+    Reason,
     Request,
     State,
     compress,
@@ -28,6 +33,7 @@
     fields_of,
 )
 from ..runtime import Runtime
+from .remote_receiver import RemoteReceiver
 
 PONG = encode(Kind.PONG)
 STALE_MS = 100.0
@@ -40,44 +46,6 @@
 stood still at one end doesn't make all later requests look late."""
 
 
-@attrs.define(eq=False)
-class RemoteReceiver:
-    """Sends the outcome of one request back over the link."""
-
-    server: "PeerServer"
-    stream: int
-
-    def on_answer(self, answer: Answer) -> None:
-        """Send the answer, or its beginning."""
-        self.server.send(Kind.ANSWER, self.stream, *fields_of(answer))
-        if answer.whole:
-            self.server.forget(self.stream)
-
-    def on_answer_data(self, data: bytes, whole: bool) -> None:
-        """Send more of the answer."""
-        self.server.send(Kind.ANSWER_DATA, self.stream, data, whole)
-        if whole:
-            self.server.forget(self.stream)
-
-    def on_refusal(self, refusal: Refusal) -> None:
-        """Send a refusal."""
-        self.server.send(Kind.REFUSAL, self.stream, *fields_of(refusal))
-        self.server.forget(self.stream)
-
-    def on_failure(self, failure: Failure) -> None:
-        """Send a failure."""
-        self.server.send(Kind.FAILURE, self.stream, *fields_of(failure))
-        self.server.forget(self.stream)
-
-    def on_credit(self, size: int) -> None:
-        """Let the sender send more of the body."""
-        self.server.send(Kind.CREDIT, self.stream, size)
-
-    def on_ready(self) -> None:
-        """Ask the sender whether the request still stands."""
-        self.server.send(Kind.READY, self.stream)
-
-
 @attrs.define(eq=False)
 class PeerListener:
     """What all links that other nodes opened share.
@@ -175,7 +143,7 @@
     def __init__(self, listener: PeerListener) -> None:
         self.listener = listener
         self.peer: Hello | None = None
-        self._decoder = Decoder()
+        self._decoder = Decoder(OF_CALLING_NODES)
         self._transport: asyncio.Transport | None = None
         self._runs: dict[int, Run] = {}
         self._least_delay_ms: float | None = None
@@ -196,23 +164,43 @@
         self.listener.servers.discard(self)
         runs, self._runs = self._runs, {}
         for run in runs.values():
+            self._cancel_lost(run)
+
+    def _cancel_lost(self, run: Run) -> None:
+        try:
             run.cancel()
+        except Exception as error:
+            name = run.request.request_id
+            self.listener.runtime.fault("link_in", error, id=name)
 
     def data_received(self, data: bytes) -> None:
         """Take messages."""
-        try:
-            for message in self._decoder.feed(data):
-                self._take(message)
-        except (
-            ValueError,
-            TypeError,
-            KeyError,
-            IndexError,
-            msgpack.UnpackException,
-        ) as error:
-            events.log(events.PEER_MALFORMED, cause=repr(error))
-            if self._transport is not None:
-                self._transport.abort()
+        for stream, message in self._decoder.feed(data):
+            try:
+                HANDLERS[type(message)](self, stream, message)
+            except Exception as error:
+                self._contain(stream, message, error)
+        if self._decoder.fault:
+            events.log(events.PEER_MALFORMED, cause=self._decoder.fault)
+            self.abort()
+
+    def _contain(self, stream: int, message: Message, error: Exception) -> None:
+        """Fail the request that met a fault of this program; the others go on.
+
+        The run is cancelled, not failed: a failed one speaks against its backend
+        server. Its sender is told in any case; where it was told before, it passes
+        this by.
+        """
+        runtime = self.listener.runtime
+        run = self._runs.pop(stream, None)
+        request = message if run is None else run.request
+        name = request.request_id if isinstance(request, Request) else b""
+        runtime.fault("link_in", error, id=name)
+        if run is not None:
+            runtime.contain("run", run.cancel)
+        if stream != WHOLE_LINK:
+            busy = self.listener.inbound.admission.busy
+            self.send(Kind.FAILURE, stream, int(Reason.FAULT), busy)
 
     def send(self, kind: Kind, *fields: object) -> None:
         """Send a message."""
@@ -232,31 +220,7 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _take(self, message: tuple[Any, ...]) -> None:
-        kind = message[0]
-        if kind == Kind.REQUEST:
-            self._request(message[1], message[2:])
-        elif kind == Kind.PING:
-            self._delay_ms(message[1])
-            self.write(PONG)
-        elif kind == Kind.BODY:
-            self._body(message[1], message[2], message[3])
-        elif kind == Kind.CANCEL:
-            self._cancel(message[1])
-        elif kind == Kind.WITHDRAW:
-            self._withdraw(message[1])
-        elif kind == Kind.GO:
-            self._go(message[1])
-        elif kind == Kind.CREDIT:
-            self._grant(message[1], message[2])
-        elif kind == Kind.HELLO:
-            self._greet(Hello(*message[1:6]))
-        elif kind == Kind.CONFIGURATION_WANTED:
-            version, content = self.listener.configuration()
-            self.send(Kind.CONFIGURATION, version, compress(content))
-
-    def _request(self, stream: int, fields: tuple[Any, ...]) -> None:
-        request = Request(*fields)
+    def _request(self, stream: int, request: Request) -> None:
         late_ms = self._delay_ms(request.sent_ms)
         if late_ms > STALE_MS:
             request = attrs.evolve(
@@ -269,36 +233,42 @@
         if not run.done:
             self._runs[stream] = run
 
-    def _greet(self, hello: Hello) -> None:
-        if hello.format != FORMAT:
-            raise ValueError(f"protocol format {hello.format}")
+    def _ping(self, _: int, ping: Ping) -> None:
+        self._delay_ms(ping.sent_ms)
+        self.write(PONG)
+
+    def _greet(self, _: int, hello: Hello) -> None:
         self.peer = hello
         self.listener.on_peer(hello)
 
-    def _go(self, stream: int) -> None:
+    def _tell_configuration(self, _: int, wanted: ConfigurationWanted) -> None:
+        version, content = self.listener.configuration()
+        self.send(Kind.CONFIGURATION, version, compress(content))
+
+    def _go(self, stream: int, _: Go) -> None:
         run = self._runs.get(stream)
         if run is not None:
             run.go()
 
-    def _cancel(self, stream: int) -> None:
+    def _cancel(self, stream: int, _: Cancel) -> None:
         run = self._runs.pop(stream, None)
         if run is not None:
             run.cancel()
 
-    def _withdraw(self, stream: int) -> None:
+    def _withdraw(self, stream: int, _: Withdraw) -> None:
         run = self._runs.get(stream)
         if run is not None:
             run.withdraw()
 
-    def _grant(self, stream: int, size: int) -> None:
+    def _grant(self, stream: int, credit: Credit) -> None:
         run = self._runs.get(stream)
         if run is not None:
-            run.grant(size)
+            run.grant(credit.size)
 
-    def _body(self, stream: int, data: bytes, whole: bool) -> None:
+    def _body(self, stream: int, body: Body) -> None:
         run = self._runs.get(stream)
         if run is not None:
-            run.body(data, whole)
+            run.body(body.data, body.whole)
 
     def _delay_ms(self, sent_ms: float) -> float:
         delay_ms = self.listener.runtime.now_ms() - sent_ms
@@ -309,3 +279,18 @@
         late_ms = delay_ms - least_ms
         self._least_delay_ms = least_ms + late_ms * OFFSET_RISE
         return late_ms
+
+
+HANDLERS: dict[type, Callable[[PeerServer, int, Any], None]] = {
+    Request: PeerServer._request,
+    Ping: PeerServer._ping,
+    Body: PeerServer._body,
+    Cancel: PeerServer._cancel,
+    Withdraw: PeerServer._withdraw,
+    Go: PeerServer._go,
+    Credit: PeerServer._grant,
+    Hello: PeerServer._greet,
+    ConfigurationWanted: PeerServer._tell_configuration,
+}
+"""What is done with a message, by its type: a table costs less than ``singledispatch``,
+and each request passes here several times."""
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -19,9 +19,6 @@
 """Longest message that is taken."""
 COMPRESSION_LEVEL = 1
 """Least effort: 200 KB take some 2 ms, and higher levels save little more."""
-READ_BYTES = 8192
-"""First size of a link's buffer. The library's own choice of 1 MiB for each link
-made the peak memory of a node with 24 links 39 MB."""
 
 
 class Kind(IntEnum):
@@ -68,6 +65,7 @@
     BUDGET = 16
     QUARANTINED = 17
     PRESSURE = 18
+    FAULT = 19
 
 
 @attrs.frozen(slots=True)
@@ -230,30 +228,6 @@
     busy: int
 
 
-class Decoder:
-    """Turns received bytes into messages.
-
-    Examples
-    --------
-    >>> decoder = Decoder()
-    >>> list(decoder.feed(encode(Kind.CANCEL, 7)))
-    [(7, 7)]
-    """
-
-    def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(
-            raw=False,
-            use_list=False,
-            read_size=READ_BYTES,
-            max_buffer_size=BUFFER_BYTES,
-        )
-
-    def feed(self, data: bytes) -> Any:
-        """Yield the messages that are complete with these bytes."""
-        self._unpacker.feed(data)
-        return self._unpacker
-
-
 def encode(kind: Kind, *fields: object) -> bytes:
     """Return the bytes of a message."""
     return msgpack.packb([int(kind), *fields], use_bin_type=True)
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import time
-from collections.abc import Coroutine
+import traceback
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
 
 import attrs
 
+from ..events import Event
 from . import events
 from .metrics import Metrics
 
+TRACEBACK_CALLS = 8
+"""Innermost calls that a line shows."""
+CAUSE_CHARACTERS = 500
+
 
 @attrs.define(eq=False)
 class Runtime:
@@ -36,6 +42,34 @@
         if not task.cancelled() and task.exception() is not None:
             events.log(events.TASK_FAILED, cause=repr(task.exception()))
 
+    def fault(
+        self,
+        place: str,
+        error: BaseException,
+        event: Event = events.FAULT,
+        **fields: object,
+    ) -> None:
+        """Log and count a fault of this program that was caught at a place."""
+        self.metrics.count("faults", place)
+        events.log(
+            event,
+            place=place,
+            cause=repr(error)[:CAUSE_CHARACTERS],
+            traceback="".join(
+                traceback.format_exception(error, limit=-TRACEBACK_CALLS, chain=False)
+            ),
+            **fields,
+        )
+
+    def contain(
+        self, place: str, work: Callable[..., object], *arguments: object
+    ) -> None:
+        """Do a piece of work whose fault must not keep others from being done."""
+        try:
+            work(*arguments)
+        except Exception as error:
+            self.fault(place, error)
+
     def cancel_all(self) -> None:
         """Cancel all coroutines."""
         for task in list(self._tasks):
--- a/tests/test_mesh_containment.py
+++ b/tests/test_mesh_containment.py
@@ -1,6 +1,7 @@
 """A fault of our own ends one request or one piece of work, and is told as such."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -8,10 +9,11 @@
 import pytest
 
 from azurestep.mesh import events
+from azurestep.mesh.backend.inbound import Inbound
 from azurestep.mesh.backend.run import Run
 from azurestep.mesh.callers.call import Call
 
-from .fixtures_mesh import MeshFleet, MeshInstance
+from .fixtures_mesh import PEER_PORT, MeshFleet, MeshInstance
 from .test_mesh_faults import eventually, pay
 
 FAULTY = b"faulty"
@@ -38,11 +40,17 @@
     return run.request.request_id
 
 
+def of_submitted(inbound: Inbound, request: Any, receiver: object) -> bytes:
+    name: bytes = request.request_id
+    return name
+
+
 def of_call(call: Call, *_: object) -> bytes:
     return call.caller.request_id
 
 
 BESIDE_SERVER = {
+    "submit": (Inbound, of_submitted),
     "go": (Run, of_run),
 }
 
@@ -94,7 +102,7 @@
     return await faulty, list(others)
 
 
-@pytest.mark.parametrize("method", ["go"])
+@pytest.mark.parametrize("method", ["submit", "go"])
 async def test_a_fault_beside_the_server_fails_its_request_alone(
     mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch, method: str
 ) -> None:
@@ -109,7 +117,7 @@
     assert not remote.node.inbound.busy
 
 
-@pytest.mark.parametrize("method", ["on_answer"])
+@pytest.mark.parametrize("method", ["on_answer", "_pass_on", "on_ready"])
 async def test_a_fault_beside_the_caller_fails_its_request_alone(
     mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch, method: str
 ) -> None:
@@ -120,3 +128,50 @@
     assert method in told["traceback"]
     assert (faults(remote), faults(caller)) == (0, 1)
     await eventually(lambda: not remote.node.inbound.busy)
+
+
+async def test_what_can_not_be_decoded_resets_the_link(
+    mesh: MeshFleet, lines: Lines
+) -> None:
+    reader, writer = await asyncio.open_connection(mesh.instances[0].host, PEER_PORT)
+    writer.write(b"\xc1")
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(65_536):
+            pass
+    writer.close()
+    assert len(lines.of(events.PEER_MALFORMED.number)) == 1
+    assert (await mesh.get(mesh.instances[1], "/read/1", "after"))[0] == 200
+
+
+async def test_a_receiver_that_fails_leaves_the_others_to_be_told(
+    mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller, remote = await one_link(mesh)
+    breaks(monkeypatch, Call, "on_failure", of_call)
+    paying = asyncio.create_task(pay_beside_a_faulty_one(mesh, caller))
+    await eventually(lambda: remote.server.running == 4)
+    for server in list(remote.node.listener.servers):
+        server.abort()
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    faulty, others = await paying
+    assert (faulty, sorted(others)) == (502, [502, 502, 502, 503])
+    assert loop.time() - began < 0.25
+    (told,) = lines.of(9010)
+    assert told["id"] == FAULTY.decode()
+
+
+async def test_a_run_that_can_not_be_cancelled_leaves_the_others_cancelled(
+    mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller, remote = await one_link(mesh)
+    remote.server.work_s = 1.0
+    breaks(monkeypatch, Run, "cancel", of_run)
+    paying = asyncio.create_task(pay_beside_a_faulty_one(mesh, caller))
+    await eventually(lambda: remote.server.running == 4)
+    for link in caller.node.members.links.values():
+        link.close()
+    await paying
+    await eventually(lambda: remote.server.running <= 1, 0.3)
+    (told,) = lines.of(9010)
+    assert told["id"] == FAULTY.decode()
--- /dev/null
+++ b/tests/test_mesh_decoding.py
@@ -0,0 +1,255 @@
+"""What other nodes send is typed before it is handled, whatever they send."""
+
+import types
+import typing
+from typing import Any
+
+import attrs
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurestep.mesh import decoding
+from azurestep.mesh.decoding import OF_CALLED_NODES, OF_CALLING_NODES, Decoder
+from azurestep.mesh.links.connection import HANDLERS as OF_CONNECTION
+from azurestep.mesh.links.connection import PeerConnection, RemoteStream
+from azurestep.mesh.links.server import HANDLERS as OF_SERVER
+from azurestep.mesh.links.server import PeerServer
+from azurestep.mesh.messages import (
+    FORMAT,
+    Answer,
+    Failure,
+    Hello,
+    Kind,
+    Reason,
+    State,
+    compress,
+    encode,
+    fields_of,
+)
+from azurestep.mesh.runtime import Runtime
+
+from .test_mesh_crashes import request
+
+STREAM = 3
+HELLO = Hello(FORMAT, ("10.0.0.1", 7), "dc-0", 5, 3)
+STATE = State("shop", b"i-1", 9, True, 4, 2, 0.5, 3, True, False, 0.0, (("read", 4),))
+ANSWER = Answer(200, [(b"a", b"b")], True, 1, True, b"x", 0, 5.0)
+CRASHES = [[7, [["10.0.0.1", 80, 3]], 5.0]]
+GOOD: dict[Kind, list[Any]] = {
+    Kind.HELLO: fields_of(HELLO),
+    Kind.STATE: fields_of(STATE),
+    Kind.PING: [5.0],
+    Kind.PONG: [],
+    Kind.REQUEST: [STREAM, *fields_of(request())],
+    Kind.BODY: [STREAM, b"x", True],
+    Kind.CANCEL: [STREAM],
+    Kind.ANSWER: [STREAM, *fields_of(ANSWER)],
+    Kind.ANSWER_DATA: [STREAM, b"x", False],
+    Kind.REFUSAL: [STREAM, int(Reason.OVERLOADED), 3, 100.0],
+    Kind.FAILURE: [STREAM, int(Reason.RESET), 0],
+    Kind.CREDIT: [STREAM, 500],
+    Kind.CONFIGURATION: [4, compress(b"{}")],
+    Kind.CONFIGURATION_WANTED: [],
+    Kind.READY: [STREAM],
+    Kind.GO: [STREAM],
+    Kind.CRASHES: ["shop", CRASHES],
+    Kind.WITHDRAW: [STREAM],
+}
+LEAVES = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=8)
+)
+VALUES = st.recursive(
+    LEAVES,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=12,
+)
+
+
+class Wire:
+    """Stands in for a connection."""
+
+    def __init__(self) -> None:
+        self.aborted = False
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def write(self, data: bytes) -> None:
+        """Drop it."""
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class End:
+    """One end of a link whose handlers only note what reaches them."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, called: bool) -> None:
+        self.handled: list[Any] = []
+        self.runtime = Runtime(None)  # type: ignore[arg-type]
+        self.fleet = self
+        self.inbound = None
+        self.connection = None
+        self.called = called
+        table = OF_SERVER if called else OF_CONNECTION
+        for kind in table:
+            monkeypatch.setitem(table, kind, self._note)
+
+    def _note(self, end: object, stream: object, message: Any) -> None:
+        self.handled.append(message)
+
+    def receive(self, *pieces: bytes) -> Wire:
+        """Take bytes on a new link."""
+        wire = Wire()
+        end: Any
+        if self.called:
+            end = PeerServer(self)  # type: ignore[arg-type]
+        else:
+            end = PeerConnection(self)  # type: ignore[arg-type]
+            stream = RemoteStream(end, STREAM, self, True, True)  # type: ignore[arg-type]
+            end.streams = {number: stream for number in range(8)}
+        end._transport = wire
+        self.handled.clear()
+        for piece in pieces:
+            end.data_received(piece)
+        return wire
+
+
+@pytest.fixture(scope="module", params=[True, False], ids=["called", "calling"])
+def end(request: pytest.FixtureRequest) -> typing.Iterator[End]:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        yield End(monkeypatch, request.param)
+
+
+def is_typed(value: object, kind: Any) -> bool:
+    """Whether a value has a type as a class names it."""
+    origin, inner = typing.get_origin(kind), typing.get_args(kind)
+    if origin is not None:
+        return type(value) is origin and items_are_typed(value, inner)
+    if attrs.has(kind):
+        return type(value) is kind and fields_are_typed(value)
+    if kind is int:
+        return isinstance(value, int) and not isinstance(value, bool)
+    return type(value) is kind
+
+
+def items_are_typed(values: Any, kinds: tuple[Any, ...]) -> bool:
+    if len(kinds) == 1 or kinds[-1] is Ellipsis:
+        return all(is_typed(value, kinds[0]) for value in values)
+    return len(values) == len(kinds) and all(map(is_typed, values, kinds))
+
+
+def fields_are_typed(message: Any) -> bool:
+    fields = attrs.fields(attrs.resolve_types(type(message)))
+    return all(is_typed(getattr(message, one.name), one.type) for one in fields)
+
+
+def check(end: End, *pieces: bytes) -> Wire:
+    wire = end.receive(*pieces)
+    assert all(map(fields_are_typed, end.handled)), end.handled
+    assert not end.runtime.metrics.counters
+    return wire
+
+
+def link_still_serves(end: End) -> None:
+    kind = Kind.CREDIT
+    wire = check(end, encode(kind, *GOOD[kind]))
+    assert len(end.handled) == 1
+    assert not wire.aborted
+
+
+@given(st.lists(st.binary(max_size=60), max_size=4))
+def test_no_bytes_reach_a_handler_untyped(end: End, pieces: list[bytes]) -> None:
+    check(end, *pieces)
+    link_still_serves(end)
+
+
+@given(st.integers(-2, 30) | LEAVES, st.lists(VALUES, max_size=22))
+def test_no_message_reaches_a_handler_untyped(
+    end: End, kind: object, fields: list[Any]
+) -> None:
+    check(end, msgpack.packb([kind, *fields], use_bin_type=True))
+    link_still_serves(end)
+
+
+@given(st.sampled_from(sorted(GOOD)), st.data())
+def test_no_message_with_one_field_changed_reaches_a_handler_untyped(
+    end: End, kind: Kind, data: st.DataObject
+) -> None:
+    fields = list(GOOD[kind])
+    if fields:
+        fields[data.draw(st.integers(0, len(fields) - 1))] = data.draw(VALUES)
+    check(end, msgpack.packb([int(kind), *fields], use_bin_type=True))
+    link_still_serves(end)
+
+
+@given(st.lists(st.sampled_from(sorted(GOOD)), max_size=6), st.data())
+def test_messages_come_out_whole_wherever_their_bytes_are_cut(
+    end: End, kinds: list[Kind], data: st.DataObject
+) -> None:
+    taken = OF_CALLING_NODES if end.called else OF_CALLED_NODES
+    text = b"".join(encode(kind, *GOOD[kind]) for kind in kinds)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(text)), max_size=4)))
+    edges = [0, *cuts, len(text)]
+    pieces = [text[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    assert not check(end, *pieces).aborted
+    assert len(end.handled) == sum(kind in taken for kind in kinds)
+
+
+def test_every_kind_of_message_has_a_handler_and_a_shape() -> None:
+    assert set(OF_CALLING_NODES) | set(OF_CALLED_NODES) == set(Kind) == set(GOOD)
+    made = {*OF_SERVER, *OF_CONNECTION}
+    assert isinstance(decoding.Message, types.UnionType)
+    assert made == set(typing.get_args(decoding.Message))
+
+
+def test_messages_before_one_that_can_not_be_read_are_handled(end: End) -> None:
+    credit = encode(Kind.CREDIT, *GOOD[Kind.CREDIT])
+    wire = check(end, credit + credit + b"\xc1" + credit, credit)
+    assert wire.aborted
+    assert len(end.handled) == 2
+
+
+@pytest.mark.parametrize("reason", [0, 99])
+def test_an_unknown_reason_can_not_be_read(reason: int) -> None:
+    decoder = Decoder(OF_CALLED_NODES)
+    assert decoder.feed(encode(Kind.FAILURE, STREAM, reason, 0)) == []
+    assert decoder.fault
+    decoder = Decoder(OF_CALLED_NODES)
+    found = decoder.feed(encode(Kind.FAILURE, STREAM, 9, 0))
+    assert found == [(STREAM, Failure(Reason.RESET, 0))]
+
+
+def test_a_greeting_of_a_newer_program_may_have_more_fields() -> None:
+    decoder = Decoder(OF_CALLED_NODES)
+    (found,) = decoder.feed(encode(Kind.HELLO, *fields_of(HELLO), "more"))
+    assert found == (decoding.WHOLE_LINK, HELLO)
+
+
+def test_another_format_can_not_be_read() -> None:
+    decoder = Decoder(OF_CALLED_NODES)
+    other = attrs.evolve(HELLO, format=FORMAT + 1)
+    assert decoder.feed(encode(Kind.HELLO, *fields_of(other))) == []
+    assert "format" in decoder.fault
+
+
+def test_kinds_of_a_newer_program_are_passed_by() -> None:
+    decoder = Decoder(OF_CALLING_NODES)
+    assert decoder.feed(msgpack.packb([99, {"a": 1}]) + encode(Kind.GO, 7))
+    assert not decoder.fault
+
+
+def test_room_is_not_taken_for_items_that_never_come() -> None:
+    decoder = Decoder(OF_CALLING_NODES)
+    assert decoder.feed(b"\xdd\x05\xff\xff\xff") == []
+    assert decoder.fault
