Contain faults beside callers, backend servers, timers and the tick

Cause: a handler that raised reset its caller's whole connection (9009); an exception in one part of the tick ended the node; one request that could not be told that its caller left kept the others from being told; a fault in taking a backend server's answer was taken for a malformed one and left the request without an answer; nothing told of what reached the event loop. An answer whose head could not be made was counted as given, and the answers behind it on its connection moved up.

Change: each handler of a caller's connection is guarded for itself: its request gets 502 (500 at the small endpoints), the others their answers in order. The connection closes only if the answer had begun or the body was not read whole. The deadline of a call, each link and each part of the tick are guarded; a fault beneath a connection to a backend server fails its request and goes on to the event loop, whose handler logs and counts it, as it does with all that nothing else caught. Errors of the network are none of ours. The first 20 faults of a place show their traceback. 9007 and 9009 carry cause and traceback too.

--- a/azurestep/http/client.py
+++ b/azurestep/http/client.py
@@ -132,13 +132,30 @@
         if self._sink is None:
             self.close()
             return
+        sink = self._sink
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            self._fault(sink)
+            raise (error.__context__ or error) from None
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._dirty = True
             self._fail("malformed")
             self.close()
 
+    def _fault(self, sink: AnswerSink) -> None:
+        """End a request whose sink raised; the event loop's handler tells the fault.
+
+        The sink may have been let go before it raised, and hears of its end all the
+        same: taken for a malformed answer, the request was left without any.
+        """
+        self._sink = None
+        self._dirty = True
+        try:
+            sink.on_failed("fault")
+        finally:
+            self.close()
+
     def eof_received(self) -> bool:
         """End an answer whose length is that of its connection."""
         if self._sink is not None and self._until_close and not self._skipping:
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -9,109 +9,15 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
 import attrs
 import httptools
 
 from ..routing.model import Limits
+from .exchange import Exchange, Handler, Headers, answer_error
 
-Headers = list[tuple[bytes, bytes]]
 HEAD_SLACK_BYTES = 65_536
 PIPELINE_MOST = 64
-REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
-
-
-class BodySink(Protocol):
-    """What takes the body of one request and hears when its caller is gone."""
-
-    def on_body(self, data: bytes) -> None:
-        """Take a piece of the body."""
-
-    def on_end(self) -> None:
-        """Learn that the body is whole."""
-
-    def on_gone(self) -> None:
-        """Learn that the caller closed the connection."""
-
-    def on_writable(self) -> None:
-        """Learn that the caller takes more bytes of the answer."""
-
-
-@attrs.define(slots=True, eq=False)
-class Exchange:
-    """One request of a connection and its answer.
-
-    Attributes
-    ----------
-    keep_alive : bool
-        Whether the caller keeps the connection open after the answer.
-    received : bool
-        Whether the request was read whole.
-    """
-
-    connection: "ServerConnection"
-    method: bytes
-    target: bytes
-    headers: Headers
-    keep_alive: bool
-    chunked: bool
-    length: int
-    sink: BodySink | None = None
-    received: bool = False
-    finished: bool = False
-    started: bool = False
-    parts: list[bytes] = attrs.field(factory=list)
-
-    def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        if self.finished:
-            return
-        self.finished = True
-        self.started = True
-        self.parts.append(self._head(status, headers, b"%d" % len(body)) + body)
-        self.connection.flush()
-
-    def begin(self, status: int, headers: Headers, length: int | None) -> None:
-        """Send the head of an answer whose body follows; None means chunked."""
-        self.started = True
-        shown = None if length is None else b"%d" % length
-        self.parts.append(self._head(status, headers, shown))
-        self.connection.flush()
-
-    def write(self, data: bytes) -> None:
-        """Send a piece of the body, framed by the caller of this method."""
-        self.parts.append(data)
-        self.connection.flush()
-
-    def finish(self) -> None:
-        """End an answer that ``begin`` started."""
-        self.finished = True
-        self.connection.flush()
-
-    def break_off(self) -> None:
-        """Reset the connection, so that a cut answer doesn't look complete."""
-        self.connection.abort()
-
-    @property
-    def writable(self) -> bool:
-        """Whether bytes written now leave for the caller soon."""
-        return self.connection.is_writable(self)
-
-    def _head(self, status: int, headers: Headers, length: bytes | None) -> bytes:
-        lines = [b"HTTP/1.1 %d %b\r\n" % (status, REASONS.get(status, b"Unknown"))]
-        lines += [b"%b: %b\r\n" % field for field in headers]
-        if length is None:
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-        else:
-            lines.append(b"Content-Length: %b\r\n" % length)
-        if self.connection.closes_after(self):
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        return b"".join(lines)
-
-
-Handler = Callable[[Exchange], None]
 
 
 @attrs.define
@@ -124,14 +30,18 @@
         Called when the head of a request is read; it sets the exchange's sink.
     limits : Limits
         What a caller may send.
-    on_error : Callable
-        Called with the cause when a handler failed; its connection is reset.
+    on_fault : Callable
+        Called with a fault of this program, and whether only its request failed; if
+        not, the connection is reset.
+    answer_fault : Handler
+        Answers a request whose handler failed.
     draining : bool
         Whether answers ask callers to close their connections.
     """
 
     handler: Handler
-    on_error: Callable[[str], None]
+    on_fault: Callable[[BaseException, bool], None]
+    answer_fault: Handler = answer_error
     limits: Limits = Limits()
     draining: bool = False
     connections: "set[ServerConnection]" = attrs.field(factory=set)
@@ -180,8 +90,39 @@
         exchanges, self.exchanges = self.exchanges, deque()
         for exchange in exchanges:
             exchange.finished = True
+            self._tell_gone(exchange)
+
+    def _tell_gone(self, exchange: Exchange) -> None:
+        """Tell one request; a fault there keeps no other from being told."""
+        try:
             if exchange.sink is not None:
                 exchange.sink.on_gone()
+        except Exception as error:
+            self.state.on_fault(error, True)
+
+    def _contain(self, exchange: Exchange, error: Exception) -> None:
+        """End the request that met a fault of this program; the others go on.
+
+        Before it was read whole, its answer would close the connection.
+        """
+        self.state.on_fault(error, True)
+        exchange.failed = True
+        sink, exchange.sink = exchange.sink, None
+        if sink is not None:
+            try:
+                sink.on_fault()
+            except Exception as another:
+                self.state.on_fault(another, True)
+        if exchange.received:
+            self._answer_fault(exchange)
+
+    def _answer_fault(self, exchange: Exchange) -> None:
+        if exchange.finished:
+            return
+        if exchange.started:
+            exchange.break_off()
+        else:
+            self.state.answer_fault(exchange)
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent."""
@@ -198,7 +139,7 @@
         except httptools.HttpParserUpgrade:
             self._refuse(HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserCallbackError as error:
-            self.state.on_error(repr(error.__context__))
+            self.state.on_fault(error.__context__ or error, False)
             self.abort()
         except httptools.HttpParserError:
             self._refuse(HTTPStatus.BAD_REQUEST)
@@ -210,8 +151,15 @@
     def resume_writing(self) -> None:
         """Pass on that the caller takes bytes again."""
         self._paused_writing = False
-        if self.exchanges and self.exchanges[0].sink is not None:
-            self.exchanges[0].sink.on_writable()
+        self._tell_writable()
+
+    def _tell_writable(self) -> None:
+        exchange = self.exchanges[0] if self.exchanges else None
+        if exchange is not None and exchange.sink is not None:
+            try:
+                exchange.sink.on_writable()
+            except Exception as error:
+                self._contain(exchange, error)
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -260,7 +208,10 @@
         elif length > self.state.limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
-            self.state.handler(exchange)
+            try:
+                self.state.handler(exchange)
+            except Exception as error:
+                self._contain(exchange, error)
 
     def on_body(self, data: bytes) -> None:
         """Pass on a piece of the body."""
@@ -269,11 +220,13 @@
             return
         self._body_bytes += len(data)
         if self._body_bytes > self.state.limits.body_bytes:
-            if exchange.sink is not None:
-                exchange.sink.on_gone()
+            self._tell_gone(exchange)
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif exchange.sink is not None:
-            exchange.sink.on_body(data)
+            try:
+                exchange.sink.on_body(data)
+            except Exception as error:
+                self._contain(exchange, error)
 
     def on_message_complete(self) -> None:
         """Tell the sink that the request is whole."""
@@ -284,7 +237,12 @@
         if not exchange.keep_alive:
             self._closing = True
         if exchange.sink is not None:
-            exchange.sink.on_end()
+            try:
+                exchange.sink.on_end()
+            except Exception as error:
+                self._contain(exchange, error)
+        elif exchange.failed:
+            self._answer_fault(exchange)
         if len(self.exchanges) >= PIPELINE_MOST:
             self.pause_reading()
         self.flush()
@@ -339,8 +297,7 @@
     def _promote(self) -> None:
         if self._paused_reading and len(self.exchanges) < PIPELINE_MOST // 2:
             self.resume_reading()
-        if self.exchanges and self.exchanges[0].sink is not None:
-            self.exchanges[0].sink.on_writable()
+        self._tell_writable()
 
     def abort(self) -> None:
         """Reset the connection."""
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -59,9 +59,7 @@
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
-        self._timer = context.runtime.loop.call_later(
-            budget_ms / 1000, self._on_timeout
-        )
+        self._timer = context.runtime.loop.call_later(budget_ms / 1000, self._on_timer)
 
     # From the caller's connection.
 
@@ -372,6 +370,14 @@
         self._close(cancel=True)
         self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
 
+    def _on_timer(self) -> None:
+        try:
+            self._on_timeout()
+        except Exception as error:
+            name = self.caller.request_id
+            self.context.runtime.fault("timer", error, id=name)
+            self.on_fault()
+
     def _on_timeout(self) -> None:
         """Answer at the deadline; where the request has not run, say so.
 
@@ -384,7 +390,7 @@
         if stream is not None and stream.may_run and not self._asks_whether_it_ran():
             self._withdrawn = True
             self._timer = self.context.runtime.loop.call_later(
-                WITHDRAWAL_MS / 1000, self._on_timeout
+                WITHDRAWAL_MS / 1000, self._on_timer
             )
             stream.withdraw()
         elif self._writer.started or (stream is not None and stream.may_run):
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -122,3 +122,6 @@
 
     def on_writable(self) -> None:
         """Ignore; the answer is short."""
+
+    def on_fault(self) -> None:
+        """Leave the answer to the connection."""
--- a/azurestep/mesh/callers/own_answers.py
+++ b/azurestep/mesh/callers/own_answers.py
@@ -1,7 +1,7 @@
 """Answers that a node gives in its own name."""
 
 from ...http.server import Exchange, Headers
-from ...platform.headers import REQUEST_ID
+from ...platform.headers import REQUEST_ID, read_caller
 from ..runtime import Runtime
 
 RETRY_SPREAD = 0.5
@@ -11,6 +11,7 @@
 """Time to come back where no backend server is known: about as long as a node
 needs to hear of one that returns."""
 UNAVAILABLE = 503
+BAD_GATEWAY = 502
 
 
 def id_header(request_id: bytes) -> Headers:
@@ -26,3 +27,9 @@
     headers = id_header(request_id)
     headers.append((b"Retry-After", b"%.3f" % (retry_ms * spread / 1000)))
     exchange.answer(UNAVAILABLE, headers, b"")
+
+
+def answer_failed(exchange: Exchange) -> None:
+    """Answer after a fault of this program: the request may have run."""
+    headers = id_header(read_caller(exchange.headers).request_id)
+    exchange.answer(BAD_GATEWAY, headers, b"")
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -143,3 +143,6 @@
 
     def on_writable(self) -> None:
         """Ignore; the answer is short."""
+
+    def on_fault(self) -> None:
+        """Leave the answer to the connection."""
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -34,7 +34,7 @@
     9010,
     logging.ERROR,
     "a fault of the program ended one request or one piece of work",
-    "report the line, and what else azurestep faults shows; nothing else stopped",
+    "report the line with its traceback; the rest of the node goes on",
 )
 STORE_LOST = register(
     9101,
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -110,7 +110,7 @@
                 del self.links[link.address]
                 continue
             link.idle_probe_ms = pause_ms
-            link.tick(now_ms)
+            self.runtime.contain("tick", link.tick, now_ms)
         self._count = 1 + sum(1 for _ in self.alive())
 
     def excuse(self, pause_ms: float) -> None:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import uvloop
@@ -22,6 +23,7 @@
 from .backend.state import Backend
 from .callers.context import CallContext
 from .callers.outbound import Outbound
+from .callers.own_answers import answer_failed
 from .decisions.pressure import Report
 from .decisions.retry_budget import RetryBudget
 from .knowledge.configuration import PEER, Configuration
@@ -151,12 +153,15 @@
             settings.service,
             restarted=not settings.first_start,
         )
-        self.callers = ServerState(self.outbound.handle, _log_failure)
+        self.callers = ServerState(
+            self.outbound.handle, runtime.fault_of("caller"), answer_failed
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the end."""
         settings = self.settings
         loop = self.runtime.loop
+        loop.set_exception_handler(self.runtime.on_loop_error)
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -332,7 +337,7 @@
         await self._bind(address, lambda: ServerConnection(state))
 
     async def _listen_small(self, address: Address, handler: Handler) -> ServerState:
-        state = ServerState(handler, _log_failure)
+        state = ServerState(handler, self.runtime.fault_of("endpoint"))
         await self._listen(address, state)
         return state
 
@@ -359,26 +364,30 @@
         if pause_ms > OWN_PAUSE_MS:
             events.log(events.PAUSED, pause_ms=round(pause_ms))
         if pause_ms > EXCUSED_PAUSE_MS:
-            self.members.excuse(pause_ms)
-        self.members.tick(now_ms)
-        self.inbound.tick()
-        self.prober.check()
-        self.calls.refusals.tick()
-        self.outbound.pressure.update(self._reports())
-        self.follower.tick(now_ms)
+            self.runtime.contain("tick", self.members.excuse, pause_ms)
+        contain = partial(self.runtime.contain, "tick")
+        contain(self.members.tick, now_ms)
+        contain(self.inbound.tick)
+        contain(self.prober.check)
+        contain(self.calls.refusals.tick)
+        contain(self._update_pressure)
+        contain(self.follower.tick, now_ms)
         self._ticks += 1
         if self._ticks % STATE_TICKS == 0:
-            self.tell_state()
+            contain(self.tell_state)
         if self._ticks % FORGET_TICKS == 0:
-            self.calls.returning.forget(now_ms)
+            contain(self.calls.returning.forget, now_ms)
         if self._ticks % 5 == 0:
             for state in states:
-                state.sweep(now_s)
+                contain(state.sweep, now_s)
         if self._ticks % SETTINGS_CHECK_TICKS == 0:
-            self._check_settings()
+            contain(self._check_settings)
         if self.stopping_since_ms is not None:
-            self._check_stop(now_ms - self.stopping_since_ms)
-        events.WRITER.flush()
+            contain(self._check_stop, now_ms - self.stopping_since_ms)
+        contain(events.WRITER.flush)
+
+    def _update_pressure(self) -> None:
+        self.outbound.pressure.update(self._reports())
 
     def _reports(self) -> list[Report]:
         states = [link.state for link in self.members.alive()]
@@ -418,10 +427,6 @@
         gauges["store_reachable"] = float(self.follower.store_ok)
 
 
-def _log_failure(cause: str) -> None:
-    events.log(events.HANDLER_FAILED, cause=cause)
-
-
 def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
 
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -15,6 +15,9 @@
 
 TRACEBACK_CALLS = 8
 """Innermost calls that a line shows."""
+TRACEBACKS_MOST = 20
+"""Lines of each place that show one: a part of the tick that fails each time writes ten
+a second. Counts and causes go on."""
 CAUSE_CHARACTERS = 500
 
 
@@ -39,8 +42,9 @@
 
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            events.log(events.TASK_FAILED, cause=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self.fault("task", error, events.TASK_FAILED)
 
     def fault(
         self,
@@ -51,15 +55,12 @@
     ) -> None:
         """Log and count a fault of this program that was caught at a place."""
         self.metrics.count("faults", place)
-        events.log(
-            event,
-            place=place,
-            cause=repr(error)[:CAUSE_CHARACTERS],
-            traceback="".join(
+        if self.metrics.counters["faults", place] <= TRACEBACKS_MOST:
+            fields["traceback"] = "".join(
                 traceback.format_exception(error, limit=-TRACEBACK_CALLS, chain=False)
-            ),
-            **fields,
-        )
+            )
+        cause = repr(error)[:CAUSE_CHARACTERS]
+        events.log(event, place=place, cause=cause, **fields)
 
     def contain(
         self, place: str, work: Callable[..., object], *arguments: object
@@ -70,6 +71,25 @@
         except Exception as error:
             self.fault(place, error)
 
+    def fault_of(self, place: str) -> Callable[[BaseException, bool], None]:
+        """Return what takes the faults of callers' connections at a place."""
+
+        def take(error: BaseException, contained: bool) -> None:
+            event = events.FAULT if contained else events.HANDLER_FAILED
+            self.fault(place, error, event)
+
+        return take
+
+    def on_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Take what nothing else caught; an error of the network is no fault."""
+        error = context.get("exception")
+        if error is None or isinstance(error, OSError):
+            loop.default_exception_handler(context)
+        else:
+            self.fault("loop", error, what=context.get("message", ""))
+
     def cancel_all(self) -> None:
         """Cancel all coroutines."""
         for task in list(self._tasks):
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -4,12 +4,15 @@
 import os
 import pathlib
 from collections.abc import AsyncIterator
+from typing import Any
 
 import attrs
 import orjson
+import pytest
 import pytest_asyncio
 from aiohttp import ClientSession, web
 
+from azurestep.mesh import events
 from azurestep.mesh.node import Node
 from azurestep.mesh.runtime import Runtime
 from azurestep.mesh.settings import MeshSettings
@@ -207,3 +210,22 @@
         await mesh.settle()
         yield mesh
         await mesh.stop()
+
+
+class MeshLines:
+    """What the nodes wrote since the last look."""
+
+    def __init__(self, capfd: pytest.CaptureFixture[str]) -> None:
+        self._capfd = capfd
+
+    def of(self, *numbers: int) -> list[dict[str, Any]]:
+        events.WRITER.flush()
+        texts = self._capfd.readouterr().out.splitlines()
+        lines = [orjson.loads(text) for text in texts if text.startswith("{")]
+        return [line for line in lines if line["event"] in numbers]
+
+
+@pytest.fixture
+def mesh_lines(capfd: pytest.CaptureFixture[str]) -> MeshLines:
+    """Return what reads the lines that nodes write."""
+    return MeshLines(capfd)
--- a/tests/test_mesh_containment.py
+++ b/tests/test_mesh_containment.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import orjson
 import pytest
 
 from azurestep.mesh import events
@@ -13,7 +12,7 @@
 from azurestep.mesh.backend.run import Run
 from azurestep.mesh.callers.call import Call
 
-from .fixtures_mesh import PEER_PORT, MeshFleet, MeshInstance
+from .fixtures_mesh import PEER_PORT, MeshFleet, MeshInstance, MeshLines
 from .test_mesh_faults import eventually, pay
 
 FAULTY = b"faulty"
@@ -55,24 +54,6 @@
 }
 
 
-class Lines:
-    """What the nodes wrote since the last look."""
-
-    def __init__(self, capfd: pytest.CaptureFixture[str]) -> None:
-        self._capfd = capfd
-
-    def of(self, *numbers: int) -> list[dict[str, Any]]:
-        events.WRITER.flush()
-        texts = self._capfd.readouterr().out.splitlines()
-        lines = [orjson.loads(text) for text in texts if text.startswith("{")]
-        return [line for line in lines if line["event"] in numbers]
-
-
-@pytest.fixture
-def lines(capfd: pytest.CaptureFixture[str]) -> Lines:
-    return Lines(capfd)
-
-
 async def one_link(mesh: MeshFleet) -> tuple[MeshInstance, MeshInstance]:
     """Leave one server, so that all requests of a caller go over one link."""
     caller, remote, other = mesh.instances
@@ -104,13 +85,13 @@
 
 @pytest.mark.parametrize("method", ["submit", "go"])
 async def test_a_fault_beside_the_server_fails_its_request_alone(
-    mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch, method: str
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch, method: str
 ) -> None:
     owner, names = BESIDE_SERVER[method]
     caller, remote = await one_link(mesh)
     breaks(monkeypatch, owner, method, names)
     assert await pay_beside_a_faulty_one(mesh, caller) == (502, [200] * 4)
-    (told,) = lines.of(9010, events.PEER_MALFORMED.number, events.PEER_LOST.number)
+    (told,) = mesh_lines.of(9010, events.PEER_MALFORMED.number, events.PEER_LOST.number)
     assert told["id"] == FAULTY.decode()
     assert method in told["traceback"]
     assert (faults(remote), faults(caller)) == (1, 0)
@@ -119,19 +100,19 @@
 
 @pytest.mark.parametrize("method", ["on_answer", "_pass_on", "on_ready"])
 async def test_a_fault_beside_the_caller_fails_its_request_alone(
-    mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch, method: str
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch, method: str
 ) -> None:
     caller, remote = await one_link(mesh)
     breaks(monkeypatch, Call, method, of_call)
     assert await pay_beside_a_faulty_one(mesh, caller) == (502, [200] * 4)
-    (told,) = lines.of(9010, events.PEER_MALFORMED.number, events.PEER_LOST.number)
+    (told,) = mesh_lines.of(9010, events.PEER_MALFORMED.number, events.PEER_LOST.number)
     assert method in told["traceback"]
     assert (faults(remote), faults(caller)) == (0, 1)
     await eventually(lambda: not remote.node.inbound.busy)
 
 
 async def test_what_can_not_be_decoded_resets_the_link(
-    mesh: MeshFleet, lines: Lines
+    mesh: MeshFleet, mesh_lines: MeshLines
 ) -> None:
     reader, writer = await asyncio.open_connection(mesh.instances[0].host, PEER_PORT)
     writer.write(b"\xc1")
@@ -139,12 +120,12 @@
         while await reader.read(65_536):
             pass
     writer.close()
-    assert len(lines.of(events.PEER_MALFORMED.number)) == 1
+    assert len(mesh_lines.of(events.PEER_MALFORMED.number)) == 1
     assert (await mesh.get(mesh.instances[1], "/read/1", "after"))[0] == 200
 
 
 async def test_a_receiver_that_fails_leaves_the_others_to_be_told(
-    mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     caller, remote = await one_link(mesh)
     breaks(monkeypatch, Call, "on_failure", of_call)
@@ -157,12 +138,12 @@
     faulty, others = await paying
     assert (faulty, sorted(others)) == (502, [502, 502, 502, 503])
     assert loop.time() - began < 0.25
-    (told,) = lines.of(9010)
+    (told,) = mesh_lines.of(9010)
     assert told["id"] == FAULTY.decode()
 
 
 async def test_a_run_that_can_not_be_cancelled_leaves_the_others_cancelled(
-    mesh: MeshFleet, lines: Lines, monkeypatch: pytest.MonkeyPatch
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     caller, remote = await one_link(mesh)
     remote.server.work_s = 1.0
@@ -173,5 +154,5 @@
         link.close()
     await paying
     await eventually(lambda: remote.server.running <= 1, 0.3)
-    (told,) = lines.of(9010)
+    (told,) = mesh_lines.of(9010)
     assert told["id"] == FAULTY.decode()
--- /dev/null
+++ b/tests/test_mesh_containment_callers.py
@@ -0,0 +1,256 @@
+"""A fault of our own beside callers, the backend server and the clock."""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from azurestep.mesh import events
+from azurestep.mesh.backend.inbound import Inbound
+from azurestep.mesh.backend.probing import Prober
+from azurestep.mesh.backend.run import Run
+from azurestep.mesh.backend.state import Backend
+from azurestep.mesh.callers.call import Call
+from azurestep.mesh.callers.context import CallContext
+from azurestep.mesh.decisions.pressure import RefusalMeter
+from azurestep.mesh.decisions.returning import ReturningCallers
+from azurestep.mesh.knowledge.following import Follower
+from azurestep.mesh.links.link import PeerLink
+from azurestep.mesh.links.members import Members
+from azurestep.mesh.node import Node
+
+from .fixtures_mesh import (
+    CALLER_PORT,
+    MeshFleet,
+    MeshInstance,
+    MeshLines,
+    caller_headers,
+)
+from .test_mesh_containment import FAULTY, breaks, faults, of_call, of_run
+from .test_mesh_faults import eventually
+
+Owner = tuple[type, Callable[..., bytes]]
+
+
+def of_attempt(context: CallContext, exchange: object, caller: Any) -> bytes:
+    name: bytes = caller.request_id
+    return name
+
+
+def message(name: str, body: bytes | None = None) -> bytes:
+    lines = [f"{key}: {value}" for key, value in caller_headers(name).items()]
+    if body is None:
+        lines.insert(0, "GET /read/1 HTTP/1.1")
+    else:
+        lines.insert(0, "POST /pay/1 HTTP/1.1")
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
+
+
+async def ask(instance: MeshInstance, data: bytes, most: int) -> list[int]:
+    """Send requests on one connection and return the statuses in their order."""
+    reader, writer = await asyncio.open_connection(instance.host, CALLER_PORT)
+    writer.write(data)
+    found: list[int] = []
+    text = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        async with asyncio.timeout(1.0):
+            while len(found) < most and (piece := await reader.read(65_536)):
+                text += piece
+                found = [int(one) for one in re.findall(rb"HTTP/1.1 (\d+) ", text)]
+    writer.close()
+    return found
+
+
+def all_faults(mesh: MeshFleet) -> int:
+    return sum(map(faults, mesh.instances))
+
+
+@pytest.mark.parametrize(
+    ("method", "owner"),
+    [("attempt", (CallContext, of_attempt)), ("on_end", (Call, of_call))],
+)
+async def test_the_other_requests_of_a_connection_are_answered_in_order(
+    mesh: MeshFleet,
+    mesh_lines: MeshLines,
+    monkeypatch: pytest.MonkeyPatch,
+    method: str,
+    owner: Owner,
+) -> None:
+    breaks(monkeypatch, owner[0], method, owner[1])
+    names = ["a", FAULTY.decode(), "b", "c"]
+    data = b"".join(message(name) for name in names)
+    assert await ask(mesh.instances[0], data, 4) == [200, 502, 200, 200]
+    (told,) = mesh_lines.of(9010, events.HANDLER_FAILED.number)
+    assert method in told["traceback"]
+    assert faults(mesh.instances[0]) == 1
+
+
+async def test_a_fault_in_a_body_leaves_the_answers_before_it(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for instance in mesh.instances:
+        instance.server.work_s = 0.1
+    breaks(monkeypatch, Call, "on_body", of_call)
+    data = message("a") + message(FAULTY.decode(), b"x" * 100)
+    assert await ask(mesh.instances[0], data, 2) == [200, 502]
+    assert len(mesh_lines.of(9010)) == 1
+
+
+async def test_a_caller_who_left_ends_all_requests_of_its_connection(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for instance in mesh.instances:
+        instance.server.work_s = 1.0
+    breaks(monkeypatch, Call, "on_gone", of_call)
+    reader, writer = await asyncio.open_connection(mesh.instances[0].host, CALLER_PORT)
+    names = ["a", FAULTY.decode(), "b", "c"]
+    writer.write(b"".join(message(name) for name in names))
+
+    def running() -> int:
+        return sum(instance.server.running for instance in mesh.instances)
+
+    await eventually(lambda: running() == 4)
+    writer.close()
+    await eventually(lambda: running() <= 1, 0.5)
+    assert len(mesh_lines.of(9010)) == 1
+
+
+async def test_a_fault_at_the_deadline_is_answered(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for instance in mesh.instances:
+        instance.server.work_s = 1.5
+    breaks(monkeypatch, Call, "_on_timeout", of_call)
+    calls = [
+        mesh.get(mesh.instances[0], "/read/1", name, 200)
+        for name in (FAULTY.decode(), "a")
+    ]
+    async with asyncio.timeout(1.0):
+        answers = await asyncio.gather(*calls)
+    assert [status for status, _ in answers] == [502, 504]
+    (told,) = mesh_lines.of(9010)
+    assert told["id"] == FAULTY.decode()
+
+
+async def test_a_fault_in_taking_an_answer_fails_its_request(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    breaks(monkeypatch, Run, "on_complete", of_run)
+    names = ["a", FAULTY.decode(), "b"]
+    async with asyncio.timeout(1.0):
+        answers = await asyncio.gather(
+            *(mesh.get(mesh.instances[0], "/pay/1", name) for name in names)
+        )
+    assert [status for status, _ in answers] == [200, 502, 200]
+    (told,) = mesh_lines.of(9010)
+    assert "on_complete" in told["traceback"]
+    assert all_faults(mesh) == 1
+
+
+async def test_a_fault_beside_the_own_server_fails_its_request(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller = mesh.instances[0]
+    for instance in mesh.instances[1:]:
+        await instance.beat(mesh.session, "draining")
+    await asyncio.sleep(0.1)
+    breaks(monkeypatch, Call, "on_answer", of_call)
+    names = ["a", FAULTY.decode(), "b"]
+    async with asyncio.timeout(1.0):
+        answers = await asyncio.gather(
+            *(mesh.get(caller, "/pay/1", name) for name in names)
+        )
+    assert [status for status, _ in answers] == [200, 502, 200]
+    assert faults(caller) == 1
+    assert not caller.node.inbound.busy
+
+
+async def test_a_fault_in_an_announcement_is_answered(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    instance = mesh.instances[0]
+    with monkeypatch.context() as patch:
+        patch.setattr(Backend, "announce", fail)
+        assert await instance.beat(mesh.session) == 500
+    assert await instance.beat(mesh.session) == 200
+    (told,) = mesh_lines.of(9010)
+    assert (told["place"], faults(instance)) == ("endpoint", 1)
+
+
+def fail(*_: object, **__: object) -> None:
+    raise KeyError("a fault of our own")
+
+
+@pytest.mark.parametrize(
+    ("owner", "method"),
+    [
+        (Members, "tick"),
+        (Inbound, "tick"),
+        (Prober, "check"),
+        (RefusalMeter, "tick"),
+        (Follower, "tick"),
+        (Node, "tell_state"),
+        (Node, "_check_settings"),
+        (Node, "_reports"),
+        (ReturningCallers, "forget"),
+    ],
+)
+async def test_a_node_goes_on_when_a_part_of_its_tick_fails(
+    mesh: MeshFleet,
+    mesh_lines: MeshLines,
+    monkeypatch: pytest.MonkeyPatch,
+    owner: type,
+    method: str,
+) -> None:
+    with monkeypatch.context() as patch:
+        patch.setattr(owner, method, fail)
+        await eventually(lambda: all(map(faults, mesh.instances)))
+        assert (await mesh.get(mesh.instances[0], "/read/1", "r1"))[0] == 200
+    assert all(item.task and not item.task.done() for item in mesh.instances)
+    told = mesh_lines.of(9010)
+    assert {line["place"] for line in told} == {"tick"}
+
+
+async def test_a_link_that_fails_leaves_the_others_looked_after(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first, *_ = mesh.instances
+    sound, looked_after = PeerLink.tick, set()
+    broken = next(iter(first.node.members.links))
+
+    def tick(link: PeerLink, now_ms: float) -> None:
+        if link.address == broken:
+            raise KeyError("a fault of our own")
+        looked_after.add(link.address)
+        sound(link, now_ms)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(PeerLink, "tick", tick)
+        await eventually(lambda: faults(first) > 0)
+        await asyncio.sleep(0.1)
+    assert set(first.node.members.links) - {broken} <= looked_after
+
+
+async def test_what_nothing_else_caught_is_told(
+    mesh: MeshFleet, mesh_lines: MeshLines
+) -> None:
+    loop = asyncio.get_running_loop()
+    loop.call_soon(fail)
+    await asyncio.sleep(0.05)
+    (told,) = mesh_lines.of(9010)
+    assert told["place"] == "loop"
+    assert all_faults(mesh) == 1
+
+
+async def test_an_error_of_the_network_is_no_fault(
+    mesh: MeshFleet, mesh_lines: MeshLines
+) -> None:
+    asyncio.get_running_loop().call_exception_handler(
+        {"message": "write failed", "exception": TimeoutError("no route")}
+    )
+    assert mesh_lines.of(9010) == []
+    assert all_faults(mesh) == 0
