--- a/azurestep/lines/verdict.py
+++ b/azurestep/lines/verdict.py
@@ -43,6 +43,7 @@
     QUEUED = "waited for a slot"
     SLOW_RUN = "ran long at the server"
     ASKED_BEFORE = "asked other nodes before, or was on its way"
+    FAULT = "a fault of the program"
     CALLER = "the caller left"
     OTHER = "another reason"
 
@@ -73,6 +74,7 @@
     "LINK_LOST": Decision.LINK_LOST,
     "TIMEOUT": Decision.TIMEOUT,
     "STOPPING": Decision.STOPPED,
+    "FAULT": Decision.FAULT,
 }
 NOT_FOUND = 404
 
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -1,7 +1,6 @@
 """One attempt of a caller: choose, send, try elsewhere, answer."""
 
 import asyncio
-from collections.abc import Callable
 
 from ...http.server import Exchange
 from ...platform.headers import CallerFields
@@ -9,7 +8,7 @@
 from ..decisions.admission import RETRY_LEAST_MS
 from ..decisions.choice import Endpoint, Wish
 from ..decisions.returning import Attempt
-from ..links.connection import Stream
+from ..links.interfaces import Stream
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_writer import AnswerWriter
 from .body import BUFFER_BYTES, BULK_BYTES, RequestBody
@@ -63,7 +62,7 @@
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
-        self._timer = self._call_at(self.ends_ms, self._on_timeout)
+        self._timer = self._call_at(self.ends_ms)
         context.under_way.add(self)
 
     # From the caller's connection.
@@ -385,7 +384,15 @@
             return
         self.ends_ms = answer_by_ms
         self._timer.cancel()
-        self._timer = self._call_at(answer_by_ms, self._on_timeout)
+        self._timer = self._call_at(answer_by_ms)
+
+    def _on_timer(self) -> None:
+        try:
+            self._on_timeout()
+        except Exception as error:
+            name = self.caller.request_id
+            self.context.runtime.fault("timer", error, id=name)
+            self.on_fault()
 
     def _on_timeout(self) -> None:
         """Answer at the deadline; where the request has not run, say so.
@@ -397,12 +404,12 @@
             return
         now_ms = self._now_ms()
         if self._writer.started and now_ms < self._deadline_ms:
-            self._timer = self._call_at(self._deadline_ms, self._on_timeout)
+            self._timer = self._call_at(self._deadline_ms)
             return
         stream = self._stream
         if stream is not None and stream.may_run and not self._asks_whether_it_ran():
             self._withdrawn = True
-            self._timer = self._call_at(now_ms + WITHDRAWAL_MS, self._on_timeout)
+            self._timer = self._call_at(now_ms + WITHDRAWAL_MS)
             stream.withdraw()
         elif self._writer.started or (stream is not None and stream.may_run):
             self._time_out()
@@ -439,6 +446,24 @@
         """Log that the node ends before the answer; its connection ends with it."""
         self.record.log_failed(0, Reason.STOPPING, self._now_ms())
 
+    def on_fault(self) -> None:
+        """Answer 502 after a fault of this program: the request may have run."""
+        if self.exchange.finished:
+            return
+        runtime = self.context.runtime
+        runtime.contain("call", self._count_fault)
+        runtime.contain("call", self._close, True)
+        self.done = True
+        if self.exchange.started:
+            self.exchange.break_off()
+        else:
+            self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
+
+    def _count_fault(self) -> None:
+        self.record.log_failed(BAD_GATEWAY, Reason.FAULT, self._now_ms())
+        self.context.runtime.metrics.count("calls", "failed")
+        self.context.returning.remember(self.record.attempt)
+
     def _ended(self, status: int) -> None:
         runtime = self.context.runtime
         runtime.metrics.call_ms.record(runtime.now_ms() - self.record.arrived_ms)
@@ -460,9 +485,10 @@
         self.exchange.connection.resume_reading()
         self.exchange.sink = None
 
-    def _call_at(self, time_ms: float, act: Callable[[], None]) -> asyncio.TimerHandle:
+    def _call_at(self, time_ms: float) -> asyncio.TimerHandle:
         runtime = self.context.runtime
-        return runtime.loop.call_later((time_ms - runtime.now_ms()) / 1000, act)
+        wait_s = (time_ms - runtime.now_ms()) / 1000
+        return runtime.loop.call_later(wait_s, self._on_timer)
 
     def _now_ms(self) -> float:
         return self.context.runtime.now_ms()
--- /dev/null
+++ b/tests/test_mesh_containment.py
@@ -0,0 +1,158 @@
+"""A fault of our own ends one request or one piece of work, and is told as such."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from azurestep.mesh import events
+from azurestep.mesh.backend.inbound import Inbound
+from azurestep.mesh.backend.run import Run
+from azurestep.mesh.callers.call import Call
+
+from .fixtures_mesh import PEER_PORT, MeshFleet, MeshInstance, MeshLines
+from .test_mesh_faults import eventually, pay
+
+FAULTY = b"faulty"
+
+
+def breaks(
+    monkeypatch: pytest.MonkeyPatch,
+    owner: type,
+    method: str,
+    names: Callable[..., bytes],
+) -> None:
+    """Let a method raise for the faulty request alone."""
+    sound = getattr(owner, method)
+
+    def faulty(self: Any, *arguments: Any) -> Any:
+        if names(self, *arguments) == FAULTY:
+            raise KeyError("a fault of our own")
+        return sound(self, *arguments)
+
+    monkeypatch.setattr(owner, method, faulty)
+
+
+def of_run(run: Run, *_: object) -> bytes:
+    return run.request.request_id
+
+
+def of_submitted(inbound: Inbound, request: Any, receiver: object) -> bytes:
+    name: bytes = request.request_id
+    return name
+
+
+def of_call(call: Call, *_: object) -> bytes:
+    return call.caller.request_id
+
+
+BESIDE_SERVER = {
+    "submit": (Inbound, of_submitted),
+    "go": (Run, of_run),
+}
+
+
+async def one_link(mesh: MeshFleet) -> tuple[MeshInstance, MeshInstance]:
+    """Leave one server, so that all requests of a caller go over one link."""
+    caller, remote, other = mesh.instances
+    for instance in (caller, other):
+        await instance.beat(mesh.session, "draining")
+    await eventually(
+        lambda: sum(one.open for one in caller.node.members.endpoints("shop")) == 1
+    )
+    remote.server.work_s = 0.3
+    return caller, remote
+
+
+def faults(instance: MeshInstance) -> int:
+    counters = instance.node.runtime.metrics.counters
+    return sum(count for (name, _), count in counters.items() if name == "faults")
+
+
+async def pay_beside_a_faulty_one(
+    mesh: MeshFleet, caller: MeshInstance
+) -> tuple[int, list[int]]:
+    """Send a payment that meets the fault, and four that don't."""
+    faulty = asyncio.create_task(pay(mesh, caller, FAULTY.decode()))
+    await asyncio.sleep(0.02)
+    others = await asyncio.gather(
+        *(pay(mesh, caller, f"sound-{index}") for index in range(4))
+    )
+    return await faulty, list(others)
+
+
+@pytest.mark.parametrize("method", ["submit", "go"])
+async def test_a_fault_beside_the_server_fails_its_request_alone(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    owner, names = BESIDE_SERVER[method]
+    caller, remote = await one_link(mesh)
+    breaks(monkeypatch, owner, method, names)
+    assert await pay_beside_a_faulty_one(mesh, caller) == (502, [200] * 4)
+    (told,) = mesh_lines.of(9010, events.PEER_MALFORMED.number, events.PEER_LOST.number)
+    assert told["id"] == FAULTY.decode()
+    assert method in told["traceback"]
+    assert (faults(remote), faults(caller)) == (1, 0)
+    assert not remote.node.inbound.busy
+
+
+@pytest.mark.parametrize("method", ["on_answer", "_pass_on", "on_ready"])
+async def test_a_fault_beside_the_caller_fails_its_request_alone(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch, method: str
+) -> None:
+    caller, remote = await one_link(mesh)
+    breaks(monkeypatch, Call, method, of_call)
+    assert await pay_beside_a_faulty_one(mesh, caller) == (502, [200] * 4)
+    (told,) = mesh_lines.of(9010, events.PEER_MALFORMED.number, events.PEER_LOST.number)
+    assert method in told["traceback"]
+    assert (faults(remote), faults(caller)) == (0, 1)
+    await eventually(lambda: not remote.node.inbound.busy)
+
+
+async def test_what_can_not_be_decoded_resets_the_link(
+    mesh: MeshFleet, mesh_lines: MeshLines
+) -> None:
+    reader, writer = await asyncio.open_connection(mesh.instances[0].host, PEER_PORT)
+    writer.write(b"\xc1")
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(65_536):
+            pass
+    writer.close()
+    assert len(mesh_lines.of(events.PEER_MALFORMED.number)) == 1
+    assert (await mesh.get(mesh.instances[1], "/read/1", "after"))[0] == 200
+
+
+async def test_a_receiver_that_fails_leaves_the_others_to_be_told(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller, remote = await one_link(mesh)
+    breaks(monkeypatch, Call, "on_failure", of_call)
+    paying = asyncio.create_task(pay_beside_a_faulty_one(mesh, caller))
+    await eventually(lambda: remote.server.running == 4)
+    for server in list(remote.node.listener.servers):
+        server.abort()
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    faulty, others = await paying
+    assert (faulty, sorted(others)) == (502, [502, 502, 502, 503])
+    assert loop.time() - began < 0.25
+    (told,) = mesh_lines.of(9010)
+    assert told["id"] == FAULTY.decode()
+
+
+async def test_a_run_that_can_not_be_cancelled_leaves_the_others_cancelled(
+    mesh: MeshFleet, mesh_lines: MeshLines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller, remote = await one_link(mesh)
+    remote.server.work_s = 1.0
+    breaks(monkeypatch, Run, "cancel", of_run)
+    paying = asyncio.create_task(pay_beside_a_faulty_one(mesh, caller))
+    await eventually(lambda: remote.server.running == 4)
+    for link in caller.node.members.links.values():
+        link.close()
+    await paying
+    await eventually(lambda: remote.server.running <= 1, 0.3)
+    (told,) = mesh_lines.of(9010)
+    assert told["id"] == FAULTY.decode()
