Keep a run behind a doubtful link until another answer is there

Cause: a link that owed an answer to a probe for 0.2 s had its runs cancelled and their requests sent elsewhere. Where the node was alive and slow (just started, here), the run was lost; where the others had no room, its caller got 502.

Change: the first run goes on while the request is sent elsewhere. Whichever answers first is passed on and the other one cancelled; a refusal or failure of the second leaves the request waiting for the first. One move for each request, within the budget as before.

--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -125,6 +125,10 @@
         if self._unacknowledged < WINDOW_BYTES and self._connection is not None:
             self._connection.resume_reading()
 
+    def hand_over(self, receiver: AnswerReceiver) -> None:
+        """Have another receiver hear of the outcome."""
+        self.receiver = receiver
+
     # From the queue.
 
     def start(self) -> None:
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -13,6 +13,7 @@
 from .answer_writer import AnswerWriter
 from .body import BUFFER_BYTES, BULK_BYTES, RequestBody
 from .context import CallContext, Target
+from .former_run import FormerRun
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
 from .placement import Placement
 from .record import GOOD_BELOW, CallRecord
@@ -57,6 +58,7 @@
         self._body = RequestBody()
         self._placement = Placement(context, target.service)
         self._stream: Stream | None = None
+        self._former: FormerRun | None = None
         self._fallback: Answer | None = None
         self._may_have_run = False
         self._withdrawn = False
@@ -207,17 +209,22 @@
             return
         if self._withdrawn or not self._placement.has_other():
             return
-        if let_go and not (self._is_movable() and self._doubt_allows_run()):
+        if let_go and not self._doubt_allows_run():
             return
         stream, self._stream = self._stream, None
         self._placement.leave()
         self._placement.exclude(endpoint)
-        if stream is not None:
+        if stream is not None and let_go:
+            self._former = FormerRun(self, stream, endpoint)
+            stream.hand_over(self._former)
+        elif stream is not None:
             stream.cancel()
         self._log_retry(Reason.LINK_LOST)
         self._dispatch()
 
     def _doubt_allows_run(self) -> bool:
+        if self._former is not None or not self._is_movable():
+            return False
         self.record.runs += 1
         if self._may_run_again():
             self._may_have_run = True
@@ -225,6 +232,42 @@
         self.record.runs -= 1
         return False
 
+    def on_former_answer(self, former: FormerRun, answer: Answer) -> None:
+        """Take the answer of the first run, unless another one is on its way out."""
+        if self.done or former is not self._former:
+            former.cancel()
+            return
+        if self._is_error(answer):
+            self._former = None
+            self._fallback = self._fallback or answer
+            return
+        if self._stream is not None:
+            self._stream.cancel()
+        self._placement.leave()
+        self._return_to_former()
+        self.on_answer(answer)
+
+    def on_former_lost(self, former: FormerRun) -> None:
+        """Wait for the second run alone."""
+        if former is self._former:
+            self._former = None
+
+    def _return_to_former(self) -> bool:
+        """Wait for the first run alone, if it goes on behind its link."""
+        former, self._former = self._former, None
+        if former is None:
+            return False
+        self._stream = former.stream
+        former.stream.hand_over(self)
+        self._placement.take(former.endpoint)
+        self.record.instance = former.endpoint.incarnation.instance_id
+        return True
+
+    def _drop_former(self) -> None:
+        former, self._former = self._former, None
+        if former is not None:
+            former.cancel()
+
     def on_refusal(self, refusal: Refusal) -> None:
         """Ask another node: the request has not run."""
         if self.done:
@@ -286,8 +329,7 @@
         if endpoint is not None:
             endpoint.run_ms[self.route.name] = answer.run_ms
             self.context.usual.learn(self.route.name, answer.run_ms)
-        retryable = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
-        if retryable and self.route.idempotent and not self._body.streamed:
+        if self._is_error(answer) and not self._body.streamed:
             self.record.runs += 1
             self._may_have_run = True
             if self._may_run_again():
@@ -303,6 +345,11 @@
             endpoint.tell(answer.busy)
         self._pass_on(answer)
 
+    def _is_error(self, answer: Answer) -> bool:
+        """Whether an answer is one that another backend server may better."""
+        failed = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
+        return failed and self.route.idempotent
+
     def on_answer_data(self, data: bytes, whole: bool) -> None:
         """Pass on more of a long answer."""
         if self.done:
@@ -314,6 +361,7 @@
             self._writer.end()
 
     def _pass_on(self, answer: Answer) -> None:
+        self._drop_former()
         if answer.status < GOOD_BELOW:
             size_bytes = max(answer.length, len(answer.body))
             self.context.sizes.learn(self.route.name, size_bytes)
@@ -364,6 +412,8 @@
         )
 
     def _fail(self, reason: Reason) -> None:
+        if self._return_to_former():
+            return
         if self._fallback is not None:
             answer, self._fallback = self._fallback, None
             self._pass_on(answer)
@@ -478,6 +528,7 @@
         self.context.under_way.discard(self)
         self._timer.cancel()
         self._placement.leave()
+        self._drop_former()
         stream, self._stream = self._stream, None
         if cancel and stream is not None:
             stream.cancel()
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -96,6 +96,10 @@
         """Take more of the answer."""
         self.connection.send(Kind.CREDIT, self.number, size)
 
+    def hand_over(self, receiver: CallReceiver) -> None:
+        """Have another receiver hear of the outcome."""
+        self.receiver = receiver
+
 
 class PeerConnection(asyncio.Protocol):
     """One TCP connection of a link."""
--- a/azurestep/mesh/links/interfaces.py
+++ b/azurestep/mesh/links/interfaces.py
@@ -26,6 +26,9 @@
     def grant(self, size: int) -> None:
         """Take more of the answer."""
 
+    def hand_over(self, receiver: "CallReceiver") -> None:
+        """Have another receiver hear of the outcome."""
+
 
 class CallReceiver(AnswerReceiver, Protocol):
     """What sent a request over a link."""
