A silent connection must be closed once nothing waits on it: a test that fails

After a link was silent for 650 ms another connection is dialled and runs that were let go wait on the old one; when the last of them is answered it stays open for good (TimeoutError in eventually(silent is closing)).

--- a/tests/test_mesh_doubt.py
+++ b/tests/test_mesh_doubt.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from azurestep.mesh.links.connection import PeerConnection
 from standins.signing_server import Received
 
 from .fixtures_mesh import MeshFleet, MeshInstance
@@ -111,3 +112,21 @@
     await eventually(
         lambda: serving.server.cancelled == other.server.cancelled == 1, 0.4
     )
+
+
+async def test_a_silent_connection_is_closed_once_nothing_waits_on_it(
+    mesh: MeshFleet,
+) -> None:
+    serving, _, asking = mesh.instances
+    await only(mesh, serving)
+    serving.server.work_s = 1.0
+    link = asking.node.members.links[serving.node.settings.peer_address]
+    silent = link.connection
+    assert isinstance(silent, PeerConnection)
+    task = asyncio.create_task(read(mesh, asking, "c1"))
+    await eventually(lambda: serving.server.runs["c1"] == 1)
+    silence(serving)
+    await eventually(lambda: link.connection is not silent, 1.0)
+    speak_again(serving)
+    assert await task == 200
+    await eventually(silent._transport.is_closing, 0.3)
