--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -82,6 +82,7 @@
         """Stop the request."""
         if self.connection.streams.pop(self.number, None) is not None:
             self.connection.send(Kind.CANCEL, self.number)
+            self.connection.close_if_done()
 
     @property
     def may_run(self) -> bool:
@@ -112,6 +113,7 @@
         self._decoder = Decoder(OF_CALLED_NODES)
         self._transport: asyncio.Transport | None = None
         self._next = 0
+        self._retired = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Greet the other node."""
@@ -138,6 +140,7 @@
                 HANDLERS[type(message)](self, stream, message)
             except Exception as error:
                 self._contain(stream, error)
+        self.close_if_done()
         if self._decoder.fault:
             events.log(events.PEER_MALFORMED, cause=self._decoder.fault)
             self.abort()
@@ -223,7 +226,15 @@
             elif not stream.let_go:
                 self.send(Kind.CANCEL, number)
                 self._fail(number, stream)
-        if not self.streams:
+        self._retired = True
+        self.close_if_done()
+
+    def close_if_done(self) -> None:
+        """Close a connection that fell silent, once nothing waits on it.
+
+        Another one is open by then; nothing else would ever close this one.
+        """
+        if self._retired and not self.streams:
             self.abort()
 
     def _fail_streams(self) -> None:
