--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -7,7 +7,6 @@
 import attrs
 
 from .. import events
-from ..decoding import OF_CALLED_NODES, WHOLE_LINK, Decoder
 from ..link_messages import (
     AnswerData,
     ConfigurationNews,
@@ -29,6 +28,7 @@
     fields_of,
 )
 from ..runtime import Runtime
+from .decoding import OF_CALLED_NODES, WHOLE_LINK, Decoder
 from .interfaces import CallReceiver, PeerNews
 
 BUSY_PING_MS = 90.0
--- a/azurestep/mesh/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -12,8 +12,8 @@
 import msgpack
 import msgspec
 
-from .backend.crashes import decode_updates
-from .link_messages import (
+from ..backend.crashes import decode_updates
+from ..link_messages import (
     AnswerData,
     Body,
     Cancel,
@@ -27,7 +27,7 @@
     Ready,
     Withdraw,
 )
-from .messages import (
+from ..messages import (
     BUFFER_BYTES,
     FORMAT,
     Answer,
@@ -188,7 +188,7 @@
 
     Examples
     --------
-    >>> from .messages import encode
+    >>> from azurestep.mesh.messages import encode
     >>> decoder = Decoder(OF_CALLING_NODES)
     >>> decoder.feed(encode(Kind.CREDIT, 7, 500))
     [(7, Credit(size=500))]
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -12,7 +12,6 @@
 from ..backend.inbound import Inbound
 from ..backend.run import Run
 from ..decisions.cadence import FAR_REPORTS_PER_S, NEAR_REPORTS_PER_S, ReportPace
-from ..decoding import OF_CALLING_NODES, WHOLE_LINK, Decoder, Message
 from ..link_messages import (
     Body,
     Cancel,
@@ -33,6 +32,7 @@
     fields_of,
 )
 from ..runtime import Runtime
+from .decoding import OF_CALLING_NODES, WHOLE_LINK, Decoder, Message
 from .remote_receiver import RemoteReceiver
 
 PONG = encode(Kind.PONG)
--- a/tests/test_mesh_containment_callers.py
+++ b/tests/test_mesh_containment_callers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import pytest
 
 from azurestep.mesh import events
@@ -13,6 +14,7 @@
 from azurestep.mesh.backend.probing import Prober
 from azurestep.mesh.backend.run import Run
 from azurestep.mesh.backend.state import Backend
+from azurestep.mesh.callers.answer_writer import AnswerWriter
 from azurestep.mesh.callers.call import Call
 from azurestep.mesh.callers.context import CallContext
 from azurestep.mesh.decisions.pressure import RefusalMeter
@@ -20,6 +22,7 @@
 from azurestep.mesh.knowledge.following import Follower
 from azurestep.mesh.links.link import PeerLink
 from azurestep.mesh.links.members import Members
+from azurestep.mesh.messages import Answer
 from azurestep.mesh.node import Node
 
 from .fixtures_mesh import (
@@ -254,3 +257,19 @@
     )
     assert mesh_lines.of(9010) == []
     assert all_faults(mesh) == 0
+
+
+async def test_an_answer_that_can_not_be_written_keeps_its_place(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sound = AnswerWriter.whole
+
+    def whole(self: AnswerWriter, answer: Answer) -> None:
+        if (b"Attempt-Id", FAULTY) in self._exchange.headers:
+            answer = attrs.evolve(answer, headers=[(b"X", None)])
+        sound(self, answer)
+
+    monkeypatch.setattr(AnswerWriter, "whole", whole)
+    names = ["a", FAULTY.decode(), "b"]
+    data = b"".join(message(name) for name in names)
+    assert await ask(mesh.instances[0], data, 3) == [200, 502, 200]
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -10,10 +10,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurestep.mesh import decoding
-from azurestep.mesh.decoding import OF_CALLED_NODES, OF_CALLING_NODES, Decoder
+from azurestep.mesh.links import decoding
 from azurestep.mesh.links.connection import HANDLERS as OF_CONNECTION
 from azurestep.mesh.links.connection import PeerConnection, RemoteStream
+from azurestep.mesh.links.decoding import OF_CALLED_NODES, OF_CALLING_NODES, Decoder
 from azurestep.mesh.links.server import HANDLERS as OF_SERVER
 from azurestep.mesh.links.server import PeerServer
 from azurestep.mesh.messages import (
