azurestep faults: which faults of the program came, and their first causes

Reads lines as explain and losses do, also with what a collector put before them. Counts events 9007, 9009, 9010 and 9203 by node and place, shows the first cause and traceback of each, and exits with 1 if there is any.

--- a/azurestep/cli/commands/lines.py
+++ b/azurestep/cli/commands/lines.py
@@ -1,14 +1,15 @@
-"""``azurestep explain`` and ``azurestep losses``: read the nodes' log lines."""
+"""``azurestep explain``, ``losses`` and ``faults``: read the nodes' log lines."""
 
 from ...environment import Environment
 from ...lines.explanation import explain
+from ...lines.faults import find_faults
 from ...lines.losses import find_losses
 from ...lines.plot import plot_losses
 from ...lines.reader import read_files
 from ...output import lines  # noqa: F401  (registers its texts)
 from ...output.writer import write_result
 from ...status import ExitStatus
-from ..options import ExplainOptions, LossesOptions
+from ..options import ExplainOptions, FaultsOptions, LossesOptions
 
 
 def run_explain_command(
@@ -29,3 +30,11 @@
         plot_losses(result, options.plot)
     write_result(result, options.as_json, environment)
     return ExitStatus.OK
+
+
+def run_faults_command(options: FaultsOptions, environment: Environment) -> ExitStatus:
+    """Tell which faults of the program came; any makes the status one of error."""
+    found = read_files(options.files)
+    result = find_faults(found.lines, found.unreadable)
+    write_result(result, options.as_json, environment)
+    return ExitStatus.ERROR if result.faults else ExitStatus.OK
--- a/azurestep/cli/definition.py
+++ b/azurestep/cli/definition.py
@@ -21,6 +21,7 @@
   azurestep audit gaps [--platform URL] [--json] [--debug]
   azurestep explain ID LOG... [--json] [--debug]
   azurestep losses LOG... [--plot FILE] [--json] [--debug]
+  azurestep faults LOG... [--json] [--debug]
   azurestep keys [--json]
   azurestep --version
   azurestep --help
@@ -36,6 +37,7 @@
   audit       Show from the platform's log what was in force, where and when.
   explain     Tell from log lines what became of a request, and why.
   losses      Tell from log lines which requests were lost, when, where and why.
+  faults      Tell from log lines which faults of the program came, and their causes.
   keys        Make the key pair that authenticates the nodes of a fleet.
 
 Arguments:
--- a/azurestep/cli/options.py
+++ b/azurestep/cli/options.py
@@ -141,6 +141,14 @@
     as_json: bool = False
 
 
+@attrs.frozen
+class FaultsOptions:
+    """Options of ``azurestep faults``."""
+
+    files: tuple[pathlib.Path, ...]
+    as_json: bool = False
+
+
 Options = (
     NodeOptions
     | SidecarOptions
@@ -153,4 +161,5 @@
     | KeysOptions
     | ExplainOptions
     | LossesOptions
+    | FaultsOptions
 )
--- a/azurestep/cli/parse.py
+++ b/azurestep/cli/parse.py
@@ -19,6 +19,7 @@
     CheckOptions,
     DrainOptions,
     ExplainOptions,
+    FaultsOptions,
     FleetOptions,
     KeysOptions,
     LossesOptions,
@@ -132,6 +133,10 @@
     return LossesOptions(_logs(parsed), path, parsed["--json"])
 
 
+def _faults(parsed: Parsed) -> Options:
+    return FaultsOptions(_logs(parsed), parsed["--json"])
+
+
 def _logs(parsed: Parsed) -> tuple[pathlib.Path, ...]:
     return tuple(pathlib.Path(name) for name in parsed["LOG"])
 
@@ -148,6 +153,7 @@
     "keys": _keys,
     "explain": _explain,
     "losses": _losses,
+    "faults": _faults,
 }
 
 
--- a/azurestep/cli/registry.py
+++ b/azurestep/cli/registry.py
@@ -14,6 +14,7 @@
     CheckOptions,
     DrainOptions,
     ExplainOptions,
+    FaultsOptions,
     KeysOptions,
     LossesOptions,
     NodeOptions,
@@ -36,6 +37,7 @@
     KeysOptions: ("keys", "run_keys_command"),
     ExplainOptions: ("lines", "run_explain_command"),
     LossesOptions: ("lines", "run_losses_command"),
+    FaultsOptions: ("lines", "run_faults_command"),
 }
 
 
--- a/azurestep/lines/reader.py
+++ b/azurestep/lines/reader.py
@@ -45,6 +45,8 @@
         How long a run without an answer took.
     lines : int
         Lines that the node left out above its rate.
+    cause, traceback, place : str
+        What went wrong, and where in the program.
     """
 
     time: datetime
@@ -69,6 +71,9 @@
     slots: int = 0
     run_ms: int = 0
     lines: int = 0
+    cause: str = ""
+    traceback: str = ""
+    place: str = ""
 
     @property
     def at_ms(self) -> float:
--- a/azurestep/output/lines.py
+++ b/azurestep/output/lines.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from ..lines.explanation import ExplainResult
+from ..lines.faults import FaultsResult, ProgramFault
 from ..lines.losses import LossesResult
 from .render import render
 from .tables import format_table
@@ -67,3 +68,24 @@
     ]
     headers = ["worst seconds", "attempts lost", "nodes", "most for"]
     return format_table(headers, sorted(rows))
+
+
+@render.register
+def _faults(result: FaultsResult) -> str:
+    parts = ["No fault of the program."]
+    if result.faults:
+        rows = [
+            [fault.event, fault.node, fault.place or NONE, fault.count, fault.cause]
+            for fault in result.faults
+        ]
+        headers = ["event", "node", "place", "count", "first cause"]
+        parts = [format_table(headers, rows)]
+    parts += [_traceback(fault) for fault in result.faults if fault.traceback]
+    if result.unreadable:
+        parts.append(f"Lines that can't be read: {result.unreadable}.")
+    return "\n\n".join(parts)
+
+
+def _traceback(fault: ProgramFault) -> str:
+    head = f"{fault.event} at {fault.node}, {fault.place}: {fault.message}"
+    return f"{head}\n{fault.traceback.rstrip()}"
