--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
     "tests.fixtures_cli",
     "tests.fixtures_traffic",
     "tests.fixtures_world",
+    "tests.fixtures_inbound",
     "tests.fixtures_mesh",
     "tests.plugin_known_red",
 ]
--- /dev/null
+++ b/tests/fixtures_inbound.py
@@ -0,0 +1,195 @@
+"""The way to one backend server, with a clock and an event loop that tests drive."""
+
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import pytest
+
+from azurestep.http.client import ClientConnection
+from azurestep.mesh.backend.crashes import CrashWatch
+from azurestep.mesh.backend.inbound import Inbound
+from azurestep.mesh.backend.run import Run
+from azurestep.mesh.backend.state import Backend
+from azurestep.mesh.messages import Answer, Failure, Reason, Refusal, Request
+from azurestep.mesh.runtime import Runtime
+from azurestep.platform.announcement import Heartbeat
+
+DRAIN_MS = 2000.0
+BEAT = Heartbeat("i-1", "shop", 1, 4, False, 0.0)
+ROUTE = "read"
+
+
+@attrs.define(eq=False)
+class ManualLoop:
+    """Keeps what is due until a test runs it."""
+
+    now_ms: float = 1000.0
+    due: deque[tuple[Callable[..., object], tuple[Any, ...]]] = attrs.field(
+        factory=deque
+    )
+
+    def time(self) -> float:
+        return self.now_ms / 1000
+
+    def call_soon(self, act: Callable[..., object], *arguments: Any) -> None:
+        self.due.append((act, arguments))
+
+    def run_due(self) -> None:
+        """Run what is due, and what becomes due by it."""
+        while self.due:
+            act, arguments = self.due.popleft()
+            act(*arguments)
+
+
+class ManualRuntime(Runtime):
+    """A runtime whose time stands still until a test moves it."""
+
+    loop: ManualLoop  # type: ignore[assignment]
+
+    def now_ms(self) -> float:
+        return self.loop.now_ms
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self.loop.call_soon(_run_whole, work)
+
+
+def _run_whole(work: Coroutine[Any, Any, None]) -> None:
+    try:
+        work.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("nothing here should need to wait")
+
+
+class ManualInbound(Inbound):
+    """Opens connections that lead nowhere; tests answer on them."""
+
+    async def connect(self) -> ClientConnection | None:
+        return ClientConnection()
+
+
+@attrs.define(eq=False)
+class Listener:
+    """Notes what it hears of one request, and acts on it if a test says how.
+
+    Attributes
+    ----------
+    outcomes : list of str
+        Names of the final outcomes, with the reason if there is one.
+    react : Callable
+        Called with each piece of news, by its name.
+    """
+
+    outcomes: list[str] = attrs.field(factory=list)
+    asked: int = 0
+    react: Callable[[str], None] = lambda news: None
+
+    def on_answer(self, answer: Answer) -> None:
+        if answer.whole:
+            self.outcomes.append("answer")
+        self.react("answer")
+
+    def on_answer_data(self, data: bytes, whole: bool) -> None:
+        if whole:
+            self.outcomes.append("answer")
+        self.react("data")
+
+    def on_refusal(self, refusal: Refusal) -> None:
+        self.outcomes.append(Reason(refusal.reason).name)
+        self.react("refusal")
+
+    def on_failure(self, failure: Failure) -> None:
+        self.outcomes.append(f"failed {Reason(failure.reason).name}")
+        self.react("failure")
+
+    def on_credit(self, size: int) -> None:
+        self.react("credit")
+
+    def on_ready(self) -> None:
+        self.asked += 1
+        self.react("ready")
+
+
+@attrs.define(eq=False)
+class Beside:
+    """One backend server, the way to it, and what a test does there."""
+
+    loop: ManualLoop
+    inbound: Inbound
+    number: int = 0
+
+    def submit(
+        self,
+        listener: Listener,
+        budget_ms: float = 1200.0,
+        held: bool = False,
+        body_bytes: int = 0,
+    ) -> Run:
+        """Submit a read, or a held request whose body comes later."""
+        self.number += 1
+        request = Request(
+            b"POST" if body_bytes else b"GET",
+            b"/read/1",
+            [],
+            "shop",
+            b"i-1",
+            ROUTE,
+            b"r%d" % self.number,
+            b"",
+            True,
+            2,
+            budget_ms,
+            budget_ms,
+            self.loop.now_ms,
+            body_bytes,
+            not body_bytes,
+            b"",
+            held=held,
+        )
+        return self.inbound.submit(request, listener)
+
+    def leave(self) -> None:
+        """Let the server say that it leaves, long enough ago to take nothing."""
+        leaving = attrs.evolve(BEAT, sequence=2, leaving=True)
+        self.inbound.backend.announce(leaving, self.loop.now_ms)
+        self.loop.now_ms += DRAIN_MS
+
+    def after(self, pause_ms: float) -> None:
+        """Let time pass, with a look at everything at its end."""
+        self.loop.now_ms += pause_ms
+        self.inbound.tick()
+        self.loop.run_due()
+
+
+def answer(run: Run) -> None:
+    """Let the server answer a request that it has."""
+    connection = run._connection
+    assert connection is not None
+    connection.data_received(
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nResponse-Signature: s1\r\n"
+        b"Content-Length: 0\r\n\r\n" % run.request.request_id
+    )
+
+
+def make_beside(slots: int = 4) -> Beside:
+    """Return a backend server that has just announced itself."""
+    loop = ManualLoop()
+    backend = Backend(DRAIN_MS)
+    backend.announce(attrs.evolve(BEAT, slots=slots), 0.0)
+    inbound = ManualInbound(
+        ManualRuntime(loop),  # type: ignore[arg-type]
+        ("127.0.0.1", 1),
+        backend,
+        lambda: None,
+        CrashWatch("127.0.0.1"),
+    )
+    inbound.tick()
+    return Beside(loop, inbound)
+
+
+@pytest.fixture
+def beside() -> Beside:
+    """Return a backend server with four slots."""
+    return make_beside()
