Take a request off the queue before the queue is looked at

Cause: a released request that waited was taken out of the runs, then the late requests were looked for, and only then the queue forgot it. If it was late itself, the queue gave it back, and the look-up of its run failed; the fault reset the link that its "cancel" had come over.

Change: the queue forgets it first. The queue says which requests are late and lets them stay until each is refused, so that none is in no queue while others are refused, and one that ended meanwhile is passed over.

Ends still nest: each looks at the queue from within, before its own receiver has heard.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -113,21 +113,39 @@
         return None
 
     def release(self, ticket: Ticket) -> None:
-        """Give a run's slot back and start the next ones."""
+        """Take a run off the books, and look at the queue.
+
+        The queue forgets it first. Looked at before that, it gave a late ticket back
+        that no run belonged to any more; the fault reset the link of the caller who had
+        left, and with it every other run of that link.
+        """
+        self.admission.leave(ticket)
         self._runs.pop(ticket, None)
-        self._refuse_expired(self.now_ms())
-        for started in self.admission.release(ticket, self.now_ms()):
-            self._runs[started].start()
+        self._look()
 
-    def _refuse_expired(self, now_ms: float) -> None:
-        """Refuse what can't be answered in time any more, as soon as that is known.
+    def _look(self) -> None:
+        """Refuse what can't be answered in time any more, and give free slots.
 
         Looked at every 0.1 s only, requests with run times below that reached their
         callers' deadline in the queue: 1,650 of 83,000 attempts of a day of high load
         were answered 504 though they had not run.
         """
-        for ticket in self.admission.expire(now_ms):
-            self._runs[ticket].refuse(Reason.TOO_LATE)
+        now_ms = self.now_ms()
+        self._refuse(self.admission.late(now_ms), Reason.TOO_LATE)
+        if not self.backend.admits(now_ms):
+            self._refuse(self.admission.waiting, Reason.LEAVING)
+        while (ticket := self.admission.start_next(now_ms)) is not None:
+            self._runs[ticket].start()
+
+    def _refuse(self, tickets: list[Ticket], reason: Reason) -> None:
+        """Refuse waiting requests; each waits until its turn to be refused comes.
+
+        One may end meanwhile, by what the receiver of another does.
+        """
+        for ticket in tickets:
+            run = self._runs.get(ticket)
+            if run is not None:
+                run.refuse(reason)
 
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it takes none."""
@@ -205,10 +223,7 @@
         now_ms = self.now_ms()
         self._tick_health()
         self._tick_load()
-        self._refuse_expired(now_ms)
-        if not self.backend.admits(now_ms):
-            for ticket in self.admission.flush():
-                self._runs[ticket].refuse(Reason.LEAVING)
+        self._look()
         for run in list(self._runs.values()):
             run.check_age(now_ms)
         self.idle.sweep(self.runtime.loop.time())
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -65,6 +65,11 @@
         """Requests that run or wait."""
         return len(self.running) + len(self._waiting)
 
+    @property
+    def waiting(self) -> list[Ticket]:
+        """Requests that wait for a slot."""
+        return list(self._waiting)
+
     def run_ms(self, route: str) -> float:
         """Return the mean run time of a route's requests, here or as usual."""
         known = self._run_ms.get(route)
@@ -110,34 +115,28 @@
         self._waiting.append(ticket)
         return False
 
-    def release(self, ticket: Ticket, now_ms: float) -> list[Ticket]:
-        """Give a slot back and return the requests that run now."""
+    def leave(self, ticket: Ticket) -> None:
+        """Forget a request that ended, whether it ran or waited."""
         self.running.discard(ticket)
         if ticket in self._waiting:
             self._waiting.remove(ticket)
-        started = []
-        while self._waiting and len(self.running) < self.slots:
-            best = min(self._waiting, key=lambda item: self._rank(item, now_ms))
-            self._waiting.remove(best)
-            self.running.add(best)
-            started.append(best)
-        return started
-
-    def expire(self, now_ms: float) -> list[Ticket]:
-        """Return and forget the waiting requests that can't be answered in time."""
-        late = [
+
+    def start_next(self, now_ms: float) -> Ticket | None:
+        """Give a free slot to the request that goes first, and return that."""
+        if not self._waiting or len(self.running) >= self.slots:
+            return None
+        best = min(self._waiting, key=lambda item: self._rank(item, now_ms))
+        self._waiting.remove(best)
+        self.running.add(best)
+        return best
+
+    def late(self, now_ms: float) -> list[Ticket]:
+        """Return the waiting requests that can't be answered in time."""
+        return [
             ticket
             for ticket in self._waiting
             if now_ms + self.run_ms(ticket.route) > ticket.deadline_at_ms
         ]
-        for ticket in late:
-            self._waiting.remove(ticket)
-        return late
-
-    def flush(self) -> list[Ticket]:
-        """Return and forget all waiting requests."""
-        waiting, self._waiting = self._waiting, []
-        return waiting
 
     def retry_ms(self) -> float:
         """Return after which time a slot is likely for a caller who comes back."""
--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -19,6 +19,20 @@
     )
 
 
+def freed(admission: Admission, done: Ticket, now_ms: float) -> list[Ticket]:
+    """Let a request end, and return those that run then."""
+    admission.leave(done)
+    return list(iter(lambda: admission.start_next(now_ms), None))
+
+
+def expired(admission: Admission, now_ms: float) -> list[Ticket]:
+    """Let the late requests leave, and return them."""
+    late = admission.late(now_ms)
+    for one in late:
+        admission.leave(one)
+    return late
+
+
 def test_a_free_slot_is_given_at_once() -> None:
     admission = Admission(slots=1)
     assert admission.offer(ticket(), 0.0) is True
@@ -30,7 +44,7 @@
     first, second = ticket(), ticket()
     admission.offer(first, 0.0)
     assert admission.offer(second, 0.0) is False
-    assert admission.release(first, 100.0) == [second]
+    assert freed(admission, first, 100.0) == [second]
 
 
 def test_a_request_that_can_not_meet_its_aim_is_refused_at_once() -> None:
@@ -50,7 +64,7 @@
     payment = ticket(priority=1)
     admission.offer(bulk, 0.0)
     admission.offer(payment, 1.0)
-    assert admission.release(running, 50.0) == [payment]
+    assert freed(admission, running, 50.0) == [payment]
 
 
 def test_one_that_can_still_meet_its_aim_goes_before_one_that_is_late() -> None:
@@ -62,7 +76,7 @@
     timely = ticket(priority=2)
     admission.offer(late, 0.0)
     admission.offer(timely, 0.0)
-    assert admission.release(running, 30.0)[0] is timely
+    assert freed(admission, running, 30.0)[0] is timely
 
 
 def test_a_call_with_a_short_aim_goes_before_longer_requests_of_its_class() -> None:
@@ -74,7 +88,7 @@
     call = ticket(priority=1, objective_ms=120.0)
     admission.offer(payment, 0.0)
     admission.offer(call, 5.0)
-    assert admission.release(running, 20.0) == [call]
+    assert freed(admission, running, 20.0) == [call]
 
 
 def test_what_can_not_be_answered_any_more_is_given_back() -> None:
@@ -83,8 +97,9 @@
     admission.offer(ticket(), 0.0)
     waiting = ticket()
     admission.offer(waiting, 0.0)
-    assert admission.expire(1000.0) == []
-    assert admission.expire(1101.0) == [waiting]
+    assert expired(admission, 1000.0) == []
+    assert expired(admission, 1101.0) == [waiting]
+    assert admission.waiting == []
 
 
 @given(
@@ -102,14 +117,14 @@
         now_ms += gap_ms
         if finishes and admission.running:
             done = next(iter(admission.running))
-            started += len(admission.release(done, now_ms))
+            started += len(freed(admission, done, now_ms))
         else:
             offered += 1
             decision = admission.offer(ticket(priority, now_ms), now_ms)
             started += decision is True
             refused += isinstance(decision, Refused)
         assert len(admission.running) <= 3
-    waiting = len(admission.flush())
+    waiting = len(admission.waiting)
     assert offered == started + refused + waiting
 
 
@@ -128,11 +143,11 @@
         while ends and ends[0][0] <= now_ms:
             end_ms, _, done = heapq.heappop(ends)
             admission.learn(done.route, run_ms[done.priority])
-            for started in admission.release(done, end_ms):
+            for started in freed(admission, done, end_ms):
                 served[started.priority] += 1
                 end = end_ms + run_ms[started.priority]
                 heapq.heappush(ends, (end, id(started), started))
-        admission.expire(now_ms)
+        expired(admission, now_ms)
         priority = random.randrange(3)
         offered[priority] += 1
         new = ticket(priority, now_ms)
@@ -170,8 +185,8 @@
         now_ms += random.expovariate(8 * load / 60.0)
         while ends and ends[0][0] <= now_ms:
             end_ms, _, done = heapq.heappop(ends)
-            held += [end_ms - one.arrived_ms for one in admission.expire(end_ms)]
-            for started in admission.release(done, end_ms):
+            held += [end_ms - one.arrived_ms for one in expired(admission, end_ms)]
+            for started in freed(admission, done, end_ms):
                 heapq.heappush(ends, (end_ms + 60.0, id(started), started))
         objective_ms = random.choice([200.0, -100.0])
         new = ticket(2, now_ms, objective_ms)
--- a/tests/test_mesh_returning.py
+++ b/tests/test_mesh_returning.py
@@ -11,6 +11,7 @@
 from azurestep.mesh.decisions.returning import Attempt, ReturningCallers
 
 from .fixtures_mesh import MeshFleet, caller_headers
+from .test_mesh_admission import expired, freed
 
 PLACE = (b"GET", b"shop.example", b"/read/1")
 
@@ -94,7 +95,7 @@
         heapq.heappush(self.events, (at_ms, self.number, what))
 
     def ask(self, now_ms: float, born_ms: float, tries: int) -> None:
-        for ticket in self.admission.expire(now_ms):
+        for ticket in expired(self.admission, now_ms):
             self.refused(now_ms, ticket.owner, 40.0)  # type: ignore[arg-type]
         place = (b"%f" % born_ms,)
         ends_ms = born_ms + self.DEADLINE_MS
@@ -127,7 +128,7 @@
         late = now_ms - born_ms > self.OBJECTIVE_MS
         self.outcomes["late" if late else "in time"] += 1
         self.admission.learn("read", self.RUN_MS)
-        for started in self.admission.release(ticket, now_ms):
+        for started in freed(self.admission, ticket, now_ms):
             self.run(started, now_ms)
 
 
