Bound how long a request with a slot waits for its body

Cause: a request that has a slot but not its body was limited by its deadline alone, once its sender had let it go or while it waited for its turn.

Change: one that waits for its turn is refused as not run when what is left is shorter than a run takes, at each look at the queue. A turn ends after 450 ms (the longest body takes 420 ms on a link of 10 Mbit/s) and passes to the next one; the request keeps its slot, still runs if its body comes, and is refused as not run once it is late. What is past its deadline and was never sent on is refused, not failed, so that it doesn't count against the server.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -142,7 +142,7 @@
             self.runtime.soon(self._look)
 
     def _look(self) -> None:
-        """Refuse what can't be answered in time any more, and give free slots.
+        """Refuse what can't be answered in time any more, give free slots and turns.
 
         Looked at every 0.1 s only, requests with run times below that reached their
         callers' deadline in the queue: 1,650 of 83,000 attempts of a day of high load
@@ -153,6 +153,8 @@
         self._refuse(self.admission.late(now_ms), Reason.TOO_LATE)
         if not self.backend.admits(now_ms):
             self._refuse(self.admission.waiting, Reason.LEAVING)
+        for waiting in self.transfers.waiting:
+            waiting.refuse_if_late(now_ms)
         while (ticket := self.admission.start_next(now_ms)) is not None:
             self._runs[ticket].start()
         while (transfer := self.transfers.start_next()) is not None:
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -22,6 +22,10 @@
 HELD_MS = 400.0
 """Longest time that a held request keeps a slot; its sender answers within some 3 ms
 and gives a silent link up after 250 ms."""
+FETCH_MS = 450.0
+"""Longest turn to be sent a body. One of 512 KB, the longest, takes 420 ms on a link of
+10 Mbit/s. With a longer turn, two senders that had fallen silent kept all other uploads
+beside a server from their bodies until their own deadlines."""
 MISDIRECTED = 421
 FIRST_FAILURE_STATUS = 300
 SERVER_ERROR = 500
@@ -330,11 +334,21 @@
         self.fail(Reason.TRUNCATED if self._fields is not None else kind)
 
     def check_age(self, now_ms: float) -> None:
-        """Give up what nobody lets go, and what runs past its deadline."""
-        if self._held and self._ready_ms and now_ms - self._ready_ms > HELD_MS:
+        """Give up what nobody lets go or sends, and what runs past its deadline."""
+        asked_ms = now_ms - self._ready_ms if self._ready_ms else 0.0
+        if self._held and asked_ms > HELD_MS:
             self.refuse(Reason.TOO_LATE)
+        elif self._awaits_body and asked_ms > FETCH_MS:
+            self.inbound.fetched(self)
+            self.refuse_if_late(now_ms)
         elif now_ms > self.deadline_ms + OVERTIME_MS:
-            self.fail(Reason.TIMEOUT)
+            self.withdraw()
+
+    def refuse_if_late(self, now_ms: float) -> None:
+        """Refuse a request that was not sent on and can't be answered in time."""
+        run_ms = self.inbound.admission.run_ms(self.request.route)
+        if not self.may_run and now_ms + run_ms > self.deadline_ms:
+            self.refuse(Reason.TOO_LATE)
 
     # Ends.
 
--- a/azurestep/mesh/backend/transfers.py
+++ b/azurestep/mesh/backend/transfers.py
@@ -17,6 +17,9 @@
     def ask_for_body(self) -> None:
         """Ask the sender for the body."""
 
+    def refuse_if_late(self, now_ms: float) -> None:
+        """Refuse the request if it can't be answered in time any more."""
+
 
 @attrs.define(eq=False)
 class Transfers:
@@ -25,6 +28,11 @@
     _fetching: set[Transfer] = attrs.field(factory=set)
     _waiting: deque[Transfer] = attrs.field(factory=deque)
 
+    @property
+    def waiting(self) -> list[Transfer]:
+        """Requests that wait for their turn."""
+        return list(self._waiting)
+
     def begin(self, transfer: Transfer) -> bool:
         """Whether a body may be fetched now; if not, its turn comes later."""
         if self._waiting or len(self._fetching) >= AT_ONCE:
