--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -22,7 +22,7 @@
 from .load import LoadSummary
 from .run import AnswerReceiver, Run
 from .state import Backend
-from .transfers import Transfers
+from .transfers import Transfer, Transfers
 
 CONNECT_TIMEOUT_S = 1.0
 """A backend server on the same instance accepts within about 1 ms; this is the
@@ -64,6 +64,7 @@
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
     _next_try_ms: float = 0.0
     _judged: Incarnation = NO_INCARNATION
+    _look_due: bool = False
 
     def now_ms(self) -> float:
         """Return the monotonic time."""
@@ -113,21 +114,61 @@
         return None
 
     def release(self, ticket: Ticket) -> None:
-        """Give a run's slot back and start the next ones."""
+        """Take a run off the books; the queue is looked at once its receiver knows.
+
+        The queue forgets it first. Looked at before that, it gave a late ticket back
+        that no run belonged to any more; the fault reset the link of the caller who had
+        left, and with it every other run of that link.
+        """
+        self.admission.leave(ticket)
         self._runs.pop(ticket, None)
-        self._refuse_expired(self.now_ms())
-        for started in self.admission.release(ticket, self.now_ms()):
-            self._runs[started].start()
+        if self._runs:
+            self._look_soon()
+
+    def fetched(self, transfer: Transfer) -> None:
+        """Pass the turn to fetch a body on."""
+        self.transfers.end(transfer)
+        self._look_soon()
+
+    def _look_soon(self) -> None:
+        """Have the queue looked at from the event loop.
+
+        Looked at from within the end of a request, a queue of a few hundred that a
+        leaving server refused exceeded the depth of recursion, and the end of each
+        request of a lost link started the next one only to cancel it.
+        """
+        if not self._look_due:
+            self._look_due = True
+            self.runtime.soon(self._look)
 
-    def _refuse_expired(self, now_ms: float) -> None:
-        """Refuse what can't be answered in time any more, as soon as that is known.
+    def _look(self) -> None:
+        """Refuse what can't be answered in time any more, give free slots and turns.
 
         Looked at every 0.1 s only, requests with run times below that reached their
         callers' deadline in the queue: 1,650 of 83,000 attempts of a day of high load
         were answered 504 though they had not run.
         """
-        for ticket in self.admission.expire(now_ms):
-            self._runs[ticket].refuse(Reason.TOO_LATE)
+        self._look_due = False
+        now_ms = self.now_ms()
+        self._refuse(self.admission.late(now_ms), Reason.TOO_LATE)
+        if not self.backend.admits(now_ms):
+            self._refuse(self.admission.waiting, Reason.LEAVING)
+        for waiting in self.transfers.waiting:
+            waiting.refuse_if_late(now_ms)
+        while (ticket := self.admission.start_next(now_ms)) is not None:
+            self._runs[ticket].start()
+        while (transfer := self.transfers.start_next()) is not None:
+            transfer.ask_for_body()
+
+    def _refuse(self, tickets: list[Ticket], reason: Reason) -> None:
+        """Refuse waiting requests; each waits until its turn to be refused comes.
+
+        One may end meanwhile, by what the receiver of another does.
+        """
+        for ticket in tickets:
+            run = self._runs.get(ticket)
+            if run is not None:
+                run.refuse(reason)
 
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it takes none."""
@@ -201,14 +242,11 @@
         self.on_change()
 
     def tick(self) -> None:
-        """Refuse what waits in vain, break off overtime, retry the address."""
+        """Have the queue looked at, break off overtime, retry the address."""
         now_ms = self.now_ms()
         self._tick_health()
         self._tick_load()
-        self._refuse_expired(now_ms)
-        if not self.backend.admits(now_ms):
-            for ticket in self.admission.flush():
-                self._runs[ticket].refuse(Reason.LEAVING)
+        self._look_soon()
         for run in list(self._runs.values()):
             run.check_age(now_ms)
         self.idle.sweep(self.runtime.loop.time())
--- a/azurestep/mesh/backend/transfers.py
+++ b/azurestep/mesh/backend/transfers.py
@@ -17,6 +17,9 @@
     def ask_for_body(self) -> None:
         """Ask the sender for the body."""
 
+    def refuse_if_late(self, now_ms: float) -> None:
+        """Refuse the request if it can't be answered in time any more."""
+
 
 @attrs.define(eq=False)
 class Transfers:
@@ -25,23 +28,29 @@
     _fetching: set[Transfer] = attrs.field(factory=set)
     _waiting: deque[Transfer] = attrs.field(factory=deque)
 
+    @property
+    def waiting(self) -> list[Transfer]:
+        """Requests that wait for their turn."""
+        return list(self._waiting)
+
     def begin(self, transfer: Transfer) -> bool:
-        """Whether a body may be fetched now; if not, it is asked for later."""
-        if len(self._fetching) < AT_ONCE:
-            self._fetching.add(transfer)
-            return True
-        self._waiting.append(transfer)
-        return False
+        """Whether a body may be fetched now; if not, its turn comes later."""
+        if self._waiting or len(self._fetching) >= AT_ONCE:
+            self._waiting.append(transfer)
+            return False
+        self._fetching.add(transfer)
+        return True
 
     def end(self, transfer: Transfer) -> None:
-        """Note that a body came or is not needed, and ask for the next one."""
+        """Note that a body came or is not needed."""
+        self._fetching.discard(transfer)
         if transfer in self._waiting:
             self._waiting.remove(transfer)
-            return
-        if transfer not in self._fetching:
-            return
-        self._fetching.discard(transfer)
-        if self._waiting:
-            following = self._waiting.popleft()
-            self._fetching.add(following)
-            following.ask_for_body()
+
+    def start_next(self) -> Transfer | None:
+        """Give a free place to the one that waited longest, and return that."""
+        if not self._waiting or len(self._fetching) >= AT_ONCE:
+            return None
+        following = self._waiting.popleft()
+        self._fetching.add(following)
+        return following
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -34,6 +34,13 @@
         """Return a monotonic time that also counts suspended time."""
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
+    def soon(self, act: Callable[[], None]) -> None:
+        """Call a function once what is being handled now has ended.
+
+        Its error is its own: it reaches nothing that happens to be on the stack.
+        """
+        self.loop.call_soon(self.contain, "soon", act)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine beside the others."""
         task = self.loop.create_task(work)
