A test of what a stopped node leaves unanswered, failing

`azurestep node` waits 30 s for what is in flight, counts the rest as cut, and leaves it to aiohttp's shutdown, which waits up to 60 s and then cancels the handlers and closes: no answer. A connection on which requests were sent in a row is closed after the first answer of a stop, the others are dropped.

The test shortens the times (0.6 s and 0.2 s).

--- /dev/null
+++ b/tests/test_traffic_last_answers.py
@@ -0,0 +1,122 @@
+"""A node that stops answers what is still under way when its time is over.
+
+A stop waited 30 s for requests in flight, counted the rest as cut, and left them to the
+server's own shutdown, which closes connections without an answer. A request that waited
+for a slot, one at work and a payment at its owner all ended so; the second of two
+requests sent in a row was dropped as soon as the node stopped, however short it was.
+"""
+
+import asyncio
+import re
+
+import attrs
+import pytest_asyncio
+
+from azurestep.config.model import LimitRule
+from azurestep.node import run
+from tests.fixtures_traffic import SERVICE
+
+LONG_MS = 6000
+ENDS_S = 5.0
+NARROW = attrs.evolve(SERVICE, limits=LimitRule(slots=1, queue_timeout_ms=LONG_MS))
+RAN, MAY_HAVE_RUN, NOT_RUN = (200, False), (504, False), (503, True)
+
+
+class OtherServices:
+    """What a stop asks of a node's other services, done at once."""
+
+    def __init__(self, last_moment=None):
+        self.inputs = asyncio.Queue()
+        self.cut = None
+        self.last_moment = last_moment
+
+    def leave_all(self):
+        return
+
+    async def hand_over(self, timeout_s):
+        return True
+
+    def begin_drain(self, in_flight):
+        return
+
+    async def end_drain(self, begun, cut, handed_over, timeout_s):
+        self.cut = cut
+        if self.last_moment is not None:
+            self.last_moment()
+            await asyncio.sleep(0.2)
+        return True
+
+
+@pytest_asyncio.fixture
+async def stop_node(monkeypatch):
+    """Stop a node as a signal does, with a short time for what is in flight."""
+    monkeypatch.setattr(run, "DRAIN_SETTLE_S", 0.0)
+    monkeypatch.setattr(run, "LEAVE_SETTLE_S", 0.0)
+    monkeypatch.setattr(run, "DRAIN_TIMEOUT_S", 0.6)
+
+    async def stop(rig, last_moment=None):
+        others = OtherServices(last_moment)
+        monkeypatch.setattr(rig.traffic._runner, "_shutdown_timeout", 0.2)
+        async with asyncio.timeout(ENDS_S):
+            await run._drain(others, others, rig.traffic, others, others)
+            await rig.traffic.stop()
+        return others.cut
+
+    return stop
+
+
+def get(path, method="GET", fields=""):
+    return f"{method} {path} HTTP/1.1\r\nHost: x\r\n{fields}\r\n".encode()
+
+
+def in_flight(rig):
+    return rig.traffic.proxy.in_flight
+
+
+def verdicts_of(answer):
+    """Return status and whether it is said that the request has not run."""
+    heads = re.findall(rb"HTTP/1\.1 (\d+)(.*?)\r\n\r\n", answer, re.DOTALL)
+    return [(int(status), b"Azurestep-Not-Run: 1" in rest) for status, rest in heads]
+
+
+async def test_every_whole_request_is_answered(
+    raw_call, start_backend_server, start_traffic, stop_node, wait_until
+):
+    server = await start_backend_server()
+    narrow = await start_traffic(server.address.port, service=NARROW)
+    wide = await start_traffic(server.address.port)
+    never = asyncio.Event()
+
+    async def ask_owner(call):
+        await never.wait()
+
+    narrow.traffic.proxy.once = ask_owner
+    slow = get(f"/songs?delay_ms={LONG_MS}")
+    requests = {
+        "at work": (narrow, slow),
+        "waiting": (narrow, get("/songs")),
+        "payment": (narrow, get("/pay", "POST", "Content-Length: 1\r\n") + b"x"),
+        "half a body": (narrow, get("/songs", "POST", "Content-Length: 9\r\n") + b"x"),
+        "in a row": (wide, get("/songs?delay_ms=200") + get("/songs") * 2),
+    }
+    calls = {}
+    for number, (name, (rig, request)) in enumerate(requests.items(), start=1):
+        calls[name] = asyncio.create_task(raw_call(rig.port, request))
+        await wait_until(lambda n=number: in_flight(narrow) + in_flight(wide) == n)
+    reader, writer = await asyncio.open_connection("127.0.0.1", narrow.port)
+    cuts = await asyncio.gather(
+        stop_node(narrow, lambda: writer.write(slow)), stop_node(wide)
+    )
+    calls["sent last"] = asyncio.create_task(reader.read())
+    answers = {name: verdicts_of(await call) for name, call in calls.items()}
+    writer.close()
+
+    assert answers == {
+        "at work": [MAY_HAVE_RUN],
+        "waiting": [NOT_RUN],
+        "payment": [MAY_HAVE_RUN],
+        "half a body": [NOT_RUN],
+        "in a row": [RAN] * 3,
+        "sent last": [NOT_RUN],
+    }
+    assert cuts == [4, 0]
