A node that stops answers every whole request

Cause: after 30 s of drain the requests in flight were left to the server's shutdown, which cancels handlers and closes their connections. Nobody had the task to answer them. An answer of a stop closed its connection also when more requests of it were read.

Change: each request under way has a limit without a time; when the drain is over it is given one. What no backend server got is refused as not run, with a time to come back; any other gets 504, may have run; the run of a payment tells its owner which of both holds, also for other nodes. An answer that began is broken off. The server's own shutdown finds nothing to do any more. Of requests in a row only the last answer closes the connection. The drain is now 150 s, so that no run is broken off sooner than before.

--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -20,10 +20,12 @@
 
 DRAIN_SETTLE_S = 2.0
 LEAVE_SETTLE_S = 1.5
-DRAIN_TIMEOUT_S = 30.0
+DRAIN_TIMEOUT_S = 150.0
+"""Time for what is in flight before it is given up and answered. Requests of up to
+150 s ended whole when the server's shutdown followed 30 s of drain; 30 s alone would
+break them off."""
 HAND_OVER_TIMEOUT_S = 8.0
 AUDIT_TIMEOUT_S = 3.0
-DRAIN_CHECK_S = 0.05
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -114,12 +116,7 @@
         asyncio.sleep(DRAIN_SETTLE_S), once.hand_over(HAND_OVER_TIMEOUT_S)
     )
     await traffic.stop_listening()
-    deadline_s = asyncio.get_running_loop().time() + DRAIN_TIMEOUT_S
-    while traffic.proxy.in_flight and asyncio.get_running_loop().time() < deadline_s:
-        await asyncio.sleep(DRAIN_CHECK_S)
-    cut = traffic.proxy.in_flight
-    if cut:
-        events.emit(events.REQUESTS_CUT, requests=cut)
+    cut = await traffic.finish(DRAIN_TIMEOUT_S)
     # A node that left hears no more of leaving backend servers, so this is last.
     control.inputs.put_nowait(LeaveRequested())
     await audit.end_drain(begun, cut, handed_over, AUDIT_TIMEOUT_S)
--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -5,10 +5,13 @@
 
 import aiomisc
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
+from .. import events
 from ..environment import Environment
 from ..settings import Settings
 from ..traffic.attempt import AttemptSender
+from ..traffic.caller_connection import has_next
 from ..traffic.connections import Connections
 from ..traffic.proxy import Proxy
 from .http import listen
@@ -20,6 +23,13 @@
 READY_CHECK_S = 0.02
 DIRECTORY_WAIT_S = 3.0
 DIRECTORY_SETTLE_S = 0.3
+FINISH_CHECK_S = 0.05
+LAST_ANSWERS_S = 1.0
+"""Time for the answers to requests that were given up to reach their callers."""
+LATE_REQUESTS_S = 30.0
+"""Time for requests that come over open connections after the end of the drain."""
+CLOSE_S = 0.5
+"""Time for connections to close, all of whose requests are answered."""
 
 
 class TrafficService(aiomisc.Service):
@@ -39,6 +49,7 @@
         sender = AttemptSender(self._connections, environment.clock)
         self.proxy = Proxy(settings, sender, environment.clock, environment.random)
         self._runner: web.ServerRunner | None = None
+        self._server: web.Server | None = None
 
     async def start(self) -> None:
         """Listen and take tables and directories until stopped."""
@@ -75,7 +86,8 @@
             keepalive_timeout=KEEP_ALIVE_S,
             auto_decompress=False,
         )
-        self._runner = web.ServerRunner(server)
+        self._server = server
+        self._runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
         await listen(
             self._runner, self.settings.host, self.settings.traffic_port, "traffic_port"
         )
@@ -116,8 +128,45 @@
             for site in list(self._runner.sites):
                 await site.stop()
 
+    async def finish(self, timeout_s: float) -> int:
+        """Wait until every request is answered and its caller has the answer.
+
+        Returns
+        -------
+        int
+            Requests that were not done in time. Each gets an answer that says
+            whether it may have run, and those that come later are refused.
+        """
+        if await self._wait_until_done(timeout_s):
+            return 0
+        cut = self.proxy.give_up()
+        await self._wait_until_done(LAST_ANSWERS_S)
+        events.emit(events.REQUESTS_CUT, requests=cut)
+        return cut
+
+    async def _wait_until_done(self, timeout_s: float) -> bool:
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while not self._is_done():
+            if loop.time() >= deadline_s:
+                return False
+            await asyncio.sleep(FINISH_CHECK_S)
+        return True
+
+    def _is_done(self) -> bool:
+        if self.proxy.in_flight:
+            return False
+        callers = self._callers()
+        return not any(has_next(caller) for caller in callers)
+
+    def _callers(self) -> list[RequestHandler]:
+        return self._server.connections if self._server is not None else []
+
     async def stop(self, exception: Exception | None = None) -> None:
-        """Finish what is in flight and close."""
+        """Answer what is in flight and close."""
         if self._runner is not None:
+            await self.stop_listening()
+            self.proxy.close()
+            await self.finish(LATE_REQUESTS_S)
             await self._runner.cleanup()
         self._connections.close()
--- a/azurestep/traffic/attempt.py
+++ b/azurestep/traffic/attempt.py
@@ -24,6 +24,7 @@
 SERVER_ERROR = 500
 UNAVAILABLE = 503
 PROBE_SETTLE_S = 0.005
+NOT_RUN_KINDS = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.SHED})
 
 
 @attrs.define
--- a/azurestep/traffic/call.py
+++ b/azurestep/traffic/call.py
@@ -50,6 +50,8 @@
         Whether the quarantine suspects the request.
     is_draining : bool
         Whether the answer asks the caller to open another connection.
+    may_have_run : bool
+        Whether a backend server may have run the request.
     waited_ms : float
         Time spent waiting for the caller's body and for a slot.
     """
@@ -67,6 +69,7 @@
     stream: AsyncIterable[bytes] | None = None
     is_suspect: bool = False
     is_draining: bool = False
+    may_have_run: bool = False
     waited_ms: float = 0.0
     _fingerprint: int | None = None
 
--- /dev/null
+++ b/azurestep/traffic/caller_connection.py
@@ -0,0 +1,11 @@
+"""A caller's connection, as far as a stop must know it."""
+
+from aiohttp.web_protocol import RequestHandler
+
+
+def has_next(connection: RequestHandler) -> bool:
+    """Return whether a request was read behind the one that is being answered.
+
+    An answer that closes the connection would drop it.
+    """
+    return bool(connection._messages)
--- a/azurestep/traffic/forward.py
+++ b/azurestep/traffic/forward.py
@@ -25,7 +25,7 @@
 )
 from ..environment import Clock
 from .answers import CallOutcome, Refusal, not_run, refusal_of
-from .attempt import Attempt, AttemptSender
+from .attempt import NOT_RUN_KINDS, Attempt, AttemptSender
 from .backend_answer import BackendAnswer, BodyCutError
 from .call import Call
 from .latency import AddedLatency
@@ -140,6 +140,7 @@
         if pool.quarantine.active:
             now_ms = self._clock.monotonic_ms()
             pool.quarantine.started(call.fingerprint, key, now_ms)
+        may_have_run, call.may_have_run = call.may_have_run, True
         try:
             attempt = await self._sender.send(call, endpoint, extra)
         except asyncio.CancelledError:
@@ -147,6 +148,8 @@
             pool.finish(ticket, Outcome(OutcomeKind.CANCELLED, 0.0), now_ms)
             pool.quarantine.ended(call.fingerprint, key)
             raise
+        if attempt.kind in NOT_RUN_KINDS:
+            call.may_have_run = may_have_run
         now_ms = self._clock.monotonic_ms()
         if attempt.kind is OutcomeKind.RESET:
             await pool.learn_of_loss(call.fingerprint, endpoint, self._probe, now_ms)
--- a/azurestep/traffic/proxy.py
+++ b/azurestep/traffic/proxy.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -16,19 +16,21 @@
 from .answers import Refusal, answer_of, not_run
 from .attempt import AttemptSender
 from .call import (
-    BODY_KEPT_MAXIMUM_BYTES,
     Call,
     budget_of,
     host_of,
     is_resend,
     target_of,
 )
+from .caller_connection import has_next
 from .directory import Directory
 from .forward import Forwarder
 from .latency import AddedLatency, LatencySummary
 from .pool import NewsListener, QuarantineNews, ServicePool
-from .single_run import RunResult, run_single
+from .request_body import keep_body
+from .single_run import RunFailed, RunResult, run_single
 from .table import RoutingTable
+from .under_way import STOPPING, Passage, UnderWay
 
 STARTING_RETRY_AFTER_MS = 500.0
 STARTING_WAIT_S = 2.0
@@ -65,15 +67,16 @@
         self._table: RoutingTable | None = None
         self._directory = Directory()
         self._pools: dict[str, ServicePool] = {}
-        self._in_flight = 0
+        self._under_way = UnderWay()
         self._is_draining = False
+        self._is_closed = False
         self.ready = asyncio.Event()
         self.once: OnceHandler | None = None
 
     @property
     def in_flight(self) -> int:
         """Requests that have no whole answer yet, also those run for peers."""
-        return self._in_flight
+        return len(self._under_way)
 
     @property
     def table(self) -> RoutingTable | None:
@@ -99,6 +102,15 @@
         """Ask the callers to go elsewhere: each answer closes its connection."""
         self._is_draining = True
 
+    def close(self) -> None:
+        """Refuse every request that comes from now on, as not run."""
+        self._is_draining = self._is_closed = True
+
+    def give_up(self) -> int:
+        """Bring all requests to a final answer; return how many there were."""
+        self.close()
+        return self._under_way.give_up()
+
     def swap_table(self, table: RoutingTable) -> None:
         """Put a whole new table in force by one assignment."""
         now_ms = self._clock.monotonic_ms()
@@ -154,43 +166,68 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self._in_flight += 1
-        try:
-            result = await self._serve(request)
-        finally:
-            self._in_flight -= 1
+        result = STOPPING if self._is_closed else await self._serve_in_time(request)
         response = answer_of(result) if isinstance(result, Refusal) else result
-        if self._is_draining and not response.prepared:
+        if (
+            self._is_draining
+            and not response.prepared
+            and not has_next(request.protocol)
+        ):
             response.force_close()
         return response
 
+    async def _serve_in_time(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse | Refusal:
+        passage = Passage()
+        try:
+            async with passage.limit:
+                self._under_way.add(passage)
+                return await self._serve(request, passage)
+        except TimeoutError:
+            if not passage.limit.expired():
+                raise
+            return passage.last_answer()
+        finally:
+            self._under_way.remove(passage)
+
     async def _wait_until_ready(self) -> None:
         try:
             await asyncio.wait_for(self.ready.wait(), STARTING_WAIT_S)
         except TimeoutError:
             return
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse | Refusal:
+    async def _serve(
+        self, request: web.BaseRequest, passage: Passage
+    ) -> web.StreamResponse | Refusal:
         if not self.ready.is_set():
             await self._wait_until_ready()
         call = self._match(request)
         if isinstance(call, Refusal):
             return call
+        passage.call = call
         refusal = await self._read_body(request, call)
         if refusal is not None:
             return refusal
         if not call.match.idempotent and self.once is not None:
+            passage.is_at_owner = True
             return await self.once(call)
         return await self.run(request, call)
 
     async def run_single(self, call: Call) -> RunResult:
         """Run a request that must not repeat, once."""
         pool = self._pools[call.match.service.name]
-        self._in_flight += 1
+        passage = Passage(call=call, is_run=True)
         try:
-            return await run_single(pool, self._forwarder, call, self._clock)
+            async with passage.limit:
+                self._under_way.add(passage)
+                return await run_single(pool, self._forwarder, call, self._clock)
+        except TimeoutError:
+            if not passage.limit.expired():
+                raise
+            return RunFailed(bytes_sent=passage.may_have_run)
         finally:
-            self._in_flight -= 1
+            self._under_way.remove(passage)
 
     def _match(self, request: web.BaseRequest) -> Call | Refusal:
         arrived_ms = self._clock.monotonic_ms()
@@ -228,7 +265,7 @@
         remaining_ms = call.remaining_ms(started_ms)
         try:
             async with asyncio.timeout(max(0.0, remaining_ms) / MS_PER_S):
-                refusal = await _keep_body(request, call)
+                refusal = await keep_body(request, call)
         except TimeoutError:
             return not_run(408, "body_too_slow", None)
         call.waited_ms += self._clock.monotonic_ms() - started_ms
@@ -251,26 +288,5 @@
         return await self._forwarder.run(pool, request, call)
 
 
-async def _keep_body(request: web.BaseRequest, call: Call) -> Refusal | None:
-    """Keep the body for retries; one over the bound is streamed, or refused."""
-    body = bytearray()
-    while chunk := await request.content.readany():
-        body += chunk
-        if len(body) <= BODY_KEPT_MAXIMUM_BYTES:
-            continue
-        if not call.match.idempotent:
-            return not_run(413, "body_too_large", None)
-        call.stream = _stream(bytes(body), request)
-        return None
-    call.body = bytes(body)
-    return None
-
-
-async def _stream(kept: bytes, request: web.BaseRequest) -> AsyncIterator[bytes]:
-    yield kept
-    while chunk := await request.content.readany():
-        yield chunk
-
-
 def _ignore(news: QuarantineNews) -> None:
     return
--- a/azurestep/traffic/relay.py
+++ b/azurestep/traffic/relay.py
@@ -18,6 +18,7 @@
 from .backend_answer import BackendAnswer, BodyCutError
 from .call import Call
 from .caller_answer import WrittenCallback, stream_answer, whole_answer
+from .caller_connection import has_next
 
 SMALL_BODY_BYTES = 64 * 1024
 STALL_RESUMABLE_S = 2.0
@@ -111,7 +112,7 @@
 
     async def _relay_stream(self, request: web.BaseRequest) -> web.StreamResponse:
         response = stream_answer(self.answer, self.is_final)
-        if self.call.is_draining:
+        if self.call.is_draining and not has_next(request.protocol):
             response.force_close()
         await response.prepare(request)
         self.on_written()
@@ -121,6 +122,10 @@
             self.end = RelayEnd.CALLER_GONE
             break_connection(request)
             return response
+        except asyncio.CancelledError:
+            # A last answer written behind half a body would pass for its rest.
+            break_connection(request)
+            raise
         if not is_complete:
             self.end = RelayEnd.CUT
             break_connection(request)
--- /dev/null
+++ b/azurestep/traffic/request_body.py
@@ -0,0 +1,29 @@
+"""Body of a caller's request: kept for retries, or streamed."""
+
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+
+from .answers import Refusal, not_run
+from .call import BODY_KEPT_MAXIMUM_BYTES, Call
+
+
+async def keep_body(request: web.BaseRequest, call: Call) -> Refusal | None:
+    """Keep the body for retries; one over the bound is streamed, or refused."""
+    body = bytearray()
+    while chunk := await request.content.readany():
+        body += chunk
+        if len(body) <= BODY_KEPT_MAXIMUM_BYTES:
+            continue
+        if not call.match.idempotent:
+            return not_run(413, "body_too_large", None)
+        call.stream = _stream(bytes(body), request)
+        return None
+    call.body = bytes(body)
+    return None
+
+
+async def _stream(kept: bytes, request: web.BaseRequest) -> AsyncIterator[bytes]:
+    yield kept
+    while chunk := await request.content.readany():
+        yield chunk
--- a/azurestep/traffic/single_run.py
+++ b/azurestep/traffic/single_run.py
@@ -8,6 +8,7 @@
 from ..environment import Clock
 from ..once.messages import Header, KeptAnswer
 from .answers import Refusal
+from .attempt import NOT_RUN_KINDS
 from .backend_answer import BackendAnswer, BodyCutError
 from .call import Call
 from .caller_answer import passed_on
@@ -16,7 +17,6 @@
 
 MS_PER_S = 1000
 ANSWER_MAXIMUM_BYTES = 4 * 1024 * 1024
-NOT_RUN_KINDS = frozenset({OutcomeKind.CONNECT_FAILED, OutcomeKind.SHED})
 
 
 @attrs.frozen
--- a/tests/test_traffic_last_answers.py
+++ b/tests/test_traffic_last_answers.py
@@ -13,7 +13,12 @@
 import pytest_asyncio
 
 from azurestep.config.model import LimitRule
+from azurestep.control.messages import CarriedCall
+from azurestep.environment import Environment
 from azurestep.node import run
+from azurestep.once.messages import Header
+from azurestep.traffic.carried import restore
+from azurestep.traffic.single_run import RunFailed
 from tests.fixtures_traffic import SERVICE
 
 LONG_MS = 6000
@@ -56,7 +61,6 @@
 
     async def stop(rig, last_moment=None):
         others = OtherServices(last_moment)
-        monkeypatch.setattr(rig.traffic._runner, "_shutdown_timeout", 0.2)
         async with asyncio.timeout(ENDS_S):
             await run._drain(others, others, rig.traffic, others, others)
             await rig.traffic.stop()
@@ -120,3 +124,59 @@
         "sent last": [NOT_RUN],
     }
     assert cuts == [4, 0]
+
+
+async def test_an_answer_that_began_is_broken_off_visibly(
+    raw_call, start_backend_server, start_traffic, stop_node, start_raw_server
+):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
+    server = await start_raw_server([head + b"a" * 100_000, LONG_MS / 1000])
+    rig = await start_traffic(server.port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+    writer.write(get("/songs"))
+    begun = await reader.readexactly(1000)
+    cut = await stop_node(rig)
+    rest = await reader.read()
+    writer.close()
+
+    assert verdicts_of(begun + rest) == [RAN]
+    assert set(rest) <= {ord("a")}
+    assert len(rest) <= 100_000
+    assert cut == 1
+
+
+async def test_a_run_for_another_node_is_told_as_it_is(
+    start_backend_server, start_traffic, stop_node, wait_until
+):
+    server = await start_backend_server()
+    rig = await start_traffic(server.address.port, service=NARROW)
+    proxy = rig.traffic.proxy
+    runs = []
+    for number in (1, 2):
+        call = a_call(proxy.table, f"/songs?delay_ms={LONG_MS}")
+        runs.append(asyncio.create_task(proxy.run_single(call)))
+        await wait_until(lambda n=number: proxy.in_flight == n)
+    await wait_until(lambda: server.load().in_flight == 1)
+    await stop_node(rig)
+
+    assert [await run for run in runs] == [RunFailed(True), RunFailed(False)]
+
+
+def a_call(table, target):
+    carried = CarriedCall("GET", target, "x", [Header("Host", "x")], b"")
+    now_ms = Environment().clock.monotonic_ms()
+    return restore(carried, table, LONG_MS, now_ms)
+
+
+async def test_a_late_request_is_served_where_nothing_was_given_up(
+    start_backend_server, start_traffic, stop_node
+):
+    server = await start_backend_server()
+    rig = await start_traffic(server.address.port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+    late = get("/songs?delay_ms=800")
+    assert await stop_node(rig, lambda: writer.write(late)) == 0
+    answer = await reader.read()
+    writer.close()
+
+    assert verdicts_of(answer) == [RAN]
