A test of an answer that is lost with the process, failing

A request counts as done when its answer is written, which may be before its caller has taken it: up to 64 KiB wait in the process. The test gives caller and connection small buffers, has the caller read late, and ends the connection as the end of the process does.

assert 12085 == 60000

(body bytes that the caller of a 60,000 byte answer got)

--- a/tests/test_traffic_last_answers.py
+++ b/tests/test_traffic_last_answers.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import re
+import socket
 
 import attrs
 import pytest_asyncio
@@ -180,3 +181,44 @@
     writer.close()
 
     assert verdicts_of(answer) == [RAN]
+
+
+async def test_the_end_of_an_answer_is_not_lost_with_the_process(
+    start_backend_server, start_traffic, stop_node, wait_until
+):
+    """A caller that read slowly lost the last 64 KiB or less of its answer.
+
+    They stood in the process, behind a full send buffer of the kernel, when it ended.
+    """
+    server = await start_backend_server()
+    rig = await start_traffic(server.address.port)
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, ("127.0.0.1", rig.port))
+    await wait_until(lambda: rig.traffic._runner.server.connections)
+    transport = rig.traffic._runner.server.connections[0].transport
+    accepted = transport.get_extra_info("socket")
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    await loop.sock_sendall(caller, get("/track?bytes=60000"))
+    await wait_until(lambda: transport.get_write_buffer_size() and not in_flight(rig))
+    stopping = asyncio.create_task(stop_node(rig))
+    await asyncio.sleep(0.3)
+    reading = asyncio.create_task(read_all(caller))
+    assert await stopping == 0
+    # What the end of the process does to an open connection.
+    transport.abort()
+    answer = await reading
+    caller.close()
+
+    assert verdicts_of(answer) == [RAN]
+    assert len(answer.partition(b"\r\n\r\n")[2]) == 60_000
+
+
+async def read_all(caller):
+    loop = asyncio.get_running_loop()
+    answer = b""
+    while piece := await loop.sock_recv(caller, 4096):
+        answer += piece
+    return answer
