A node ends when its callers have taken their answers

Cause: a request was done when its answer was written, though up to 64 KiB of it still waited in the process for a slow caller.

Change: a stop waits, within its time, until no open connection has unsent bytes of an answer; what is still unsent then counts as cut (event 6003).

--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -11,7 +11,7 @@
 from ..environment import Environment
 from ..settings import Settings
 from ..traffic.attempt import AttemptSender
-from ..traffic.caller_connection import has_next
+from ..traffic.caller_connection import has_next, has_unsent
 from ..traffic.connections import Connections
 from ..traffic.proxy import Proxy
 from .http import listen
@@ -141,6 +141,7 @@
             return 0
         cut = self.proxy.give_up()
         await self._wait_until_done(LAST_ANSWERS_S)
+        cut += sum(has_unsent(caller) for caller in self._callers())
         events.emit(events.REQUESTS_CUT, requests=cut)
         return cut
 
@@ -157,7 +158,7 @@
         if self.proxy.in_flight:
             return False
         callers = self._callers()
-        return not any(has_next(caller) for caller in callers)
+        return not any(has_next(caller) or has_unsent(caller) for caller in callers)
 
     def _callers(self) -> list[RequestHandler]:
         return self._server.connections if self._server is not None else []
--- a/azurestep/traffic/caller_connection.py
+++ b/azurestep/traffic/caller_connection.py
@@ -9,3 +9,9 @@
     An answer that closes the connection would drop it.
     """
     return bool(connection._messages)
+
+
+def has_unsent(connection: RequestHandler) -> bool:
+    """Return whether bytes of an answer wait for the caller to take them."""
+    transport = connection.transport
+    return transport is not None and transport.get_write_buffer_size() > 0
