The queue beside a stopping node must hand back what the node won't outlast: tests

Four reads wait beside a node that gets SIGTERM, their runs take 3 s, another server is free: a second later none of them is answered (assert [] == [200, 200, 200, 200]).

--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -202,3 +202,24 @@
     held = held_ms(load=2.0)
     assert len(held) > 500
     assert sum(held) / len(held) < 2.0, "12 ms when late requests were kept waiting"
+
+
+def test_nothing_starts_that_would_outlast_the_node_beside_the_server() -> None:
+    admission = Admission(slots=2)
+    admission.learn("read", 500.0)
+    admission.closes_ms = 1000.0
+    assert admission.offer(ticket(objective_ms=9000.0), 400.0) is True
+    refused = admission.offer(ticket(arrived_ms=600.0, objective_ms=9000.0), 600.0)
+    assert isinstance(refused, Refused)
+
+
+def test_what_its_turn_would_come_too_late_for_leaves_the_queue_of_a_stop() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 500.0)
+    first, second, third = (ticket(objective_ms=9000.0) for _ in range(3))
+    for one in (first, second, third):
+        one.deadline_at_ms = 9000.0
+        admission.offer(one, 0.0)
+    assert admission.late(0.0) == []
+    admission.closes_ms = 1200.0
+    assert admission.late(0.0) == [third]
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -26,6 +26,7 @@
     caller_headers,
     document,
 )
+from .test_mesh_doubt import reopen
 from .test_mesh_faults import eventually
 from .test_mesh_refusals import only
 
@@ -171,3 +172,27 @@
     transport.resume_reading()
     assert [status for status, _ in await asyncio.gather(*calls)] == [200] * 40
     await ended
+
+
+def learn_run_ms(instance: MeshInstance, run_ms: float) -> None:
+    """Have a node know how long the reads of its server take."""
+    for _ in range(60):
+        instance.node.inbound.admission.learn("read", run_ms)
+
+
+async def test_what_waits_beside_a_stopping_node_goes_elsewhere_at_once(
+    patient: MeshFleet,
+) -> None:
+    stopping, other, asking = patient.instances
+    await only(patient, stopping)
+    learn_run_ms(stopping, 3000)
+    stopping.server.work_s = 3.0
+    names = [f"q{index}" for index in range(8)]
+    calls = [asyncio.create_task(read(patient, asking, name)) for name in names]
+    await eventually(lambda: stopping.node.inbound.admission.busy == len(names))
+    await reopen(patient, other)
+    stopping.node.stop()
+    done, _ = await asyncio.wait(calls, timeout=1.0)
+    assert [call.result() for call in done] == [200] * 4
+    assert sum(other.server.runs[name] for name in names) == 4
+    assert await asyncio.gather(*calls) == [200] * 8
