--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -1,34 +1,30 @@
 """One attempt of a caller: choose, send, try elsewhere, answer."""
 
-import asyncio
-
 from ...http.server import Exchange
 from ...platform.headers import CallerFields
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
 from ..decisions.admission import RETRY_LEAST_MS
-from ..decisions.choice import Endpoint, Wish
 from ..decisions.returning import Attempt
 from ..links.interfaces import Stream
-from ..messages import Answer, Failure, Reason, Refusal, Request
+from ..messages import Answer, Failure, Reason, Refusal
 from .answer_writer import AnswerWriter
-from .body import BUFFER_BYTES, BULK_BYTES, RequestBody
+from .body import BUFFER_BYTES, RequestBody
 from .context import CallContext, Target
+from .deadline import Deadline
+from .ending import GATEWAY_TIMEOUT, Ending
 from .former_run import FormerRun
-from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
+from .outgoing import Outgoing
+from .own_answers import RETRY_WITHOUT_BACKEND_MS
 from .placement import Placement
 from .record import GOOD_BELOW, CallRecord
 
 ASKED_MOST = 4
 """Most nodes that are asked for one request before its caller is refused."""
-NO_ROOM = frozenset({Reason.OVERLOADED, Reason.TOO_LATE})
 WITHDRAWAL_MS = 50.0
 """Longest wait at the deadline for the word whether a request ran: ten times the round
 trip between data centres that was measured (3 ms), and a fifth of the time by which an
 answer past its timeout counts as held."""
 SERVER_ERROR = 500
-GATEWAY_TIMEOUT = 504
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
 
 
 class Call:
@@ -52,10 +48,9 @@
             caller.request_id, route, target.service, target.version, attempt, now_ms
         )
         budget_ms = min(caller.budget_ms or route.timeout_ms, route.timeout_ms)
-        self._deadline_ms = now_ms + budget_ms
-        self.ends_ms = min(self._deadline_ms, context.answer_by_ms)
         self.done = False
         self._body = RequestBody()
+        self._outgoing = Outgoing(context, exchange, caller, self.record, self._body)
         self._placement = Placement(context, target.service)
         self._stream: Stream | None = None
         self._former: FormerRun | None = None
@@ -64,7 +59,10 @@
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
-        self._timer = self._call_at(self.ends_ms)
+        self._ending = Ending(context, exchange, self.record, self._writer)
+        self._deadline = Deadline(
+            context.runtime, now_ms + budget_ms, context.answer_by_ms, self._on_timer
+        )
         context.under_way.add(self)
 
     # From the caller's connection.
@@ -95,9 +93,8 @@
         """Stop the request; its caller left."""
         if self.done:
             return
-        self.record.log_gone(self._now_ms())
-        self.context.runtime.metrics.count("calls", "gone")
         self._close(cancel=True)
+        self._ending.gone()
 
     def on_writable(self) -> None:
         """Grant the other end more bytes of the answer."""
@@ -108,19 +105,11 @@
     def _dispatch(self) -> None:
         context = self.context
         now_ms = context.runtime.now_ms()
-        wish = Wish(
-            self.service,
-            self.route.name,
-            self.record.objective_ms(now_ms),
-            context.usual.get(self.route.name),
-            self._size_kib(),
-            context.members.data_centre,
-        )
-        endpoint = self._placement.choose(wish, now_ms)
+        endpoint = self._placement.choose(self._outgoing.wish(now_ms), now_ms)
         if endpoint is None:
             self._give_up()
             return
-        request = self._request(now_ms, endpoint)
+        request = self._outgoing.request(now_ms, self._deadline.ends_ms, endpoint)
         if context.crashes.refuses(request, now_ms):
             self._refuse(Reason.QUARANTINED, CRASH_RETRY_MS)
             return
@@ -135,51 +124,6 @@
         elif not self.done and self._placement.endpoint is endpoint:
             self._stream = stream
 
-    def _size_kib(self) -> float:
-        """Return the size of the request's body and its likely answer."""
-        body_bytes = max(self._body.size_bytes, self.exchange.length)
-        return self.context.sizes.kib(self.route.name) + body_bytes / 1024
-
-    def _request(self, now_ms: float, endpoint: Endpoint) -> Request:
-        exchange, route = self.exchange, self.route
-        bulk = self._sends_later(endpoint)
-        return Request(
-            exchange.method,
-            exchange.target,
-            self.caller.forwarded,
-            self.service,
-            endpoint.incarnation.instance_id,
-            route.name,
-            self.caller.request_id,
-            self.context.calling_service.encode(),
-            route.idempotent,
-            route.priority,
-            self.ends_ms - now_ms,
-            self.record.objective_ms(now_ms),
-            now_ms,
-            -1 if exchange.chunked else exchange.length,
-            self._body.whole and not bulk,
-            b"" if bulk else self._body.content(),
-            endpoint.incarnation.born_ms,
-            self.context.usual.known(route.name),
-            held=not self._body.streamed and (bulk or not self._is_movable()),
-        )
-
-    def _is_movable(self) -> bool:
-        """Whether the request may go elsewhere on a mere doubt, once it was let go.
-
-        Not if its answer is long: probes wait behind long answers on a narrow link, and
-        a download that was sent again for that filled another link too. With 90 KB on
-        links of 7.5 Mbit/s, a day of high load was worth 0.14 so, 0.36 with downloads
-        that wait. They are run again after a failure that is certain.
-        """
-        answer_bytes = self.context.sizes.kib(self.route.name) * 1024
-        return self.route.idempotent and answer_bytes <= BULK_BYTES
-
-    def _sends_later(self, endpoint: Endpoint) -> bool:
-        """Whether the body is sent only once the other node asks for it."""
-        return self._body.is_bulk and not self.context.members.is_own(endpoint)
-
     def _send_body(self, data: bytes, whole: bool) -> None:
         if self._stream is None:
             return
@@ -199,7 +143,7 @@
         endpoint = self._placement.endpoint
         if self._stream is None or endpoint is None:
             return
-        if self._sends_later(endpoint):
+        if self._outgoing.sends_later(endpoint):
             self._stream.body(self._body.content(), True)
 
     def on_doubt(self, let_go: bool) -> None:
@@ -223,7 +167,7 @@
         self._dispatch()
 
     def _doubt_allows_run(self) -> bool:
-        if self._former is not None or not self._is_movable():
+        if self._former is not None or not self._outgoing.is_movable():
             return False
         self.record.runs += 1
         if self._may_run_again():
@@ -309,9 +253,8 @@
         if endpoint is not None:
             self._placement.avoid(endpoint)
         if self._writer.started:
-            self.record.log_failed(0, reason, self._now_ms())
             self._close(cancel=False)
-            self._writer.break_off()
+            self._ending.failed(reason)
         elif (
             self.route.idempotent and not self._body.streamed and self._may_run_again()
         ):
@@ -366,7 +309,8 @@
             size_bytes = max(answer.length, len(answer.body))
             self.context.sizes.learn(self.route.name, size_bytes)
         if answer.whole:
-            self._ended(answer.status)
+            self._close(cancel=False)
+            self._ending.answered(answer.status)
             self._writer.whole(answer)
             return
         self.record.log_end(answer.status, self._now_ms())
@@ -384,7 +328,10 @@
 
     def _may_run_again(self) -> bool:
         now_ms = self._now_ms()
-        if self.record.runs >= self.route.max_attempts or now_ms >= self.ends_ms:
+        if (
+            self.record.runs >= self.route.max_attempts
+            or now_ms >= self._deadline.ends_ms
+        ):
             return False
         if self.record.asked >= ASKED_MOST:
             return False
@@ -401,15 +348,8 @@
         if self._may_have_run:
             self._fail(reason)
             return
-        self.record.log_refused(UNAVAILABLE, reason, self._now_ms())
-        self.context.runtime.metrics.count("calls", "refused")
-        if reason in NO_ROOM:
-            self.context.refusals.refused(self.route.name)
-        self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
-        answer_refused(
-            self.context.runtime, self.exchange, self.caller.request_id, retry_ms
-        )
+        self._ending.refused(reason, retry_ms)
 
     def _fail(self, reason: Reason) -> None:
         if self._return_to_former():
@@ -418,23 +358,13 @@
             answer, self._fallback = self._fallback, None
             self._pass_on(answer)
             return
-        self.record.log_failed(BAD_GATEWAY, reason, self._now_ms())
-        self.context.runtime.metrics.count("calls", "failed")
-        self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
-        self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
+        self._ending.failed(reason)
 
     def end_by(self, answer_by_ms: float) -> None:
-        """Answer by then: this node is stopping.
-
-        Without it, a node ended under requests that waited elsewhere for longer than it
-        lived: eight of eight callers with requests of 8.5 s lost their connection.
-        """
-        if answer_by_ms >= self.ends_ms or self._withdrawn:
-            return
-        self.ends_ms = answer_by_ms
-        self._timer.cancel()
-        self._timer = self._call_at(answer_by_ms)
+        """Answer by then: this node is stopping."""
+        if not self._withdrawn:
+            self._deadline.end_by(answer_by_ms)
 
     def _on_timer(self) -> None:
         try:
@@ -452,14 +382,12 @@
         """
         if self.done:
             return
-        now_ms = self._now_ms()
-        if self._writer.started and now_ms < self._deadline_ms:
-            self._timer = self._call_at(self._deadline_ms)
+        if self._writer.started and self._deadline.wait_for_caller():
             return
         stream = self._stream
         if stream is not None and stream.may_run and not self._asks_whether_it_ran():
             self._withdrawn = True
-            self._timer = self._call_at(now_ms + WITHDRAWAL_MS)
+            self._deadline.extend(WITHDRAWAL_MS)
             stream.withdraw()
         elif self._writer.started or (stream is not None and stream.may_run):
             self._time_out()
@@ -478,55 +406,28 @@
 
     def _late_reason(self, reason: Reason) -> Reason:
         """Return the reason at the deadline, or that this node's stop set it."""
-        stopped = self.ends_ms < self._deadline_ms
-        return Reason.STOPPING if stopped else reason
+        return Reason.STOPPING if self._deadline.set_by_stop else reason
 
     def _time_out(self) -> None:
-        reason = self._late_reason(Reason.TIMEOUT)
-        self.record.log_failed(GATEWAY_TIMEOUT, reason, self._now_ms())
-        self.context.runtime.metrics.count("calls", "timeout")
-        self.context.returning.remember(self.record.attempt)
         self._close(cancel=True)
-        if self._writer.started:
-            self._writer.break_off()
-        else:
-            self.exchange.answer(GATEWAY_TIMEOUT, self._id_header(), b"")
+        self._ending.failed(self._late_reason(Reason.TIMEOUT), GATEWAY_TIMEOUT)
 
     def log_cut(self) -> None:
         """Log that the node ends before the answer; its connection ends with it."""
-        self.record.log_failed(0, Reason.STOPPING, self._now_ms())
+        self._ending.cut()
 
     def on_fault(self) -> None:
         """Answer 502 after a fault of this program: the request may have run."""
         if self.exchange.finished:
             return
-        runtime = self.context.runtime
-        runtime.contain("call", self._count_fault)
-        runtime.contain("call", self._close, True)
+        self.context.runtime.contain("call", self._close, True)
         self.done = True
-        if self.exchange.started:
-            self.exchange.break_off()
-        else:
-            self.exchange.answer(BAD_GATEWAY, self._id_header(), b"")
-
-    def _count_fault(self) -> None:
-        self.record.log_failed(BAD_GATEWAY, Reason.FAULT, self._now_ms())
-        self.context.runtime.metrics.count("calls", "failed")
-        self.context.returning.remember(self.record.attempt)
-
-    def _ended(self, status: int) -> None:
-        runtime = self.context.runtime
-        runtime.metrics.call_ms.record(runtime.now_ms() - self.record.arrived_ms)
-        runtime.metrics.count("calls", "good" if status < GOOD_BELOW else "error")
-        if status >= GOOD_BELOW:
-            self.context.returning.remember(self.record.attempt)
-        self.record.log_end(status, self._now_ms())
-        self._close(cancel=False)
+        self._ending.fault()
 
     def _close(self, cancel: bool) -> None:
         self.done = True
         self.context.under_way.discard(self)
-        self._timer.cancel()
+        self._deadline.cancel()
         self._placement.leave()
         self._drop_former()
         stream, self._stream = self._stream, None
@@ -536,16 +437,8 @@
         self.exchange.connection.resume_reading()
         self.exchange.sink = None
 
-    def _call_at(self, time_ms: float) -> asyncio.TimerHandle:
-        runtime = self.context.runtime
-        wait_s = (time_ms - runtime.now_ms()) / 1000
-        return runtime.loop.call_later(wait_s, self._on_timer)
-
     def _now_ms(self) -> float:
         return self.context.runtime.now_ms()
 
-    def _id_header(self) -> list[tuple[bytes, bytes]]:
-        return id_header(self.caller.request_id)
-
     def _log_retry(self, reason: Reason, status: int = 0) -> None:
         self.record.log_retried(status, reason, self._now_ms())
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -11,8 +11,9 @@
 from ..decisions.pressure import PressureView
 from ..messages import Reason
 from ..runtime import Runtime
-from .call import UNAVAILABLE, Call
+from .call import Call
 from .context import CallContext, Target
+from .ending import UNAVAILABLE
 from .own_answers import RETRY_WITHOUT_BACKEND_MS, answer_refused, id_header
 
 RETRY_SHED_MS = 120.0
--- /dev/null
+++ b/azurestep/mesh/callers/outgoing.py
@@ -0,0 +1,81 @@
+"""What an attempt asks of a backend server, and the request that goes there."""
+
+import attrs
+
+from ...http.server import Exchange
+from ...platform.headers import CallerFields
+from ..decisions.choice import Endpoint, Wish
+from ..messages import Request
+from .body import BULK_BYTES, RequestBody
+from .context import CallContext
+from .record import CallRecord
+
+
+@attrs.define(slots=True, eq=False)
+class Outgoing:
+    """Makes the requests of one attempt, one for each backend server asked."""
+
+    context: CallContext
+    exchange: Exchange
+    caller: CallerFields
+    record: CallRecord
+    body: RequestBody
+
+    def wish(self, now_ms: float) -> Wish:
+        """Return what the backend server is chosen by."""
+        context, route = self.context, self.record.route.name
+        return Wish(
+            self.record.service,
+            route,
+            self.record.objective_ms(now_ms),
+            context.usual.get(route),
+            self._size_kib(),
+            context.members.data_centre,
+        )
+
+    def request(self, now_ms: float, ends_ms: float, endpoint: Endpoint) -> Request:
+        """Return the request for a backend server, which has until ``ends_ms``."""
+        exchange, body = self.exchange, self.body
+        record, route = self.record, self.record.route
+        bulk = self.sends_later(endpoint)
+        return Request(
+            exchange.method,
+            exchange.target,
+            self.caller.forwarded,
+            record.service,
+            endpoint.incarnation.instance_id,
+            route.name,
+            record.request_id,
+            self.context.calling_service.encode(),
+            route.idempotent,
+            route.priority,
+            ends_ms - now_ms,
+            record.objective_ms(now_ms),
+            now_ms,
+            -1 if exchange.chunked else exchange.length,
+            body.whole and not bulk,
+            b"" if bulk else body.content(),
+            endpoint.incarnation.born_ms,
+            self.context.usual.known(route.name),
+            held=not body.streamed and (bulk or not self.is_movable()),
+        )
+
+    def is_movable(self) -> bool:
+        """Whether the request may go elsewhere on a mere doubt, once it was let go.
+
+        Not if its answer is long: probes wait behind long answers on a narrow link, and
+        a download that was sent again for that filled another link too. With 90 KB on
+        links of 7.5 Mbit/s, a day of high load was worth 0.14 so, 0.36 with downloads
+        that wait. They are run again after a failure that is certain.
+        """
+        answer_bytes = self.context.sizes.kib(self.record.route.name) * 1024
+        return self.record.route.idempotent and answer_bytes <= BULK_BYTES
+
+    def sends_later(self, endpoint: Endpoint) -> bool:
+        """Whether the body is sent only once the other node asks for it."""
+        return self.body.is_bulk and not self.context.members.is_own(endpoint)
+
+    def _size_kib(self) -> float:
+        """Return the size of the request's body and its likely answer."""
+        body_bytes = max(self.body.size_bytes, self.exchange.length)
+        return self.context.sizes.kib(self.record.route.name) + body_bytes / 1024
