--- a/azurestep/cli/commands/lines.py
+++ b/azurestep/cli/commands/lines.py
@@ -35,6 +35,6 @@
 def run_faults_command(options: FaultsOptions, environment: Environment) -> ExitStatus:
     """Tell which faults of the program came; any makes the status one of error."""
     found = read_files(options.files)
-    result = find_faults(found.lines, found.unreadable)
+    result = find_faults(found.lines, found.damaged)
     write_result(result, options.as_json, environment)
-    return ExitStatus.ERROR if result.faults else ExitStatus.OK
+    return ExitStatus.ERROR if result.faults or result.damaged else ExitStatus.OK
--- a/azurestep/lines/faults.py
+++ b/azurestep/lines/faults.py
@@ -1,7 +1,7 @@
 """What the lines tell of faults of the program itself. Pure."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -17,6 +17,8 @@
         events.PEER_MALFORMED,
     )
 )
+MARKS = tuple(b'"event":%d,' % number for number in sorted(FAULT_EVENTS))
+"""Beginnings of their lines."""
 
 
 @attrs.frozen(slots=True)
@@ -57,14 +59,27 @@
         Ordered by event, the most frequent first.
     unreadable : int
         Lines that can't be read.
+    damaged : int
+        How many of these tell of a fault too; a collector may cut lines.
     """
 
     faults: list[ProgramFault]
     unreadable: int
+    damaged: int
 
 
-def find_faults(lines: Iterable[LogLine], unreadable: int = 0) -> FaultsResult:
-    """Count the faults in lines that are in the order of their times."""
+def find_faults(
+    lines: Iterable[LogLine], damaged: Collection[bytes] = ()
+) -> FaultsResult:
+    """Count the faults in lines that are in the order of their times.
+
+    Parameters
+    ----------
+    lines : iterable of LogLine
+        What was read.
+    damaged : collection of bytes
+        The texts that could not be read.
+    """
     first: dict[tuple[int, str, str], LogLine] = {}
     counts: Counter[tuple[int, str, str]] = Counter()
     for line in lines:
@@ -74,7 +89,8 @@
             counts[key] += 1
     faults = [_fault(line, counts[key]) for key, line in first.items()]
     faults.sort(key=lambda fault: (fault.event, -fault.count, fault.node, fault.place))
-    return FaultsResult(faults, unreadable)
+    told = sum(1 for text in damaged if any(mark in text for mark in MARKS))
+    return FaultsResult(faults, len(damaged), told)
 
 
 def _fault(line: LogLine, count: int) -> ProgramFault:
--- a/azurestep/lines/reader.py
+++ b/azurestep/lines/reader.py
@@ -86,10 +86,15 @@
 
 @attrs.frozen(slots=True)
 class LineFile:
-    """The lines of one file, and how many could not be read."""
+    """The lines of some files, and the texts that could not be read."""
 
     lines: list[LogLine]
-    unreadable: int
+    damaged: list[bytes]
+
+    @property
+    def unreadable(self) -> int:
+        """How many could not be read."""
+        return len(self.damaged)
 
 
 def read_files(paths: Iterable[pathlib.Path]) -> LineFile:
@@ -101,16 +106,16 @@
         If a file can't be opened.
     """
     found: list[LogLine] = []
-    unreadable = 0
+    damaged: list[bytes] = []
     for path in paths:
         for line in _texts(path):
             decoded = decode_line(line, path.stem)
             if isinstance(decoded, LogLine):
                 found.append(decoded)
             elif decoded:
-                unreadable += 1
+                damaged.append(line)
     found.sort(key=lambda line: line.time)
-    return LineFile(found, unreadable)
+    return LineFile(found, damaged)
 
 
 def _texts(path: pathlib.Path) -> Iterator[bytes]:
--- a/azurestep/output/lines.py
+++ b/azurestep/output/lines.py
@@ -72,7 +72,7 @@
 
 @render.register
 def _faults(result: FaultsResult) -> str:
-    parts = ["No fault of the program."]
+    parts = [] if result.damaged else ["No fault of the program."]
     if result.faults:
         rows = [
             [fault.event, fault.node, fault.place or NONE, fault.count, fault.cause]
@@ -82,7 +82,10 @@
         parts = [format_table(headers, rows)]
     parts += [_traceback(fault) for fault in result.faults if fault.traceback]
     if result.unreadable:
-        parts.append(f"Lines that can't be read: {result.unreadable}.")
+        parts.append(
+            f"Lines that can't be read: {result.unreadable};"
+            f" {result.damaged} of them tell of a fault too."
+        )
     return "\n\n".join(parts)
 
 
--- a/tests/test_lines_faults.py
+++ b/tests/test_lines_faults.py
@@ -53,7 +53,7 @@
     status, shown = run("faults", str(source))
     assert (status, shown) == (ExitStatus.OK, "No fault of the program.\n")
     status, shown = run("faults", str(source), "--json")
-    assert orjson.loads(shown) == {"faults": [], "unreadable": 0}
+    assert orjson.loads(shown) == {"faults": [], "unreadable": 0, "damaged": 0}
 
 
 def test_a_collectors_prefix_names_the_node(source: pathlib.Path) -> None:
@@ -72,7 +72,18 @@
 
 def test_damaged_lines_are_told(source: pathlib.Path) -> None:
     source.write_text('{"event"\n')
-    assert "can't be read: 1" in run("faults", str(source))[1]
+    status, shown = run("faults", str(source))
+    assert status == ExitStatus.OK
+    assert "can't be read: 1; 0 of them" in shown
+
+
+def test_a_fault_in_a_line_that_was_cut_is_not_passed_over(
+    source: pathlib.Path,
+) -> None:
+    source.write_text(text(FAULT, 1, cause="KeyError()")[:-20] + "\n")
+    status, shown = run("faults", str(source))
+    assert status == ExitStatus.ERROR
+    assert "can't be read: 1; 1 of them" in shown
 
 
 async def test_a_fault_of_a_fleet_is_shown_with_its_traceback(
