--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -55,6 +55,13 @@
         self.loop.call_soon(_run_whole, work)
 
 
+class OpenRuntime(ManualRuntime):
+    """Lets a test see the errors of what is called from the loop."""
+
+    def soon(self, act: Callable[[], None]) -> None:
+        self.loop.call_soon(act)
+
+
 def _run_whole(work: Coroutine[Any, Any, None]) -> None:
     try:
         work.send(None)
@@ -173,13 +180,13 @@
     )
 
 
-def make_beside(slots: int = 4) -> Beside:
+def make_beside(slots: int = 4, runtime: type[ManualRuntime] = ManualRuntime) -> Beside:
     """Return a backend server that has just announced itself."""
     loop = ManualLoop()
     backend = Backend(DRAIN_MS)
     backend.announce(attrs.evolve(BEAT, slots=slots), 0.0)
     inbound = ManualInbound(
-        ManualRuntime(loop),  # type: ignore[arg-type]
+        runtime(loop),  # type: ignore[arg-type]
         ("127.0.0.1", 1),
         backend,
         lambda: None,
