Let the soak's node that never answers be broken where answers are written

The method that it took out stands in another class now. The node still answers nothing (the check that requests are answered in time sees it, as before).

--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -73,7 +73,6 @@
 
 def never_answer() -> None:
     """Leave each request unanswered."""
-    call.Call._ended = lambda self, status: None  # type: ignore[method-assign]
     call.Call._on_timeout = lambda self: None  # type: ignore[method-assign]
     AnswerWriter.whole = lambda self, answer: None  # type: ignore[method-assign]
 
