A closing listener serves the connections that wait at it

Cause: the kernel completes connections on its own. Those that the event loop had not accepted when the listener was closed were reset, with the requests that their callers had sent.

Change: the listening socket is kept open by a copy while the server is closed; what waits is accepted from the copy and served, then the copy is closed. What is left of the race are the microseconds between the last accept and the close.

--- a/azurestep/node/traffic.py
+++ b/azurestep/node/traffic.py
@@ -9,15 +9,17 @@
 
 from .. import events
 from ..environment import Environment
+from ..errors import PortInUseError
+from ..listening import close_listener
 from ..settings import Settings
 from ..traffic.attempt import AttemptSender
 from ..traffic.caller_connection import has_next, has_unsent
 from ..traffic.connections import Connections
 from ..traffic.proxy import Proxy
-from .http import listen
 from .messages import DirectoryReady, QuarantineLearned, TableReady, TrafficInput
 
 TICK_S = 0.05
+BACKLOG = 128
 KEEP_ALIVE_S = 75.0
 SWEEP_S = 1.0
 READY_CHECK_S = 0.02
@@ -50,6 +52,7 @@
         self.proxy = Proxy(settings, sender, environment.clock, environment.random)
         self._runner: web.ServerRunner | None = None
         self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen and take tables and directories until stopped."""
@@ -88,9 +91,19 @@
         )
         self._server = server
         self._runner = web.ServerRunner(server, shutdown_timeout=CLOSE_S)
-        await listen(
-            self._runner, self.settings.host, self.settings.traffic_port, "traffic_port"
-        )
+        await self._runner.setup()
+        host, port = self.settings.host, self.settings.traffic_port
+        loop = asyncio.get_running_loop()
+        try:
+            self._listener = await loop.create_server(
+                server, host, port, reuse_address=True, backlog=BACKLOG
+            )
+        except OSError as error:
+            await self._runner.cleanup()
+            raise PortInUseError(
+                f"traffic_port {host}:{port} can't be used: {error.strerror or error}",
+                "Free the port or set another traffic_port",
+            ) from error
 
     async def _take_inputs(self) -> None:
         while True:
@@ -124,9 +137,9 @@
 
     async def stop_listening(self) -> None:
         """Accept no further connection; open ones stay."""
-        if self._runner is not None:
-            for site in list(self._runner.sites):
-                await site.stop()
+        listener, self._listener = self._listener, None
+        if listener is not None and self._server is not None:
+            await close_listener(listener, self._server)
 
     async def finish(self, timeout_s: float) -> int:
         """Wait until every request is answered and its caller has the answer.
