Soak: requests that outlast a stop, cuts that never ran, the nodes' own faults

Why it never saw what a stopped node left unanswered: all requests ended within 2 s, far below the grace of 6 s; its client sent cut reads again by itself; a request that had not run did not count; no process was killed at the end of its grace; and stops among other faults are mostly excused by these.

Change: three more callers a node send reads, payments and uploads of 200 KB that run 2 to 7 s with a deadline of 8 s; nothing is sent again; a caller that gives up counts as unanswered; SIGKILL follows SIGTERM after 6 s; each plan ends with one stop, 6 s after the last fault. `planned_stops_cut_nothing` counts each whole request without answer or refusal. `programs_have_no_faults` reads the nodes' lines (the list of `azurestep faults`) and finds crashes.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,10 +11,11 @@
 DRAIN_S = 2.0
 PROPAGATION_S = 2.0
 STABILITY_S = 3.0
-ANSWER_S = 2.5
-"""Longest that a caller may wait: its deadline of 2 s, and half a second."""
+LATE_S = 0.5
+"""Time past its deadline for which a caller may wait."""
 RECOVERED_SHARE = 0.9
 FEW_CALLS = 20
+CAUSE_SHOWN = 200
 Check = Callable[[Observations], Iterator[str]]
 
 
@@ -44,7 +45,7 @@
 def answers_come_in_time(seen: Observations) -> Iterator[str]:
     """Yield requests that a running node left unanswered past their deadline."""
     for call in seen.calls:
-        late = call.ended_s - call.sent_s > ANSWER_S
+        late = call.ended_s - call.sent_s > call.deadline_s + LATE_S
         if late and not seen.troubled(call.node, call.sent_s - 1, call.ended_s):
             yield f"{call.name} waited {call.ended_s - call.sent_s:.1f} s"
 
@@ -88,14 +89,28 @@
 
 
 def planned_stops_cut_nothing(seen: Observations) -> Iterator[str]:
-    """Yield requests that ran and were cut, with no more than planned stops near."""
+    """Yield requests left unanswered, with no more than planned stops near."""
     ran = {arrival.name for arrival in seen.arrivals}
     for call in seen.calls:
         unplanned = seen.troubled(
             call.node, call.sent_s - STABILITY_S, call.ended_s, planned=False
         )
-        if call.status == 0 and call.name in ran and not unplanned:
-            yield f"{call.name} ran, and its connection ended without an answer"
+        if call.status == 0 and not unplanned:
+            came = "ran" if call.name in ran else "did not run"
+            after_s = call.ended_s - call.sent_s
+            yield (
+                f"{call.name} ({call.path}, sent {call.sent_s:.2f} s to {call.node})"
+                f" {came}, and after {after_s:.2f} s there was no answer or refusal"
+            )
+
+
+def programs_have_no_faults(seen: Observations) -> Iterator[str]:
+    """Yield faults of the program that the nodes' lines tell of, promise or not."""
+    for fault in seen.faults:
+        told = f"event {fault.event} {fault.count} times, {fault.message}"
+        yield f"{fault.node}: {told}: {fault.cause[:CAUSE_SHOWN]}"
+    for node in seen.crashes:
+        yield f"{node} ended by an error, see its traceback"
 
 
 def fleet_recovers(seen: Observations) -> Iterator[str]:
@@ -117,6 +132,7 @@
     versions_come_in_force,
     versions_never_go_back,
     planned_stops_cut_nothing,
+    programs_have_no_faults,
     fleet_recovers,
 )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -72,8 +72,16 @@
 
 @strike.register
 async def _(fault: plan.Stop, stage: Stage) -> None:
+    instance = stage.instance(fault)
     stage.note(fault, fault.target, planned=True)
-    stage.instance(fault).send(signal.SIGTERM)
+    process = instance.process
+    instance.send(signal.SIGTERM)
+    end_s = stage.now_s() + plan.STOP_LASTS_S
+    while instance.process is process and instance.running:
+        await asyncio.sleep(0.05)
+        if stage.now_s() > end_s:
+            instance.send(signal.SIGKILL)
+            return
 
 
 @strike.register
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,12 +18,15 @@
 from standins.silent_proxy import SilentProxy
 from standins.store import StoreStandIn
 
+from .plan import STOP_LASTS_S
+
 CALLER_PORT, PEER_PORT, PEER_LISTEN_PORT, READY_PORT = 7201, 7202, 7203, 7204
 ANNOUNCE_PORT, METRICS_PORT, BACKEND_PORT, STORE_PORT = 7205, 7206, 7207, 7208
 NODE = ("-m", "azurestep", "sidecar")
 HEARTBEAT_S = 0.5
 WORK_S = 0.06
 ACKNOWLEDGED_WITHIN_S = 1.0
+LONG_PATH, LONG_PAYMENT_PATH = "/long/", "/long-pay/"
 OK = 200
 
 
@@ -51,6 +54,23 @@
         "route_kind": "unsafe",
         "priority": 1,
     }
+    long = {
+        **common,
+        "aim": f"{STOP_LASTS_S:.0f}s",
+        "timeout": f"{2 * STOP_LASTS_S:.0f}s",
+    }
+    routes["long"] = {
+        **long,
+        "path_prefix": LONG_PATH,
+        "route_kind": "safe",
+        "priority": 2,
+    }
+    routes["long-pay"] = {
+        **long,
+        "path_prefix": LONG_PAYMENT_PATH,
+        "route_kind": "unsafe",
+        "priority": 1,
+    }
     return orjson.dumps(
         {
             "version": version,
@@ -130,7 +150,7 @@
             "announce_address": f"{host}:{ANNOUNCE_PORT}",
             "backend_address": f"{host}:{BACKEND_PORT}",
             "metrics_port": METRICS_PORT,
-            "bounds": {"drain": "2s", "grace": "6s"},
+            "bounds": {"drain": "2s", "grace": f"{STOP_LASTS_S:.0f}s"},
             "store": {"address": f"{self.store.host}:{self.store.port}"},
         }
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,6 +10,11 @@
 """Time after the last fault: stability of 3 s, then what recovery is judged by."""
 LONGEST_S = 2.5
 SHORTEST_S = 0.3
+STOP_LASTS_S = 6.0
+"""Time that a stopping process has before it is killed."""
+QUIET_S = 6.0
+"""Time from the last fault to the stop at the end. What is sent in its last second
+is excused by no fault; stops among other faults mostly are."""
 GAP_S = 1.2
 """Mean pause between two faults; with durations up to 2.5 s, many overlap."""
 
@@ -47,6 +52,11 @@
 class Stop(Fault):
     """SIGTERM; the process starts again once it has ended."""
 
+    @property
+    def end_s(self) -> float:
+        """When the process has ended at the latest."""
+        return self.at_s + STOP_LASTS_S
+
 
 class Silence(Fault):
     """Open links to the node swallow all bytes; new ones work."""
@@ -137,7 +147,7 @@
 
 
 def draw(seed: int, instances: int, faults: int) -> Plan:
-    """Draw a plan.
+    """Draw a plan: faults, and when they are over, the stop of one node.
 
     Examples
     --------
@@ -145,7 +155,7 @@
     >>> plan == draw(seed=7, instances=4, faults=3)
     True
     >>> len(plan.faults)
-    3
+    4
     """
     random = Random(seed)
     at_s = SETTLE_S
@@ -155,4 +165,6 @@
         for_s = random.uniform(SHORTEST_S, LONGEST_S)
         drawn.append(kind(at_s, for_s, random.randrange(instances)))
         at_s += random.expovariate(1 / GAP_S)
+    over_s = max((fault.end_s for fault in drawn), default=0.0) + QUIET_S
+    drawn.append(Stop(over_s, SHORTEST_S, random.randrange(instances)))
     return Plan(seed, instances, tuple(drawn))
--- a/soak/records.py
+++ b/soak/records.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from azurestep.lines.faults import ProgramFault
+
 
 @attrs.frozen
 class Call:
@@ -14,9 +16,11 @@
     sent_s, ended_s : float
         By the event loop.
     status : int
-        Answer's status; 0 if the connection ended without one, -1 if there was none.
+        Answer's status; 0 if none came over a connection, -1 if there was none.
     own : bool
         Whether the answer names this request and its body is the one owed.
+    deadline_s : float
+        Time for which its caller said that it waits.
     """
 
     name: str
@@ -27,6 +31,7 @@
     ended_s: float
     status: int
     own: bool
+    deadline_s: float = 2.0
 
 
 @attrs.frozen
@@ -75,13 +80,23 @@
 
 @attrs.define
 class Observations:
-    """All that was seen in one run."""
+    """All that was seen in one run.
+
+    Attributes
+    ----------
+    faults : list of ProgramFault
+        Faults of the program that the nodes' lines tell of.
+    crashes : list of str
+        Nodes whose process an error ended.
+    """
 
     calls: list[Call] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     leavings: list[Leaving] = attrs.field(factory=list)
     publications: list[Publication] = attrs.field(factory=list)
     troubles: list[Trouble] = attrs.field(factory=list)
+    faults: list[ProgramFault] = attrs.field(factory=list)
+    crashes: list[str] = attrs.field(factory=list)
     calm_from_s: float = 0.0
 
     def troubled(
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,16 +12,18 @@
 
 from standins.store import StoreStandIn
 
-from .callers import Caller
+from .callers import Caller, LongCaller
 from .checks import broken
 from .faults import BACK_S, Stage, strike
 from .fleet import NODE, Fleet
+from .lines import read_crashes, read_faults
 from .plan import CALM_S, Plan
 from .records import Arrival, Observations
 
 CALLERS_PER_NODE = 6
 """With runs of 60 ms, some four requests are under way at each backend server when a
 fault strikes; with a third of that, a node that repeats payments was not found."""
+LONG_CALLERS_PER_NODE = 3
 REST_S = 2.5
 """Time after the last request in which a late one would still run."""
 
@@ -66,6 +68,8 @@
         for rows in arrivals
         for name, instance_id, at_s in rows
     ]
+    seen.faults = read_faults(directory)
+    seen.crashes = read_crashes(directory)
     found = broken(seen)
     if not found:
         _remove(directory)
@@ -77,22 +81,33 @@
     start_s = loop.time()
     stage = Stage(fleet, seen)
     random = Random(plan.seed)
+    few = plan.instances * CALLERS_PER_NODE
+    many = few + plan.instances * LONG_CALLERS_PER_NODE
     callers = [
         asyncio.create_task(
             Caller(index, index % plan.instances, fleet, seen, random).run()
         )
-        for index in range(plan.instances * CALLERS_PER_NODE)
+        for index in range(few)
     ]
+    long_callers = [
+        LongCaller(index, index % plan.instances, fleet, seen, random)
+        for index in range(few, many)
+    ]
+    long_calls = [asyncio.create_task(caller.run()) for caller in long_callers]
     faults = [
         asyncio.create_task(_strike_at(fault.at_s, start_s, fault, stage))
         for fault in plan.faults
     ]
     seen.calm_from_s = start_s + plan.duration_s - CALM_S + BACK_S
-    await asyncio.sleep(plan.duration_s)
+    # Long requests that were sent before the calm began get their answers in it.
+    await asyncio.sleep(plan.duration_s - CALM_S + BACK_S)
+    for caller in long_callers:
+        caller.ending = True
+    await asyncio.sleep(CALM_S - BACK_S)
     for task in callers:
         task.cancel()
     await asyncio.gather(*callers, return_exceptions=True)
-    await asyncio.gather(*faults)
+    await asyncio.gather(*faults, *long_calls)
     await asyncio.sleep(REST_S)
 
 
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -33,7 +33,7 @@
     instance_id : str
         Its incarnation.
     work_s : float
-        Time that a request takes.
+        Time that a request takes; one whose target ends with ``ms=N`` takes that.
     misbehave : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -118,13 +118,13 @@
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
-            await self._work(reader)
+            await self._work(reader, _work_s(received.target, self.work_s))
         finally:
             self.running -= 1
         return signed(received, received.body or b"hello")
 
-    async def _work(self, reader: asyncio.StreamReader) -> None:
-        end = asyncio.get_running_loop().time() + self.work_s
+    async def _work(self, reader: asyncio.StreamReader, work_s: float) -> None:
+        end = asyncio.get_running_loop().time() + work_s
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.005)
             if reader.at_eof():
@@ -132,6 +132,11 @@
                 raise ConnectionError
 
 
+def _work_s(target: str, usual_s: float) -> float:
+    asked_ms = target.rpartition("ms=")[2] if "ms=" in target else ""
+    return int(asked_ms) / 1000 if asked_ms else usual_s
+
+
 def signed(received: Received, body: bytes, status: int = 200) -> bytes:
     """Return a whole signed answer to a request."""
     name = received.headers.get("attempt-id", "")
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -3,16 +3,20 @@
 Run as ``python -m tests.broken_node BREAKAGE sidecar``.
 """
 
+import itertools
 import sys
 from collections.abc import Callable
 
 import attrs
 
 from azurestep.core import main
+from azurestep.http.server import Exchange
 from azurestep.mesh import node as run
 from azurestep.mesh.backend.state import Backend
 from azurestep.mesh.callers import call
 from azurestep.mesh.callers.answer_writer import AnswerWriter
+from azurestep.mesh.callers.outbound import Outbound
+from azurestep.mesh.decisions.stopping import StopPlan
 from azurestep.mesh.knowledge import configuration
 from azurestep.mesh.messages import Answer, Failure, Reason
 
@@ -71,6 +75,25 @@
     run.Node.stop = lambda self: sys.exit(0)  # type: ignore[method-assign]
 
 
+def end_unanswered() -> None:
+    """End at the end of the grace time whatever is not answered."""
+    late = property(lambda self: self.ends_ms + 60_000.0)
+    StopPlan.answer_by_ms = late  # type: ignore[method-assign, assignment]
+
+
+def fail_to_handle() -> None:
+    """Fail now and then, by a fault of the program, to take a request."""
+    plain = Outbound.handle
+    count = itertools.count(1)
+
+    def handle(self: Outbound, exchange: Exchange) -> None:
+        if next(count) % 50 == 0:
+            raise KeyError("a fault")
+        plain(self, exchange)
+
+    Outbound.handle = handle  # type: ignore[method-assign]
+
+
 def never_answer() -> None:
     """Leave each request unanswered."""
     call.Call._ended = lambda self, status: None  # type: ignore[method-assign]
@@ -87,6 +110,8 @@
         ignore_leaving,
         keep_first_version,
         stop_at_once,
+        end_unanswered,
+        fail_to_handle,
         never_answer,
     )
 }
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from azurestep.lines.faults import ProgramFault
 from soak import checks
 from soak.records import (
     Arrival,
@@ -70,6 +71,21 @@
     seen.calls[0] = attrs.evolve(PAYMENT, status=0)
 
 
+def unanswered_at_a_stop(seen: Observations) -> None:
+    seen.troubles.append(Trouble(0, 9.5, 15.0, planned=True))
+    seen.calls[1] = attrs.evolve(READ, status=0)
+
+
+def fault_of_the_program(seen: Observations) -> None:
+    seen.faults.append(
+        ProgramFault(9010, "a fault", "node-0", "caller", 2, 0.0, "KeyError()", "")
+    )
+
+
+def crash(seen: Observations) -> None:
+    seen.crashes.append("node-0")
+
+
 def not_recovered(seen: Observations) -> None:
     seen.calls[2:] = [attrs.evolve(call, status=503) for call in seen.calls[2:]]
 
@@ -89,6 +105,9 @@
         (overdue_version, checks.versions_come_in_force),
         (lost_version, checks.versions_never_go_back),
         (cut_at_a_stop, checks.planned_stops_cut_nothing),
+        (unanswered_at_a_stop, checks.planned_stops_cut_nothing),
+        (fault_of_the_program, checks.programs_have_no_faults),
+        (crash, checks.programs_have_no_faults),
         (not_recovered, checks.fleet_recovers),
         (nothing_sent_after, checks.fleet_recovers),
     ],
@@ -111,6 +130,13 @@
     assert checks.broken(seen) == {}
 
 
+def test_a_request_is_held_to_its_own_deadline(seen: Observations) -> None:
+    seen.calls[1] = attrs.evolve(READ, ended_s=READ.sent_s + 8.2, deadline_s=8.0)
+    assert checks.broken(seen) == {}
+    seen.calls[1] = attrs.evolve(READ, ended_s=READ.sent_s + 8.6, deadline_s=8.0)
+    assert set(checks.broken(seen)) == {"answers_come_in_time"}
+
+
 def test_trouble_of_another_node_excuses_nothing(seen: Observations) -> None:
     late_answer(seen)
     seen.troubles.append(Trouble(1, 7.0, 14.0))
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -35,6 +35,12 @@
     assert kinds == set(KINDS)
 
 
+async def test_stops_one_after_the_other_keep_every_promise() -> None:
+    faults = tuple(Stop(1.0 + 3.0 * node, 0.5, node) for node in range(NODES))
+    result = await play(Plan(SEED, NODES, faults), slot=2)
+    assert result.broken == {}
+
+
 @pytest.mark.parametrize(
     ("breakage", "kind", "check"),
     [
@@ -44,6 +50,8 @@
         ("ignore_leaving", ServerReplaced, "drained_servers_are_left_alone"),
         ("keep_first_version", Publish, "versions_come_in_force"),
         ("stop_at_once", Stop, "planned_stops_cut_nothing"),
+        ("end_unanswered", Stop, "planned_stops_cut_nothing"),
+        ("fail_to_handle", Publish, "programs_have_no_faults"),
         ("never_answer", Publish, "answers_come_in_time"),
     ],
 )
