A fault in taking an answer must be told at once and blame no server: tests that fail

It counts as a malformed answer of the backend server (failing share 0.1 for 0.0), and one that comes while the answer is written to the link is told to nobody: 504 at the deadline for 502.

--- a/tests/test_mesh_containment.py
+++ b/tests/test_mesh_containment.py
@@ -11,6 +11,7 @@
 from azurestep.mesh.backend.inbound import Inbound
 from azurestep.mesh.backend.run import Run
 from azurestep.mesh.callers.call import Call
+from azurestep.mesh.links.remote_receiver import RemoteReceiver
 
 from .fixtures_mesh import PEER_PORT, MeshFleet, MeshInstance, MeshLines
 from .test_mesh_faults import eventually, pay
@@ -156,3 +157,36 @@
     await eventually(lambda: remote.server.running <= 1, 0.3)
     (told,) = mesh_lines.of(9010)
     assert told["id"] == FAULTY.decode()
+
+
+def of_stream(receiver: Any, *_: object) -> bytes:
+    run = receiver.server._runs.get(receiver.stream)
+    return b"" if run is None else of_run(run)
+
+
+WHERE_ANSWERS_ARE_TAKEN = [
+    (Run, "_judge", of_run),
+    (Run, "_finish_run", of_run),
+    (RemoteReceiver, "on_answer", of_stream),
+]
+
+
+@pytest.mark.parametrize("place", WHERE_ANSWERS_ARE_TAKEN)
+async def test_a_fault_in_taking_an_answer_is_told_at_once_and_blames_no_server(
+    mesh: MeshFleet,
+    mesh_lines: MeshLines,
+    monkeypatch: pytest.MonkeyPatch,
+    place: tuple[type, str, Callable[..., bytes]],
+) -> None:
+    owner, method, names = place
+    caller, remote = await one_link(mesh)
+    breaks(monkeypatch, owner, method, names)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    assert await pay_beside_a_faulty_one(mesh, caller) == (502, [200] * 4)
+    assert loop.time() - began < 0.9
+    assert not remote.node.inbound.busy
+    assert not remote.node.inbound.admission.running
+    assert remote.node.inbound.health.failing == 0.0
+    reasons = {line["reason"] for line in mesh_lines.of(events.RUN_FAILED.number)}
+    assert reasons == {"FAULT"}
