End a run that met a fault at once, and blame no server for it

A fault while an answer is taken ends its request as FAULT: no failure of the server is counted, and the receiver hears of it also where the run had ended.

--- a/azurestep/http/client.py
+++ b/azurestep/http/client.py
@@ -23,6 +23,10 @@
 """Time after which longer idle times are tried again."""
 
 
+FAULT = "fault"
+"""Reason of a failure for which this program is to blame, not the other end."""
+
+
 class AnswerSink(Protocol):
     """What takes the answer to one request."""
 
@@ -152,7 +156,7 @@
         self._sink = None
         self._dirty = True
         try:
-            sink.on_failed("fault")
+            sink.on_failed(FAULT)
         finally:
             self.close()
 
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -1,6 +1,6 @@
 """One request at the backend server beside this node."""
 
-from ...http.client import ClientConnection, Headers
+from ...http.client import FAULT, ClientConnection, Headers
 from ...platform.headers import AnswerFields, read_answer, to_backend
 from .. import events
 from ..decisions.admission import Ticket
@@ -327,7 +327,10 @@
         self._end()
 
     def on_failed(self, reason: str) -> None:
-        """Learn that the backend server broke off."""
+        """Learn that the backend server broke off, or that a fault was met."""
+        if reason == FAULT:
+            self.fault()
+            return
         if self.done:
             return
         kinds = {"closed": Reason.CLOSED, "reset": Reason.RESET}
@@ -386,6 +389,24 @@
         self.inbound.ran(failed=True)
         self._end()
         self._drop_connection()
+        self._log_failed(reason)
+        self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
+
+    def fault(self) -> None:
+        """End after a fault of this program, which says nothing of the server.
+
+        Its receiver hears of it also where the run had ended: a fault in telling it of
+        the answer left its caller waiting until the deadline.
+        """
+        inbound = self.inbound
+        if not self.done:
+            self.done = True
+            inbound.runtime.contain("run", self._end)
+        self._drop_connection()
+        self._log_failed(Reason.FAULT)
+        self.receiver.on_failure(Failure(int(Reason.FAULT), inbound.admission.busy))
+
+    def _log_failed(self, reason: Reason) -> None:
         events.log(
             events.RUN_FAILED,
             id=self.request.request_id,
@@ -395,7 +416,6 @@
         )
         self.inbound.load.failed += 1
         self.inbound.runtime.metrics.count("failed_here", reason.name)
-        self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
 
     def _learn_slowness(self) -> None:
         """Count a run without an answer, if it was longer than usual."""
