Uploads and held requests must heed the end of a stopping node: tests that fail

Beside a stopping node an upload that waits for its turn stays ([] for ['STOPPING']), and a body or a held request that comes too late for the node's end, or a body that comes too late for its caller's deadline, is run all the same ('assert not True' of may_run).

--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -1,11 +1,16 @@
 """Requests with long bodies that hold a slot until their turn to be sent them comes."""
 
+import pytest
+
+from azurestep.http.client import ClientConnection
 from azurestep.mesh.backend.run import Run
 from azurestep.mesh.backend.transfers import AT_ONCE
 
-from .fixtures_inbound import Beside, Listener
+from .fixtures_inbound import Beside, Listener, make_beside
 
 BODY = b"u" * 60_000
+FAR_MS = 60_000.0
+"""Time to a deadline that is far beyond a node's end."""
 
 
 def upload(beside: Beside, budget_ms: float = 1200.0) -> tuple[Run, Listener]:
@@ -63,3 +68,67 @@
     assert silent.outcomes == ["TOO_LATE"]
     assert beside.inbound.health.failing == 0.0
     assert beside.inbound.admission.busy == 0
+
+
+def test_an_upload_that_waits_for_its_turn_leaves_a_stopping_node(
+    beside: Beside,
+) -> None:
+    beside.inbound.admission.learn("read", 3000.0)
+    for _ in range(AT_ONCE):
+        upload(beside, budget_ms=FAR_MS)
+    _, waiting = upload(beside, budget_ms=FAR_MS)
+    beside.inbound.stop(beside.loop.now_ms + 2000.0)
+    beside.loop.run_due()
+    assert waiting.outcomes == ["STOPPING"]
+
+
+def test_a_body_that_comes_too_late_is_not_run() -> None:
+    for budget_ms, reason in ((800.0, "TOO_LATE"), (FAR_MS, "STOPPING")):
+        beside = make_beside()
+        beside.inbound.admission.learn("read", 500.0)
+        run, listener = upload(beside, budget_ms)
+        run.go()
+        if reason == "STOPPING":
+            beside.inbound.stop(beside.loop.now_ms + 600.0)
+        beside.after(400.0)
+        run.body(BODY, True)
+        beside.loop.run_due()
+        assert not run.may_run
+        assert listener.outcomes == [reason]
+        assert beside.inbound.admission.busy == 0
+
+
+def test_a_held_request_that_is_let_go_too_late_is_not_run(beside: Beside) -> None:
+    beside.inbound.admission.learn("read", 500.0)
+    listener = Listener()
+    run = beside.submit(listener, FAR_MS, held=True)
+    beside.inbound.stop(beside.loop.now_ms + 600.0)
+    beside.loop.now_ms += 350.0
+    run.go()
+    beside.loop.run_due()
+    assert not run.may_run
+    assert listener.outcomes == ["STOPPING"]
+
+
+def test_a_held_request_gets_a_free_slot_though_its_route_is_slow(
+    beside: Beside,
+) -> None:
+    beside.inbound.admission.learn("read", 5000.0)
+    run = beside.submit(Listener(), held=True)
+    beside.loop.now_ms += 3.0
+    run.go()
+    beside.loop.run_due()
+    assert run.may_run, "a mean that is too long is only corrected by runs"
+
+
+def test_a_server_hears_of_the_end_of_the_node_beside_it(
+    beside: Beside, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent: list[bytes] = []
+    monkeypatch.setattr(
+        ClientConnection, "send", lambda self, data, sink, whole: sent.append(data)
+    )
+    beside.inbound.stop(beside.loop.now_ms + 900.0)
+    beside.submit(Listener(), FAR_MS)
+    beside.loop.run_due()
+    assert b"\r\nDeadline-Milliseconds: 900\r\n" in sent[0]
