Refuse uploads and held requests that can't end before a stopping node does

Cause: what was held or waited for its body was judged by its caller's deadline, and by nothing once its sender let it go or its body came. Beside a stopping node it was sent to a server whose answer the node's end would cut.

Change: the queue alone says when a run must have ended (Admission.due_ms); the budget that the server is told, uploads that wait for their turn, and what starts after it was held, after its body came or after a connection was opened go by it. What could end in time as it got its slot and can't any more is refused as not run, as STOPPING beside a stopping node, else as TOO_LATE. One that could not even then is tried, as before, unless the node is stopping: a mean run time that is too long is corrected by runs alone.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -80,6 +80,11 @@
         """Whether a request runs or waits."""
         return bool(self._runs)
 
+    @property
+    def late_reason(self) -> Reason:
+        """Why what can't end in time is refused."""
+        return Reason.STOPPING if self.stopping else Reason.TOO_LATE
+
     def stop(self, closes_ms: float) -> None:
         """Serve what can end by then; other nodes are told to choose others."""
         self.stopping = True
@@ -156,8 +161,7 @@
         """
         self._look_due = False
         now_ms = self.now_ms()
-        late = Reason.STOPPING if self.stopping else Reason.TOO_LATE
-        self._refuse(self.admission.late(now_ms), late)
+        self._refuse(self.admission.late(now_ms), self.late_reason)
         if not self.backend.admits(now_ms):
             self._refuse(self.admission.waiting, Reason.LEAVING)
         for waiting in self.transfers.waiting:
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -4,7 +4,7 @@
 
 from ...http.client import ClientConnection, Idle
 from ..decisions.admission import Admission, Ticket
-from ..messages import Answer, Failure, Refusal, Request
+from ..messages import Answer, Failure, Reason, Refusal, Request
 from ..runtime import Runtime
 from .crashes import CrashWatch
 from .load import LoadSummary
@@ -44,6 +44,11 @@
     transfers: Transfers
     crashes: CrashWatch
     load: LoadSummary
+    stopping: bool
+
+    @property
+    def late_reason(self) -> Reason:
+        """Why what can't end in time is refused."""
 
     def now_ms(self) -> float:
         """Return the monotonic time."""
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -67,6 +67,7 @@
         self._held = request.held
         self._ready_ms = 0.0
         self._awaits_body = False
+        self._hopeful: bool | None = None
 
     # From the sender of the request.
 
@@ -141,6 +142,9 @@
         if not inbound.backend.admits(inbound.now_ms()):
             self.refuse(Reason.LEAVING)
             return
+        if self._is_too_late():
+            self.refuse(inbound.late_reason)
+            return
         if self._held:
             self._ask_sender()
             return
@@ -151,6 +155,18 @@
             return
         inbound.runtime.spawn(self._connect())
 
+    def _is_too_late(self) -> bool:
+        """Whether what could end in time as it got its slot can't any more.
+
+        One that could not even then is tried, unless this node is stopping: the mean
+        run time that speaks against it is corrected by runs alone.
+        """
+        inbound = self.inbound
+        in_time = inbound.admission.ends_in_time(self.ticket, inbound.now_ms())
+        if self._hopeful is None:
+            self._hopeful = in_time
+        return not in_time and (self._hopeful or inbound.stopping)
+
     def _ask_sender(self) -> None:
         self._awaits_body = not self._whole
         if self._awaits_body and not self.inbound.transfers.begin(self):
@@ -173,6 +189,9 @@
         elif not self.inbound.backend.admits(self.inbound.now_ms()):
             self.inbound.keep(connection)
             self.refuse(Reason.LEAVING)
+        elif self._is_too_late():
+            self.inbound.keep(connection)
+            self.refuse(self.inbound.late_reason)
         else:
             self._send(connection)
 
@@ -184,7 +203,7 @@
         lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
         lines += to_backend(
             request.headers,
-            min(self.deadline_ms, self.inbound.admission.closes_ms) - self._sent_ms,
+            self.inbound.admission.due_ms(self.ticket) - self._sent_ms,
             request.instance_id,
             request.calling_service,
         )
@@ -353,9 +372,9 @@
 
     def refuse_if_late(self, now_ms: float) -> None:
         """Refuse a request that was not sent on and can't be answered in time."""
-        run_ms = self.inbound.admission.run_ms(self.request.route)
-        if not self.may_run and now_ms + run_ms > self.deadline_ms:
-            self.refuse(Reason.TOO_LATE)
+        in_time = self.inbound.admission.ends_in_time(self.ticket, now_ms)
+        if not (self.may_run or in_time):
+            self.refuse(self.inbound.late_reason)
 
     # Ends.
 
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -118,7 +118,7 @@
             self.running.add(ticket)
             return True
         end_ms += self._wait_ms(ticket, now_ms)
-        if end_ms > min(self._due_ms(ticket), ticket.objective_at_ms):
+        if end_ms > min(self.due_ms(ticket), ticket.objective_at_ms):
             return Refused(self.retry_ms())
         self._waiting.append(ticket)
         return False
@@ -151,11 +151,16 @@
         end_ms = now_ms + self.run_ms(ticket.route)
         if self.closes_ms < math.inf:
             end_ms += self._wait_ms(ticket, now_ms)
-        return end_ms > self._due_ms(ticket)
+        return end_ms > self.due_ms(ticket)
 
-    def _due_ms(self, ticket: Ticket) -> float:
+    def due_ms(self, ticket: Ticket) -> float:
+        """Return when a run must have ended, for its caller and for the node here."""
         return min(ticket.deadline_at_ms, self.closes_ms)
 
+    def ends_in_time(self, ticket: Ticket, now_ms: float) -> bool:
+        """Whether a request that runs from now on is likely to end when it must."""
+        return now_ms + self.run_ms(ticket.route) <= self.due_ms(ticket)
+
     def retry_ms(self) -> float:
         """Return after which time a slot is likely for a caller who comes back."""
         work_ms = sum(self.run_ms(ticket.route) for ticket in self._waiting)
