A stop elsewhere must not speak against a sound server: tests that fail

Four long reads that a stopping node withdrew gave the healthy server that ran them a failing share of 0.6 for 0.0, which is told to all nodes; one such run gives 0.3.

Two that pass: a run that is withdrawn at its deadline, or as long before it as its way here may have taken, counts.

--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -9,6 +9,7 @@
 from azurestep.mesh.decisions.health import Health
 from standins.signing_server import Received, signed
 
+from .fixtures_inbound import Beside, Listener
 from .fixtures_mesh import MeshFleet
 
 TICKS_IN_3_S = 30
@@ -53,6 +54,33 @@
     assert choose([failing, other], wish, set(), 0.0, random) is failing
 
 
+def withdraw_after(beside: Beside, pause_ms: float) -> float:
+    """Withdraw a run of 1200 ms at most, and return the share of failures."""
+    listener = Listener()
+    run = beside.submit(listener, 1200.0)
+    beside.loop.run_due()
+    beside.loop.now_ms += pause_ms
+    run.withdraw()
+    assert listener.outcomes == ["failed TIMEOUT"]
+    return beside.inbound.health.failing
+
+
+def test_a_run_that_is_withdrawn_before_its_deadline_is_no_failure(
+    beside: Beside,
+) -> None:
+    beside.inbound.admission.learn("read", 700.0)
+    assert withdraw_after(beside, 600.0) == 0.0
+    assert beside.inbound.admission.run_ms("read") == 700.0
+
+
+@pytest.mark.parametrize("pause_ms", [1150.0, 1200.0])
+def test_a_run_that_is_withdrawn_at_its_deadline_is_a_failure(
+    beside: Beside, pause_ms: float
+) -> None:
+    assert withdraw_after(beside, pause_ms) > 0.0
+    assert beside.inbound.admission.run_ms("read") == pause_ms
+
+
 def refuses(received: Received) -> bytes:
     return signed(received, b"no", status=500)
 
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -105,6 +105,20 @@
     assert await asyncio.gather(*calls) == [200] * 3
 
 
+async def test_a_stop_elsewhere_does_not_speak_against_a_sound_server(
+    patient: MeshFleet,
+) -> None:
+    serving, stopping = patient.instances[:2]
+    await only(patient, serving)
+    serving.server.work_s = 8.5
+    names = [f"w{index}" for index in range(4)]
+    calls = [asyncio.create_task(read(patient, stopping, name)) for name in names]
+    await asyncio.sleep(0.1)
+    await stop(stopping)
+    assert await asyncio.gather(*calls) == [504] * 4
+    assert serving.node.inbound.health.failing == 0.0
+
+
 async def test_a_request_that_comes_to_a_stopping_node_gets_no_more_time_than_it_has(
     patient: MeshFleet,
 ) -> None:
