Count no failure of a server where a run is withdrawn before its deadline

Cause: a stopping node withdraws the runs of its callers at its own end, and the node beside their server counted each as a failure of the server.

Change: a withdrawn run counts as failed only past the deadline that its caller gave, less the 100 ms that a request may be late on its way without that being taken off its time. Its receiver hears the same as before.

--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -19,6 +19,9 @@
 OVERTIME_MS = 150.0
 """Time past the deadline after which a run is broken off here; the backend server
 stops by itself at the deadline."""
+WAY_MS = 100.0
+"""Longest delay of a request on its way here that isn't taken off its time; its
+caller's deadline may come by so much before the one that is reckoned here."""
 HELD_MS = 400.0
 """Longest time that a held request keeps a slot; its sender answers within some 3 ms
 and gives a silent link up after 250 ms."""
@@ -118,9 +121,14 @@
         return self._sent_ms > 0
 
     def withdraw(self) -> None:
-        """Stop the request and tell the receiver whether it had not run."""
+        """Stop the request and tell the receiver whether it had not run.
+
+        Before its caller's deadline it is withdrawn by a node that stops. Counted as
+        failures, four long runs made a sound server's failing share 0.6 at all nodes.
+        """
         if self.may_run:
-            self.fail(Reason.TIMEOUT)
+            overdue = self.inbound.now_ms() >= self.deadline_ms - WAY_MS
+            self.fail(Reason.TIMEOUT, blame=overdue)
         else:
             self.refuse(Reason.TOO_LATE)
 
@@ -400,12 +408,13 @@
             Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
         )
 
-    def fail(self, reason: Reason) -> None:
-        """Say that the request may have run."""
+    def fail(self, reason: Reason, blame: bool = True) -> None:
+        """Say that the request may have run; blame the server if that counts."""
         if self.done:
             return
         self._learn_slowness()
-        self.inbound.ran(failed=True)
+        if blame:
+            self.inbound.ran(failed=True)
         self._end()
         self._drop_connection()
         self._log_failed(reason)
