A fault in starting a run must take no slot and be told: tests that fail

A fault in the start of a request that is submitted leaves its slot taken (busy 4 for 0 after four), one in asking for its body also its turn (asked 0 for 1), and one after a connection was opened leaves the sender untold ([] for ['failed FAULT']).

--- /dev/null
+++ b/tests/test_mesh_containment_queue.py
@@ -0,0 +1,71 @@
+"""A fault in one request beside a server ends that one alone, and its sender hears."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+
+from azurestep.mesh.backend.run import Run
+from azurestep.mesh.backend.transfers import AT_ONCE
+
+from .fixtures_inbound import Beside, Listener
+from .test_mesh_bodies import upload
+
+FAR_MS = 60_000.0
+SLOTS = 4
+
+
+@contextlib.contextmanager
+def broken(
+    owner: type, method: str, faulty: Callable[..., bool] = lambda *_: True
+) -> Iterator[None]:
+    """Let a method raise where it is called for what is faulty."""
+    sound = getattr(owner, method)
+
+    def raising(self: Any, *arguments: Any, **named: Any) -> Any:
+        if faulty(self, *arguments):
+            raise KeyError("a fault of our own")
+        return sound(self, *arguments, **named)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(owner, method, raising)
+        yield
+
+
+def fill(beside: Beside, count: int = SLOTS) -> list[Run]:
+    """Take slots with runs that last."""
+    runs = [beside.submit(Listener(), FAR_MS) for _ in range(count)]
+    beside.loop.run_due()
+    return runs
+
+
+def test_a_fault_in_the_start_of_a_run_takes_no_slot(beside: Beside) -> None:
+    with broken(Run, "start"):
+        for _ in range(SLOTS):
+            with pytest.raises(KeyError):
+                beside.submit(Listener(), FAR_MS)
+    assert beside.inbound.admission.busy == 0
+    assert not beside.inbound.busy
+
+
+def test_a_fault_in_asking_for_a_body_takes_no_turn(beside: Beside) -> None:
+    with broken(Listener, "on_ready"):
+        for _ in range(AT_ONCE):
+            with pytest.raises(KeyError):
+                upload(beside, FAR_MS)
+    _, sound = upload(beside, FAR_MS)
+    beside.loop.run_due()
+    assert sound.asked == 1
+    assert beside.inbound.admission.busy == 1
+
+
+def test_a_connection_that_can_not_be_used_ends_its_request(beside: Beside) -> None:
+    listener = Listener()
+    with broken(Run, "_send"):
+        beside.submit(listener, FAR_MS)
+        with contextlib.suppress(KeyError):
+            beside.loop.run_due()
+    beside.loop.run_due()
+    assert listener.outcomes == ["failed FAULT"]
+    assert beside.inbound.admission.busy == 0
