End a run whose start meets a fault, and tell its sender

Cause: a fault in the start of a request left it on the books with its slot and turn until its deadline, and one after a connection was opened ended a task that nobody watched.

Change: a request that meets a fault as it is submitted is taken off the books before the fault is raised on; one that meets it after a connection was opened ends as FAULT. The line of the server's load is told by its own module, which keeps this one short.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -19,7 +19,7 @@
 from ..runtime import Runtime
 from ..settings import Address
 from .crashes import CrashWatch
-from .load import LoadSummary
+from .load import LoadSummary, tick_load
 from .run import AnswerReceiver, Run
 from .state import Backend
 from .transfers import Transfer, Transfers
@@ -92,13 +92,26 @@
         self._look_soon()
 
     def submit(self, request: Request, receiver: AnswerReceiver) -> Run:
-        """Take a request; the receiver hears of its outcome."""
+        """Take a request; the receiver hears of its outcome.
+
+        A fault on the way ends it, and is raised in place of an outcome. Left on the
+        books, the request held its slot and its turn until its deadline.
+        """
         run = Run(self, request, receiver)
         self._runs[run.ticket] = run
+        try:
+            self._admit(run)
+        except Exception:
+            self.runtime.contain("run", run.cancel)
+            raise
+        return run
+
+    def _admit(self, run: Run) -> None:
+        request = run.request
         reason = self._obstacle(request)
         if reason is not None:
             run.refuse(reason)
-            return run
+            return
         self.admission.slots = self.backend.slots
         if request.usual_ms:
             self.admission.expect(request.route, request.usual_ms)
@@ -108,7 +121,6 @@
             run.refuse(Reason.STOPPING if self.stopping else Reason.OVERLOADED)
         elif decision:
             run.start()
-        return run
 
     def _obstacle(self, request: Request) -> Reason | None:
         backend = self.backend
@@ -256,7 +268,7 @@
         """Have the queue looked at, break off overtime, retry the address."""
         now_ms = self.now_ms()
         self._tick_health()
-        self._tick_load()
+        self.load = tick_load(self.load, self.admission, self.backend)
         self._look_soon()
         for run in list(self._runs.values()):
             run.check_age(now_ms)
@@ -270,14 +282,6 @@
         if connection is not None:
             self.keep(connection)
 
-    def _tick_load(self) -> None:
-        running = len(self.admission.running)
-        if not self.load.tick(running, self.admission.busy - running):
-            return
-        load, self.load = self.load, LoadSummary()
-        if self.backend.instance_id:
-            load.log(self.backend.instance_id, self.backend.service, self.backend.slots)
-
     def _tick_health(self) -> None:
         incarnation = self.backend.incarnation
         if not incarnation.may_be(self._judged):
--- a/azurestep/mesh/backend/load.py
+++ b/azurestep/mesh/backend/load.py
@@ -3,6 +3,8 @@
 import attrs
 
 from .. import events
+from ..decisions.admission import Admission
+from .state import Backend
 
 TICKS = 10
 """Ticks of 0.1 s that one line sums up."""
@@ -58,3 +60,16 @@
             refused=self.refused,
             failed=self.failed,
         )
+
+
+def tick_load(load: LoadSummary, admission: Admission, backend: Backend) -> LoadSummary:
+    """Take a look at the queue in; return what the next one goes to.
+
+    A whole summary is logged and a new one begun.
+    """
+    running = len(admission.running)
+    if not load.tick(running, admission.busy - running):
+        return load
+    if backend.instance_id:
+        load.log(backend.instance_id, backend.service, backend.slots)
+    return LoadSummary()
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -187,7 +187,12 @@
         self.receiver.on_ready()
 
     async def _connect(self) -> None:
-        connection = await self.inbound.connect()
+        try:
+            self._connected(await self.inbound.connect())
+        except Exception as error:
+            self.take_fault(error)
+
+    def _connected(self, connection: ClientConnection | None) -> None:
         if self.done:
             if connection is not None:
                 self.inbound.keep(connection)
@@ -420,6 +425,13 @@
         self._log_failed(reason)
         self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
 
+    def take_fault(self, error: Exception) -> None:
+        """End after a fault in a step of this run that nobody waits for."""
+        runtime = self.inbound.runtime
+        runtime.fault("run", error, id=self.request.request_id)
+        if not self.done:
+            runtime.contain("run", self.fault)
+
     def fault(self) -> None:
         """End after a fault of this program, which says nothing of the server.
 
