A fault in one request must keep no other waiting: tests that fail

A waiting request that can't be refused or can't start leaves the next one waiting beside a free slot ('assert False' of may_run; the one that can't start is told nothing), and an upload whose lateness can't be told keeps the next one from its turn (asked 0 for 1).

--- a/tests/test_mesh_containment_queue.py
+++ b/tests/test_mesh_containment_queue.py
@@ -60,6 +60,49 @@
     assert beside.inbound.admission.busy == 1
 
 
+def test_a_request_that_can_not_be_refused_keeps_no_other_waiting(
+    beside: Beside,
+) -> None:
+    running = fill(beside)
+    stuck, waiting = Listener(), Listener()
+    faulty = beside.submit(stuck)
+    next_run = beside.submit(waiting, FAR_MS)
+    faulty.ticket.deadline_at_ms = beside.loop.now_ms
+    with broken(Run, "refuse", lambda run, *_: run is faulty):
+        running[0].cancel()
+        beside.loop.run_due()
+    assert next_run.may_run
+    assert stuck.outcomes == ["failed FAULT"]
+
+
+def test_a_waiting_request_that_can_not_start_keeps_no_other_waiting(
+    beside: Beside,
+) -> None:
+    running = fill(beside)
+    stuck = Listener()
+    faulty = beside.submit(stuck)
+    next_run = beside.submit(Listener(), FAR_MS)
+    with broken(Run, "start", lambda run: run is faulty):
+        running[0].cancel()
+        beside.loop.run_due()
+    assert stuck.outcomes == ["failed FAULT"]
+    assert next_run.may_run
+    assert len(beside.inbound.admission.running) == SLOTS
+
+
+def test_an_upload_whose_lateness_can_not_be_told_keeps_no_other_waiting(
+    beside: Beside,
+) -> None:
+    uploads = [upload(beside, FAR_MS) for _ in range(AT_ONCE + 2)]
+    faulty, stuck = uploads[AT_ONCE]
+    _, following = uploads[AT_ONCE + 1]
+    with broken(Run, "refuse_if_late", lambda run, _: run is faulty):
+        uploads[0][0].cancel()
+        beside.loop.run_due()
+    assert following.asked == 1
+    assert stuck.outcomes == ["failed FAULT"]
+
+
 def test_a_connection_that_can_not_be_used_ends_its_request(beside: Beside) -> None:
     listener = Listener()
     with broken(Run, "_send"):
