Contain a fault of one request beside a server, so that no other waits for it

Cause: a look at the queue ended with the first error, so a waiting request that met a fault at each look kept all others waiting beside free slots.

What a backend server's state says against a request is asked of that state.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -18,6 +18,7 @@
 from ..messages import Reason, Request
 from ..runtime import Runtime
 from ..settings import Address
+from .contained import contained
 from .crashes import CrashWatch
 from .load import LoadSummary, tick_load
 from .run import AnswerReceiver, Run
@@ -123,13 +124,9 @@
             run.start()
 
     def _obstacle(self, request: Request) -> Reason | None:
-        backend = self.backend
-        if not backend.instance_id or backend.service != request.service:
-            return Reason.NO_BACKEND
-        if not backend.incarnation.may_be(request.incarnation):
-            return Reason.OTHER_INSTANCE
-        if not backend.admits(self.now_ms()):
-            return Reason.LEAVING
+        obstacle = self.backend.obstacle(request, self.now_ms())
+        if obstacle is not None:
+            return obstacle
         if self.unreachable:
             return Reason.UNREACHABLE
         if request.budget_ms <= 0:
@@ -177,11 +174,12 @@
         if not self.backend.admits(now_ms):
             self._refuse(self.admission.waiting, Reason.LEAVING)
         for waiting in self.transfers.waiting:
-            waiting.refuse_if_late(now_ms)
+            contained(waiting, waiting.refuse_if_late, now_ms)
         while (ticket := self.admission.start_next(now_ms)) is not None:
-            self._runs[ticket].start()
+            run = self._runs[ticket]
+            contained(run, run.start)
         while (transfer := self.transfers.start_next()) is not None:
-            transfer.ask_for_body()
+            contained(transfer, transfer.ask_for_body)
 
     def _refuse(self, tickets: list[Ticket], reason: Reason) -> None:
         """Refuse waiting requests; each waits until its turn to be refused comes.
@@ -191,7 +189,7 @@
         for ticket in tickets:
             run = self._runs.get(ticket)
             if run is not None:
-                run.refuse(reason)
+                contained(run, run.refuse, reason)
 
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it takes none."""
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -8,6 +8,7 @@
 
 from ...platform.announcement import Heartbeat, Leaving
 from ..incarnation import BIRTH_UNKNOWN, NO_INCARNATION, Incarnation
+from ..messages import Reason, Request
 
 DRAIN_SHARE = 0.5
 """Share of the drain bound in which requests on their way still get in."""
@@ -186,6 +187,14 @@
         since_ms = self._leaving_since_ms()
         return since_ms is None or now_ms - since_ms < self.drain_ms * DRAIN_SHARE
 
+    def obstacle(self, request: Request, now_ms: float) -> Reason | None:
+        """Return why a request may not be sent to it; None if it may."""
+        if not self.instance_id or self.service != request.service:
+            return Reason.NO_BACKEND
+        if not self.incarnation.may_be(request.incarnation):
+            return Reason.OTHER_INSTANCE
+        return None if self.admits(now_ms) else Reason.LEAVING
+
     def cold_ms(self, now_ms: float) -> float:
         """Return how much longer the backend server is slow after its start."""
         return max(0.0, self._cold_until_ms - now_ms)
--- a/azurestep/mesh/backend/transfers.py
+++ b/azurestep/mesh/backend/transfers.py
@@ -5,13 +5,15 @@
 
 import attrs
 
+from .contained import Faultable
+
 AT_ONCE = 2
 """Bodies that are fetched at once. One of 60 KB takes 48 ms on a link of 10 Mbit/s;
 with more of them, answers to probes would wait longer than the 200 ms after which a
 node is doubted."""
 
 
-class Transfer(Protocol):
+class Transfer(Faultable, Protocol):
     """A request whose body is fetched when its turn comes."""
 
     def ask_for_body(self) -> None:
