A fault in a run's age or end must be told and hide nothing: tests that fail

An error of one run's age ends the tick: the others are not broken off past their deadlines, idle connections aren't swept, and the address isn't tried again. An error between taking a run off the books and telling its sender leaves that untold ([] for ['failed TIMEOUT']).

--- a/tests/test_mesh_containment_queue.py
+++ b/tests/test_mesh_containment_queue.py
@@ -6,10 +6,14 @@
 
 import pytest
 
+from azurestep.http.client import ClientConnection, Idle
+from azurestep.mesh.backend.inbound import Inbound
 from azurestep.mesh.backend.run import Run
-from azurestep.mesh.backend.transfers import AT_ONCE
+from azurestep.mesh.backend.transfers import AT_ONCE, Transfers
+from azurestep.mesh.decisions.admission import Admission
+from azurestep.mesh.metrics import Metrics
 
-from .fixtures_inbound import Beside, Listener
+from .fixtures_inbound import Beside, Listener, make_beside
 from .test_mesh_bodies import upload
 
 FAR_MS = 60_000.0
@@ -60,6 +64,39 @@
     assert beside.inbound.admission.busy == 1
 
 
+def test_a_fault_in_the_age_of_one_run_hides_no_other(beside: Beside) -> None:
+    listeners = [Listener(), Listener()]
+    faulty, _ = (beside.submit(one) for one in listeners)
+    beside.loop.run_due()
+    beside.loop.now_ms += 2000.0
+    with broken(Run, "check_age", lambda run, _: run is faulty):
+        beside.inbound.tick()
+        beside.loop.run_due()
+    assert [one.outcomes for one in listeners] == [["failed FAULT"], ["failed TIMEOUT"]]
+    assert beside.inbound.admission.busy == 0
+
+
+def test_a_fault_in_the_age_of_a_run_keeps_no_address_untried(
+    beside: Beside,
+) -> None:
+    fill(beside, 1)
+    beside.inbound.unreachable = True
+    swept: list[float] = []
+    tried: list[object] = []
+
+    async def connect(_: Inbound) -> ClientConnection | None:
+        tried.append(None)
+        return None
+
+    with broken(Run, "check_age"), pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Idle, "sweep", lambda idle, now_s: swept.append(now_s))
+        patch.setattr(type(beside.inbound), "connect", connect)
+        beside.inbound.tick()
+        beside.loop.run_due()
+    assert len(swept) == 1
+    assert len(tried) == 1
+
+
 def test_a_request_that_can_not_be_refused_keeps_no_other_waiting(
     beside: Beside,
 ) -> None:
@@ -103,6 +140,33 @@
     assert stuck.outcomes == ["failed FAULT"]
 
 
+STEPS_OF_AN_END = [
+    (Run, "_drop_connection"),
+    (Metrics, "count"),
+    (Admission, "leave"),
+    (Inbound, "release"),
+    (Inbound, "ran"),
+    (Transfers, "end"),
+]
+
+
+def test_a_fault_in_the_end_of_a_run_still_tells_its_receiver() -> None:
+    for step in STEPS_OF_AN_END:
+        beside = make_beside()
+        refused, failed = Listener(), Listener()
+        fill(beside, SLOTS - 1)
+        run = beside.submit(failed)
+        waiting = beside.submit(refused)
+        beside.loop.run_due()
+        beside.loop.now_ms += 1200.0
+        with broken(*step):
+            for one in (run, waiting):
+                with contextlib.suppress(KeyError):
+                    one.withdraw()
+        assert failed.outcomes == ["failed TIMEOUT"], step
+        assert refused.outcomes == ["TOO_LATE"], step
+
+
 def test_a_connection_that_can_not_be_used_ends_its_request(beside: Beside) -> None:
     listener = Listener()
     with broken(Run, "_send"):
