Tell a run's end in any case, and let no run's age hide another

Cause: an error of one run's age ended the tick, and one between taking a run off the books and telling its sender ended that before the word was out.

Change: the age of each run is contained for itself; a run that meets a fault there ends as FAULT. Each step of an end (books, connection, line, counts) is contained, and then the receiver is told.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -269,7 +269,7 @@
         self.load = tick_load(self.load, self.admission, self.backend)
         self._look_soon()
         for run in list(self._runs.values()):
-            run.check_age(now_ms)
+            contained(run, run.check_age, now_ms)
         self.idle.sweep(self.runtime.loop.time())
         if self.unreachable and now_ms > self._next_try_ms and self.backend.is_open():
             self._next_try_ms = now_ms + DOWN_RETRY_MS
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -1,5 +1,7 @@
 """One request at the backend server beside this node."""
 
+from collections.abc import Callable
+
 from ...http.client import FAULT, ClientConnection, Headers
 from ...platform.headers import AnswerFields, read_answer, to_backend
 from .. import events
@@ -113,7 +115,6 @@
             )
         self._learn_slowness()
         self._end()
-        self._drop_connection()
 
     @property
     def may_run(self) -> bool:
@@ -396,7 +397,13 @@
         if self.done:
             return
         self._end()
-        self._drop_connection()
+        self._contain(self._log_refused, reason)
+        admission = self.inbound.admission
+        self.receiver.on_refusal(
+            Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
+        )
+
+    def _log_refused(self, reason: Reason) -> None:
         admission = self.inbound.admission
         events.log(
             events.RUN_REFUSED,
@@ -409,20 +416,16 @@
         )
         self.inbound.load.refused += 1
         self.inbound.runtime.metrics.count("refused_here", reason.name)
-        self.receiver.on_refusal(
-            Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
-        )
 
     def fail(self, reason: Reason, blame: bool = True) -> None:
         """Say that the request may have run; blame the server if that counts."""
         if self.done:
             return
-        self._learn_slowness()
+        self._contain(self._learn_slowness)
         if blame:
-            self.inbound.ran(failed=True)
+            self._contain(self.inbound.ran, True)
         self._end()
-        self._drop_connection()
-        self._log_failed(reason)
+        self._contain(self._log_failed, reason)
         self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
 
     def take_fault(self, error: Exception) -> None:
@@ -438,13 +441,10 @@
         Its receiver hears of it also where the run had ended: a fault in telling it of
         the answer left its caller waiting until the deadline.
         """
-        inbound = self.inbound
-        if not self.done:
-            self.done = True
-            inbound.runtime.contain("run", self._end)
-        self._drop_connection()
-        self._log_failed(Reason.FAULT)
-        self.receiver.on_failure(Failure(int(Reason.FAULT), inbound.admission.busy))
+        self._end()
+        self._contain(self._log_failed, Reason.FAULT)
+        busy = self.inbound.admission.busy
+        self.receiver.on_failure(Failure(int(Reason.FAULT), busy))
 
     def _log_failed(self, reason: Reason) -> None:
         events.log(
@@ -465,9 +465,17 @@
             admission.learn(route, run_ms)
 
     def _end(self) -> None:
+        """Leave the books and the connection.
+
+        Each step is contained: an error of one left the sender without any word.
+        """
         self.done = True
-        self.inbound.transfers.end(self)
-        self.inbound.release(self.ticket)
+        self._contain(self.inbound.transfers.end, self)
+        self._contain(self.inbound.release, self.ticket)
+        self._contain(self._drop_connection)
+
+    def _contain(self, step: Callable[..., None], *arguments: object) -> None:
+        self.inbound.runtime.contain("run", step, *arguments)
 
     def _drop_connection(self) -> None:
         connection, self._connection = self._connection, None
--- a/tests/test_mesh_containment_queue.py
+++ b/tests/test_mesh_containment_queue.py
@@ -140,13 +140,21 @@
     assert stuck.outcomes == ["failed FAULT"]
 
 
+def of_counted_end(_: Metrics, name: str, *__: object) -> bool:
+    return name in ("refused_here", "failed_here")
+
+
+def of_any(*_: object) -> bool:
+    return True
+
+
 STEPS_OF_AN_END = [
-    (Run, "_drop_connection"),
-    (Metrics, "count"),
-    (Admission, "leave"),
-    (Inbound, "release"),
-    (Inbound, "ran"),
-    (Transfers, "end"),
+    (Run, "_drop_connection", of_any),
+    (Metrics, "count", of_counted_end),
+    (Admission, "leave", of_any),
+    (Inbound, "release", of_any),
+    (Inbound, "ran", of_any),
+    (Transfers, "end", of_any),
 ]
 
 
