--- a/tests/test_mesh_admission.py
+++ b/tests/test_mesh_admission.py
@@ -223,3 +223,15 @@
     assert admission.late(0.0) == []
     admission.closes_ms = 1200.0
     assert admission.late(0.0) == [third]
+
+
+def test_what_leaves_the_queue_of_a_stop_delays_nobody_who_stays() -> None:
+    admission = Admission(slots=1)
+    admission.learn("read", 500.0)
+    first, urgent, patient = (ticket(priority, 0.0, 9000.0) for priority in (1, 0, 2))
+    for one in (first, urgent, patient):
+        one.deadline_at_ms = 9000.0
+        admission.offer(one, 0.0)
+    urgent.deadline_at_ms = 900.0
+    admission.closes_ms = 1200.0
+    assert admission.late(0.0) == [urgent]
