Walk the queue of a stop once, and count only what stays as work ahead

Cause: beside a stopping node each waiting request was judged by a walk of its own over the whole queue, in which those refused in the same look still counted as work ahead.

Change: one walk in the queue's order that sums the work of those that stay. The estimate is the same otherwise.

--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections.abc import Iterator
 
 import attrs
 
@@ -143,15 +142,19 @@
 
         Beside a stopping node these are also the ones whose turn comes too late: other
         nodes may serve them. Kept, four reads that could be answered elsewhere at once
-        waited for the 5.6 s of the node's end, and had their runs cut by it.
+        waited for the 5.6 s of the node's end, and had their runs cut by it. Who leaves
+        is no work ahead of those that stay.
         """
-        return [ticket for ticket in self._waiting if self._is_late(ticket, now_ms)]
-
-    def _is_late(self, ticket: Ticket, now_ms: float) -> bool:
-        end_ms = now_ms + self.run_ms(ticket.route)
-        if self.closes_ms < math.inf:
-            end_ms += self._wait_ms(ticket, now_ms)
-        return end_ms > self.due_ms(ticket)
+        if self.closes_ms == math.inf:
+            return [one for one in self._waiting if not self.ends_in_time(one, now_ms)]
+        late: list[Ticket] = []
+        turn_ms = now_ms + self._turn_ms(0.0)
+        for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
+            if self.ends_in_time(ticket, turn_ms):
+                turn_ms += self.run_ms(ticket.route) / self.slots
+            else:
+                late.append(ticket)
+        return late
 
     def due_ms(self, ticket: Ticket) -> float:
         """Return when a run must have ended, for its caller and for the node here."""
@@ -167,23 +170,16 @@
         return RETRY_LEAST_MS + work_ms / self.slots
 
     def _wait_ms(self, ticket: Ticket, now_ms: float) -> float:
-        ahead_ms = sum(
-            self.run_ms(other.route) for other in self._ahead_of(ticket, now_ms)
-        )
+        """Return how long a new request would wait."""
+        rank = self._rank(ticket, now_ms)
+        ahead = (one for one in self._waiting if self._rank(one, now_ms) <= rank)
+        return self._turn_ms(sum(self.run_ms(one.route) for one in ahead))
+
+    def _turn_ms(self, ahead_ms: float) -> float:
+        """Return how long a request waits with so much work ahead of it."""
         first_ms = sum(self.run_ms(other.route) for other in self.running)
         return (ahead_ms + first_ms / max(1, len(self.running))) / self.slots
 
-    def _ahead_of(self, ticket: Ticket, now_ms: float) -> Iterator[Ticket]:
-        """Yield the waiting requests that go before one, which may wait itself."""
-        rank, is_before = self._rank(ticket, now_ms), True
-        for other in self._waiting:
-            if other is ticket:
-                is_before = False
-                continue
-            other_rank = self._rank(other, now_ms)
-            if other_rank < rank or (is_before and other_rank == rank):
-                yield other
-
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[bool, int, float]:
         """Order the queue: what meets its objective, the urgent, the earlier due.
 
