Second answers and long errors: tests that fail

A 500 of 1.4 MB of a read that is tried again elsewhere: the rest of its body goes to the caller where the next answer's status line is due (BadStatusLine eeee...). A second server's error ends a first run that is still at work behind a doubtful link (500 for 200), and a first run that was returned to counts as two (502 for 200).

--- a/tests/test_mesh_doubt.py
+++ b/tests/test_mesh_doubt.py
@@ -14,7 +14,7 @@
 import pytest
 
 from azurestep.mesh.links.connection import PeerConnection
-from standins.signing_server import Received
+from standins.signing_server import Received, signed
 
 from .fixtures_mesh import MeshFleet, MeshInstance
 from .test_mesh_faults import eventually, silence
@@ -62,7 +62,11 @@
     return None
 
 
-@pytest.mark.parametrize("misbehave", [refuse, drop])
+def error(received: Received) -> bytes:
+    return signed(received, b"broken", 500)
+
+
+@pytest.mark.parametrize("misbehave", [refuse, drop, error])
 async def test_the_first_run_s_answer_counts_where_the_second_server_has_none(
     mesh: MeshFleet, misbehave
 ) -> None:  # type: ignore[no-untyped-def]
@@ -130,3 +134,21 @@
     speak_again(serving)
     assert await task == 200
     await eventually(silent._transport.is_closing, 0.3)
+
+
+async def test_a_request_that_came_back_to_its_first_run_may_run_once_more(
+    mesh: MeshFleet,
+) -> None:
+    serving, other, asking = mesh.instances
+    other.node.inbound.admission.closes_ms = 0.0
+    task = await run_at_one(mesh)
+    silence(serving)
+    await eventually(lambda: other.node.inbound.load.refused > 0, 0.6)
+    asking.server.instance_id += "b"
+    await asking.beat(mesh.session)
+    await eventually(lambda: asking.node.inbound.open, 0.3)
+    for server in list(serving.node.listener.servers):
+        server.abort()
+    assert await task == 200
+    assert other.server.runs["m1"] == 0
+    assert asking.server.runs["m1"] == 1
--- a/tests/test_mesh_downloads.py
+++ b/tests/test_mesh_downloads.py
@@ -137,3 +137,23 @@
 
 async def test_a_short_read_is(mesh: MeshFleet) -> None:
     assert await runs_beside_a_silent_link(mesh, 1_500) == 2
+
+
+async def test_a_long_error_is_not_mixed_into_the_next_server_s_answer(
+    mesh: MeshFleet,
+) -> None:
+    failed: list[str] = []
+
+    def fail_once(received: Received) -> bytes:
+        if failed:
+            return signed(received, b"hello")
+        failed.append(received.headers["attempt-id"])
+        return signed(received, b"e" * 1_400_000, 500)
+
+    for instance in mesh.instances:
+        instance.server.misbehave = fail_once
+    asking = mesh.instances[2]
+    assert await mesh.get(asking, "/read/1", "e1") == (200, b"hello")
+    await eventually(
+        lambda: not any(item.node.inbound.busy for item in mesh.instances), 0.3
+    )
