Keep the answers of two runs apart

An error that is not whole is given up before its request runs elsewhere, so that the rest of it goes nowhere. A second server's error leaves the request waiting for a first run that is still at work, and a first run that was returned to counts once.

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -4,6 +4,7 @@
 from ...platform.headers import CallerFields
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
 from ..decisions.admission import RETRY_LEAST_MS
+from ..decisions.choice import Endpoint
 from ..decisions.returning import Attempt
 from ..links.interfaces import Stream
 from ..messages import Answer, Failure, Reason, Refusal
@@ -182,8 +183,9 @@
             former.cancel()
             return
         if self._is_error(answer):
-            self._former = None
-            self._fallback = self._fallback or answer
+            self._drop_former()
+            if answer.whole:
+                self._fallback = self._fallback or answer
             return
         if self._stream is not None:
             self._stream.cancel()
@@ -201,6 +203,7 @@
         former, self._former = self._former, None
         if former is None:
             return False
+        self.record.runs -= 1
         self._stream = former.stream
         former.stream.hand_over(self)
         self._placement.take(former.endpoint)
@@ -275,19 +278,40 @@
         if self._is_error(answer) and not self._body.streamed:
             self.record.runs += 1
             self._may_have_run = True
-            if self._may_run_again():
-                self._fallback = answer
-                self._placement.leave()
-                if endpoint is not None:
-                    self._placement.avoid(endpoint)
-                self._log_retry(Reason.MALFORMED, answer.status)
-                self._dispatch()
+            if self._is_bettered(answer, endpoint):
                 return
         self._placement.leave()
         if endpoint is not None:
             endpoint.tell(answer.busy)
         self._pass_on(answer)
 
+    def _is_bettered(self, answer: Answer, endpoint: Endpoint | None) -> bool:
+        """Whether another run may answer in place of an error, and is waited for."""
+        runs_again = self._may_run_again()
+        if not runs_again and self._former is None:
+            return False
+        self._keep_fallback(answer)
+        self._placement.leave()
+        if endpoint is not None:
+            self._placement.avoid(endpoint)
+        if not runs_again:
+            return self._return_to_former()
+        self._log_retry(Reason.MALFORMED, answer.status)
+        self._dispatch()
+        return True
+
+    def _keep_fallback(self, answer: Answer) -> None:
+        """Keep an error for the case that nothing better comes, if it is short.
+
+        The rest of a long one is not wanted. It was passed on where the head of the
+        next server's answer was due.
+        """
+        if answer.whole:
+            self._fallback = self._fallback or answer
+        elif self._stream is not None:
+            stream, self._stream = self._stream, None
+            stream.cancel()
+
     def _is_error(self, answer: Answer) -> bool:
         """Whether an answer is one that another backend server may better."""
         failed = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
