The last moments of a stopping node: tests that fail

The bound on the time that a late request is handed is the time of the stop's last answer now, in place of the whole grace time.

--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -16,13 +16,18 @@
 import pytest_asyncio
 from aiohttp import ClientError
 
+from azurestep.mesh import events
+from azurestep.mesh.incarnation import Incarnation
+from azurestep.mesh.messages import Request
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 from standins.signing_server import signed
 
+from .fixtures_inbound import Listener
 from .fixtures_mesh import (
     CALLER_PORT,
     MeshFleet,
     MeshInstance,
+    MeshLines,
     caller_headers,
     document,
 )
@@ -113,7 +118,15 @@
     stopping.node.stop()
     assert await read(patient, stopping, "late-1") == 200
     left_ms = float(serving.server.received[-1].headers["deadline-milliseconds"])
-    assert left_ms < stopping.node.settings.bounds.grace_ms
+    plan = stopping.node.stop_plan
+    assert plan is not None
+    assert left_ms <= plan.answer_by_ms - plan.since_ms
+
+
+def get_bytes(name: str) -> bytes:
+    """Return a read as a caller writes it."""
+    head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers(name, LONG_MS).items())
+    return f"GET /read/1 HTTP/1.1\r\n{head}\r\n\r\n".encode()
 
 
 def slow_caller() -> socket.socket:
@@ -134,9 +147,7 @@
     loop = asyncio.get_running_loop()
     with slow_caller() as caller:
         await loop.sock_connect(caller, (stopping.host, CALLER_PORT))
-        head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers("d1", 9000).items())
-        request = f"GET /read/1 HTTP/1.1\r\n{head}\r\n\r\n"
-        await loop.sock_sendall(caller, request.encode())
+        await loop.sock_sendall(caller, get_bytes("d1"))
         received = bytearray(await loop.sock_recv(caller, 4096))
         while any(item.exchanges for item in stopping.node.callers.connections):
             received += await loop.sock_recv(caller, 4096)
@@ -196,3 +207,85 @@
     assert [call.result() for call in done] == [200] * 4
     assert sum(other.server.runs[name] for name in names) == 4
     assert await asyncio.gather(*calls) == [200] * 8
+
+
+def payment(name: str, incarnation: Incarnation, now_ms: float) -> Request:
+    """Return a payment as a node sends it to another one."""
+    return Request(
+        method=b"POST",
+        target=b"/pay/1",
+        headers=[],
+        service="shop",
+        instance_id=incarnation.instance_id,
+        route="pay",
+        request_id=name.encode(),
+        calling_service=b"shop",
+        idempotent=False,
+        priority=1,
+        budget_ms=1500.0,
+        objective_ms=400.0,
+        sent_ms=now_ms,
+        length=0,
+        whole=True,
+        body=b"",
+        born_ms=incarnation.born_ms,
+    )
+
+
+async def test_an_ended_node_says_what_it_left(
+    patient: MeshFleet, mesh_lines: MeshLines
+) -> None:
+    stopping = patient.instances[0]
+    body = b"x" * 24_000_000
+    for instance in patient.instances:
+        instance.server.misbehave = lambda received: signed(received, body)
+    loop = asyncio.get_running_loop()
+    with slow_caller() as caller:
+        await loop.sock_connect(caller, (stopping.host, CALLER_PORT))
+        await loop.sock_sendall(caller, get_bytes("d1"))
+        await eventually(lambda: bool(stopping.node.calls.under_way))
+        await stop(stopping)
+    lines = mesh_lines.of(events.STOPPED.number, events.CALL_FAILED.number)
+    cut = [line for line in lines if line["event"] == events.CALL_FAILED.number]
+    assert [(line["id"], line["reason"]) for line in cut] == [("d1", "STOPPING")]
+    (told,) = (line for line in lines if line["event"] == events.STOPPED.number)
+    assert told["calls"] == 1
+
+
+async def test_a_node_that_has_ended_takes_no_run_that_it_would_cut(
+    mesh: MeshFleet,
+) -> None:
+    serving, asking = mesh.instances[:2]
+    serving.server.work_s = 0.6
+    ended = asyncio.create_task(stop(serving))
+    await asyncio.wait_for(serving.node._stopped.wait(), 5)
+    link = asking.node.members.links[serving.node.settings.peer_address]
+    listener = Listener()
+    now_ms = asking.node.runtime.now_ms()
+    request = payment("late-1", link.endpoint.incarnation, now_ms)
+    assert link.send(request, listener) is not None  # type: ignore[arg-type]
+    await ended
+    await eventually(lambda: bool(listener.outcomes), 2.0)
+    assert listener.outcomes == ["STOPPING"]
+    assert serving.server.runs["late-1"] == 0
+
+
+async def test_connections_that_wait_as_a_stopping_node_closes_are_answered(
+    mesh: MeshFleet,
+) -> None:
+    stopping = mesh.instances[0]
+    stopping.server.work_s = 0.2
+    held = asyncio.create_task(mesh.get(stopping, "/read/1", "held-1"))
+    stopping.node.stop()
+    plan = stopping.node.stop_plan
+    assert plan is not None
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        # Nothing awaits in between, so that the event loop can't accept it before.
+        caller.connect((stopping.host, CALLER_PORT))
+        caller.sendall(get_bytes("w1"))
+        caller.setblocking(False)
+        stopping.node._check_stop(plan, plan.refuses_from_ms)
+        answer = await asyncio.wait_for(loop.sock_recv(caller, 65_536), 2)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert (await held)[0] == 200
