The last moments of a stopping node, in order

A stop is a module of its own. In the 0.1 s before the process ends nothing is taken any more: a payment that comes then is refused as not run and goes elsewhere. Connections that the kernel took as the listener closes are served, not reset. A grace time shorter than the linger no longer makes the end later than the grace.

--- a/azurestep/mesh/decisions/stopping.py
+++ b/azurestep/mesh/decisions/stopping.py
@@ -44,7 +44,7 @@
     @property
     def refuses_from_ms(self) -> float:
         """When new requests begin to be refused."""
-        return self.since_ms + LINGER_MS
+        return min(self.since_ms + LINGER_MS, self.answer_by_ms)
 
     @property
     def answer_by_ms(self) -> float:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -7,13 +7,14 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import cast
 
 import attrs
 import uvloop
 
 from ..errors import PortInUseError, SettingsError
-from ..events import Event
 from ..http.server import Handler, ServerConnection, ServerState
+from ..listening import close_listener
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
 from ..routing.table import RoutingTable
@@ -27,7 +28,6 @@
 from .callers.own_answers import answer_failed
 from .decisions.pressure import Report
 from .decisions.retry_budget import RetryBudget
-from .decisions.stopping import StopPlan
 from .knowledge.configuration import PEER, Configuration
 from .knowledge.discovery import Discovery
 from .knowledge.following import Follower
@@ -36,6 +36,7 @@
 from .messages import FORMAT, Hello, State
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
+from .stopping import OrderlyStop
 
 TICK_S = 0.1
 """How often links, queues and connections are looked after."""
@@ -81,8 +82,8 @@
     listener: PeerListener = attrs.field(init=False)
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
+    orderly_stop: OrderlyStop = attrs.field(init=False)
     started_ms: float = 0.0
-    stop_plan: StopPlan | None = None
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
     _servers: list[asyncio.AbstractServer] = attrs.field(factory=list)
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -151,6 +152,15 @@
         self.callers = ServerState(
             self.outbound.handle, runtime.fault_of("caller"), answer_failed
         )
+        self.orderly_stop = OrderlyStop(
+            runtime,
+            settings.instance,
+            self.callers,
+            self.outbound,
+            self.inbound,
+            self.listener,
+            self._close_callers,
+        )
 
     async def run(self) -> None:
         """Serve until a signal asks for the end."""
@@ -198,19 +208,13 @@
         while not self._stopped.is_set():
             self._tick(states)
             await asyncio.sleep(TICK_S)
-        events.log(events.STOPPED, node=settings.instance)
+        self.orderly_stop.finish()
         events.WRITER.flush()
 
     def stop(self) -> None:
         """Begin an orderly stop: finish what is under way, take nothing new."""
-        if self.stop_plan is not None:
+        if not self.orderly_stop.begin(self.settings.bounds.grace_ms):
             return
-        grace_ms = self.settings.bounds.grace_ms
-        self.stop_plan = StopPlan(self.runtime.now_ms(), grace_ms)
-        self.callers.draining = True
-        self.calls.end_by(self.stop_plan.answer_by_ms)
-        self.inbound.stop(self.stop_plan.answer_by_ms)
-        self._log_stop(events.STOPPING)
         self.runtime.spawn(self.discovery.leave())
         self.tell_state()
 
@@ -245,9 +249,14 @@
         self.inbound.address = settings.backend_address
         events.log(events.RELOADED, changed=True, service=settings.service)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether an orderly stop has begun."""
+        return self.orderly_stop.plan is not None
+
     def is_ready(self) -> bool:
         """Whether callers should send requests here."""
-        if self.stop_plan is not None or not self.configuration.version:
+        if self.is_stopping or not self.configuration.version:
             return False
         age_ms = self.runtime.now_ms() - self.started_ms
         linked = self.members.count() > 1 and self.discovery.done
@@ -276,7 +285,7 @@
             backend.cold_ms(self.runtime.now_ms()),
             self.configuration.version,
             self.follower.store_ok,
-            self.stop_plan is not None,
+            self.is_stopping,
             self.inbound.health.failing,
             self.inbound.callers.callers(),
             self.calls.refusals.report(),
@@ -330,6 +339,13 @@
             lambda kind: metrics.count("store_calls", kind),
         )
 
+    def _close_callers(self) -> None:
+        listener = cast(asyncio.Server, self._servers[0])
+        self.runtime.spawn(close_listener(listener, self._caller_connection))
+
+    def _caller_connection(self) -> ServerConnection:
+        return ServerConnection(self.callers)
+
     async def _listen(self, address: Address, state: ServerState) -> None:
         await self._bind(address, lambda: ServerConnection(state))
 
@@ -379,10 +395,13 @@
                 contain(state.sweep, now_s)
         if self._ticks % SETTINGS_CHECK_TICKS == 0:
             contain(self._check_settings)
-        if self.stop_plan is not None:
-            contain(self._check_stop, self.stop_plan, now_ms)
+        contain(self._check_stop, now_ms)
         contain(events.WRITER.flush)
 
+    def _check_stop(self, now_ms: float) -> None:
+        if self.orderly_stop.is_over(now_ms):
+            self._stopped.set()
+
     def _update_pressure(self) -> None:
         self.outbound.pressure.update(self._reports())
 
@@ -404,29 +423,6 @@
             self.reload()
         self._settings_seen = content
 
-    def _check_stop(self, plan: StopPlan, now_ms: float) -> None:
-        busy = self.callers.busy or self.inbound.busy or self.listener.busy
-        if now_ms < plan.refuses_from_ms:
-            return
-        if not self.outbound.closed:
-            self.outbound.closed = True
-            self._servers[0].close()
-        if now_ms >= plan.ends_ms or not busy:
-            for connection in list(self.callers.connections):
-                connection.close_if_idle()
-            self._stopped.set()
-
-    def _log_stop(self, event: Event) -> None:
-        """Log what is under way as a stop begins, or is left as the node ends."""
-        admission = self.inbound.admission
-        events.log(
-            event,
-            node=self.settings.instance,
-            calls=len(self.calls.under_way),
-            runs=len(admission.running),
-            waiting=admission.busy - len(admission.running),
-        )
-
     def _refresh_gauges(self) -> None:
         gauges = self.runtime.metrics.gauges
         gauges["members"] = self.members.count()
--- /dev/null
+++ b/azurestep/mesh/stopping.py
@@ -0,0 +1,82 @@
+"""The orderly stop of a node: finish what is under way, take nothing new, end."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ..events import Event
+from ..http.server import ServerState
+from . import events
+from .backend.inbound import Inbound
+from .callers.outbound import Outbound
+from .decisions.stopping import StopPlan
+from .links.server import PeerListener
+from .runtime import Runtime
+
+
+@attrs.define(eq=False)
+class OrderlyStop:
+    """Takes a node from SIGTERM to its end.
+
+    Attributes
+    ----------
+    callers : ServerState
+        Connections of callers.
+    close_callers : Callable
+        Stops taking connections of callers.
+    plan : StopPlan or None
+        When what happens; None until the stop begins.
+    """
+
+    runtime: Runtime
+    instance: str
+    callers: ServerState
+    outbound: Outbound
+    inbound: Inbound
+    listener: PeerListener
+    close_callers: Callable[[], None]
+    plan: StopPlan | None = None
+
+    def begin(self, grace_ms: float) -> bool:
+        """Begin, and return whether it had not begun before."""
+        if self.plan is not None:
+            return False
+        self.plan = StopPlan(self.runtime.now_ms(), grace_ms)
+        self.callers.draining = True
+        self.outbound.context.end_by(self.plan.answer_by_ms)
+        self.inbound.stop(self.plan.answer_by_ms)
+        self._log(events.STOPPING)
+        return True
+
+    def is_over(self, now_ms: float) -> bool:
+        """Take the next step; return whether the node may end."""
+        plan = self.plan
+        if plan is None or now_ms < plan.refuses_from_ms:
+            return False
+        if not self.outbound.closed:
+            self.outbound.closed = True
+            self.close_callers()
+        busy = self.callers.busy or self.inbound.busy or self.listener.busy
+        if busy and now_ms < plan.ends_ms:
+            return False
+        for connection in list(self.callers.connections):
+            self.runtime.contain("stop", connection.close_if_idle)
+        # What comes in the last moments goes elsewhere; taken, it was cut by the end.
+        self.inbound.stop(now_ms)
+        return True
+
+    def finish(self) -> None:
+        """Say what the node leaves as it ends."""
+        for call in list(self.outbound.context.under_way):
+            call.log_cut()
+        self._log(events.STOPPED)
+
+    def _log(self, event: Event) -> None:
+        admission = self.inbound.admission
+        events.log(
+            event,
+            node=self.instance,
+            calls=len(self.outbound.context.under_way),
+            runs=len(admission.running),
+            waiting=admission.busy - len(admission.running),
+        )
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -118,7 +118,7 @@
     stopping.node.stop()
     assert await read(patient, stopping, "late-1") == 200
     left_ms = float(serving.server.received[-1].headers["deadline-milliseconds"])
-    plan = stopping.node.stop_plan
+    plan = stopping.node.orderly_stop.plan
     assert plan is not None
     assert left_ms <= plan.answer_by_ms - plan.since_ms
 
@@ -274,10 +274,12 @@
     mesh: MeshFleet,
 ) -> None:
     stopping = mesh.instances[0]
-    stopping.server.work_s = 0.2
+    for instance in mesh.instances:
+        instance.server.work_s = 0.2
     held = asyncio.create_task(mesh.get(stopping, "/read/1", "held-1"))
+    await eventually(lambda: bool(stopping.node.calls.under_way))
     stopping.node.stop()
-    plan = stopping.node.stop_plan
+    plan = stopping.node.orderly_stop.plan
     assert plan is not None
     loop = asyncio.get_running_loop()
     with socket.socket() as caller:
@@ -285,7 +287,7 @@
         caller.connect((stopping.host, CALLER_PORT))
         caller.sendall(get_bytes("w1"))
         caller.setblocking(False)
-        stopping.node._check_stop(plan, plan.refuses_from_ms)
+        stopping.node.orderly_stop.is_over(plan.refuses_from_ms)
         answer = await asyncio.wait_for(loop.sock_recv(caller, 65_536), 2)
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert (await held)[0] == 200
