Let a stopping node wait for outcomes that have not left, not for news

Bytes for a node that is gone counted as well, so that a stopping node could stay for its whole grace time. The test on the code before: assert not True, at a link that takes nothing and has news alone.

--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -77,12 +77,12 @@
 
     @property
     def busy(self) -> bool:
-        """Whether bytes for another node have not left.
+        """Whether an outcome for another node has not left.
 
         A process that ends drops what its send buffers hold: 24 of 40 answers behind a
         slow link came out as failures at the node that had asked.
         """
-        return any(server.unsent_bytes > 0 for server in self.servers)
+        return any(server.owes_outcome for server in self.servers)
 
     def broadcast_state(self) -> None:
         """Tell all nodes the state of this one: what matters at once, load in turn."""
@@ -154,6 +154,7 @@
         self.peer: Hello | None = None
         self._decoder = Decoder(OF_CALLING_NODES)
         self._transport: asyncio.Transport | None = None
+        self._has_told = False
         self._runs: dict[int, Run] = {}
         self._least_delay_ms: float | None = None
 
@@ -221,13 +222,19 @@
             self._transport.write(data)
 
     @property
-    def unsent_bytes(self) -> int:
-        """Bytes that were written and have not left."""
+    def owes_outcome(self) -> bool:
+        """Whether bytes have not left since the last outcome; news alone don't count.
+
+        News for a node that is gone would keep a stopping one for its grace time.
+        """
         transport = self._transport
-        return 0 if transport is None else transport.get_write_buffer_size()
+        if transport is None or not transport.get_write_buffer_size():
+            self._has_told = False
+        return self._has_told
 
     def forget(self, stream: int) -> None:
-        """Forget a request that ended."""
+        """Forget a request that ended; its outcome is written."""
+        self._has_told = True
         self._runs.pop(stream, None)
 
     def abort(self) -> None:
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -18,7 +18,8 @@
 
 from azurestep.mesh import events
 from azurestep.mesh.incarnation import Incarnation
-from azurestep.mesh.messages import Request
+from azurestep.mesh.links.remote_receiver import RemoteReceiver
+from azurestep.mesh.messages import Reason, Refusal, Request
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 from standins.signing_server import signed
 
@@ -123,6 +124,22 @@
     assert left_ms <= plan.answer_by_ms - plan.since_ms
 
 
+class FullTransport:
+    """Takes bytes that never leave."""
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 1
+
+    def abort(self) -> None:
+        pass
+
+
 def get_bytes(name: str) -> bytes:
     """Return a read as a caller writes it."""
     head = "\r\n".join(f"{k}: {v}" for k, v in caller_headers(name, LONG_MS).items())
@@ -291,3 +308,15 @@
         answer = await asyncio.wait_for(loop.sock_recv(caller, 65_536), 2)
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert (await held)[0] == 200
+
+
+async def test_a_stopping_node_does_not_wait_until_its_news_have_left(
+    mesh: MeshFleet,
+) -> None:
+    listener = mesh.instances[0].node.listener
+    server = next(iter(listener.servers))
+    server._transport = FullTransport()  # type: ignore[assignment]
+    listener.broadcast_state()
+    assert not listener.busy
+    RemoteReceiver(server, 1).on_refusal(Refusal(Reason.STOPPING, 0, 0.0))
+    assert listener.busy
