A request that ran nowhere after a doubt must be refused as such: a test that fails

It waits beside a server when its link is doubted; another server and then that one refuse it as not run, and its caller gets 502 (for 503).

--- a/tests/test_mesh_doubt.py
+++ b/tests/test_mesh_doubt.py
@@ -152,3 +152,24 @@
     assert await task == 200
     assert other.server.runs["m1"] == 0
     assert asking.server.runs["m1"] == 1
+
+
+async def test_a_request_that_ran_nowhere_after_a_doubt_is_refused_as_such(
+    mesh: MeshFleet,
+) -> None:
+    serving, other, asking = mesh.instances
+    await only(mesh, serving)
+    serving.server.work_s = 0.9
+    held = [asyncio.create_task(read(mesh, serving, f"h{index}")) for index in range(4)]
+    await eventually(lambda: serving.server.running == 4)
+    task = asyncio.create_task(read(mesh, asking, "n1"))
+    await eventually(lambda: serving.node.inbound.admission.busy == 5)
+    other.node.inbound.admission.closes_ms = 0.0
+    await reopen(mesh, other)
+    silence(serving)
+    await eventually(lambda: other.node.inbound.load.refused > 0, 0.6)
+    speak_again(serving)
+    serving.node.inbound.stop(0.0)
+    assert await task == 503
+    assert serving.server.runs["n1"] == other.server.runs["n1"] == 0
+    assert await asyncio.gather(*held) == [200] * 4
