--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -56,7 +56,7 @@
         self._stream: Stream | None = None
         self._former: FormerRun | None = None
         self._fallback: Answer | None = None
-        self._may_have_run = False
+        self._unsure_runs = 0
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
@@ -172,7 +172,7 @@
             return False
         self.record.runs += 1
         if self._may_run_again():
-            self._may_have_run = True
+            self._unsure_runs += 1
             return True
         self.record.runs -= 1
         return False
@@ -193,17 +193,25 @@
         self._return_to_former()
         self.on_answer(answer)
 
-    def on_former_lost(self, former: FormerRun) -> None:
+    def on_former_lost(self, former: FormerRun, may_have_run: bool) -> None:
         """Wait for the second run alone."""
-        if former is self._former:
-            self._former = None
+        if former is not self._former:
+            return
+        self._former = None
+        if not may_have_run:
+            self._forget_unsure_run()
+
+    def _forget_unsure_run(self) -> None:
+        """Count a run no longer that was counted on a doubt: it is known, or waited."""
+        self.record.runs -= 1
+        self._unsure_runs -= 1
 
     def _return_to_former(self) -> bool:
         """Wait for the first run alone, if it goes on behind its link."""
         former, self._former = self._former, None
         if former is None:
             return False
-        self.record.runs -= 1
+        self._forget_unsure_run()
         self._stream = former.stream
         former.stream.hand_over(self)
         self._placement.take(former.endpoint)
@@ -252,7 +260,7 @@
         endpoint = self._placement.leave()
         reason = Reason(failure.reason)
         self.record.runs += 1
-        self._may_have_run = True
+        self._unsure_runs += 1
         if endpoint is not None:
             self._placement.avoid(endpoint)
         if self._writer.started:
@@ -277,7 +285,7 @@
             self.context.usual.learn(self.route.name, answer.run_ms)
         if self._is_error(answer) and not self._body.streamed:
             self.record.runs += 1
-            self._may_have_run = True
+            self._unsure_runs += 1
             if self._is_bettered(answer, endpoint):
                 return
         self._placement.leave()
@@ -369,7 +377,7 @@
             self._refuse(Reason(refusal.reason), refusal.retry_ms)
 
     def _refuse(self, reason: Reason, retry_ms: float) -> None:
-        if self._may_have_run:
+        if self._unsure_runs:
             self._fail(reason)
             return
         self._close(cancel=True)
@@ -423,7 +431,7 @@
 
     def _refuse_late(self) -> None:
         """Answer at the deadline that the request has not run, if it has not."""
-        if self._may_have_run:
+        if self._unsure_runs:
             self._time_out()
         else:
             self._refuse(self._late_reason(Reason.TOO_LATE), RETRY_LEAST_MS)
--- a/azurestep/mesh/callers/former_run.py
+++ b/azurestep/mesh/callers/former_run.py
@@ -19,8 +19,8 @@
     def on_former_answer(self, former: "FormerRun", answer: Answer) -> None:
         """Take the answer, or its head and first bytes."""
 
-    def on_former_lost(self, former: "FormerRun") -> None:
-        """Learn that no answer comes of it."""
+    def on_former_lost(self, former: "FormerRun", may_have_run: bool) -> None:
+        """Learn that no answer comes of it, and whether it may have run."""
 
 
 @attrs.define(eq=False)
@@ -52,11 +52,11 @@
 
     def on_refusal(self, refusal: Refusal) -> None:
         """Tell that it did not run after all."""
-        self.owner.on_former_lost(self)
+        self.owner.on_former_lost(self, may_have_run=refusal.arrived)
 
     def on_failure(self, failure: Failure) -> None:
         """Tell that it failed."""
-        self.owner.on_former_lost(self)
+        self.owner.on_former_lost(self, may_have_run=True)
 
     def on_credit(self, size: int) -> None:
         """Ignore; its body was whole when it was sent."""
@@ -69,4 +69,4 @@
 
     def on_fault(self) -> None:
         """Tell that a fault of this program ended it."""
-        self.owner.on_former_lost(self)
+        self.owner.on_former_lost(self, may_have_run=True)
