--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -18,8 +18,9 @@
 from ..messages import Reason, Request
 from ..runtime import Runtime
 from ..settings import Address
+from .contained import contained
 from .crashes import CrashWatch
-from .load import LoadSummary
+from .load import LoadSummary, tick_load
 from .run import AnswerReceiver, Run
 from .state import Backend
 from .transfers import Transfer, Transfers
@@ -80,6 +81,11 @@
         """Whether a request runs or waits."""
         return bool(self._runs)
 
+    @property
+    def late_reason(self) -> Reason:
+        """Why what can't end in time is refused."""
+        return Reason.STOPPING if self.stopping else Reason.TOO_LATE
+
     def stop(self, closes_ms: float) -> None:
         """Serve what can end by then; other nodes are told to choose others."""
         self.stopping = True
@@ -87,13 +93,26 @@
         self._look_soon()
 
     def submit(self, request: Request, receiver: AnswerReceiver) -> Run:
-        """Take a request; the receiver hears of its outcome."""
+        """Take a request; the receiver hears of its outcome.
+
+        A fault on the way ends it, and is raised in place of an outcome. Left on the
+        books, the request held its slot and its turn until its deadline.
+        """
         run = Run(self, request, receiver)
         self._runs[run.ticket] = run
+        try:
+            self._admit(run)
+        except Exception:
+            self.runtime.contain("run", run.cancel)
+            raise
+        return run
+
+    def _admit(self, run: Run) -> None:
+        request = run.request
         reason = self._obstacle(request)
         if reason is not None:
             run.refuse(reason)
-            return run
+            return
         self.admission.slots = self.backend.slots
         if request.usual_ms:
             self.admission.expect(request.route, request.usual_ms)
@@ -103,16 +122,11 @@
             run.refuse(Reason.STOPPING if self.stopping else Reason.OVERLOADED)
         elif decision:
             run.start()
-        return run
 
     def _obstacle(self, request: Request) -> Reason | None:
-        backend = self.backend
-        if not backend.instance_id or backend.service != request.service:
-            return Reason.NO_BACKEND
-        if not backend.incarnation.may_be(request.incarnation):
-            return Reason.OTHER_INSTANCE
-        if not backend.admits(self.now_ms()):
-            return Reason.LEAVING
+        obstacle = self.backend.obstacle(request, self.now_ms())
+        if obstacle is not None:
+            return obstacle
         if self.unreachable:
             return Reason.UNREACHABLE
         if request.budget_ms <= 0:
@@ -156,16 +170,16 @@
         """
         self._look_due = False
         now_ms = self.now_ms()
-        late = Reason.STOPPING if self.stopping else Reason.TOO_LATE
-        self._refuse(self.admission.late(now_ms), late)
+        self._refuse(self.admission.late(now_ms), self.late_reason)
         if not self.backend.admits(now_ms):
             self._refuse(self.admission.waiting, Reason.LEAVING)
         for waiting in self.transfers.waiting:
-            waiting.refuse_if_late(now_ms)
+            contained(waiting, waiting.refuse_if_late, now_ms)
         while (ticket := self.admission.start_next(now_ms)) is not None:
-            self._runs[ticket].start()
+            run = self._runs[ticket]
+            contained(run, run.start)
         while (transfer := self.transfers.start_next()) is not None:
-            transfer.ask_for_body()
+            contained(transfer, transfer.ask_for_body)
 
     def _refuse(self, tickets: list[Ticket], reason: Reason) -> None:
         """Refuse waiting requests; each waits until its turn to be refused comes.
@@ -175,7 +189,7 @@
         for ticket in tickets:
             run = self._runs.get(ticket)
             if run is not None:
-                run.refuse(reason)
+                contained(run, run.refuse, reason)
 
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it takes none."""
@@ -252,10 +266,10 @@
         """Have the queue looked at, break off overtime, retry the address."""
         now_ms = self.now_ms()
         self._tick_health()
-        self._tick_load()
+        self.load = tick_load(self.load, self.admission, self.backend)
         self._look_soon()
         for run in list(self._runs.values()):
-            run.check_age(now_ms)
+            contained(run, run.check_age, now_ms)
         self.idle.sweep(self.runtime.loop.time())
         if self.unreachable and now_ms > self._next_try_ms and self.backend.is_open():
             self._next_try_ms = now_ms + DOWN_RETRY_MS
@@ -266,14 +280,6 @@
         if connection is not None:
             self.keep(connection)
 
-    def _tick_load(self) -> None:
-        running = len(self.admission.running)
-        if not self.load.tick(running, self.admission.busy - running):
-            return
-        load, self.load = self.load, LoadSummary()
-        if self.backend.instance_id:
-            load.log(self.backend.instance_id, self.backend.service, self.backend.slots)
-
     def _tick_health(self) -> None:
         incarnation = self.backend.incarnation
         if not incarnation.may_be(self._judged):
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -1,5 +1,7 @@
 """One request at the backend server beside this node."""
 
+from collections.abc import Callable
+
 from ...http.client import FAULT, ClientConnection, Headers
 from ...platform.headers import AnswerFields, read_answer, to_backend
 from .. import events
@@ -19,6 +21,9 @@
 OVERTIME_MS = 150.0
 """Time past the deadline after which a run is broken off here; the backend server
 stops by itself at the deadline."""
+WAY_MS = 100.0
+"""Longest delay of a request on its way here that isn't taken off its time; its
+caller's deadline may come by so much before the one that is reckoned here."""
 HELD_MS = 400.0
 """Longest time that a held request keeps a slot; its sender answers within some 3 ms
 and gives a silent link up after 250 ms."""
@@ -67,6 +72,7 @@
         self._held = request.held
         self._ready_ms = 0.0
         self._awaits_body = False
+        self._hopeful: bool | None = None
 
     # From the sender of the request.
 
@@ -109,7 +115,6 @@
             )
         self._learn_slowness()
         self._end()
-        self._drop_connection()
 
     @property
     def may_run(self) -> bool:
@@ -117,9 +122,14 @@
         return self._sent_ms > 0
 
     def withdraw(self) -> None:
-        """Stop the request and tell the receiver whether it had not run."""
+        """Stop the request and tell the receiver whether it had not run.
+
+        Before its caller's deadline it is withdrawn by a node that stops. Counted as
+        failures, four long runs made a sound server's failing share 0.6 at all nodes.
+        """
         if self.may_run:
-            self.fail(Reason.TIMEOUT)
+            overdue = self.inbound.now_ms() >= self.deadline_ms - WAY_MS
+            self.fail(Reason.TIMEOUT, blame=overdue)
         else:
             self.refuse(Reason.TOO_LATE)
 
@@ -141,6 +151,9 @@
         if not inbound.backend.admits(inbound.now_ms()):
             self.refuse(Reason.LEAVING)
             return
+        if self._is_too_late():
+            self.refuse(inbound.late_reason)
+            return
         if self._held:
             self._ask_sender()
             return
@@ -151,6 +164,18 @@
             return
         inbound.runtime.spawn(self._connect())
 
+    def _is_too_late(self) -> bool:
+        """Whether what could end in time as it got its slot can't any more.
+
+        One that could not even then is tried, unless this node is stopping: the mean
+        run time that speaks against it is corrected by runs alone.
+        """
+        inbound = self.inbound
+        in_time = inbound.admission.ends_in_time(self.ticket, inbound.now_ms())
+        if self._hopeful is None:
+            self._hopeful = in_time
+        return not in_time and (self._hopeful or inbound.stopping)
+
     def _ask_sender(self) -> None:
         self._awaits_body = not self._whole
         if self._awaits_body and not self.inbound.transfers.begin(self):
@@ -163,7 +188,12 @@
         self.receiver.on_ready()
 
     async def _connect(self) -> None:
-        connection = await self.inbound.connect()
+        try:
+            self._connected(await self.inbound.connect())
+        except Exception as error:
+            self.take_fault(error)
+
+    def _connected(self, connection: ClientConnection | None) -> None:
         if self.done:
             if connection is not None:
                 self.inbound.keep(connection)
@@ -173,6 +203,9 @@
         elif not self.inbound.backend.admits(self.inbound.now_ms()):
             self.inbound.keep(connection)
             self.refuse(Reason.LEAVING)
+        elif self._is_too_late():
+            self.inbound.keep(connection)
+            self.refuse(self.inbound.late_reason)
         else:
             self._send(connection)
 
@@ -184,7 +217,7 @@
         lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
         lines += to_backend(
             request.headers,
-            min(self.deadline_ms, self.inbound.admission.closes_ms) - self._sent_ms,
+            self.inbound.admission.due_ms(self.ticket) - self._sent_ms,
             request.instance_id,
             request.calling_service,
         )
@@ -353,9 +386,9 @@
 
     def refuse_if_late(self, now_ms: float) -> None:
         """Refuse a request that was not sent on and can't be answered in time."""
-        run_ms = self.inbound.admission.run_ms(self.request.route)
-        if not self.may_run and now_ms + run_ms > self.deadline_ms:
-            self.refuse(Reason.TOO_LATE)
+        in_time = self.inbound.admission.ends_in_time(self.ticket, now_ms)
+        if not (self.may_run or in_time):
+            self.refuse(self.inbound.late_reason)
 
     # Ends.
 
@@ -364,7 +397,13 @@
         if self.done:
             return
         self._end()
-        self._drop_connection()
+        self._contain(self._log_refused, reason)
+        admission = self.inbound.admission
+        self.receiver.on_refusal(
+            Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
+        )
+
+    def _log_refused(self, reason: Reason) -> None:
         admission = self.inbound.admission
         events.log(
             events.RUN_REFUSED,
@@ -377,34 +416,35 @@
         )
         self.inbound.load.refused += 1
         self.inbound.runtime.metrics.count("refused_here", reason.name)
-        self.receiver.on_refusal(
-            Refusal(int(reason), admission.busy, admission.retry_ms(), arrived)
-        )
 
-    def fail(self, reason: Reason) -> None:
-        """Say that the request may have run."""
+    def fail(self, reason: Reason, blame: bool = True) -> None:
+        """Say that the request may have run; blame the server if that counts."""
         if self.done:
             return
-        self._learn_slowness()
-        self.inbound.ran(failed=True)
+        self._contain(self._learn_slowness)
+        if blame:
+            self._contain(self.inbound.ran, True)
         self._end()
-        self._drop_connection()
-        self._log_failed(reason)
+        self._contain(self._log_failed, reason)
         self.receiver.on_failure(Failure(int(reason), self.inbound.admission.busy))
 
+    def take_fault(self, error: Exception) -> None:
+        """End after a fault in a step of this run that nobody waits for."""
+        runtime = self.inbound.runtime
+        runtime.fault("run", error, id=self.request.request_id)
+        if not self.done:
+            runtime.contain("run", self.fault)
+
     def fault(self) -> None:
         """End after a fault of this program, which says nothing of the server.
 
         Its receiver hears of it also where the run had ended: a fault in telling it of
         the answer left its caller waiting until the deadline.
         """
-        inbound = self.inbound
-        if not self.done:
-            self.done = True
-            inbound.runtime.contain("run", self._end)
-        self._drop_connection()
-        self._log_failed(Reason.FAULT)
-        self.receiver.on_failure(Failure(int(Reason.FAULT), inbound.admission.busy))
+        self._end()
+        self._contain(self._log_failed, Reason.FAULT)
+        busy = self.inbound.admission.busy
+        self.receiver.on_failure(Failure(int(Reason.FAULT), busy))
 
     def _log_failed(self, reason: Reason) -> None:
         events.log(
@@ -425,9 +465,17 @@
             admission.learn(route, run_ms)
 
     def _end(self) -> None:
+        """Leave the books and the connection.
+
+        Each step is contained: an error of one left the sender without any word.
+        """
         self.done = True
-        self.inbound.transfers.end(self)
-        self.inbound.release(self.ticket)
+        self._contain(self.inbound.transfers.end, self)
+        self._contain(self.inbound.release, self.ticket)
+        self._contain(self._drop_connection)
+
+    def _contain(self, step: Callable[..., None], *arguments: object) -> None:
+        self.inbound.runtime.contain("run", step, *arguments)
 
     def _drop_connection(self) -> None:
         connection, self._connection = self._connection, None
