A test of a slot that a leaving caller leaves behind, failing

The end of one request's attempt is in two steps, and a caller who leaves between them (while a lost connection's address is probed) skips the second:

assert 1 == 0 (outstanding requests of the backend server)

--- a/tests/test_traffic_stopping.py
+++ b/tests/test_traffic_stopping.py
@@ -102,3 +102,30 @@
         assert response.status == 503
         assert response.headers["Azurestep-Reason"] == "starting"
         assert response.headers["Azurestep-Not-Run"] == "1"
+
+
+async def test_a_caller_that_leaves_during_a_probe_frees_its_slot(
+    http, start_raw_server, start_traffic, wait_until
+):
+    """A slot was held for good when its caller left at that moment.
+
+    A backend server's connection is lost, and the node probes its address; the
+    request's ticket was ended only after that.
+    """
+    server = await start_raw_server([None])
+    rig = await start_traffic(server.port)
+    proxy = rig.traffic.proxy
+    probing = asyncio.Event()
+
+    async def probe(endpoint, timeout_ms):
+        probing.set()
+        await asyncio.sleep(60)
+
+    proxy._forwarder._sender.probe = probe
+    call = asyncio.create_task(_read(http, f"{rig.url}/songs"))
+    await probing.wait()
+    call.cancel()
+    await wait_until(lambda: proxy.in_flight == 0)
+    (state,) = proxy._pools["catalogue"].admission.balancer.pools[0].members
+
+    assert state.outstanding == 0
