A caller that leaves during a probe frees its slot

Cause: an attempt whose connection was lost is ended after its address was probed; a cancellation in between ended neither ticket nor slot. Such slots were lost until the node's restart.

Change: a cancellation while the loss is learned ends the attempt as it was (reset), without a second word to the quarantine.

--- a/azurestep/traffic/forward.py
+++ b/azurestep/traffic/forward.py
@@ -150,15 +150,23 @@
             raise
         if attempt.kind in NOT_RUN_KINDS:
             call.may_have_run = may_have_run
+        try:
+            await self._learn(pool, call, endpoint, attempt)
+        except asyncio.CancelledError:
+            self.finish(Sent(pool, ticket, endpoint, attempt), attempt.kind)
+            raise
+        return attempt
+
+    async def _learn(
+        self, pool: ServicePool, call: Call, endpoint: Endpoint, attempt: Attempt
+    ) -> None:
         now_ms = self._clock.monotonic_ms()
         if attempt.kind is OutcomeKind.RESET:
-            await pool.learn_of_loss(call.fingerprint, endpoint, self._probe, now_ms)
+            probe = self._sender.probe
+            await pool.learn_of_loss(call.fingerprint, endpoint, probe, now_ms)
         elif pool.quarantine.active:
-            pool.note_end(call.fingerprint, key, attempt.response is not None, now_ms)
-        return attempt
-
-    async def _probe(self, endpoint: Endpoint, timeout_ms: float) -> bool:
-        return await self._sender.probe(endpoint, timeout_ms)
+            is_answered = attempt.response is not None
+            pool.note_end(call.fingerprint, endpoint.key, is_answered, now_ms)
 
     def _decide(self, call: Call, sent: Sent) -> Retry | GiveUp | None:
         """Return what follows a failed attempt; None after a good answer."""
