--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Callable
 from functools import partial
-from typing import cast
 
 import attrs
 import uvloop
@@ -85,7 +84,7 @@
     orderly_stop: OrderlyStop = attrs.field(init=False)
     started_ms: float = 0.0
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _servers: list[asyncio.AbstractServer] = attrs.field(factory=list)
+    _servers: list[asyncio.Server] = attrs.field(factory=list)
     _stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     _state_due: bool = False
     _ticks: int = 0
@@ -340,7 +339,7 @@
         )
 
     def _close_callers(self) -> None:
-        listener = cast(asyncio.Server, self._servers[0])
+        listener = self._servers[0]
         self.runtime.spawn(close_listener(listener, self._caller_connection))
 
     def _caller_connection(self) -> ServerConnection:
--- a/azurestep/mesh/stopping.py
+++ b/azurestep/mesh/stopping.py
@@ -56,6 +56,8 @@
         if not self.outbound.closed:
             self.outbound.closed = True
             self.close_callers()
+            # What was accepted last is read, and refused, before the next look.
+            return False
         busy = self.callers.busy or self.inbound.busy or self.listener.busy
         if busy and now_ms < plan.ends_ms:
             return False
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -334,3 +334,42 @@
     assert not listener.busy
     RemoteReceiver(server, 1).on_refusal(Refusal(Reason.STOPPING, 0, 0.0))
     assert listener.busy
+
+
+class BusyUntilClosed:
+    """A listener that callers reach while the event loop is about to close it."""
+
+    def __init__(self, server: asyncio.Server, host: str) -> None:
+        self.sockets = server.sockets
+        self.server = server
+        self.host = host
+        self.callers: list[socket.socket] = []
+
+    def close(self) -> None:
+        fields = "".join(f"{k}: {v}\r\n" for k, v in caller_headers("last").items())
+        for _ in range(0 if self.callers else 3):
+            caller = socket.create_connection((self.host, CALLER_PORT))
+            caller.sendall(f"GET /read/1 HTTP/1.1\r\n{fields}\r\n".encode())
+            caller.setblocking(False)
+            self.callers.append(caller)
+        self.server.close()
+
+
+async def test_callers_that_wait_at_the_closing_listener_are_refused(
+    mesh: MeshFleet,
+) -> None:
+    """A stopping node reset callers whose connections only the kernel had taken.
+
+    A busy node takes some milliseconds to come to them. In 2 of 6 runs of three stops
+    each, 3 requests that were sent 2.30 to 2.36 s after SIGTERM had no answer.
+    """
+    instance = mesh.instances[0]
+    listener = BusyUntilClosed(instance.node._servers[0], instance.host)
+    instance.node._servers[0] = listener  # type: ignore[call-overload]
+    await stop(instance)
+    answers = []
+    for caller in listener.callers:
+        reader, writer = await asyncio.open_connection(sock=caller)
+        answers.append((await reader.read())[:13])
+        writer.close()
+    assert answers == [b"HTTP/1.1 503 "] * 3
