--- /dev/null
+++ b/azurestep/mesh/backend/answer_parts.py
@@ -0,0 +1,71 @@
+"""What came of a backend server's answer so far."""
+
+import attrs
+
+from ...http.client import Headers
+from ...platform.headers import AnswerFields, read_answer
+from .. import events
+
+MISDIRECTED = 421
+
+
+@attrs.define(slots=True, eq=False)
+class AnswerParts:
+    """Head and body of one answer, as they come in.
+
+    Attributes
+    ----------
+    fields : AnswerFields or None
+        What its head says; None before it came.
+    length_bytes : int
+        Length of the body that its head names; -1 if it names none.
+    size_bytes : int
+        What came of the body, passed on or not.
+    """
+
+    status: int = 0
+    fields: AnswerFields | None = None
+    length_bytes: int = -1
+    size_bytes: int = 0
+    _body: list[bytes] = attrs.field(factory=list)
+
+    def take_head(self, status: int, headers: Headers, request_id: bytes) -> bool:
+        """Take the head; False if it names another request."""
+        fields = read_answer(headers)
+        if not _belongs(fields, status, request_id):
+            events.log(
+                events.EXTRA_ANSWER,
+                id=request_id,
+                named=fields.request_id,
+                status=status,
+            )
+            return False
+        self.status = status
+        self.fields = fields
+        for name, value in headers:
+            if name.lower() == b"content-length" and value.isdigit():
+                self.length_bytes = int(value)
+        return True
+
+    def add(self, data: bytes) -> None:
+        """Keep a piece of the body."""
+        self._body.append(data)
+        self.size_bytes += len(data)
+
+    def take_body(self) -> bytes:
+        """Return what was kept of the body, and keep it no longer."""
+        body, self._body = b"".join(self._body), []
+        return body
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the backend server signed it, as the bytes that it made."""
+        fields = self.fields
+        return fields is not None and fields.signed and not fields.encoded
+
+
+def _belongs(fields: AnswerFields, status: int, request_id: bytes) -> bool:
+    """Whether an answer is the request's own; a refusal may leave the id out."""
+    if fields.request_id == request_id:
+        return True
+    return not fields.request_id and (fields.not_run or status == MISDIRECTED)
--- /dev/null
+++ b/azurestep/mesh/backend/request_bytes.py
@@ -0,0 +1,45 @@
+"""The bytes of a request as the backend server gets it."""
+
+from ...platform.headers import to_backend
+from ..messages import Request
+
+WITHOUT_BODY = (b"GET", b"HEAD")
+
+
+def first_bytes(
+    request: Request, content: bytes, whole: bool, budget_ms: float
+) -> bytes:
+    """Return the head and what is there of the body.
+
+    Parameters
+    ----------
+    content : bytes
+        What is there of the body.
+    whole : bool
+        Whether that is all of it.
+    budget_ms : float
+        Time after which the backend server stops work.
+    """
+    lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+    lines += to_backend(
+        request.headers, budget_ms, request.instance_id, request.calling_service
+    )
+    if whole:
+        if content or request.length > 0 or request.method not in WITHOUT_BODY:
+            lines.append(b"Content-Length: %d\r\n" % len(content))
+    elif request.length >= 0:
+        lines.append(b"Content-Length: %d\r\n" % request.length)
+    else:
+        lines.append(b"Transfer-Encoding: chunked\r\n")
+        content = framed(request, content, False)
+    lines.append(b"\r\n")
+    lines.append(content)
+    return b"".join(lines)
+
+
+def framed(request: Request, data: bytes, whole: bool) -> bytes:
+    """Return more of the body, in chunks if its length is not known."""
+    if request.length >= 0:
+        return data
+    chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+    return chunk + (b"0\r\n\r\n" if whole else b"")
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 
 from ...http.client import FAULT, ClientConnection, Headers
-from ...platform.headers import AnswerFields, read_answer, to_backend
+from ...platform.headers import AnswerFields
 from .. import events
 from ..decisions.admission import Ticket
 from ..messages import Answer, Failure, Reason, Refusal, Request
+from .answer_parts import MISDIRECTED, AnswerParts
 from .interfaces import AnswerReceiver, RunHost
+from .request_bytes import first_bytes, framed
 
 BUFFER_BYTES = 262_144
 """Answers up to this size are read whole before they are passed on, so that one
@@ -31,8 +33,8 @@
 """Longest turn to be sent a body. One of 512 KB, the longest, takes 420 ms on a link of
 10 Mbit/s. With a longer turn, two senders that had fallen silent kept all other uploads
 beside a server from their bodies until their own deadlines."""
-MISDIRECTED = 421
 FIRST_FAILURE_STATUS = 300
+BAD_REQUEST = 400
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
 
@@ -60,11 +62,7 @@
         self._connection: ClientConnection | None = None
         self._early: list[bytes] = []
         self._whole = request.whole
-        self._status = 0
-        self._fields: AnswerFields | None = None
-        self._length = -1
-        self._body: list[bytes] = []
-        self._size = 0
+        self._parts = AnswerParts()
         self._streaming = False
         self._unacknowledged = 0
         self._ungranted = 0
@@ -88,7 +86,7 @@
                 self.inbound.fetched(self)
                 self.start()
             return
-        self._connection.send_more(self._framed(data, whole), whole)
+        self._connection.send_more(framed(self.request, data, whole), whole)
         self._grant(len(data))
 
     def go(self) -> None:
@@ -111,7 +109,7 @@
                 id=self.request.request_id,
                 instance=self.request.instance_id,
                 run_ms=round(self.inbound.now_ms() - self._sent_ms),
-                answer_bytes=self._size,
+                answer_bytes=self._parts.size_bytes,
             )
         self._learn_slowness()
         self._end()
@@ -210,38 +208,15 @@
             self._send(connection)
 
     def _send(self, connection: ClientConnection) -> None:
-        request = self.request
         self._connection = connection
         self._sent_ms = self.inbound.now_ms()
-        data = [request.body, *self._early]
-        lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
-        lines += to_backend(
-            request.headers,
-            self.inbound.admission.due_ms(self.ticket) - self._sent_ms,
-            request.instance_id,
-            request.calling_service,
-        )
-        body = b"".join(data)
-        if self._whole:
-            if body or request.length > 0 or request.method not in (b"GET", b"HEAD"):
-                lines.append(b"Content-Length: %d\r\n" % len(body))
-        elif request.length >= 0:
-            lines.append(b"Content-Length: %d\r\n" % request.length)
-        else:
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-            body = self._framed(body, False)
-        lines.append(b"\r\n")
-        lines.append(body)
-        connection.send(b"".join(lines), self, self._whole)
+        content = b"".join([self.request.body, *self._early])
+        budget_ms = self.inbound.admission.due_ms(self.ticket) - self._sent_ms
+        data = first_bytes(self.request, content, self._whole, budget_ms)
+        connection.send(data, self, self._whole)
         self._grant(sum(len(part) for part in self._early))
         self._early = []
 
-    def _framed(self, data: bytes, whole: bool) -> bytes:
-        if self.request.length >= 0:
-            return data
-        framed = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-        return framed + (b"0\r\n\r\n" if whole else b"")
-
     def _grant(self, size: int) -> None:
         self._ungranted += size
         connection = self._connection
@@ -257,35 +232,18 @@
 
     def on_head(self, status: int, headers: Headers) -> bool:
         """Take the head of an answer; an extra one names another request."""
-        fields = read_answer(headers)
-        if fields.request_id != self.request.request_id:
-            unnamed = not fields.request_id
-            if not (unnamed and (fields.not_run or status == MISDIRECTED)):
-                events.log(
-                    events.EXTRA_ANSWER,
-                    id=self.request.request_id,
-                    named=fields.request_id,
-                    status=status,
-                )
-                return False
-        self._status = status
-        self._fields = fields
-        for name, value in headers:
-            if name.lower() == b"content-length" and value.isdigit():
-                self._length = int(value)
-        return True
+        return self._parts.take_head(status, headers, self.request.request_id)
 
     def on_data(self, data: bytes) -> None:
         """Take a piece of the answer's body."""
         if self._streaming:
             self._pass_on(data, False)
             return
-        self._body.append(data)
-        self._size += len(data)
-        if self._size > BUFFER_BYTES and self._is_good():
+        parts = self._parts
+        parts.add(data)
+        if parts.size_bytes > BUFFER_BYTES and parts.is_good:
             self._streaming = True
-            body = b"".join(self._body)
-            self._body = []
+            body = parts.take_body()
             self._unacknowledged = len(body)
             self.receiver.on_answer(self._answer(body, whole=False))
 
@@ -298,7 +256,7 @@
     def on_complete(self, reusable: bool) -> None:
         """Pass the whole answer on, or say why it can't be."""
         connection, self._connection = self._connection, None
-        fields = self._fields
+        fields = self._parts.fields
         if connection is not None and reusable and fields is not None:
             if fields.keep_alive_ms is not None:
                 connection.idle_limit_ms = max(0.0, fields.keep_alive_ms - 1000) * 0.9
@@ -310,33 +268,30 @@
         self._judge(fields)
 
     def _judge(self, fields: AnswerFields | None) -> None:
-        inbound = self.inbound
+        inbound, parts = self.inbound, self._parts
         if fields is None:
             self.fail(Reason.MALFORMED)
-        elif self._status == MISDIRECTED and not fields.signed:
+        elif parts.status == MISDIRECTED and not fields.signed:
             inbound.other_instance(self.request, fields.instance_id.decode("latin-1"))
             self.refuse(Reason.OTHER_INSTANCE)
-        elif fields.not_run and self._status != 400:
+        elif fields.not_run and parts.status != BAD_REQUEST:
             inbound.ran(failed=True)
             self.refuse(Reason.BACKEND_REFUSED, arrived=True)
-        elif self._is_good() or self._status >= FIRST_FAILURE_STATUS:
+        elif parts.is_good or parts.status >= FIRST_FAILURE_STATUS:
             self._finish_run()
-            self.receiver.on_answer(self._answer(b"".join(self._body), whole=True))
+            self.receiver.on_answer(self._answer(parts.take_body(), whole=True))
         else:
             self.fail(Reason.UNSIGNED)
 
-    def _is_good(self) -> bool:
-        fields = self._fields
-        return fields is not None and fields.signed and not fields.encoded
-
     def _answer(self, body: bytes, whole: bool) -> Answer:
-        assert self._fields is not None
+        parts, fields = self._parts, self._parts.fields
+        assert fields is not None
         inbound = self.inbound
         return Answer(
-            self._status,
-            self._fields.forwarded,
-            self._fields.signed,
-            len(body) if whole else self._length,
+            parts.status,
+            fields.forwarded,
+            fields.signed,
+            len(body) if whole else parts.length_bytes,
             whole,
             body,
             inbound.admission.busy,
@@ -349,14 +304,16 @@
         inbound = self.inbound
         inbound.load.answered += 1
         run_ms = inbound.now_ms() - self._sent_ms
-        if self._status < FIRST_FAILURE_STATUS:
+        if self._parts.status < FIRST_FAILURE_STATUS:
             inbound.admission.learn(self.request.route, run_ms)
             inbound.backend.answered(
                 self.request.instance_id.decode("latin-1"), inbound.now_ms()
             )
         inbound.runtime.metrics.run_ms.record(run_ms)
         inbound.crashes.answered(self.request, inbound.now_ms())
-        inbound.ran(self._status >= SERVER_ERROR and self._status != GATEWAY_TIMEOUT)
+        inbound.ran(
+            self._parts.status >= SERVER_ERROR and self._parts.status != GATEWAY_TIMEOUT
+        )
         self._end()
 
     def on_failed(self, reason: str) -> None:
@@ -369,9 +326,9 @@
         kinds = {"closed": Reason.CLOSED, "reset": Reason.RESET}
         kind = kinds.get(reason, Reason.MALFORMED)
         connection = self._connection
-        if self._fields is None and connection is not None:
+        if self._parts.fields is None and connection is not None:
             self.inbound.broke_off(self.request, connection, self._sent_ms)
-        self.fail(Reason.TRUNCATED if self._fields is not None else kind)
+        self.fail(Reason.TRUNCATED if self._parts.fields is not None else kind)
 
     def check_age(self, now_ms: float) -> None:
         """Give up what nobody lets go or sends, and what runs past its deadline."""
