--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -4,6 +4,7 @@
 from ...platform.headers import CallerFields
 from ..backend.crashes import RETRY_MS as CRASH_RETRY_MS
 from ..decisions.admission import RETRY_LEAST_MS
+from ..decisions.choice import Endpoint
 from ..decisions.returning import Attempt
 from ..links.interfaces import Stream
 from ..messages import Answer, Failure, Reason, Refusal
@@ -55,7 +56,7 @@
         self._stream: Stream | None = None
         self._former: FormerRun | None = None
         self._fallback: Answer | None = None
-        self._may_have_run = False
+        self._unsure_runs = 0
         self._withdrawn = False
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
@@ -171,7 +172,7 @@
             return False
         self.record.runs += 1
         if self._may_run_again():
-            self._may_have_run = True
+            self._unsure_runs += 1
             return True
         self.record.runs -= 1
         return False
@@ -182,8 +183,9 @@
             former.cancel()
             return
         if self._is_error(answer):
-            self._former = None
-            self._fallback = self._fallback or answer
+            self._drop_former()
+            if answer.whole:
+                self._fallback = self._fallback or answer
             return
         if self._stream is not None:
             self._stream.cancel()
@@ -191,16 +193,25 @@
         self._return_to_former()
         self.on_answer(answer)
 
-    def on_former_lost(self, former: FormerRun) -> None:
+    def on_former_lost(self, former: FormerRun, may_have_run: bool) -> None:
         """Wait for the second run alone."""
-        if former is self._former:
-            self._former = None
+        if former is not self._former:
+            return
+        self._former = None
+        if not may_have_run:
+            self._forget_unsure_run()
+
+    def _forget_unsure_run(self) -> None:
+        """Count a run no longer that was counted on a doubt: it is known, or waited."""
+        self.record.runs -= 1
+        self._unsure_runs -= 1
 
     def _return_to_former(self) -> bool:
         """Wait for the first run alone, if it goes on behind its link."""
         former, self._former = self._former, None
         if former is None:
             return False
+        self._forget_unsure_run()
         self._stream = former.stream
         former.stream.hand_over(self)
         self._placement.take(former.endpoint)
@@ -249,7 +260,7 @@
         endpoint = self._placement.leave()
         reason = Reason(failure.reason)
         self.record.runs += 1
-        self._may_have_run = True
+        self._unsure_runs += 1
         if endpoint is not None:
             self._placement.avoid(endpoint)
         if self._writer.started:
@@ -274,20 +285,41 @@
             self.context.usual.learn(self.route.name, answer.run_ms)
         if self._is_error(answer) and not self._body.streamed:
             self.record.runs += 1
-            self._may_have_run = True
-            if self._may_run_again():
-                self._fallback = answer
-                self._placement.leave()
-                if endpoint is not None:
-                    self._placement.avoid(endpoint)
-                self._log_retry(Reason.MALFORMED, answer.status)
-                self._dispatch()
+            self._unsure_runs += 1
+            if self._is_bettered(answer, endpoint):
                 return
         self._placement.leave()
         if endpoint is not None:
             endpoint.tell(answer.busy)
         self._pass_on(answer)
 
+    def _is_bettered(self, answer: Answer, endpoint: Endpoint | None) -> bool:
+        """Whether another run may answer in place of an error, and is waited for."""
+        runs_again = self._may_run_again()
+        if not runs_again and self._former is None:
+            return False
+        self._keep_fallback(answer)
+        self._placement.leave()
+        if endpoint is not None:
+            self._placement.avoid(endpoint)
+        if not runs_again:
+            return self._return_to_former()
+        self._log_retry(Reason.MALFORMED, answer.status)
+        self._dispatch()
+        return True
+
+    def _keep_fallback(self, answer: Answer) -> None:
+        """Keep an error for the case that nothing better comes, if it is short.
+
+        The rest of a long one is not wanted. It was passed on where the head of the
+        next server's answer was due.
+        """
+        if answer.whole:
+            self._fallback = self._fallback or answer
+        elif self._stream is not None:
+            stream, self._stream = self._stream, None
+            stream.cancel()
+
     def _is_error(self, answer: Answer) -> bool:
         """Whether an answer is one that another backend server may better."""
         failed = answer.status >= SERVER_ERROR and answer.status != GATEWAY_TIMEOUT
@@ -345,7 +377,7 @@
             self._refuse(Reason(refusal.reason), refusal.retry_ms)
 
     def _refuse(self, reason: Reason, retry_ms: float) -> None:
-        if self._may_have_run:
+        if self._unsure_runs:
             self._fail(reason)
             return
         self._close(cancel=True)
@@ -399,7 +431,7 @@
 
     def _refuse_late(self) -> None:
         """Answer at the deadline that the request has not run, if it has not."""
-        if self._may_have_run:
+        if self._unsure_runs:
             self._time_out()
         else:
             self._refuse(self._late_reason(Reason.TOO_LATE), RETRY_LEAST_MS)
