--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -2,11 +2,12 @@
 
 Two uploads were cut with the processes of two stopping nodes, 5.77 s and 5.79 s after
 SIGTERM. At the end of its grace time a node closed its idle connections and ended,
-whatever still waited elsewhere for an answer. They waited beside servers of a service
-that was short of room ("load of the backend server": running 6, waiting 18.5 of 6
-slots), where late requests stand last until their deadline, later than the node's end.
-With requests that outlast the grace time, eight of eight callers on the stand-ins lost
-their connection.
+whatever still waited elsewhere for an answer. Where those two waited is not known. On
+another day an upload that was cut in the same way had been "in the queue" for 5,888 ms,
+beside a server short of room ("load of the backend server": 6 of 6 slots, up to 19.9
+waiting); late requests stand last there until their deadline, later than the node's
+end. With requests that outlast the grace time, eight of eight callers on the stand-ins
+lost their connection.
 """
 
 import asyncio
