Tell what rate a backend server names and what its node sends to it

The adapter decodes Server-Limit into a typed notice, which an incarnation's record keeps. An answer of another incarnation, without a signature or with an altered body says nothing; a value that can't be read changes nothing and is told once per incarnation (9312). Event 9311 tells when a limit is set or lifted, 9310 has limit_per_s and sent; the counter backend_requests and the gauge backend_rate_limit show the same. Nothing decides by it yet.

--- a/azurestep/mesh/backend/answer_parts.py
+++ b/azurestep/mesh/backend/answer_parts.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ...http.client import Headers
-from ...platform.headers import AnswerFields, read_answer
+from ...platform.headers import AnswerFields, ServerNotice, read_answer
 from .. import events
 
 MISDIRECTED = 421
@@ -57,6 +57,17 @@
         body, self._body = b"".join(self._body), []
         return body
 
+    def trusted_notice(self, instance_id: bytes) -> ServerNotice | None:
+        """Return the notice of the backend server that the request was meant for.
+
+        None if another one answered or the answer may have been altered on its way.
+        """
+        fields = self.fields
+        if fields is None or fields.instance_id not in (b"", instance_id):
+            return None
+        refused = fields.not_run and self.status != MISDIRECTED
+        return fields.notice if self.is_authentic or refused else None
+
     @property
     def is_authentic(self) -> bool:
         """Whether the backend server signed the body and nothing re-encoded it."""
--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ...http.client import ClientConnection, IdlePool
+from ...platform.headers import NO_RATE_LIMIT, ServerNotice
 from .. import events
 from ..decisions.admission import Admission, Refused, Ticket
 from ..decisions.health import Health
@@ -228,6 +229,25 @@
         self.backend.confirm_instance(instance_id, self.now_ms())
         self.on_change()
 
+    def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
+        """Apply what an incarnation said about itself in an answer."""
+        backend = self.backend
+        was_limited = backend.rate_limit_per_s != NO_RATE_LIMIT
+        was_malformed = backend.malformed_notice
+        backend.apply_notice(incarnation, notice)
+        if (backend.rate_limit_per_s != NO_RATE_LIMIT) != was_limited:
+            events.log(
+                events.BACKEND_RATE_LIMIT,
+                instance=backend.instance_id,
+                limit_per_s=backend.rate_limit_per_s,
+            )
+        if backend.malformed_notice and not was_malformed:
+            events.log(
+                events.BACKEND_NOTICE_MALFORMED,
+                instance=backend.instance_id,
+                headers=[name.decode("latin-1") for name in notice.malformed],
+            )
+
     def record_run(self, failed: bool) -> None:
         """Count a run that ended, and report a rising failure ratio at once."""
         before = self.health.failure_ratio
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -3,7 +3,9 @@
 from typing import Protocol
 
 from ...http.client import ClientConnection, IdlePool
+from ...platform.headers import ServerNotice
 from ..decisions.admission import Admission, Ticket
+from ..incarnation import Incarnation
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from ..runtime import Runtime
 from .crashes import CrashTracker
@@ -65,6 +67,9 @@
     def end_transfer(self, transfer: BodyTransfer) -> None:
         """End the transfer of a body; calls no receiver."""
 
+    def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
+        """Apply what an incarnation said about itself in an answer."""
+
     def record_run(self, failed: bool) -> None:
         """Count a run that ended in the failure ratio."""
 
--- a/azurestep/mesh/backend/load.py
+++ b/azurestep/mesh/backend/load.py
@@ -23,6 +23,7 @@
     (3.0, 1.0)
     """
 
+    sent: int = 0
     answered: int = 0
     refused: int = 0
     failed: int = 0
@@ -47,15 +48,17 @@
         self._waiting += waiting
         return self._ticks >= TICKS_PER_LINE
 
-    def log(self, instance_id: str, service: str, slots: int) -> None:
+    def log(self, backend: LocalBackend) -> None:
         """Write the log line."""
         events.log(
             events.BACKEND_LOAD,
-            instance=instance_id,
-            service=service,
-            slots=slots,
+            instance=backend.instance_id,
+            service=backend.service,
+            slots=backend.slots,
+            limit_per_s=backend.rate_limit_per_s,
             running=self.running,
             waiting=self.waiting,
+            sent=self.sent,
             answered=self.answered,
             refused=self.refused,
             failed=self.failed,
@@ -70,5 +73,5 @@
     if not load.tick(running, admission.in_flight - running):
         return load
     if backend.instance_id:
-        load.log(backend.instance_id, backend.service, backend.slots)
+        load.log(backend)
     return LoadSummary()
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -226,6 +226,8 @@
     def _send(self, connection: ClientConnection) -> None:
         self._connection = connection
         self._sent_ms = self.inbound.now_ms()
+        self.inbound.load.sent += 1
+        self.inbound.runtime.metrics.count("backend_requests")
         content = b"".join([self.request.body, *self._buffered_body])
         remaining_ms = (
             self.inbound.admission.run_deadline_ms(self.ticket) - self._sent_ms
@@ -254,7 +256,12 @@
 
     def on_head(self, status: int, headers: Headers) -> bool:
         """Handle the head of an answer; False if it belongs to another request."""
-        return self._partial.apply_head(status, headers, self.request.request_id)
+        if not self._partial.apply_head(status, headers, self.request.request_id):
+            return False
+        notice = self._partial.trusted_notice(self.request.instance_id)
+        if notice is not None:
+            self.inbound.apply_notice(self.request.incarnation, notice)
+        return True
 
     def on_data(self, data: bytes) -> None:
         """Handle a part of the answer's body."""
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ...platform.announcement import Heartbeat, LeavingNotice
+from ...platform.headers import NO_RATE_LIMIT, ServerNotice
 from ..incarnation import NO_INCARNATION, START_UNKNOWN, Incarnation
 from ..messages import Reason, Request
 
@@ -33,12 +34,18 @@
         When it first announced that it leaves.
     ended : bool
         Whether another incarnation was found at its address.
+    rate_limit_per_s : float
+        Requests per second that it takes, by its latest answer; infinite for no limit.
+    malformed_notice : bool
+        Whether an answer of it had a notice that can't be read.
     """
 
     started_ms: int | None
     heartbeat: Heartbeat | None = None
     leaving_since_ms: float | None = None
     ended: bool = False
+    rate_limit_per_s: float = NO_RATE_LIMIT
+    malformed_notice: bool = False
 
     def is_superseded_by(self, started_ms: int | None) -> bool:
         """Whether an incarnation with that start is a later one.
@@ -122,6 +129,16 @@
         if record is not None:
             self._record_leaving(notice.instance_id, record, now_ms)
 
+    def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
+        """Apply what an incarnation said about itself in an answer."""
+        instance_id = incarnation.instance_id.decode("latin-1")
+        record = self._find_record(instance_id, incarnation.started_ms or None)
+        if record is None:
+            return
+        record.malformed_notice |= bool(notice.malformed)
+        if notice.rate_limit_per_s is not None:
+            record.rate_limit_per_s = notice.rate_limit_per_s
+
     def announced_service(self, instance_id: str) -> str:
         """Return the service announced under an id; empty for none."""
         record = self._records.get(instance_id)
@@ -179,6 +196,18 @@
         if instance_id == self.instance_id:
             self.instance_id = ""
 
+    @property
+    def rate_limit_per_s(self) -> float:
+        """Requests per second that the backend server takes; infinite for no limit."""
+        record = self._records.get(self.instance_id)
+        return NO_RATE_LIMIT if record is None else record.rate_limit_per_s
+
+    @property
+    def malformed_notice(self) -> bool:
+        """Whether the backend server sent a notice that can't be read."""
+        record = self._records.get(self.instance_id)
+        return record is not None and record.malformed_notice
+
     def is_leaving(self) -> bool:
         """Whether the incarnation that receives requests is leaving."""
         return self._leaving_since_ms() is not None
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -97,6 +97,18 @@
     "check the requests that are refused as quarantined, if any",
 )
 BACKEND_LOAD = register(9310, logging.INFO, "backend server load in the last second")
+BACKEND_RATE_LIMIT = register(
+    9311,
+    logging.INFO,
+    "backend server set or lifted a request rate limit",
+    "find out why the backend server needs relief; others get the requests beyond it",
+)
+BACKEND_NOTICE_MALFORMED = register(
+    9312,
+    logging.WARNING,
+    "malformed notice in an answer of the backend server ignored",
+    "correct the header that the backend server sends",
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused before it ran")
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -434,6 +434,7 @@
         gauges["configuration_version"] = self.configuration.version
         gauges["backend_running"] = len(self.inbound.admission.running)
         gauges["backend_busy"] = self.inbound.admission.in_flight
+        gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
         gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
 
 
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -3,6 +3,9 @@
 The rest of the program uses typed fields instead of header names.
 """
 
+import math
+import re
+
 import attrs
 
 Headers = list[tuple[bytes, bytes]]
@@ -15,6 +18,7 @@
 NOT_RUN = b"not-executed"
 INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 
 SET_BY_NODE = frozenset({DEADLINE, EXPECTED_INSTANCE, CALLING_SERVICE})
 NOT_FORWARDED = frozenset(
@@ -35,6 +39,9 @@
 answers aren't compressed."""
 MAX_REMAINING_MS = 600_000.0
 """Longer deadlines are reduced to this."""
+NO_RATE_LIMIT = math.inf
+"""Rate limit of a backend server that names none."""
+_DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 
 @attrs.frozen(slots=True)
@@ -58,6 +65,26 @@
     forwarded: Headers
 
 
+@attrs.frozen(slots=True)
+class ServerNotice:
+    """What a backend server says about itself in an answer.
+
+    Attributes
+    ----------
+    rate_limit_per_s : float or None
+        Requests per second that it takes from all nodes together; infinite if it names
+        no limit, None if the value can't be read.
+    malformed : tuple of bytes
+        Names of the headers that can't be read.
+    """
+
+    rate_limit_per_s: float | None = NO_RATE_LIMIT
+    malformed: tuple[bytes, ...] = ()
+
+
+EMPTY_NOTICE = ServerNotice()
+
+
 @attrs.frozen(slots=True)
 class AnswerFields:
     """Values of a backend server's headers.
@@ -80,6 +107,8 @@
         Whether the body has a content encoding, which was not requested.
     slots : int or None
         Number of requests that the backend server runs at once; None if unknown.
+    notice : ServerNotice
+        What the backend server says about itself.
     forwarded : Headers
         Headers for the caller.
     """
@@ -92,6 +121,7 @@
     keep_alive_ms: float | None
     encoded: bool
     slots: int | None
+    notice: ServerNotice
     forwarded: Headers
 
 
@@ -163,10 +193,35 @@
         keep_alive_ms=None if keep_alive is None else _keep_alive_ms(keep_alive),
         encoded=b"content-encoding" in values,
         slots=_slots(values.get(SERVER_LOAD, b"")),
+        notice=_read_notice(headers) if SERVER_LIMIT in values else EMPTY_NOTICE,
         forwarded=[field for field in headers if field[0].lower() not in dropped],
     )
 
 
+def _read_notice(headers: Headers) -> ServerNotice:
+    """Return the notice in an answer's headers.
+
+    A header that is repeated with different values can't be read.
+    """
+    values = {value.strip() for name, value in headers if name.lower() == SERVER_LIMIT}
+    rate_limit_per_s = parse_rate_limit(values.pop()) if len(values) == 1 else None
+    malformed = (SERVER_LIMIT,) if rate_limit_per_s is None else ()
+    return ServerNotice(rate_limit_per_s, malformed)
+
+
+def parse_rate_limit(value: bytes) -> float | None:
+    """Return a limit header's requests per second; None if it is no decimal number.
+
+    Examples
+    --------
+    >>> parse_rate_limit(b"47.9")
+    47.9
+    >>> [parse_rate_limit(value) for value in (b"", b"-1", b"nan", b"1e3", b"many")]
+    [None, None, None, None, None]
+    """
+    return float(value) if _DECIMAL.fullmatch(value) else None
+
+
 def _slots(load: bytes) -> int | None:
     """Return the slots in a load header (``running,waiting,slots``).
 
--- a/tests/test_mesh_headers.py
+++ b/tests/test_mesh_headers.py
@@ -1,6 +1,13 @@
 """Parsing and forwarding of headers between callers and backend servers."""
 
-from azurestep.platform.headers import read_answer, read_caller, to_backend
+import pytest
+
+from azurestep.platform.headers import (
+    NO_RATE_LIMIT,
+    read_answer,
+    read_caller,
+    to_backend,
+)
 
 
 def test_hop_by_hop_and_forged_headers_are_dropped() -> None:
@@ -50,3 +57,26 @@
     assert answer.closing
     assert answer.keep_alive_ms == 5000.0
     assert (b"Response-Signature", b"s") in answer.forwarded
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [
+        ([], NO_RATE_LIMIT),
+        ([b"47.9"], 47.9),
+        ([b"0"], 0.0),
+        ([b"8", b" 8"], 8.0),
+        ([b"8", b"9"], None),
+        ([b""], None),
+        ([b"inf"], None),
+        ([b"-4"], None),
+        ([b"9" * 16], None),
+    ],
+)
+def test_rate_limit_of_a_server_is_read_or_reported_as_malformed(
+    values: list[bytes], limit_per_s: float | None
+) -> None:
+    headers = [(b"Server-Limit", value) for value in values]
+    notice = read_answer([(b"Response-Signature", b"s"), *headers]).notice
+    assert notice.rate_limit_per_s == limit_per_s
+    assert notice.malformed == ((b"server-limit",) if limit_per_s is None else ())
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -764,6 +764,7 @@
         (b"Not-Executed", b"1"),
         (b"Instance-Id", b"i-1"),
         (b"Server-Load", b"3,0,8"),
+        (b"Server-Limit", b"47.9"),
         (b"Connection", b"close"),
         (b"Keep-Alive", b"timeout=5"),
         (b"Content-Encoding", b"gzip"),
