--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -34,6 +34,8 @@
         Its incarnation.
     work_s : float
         Time that a request takes; one whose target ends with ``ms=N`` takes that.
+    rate_limit : str or None
+        Rate limit that its answers name; None for none.
     answer_override : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -47,6 +49,7 @@
     work_s: float = 0.0
     slots: int = 4
     healthy: bool = True
+    rate_limit: str | None = None
     answer_override: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
     received: list[Received] = attrs.field(factory=list)
@@ -106,7 +109,8 @@
         if received.target == "/health":
             status = 200 if self.healthy else 503
             load = f"Server-Load: {self.running},0,{self.slots}"
-            return _text(status, [f"Instance-Id: {self.instance_id}", load], b"")
+            headers = [f"Instance-Id: {self.instance_id}", load, *self._notice()]
+            return _text(status, headers, b"")
         if received.headers.get("expected-instance") != self.instance_id:
             return _text(421, [f"Instance-Id: {self.instance_id}"], b"")
         self.received.append(received)
@@ -121,7 +125,11 @@
             await self._work(reader, _work_s(received.target, self.work_s))
         finally:
             self.running -= 1
-        return signed(received, received.body or b"hello")
+        return signed(received, received.body or b"hello", headers=self._notice())
+
+    def _notice(self) -> list[str]:
+        """Return the headers in which it tells of itself."""
+        return [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
 
     async def _work(self, reader: asyncio.StreamReader, work_s: float) -> None:
         end = asyncio.get_running_loop().time() + work_s
@@ -137,10 +145,13 @@
     return int(asked_ms) / 1000 if asked_ms else usual_s
 
 
-def signed(received: Received, body: bytes, status: int = 200) -> bytes:
+def signed(
+    received: Received, body: bytes, status: int = 200, headers: Iterable[str] = ()
+) -> bytes:
     """Return a whole signed answer to a request."""
     name = received.headers.get("attempt-id", "")
-    return _text(status, [f"Attempt-Id: {name}", "Response-Signature: s1"], body)
+    own = [f"Attempt-Id: {name}", "Response-Signature: s1"]
+    return _text(status, [*own, *headers], body)
 
 
 def _text(status: int, headers: list[str], body: bytes) -> bytes:
