Hold a backend server's rate limit at the node beside it

Cause: the limit stood in a header that went through to callers, and no decision counted requests by time.

Change: the node beside a server is the only one that sends to it, so one token bucket there holds the limit for all nodes, retries, calls and held requests. A request starts with a slot and a token, in the order of the queue; one that would wait longer than its objective is refused at once, with the time until the tokens reach it as Retry-After; a token whose request was not sent is returned; what waits is looked at again when a limit falls, rises or ends.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -69,6 +69,7 @@
     _next_reconnect_ms: float = 0.0
     _last_incarnation: Incarnation = NO_INCARNATION
     _scan_scheduled: bool = False
+    _scan_timer: asyncio.TimerHandle | None = None
 
     def now_ms(self) -> float:
         """Return the monotonic time."""
@@ -118,6 +119,7 @@
             run.refuse(reason)
             return
         self.admission.slots = self.backend.slots
+        self._update_rate_limit()
         if request.fleet_mean_run_ms:
             self.admission.set_fleet_mean(request.route, request.fleet_mean_run_ms)
         self.caller_detector.record_request(
@@ -128,6 +130,8 @@
             run.refuse(Reason.STOPPING if self.shutting_down else Reason.OVERLOADED)
         elif decision:
             run.start()
+        else:
+            self._schedule_limited_start(self.now_ms())
 
     def _find_refusal_reason(self, request: Request) -> Reason | None:
         reason = self.backend.refusal_reason(request, self.now_ms())
@@ -171,7 +175,8 @@
         """
         self._scan_scheduled = False
         now_ms = self.now_ms()
-        self._refuse(self.admission.find_expiring(now_ms), self.late_reason)
+        self._update_rate_limit()
+        self._refuse(self.admission.find_expiring(now_ms), self._expiry_reason)
         if not self.backend.admits(now_ms):
             self._refuse(self.admission.waiting, Reason.LEAVING)
         for waiting in self.transfers.waiting:
@@ -181,6 +186,26 @@
             run_guarded(run, run.start)
         while (transfer := self.transfers.start_next()) is not None:
             run_guarded(transfer, transfer.request_body)
+        self._schedule_limited_start(now_ms)
+
+    def _schedule_limited_start(self, now_ms: float) -> None:
+        """Schedule a scan for when the rate limit lets the next request start."""
+        if self._scan_timer is not None:
+            self._scan_timer.cancel()
+            self._scan_timer = None
+        start_ms = self.admission.next_start_ms(now_ms)
+        if start_ms is not None:
+            delay_ms = max(0.0, start_ms - now_ms)
+            self._scan_timer = self.runtime.call_later(delay_ms, self._schedule_scan)
+
+    def _update_rate_limit(self) -> None:
+        self.admission.limiter.set_rate(self.backend.rate_limit_per_s, self.now_ms())
+
+    @property
+    def _expiry_reason(self) -> Reason:
+        """Reason for the refusal of requests that would wait too long."""
+        limited = self.admission.limiter.active and not self.shutting_down
+        return Reason.OVERLOADED if limited else self.late_reason
 
     def _refuse(self, tickets: list[Ticket], reason: Reason) -> None:
         """Refuse waiting requests.
@@ -235,6 +260,8 @@
         was_limited = backend.rate_limit_per_s != NO_RATE_LIMIT
         was_malformed = backend.malformed_notice
         backend.apply_notice(incarnation, notice)
+        if backend.rate_limit_per_s != self.admission.limiter.rate_per_s:
+            self._schedule_scan()
         if (backend.rate_limit_per_s != NO_RATE_LIMIT) != was_limited:
             events.log(
                 events.BACKEND_RATE_LIMIT,
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -226,6 +226,7 @@
     def _send(self, connection: ClientConnection) -> None:
         self._connection = connection
         self._sent_ms = self.inbound.now_ms()
+        self.ticket.sent = True
         self.inbound.load.sent += 1
         self.inbound.runtime.metrics.count("backend_requests")
         content = b"".join([self.request.body, *self._buffered_body])
@@ -400,7 +401,7 @@
             Refusal(
                 int(reason),
                 admission.in_flight,
-                admission.estimate_retry_after_ms(),
+                admission.estimate_retry_after_ms(self.inbound.now_ms()),
                 reached_backend,
             )
         )
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -8,12 +8,16 @@
 
 import attrs
 
+from .rate_limit import RateLimiter
+
 INITIAL_RUN_MS = 150.0
 """Run time assumed for a route before its first sample."""
 RUN_MEAN_WEIGHT = 0.1
 """Weight of a new sample in the moving mean."""
 MIN_RETRY_AFTER_MS = 40.0
 """Shortest time after which a refused caller is asked to retry."""
+MAX_RETRY_AFTER_MS = 1000.0
+"""Longest such time, since a backend server may lift its rate limit at any moment."""
 
 
 @attrs.define(slots=True, eq=False)
@@ -28,6 +32,8 @@
         When the caller gives up.
     owner : object
         Data attached by the code that submits the request; not used here.
+    sent : bool
+        Whether the request was sent to the backend server.
     """
 
     route: str
@@ -36,6 +42,7 @@
     objective_deadline_ms: float
     deadline_ms: float
     owner: object = None
+    sent: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -47,7 +54,7 @@
 
 @attrs.define(slots=True)
 class Admission:
-    """Slots and queue of one backend server.
+    """Slots, rate limit and queue of one backend server.
 
     Attributes
     ----------
@@ -57,11 +64,14 @@
         Requests that hold a slot.
     drain_deadline_ms : float
         When all runs must have ended; infinite unless the node is shutting down.
+    limiter : RateLimiter
+        Rate limit that the backend server named, if any.
     """
 
     slots: int = 1
     running: set[Ticket] = attrs.field(factory=set)
     drain_deadline_ms: float = math.inf
+    limiter: RateLimiter = attrs.field(factory=RateLimiter)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _mean_run_ms: dict[str, float] = attrs.field(factory=dict)
     _fleet_mean_run_ms: dict[str, float] = attrs.field(factory=dict)
@@ -117,47 +127,80 @@
         """
         end_ms = now_ms + self.mean_run_ms(ticket.route)
         if end_ms > self.drain_deadline_ms:
-            return Refused(self.estimate_retry_after_ms())
-        if len(self.running) < self.slots and not self._waiting:
-            self.running.add(ticket)
+            return Refused(self.estimate_retry_after_ms(now_ms))
+        if (
+            self._has_free_slot()
+            and not self._waiting
+            and self._take_slot(ticket, now_ms)
+        ):
             return True
         end_ms += self._wait_in_queue_ms(ticket, now_ms)
         if end_ms > min(self.run_deadline_ms(ticket), ticket.objective_deadline_ms):
-            return Refused(self.estimate_retry_after_ms())
+            return Refused(self.estimate_retry_after_ms(now_ms))
         self._waiting.append(ticket)
         return False
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a request that ended, whether it ran or waited."""
-        self.running.discard(ticket)
+        if ticket in self.running:
+            self.running.discard(ticket)
+            if not ticket.sent:
+                self.limiter.give_back()
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
     def start_next(self, now_ms: float) -> Ticket | None:
         """Give a free slot to the first request in the queue and return it."""
-        if not self._waiting or len(self.running) >= self.slots:
+        if not self._waiting or not self._has_free_slot():
             return None
         chosen = min(self._waiting, key=lambda item: self._rank(item, now_ms))
+        if not self._take_slot(chosen, now_ms):
+            return None
         self._waiting.remove(chosen)
-        self.running.add(chosen)
         return chosen
 
+    def _has_free_slot(self) -> bool:
+        return len(self.running) < self.slots
+
+    def _take_slot(self, ticket: Ticket, now_ms: float) -> bool:
+        """Give a free slot to a request, if the rate limit allows one more."""
+        if not self.limiter.try_take(now_ms):
+            return False
+        self.running.add(ticket)
+        return True
+
+    def next_start_ms(self, now_ms: float) -> float | None:
+        """Return when the rate limit lets the next request start.
+
+        None if no request waits for it; a slot that becomes free needs no timer.
+        """
+        if not self.limiter.active or not self._waiting or not self._has_free_slot():
+            return None
+        wait_ms = self.limiter.wait_ms(now_ms)
+        return None if wait_ms == math.inf else now_ms + wait_ms
+
     def find_expiring(self, now_ms: float) -> list[Ticket]:
         """Return the waiting requests that can't end in time.
 
-        During a shutdown, the time to run the requests ahead counts too, so that a
-        request that would wait too long is refused early and another node can serve it.
-        Requests already in the result don't count as ahead.
+        During a shutdown, the time to run the requests ahead counts too, and under a
+        rate limit the wait for it, so that a request that would wait too long is
+        refused early and another node can serve it. Requests already in the result
+        don't count as ahead.
         """
-        if self.drain_deadline_ms == math.inf:
+        draining = self.drain_deadline_ms != math.inf
+        if not draining and not self.limiter.active:
             return [
                 one for one in self._waiting if not self.can_end_in_time(one, now_ms)
             ]
         expiring: list[Ticket] = []
-        start_ms = now_ms + self._estimate_wait_ms(0.0)
+        slot_ms = now_ms + (self._estimate_wait_ms(0.0) if draining else 0.0)
+        ahead = 0
         for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
+            start_ms = max(slot_ms, now_ms + self.limiter.wait_ms(now_ms, ahead))
             if self.can_end_in_time(ticket, start_ms):
-                start_ms += self.mean_run_ms(ticket.route) / self.slots
+                ahead += 1
+                if draining:
+                    slot_ms += self.mean_run_ms(ticket.route) / self.slots
             else:
                 expiring.append(ticket)
         return expiring
@@ -170,16 +213,23 @@
         """Whether a request that starts now is likely to end before its deadline."""
         return now_ms + self.mean_run_ms(ticket.route) <= self.run_deadline_ms(ticket)
 
-    def estimate_retry_after_ms(self) -> float:
-        """Return the time after which a slot is likely to be free."""
+    def estimate_retry_after_ms(self, now_ms: float) -> float:
+        """Return the time after which a slot is likely to be free.
+
+        Under a rate limit, the time until the requests that wait have used it up too.
+        """
         work_ms = sum(self.mean_run_ms(ticket.route) for ticket in self._waiting)
-        return MIN_RETRY_AFTER_MS + work_ms / self.slots
+        limit_ms = self.limiter.wait_ms(now_ms, len(self._waiting))
+        after_ms = MIN_RETRY_AFTER_MS + max(work_ms / self.slots, limit_ms)
+        return after_ms if limit_ms == 0 else min(after_ms, MAX_RETRY_AFTER_MS)
 
     def _wait_in_queue_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return how long a new request would wait."""
         rank = self._rank(ticket, now_ms)
-        ahead = (one for one in self._waiting if self._rank(one, now_ms) <= rank)
-        return self._estimate_wait_ms(sum(self.mean_run_ms(one.route) for one in ahead))
+        ahead = [one for one in self._waiting if self._rank(one, now_ms) <= rank]
+        ahead_ms = sum(self.mean_run_ms(one.route) for one in ahead)
+        limit_ms = self.limiter.wait_ms(now_ms, len(ahead))
+        return max(self._estimate_wait_ms(ahead_ms), limit_ms)
 
     def _estimate_wait_ms(self, ahead_ms: float) -> float:
         """Return how long a request waits behind queued work of a given length."""
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -41,6 +41,14 @@
         """
         self.loop.call_soon(self.run_guarded, "soon", callback)
 
+    def call_later(
+        self, delay_ms: float, callback: Callable[[], None]
+    ) -> asyncio.TimerHandle:
+        """Call a function after a delay; an error in it is logged."""
+        return self.loop.call_later(
+            delay_ms / 1000, self.run_guarded, "timer", callback
+        )
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a background task."""
         task = self.loop.create_task(work)
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -21,11 +21,25 @@
 ROUTE = "read"
 
 
+@attrs.define(eq=False)
+class ManualTimer:
+    """A callback that is due at a time, unless it is cancelled before."""
+
+    at_ms: float
+    act: Callable[..., object]
+    arguments: tuple[Any, ...]
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
 @attrs.define(eq=False)
 class ManualLoop:
     """Keeps callbacks until a test runs them."""
 
     now_ms: float = 1000.0
+    timers: list[ManualTimer] = attrs.field(factory=list)
     due: deque[tuple[Callable[..., object], tuple[Any, ...]]] = attrs.field(
         factory=deque
     )
@@ -36,6 +50,20 @@
     def call_soon(self, act: Callable[..., object], *arguments: Any) -> None:
         self.due.append((act, arguments))
 
+    def call_later(
+        self, delay_s: float, act: Callable[..., object], *arguments: Any
+    ) -> ManualTimer:
+        timer = ManualTimer(self.now_ms + delay_s * 1000, act, arguments)
+        self.timers.append(timer)
+        return timer
+
+    def fire_timers(self) -> None:
+        """Move the callbacks of timers that are due to those that run next."""
+        for timer in [one for one in self.timers if one.at_ms <= self.now_ms]:
+            self.timers.remove(timer)
+            if not timer.cancelled:
+                self.due.append((timer.act, timer.arguments))
+
     def run_due(self) -> None:
         """Run all callbacks, including those that are added meanwhile."""
         while self.due:
@@ -174,6 +202,7 @@
     def after(self, pause_ms: float) -> None:
         """Advance the clock, then tick."""
         self.loop.now_ms += pause_ms
+        self.loop.fire_timers()
         self.inbound.tick()
         self.loop.run_due()
 
