Choose backend servers by their rate limits, and keep the limits over a restart

With the limit held beside the server alone, other nodes went on choosing it and were refused; a node that was restarted had forgotten it, though requests of its peers went on to count; and a server that got nothing had no answer in which to say that its limit was over.

Nodes tell their peers what their server said (message 19, skipped by older nodes): when it begins, ends, or changes by a tenth. The choice counts a limit as the slots that it keeps running and the time between two starts, and leaves a server alone for as long as it refuses. Peers tell a restarted node what it had told them, before their requests; the lowest limit holds until the server's own answer. A limited server without an answer for a second is asked by a probe; a probe that names no limit earns it one trial request a second, and the answer to that decides, as probes may be answered without the header.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -16,6 +16,7 @@
 from ..decisions.health import Health
 from ..decisions.pressure import CallerDetector
 from ..incarnation import NO_INCARNATION, Incarnation
+from ..link_messages import ServerCondition
 from ..messages import Reason, Request
 from ..runtime import Runtime
 from ..settings import Address
@@ -36,6 +37,8 @@
 If the connection ends within this time, the backend server is assumed to have closed it
 while it was idle.
 """
+NOTICE_TIMEOUT_MS = 1000.0
+"""Time without an answer after which a limited backend server is asked by a probe."""
 RECONNECT_INTERVAL_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
 
@@ -67,6 +70,7 @@
     shutting_down: bool = False
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
     _next_reconnect_ms: float = 0.0
+    _last_notice_ms: float = 0.0
     _last_incarnation: Incarnation = NO_INCARNATION
     _scan_scheduled: bool = False
     _scan_timer: asyncio.TimerHandle | None = None
@@ -254,15 +258,25 @@
         self.backend.confirm_instance(instance_id, self.now_ms())
         self.on_change()
 
-    def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
-        """Apply what an incarnation said about itself in an answer."""
+    def apply_notice(
+        self, incarnation: Incarnation, notice: ServerNotice, probed: bool = False
+    ) -> None:
+        """Apply what an incarnation said about itself in an answer.
+
+        ``probed``: the answer was to a health probe.
+        """
         backend = self.backend
+        self._last_notice_ms = self.now_ms()
         was_limited = backend.rate_limit_per_s != NO_RATE_LIMIT
         was_malformed = backend.malformed_notice
-        backend.apply_notice(incarnation, notice)
+        if probed:
+            backend.apply_probed_notice(incarnation, notice)
+        else:
+            backend.apply_notice(incarnation, notice)
         if backend.rate_limit_per_s != self.admission.limiter.rate_per_s:
             self._schedule_scan()
         if (backend.rate_limit_per_s != NO_RATE_LIMIT) != was_limited:
+            self.on_change()
             events.log(
                 events.BACKEND_RATE_LIMIT,
                 instance=backend.instance_id,
@@ -275,6 +289,27 @@
                 headers=[name.decode("latin-1") for name in notice.malformed],
             )
 
+    def awaits_notice(self) -> bool:
+        """Whether a limited backend server gave no answer that could lift the limit."""
+        limited = self.backend.rate_limit_per_s != NO_RATE_LIMIT
+        return limited and self.now_ms() - self._last_notice_ms > NOTICE_TIMEOUT_MS
+
+    def condition(self) -> ServerCondition | None:
+        """Return what the backend server said about itself; None if nothing."""
+        backend = self.backend
+        if not backend.has_notice:
+            return None
+        incarnation = backend.incarnation
+        return ServerCondition(
+            incarnation.instance_id, incarnation.started_ms, backend.rate_limit_per_s
+        )
+
+    def apply_peer_condition(self, condition: ServerCondition) -> None:
+        """Apply what a former process of this node told a peer."""
+        self.backend.recall_notice(condition.incarnation, condition.rate_limit_per_s)
+        self._schedule_scan()
+        self.on_change()
+
     def record_run(self, failed: bool) -> None:
         """Count a run that ended, and report a rising failure ratio at once."""
         before = self.health.failure_ratio
--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -1,7 +1,8 @@
 """Health probes that find the incarnation of the local backend server.
 
-Sent only where heartbeats don't suffice: after a restart of the node, instead of
-waiting for the next heartbeat, and when two incarnations announced the same address.
+Sent only where heartbeats and answers don't suffice: after a restart of the node,
+instead of waiting for the next heartbeat, when two incarnations announced the same
+address, and while a rate limit keeps requests away whose answers would tell its end.
 """
 
 import asyncio
@@ -10,9 +11,10 @@
 import attrs
 
 from ...http.client import Headers
-from ...platform.headers import read_answer
+from ...platform.headers import ServerNotice, read_answer
 from ...routing.table import RoutingTable
 from .. import events
+from ..incarnation import Incarnation
 from ..runtime import Runtime
 from .inbound import Inbound
 
@@ -30,15 +32,21 @@
 
 @attrs.frozen(slots=True)
 class ProbeResult:
-    """The healthy incarnation that answered a probe.
+    """The incarnation that answered a probe.
 
     Attributes
     ----------
+    healthy : bool
+        Whether it takes requests by its own account.
+    notice : ServerNotice
+        What it said about itself.
     slots : int or None
         Requests that it runs concurrently; None if it named no number.
     """
 
     instance_id: str
+    healthy: bool
+    notice: ServerNotice
     slots: int | None
 
 
@@ -47,16 +55,17 @@
 
     def __init__(self, future: "asyncio.Future[ProbeResult | None]") -> None:
         self._future = future
-        self._status = 0
         self._result: ProbeResult | None = None
 
     def on_head(self, status: int, headers: Headers) -> bool:
-        """Keep status and incarnation."""
-        self._status = status
+        """Keep what the head says."""
         fields = read_answer(headers)
         if fields.instance_id:
             self._result = ProbeResult(
-                fields.instance_id.decode("latin-1"), fields.slots
+                fields.instance_id.decode("latin-1"),
+                status == OK,
+                fields.notice,
+                fields.slots,
             )
         return True
 
@@ -64,10 +73,9 @@
         """Ignore the body."""
 
     def on_complete(self, reusable: bool) -> None:
-        """Set the incarnation as the result if it is healthy."""
-        healthy = self._status == OK
+        """Set the result."""
         if not self._future.done():
-            self._future.set_result(self._result if healthy else None)
+            self._future.set_result(self._result)
 
     def on_failed(self, reason: str) -> None:
         """Set None as the result."""
@@ -114,7 +122,7 @@
 
     def _is_due(self) -> bool:
         backend = self.inbound.backend
-        if backend.conflicting_id:
+        if backend.conflicting_id or self.inbound.awaits_notice():
             return True
         return self.restarted and not backend.instance_id and self._is_searching()
 
@@ -129,12 +137,15 @@
             self._probing = False
         events.log(
             events.BACKEND_PROBED,
-            found=found.instance_id if found else "",
+            found=found.instance_id if found and found.healthy else "",
             known=backend.instance_id,
             doubted=backend.conflicting_id,
         )
         if found is not None:
-            self._apply_result(found)
+            incarnation = Incarnation(found.instance_id.encode("latin-1"))
+            self.inbound.apply_notice(incarnation, found.notice, probed=True)
+            if found.healthy:
+                self._apply_result(found)
 
     def _apply_result(self, found: ProbeResult) -> None:
         backend = self.inbound.backend
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -13,6 +13,11 @@
 
 DRAIN_ADMIT_RATIO = 0.5
 """Fraction of the drain time in which requests in transit are still admitted."""
+TRIAL_RATE_PER_S = 1.0
+"""Rate at which a server is tried whose health probes name no limit any more.
+
+The answer to a request decides; probes may be answered without the limit.
+"""
 LEAVING_SINCE_UNKNOWN_MS = float("-inf")
 """Leaving time assumed for an incarnation that was leaving when first seen.
 
@@ -38,6 +43,10 @@
         Requests per second that it takes, by its latest answer; infinite for no limit.
     malformed_notice : bool
         Whether an answer of it had a notice that can't be read.
+    answered : bool
+        Whether it answered this process of the node.
+    has_notice : bool
+        Whether it ever said something about itself.
     """
 
     started_ms: int | None
@@ -46,6 +55,8 @@
     ended: bool = False
     rate_limit_per_s: float = NO_RATE_LIMIT
     malformed_notice: bool = False
+    answered: bool = False
+    has_notice: bool = False
 
     def is_superseded_by(self, started_ms: int | None) -> bool:
         """Whether an incarnation with that start is a later one.
@@ -135,9 +146,33 @@
         record = self._find_record(instance_id, incarnation.started_ms or None)
         if record is None:
             return
+        record.answered = True
         record.malformed_notice |= bool(notice.malformed)
         if notice.rate_limit_per_s is not None:
             record.rate_limit_per_s = notice.rate_limit_per_s
+            record.has_notice |= notice.rate_limit_per_s != NO_RATE_LIMIT
+
+    def apply_probed_notice(
+        self, incarnation: Incarnation, notice: ServerNotice
+    ) -> None:
+        """Apply what an incarnation said about itself in the answer to a probe."""
+        if notice.rate_limit_per_s != NO_RATE_LIMIT:
+            self.apply_notice(incarnation, notice)
+            return
+        record = self._records.get(incarnation.instance_id.decode("latin-1"))
+        if record is not None:
+            record.rate_limit_per_s = max(record.rate_limit_per_s, TRIAL_RATE_PER_S)
+
+    def recall_notice(self, incarnation: Incarnation, rate_limit_per_s: float) -> None:
+        """Apply what an incarnation had said to a former process of this node.
+
+        Its own answers replace that; until then, the lowest limit that was told holds.
+        """
+        instance_id = incarnation.instance_id.decode("latin-1")
+        record = self._find_record(instance_id, incarnation.started_ms or None)
+        if record is not None and not record.answered:
+            record.has_notice = True
+            record.rate_limit_per_s = min(record.rate_limit_per_s, rate_limit_per_s)
 
     def announced_service(self, instance_id: str) -> str:
         """Return the service announced under an id; empty for none."""
@@ -202,6 +237,12 @@
         record = self._records.get(self.instance_id)
         return NO_RATE_LIMIT if record is None else record.rate_limit_per_s
 
+    @property
+    def has_notice(self) -> bool:
+        """Whether the backend server ever said something about itself."""
+        record = self._records.get(self.instance_id)
+        return record is not None and record.has_notice
+
     @property
     def malformed_notice(self) -> bool:
         """Whether the backend server sent a notice that can't be read."""
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -245,7 +245,9 @@
         reason = Reason(refusal.reason)
         self._refusal = refusal
         if endpoint is not None:
-            endpoint.update_load(refusal.in_flight)
+            endpoint.record_refusal(
+                refusal.in_flight, refusal.retry_after_ms, self._now_ms()
+            )
             if reason is Reason.OVERLOADED:
                 self._selector.exclude(endpoint)
             else:
--- a/azurestep/mesh/callers/placement.py
+++ b/azurestep/mesh/callers/placement.py
@@ -60,7 +60,7 @@
     def has_alternative(self) -> bool:
         """Whether another backend server is open, responsive and not excluded."""
         return any(
-            other.open and not other.unresponsive and other.key not in self._excluded
+            other.usable and not other.unresponsive and other.key not in self._excluded
             for other in self.context.members.endpoints(self.service)
             if other is not self.endpoint
         )
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -4,6 +4,7 @@
 penalties are in the same unit.
 """
 
+import math
 from collections.abc import Iterable
 from random import Random
 
@@ -64,6 +65,12 @@
     unresponsive : bool
         Whether a probe of its node is overdue; it is then chosen only if no other is
         available.
+    rate_limit_per_s : float
+        Requests per second that it takes from all nodes together; infinite for no
+        limit.
+    limited_until_ms : float
+        After a refusal under a rate limit: until this time, it is chosen only if no
+        other is available.
     """
 
     key: object
@@ -80,6 +87,13 @@
     failed_until_ms: float = 0.0
     failure_ratio: float = 0.0
     unresponsive: bool = False
+    rate_limit_per_s: float = math.inf
+    limited_until_ms: float = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether it takes new requests, at whatever rate."""
+        return self.open and self.rate_limit_per_s > 0
 
     @property
     def load(self) -> float:
@@ -89,6 +103,22 @@
             self.in_flight - self.own_in_flight_at_report + self.own_in_flight,
         )
 
+    def start_interval_ms(self, run_ms: float) -> float:
+        """Return the time between two starts while all its slots are in use."""
+        return max(run_ms / self.slots, 1000 / self.rate_limit_per_s)
+
+    def usable_slots(self, run_ms: float) -> float:
+        """Return how many requests of a run time the rate limit keeps running."""
+        return min(self.slots, max(1.0, self.rate_limit_per_s * run_ms / 1000))
+
+    def record_refusal(
+        self, in_flight: int, retry_after_ms: float, now_ms: float
+    ) -> None:
+        """Apply the load and the remaining wait that a refusal reports."""
+        self.update_load(in_flight)
+        if self.rate_limit_per_s != math.inf:
+            self.limited_until_ms = now_ms + retry_after_ms
+
     def update_load(self, in_flight: int) -> None:
         """Apply a report of the requests in flight there."""
         self.in_flight = in_flight
@@ -165,7 +195,7 @@
     """Return the backend server with the highest expected value, or None."""
     best = None
     best_value = 0.0
-    usable = [one for one in endpoints if one.open and one.key not in excluded]
+    usable = [one for one in endpoints if one.usable and one.key not in excluded]
     for endpoint in _sample_candidates(usable, criteria.data_centre, random):
         value = (
             _expected_value(endpoint, criteria, now_ms)
@@ -196,12 +226,14 @@
     if now_ms < endpoint.cold_until_ms:
         run_ms *= COLD_RUN_FACTOR
     load = endpoint.load
-    wait_ms = max(0.0, load + 1 - endpoint.slots) / endpoint.slots * run_ms
+    slots = endpoint.usable_slots(run_ms)
+    wait_ms = max(0.0, load + 1 - slots) * endpoint.start_interval_ms(run_ms)
     objective_ms = max(criteria.objective_ms, 1.0)
     value = 1.0 / (1.0 + ((wait_ms + run_ms) / objective_ms) ** OBJECTIVE_STEEPNESS)
     value -= FAILURE_PENALTY * endpoint.failure_ratio
-    value -= LOAD_PENALTY * (load / endpoint.slots) ** 2
-    if now_ms < endpoint.failed_until_ms or endpoint.unresponsive:
+    value -= LOAD_PENALTY * (load / slots) ** 2
+    avoided_until_ms = max(endpoint.failed_until_ms, endpoint.limited_until_ms)
+    if now_ms < avoided_until_ms or endpoint.unresponsive:
         value -= 1.0  # as much as the highest value of an answer
     if endpoint.data_centre != criteria.data_centre:
         value -= REMOTE_PENALTY_PER_KIB * criteria.size_kib
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -3,6 +3,10 @@
 import attrs
 
 from ..quarantine import QuarantineUpdate
+from .incarnation import Incarnation
+
+SMALL_CHANGE = 0.1
+"""Relative change of a rate limit up to which peers need no news of it."""
 
 
 @attrs.frozen(slots=True)
@@ -73,6 +77,48 @@
     content: bytes
 
 
+@attrs.frozen(slots=True)
+class ServerCondition:
+    """What the backend server beside a node said about itself in its answers.
+
+    The node tells its peers, and they tell it back after it was restarted.
+
+    Attributes
+    ----------
+    instance_id, server_started_ms : bytes, int
+        Incarnation that said so.
+    rate_limit_per_s : float
+        Requests per second that it takes from all nodes; infinite for no limit.
+    """
+
+    instance_id: bytes
+    server_started_ms: int
+    rate_limit_per_s: float
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Incarnation that said so."""
+        return Incarnation(self.instance_id, self.server_started_ms)
+
+    def differs_much(self, other: "ServerCondition | None") -> bool:
+        """Whether peers that know the other one must learn this one.
+
+        A limit that varies a little with each answer isn't sent each time.
+
+        Examples
+        --------
+        >>> known = ServerCondition(b"a", 1, 50.0)
+        >>> ServerCondition(b"a", 1, 52.0).differs_much(known)
+        False
+        >>> ServerCondition(b"a", 1, 20.0).differs_much(known)
+        True
+        """
+        if other is None or self.incarnation != other.incarnation:
+            return True
+        lower, higher = sorted((self.rate_limit_per_s, other.rate_limit_per_s))
+        return lower < higher * (1 - SMALL_CHANGE)
+
+
 @attrs.frozen(slots=True)
 class CrashReport:
     """Requests that were in flight when backend servers of a service crashed."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -13,6 +13,7 @@
     CrashReport,
     Credit,
     Pong,
+    ServerCondition,
     SlotReady,
 )
 from ..messages import (
@@ -40,6 +41,7 @@
 
     runtime: Runtime
     connection: "PeerConnection | None"
+    condition: ServerCondition | None
 
     @property
     def fleet_listener(self) -> FleetListener:
@@ -51,6 +53,11 @@
     def on_state(self, connection: "PeerConnection", state: State) -> None:
         """Handle the peer's state."""
 
+    def on_condition(
+        self, connection: "PeerConnection", condition: ServerCondition
+    ) -> None:
+        """Handle what the peer's backend server said about itself."""
+
     def on_connection_lost(self, connection: "PeerConnection") -> None:
         """Handle the end of the connection."""
 
@@ -116,10 +123,12 @@
         self._retired = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send a hello and a probe."""
+        """Send a hello, what is known of the peer's backend server, and a probe."""
         self._transport = transport  # type: ignore[assignment]
         self.link.connection = self
         self.send(Kind.HELLO, *fields_of(self.link.fleet_listener.hello()))
+        if self.link.condition is not None:
+            self.send(Kind.SERVER_CONDITION, *fields_of(self.link.condition))
         self.ping()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -249,6 +258,9 @@
     def _on_state(self, _: None, state: State) -> None:
         self.link.on_state(self, state)
 
+    def _on_condition(self, _: None, condition: ServerCondition) -> None:
+        self.link.on_condition(self, condition)
+
     def _on_hello(self, _: None, hello: Hello) -> None:
         self.link.on_hello(self, hello)
 
@@ -300,5 +312,6 @@
     Failure: PeerConnection._on_failure,
     SlotReady: PeerConnection._on_slot_ready,
     Credit: PeerConnection._on_credit,
+    ServerCondition: PeerConnection._on_condition,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -4,6 +4,7 @@
 it is always a bug of this program and not a peer's fault.
 """
 
+import math
 import typing
 from collections.abc import Callable, Iterable
 from typing import Annotated, Any
@@ -24,6 +25,7 @@
     Ping,
     Pong,
     Proceed,
+    ServerCondition,
     SlotReady,
     Withdraw,
 )
@@ -70,6 +72,7 @@
     | ConfigurationQuery
     | ConfigurationUpdate
     | CrashReport
+    | ServerCondition
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -138,12 +141,21 @@
     return ConfigurationUpdate(version, decompress(data))
 
 
+def _build_condition(*fields: Any) -> ServerCondition:
+    condition = ServerCondition(*fields)
+    rate_per_s = condition.rate_limit_per_s
+    if math.isnan(rate_per_s) or rate_per_s < 0:
+        raise ValueError(f"{rate_per_s} is not a rate limit")
+    return condition
+
+
 def _build_crashes(service: str, rows: Iterable[Any]) -> CrashReport:
     return CrashReport(service, decode_updates(rows))
 
 
 _HELLO = _schema(Hello, _build_hello, has_stream_id=False)
 _CREDIT = _schema(Credit)
+_CONDITION = _schema(ServerCondition, _build_condition, has_stream_id=False)
 _CRASH_ROWS = tuple[tuple[int, tuple[tuple[str, int, int], ...], float], ...]
 
 INCOMING_LINK_SCHEMAS: MessageSchemas = {
@@ -156,6 +168,7 @@
     Kind.PROCEED: _schema(Proceed),
     Kind.CREDIT: _CREDIT,
     Kind.CONFIGURATION_QUERY: _schema(ConfigurationQuery, has_stream_id=False),
+    Kind.SERVER_CONDITION: _CONDITION,
 }
 """Kinds of messages that the node that opened a link may send."""
 PEER_CONNECTION_SCHEMAS: MessageSchemas = {
@@ -174,6 +187,7 @@
     Kind.CRASHES: _schema(
         CrashReport, _build_crashes, has_stream_id=False, updates=_CRASH_ROWS
     ),
+    Kind.SERVER_CONDITION: _CONDITION,
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from ...platform.headers import NO_RATE_LIMIT
 from ..decisions.cadence import MIN_IDLE_PROBE_INTERVAL_MS
 from ..decisions.choice import Endpoint
 from ..incarnation import NO_INCARNATION, Incarnation
+from ..link_messages import ServerCondition
 from ..messages import Hello, Kind, Request, State
 from ..runtime import Runtime
 from ..settings import Address
@@ -46,6 +48,9 @@
         Whether the peer answers.
     endpoint : Endpoint
         The backend server beside that peer.
+    condition : ServerCondition or None
+        What that backend server said about itself, as far as the peer told. Kept while
+        the peer is away, since its next process may not know it.
     idle_probe_interval_ms : float
         Time between probes while no request is in flight.
     """
@@ -58,6 +63,7 @@
     up: bool = False
     state: State | None = None
     peer: Hello | None = None
+    condition: ServerCondition | None = None
     lost_since_ms: float = 0.0
     idle_probe_interval_ms: float = MIN_IDLE_PROBE_INTERVAL_MS
     _dialing: bool = False
@@ -148,6 +154,7 @@
         if not endpoint.incarnation.matches(incarnation):
             endpoint.mean_run_ms.clear()
             endpoint.failed_until_ms = 0.0
+            endpoint.limited_until_ms = 0.0
         endpoint.service = state.service
         endpoint.incarnation = incarnation
         endpoint.open = state.open
@@ -155,9 +162,30 @@
         endpoint.failure_ratio = state.failure_ratio
         endpoint.cold_until_ms = self.runtime.now_ms() + state.cold_remaining_ms
         endpoint.update_load(state.in_flight)
+        self._apply_condition()
         if previous is None or _reader_criteria(previous) != _reader_criteria(state):
             self.listener.on_state(self, state)
 
+    def on_condition(
+        self, connection: PeerConnection, condition: ServerCondition
+    ) -> None:
+        """Update the endpoint from what its backend server said about itself."""
+        if connection is self.connection:
+            self.condition = condition
+            self._apply_condition()
+
+    def _apply_condition(self) -> None:
+        """Apply the condition, unless another incarnation took the server's place."""
+        endpoint, condition = self.endpoint, self.condition
+        if condition is None:
+            return
+        if not endpoint.incarnation.matches(condition.incarnation):
+            endpoint.rate_limit_per_s = NO_RATE_LIMIT
+            return
+        endpoint.rate_limit_per_s = condition.rate_limit_per_s
+        if endpoint.rate_limit_per_s == NO_RATE_LIMIT:
+            endpoint.limited_until_ms = 0.0
+
     def on_connection_lost(self, connection: PeerConnection) -> None:
         """Mark the link as down, unless a newer connection replaced this one."""
         if connection is self.connection:
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -160,6 +160,7 @@
         local.incarnation = backend.incarnation
         local.open = inbound.open
         local.slots = backend.slots
+        local.rate_limit_per_s = backend.rate_limit_per_s
         local.failure_ratio = inbound.health.failure_ratio
         local.in_flight = inbound.admission.in_flight
         local.own_in_flight_at_report = local.own_in_flight
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -19,6 +19,7 @@
     Credit,
     Ping,
     Proceed,
+    ServerCondition,
     Withdraw,
 )
 from ..messages import (
@@ -60,6 +61,8 @@
         Returns version and content of the configuration in force.
     store_version : Callable
         Returns the latest version that this node read from the store itself.
+    condition : Callable
+        Returns what the backend server said about itself; None if nothing.
     """
 
     runtime: Runtime
@@ -69,9 +72,11 @@
     on_peer: Callable[[Hello], None]
     configuration: Callable[[], tuple[int, bytes]]
     store_version: Callable[[], int]
+    condition: Callable[[], ServerCondition | None]
     data_centre: str
     links: "set[IncomingLink]" = attrs.field(factory=set)
     _urgent: tuple[object, ...] = ()
+    _sent_condition: ServerCondition | None = None
     _local_pacer: ReportPacer = attrs.field(
         factory=lambda: ReportPacer(LOCAL_REPORTS_PER_S)
     )
@@ -86,6 +91,7 @@
 
     def broadcast_state(self) -> None:
         """Send this node's state to all peers; rate-limited unless it is urgent."""
+        self._broadcast_condition()
         state = self.state()
         data = encode(Kind.STATE, *fields_of(state))
         now_ms = self.runtime.now_ms()
@@ -103,6 +109,14 @@
         if self._remote_pacer.mark_sent_if_due(data, len(remote), now_ms):
             self._write(remote, data)
 
+    def _broadcast_condition(self) -> None:
+        """Tell all peers what the backend server said, if it differs much."""
+        condition = self.condition()
+        if condition is not None and condition.differs_much(self._sent_condition):
+            self._sent_condition = condition
+            data = encode(Kind.SERVER_CONDITION, *fields_of(condition))
+            self._write(self.links, data)
+
     def push_configuration(self) -> None:
         """Send the configuration in force to the peers of the local data centre.
 
@@ -162,6 +176,9 @@
         incoming_links.links.add(self)
         self.send(Kind.HELLO, *fields_of(incoming_links.hello()))
         self.send(Kind.STATE, *fields_of(incoming_links.state()))
+        condition = incoming_links.condition()
+        if condition is not None:
+            self.send(Kind.SERVER_CONDITION, *fields_of(condition))
         crashes = incoming_links.inbound.crashes
         for service, updates in crashes.export(incoming_links.runtime.now_ms()):
             self.send(Kind.CRASHES, service, encode_updates(updates))
@@ -264,6 +281,9 @@
         version, content = self.incoming_links.configuration()
         self.send(Kind.CONFIGURATION, version, compress(content))
 
+    def _on_condition(self, _: int, condition: ServerCondition) -> None:
+        self.incoming_links.inbound.apply_peer_condition(condition)
+
     def _on_proceed(self, stream_id: int, _: Proceed) -> None:
         run = self._runs.get(stream_id)
         if run is not None:
@@ -311,5 +331,6 @@
     Credit: IncomingLink._on_credit,
     Hello: IncomingLink._on_hello,
     ConfigurationQuery: IncomingLink._on_configuration_query,
+    ServerCondition: IncomingLink._on_condition,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -41,6 +41,7 @@
     PROCEED = 16
     CRASHES = 17
     WITHDRAW = 18
+    SERVER_CONDITION = 19
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -145,6 +145,7 @@
             ),
             lambda: (self.configuration.version, self.configuration.content),
             lambda: self.configuration.store_version,
+            self.inbound.condition,
             settings.data_centre,
         )
         self.prober = Prober(
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -36,6 +36,8 @@
         Time that a request takes; one whose target ends with ``ms=N`` takes that.
     rate_limit : str or None
         Rate limit that its answers name; None for none.
+    tells_probes : bool
+        Whether its answers to health probes name it too.
     answer_override : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -50,6 +52,7 @@
     slots: int = 4
     healthy: bool = True
     rate_limit: str | None = None
+    tells_probes: bool = True
     answer_override: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
     received: list[Received] = attrs.field(factory=list)
@@ -109,7 +112,9 @@
         if received.target == "/health":
             status = 200 if self.healthy else 503
             load = f"Server-Load: {self.running},0,{self.slots}"
-            headers = [f"Instance-Id: {self.instance_id}", load, *self._notice()]
+            headers = [f"Instance-Id: {self.instance_id}", load]
+            if self.tells_probes:
+                headers += self._notice()
             return _text(status, headers, b"")
         if received.headers.get("expected-instance") != self.instance_id:
             return _text(421, [f"Instance-Id: {self.instance_id}"], b"")
--- a/tests/test_mesh_choice.py
+++ b/tests/test_mesh_choice.py
@@ -124,3 +124,28 @@
     near, far = endpoint("near", in_flight=7), endpoint("far", "dc-2")
     assert pick([near, far], random, sizes.mean_kib("download")) == "near"
     assert pick([near, far], random, sizes.mean_kib("read")) == "far"
+
+
+def test_a_server_is_chosen_only_as_often_as_its_rate_limit_allows(
+    random: Random,
+) -> None:
+    limited = endpoint("limited", rate_limit_per_s=20.0, in_flight=4)
+    other = endpoint("other", in_flight=2, mean_run_ms={"read": 200.0})
+    assert pick([limited, other], random) == "other"
+    limited.update_load(0)
+    assert pick([limited, other], random) == "limited"
+
+
+def test_a_limited_server_is_left_alone_for_as_long_as_it_refuses(
+    random: Random,
+) -> None:
+    limited = endpoint("limited", rate_limit_per_s=2.0)
+    other = endpoint("other", mean_run_ms={"read": 250.0})
+    assert pick([limited, other], random) == "limited"
+    limited.record_refusal(0, 400.0, now_ms=0.0)
+    assert pick([limited, other], random) == "other"
+    assert pick([limited], random) == "limited"
+
+
+def test_a_server_that_takes_nothing_is_not_chosen(random: Random) -> None:
+    assert pick([endpoint("limited", rate_limit_per_s=0.0)], random) is None
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -669,6 +669,10 @@
     "ready": OnLink(15, 7, False, link.SlotReady()),
     "go": OnLink(16, 7, True, link.Proceed()),
     "withdraw": OnLink(18, 7, True, link.Withdraw()),
+    "condition": OnLink(19, WHOLE_LINK, False, link.ServerCondition(b"i-1", 77, 47.9)),
+    "condition_back": OnLink(
+        19, WHOLE_LINK, True, link.ServerCondition(b"i-1", 77, 47.9)
+    ),
 }
 
 
