Leave a backend server alone that says in its answers that it leaves

Cause: nothing read the header Server-Leaving, as with the rate limit.

Change: what an answer says is kept as the same state of the incarnation that an announcement sets, whichever comes first; an older heartbeat doesn't take it back. Requests in the queue that can't start at once are handed back, so that another server takes them; what runs is answered. Peers are told with the limit, leave the server alone by themselves, and tell a restarted node, whose server's drain time then counts as over.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -20,6 +20,7 @@
 from ..messages import Reason, Request
 from ..runtime import Runtime
 from ..settings import Address
+from .changes import log_backend_change
 from .contained import run_guarded
 from .crashes import CrashTracker
 from .load import LoadSummary, tick_load
@@ -134,6 +135,8 @@
             run.refuse(Reason.STOPPING if self.shutting_down else Reason.OVERLOADED)
         elif decision:
             run.start()
+        elif self.backend.is_leaving():
+            run.refuse(Reason.LEAVING)
         else:
             self._schedule_limited_start(self.now_ms())
 
@@ -188,6 +191,8 @@
         while (ticket := self.admission.start_next(now_ms)) is not None:
             run = self._runs[ticket]
             run_guarded(run, run.start)
+        if self.backend.is_leaving():
+            self._refuse(self.admission.waiting, Reason.LEAVING)
         while (transfer := self.transfers.start_next()) is not None:
             run_guarded(transfer, transfer.request_body)
         self._schedule_limited_start(now_ms)
@@ -269,10 +274,15 @@
         self._last_notice_ms = self.now_ms()
         was_limited = backend.rate_limit_per_s != NO_RATE_LIMIT
         was_malformed = backend.malformed_notice
+        was_leaving = backend.is_leaving()
         if probed:
-            backend.apply_probed_notice(incarnation, notice)
+            backend.apply_probed_notice(incarnation, notice, self.now_ms())
         else:
-            backend.apply_notice(incarnation, notice)
+            backend.apply_notice(incarnation, notice, self.now_ms())
+        if backend.is_leaving() and not was_leaving:
+            log_backend_change(backend)
+            self._schedule_scan()
+            self.on_change()
         if backend.rate_limit_per_s != self.admission.limiter.rate_per_s:
             self._schedule_scan()
         if (backend.rate_limit_per_s != NO_RATE_LIMIT) != was_limited:
@@ -301,12 +311,17 @@
             return None
         incarnation = backend.incarnation
         return ServerCondition(
-            incarnation.instance_id, incarnation.started_ms, backend.rate_limit_per_s
+            incarnation.instance_id,
+            incarnation.started_ms,
+            backend.rate_limit_per_s,
+            backend.is_leaving(),
         )
 
     def apply_peer_condition(self, condition: ServerCondition) -> None:
         """Apply what a former process of this node told a peer."""
-        self.backend.recall_notice(condition.incarnation, condition.rate_limit_per_s)
+        self.backend.recall_notice(
+            condition.incarnation, condition.rate_limit_per_s, condition.leaving
+        )
         self._schedule_scan()
         self.on_change()
 
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -140,7 +140,9 @@
         if record is not None:
             self._record_leaving(notice.instance_id, record, now_ms)
 
-    def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
+    def apply_notice(
+        self, incarnation: Incarnation, notice: ServerNotice, now_ms: float
+    ) -> None:
         """Apply what an incarnation said about itself in an answer."""
         instance_id = incarnation.instance_id.decode("latin-1")
         record = self._find_record(instance_id, incarnation.started_ms or None)
@@ -151,26 +153,38 @@
         if notice.rate_limit_per_s is not None:
             record.rate_limit_per_s = notice.rate_limit_per_s
             record.has_notice |= notice.rate_limit_per_s != NO_RATE_LIMIT
+        if notice.leaving:
+            record.has_notice = True
+            self._record_leaving(instance_id, record, now_ms)
 
     def apply_probed_notice(
-        self, incarnation: Incarnation, notice: ServerNotice
+        self, incarnation: Incarnation, notice: ServerNotice, now_ms: float
     ) -> None:
         """Apply what an incarnation said about itself in the answer to a probe."""
-        if notice.rate_limit_per_s != NO_RATE_LIMIT:
-            self.apply_notice(incarnation, notice)
+        if notice.leaving or notice.rate_limit_per_s != NO_RATE_LIMIT:
+            self.apply_notice(incarnation, notice, now_ms)
             return
         record = self._records.get(incarnation.instance_id.decode("latin-1"))
         if record is not None:
             record.rate_limit_per_s = max(record.rate_limit_per_s, TRIAL_RATE_PER_S)
 
-    def recall_notice(self, incarnation: Incarnation, rate_limit_per_s: float) -> None:
+    def recall_notice(
+        self, incarnation: Incarnation, rate_limit_per_s: float, leaving: bool
+    ) -> None:
         """Apply what an incarnation had said to a former process of this node.
 
-        Its own answers replace that; until then, the lowest limit that was told holds.
+        Its own answers replace the limit; until then, the lowest one that was told
+        holds. When a server began to leave is not known, so its drain time counts as
+        over.
         """
         instance_id = incarnation.instance_id.decode("latin-1")
         record = self._find_record(instance_id, incarnation.started_ms or None)
-        if record is not None and not record.answered:
+        if record is None:
+            return
+        if leaving:
+            record.has_notice = True
+            record.leaving_since_ms = LEAVING_SINCE_UNKNOWN_MS
+        if not record.answered:
             record.has_notice = True
             record.rate_limit_per_s = min(record.rate_limit_per_s, rate_limit_per_s)
 
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -6,6 +6,7 @@
 from ..http.server import Exchange, Handler
 from ..platform.announcement import Heartbeat, LeavingNotice, read_announcement
 from . import events
+from .backend.changes import log_backend_change
 from .backend.state import LocalBackend
 from .runtime import Runtime
 
@@ -68,7 +69,7 @@
             backend.apply_leaving(notice, now_ms)
         exchange.answer(200, JSON, b"{}")
         if (backend.incarnation, backend.is_leaving()) != before:
-            _log_change(backend)
+            log_backend_change(backend)
         on_change()
 
     return _collect_body(respond)
@@ -95,18 +96,6 @@
         )
 
 
-def _log_change(backend: LocalBackend) -> None:
-    leaving = backend.is_leaving()
-    event = events.BACKEND_LEAVING if leaving else events.BACKEND_ANNOUNCED
-    events.log(
-        event,
-        instance=backend.instance_id,
-        born_ms=backend.incarnation.started_ms,
-        service=backend.service,
-        slots=backend.slots,
-    )
-
-
 def _collect_body(respond: Callable[[Exchange, bytes], None]) -> Handler:
     def handle(exchange: Exchange) -> None:
         exchange.sink = BodyCollector(exchange, respond)
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -89,11 +89,14 @@
         Incarnation that said so.
     rate_limit_per_s : float
         Requests per second that it takes from all nodes; infinite for no limit.
+    leaving : bool
+        Whether it is about to stop accepting requests.
     """
 
     instance_id: bytes
     server_started_ms: int
     rate_limit_per_s: float
+    leaving: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
@@ -115,6 +118,8 @@
         """
         if other is None or self.incarnation != other.incarnation:
             return True
+        if self.leaving != other.leaving:
+            return True
         lower, higher = sorted((self.rate_limit_per_s, other.rate_limit_per_s))
         return lower < higher * (1 - SMALL_CHANGE)
 
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -182,6 +182,8 @@
         if not endpoint.incarnation.matches(condition.incarnation):
             endpoint.rate_limit_per_s = NO_RATE_LIMIT
             return
+        if condition.leaving:
+            endpoint.open = False
         endpoint.rate_limit_per_s = condition.rate_limit_per_s
         if endpoint.rate_limit_per_s == NO_RATE_LIMIT:
             endpoint.limited_until_ms = 0.0
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -19,6 +19,8 @@
 INSTANCE = b"instance-id"
 SERVER_LOAD = b"server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
+IS_LEAVING = b"1"
 
 SET_BY_NODE = frozenset({DEADLINE, EXPECTED_INSTANCE, CALLING_SERVICE})
 NOT_FORWARDED = frozenset(
@@ -39,6 +41,7 @@
 answers aren't compressed."""
 MAX_REMAINING_MS = 600_000.0
 """Longer deadlines are reduced to this."""
+NOTICE_HEADERS = frozenset({SERVER_LIMIT, SERVER_LEAVING})
 NO_RATE_LIMIT = math.inf
 """Rate limit of a backend server that names none."""
 _DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -74,11 +77,14 @@
     rate_limit_per_s : float or None
         Requests per second that it takes from all nodes together; infinite if it names
         no limit, None if the value can't be read.
+    leaving : bool
+        Whether it is about to stop accepting requests.
     malformed : tuple of bytes
         Names of the headers that can't be read.
     """
 
     rate_limit_per_s: float | None = NO_RATE_LIMIT
+    leaving: bool = False
     malformed: tuple[bytes, ...] = ()
 
 
@@ -193,20 +199,31 @@
         keep_alive_ms=None if keep_alive is None else _keep_alive_ms(keep_alive),
         encoded=b"content-encoding" in values,
         slots=_slots(values.get(SERVER_LOAD, b"")),
-        notice=_read_notice(headers) if SERVER_LIMIT in values else EMPTY_NOTICE,
+        notice=EMPTY_NOTICE if NOTICE_HEADERS.isdisjoint(values) else _notice(headers),
         forwarded=[field for field in headers if field[0].lower() not in dropped],
     )
 
 
-def _read_notice(headers: Headers) -> ServerNotice:
+def _notice(headers: Headers) -> ServerNotice:
     """Return the notice in an answer's headers.
 
     A header that is repeated with different values can't be read.
     """
-    values = {value.strip() for name, value in headers if name.lower() == SERVER_LIMIT}
-    rate_limit_per_s = parse_rate_limit(values.pop()) if len(values) == 1 else None
-    malformed = (SERVER_LIMIT,) if rate_limit_per_s is None else ()
-    return ServerNotice(rate_limit_per_s, malformed)
+    malformed = []
+    rate_limit_per_s: float | None = NO_RATE_LIMIT
+    limits = _distinct_values(headers, SERVER_LIMIT)
+    if limits:
+        rate_limit_per_s = parse_rate_limit(limits.pop()) if len(limits) == 1 else None
+        if rate_limit_per_s is None:
+            malformed.append(SERVER_LIMIT)
+    leaving = _distinct_values(headers, SERVER_LEAVING)
+    if leaving and leaving != {IS_LEAVING}:
+        malformed.append(SERVER_LEAVING)
+    return ServerNotice(rate_limit_per_s, leaving == {IS_LEAVING}, tuple(malformed))
+
+
+def _distinct_values(headers: Headers, wanted: bytes) -> set[bytes]:
+    return {value.strip() for name, value in headers if name.lower() == wanted}
 
 
 def parse_rate_limit(value: bytes) -> float | None:
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -36,8 +36,10 @@
         Time that a request takes; one whose target ends with ``ms=N`` takes that.
     rate_limit : str or None
         Rate limit that its answers name; None for none.
+    leaving : str or None
+        Value of the header that says that it leaves; None for no header.
     tells_probes : bool
-        Whether its answers to health probes name it too.
+        Whether its answers to health probes say both too.
     answer_override : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -52,6 +54,7 @@
     slots: int = 4
     healthy: bool = True
     rate_limit: str | None = None
+    leaving: str | None = None
     tells_probes: bool = True
     answer_override: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
@@ -134,7 +137,10 @@
 
     def _notice(self) -> list[str]:
         """Return the headers in which it tells of itself."""
-        return [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
+        fields = {"Server-Limit": self.rate_limit, "Server-Leaving": self.leaving}
+        return [
+            f"{name}: {value}" for name, value in fields.items() if value is not None
+        ]
 
     async def _work(self, reader: asyncio.StreamReader, work_s: float) -> None:
         end = asyncio.get_running_loop().time() + work_s
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -60,7 +60,7 @@
     Kind.PROCEED: [STREAM],
     Kind.CRASHES: ["shop", CRASHES],
     Kind.WITHDRAW: [STREAM],
-    Kind.SERVER_CONDITION: [b"i-1", 5, 47.9],
+    Kind.SERVER_CONDITION: [b"i-1", 5, 47.9, True],
 }
 LEAVES = (
     st.none()
--- a/tests/test_mesh_headers.py
+++ b/tests/test_mesh_headers.py
@@ -80,3 +80,23 @@
     notice = read_answer([(b"Response-Signature", b"s"), *headers]).notice
     assert notice.rate_limit_per_s == limit_per_s
     assert notice.malformed == ((b"server-limit",) if limit_per_s is None else ())
+
+
+@pytest.mark.parametrize(
+    ("values", "leaving", "malformed"),
+    [
+        ([], False, False),
+        ([b"1"], True, False),
+        ([b"1", b" 1"], True, False),
+        ([b"0"], False, True),
+        ([b""], False, True),
+        ([b"yes"], False, True),
+        ([b"1", b"0"], False, True),
+    ],
+)
+def test_leaving_of_a_server_is_read_or_reported_as_malformed(
+    values: list[bytes], leaving: bool, malformed: bool
+) -> None:
+    notice = read_answer([(b"Server-Leaving", value) for value in values]).notice
+    assert notice.leaving is leaving
+    assert notice.malformed == ((b"server-leaving",) if malformed else ())
--- a/tests/test_mesh_limited_admission.py
+++ b/tests/test_mesh_limited_admission.py
@@ -192,7 +192,7 @@
 
 def test_an_unreadable_limit_changes_nothing(harness: InboundHarness) -> None:
     name_limit(harness, 10.0)
-    notice = ServerNotice(None, (b"server-limit",))
+    notice = ServerNotice(None, malformed=(b"server-limit",))
     harness.inbound.apply_notice(harness.inbound.backend.incarnation, notice)
     assert harness.inbound.backend.rate_limit_per_s == 10.0
     assert harness.inbound.backend.malformed_notice
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -669,7 +669,9 @@
     "ready": OnLink(15, 7, False, link.SlotReady()),
     "go": OnLink(16, 7, True, link.Proceed()),
     "withdraw": OnLink(18, 7, True, link.Withdraw()),
-    "condition": OnLink(19, WHOLE_LINK, False, link.ServerCondition(b"i-1", 77, 47.9)),
+    "condition": OnLink(
+        19, WHOLE_LINK, False, link.ServerCondition(b"i-1", 77, 47.9, True)
+    ),
     "condition_back": OnLink(
         19, WHOLE_LINK, True, link.ServerCondition(b"i-1", 77, 47.9)
     ),
@@ -769,6 +771,7 @@
         (b"Instance-Id", b"i-1"),
         (b"Server-Load", b"3,0,8"),
         (b"Server-Limit", b"47.9"),
+        (b"Server-Leaving", b"1"),
         (b"Connection", b"close"),
         (b"Keep-Alive", b"timeout=5"),
         (b"Content-Encoding", b"gzip"),
