Refuse at once what a rate limit makes miss its objective

A request that was admitted in time and then overtaken, by more urgent ones or by callers who came back, kept its place until its deadline.

Under a limit a waiting request is refused once it would miss its objective, the rule by which it was admitted.

--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -197,7 +197,7 @@
         ahead = 0
         for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
             start_ms = max(slot_ms, now_ms + self.limiter.wait_ms(now_ms, ahead))
-            if self.can_end_in_time(ticket, start_ms):
+            if self._is_worth_waiting(ticket, start_ms):
                 ahead += 1
                 if draining:
                     slot_ms += self.mean_run_ms(ticket.route) / self.slots
@@ -205,6 +205,17 @@
                 expiring.append(ticket)
         return expiring
 
+    def _is_worth_waiting(self, ticket: Ticket, start_ms: float) -> bool:
+        """Whether a waiting request that starts then should keep its place.
+
+        Under a rate limit, one that will miss its objective would be overtaken by later
+        requests for as long as these come faster than the limit.
+        """
+        end_ms = start_ms + self.mean_run_ms(ticket.route)
+        if self.limiter.active and end_ms > ticket.objective_deadline_ms:
+            return False
+        return end_ms <= self.run_deadline_ms(ticket)
+
     def run_deadline_ms(self, ticket: Ticket) -> float:
         """Return when a run must end: its deadline or that of the shutdown."""
         return min(ticket.deadline_ms, self.drain_deadline_ms)
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,6 +26,7 @@
     "overload",
     "request_path",
     "silent_path",
+    "rate_limits",
 )
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
