Notice a store that returns from an older copy, and write again what it lost

What was seen (tried on, and by the tests before this change): after a return the reader went on from an offset that now lay behind the new record, and all nodes stayed at version 3 while the operator's version 4 stood in the store; a node that started after the addresses were lost found nobody; a 410 that names no offset was repeated for ever.

Cause: what a node remembers of the store (its read offset, that its address is written) belongs to one history of the store, and nothing told one history from the next.

Change: each outcome of StoreClient has the era of its answer. One object of the node knows the latest era, from answers and from peers (message 20, skipped by older nodes); an answer of an earlier era is not believed. A new era drops the read offset and registers the node again, by a higher epoch, writing before reading, spread over time at 100 writes a second for the whole fleet; a stopping node doesn't. Versions in force stay. Event 9106, a counter and a gauge tell of it. A store that names no era is treated as before.

--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -56,6 +56,12 @@
     "malformed records in the store ignored",
     "find the writer of the records in that topic",
 )
+STORE_RETURNED = register(
+    9106,
+    logging.WARNING,
+    "platform store returned from an older copy",
+    "check that the latest configuration was published again; the node keeps its own",
+)
 PEER_LOST = register(
     9201,
     logging.WARNING,
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -23,6 +23,7 @@
 from ..links.members import Members
 from ..runtime import Runtime
 from .configuration import SOURCE_STORE, Configuration
+from .store_era import StoreEra
 
 LONG_POLL_MS = 1000
 """Length of a long poll; bounds the time until a reader detects a dead connection."""
@@ -52,6 +53,7 @@
     client: StoreClient
     configuration: Configuration
     members: Members
+    era: StoreEra
     on_store_change: Callable[[], None]
     store_reachable: bool = True
     _offset: int | None = None
@@ -74,6 +76,10 @@
         """Check now whether this node should be the reader."""
         self._wake_event.set()
 
+    def forget_offset(self) -> None:
+        """Read the latest records again, since offsets have a new meaning."""
+        self._offset = None
+
     def tick(self, now_ms: float) -> None:
         """Ask a peer for a newer version, preferably a local one."""
         candidate = None
@@ -109,12 +115,16 @@
         ]
 
     async def _read_once(self) -> bool:
-        if self._offset is None:
+        offset = self._offset
+        if offset is None:
             return await self._read_latest()
-        outcome = await self.client.read(OPERATOR_TOPIC, self._offset, LONG_POLL_MS)
+        outcome = await self.client.read(OPERATOR_TOPIC, offset, LONG_POLL_MS)
+        if not self.era.accept(outcome.era):
+            return False
         if isinstance(outcome, Records):
             self._mark_reachable()
-            self._offset = outcome.next_offset
+            if self._offset == offset:
+                self._offset = outcome.next_offset
             self._apply_latest(outcome.values)
             return True
         if isinstance(outcome, Truncated):
@@ -141,6 +151,8 @@
 
     async def _read_latest(self) -> bool:
         outcome = await self.client.read_latest(OPERATOR_TOPIC)
+        if not self.era.accept(outcome.era):
+            return False
         if not isinstance(outcome, LatestRecords):
             self._mark_unreachable(repr(outcome))
             return False
--- a/azurestep/mesh/knowledge/discovery.py
+++ b/azurestep/mesh/knowledge/discovery.py
@@ -1,7 +1,8 @@
-"""Discovery of peers through the platform's store, at the start of a node.
+"""Discovery of peers through the platform's store.
 
-A node writes its own address before it reads all others. Of any two nodes, the one
-that wrote last finds the other and opens a link to it.
+At its start, and in each new era of the store, a node writes its own address before it
+reads all others. Of any two nodes, the one that wrote last finds the other and opens a
+link to it.
 """
 
 import asyncio
@@ -15,16 +16,23 @@
     AppendOutcome,
     Fenced,
     LatestRecords,
+    OutOfSequence,
     Producer,
     StoreClient,
+    Unanswered,
 )
 from ...platform.topics import MEMBERS_TOPIC
 from .. import events
 from ..links.members import Members
 from ..runtime import Runtime
+from .store_era import StoreEra
 
 RETRY_PAUSES_S = (0.1, 0.3, 0.6, 1.2)
 """Pauses between attempts while the store does not answer; the last one repeats."""
+WRITES_PER_S = 100
+"""Rate at which all nodes together write their addresses in a new era."""
+MIN_SPREAD_S = 0.2
+"""Time over which the nodes of a small fleet spread these writes."""
 EPOCH_STEP_MS = 60_000
 """Added to the epoch if the store has a higher one of an earlier process."""
 
@@ -43,22 +51,50 @@
     runtime: Runtime
     client: StoreClient
     members: Members
+    era: StoreEra
     epoch: int
     done: bool = False
     _sequence: int = 0
+    _registering: bool = False
+    _deregistered: bool = False
 
     async def run(self) -> None:
-        """Write the address and read all others, with retries until both succeed."""
+        """Register at the start of the node."""
+        await self._register()
+        self.done = True
+
+    def register_again(self) -> None:
+        """Register in a new era, which may lack this node's address."""
+        if not self._registering:
+            self.runtime.spawn(self._register_again())
+
+    async def _register_again(self) -> None:
+        spread_s = max(MIN_SPREAD_S, self.members.count() / WRITES_PER_S)
+        self._registering = True
+        await asyncio.sleep(spread_s * self.runtime.random.random())
+        self._begin_epoch()
+        await self._register()
+
+    async def _register(self) -> None:
+        """Write the address and read all others, until both succeed in one era."""
         _, port = self.members.own_address
         value = write_member(port)
+        self._registering = True
         attempts = 0
-        while not isinstance(await self._write_address(value), Appended):
+        while not self._deregistered:
+            if isinstance(await self._write_address(value), Appended):
+                era = self.era.current
+                if await self._read_addresses() and self.era.current == era:
+                    break
+                self._begin_epoch()
             await self._pause(attempts)
             attempts += 1
-        while not await self._read_addresses():
-            await self._pause(attempts)
-            attempts += 1
-        self.done = True
+        self._registering = False
+
+    def _begin_epoch(self) -> None:
+        """Use a higher epoch, whose first write the store takes in any era."""
+        self.epoch += 1
+        self._sequence = 0
 
     async def deregister(self) -> None:
         """Remove this node's address from the store, in one attempt.
@@ -66,6 +102,7 @@
         A delayed write can't remove the address of a later process, whose epoch is
         higher.
         """
+        self._deregistered = True
         if self.done:
             self._sequence += 1
             await self._write_address(b"")
@@ -74,12 +111,18 @@
         host = self.members.own_address[0]
         producer = Producer(host, self.epoch, self._sequence)
         outcome = await self.client.put(MEMBERS_TOPIC, host, value, producer)
+        if not self.era.accept(outcome.era):
+            return Unanswered("the answer is from an earlier era of the store")
         if isinstance(outcome, Fenced):
             self.epoch += EPOCH_STEP_MS
+        elif isinstance(outcome, OutOfSequence):
+            self._begin_epoch()
         return outcome
 
     async def _read_addresses(self) -> bool:
         outcome = await self.client.read_latest(MEMBERS_TOPIC)
+        if not self.era.accept(outcome.era):
+            return False
         if not isinstance(outcome, LatestRecords):
             return False
         if outcome.unreadable:
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -124,6 +124,13 @@
         return lower < higher * (1 - SMALL_CHANGE)
 
 
+@attrs.frozen(slots=True)
+class StoreEraUpdate:
+    """Latest era of the platform's store that the sender knows."""
+
+    era: int
+
+
 @attrs.frozen(slots=True)
 class CrashReport:
     """Requests that were in flight when backend servers of a service crashed."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -15,6 +15,7 @@
     Pong,
     ServerCondition,
     SlotReady,
+    StoreEraUpdate,
 )
 from ..messages import (
     Answer,
@@ -270,6 +271,9 @@
     def _on_configuration(self, _: None, update: ConfigurationUpdate) -> None:
         self.link.fleet_listener.on_configuration(update.version, update.content)
 
+    def _on_store_era(self, _: None, update: StoreEraUpdate) -> None:
+        self.link.fleet_listener.on_store_era(update.era)
+
     def _on_crashes(self, _: None, report: CrashReport) -> None:
         self.link.fleet_listener.on_crashes(report.service, report.updates)
 
@@ -313,5 +317,6 @@
     SlotReady: PeerConnection._on_slot_ready,
     Credit: PeerConnection._on_credit,
     ServerCondition: PeerConnection._on_condition,
+    StoreEraUpdate: PeerConnection._on_store_era,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -27,6 +27,7 @@
     Proceed,
     ServerCondition,
     SlotReady,
+    StoreEraUpdate,
     Withdraw,
 )
 from ..messages import (
@@ -73,6 +74,7 @@
     | ConfigurationUpdate
     | CrashReport
     | ServerCondition
+    | StoreEraUpdate
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -188,6 +190,7 @@
         CrashReport, _build_crashes, has_stream_id=False, updates=_CRASH_ROWS
     ),
     Kind.SERVER_CONDITION: _CONDITION,
+    Kind.STORE_ERA: _schema(StoreEraUpdate, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/links/interfaces.py
+++ b/azurestep/mesh/links/interfaces.py
@@ -47,7 +47,7 @@
 
 
 class FleetListener(Protocol):
-    """Receiver of configurations and crash reports from any peer."""
+    """Receiver of configurations, crash reports and store eras from any peer."""
 
     def on_configuration(self, version: int, content: bytes) -> None:
         """Handle a configuration that a peer sent."""
@@ -55,5 +55,8 @@
     def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
         """Handle a report of requests in flight at a backend server's crash."""
 
+    def on_store_era(self, era: int) -> None:
+        """Handle the era of the store that a peer knows."""
+
     def hello(self) -> Hello:
         """Return this node's hello."""
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -37,6 +37,8 @@
         Called when a peer was reached or lost, or sent a new state.
     apply_configuration : Callable
         Called with a configuration that a peer sent.
+    apply_store_era : Callable
+        Called with an era of the store that a peer sent.
     """
 
     runtime: Runtime
@@ -46,6 +48,7 @@
     make_hello: Callable[[], Hello]
     on_change: Callable[[], None]
     apply_configuration: Callable[[int, bytes], None]
+    apply_store_era: Callable[[int], object]
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     _local: Endpoint = attrs.field(init=False)
     _count: int = 1
@@ -149,6 +152,10 @@
         """Pass on a configuration that a peer sent."""
         self.apply_configuration(version, content)
 
+    def on_store_era(self, era: int) -> None:
+        """Pass on an era of the store that a peer sent."""
+        self.apply_store_era(era)
+
     def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
         """Merge a report of requests in flight at a backend server's crash."""
         self.inbound.crashes.merge(service, updates, self.runtime.now_ms())
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -61,6 +61,8 @@
         Returns version and content of the configuration in force.
     store_version : Callable
         Returns the latest version that this node read from the store itself.
+    store_era : Callable
+        Returns the latest era of the store; 0 if unknown.
     condition : Callable
         Returns what the backend server said about itself; None if nothing.
     """
@@ -72,6 +74,7 @@
     on_peer: Callable[[Hello], None]
     configuration: Callable[[], tuple[int, bytes]]
     store_version: Callable[[], int]
+    store_era: Callable[[], int]
     condition: Callable[[], ServerCondition | None]
     data_centre: str
     links: "set[IncomingLink]" = attrs.field(factory=set)
@@ -117,6 +120,10 @@
             data = encode(Kind.SERVER_CONDITION, *fields_of(condition))
             self._write(self.links, data)
 
+    def broadcast_store_era(self) -> None:
+        """Tell all peers the era of the store."""
+        self._write(self.links, encode(Kind.STORE_ERA, self.store_era()))
+
     def push_configuration(self) -> None:
         """Send the configuration in force to the peers of the local data centre.
 
@@ -176,6 +183,8 @@
         incoming_links.links.add(self)
         self.send(Kind.HELLO, *fields_of(incoming_links.hello()))
         self.send(Kind.STATE, *fields_of(incoming_links.state()))
+        if incoming_links.store_era():
+            self.send(Kind.STORE_ERA, incoming_links.store_era())
         condition = incoming_links.condition()
         if condition is not None:
             self.send(Kind.SERVER_CONDITION, *fields_of(condition))
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -42,6 +42,7 @@
     CRASHES = 17
     WITHDRAW = 18
     SERVER_CONDITION = 19
+    STORE_ERA = 20
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -30,6 +30,7 @@
 from .knowledge.configuration import SOURCE_PEER, Configuration
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
+from .knowledge.store_era import StoreEra
 from .links.members import Members
 from .links.server import IncomingLink, IncomingLinks
 from .messages import PROTOCOL_VERSION, Hello, State
@@ -71,6 +72,7 @@
     inbound: Inbound = attrs.field(init=False)
     members: Members = attrs.field(init=False)
     configuration: Configuration = attrs.field(init=False)
+    store_era: StoreEra = attrs.field(init=False)
     configuration_watcher: ConfigurationWatcher = attrs.field(init=False)
     discovery: Discovery = attrs.field(init=False)
     call_context: CallContext = attrs.field(init=False)
@@ -103,6 +105,7 @@
             self.schedule_state_broadcast,
             self.crashes,
         )
+        self.store_era = StoreEra(self._on_store_era)
         self.members = Members(
             runtime,
             settings.peer_address,
@@ -111,6 +114,7 @@
             self.hello,
             self._on_peer_change,
             self._apply_configuration,
+            self.store_era.accept,
         )
         self.configuration = Configuration(
             self._on_configuration, random=runtime.random
@@ -120,12 +124,14 @@
             self._make_store_client(),
             self.configuration,
             self.members,
+            self.store_era,
             self.schedule_state_broadcast,
         )
         self.discovery = Discovery(
             runtime,
             self._make_store_client(),
             self.members,
+            self.store_era,
             epoch=time.time_ns() // 1_000_000,
         )
         budget = RetryBudget(
@@ -145,6 +151,7 @@
             ),
             lambda: (self.configuration.version, self.configuration.content),
             lambda: self.configuration.store_version,
+            lambda: self.store_era.current,
             self.inbound.condition,
             settings.data_centre,
         )
@@ -330,6 +337,14 @@
     def _apply_configuration(self, version: int, content: bytes) -> None:
         self.configuration.apply_if_newer(content, SOURCE_PEER)
 
+    def _on_store_era(self, former: int, era: int) -> None:
+        """Invalidate what is remembered of the store, and write again what is lost."""
+        events.log(events.STORE_RETURNED, former=former, era=era)
+        self.runtime.metrics.count("store_returns")
+        self.configuration_watcher.forget_offset()
+        self.discovery.register_again()
+        self.incoming_links.broadcast_store_era()
+
     def _on_configuration(self, table: RoutingTable) -> None:
         self.callers.limits = table.limits
         self.schedule_state_broadcast()
@@ -436,6 +451,7 @@
         gauges["backend_running"] = len(self.inbound.admission.running)
         gauges["backend_busy"] = self.inbound.admission.in_flight
         gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["store_era"] = self.store_era.current
         gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
 
 
--- a/azurestep/platform/outcomes.py
+++ b/azurestep/platform/outcomes.py
@@ -1,4 +1,8 @@
-"""Typed outcomes of calls to the platform's store."""
+"""Typed outcomes of calls to the platform's store.
+
+``era`` is the era that the store named in its answer, None if it named none. It rises
+when the store returns from an older copy, without what was written since.
+"""
 
 import attrs
 
@@ -9,6 +13,7 @@
 
     offset: int
     end_offset: int
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -26,6 +31,7 @@
 
     values: list[bytes]
     next_offset: int
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -41,13 +47,21 @@
     items: list[KeyedRecord]
     end_offset: int
     unreadable: int = 0
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
 class Truncated:
-    """The requested records were deleted; the log starts at this offset."""
+    """The log has no record at the requested offset.
+
+    Attributes
+    ----------
+    first_offset : int or None
+        Offset at which the log starts; None if the store named none.
+    """
 
-    first_offset: int
+    first_offset: int | None
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -55,12 +69,15 @@
     """The condition of an append was not met."""
 
     end_offset: int
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
 class Fenced:
     """A process with a higher epoch appended as the same producer."""
 
+    era: int | None = None
+
 
 @attrs.frozen(slots=True)
 class OutOfSequence:
@@ -73,6 +90,7 @@
     """
 
     expected: int | None
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -105,6 +123,7 @@
     """
 
     status: int
+    era: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -112,6 +131,7 @@
     """No answer was received; the call may have taken effect."""
 
     cause: str
+    era: int | None = None
 
 
 Failed = Refused | Unanswered
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -40,6 +40,8 @@
 PRECONDITION_FAILED = 412
 THROTTLED = 429
 FENCED = "fenced"
+STORE_ERA = b"store-era"
+MAX_ERA_DIGITS = 15
 RECORD_LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 
@@ -63,7 +65,7 @@
 
 @attrs.frozen(slots=True)
 class _TruncatedAnswer:
-    first_offset: int
+    first_offset: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -84,17 +86,46 @@
 AnswerType = TypeVar("AnswerType")
 
 
+@attrs.frozen(slots=True)
+class StoreAnswer:
+    """An answer of the store."""
+
+    status: int
+    content: bytes
+    era: int | None
+
+
+def parse_era(headers: Headers) -> int | None:
+    """Return the era in an answer's headers; None if there is none to be read.
+
+    Examples
+    --------
+    >>> parse_era([(b"Store-Era", b"3")])
+    3
+    >>> [parse_era([(b"Store-Era", value)]) for value in (b"-1", b"", b"x", b"9" * 16)]
+    [None, None, None, None]
+    """
+    for name, value in headers:
+        if name.lower() == STORE_ERA:
+            text = value.strip()
+            readable = text.isdigit() and len(text) <= MAX_ERA_DIGITS
+            return int(text) if readable else None
+    return None
+
+
 class AnswerCollector:
     """Collects the answer to a call and resolves its future."""
 
-    def __init__(self, future: "asyncio.Future[tuple[int, bytes]]") -> None:
+    def __init__(self, future: "asyncio.Future[StoreAnswer]") -> None:
         self._future = future
         self._status = 0
+        self._era: int | None = None
         self._parts: list[bytes] = []
 
     def on_head(self, status: int, headers: Headers) -> bool:
-        """Store the status."""
+        """Store the status and the era."""
         self._status = status
+        self._era = parse_era(headers)
         return True
 
     def on_data(self, data: bytes) -> None:
@@ -104,7 +135,8 @@
     def on_complete(self, reusable: bool) -> None:
         """Resolve the future with the answer."""
         if not self._future.done():
-            self._future.set_result((self._status, b"".join(self._parts)))
+            content = b"".join(self._parts)
+            self._future.set_result(StoreAnswer(self._status, content, self._era))
 
     def on_failed(self, reason: str) -> None:
         """Resolve the future with an error."""
@@ -161,10 +193,9 @@
         answer = await self._call("append", b"POST", path, body, CALL_TIMEOUT_MS)
         if isinstance(answer, Unanswered):
             return answer
-        status, content = answer
-        if status not in (OK, CONFLICT, PRECONDITION_FAILED):
-            return Refused(status)
-        return self._append_outcome(status, content)
+        if answer.status not in (OK, CONFLICT, PRECONDITION_FAILED):
+            return Refused(answer.status, answer.era)
+        return self._append_outcome(answer)
 
     async def put(
         self, topic: str, key: str, value: bytes, producer: Producer | None = None
@@ -186,21 +217,21 @@
         )
         if isinstance(answer, Unanswered):
             return answer
-        status, content = answer
-        if status == GONE:
-            truncated = self._decode(content, _TruncatedAnswer)
-            if isinstance(truncated, Unanswered):
-                return truncated
-            return Truncated(truncated.first_offset)
-        if status != OK:
-            return Refused(status)
-        return _parse_records(content, from_offset)
+        if answer.status == GONE:
+            return Truncated(_first_offset(answer.content), answer.era)
+        if answer.status != OK:
+            return Refused(answer.status, answer.era)
+        return _parse_records(answer, from_offset)
 
     async def read_latest(self, topic: str) -> LatestRecords | Failed:
-        """Return the latest record of each key of a keyed topic."""
+        """Return the latest record of each key of a keyed topic.
+
+        Pages of different eras are no result.
+        """
         items: list[KeyedRecord] = []
         unreadable = 0
         after = ""
+        eras: set[int | None] = set()
         while True:
             path = f"/v1/log-newest?topic={quote(topic)}&part=0"
             if after:
@@ -208,17 +239,19 @@
             answer = await self._call("newest", b"GET", path, b"", CALL_TIMEOUT_MS)
             if isinstance(answer, Unanswered):
                 return answer
-            status, content = answer
-            if status != OK:
-                return Refused(status)
-            page = self._decode(content, _Page)
+            if answer.status != OK:
+                return Refused(answer.status, answer.era)
+            eras.add(answer.era)
+            if len(eras) > 1:
+                return Unanswered("the store returned from a copy between two pages")
+            page = self._decode(answer.content, _Page)
             if isinstance(page, Unanswered):
                 return page
             readable = [item for item in map(_decode_item, page.items) if item]
             items += readable
             unreadable += len(page.items) - len(readable)
             if not page.has_more or not readable:
-                return LatestRecords(items, page.end_offset, unreadable)
+                return LatestRecords(items, page.end_offset, unreadable, answer.era)
             after = readable[-1].key
 
     def close(self) -> None:
@@ -229,7 +262,7 @@
 
     async def _call(
         self, kind: str, method: bytes, path: str, body: bytes, timeout_ms: float
-    ) -> tuple[int, bytes] | Unanswered:
+    ) -> StoreAnswer | Unanswered:
         async with self._lock:
             self.on_call(kind)
             try:
@@ -239,9 +272,7 @@
                 self.close()
                 return Unanswered(f"{type(error).__name__} {error}".strip())
 
-    async def _exchange(
-        self, method: bytes, path: str, body: bytes
-    ) -> tuple[int, bytes]:
+    async def _exchange(self, method: bytes, path: str, body: bytes) -> StoreAnswer:
         connection = self._connection
         if connection is None or not connection.usable:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -249,7 +280,7 @@
                     ClientConnection, *self.address
                 )
             self._connection = connection
-        future: asyncio.Future[tuple[int, bytes]] = self.loop.create_future()
+        future: asyncio.Future[StoreAnswer] = self.loop.create_future()
         host, port = self.address
         head = (
             f"{method.decode()} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
@@ -258,25 +289,26 @@
         connection.send(head.encode() + body, AnswerCollector(future), True)
         return await future
 
-    def _append_outcome(self, status: int, content: bytes) -> AppendOutcome:
-        if status == OK:
+    def _append_outcome(self, answer: StoreAnswer) -> AppendOutcome:
+        content, era = answer.content, answer.era
+        if answer.status == OK:
             appended = self._decode(content, _AppendAnswer)
             if isinstance(appended, Unanswered):
                 return appended
-            return Appended(appended.offset, appended.end_offset)
-        if status == PRECONDITION_FAILED:
+            return Appended(appended.offset, appended.end_offset, era)
+        if answer.status == PRECONDITION_FAILED:
             condition = self._decode(content, _ConditionAnswer)
             return (
                 condition
                 if isinstance(condition, Unanswered)
-                else Conflict(condition.end_offset)
+                else Conflict(condition.end_offset, era)
             )
         conflict = self._decode(content, _ConflictAnswer)
         if isinstance(conflict, Unanswered):
             return conflict
         if conflict.why == FENCED:
-            return Fenced()
-        return OutOfSequence(conflict.sequence)
+            return Fenced(era)
+        return OutOfSequence(conflict.sequence, era)
 
     def _decode(
         self, content: bytes, answer_type: type[AnswerType]
@@ -298,7 +330,16 @@
     return KeyedRecord(item.key, value, item.offset)
 
 
-def _parse_records(content: bytes, from_offset: int) -> Records | Unanswered:
+def _first_offset(content: bytes) -> int | None:
+    """Return the offset that a refused read names, if it names one."""
+    try:
+        return msgspec.json.decode(content, type=_TruncatedAnswer).first_offset
+    except (msgspec.DecodeError, RecursionError):
+        return None
+
+
+def _parse_records(answer: StoreAnswer, from_offset: int) -> Records | Unanswered:
+    content = answer.content
     if len(content) < OFFSETS.size:
         return Unanswered("malformed answer: too short")
     values = []
@@ -310,7 +351,7 @@
             break
         values.append(content[at : at + size])
         at += size
-    return Records(values, from_offset + len(values))
+    return Records(values, from_offset + len(values), answer.era)
 
 
 @attrs.frozen(slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -56,7 +56,9 @@
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
     seen = Observations()
     async with ClientSession() as session:
-        fleet = Fleet(network_of(slot), directory, StoreStandIn(), session, program)
+        fleet = Fleet(
+            network_of(slot), directory, StoreStandIn(era=1), session, program
+        )
         try:
             await fleet.start(plan.instances)
             await _traffic(plan, fleet, seen)
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import copy
 import struct
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
@@ -80,6 +81,14 @@
     answers: OrderedDict[int, dict[str, int]] = attrs.field(factory=OrderedDict)
 
 
+@attrs.define
+class StoreCopy:
+    """What the store held at one moment."""
+
+    topics: "dict[str, Topic]"
+    producers: dict[tuple[str, str], Written]
+
+
 @attrs.define
 class StoreStandIn:
     """The store's calls that azurestep uses, over real HTTP.
@@ -98,6 +107,8 @@
         Items of another writer that stand on each page of newest records.
     calls : list of str
         Paths of all calls, for tests that count them.
+    era : int or None
+        Rises each time that it returns from a copy; None if answers don't name it.
     """
 
     trouble: Trouble = Trouble.NONE
@@ -106,6 +117,7 @@
     page_items: int = 500
     raw_items: list[object] = attrs.field(factory=list)
     calls: list[str] = attrs.field(factory=list)
+    era: int | None = None
     topics: dict[str, Topic] = attrs.field(factory=dict)
     _producers: dict[tuple[str, str], Written] = attrs.field(factory=dict)
     _late: set[asyncio.Task[web.Response]] = attrs.field(factory=set)
@@ -119,6 +131,23 @@
         name = key.encode()
         self.topic(topic).append(bytes([len(name)]) + name + value, keyed=True)
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all topics."""
+        topics = {}
+        for name, topic in self.topics.items():
+            kept = list(topic.records), topic.first_offset, dict(topic.newest)
+            topics[name] = Topic(*kept)
+        return StoreCopy(topics, copy.deepcopy(self._producers))
+
+    def return_from(self, saved: StoreCopy) -> None:
+        """Continue from a copy: what was written since is lost, offsets go back."""
+        readers = [topic.grown for topic in self.topics.values()]
+        self.topics, self._producers = saved.topics, saved.producers
+        if self.era is not None:
+            self.era += 1
+        for grown in readers:
+            grown.set()
+
     def application(self) -> web.Application:
         """Return the application that serves the calls."""
         application = web.Application(middlewares=[self._misbehave])
@@ -133,18 +162,23 @@
     ) -> web.StreamResponse:
         self.calls.append(request.path)
         if self.trouble is Trouble.BUSY or request.remote in self.refused_hosts:
-            return web.json_response({}, status=503)
+            return self._with_era(web.json_response({}, status=503))
         if self.trouble is Trouble.THROTTLED:
-            return web.json_response({}, status=429)
+            return self._with_era(web.json_response({}, status=429))
         if self.trouble is Trouble.SILENT:
             await self._fall_silent()
         if self.trouble is Trouble.RESET:
             _abort(request)
-        answer = await handler(request)
+        answer = self._with_era(await handler(request))
         if self.trouble is Trouble.ANSWER_LOST:
             _abort(request)
         return answer
 
+    def _with_era(self, answer: web.StreamResponse) -> web.StreamResponse:
+        if self.era is not None:
+            answer.headers["Store-Era"] = str(self.era)
+        return answer
+
     async def _fall_silent(self) -> None:
         while self.trouble is Trouble.SILENT:
             await asyncio.sleep(SILENCE_CHECK_S)
@@ -216,12 +250,15 @@
     async def _read(self, request: web.Request) -> web.Response:
         topic = self.topic(request.query["topic"])
         start = int(request.query["from"])
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             return web.json_response({"first_offset": topic.first_offset}, status=410)
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
         if start >= topic.end_offset and wait_s:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(topic.grown.wait(), wait_s)
+            topic = self.topic(request.query["topic"])
+            if start > topic.end_offset:
+                return web.json_response({}, status=410)
         records = topic.records[max(0, start - topic.first_offset) :]
         body = ENDS.pack(topic.end_offset, topic.first_offset)
         body += b"".join(LENGTH.pack(len(item)) + item for item in records)
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -192,7 +192,7 @@
 @pytest_asyncio.fixture
 async def mesh_store() -> AsyncIterator[StoreStandIn]:
     """Run a stand-in for the store with an initial configuration."""
-    store = StoreStandIn()
+    store = StoreStandIn(era=1)
     store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, document(3))
     runner = web.AppRunner(store.application(), shutdown_timeout=0)
     await runner.setup()
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -61,6 +61,7 @@
     Kind.CRASHES: ["shop", CRASHES],
     Kind.WITHDRAW: [STREAM],
     Kind.SERVER_CONDITION: [b"i-1", 5, 47.9, True],
+    Kind.STORE_ERA: [4],
 }
 LEAVES = (
     st.none()
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -30,6 +30,7 @@
 
 @pytest_asyncio.fixture
 async def client(mesh_store: StoreStandIn) -> AsyncIterator[StoreClient]:
+    mesh_store.era = None  # as older stores, which name no era
     loop = asyncio.get_running_loop()
     client = StoreClient(loop, (STORE_HOST, STORE_PORT), lambda kind: None)
     yield client
