Soak: limits and leaving told in answers, and a store that returns from a copy

Three kinds of faults, drawn beside the others so that the faults of earlier seeds stay the same (--notices N), and a check of the limits: within 4 s no more than 1.5 times the limit and 5, without the requests of nodes that were in trouble themselves. Nodes that ignore limits, or leaving told in answers, are found.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON := $(VENV)/bin/python
 DEPLOYMENT ?= riddim
 SEEDS ?= x10
+NOTICES ?= 3
 REPORT ?= build/soak.html
 STAMP := $(VENV)/.installed
 
@@ -24,7 +25,7 @@
 	HYPOTHESIS_PROFILE=soak $(PYTHON) -m pytest -n 4 --dist worksteal
 
 soak: install
-	$(PYTHON) -m soak --seeds $(SEEDS) --report $(REPORT)
+	$(PYTHON) -m soak --seeds $(SEEDS) --notices $(NOTICES) --report $(REPORT)
 
 lint: install
 	$(VENV)/bin/ruff format --check .
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,12 +17,15 @@
 USAGE = """Run real nodes under random faults and check the promises.
 
 Usage:
-  soak [--seeds LIST] [--nodes N] [--faults N] [--at-once N] [--report FILE]
+  soak [--seeds LIST] [--nodes N] [--faults N] [--notices N] [--at-once N]
+       [--report FILE]
 
 Options:
   --seeds LIST    Seeds, as 3,7,20-29, or the number of fresh ones, as x5 [default: x3].
   --nodes N       Nodes of each run [default: 5].
   --faults N      Faults of each run [default: 8].
+  --notices N     Limits and leavings that servers tell in answers, and returns of the
+                  store from a copy, of each run [default: 0].
   --at-once N     Runs at the same time [default: 2].
   --report FILE   Report with plots, as HTML.
 """
@@ -49,7 +52,7 @@
 
 
 async def play_all(
-    seeds: list[int], nodes: int, faults: int, at_once: int
+    seeds: list[int], nodes: int, faults: int, notices: int, at_once: int
 ) -> list[Result]:
     """Play all seeds, some at the same time."""
     slots = asyncio.Queue[int]()
@@ -59,7 +62,7 @@
     async def one(seed: int) -> Result:
         slot = await slots.get()
         try:
-            result = await play(draw(seed, nodes, faults), slot)
+            result = await play(draw(seed, nodes, faults, notices), slot)
         finally:
             slots.put_nowait(slot)
         print(line_of(result), flush=True)
@@ -97,6 +100,7 @@
                 parse_seeds(arguments["--seeds"]),
                 int(arguments["--nodes"]),
                 int(arguments["--faults"]),
+                int(arguments["--notices"]),
                 int(arguments["--at-once"]),
             )
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from .records import Observations
+from .records import Limit, Observations
 
 NOT_RUN = frozenset({429, 503})
 GOOD = 200
@@ -13,6 +13,11 @@
 STABILITY_S = 3.0
 LATE_S = 0.5
 """Time past its deadline for which a caller may wait."""
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXTRA = 5
+LIMIT_LEARNT_S = 0.5
+"""Time in which nodes learn a limit from the first answers."""
 RECOVERED_SHARE = 0.9
 FEW_CALLS = 20
 CAUSE_SHOWN = 200
@@ -60,6 +65,42 @@
                 yield f"{arrival.name} reached {name} {late_s:.2f} s late"
 
 
+def limits_are_kept(seen: Observations) -> Iterator[str]:
+    """Yield windows in which a limited server got too many requests.
+
+    Requests of a node that was in trouble itself since the limit began don't count.
+    """
+    senders = {call.name: call.node for call in seen.calls}
+    for limit in seen.limits:
+        allowed = LIMIT_RATIO * limit.limit_per_s * LIMIT_WINDOW_S + LIMIT_EXTRA
+        arrivals_s = sorted(
+            arrival.at_s
+            for arrival in seen.arrivals
+            if arrival.instance_id == limit.instance_id
+            and limit.from_s + LIMIT_LEARNT_S <= arrival.at_s <= limit.to_s
+            and not _had_trouble(seen, senders.get(arrival.name), limit, arrival.at_s)
+        )
+        for first, begin_s in enumerate(arrivals_s):
+            end_s = begin_s + LIMIT_WINDOW_S
+            count = sum(at_s <= end_s for at_s in arrivals_s[first:])
+            if count > allowed:
+                yield (
+                    f"{limit.instance_id} got {count} requests in {LIMIT_WINDOW_S} s,"
+                    f" {allowed:.0f} are allowed by {limit.limit_per_s} a second"
+                )
+                break
+
+
+def _had_trouble(
+    seen: Observations, node: int | None, limit: Limit, to_s: float
+) -> bool:
+    return any(
+        trouble.node == node and trouble.from_s < to_s and trouble.to_s > limit.from_s
+        for trouble in seen.troubles
+        if trouble.node is not None
+    )
+
+
 def versions_come_in_force(seen: Observations) -> Iterator[str]:
     """Yield requests that a node without trouble handled by an overdue version."""
     for publication in seen.publications:
@@ -129,6 +170,7 @@
     answers_are_own,
     answers_come_in_time,
     drained_servers_are_left_alone,
+    limits_are_kept,
     versions_come_in_force,
     versions_never_go_back,
     planned_stops_cut_nothing,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,7 @@
 
 from . import plan
 from .fleet import BACKEND_PORT, Fleet, Instance
-from .records import Leaving, Observations, Publication, Trouble
+from .records import Leaving, Limit, Observations, Publication, Trouble
 
 DRAIN_SERVED_S = 2.5
 """Time for which a backend server serves on after its leaving was acknowledged."""
@@ -189,6 +189,52 @@
     instance.server, instance.beats, instance.beating = server, 0, True
 
 
+@strike.register
+async def _(fault: plan.ServerLimited, stage: Stage) -> None:
+    server = stage.instance(fault).server
+    server.rate_limit = str(fault.limit_per_s)
+    begin_s = stage.now_s()
+    await asyncio.sleep(plan.LIMIT_LASTS_S)
+    limit = Limit(server.instance_id, fault.limit_per_s, begin_s, stage.now_s())
+    stage.seen.limits.append(limit)
+    server.rate_limit = None
+
+
+@strike.register
+async def _(fault: plan.ServerSaysLeaving, stage: Stage) -> None:
+    instance = stage.instance(fault)
+    if not instance.beating:
+        return
+    instance.beating = False
+    server = instance.server
+    server.leaving = "1"
+    if await _answers_one(server, stage):
+        stage.seen.leavings.append(Leaving(server.instance_id, stage.now_s()))
+        await asyncio.sleep(DRAIN_SERVED_S)
+    await _replace(instance)
+
+
+async def _answers_one(server: SigningServer, stage: Stage) -> bool:
+    """Wait until a server has answered a request from now on."""
+    before = server.answered
+    end_s = stage.now_s() + BACK_S
+    while server.answered == before:
+        if stage.now_s() > end_s:
+            return False
+        await asyncio.sleep(0.02)
+    return True
+
+
+@strike.register
+async def _(fault: plan.StoreReturns, stage: Stage) -> None:
+    stage.note(fault, None)
+    store = stage.fleet.store
+    saved = store.take_copy()
+    await asyncio.sleep(fault.for_s)
+    store.return_from(saved)
+    stage.fleet.publish_again()
+
+
 @strike.register
 async def _(fault: plan.ServerForgets, stage: Stage) -> None:
     stage.instance(fault).server.forget_connections()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -200,6 +200,11 @@
         self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
         return self.version
 
+    def publish_again(self) -> None:
+        """Publish the latest version once more, as after the store lost it."""
+        content = document(self.version, self.paths)
+        self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
+
     async def announce(self, instance: Instance, state: str = "ready") -> bool:
         """Send a heartbeat; return whether it was acknowledged."""
         instance.beats += 1
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,11 @@
 QUIET_S = 6.0
 """Time from the last fault to the stop at the end. What is sent in its last second
 is excused by no fault; stops among other faults mostly are."""
+LIMIT_LASTS_S = 8.0
+"""Longer than the window over which arrivals at a limited server are counted."""
+LIMIT_SCALE_PER_S = 8.0
+"""Limits are up to 2.5 times this, below the usual load of a server."""
+LEAVING_LASTS_S = 5.0
 GAP_S = 1.2
 """Mean pause between two faults; with durations up to 2.5 s, many overlap."""
 
@@ -110,6 +115,33 @@
     """The operators publish a version with one more route."""
 
 
+class ServerLimited(Fault):
+    """The backend server names a request rate limit in its answers."""
+
+    @property
+    def limit_per_s(self) -> float:
+        """The limit, which follows from the drawn duration."""
+        return round(LIMIT_SCALE_PER_S * self.for_s, 1)
+
+    @property
+    def end_s(self) -> float:
+        """When the limit is lifted."""
+        return self.at_s + LIMIT_LASTS_S
+
+
+class ServerSaysLeaving(Fault):
+    """The backend server says only in its answers that it leaves, and is replaced."""
+
+    @property
+    def end_s(self) -> float:
+        """When another incarnation has taken its place at the latest."""
+        return self.at_s + LEAVING_LASTS_S
+
+
+class StoreReturns(Fault):
+    """The store comes back from a copy that was taken ``for_s`` before."""
+
+
 KINDS: tuple[type[Fault], ...] = (
     Kill,
     Pause,
@@ -132,6 +164,10 @@
 """All kinds; publications come twice as often, as they meet every other fault."""
 
 
+NOTICE_KINDS: tuple[type[Fault], ...] = (ServerLimited, ServerSaysLeaving, StoreReturns)
+"""Kinds drawn beside the others, so that these stay the same for a seed."""
+
+
 @attrs.frozen
 class Plan:
     """What happens in one run."""
@@ -146,9 +182,12 @@
         return max((fault.end_s for fault in self.faults), default=0.0) + CALM_S
 
 
-def draw(seed: int, instances: int, faults: int) -> Plan:
+def draw(seed: int, instances: int, faults: int, notices: int = 0) -> Plan:
     """Draw a plan: faults, and when they are over, the stop of one node.
 
+    ``notices`` is the number of faults of ``NOTICE_KINDS``, at any time among the
+    others.
+
     Examples
     --------
     >>> plan = draw(seed=7, instances=4, faults=3)
@@ -165,6 +204,13 @@
         for_s = random.uniform(SHORTEST_S, LONGEST_S)
         drawn.append(kind(at_s, for_s, random.randrange(instances)))
         at_s += random.expovariate(1 / GAP_S)
+    last_s = at_s
+    notice_random = Random(f"notices of {seed}")
+    for _ in range(notices):
+        kind = notice_random.choice(NOTICE_KINDS)
+        begin_s = notice_random.uniform(SETTLE_S, last_s)
+        for_s = notice_random.uniform(SHORTEST_S, LONGEST_S)
+        drawn.append(kind(begin_s, for_s, notice_random.randrange(instances)))
     over_s = max((fault.end_s for fault in drawn), default=0.0) + QUIET_S
     drawn.append(Stop(over_s, SHORTEST_S, random.randrange(instances)))
     return Plan(seed, instances, tuple(drawn))
--- a/soak/records.py
+++ b/soak/records.py
@@ -51,6 +51,16 @@
     acknowledged_s: float
 
 
+@attrs.frozen
+class Limit:
+    """A rate limit that a backend server named for a span of time."""
+
+    instance_id: str
+    limit_per_s: float
+    from_s: float
+    to_s: float
+
+
 @attrs.frozen
 class Publication:
     """A version that the operators published, and the path that it adds."""
@@ -93,6 +103,7 @@
     calls: list[Call] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     leavings: list[Leaving] = attrs.field(factory=list)
+    limits: list[Limit] = attrs.field(factory=list)
     publications: list[Publication] = attrs.field(factory=list)
     troubles: list[Trouble] = attrs.field(factory=list)
     faults: list[ProgramFault] = attrs.field(factory=list)
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -64,6 +64,7 @@
     running: int = 0
     most_running: int = 0
     cancelled: int = 0
+    answered: int = 0
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _forgotten: set[asyncio.StreamWriter] = attrs.field(factory=set)
@@ -133,6 +134,7 @@
             await self._work(reader, _work_s(received.target, self.work_s))
         finally:
             self.running -= 1
+        self.answered += 1
         return signed(received, received.body or b"hello", headers=self._notice())
 
     def _notice(self) -> list[str]:
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import math
 import sys
 from collections.abc import Callable
 
@@ -54,6 +55,11 @@
     AnswerWriter.write_whole = write_whole  # type: ignore[method-assign]
 
 
+def ignore_limits() -> None:
+    """Send requests to a backend server beyond its rate limit."""
+    LocalBackend.rate_limit_per_s = math.inf  # type: ignore[assignment]
+
+
 def ignore_leaving() -> None:
     """Send requests to a backend server that leaves."""
     LocalBackend.is_leaving = lambda self: False  # type: ignore[method-assign]
@@ -108,6 +114,7 @@
         repeat_payments,
         deny_runs,
         alter_answers,
+        ignore_limits,
         ignore_leaving,
         keep_first_version,
         stop_at_once,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
     Arrival,
     Call,
     Leaving,
+    Limit,
     Observations,
     Publication,
     Trouble,
@@ -53,6 +54,11 @@
     seen.leavings.append(Leaving("i-0-0", 7.0))
 
 
+def broken_limit(seen: Observations) -> None:
+    seen.limits.append(Limit("i-0-0", 2.0, 9.0, 14.0))
+    seen.arrivals += [Arrival(f"r{i}", "i-0-0", 10.1 + i / 10) for i in range(17)]
+
+
 def overdue_version(seen: Observations) -> None:
     seen.publications.append(Publication(2, "/added/", 5.0))
     seen.calls.append(
@@ -101,6 +107,7 @@
         (false_refusal, checks.refusals_are_true),
         (foreign_answer, checks.answers_are_own),
         (late_answer, checks.answers_come_in_time),
+        (broken_limit, checks.limits_are_kept),
         (late_arrival, checks.drained_servers_are_left_alone),
         (overdue_version, checks.versions_come_in_force),
         (lost_version, checks.versions_never_go_back),
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -7,13 +7,18 @@
 from soak import callers
 from soak.plan import (
     KINDS,
+    NOTICE_KINDS,
     STOP_LASTS_S,
     Fault,
+    Kill,
     Plan,
     Publish,
     ServerCrash,
+    ServerLimited,
     ServerReplaced,
+    ServerSaysLeaving,
     Stop,
+    StoreReturns,
     draw,
 )
 from soak.report import write
@@ -37,6 +42,17 @@
     assert draw(5, 4, 30) != draw(6, 4, 30)
     kinds = {type(fault) for seed in range(40) for fault in draw(seed, 4, 10).faults}
     assert kinds == set(KINDS)
+    noticed = draw(5, 4, 30, notices=12).faults
+    assert noticed[:30] == draw(5, 4, 30).faults[:30]
+    assert {type(fault) for fault in noticed[30:-1]} == set(NOTICE_KINDS)
+
+
+async def test_notices_of_servers_and_store_keep_every_promise() -> None:
+    faults = (ServerLimited(1.5, 1.0, 0), StoreReturns(2.0, 1.0, 0))
+    late = (Kill(3.0, 0.3, 0), ServerSaysLeaving(2.5, 0.0, 1))
+    result = await play(Plan(SEED, NODES, (*faults, *late)), slot=1)
+    assert result.broken == {}
+    assert len(result.seen.limits) == len(result.seen.leavings) == 1
 
 
 async def test_stops_one_after_the_other_keep_every_promise() -> None:
@@ -52,6 +68,8 @@
         ("deny_runs", ServerCrash, "refusals_are_true"),
         ("alter_answers", Publish, "answers_are_own"),
         ("ignore_leaving", ServerReplaced, "drained_servers_are_left_alone"),
+        ("ignore_leaving", ServerSaysLeaving, "drained_servers_are_left_alone"),
+        ("ignore_limits", ServerLimited, "limits_are_kept"),
         ("keep_first_version", Publish, "versions_come_in_force"),
         ("stop_at_once", Stop, "planned_stops_cut_nothing"),
         ("end_unanswered", Stop, "planned_stops_cut_nothing"),
