Keep the first request in line under a rate limit; tell headers that nobody reads

A test of refusals failed twice: a refusal came 0.45 s after the request. Its lines showed one that had waited 401 ms for its token and was refused as that came, since the timer was a millisecond late and its objective just over (left_ms -1); two more nodes refused it then. A request that has no other before it is kept until its deadline now.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -274,6 +274,7 @@
         self._last_notice_ms = self.now_ms()
         was_limited = backend.rate_limit_per_s != NO_RATE_LIMIT
         was_malformed = backend.malformed_notice
+        was_unknown = backend.unknown_notice
         was_leaving = backend.is_leaving()
         if probed:
             backend.apply_probed_notice(incarnation, notice, self.now_ms())
@@ -298,6 +299,12 @@
                 instance=backend.instance_id,
                 headers=[name.decode("latin-1") for name in notice.malformed],
             )
+        if backend.unknown_notice and not was_unknown:
+            events.log(
+                events.BACKEND_NOTICE_UNKNOWN,
+                instance=backend.instance_id,
+                headers=[name.decode("latin-1") for name in notice.unknown],
+            )
 
     def awaits_notice(self) -> bool:
         """Whether a limited backend server gave no answer that could lift the limit."""
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -41,8 +41,9 @@
         Whether another incarnation was found at its address.
     rate_limit_per_s : float
         Requests per second that it takes, by its latest answer; infinite for no limit.
-    malformed_notice : bool
-        Whether an answer of it had a notice that can't be read.
+    malformed_notice, unknown_notice : bool
+        Whether an answer of it had a notice that can't be read, or one that this
+        program doesn't know.
     answered : bool
         Whether it answered this process of the node.
     has_notice : bool
@@ -55,6 +56,7 @@
     ended: bool = False
     rate_limit_per_s: float = NO_RATE_LIMIT
     malformed_notice: bool = False
+    unknown_notice: bool = False
     answered: bool = False
     has_notice: bool = False
 
@@ -150,6 +152,7 @@
             return
         record.answered = True
         record.malformed_notice |= bool(notice.malformed)
+        record.unknown_notice |= bool(notice.unknown)
         if notice.rate_limit_per_s is not None:
             record.rate_limit_per_s = notice.rate_limit_per_s
             record.has_notice |= notice.rate_limit_per_s != NO_RATE_LIMIT
@@ -262,6 +265,12 @@
         record = self._records.get(self.instance_id)
         return record is not None and record.malformed_notice
 
+    @property
+    def unknown_notice(self) -> bool:
+        """Whether the backend server sent a notice that this program doesn't know."""
+        record = self._records.get(self.instance_id)
+        return record is not None and record.unknown_notice
+
     def is_leaving(self) -> bool:
         """Whether the incarnation that receives requests is leaving."""
         return self._leaving_since_ms() is not None
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -197,7 +197,7 @@
         ahead = 0
         for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
             start_ms = max(slot_ms, now_ms + self.limiter.wait_ms(now_ms, ahead))
-            if self._is_worth_waiting(ticket, start_ms):
+            if self._is_worth_waiting(ticket, start_ms, ahead):
                 ahead += 1
                 if draining:
                     slot_ms += self.mean_run_ms(ticket.route) / self.slots
@@ -205,14 +205,16 @@
                 expiring.append(ticket)
         return expiring
 
-    def _is_worth_waiting(self, ticket: Ticket, start_ms: float) -> bool:
+    def _is_worth_waiting(self, ticket: Ticket, start_ms: float, ahead: int) -> bool:
         """Whether a waiting request that starts then should keep its place.
 
         Under a rate limit, one that will miss its objective would be overtaken by later
-        requests for as long as these come faster than the limit.
+        requests for as long as these come faster than the limit. The first in line
+        gets the next token, even if it comes a little late.
         """
         end_ms = start_ms + self.mean_run_ms(ticket.route)
-        if self.limiter.active and end_ms > ticket.objective_deadline_ms:
+        misses_objective = end_ms > ticket.objective_deadline_ms
+        if self.limiter.active and ahead and misses_objective:
             return False
         return end_ms <= self.run_deadline_ms(ticket)
 
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -115,6 +115,12 @@
     "malformed notice in an answer of the backend server ignored",
     "correct the header that the backend server sends",
 )
+BACKEND_NOTICE_UNKNOWN = register(
+    9313,
+    logging.WARNING,
+    "unknown notice in an answer of the backend server",
+    "look the header up in the platform's contract; nothing acts on it",
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused before it ran")
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -5,6 +5,7 @@
 
 import math
 import re
+from collections.abc import Iterable
 
 import attrs
 
@@ -41,7 +42,9 @@
 answers aren't compressed."""
 MAX_REMAINING_MS = 600_000.0
 """Longer deadlines are reduced to this."""
-NOTICE_HEADERS = frozenset({SERVER_LIMIT, SERVER_LEAVING})
+SERVER_PREFIX = b"server-"
+"""Begin of the names of headers in which backend servers tell of themselves."""
+KNOWN_SERVER_HEADERS = frozenset({SERVER_LOAD, SERVER_LIMIT, SERVER_LEAVING})
 NO_RATE_LIMIT = math.inf
 """Rate limit of a backend server that names none."""
 _DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -81,11 +84,14 @@
         Whether it is about to stop accepting requests.
     malformed : tuple of bytes
         Names of the headers that can't be read.
+    unknown : tuple of bytes
+        Names of headers that this program doesn't know.
     """
 
     rate_limit_per_s: float | None = NO_RATE_LIMIT
     leaving: bool = False
     malformed: tuple[bytes, ...] = ()
+    unknown: tuple[bytes, ...] = ()
 
 
 EMPTY_NOTICE = ServerNotice()
@@ -199,16 +205,19 @@
         keep_alive_ms=None if keep_alive is None else _keep_alive_ms(keep_alive),
         encoded=b"content-encoding" in values,
         slots=_slots(values.get(SERVER_LOAD, b"")),
-        notice=EMPTY_NOTICE if NOTICE_HEADERS.isdisjoint(values) else _notice(headers),
+        notice=_notice(headers, values),
         forwarded=[field for field in headers if field[0].lower() not in dropped],
     )
 
 
-def _notice(headers: Headers) -> ServerNotice:
+def _notice(headers: Headers, names: Iterable[bytes]) -> ServerNotice:
     """Return the notice in an answer's headers.
 
     A header that is repeated with different values can't be read.
     """
+    told = [one for one in names if one.startswith(SERVER_PREFIX)]
+    if not told or told == [SERVER_LOAD]:
+        return EMPTY_NOTICE
     malformed = []
     rate_limit_per_s: float | None = NO_RATE_LIMIT
     limits = _distinct_values(headers, SERVER_LIMIT)
@@ -219,7 +228,12 @@
     leaving = _distinct_values(headers, SERVER_LEAVING)
     if leaving and leaving != {IS_LEAVING}:
         malformed.append(SERVER_LEAVING)
-    return ServerNotice(rate_limit_per_s, leaving == {IS_LEAVING}, tuple(malformed))
+    return ServerNotice(
+        rate_limit_per_s,
+        leaving == {IS_LEAVING},
+        tuple(malformed),
+        tuple(one for one in told if one not in KNOWN_SERVER_HEADERS),
+    )
 
 
 def _distinct_values(headers: Headers, wanted: bytes) -> set[bytes]:
--- a/tests/test_mesh_limited_admission.py
+++ b/tests/test_mesh_limited_admission.py
@@ -240,3 +240,12 @@
     for number in range(3):
         admission.admit(ticket(float(number), priority=1), float(number))
     assert admission.find_expiring(3.0) == [overtaken]
+
+
+def test_a_request_is_refused_at_the_moment_when_its_token_comes() -> None:
+    # A timer that fires a little late must not cost the request that waited for it.
+    admission = limited(2.5, run_ms=0.0)
+    waiting = ticket(0.0)
+    assert admission.admit(waiting, 0.0) is False
+    assert admission.find_expiring(401.0) == []
+    assert admission.start_next(401.0) is waiting
--- a/tests/test_mesh_rate_limit.py
+++ b/tests/test_mesh_rate_limit.py
@@ -136,6 +136,15 @@
     assert len(server.arrivals) <= 5
 
 
+async def test_header_of_a_server_that_nobody_reads_goes_unnoticed(
+    mesh: MeshFleet, mesh_lines: MeshLines
+) -> None:
+    # A new term of the platform's contract must not pass in silence.
+    mesh.instances[0].server.rate_limit = "50\r\nServer-Mood: low"
+    assert set(await send_steadily(mesh, per_s=60.0, for_s=0.5)) == {200}
+    assert [line["headers"] for line in mesh_lines.of(9313)] == [["server-mood"]]
+
+
 @pytest.mark.parametrize("limit", ["", "few", "-1", "1e9", "nan", "7, 8"])
 async def test_unreadable_limit_keeps_requests_away(
     mesh: MeshFleet, mesh_lines: MeshLines, limit: str
