Believe a notice only of an answer that names its request; read again without writing

A refusal that names no request was believed when it named a limit; it says nothing now. In a new era a failed reading of the addresses wrote the own one again each time; only the reading is repeated now, as at the start before.

--- a/azurestep/mesh/backend/answer_parts.py
+++ b/azurestep/mesh/backend/answer_parts.py
@@ -57,13 +57,18 @@
         body, self._body = b"".join(self._body), []
         return body
 
-    def trusted_notice(self, instance_id: bytes) -> ServerNotice | None:
+    def trusted_notice(
+        self, request_id: bytes, instance_id: bytes
+    ) -> ServerNotice | None:
         """Return the notice of the backend server that the request was meant for.
 
-        None if another one answered or the answer may have been altered on its way.
+        None if another one answered, or the answer names no request or may have been
+        altered on its way.
         """
         fields = self.fields
-        if fields is None or fields.instance_id not in (b"", instance_id):
+        if fields is None or fields.request_id != request_id:
+            return None
+        if fields.instance_id not in (b"", instance_id):
             return None
         refused = fields.not_run and self.status != MISDIRECTED
         return fields.notice if self.is_authentic or refused else None
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -259,9 +259,10 @@
         """Handle the head of an answer; False if it belongs to another request."""
         if not self._partial.apply_head(status, headers, self.request.request_id):
             return False
-        notice = self._partial.trusted_notice(self.request.instance_id)
+        request = self.request
+        notice = self._partial.trusted_notice(request.request_id, request.instance_id)
         if notice is not None:
-            self.inbound.apply_notice(self.request.incarnation, notice)
+            self.inbound.apply_notice(request.incarnation, notice)
         return True
 
     def on_data(self, data: bytes) -> None:
--- a/azurestep/mesh/knowledge/discovery.py
+++ b/azurestep/mesh/knowledge/discovery.py
@@ -82,14 +82,24 @@
         self._registering = True
         attempts = 0
         while not self._deregistered:
-            if isinstance(await self._write_address(value), Appended):
-                era = self.era.current
-                if await self._read_addresses() and self.era.current == era:
-                    break
+            if not isinstance(await self._write_address(value), Appended):
+                await self._pause(attempts)
+                attempts += 1
+            elif await self._read_in_era(self.era.current):
+                break
+            else:
                 self._begin_epoch()
+        self._registering = False
+
+    async def _read_in_era(self, era: int) -> bool:
+        """Read all addresses, with retries; return False if a new era began."""
+        attempts = 0
+        while self.era.current == era:
+            if await self._read_addresses():
+                return self.era.current == era
             await self._pause(attempts)
             attempts += 1
-        self._registering = False
+        return False
 
     def _begin_epoch(self) -> None:
         """Use a higher epoch, whose first write the store takes in any era."""
--- a/tests/test_mesh_limited_admission.py
+++ b/tests/test_mesh_limited_admission.py
@@ -209,6 +209,16 @@
     assert harness.inbound.backend._records["i-1"].rate_limit_per_s == NO_RATE_LIMIT
 
 
+def test_a_refusal_without_an_id_names_no_limit(harness: InboundHarness) -> None:
+    connection = submit(harness)._connection
+    assert connection is not None
+    connection.data_received(
+        b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nServer-Limit: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    assert harness.inbound.backend.rate_limit_per_s == NO_RATE_LIMIT
+
+
 def test_an_altered_answer_names_no_limit(harness: InboundHarness) -> None:
     run = submit(harness)
     connection = run._connection
