--- a/tests/test_mesh_rate_limit.py
+++ b/tests/test_mesh_rate_limit.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from standins.signing_server import signed
+
 from .fixtures_mesh import MeshFleet, MeshLines, caller_headers
 
 LIMIT_PER_S = 10.0
@@ -155,3 +157,33 @@
     assert set(await send_steadily(mesh, per_s=60.0, for_s=0.5)) == {200}
     assert len(server.arrivals) >= 5
     assert [line["headers"] for line in mesh_lines.of(9312)] == [["server-limit"]]
+
+
+async def test_held_payments_and_retries_pass_the_limit_by(mesh: MeshFleet) -> None:
+    # Payments wait for a confirmation, and reads that fail are sent once more.
+    limited, failing = mesh.instances[0].server, mesh.instances[1].server
+    limited.rate_limit = str(LIMIT_PER_S)
+    failing.answer_override = lambda received: signed(received, b"", status=500)
+    payments = asyncio.create_task(pay_steadily(mesh, per_s=30.0, for_s=5.0))
+    await send_steadily(mesh, per_s=30.0, for_s=5.0)
+    await payments
+    arrivals_s = [at_s for _, _, at_s in limited.arrivals]
+    assert most_in_window(arrivals_s) <= allowed_in_window(LIMIT_PER_S)
+    assert len(arrivals_s) >= LIMIT_PER_S * WINDOW_S / 2
+    runs = [run for one in mesh.instances for run in one.server.runs.items()]
+    assert not [name for name, count in runs if name.startswith("pay") and count > 1]
+
+
+async def pay_steadily(mesh: MeshFleet, per_s: float, for_s: float) -> None:
+    """Send payments to all nodes in turn."""
+
+    async def pay(number: int) -> None:
+        url = mesh.instances[number % len(mesh.instances)].url("/pay/1")
+        headers = caller_headers(f"pay-{number}", 1200)
+        async with mesh.session.post(url, headers=headers, data=b"1") as answer:
+            await answer.read()
+
+    async with asyncio.TaskGroup() as tasks:
+        for number in range(int(per_s * for_s)):
+            await asyncio.sleep(1 / per_s)
+            tasks.create_task(pay(number))
