Choose a limited server by its longest run time, so that long runs are no queue

Its load was two requests of seconds; the choice took the slots that a limit keeps running from the run time of the read at hand, one here, and saw a queue.

The longest run time of any route counts now; the queue beside the server decides exactly. Two tests failed before: the choice between such a server and a busier one, and a run time of 0, which left one slot of a server without a limit. Without limits nothing else changes.

--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -108,8 +108,15 @@
         return max(run_ms / self.slots, 1000 / self.rate_limit_per_s)
 
     def usable_slots(self, run_ms: float) -> float:
-        """Return how many requests of a run time the rate limit keeps running."""
-        return min(self.slots, max(1.0, self.rate_limit_per_s * run_ms / 1000))
+        """Return how many requests the rate limit keeps running.
+
+        The longest run time of any route counts, since the load doesn't tell routes
+        apart: long runs alone would look like a queue.
+        """
+        if self.rate_limit_per_s == math.inf:
+            return self.slots
+        longest_ms = max(run_ms, *self.mean_run_ms.values(), 0.0)
+        return min(self.slots, max(1.0, self.rate_limit_per_s * longest_ms / 1000))
 
     def record_refusal(
         self, in_flight: int, retry_after_ms: float, now_ms: float
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -192,12 +192,15 @@
 @strike.register
 async def _(fault: plan.ServerLimited, stage: Stage) -> None:
     server = stage.instance(fault).server
-    server.rate_limit = str(fault.limit_per_s)
+    named = server.rate_limit = str(fault.limit_per_s)
     begin_s = stage.now_s()
-    await asyncio.sleep(plan.LIMIT_LASTS_S)
+    # Another such fault at the same server replaces the limit.
+    while server.rate_limit is named:
+        await asyncio.sleep(0.02)
+        if stage.now_s() > begin_s + plan.LIMIT_LASTS_S:
+            server.rate_limit = None
     limit = Limit(server.instance_id, fault.limit_per_s, begin_s, stage.now_s())
     stage.seen.limits.append(limit)
-    server.rate_limit = None
 
 
 @strike.register
--- a/tests/test_mesh_choice.py
+++ b/tests/test_mesh_choice.py
@@ -149,3 +149,18 @@
 
 def test_a_server_that_takes_nothing_is_not_chosen(random: Random) -> None:
     assert pick([endpoint("limited", rate_limit_per_s=0.0)], random) is None
+
+
+def test_a_limited_server_with_long_runs_gets_no_short_requests(
+    random: Random,
+) -> None:
+    # Two long runs are no queue if the limit allows more of them at once.
+    times_ms = {"read": 60.0, "report": 4000.0}
+    limited = endpoint("limited", rate_limit_per_s=9.0, mean_run_ms=times_ms)
+    other = endpoint("other", in_flight=3, mean_run_ms=dict(times_ms))
+    limited.update_load(2)
+    assert pick([limited, other], random) == "limited"
+
+
+def test_run_times_of_zero_leave_the_slots_of_a_server_without_a_limit() -> None:
+    assert endpoint("fast").usable_slots(0.0) == 4
