--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -31,7 +31,6 @@
     Withdraw,
 )
 from ..messages import (
-    MAX_MESSAGE_BYTES,
     PROTOCOL_VERSION,
     Answer,
     Failure,
@@ -43,12 +42,8 @@
     State,
     decompress,
 )
+from .unpacking import RowReader
 
-INITIAL_BUFFER_BYTES = 8192
-"""Initial size of a link's buffer; the library's default is 1 MiB for each link."""
-MAX_ARRAY_ITEMS = 1_000_000
-"""Longest array that is decoded. The library allocates an array as soon as its
-length is read, so that a few bytes could claim all memory."""
 NO_STREAM = 0
 """Stream id of messages that concern no single request."""
 UNCONVERTED_TYPES = (bytes,)
@@ -222,13 +217,7 @@
     def __init__(self, schemas: MessageSchemas) -> None:
         self.fault = ""
         self._schemas = schemas
-        self._unpacker = msgpack.Unpacker(
-            raw=False,
-            use_list=False,
-            read_size=INITIAL_BUFFER_BYTES,
-            max_buffer_size=MAX_MESSAGE_BYTES,
-            max_array_len=MAX_ARRAY_ITEMS,
-        )
+        self._rows = RowReader()
 
     def feed(self, data: bytes) -> list[tuple[int, Message]]:
         """Return the messages that these bytes complete, with their stream ids.
@@ -239,8 +228,7 @@
         if self.fault:
             return messages
         try:
-            self._unpacker.feed(data)
-            for row in self._unpacker:
+            for row in self._rows.feed(data):
                 if type(row) is not tuple or not row or type(row[0]) is not int:
                     raise ValueError("the message does not begin with its kind")
                 schema = self._schemas.get(row[0])
