--- a/azurestep/mesh/knowledge/configuration.py
+++ b/azurestep/mesh/knowledge/configuration.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ...errors import ConfigurationError
-from ...platform.document import read_document
+from ...platform.document import DocumentReader
 from ...routing.model import Document
 from ...routing.table import RoutingTable
 from .. import events
@@ -35,6 +35,7 @@
     random: Random = attrs.field(factory=Random)
     content: bytes = b""
     store_version: int = 0
+    _reader: DocumentReader = attrs.field(factory=DocumentReader)
 
     @property
     def version(self) -> int:
@@ -50,7 +51,7 @@
         if content == self.content:
             return False
         try:
-            document = read_document(content)
+            document = self._reader.read(content)
         except ConfigurationError as error:
             events.log(events.VERSION_REJECTED, source=source, cause=error.problem)
             return False
--- a/azurestep/platform/document.py
+++ b/azurestep/platform/document.py
@@ -64,32 +64,75 @@
 @attrs.frozen(slots=True)
 class _Document:
     version: PositiveInteger
-    routes: dict[str, _Route]
+    routes: dict[str, msgspec.Raw]
     services: dict[str, _Service]
     limits: _Limits
 
 
 _DOCUMENT_DECODER = msgspec.json.Decoder(_Document)
+_ROUTE_DECODER = msgspec.json.Decoder(_Route)
+_ParsedRoutes = dict[str, tuple[msgspec.Raw, Route]]
 
 
-def read_document(content: bytes) -> Document:
-    """Parse a configuration document.
+class DocumentReader:
+    """Parses versions of one configuration; routes that stay are parsed once.
 
-    Raises
-    ------
-    ConfigurationError
-        If the document doesn't match the format, or a route refers to a service that
-        the document doesn't define.
+    A version mostly differs from the one before in a few of several hundred routes.
     """
-    try:
-        fields = _DOCUMENT_DECODER.decode(content)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise _configuration_error(str(error)) from error
-    services = {name: _service(name, one) for name, one in fields.services.items()}
-    routes = [_route(name, one) for name, one in fields.routes.items()]
-    for route in routes:
-        _check_services(route, services)
-    return Document(fields.version, services, _limits(fields.limits), routes)
+
+    def __init__(self) -> None:
+        self._parsed: _ParsedRoutes = {}
+        self._service_names: frozenset[str] = frozenset()
+
+    def read(self, content: bytes) -> Document:
+        """Parse a configuration document.
+
+        Raises
+        ------
+        ConfigurationError
+            If the document doesn't match the format, or a route refers to a service
+            that the document doesn't define.
+        """
+        try:
+            fields = _DOCUMENT_DECODER.decode(content)
+            parsed = self._parse_routes(fields.routes)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise _configuration_error(str(error)) from error
+        services = {name: _service(name, one) for name, one in fields.services.items()}
+        self._check_routes(parsed, services)
+        self._parsed = parsed
+        self._service_names = frozenset(services)
+        routes = [route for _, route in parsed.values()]
+        return Document(fields.version, services, _limits(fields.limits), routes)
+
+    def _parse_routes(self, routes: dict[str, msgspec.Raw]) -> _ParsedRoutes:
+        """Return all routes with their text, which is that of this document.
+
+        The texts refer to the whole document that they stand in, so that keeping the
+        former ones would keep former documents.
+        """
+        parsed = {}
+        for name, text in routes.items():
+            known = self._parsed.get(name)
+            if known is None or known[0] != text:
+                known = (text, _route(name, _ROUTE_DECODER.decode(text)))
+            parsed[name] = (text, known[1])
+        return parsed
+
+    def _check_routes(
+        self, parsed: _ParsedRoutes, services: dict[str, Service]
+    ) -> None:
+        """Check the services of routes, unless the former document had the same."""
+        kept_services = self._service_names <= services.keys()
+        for name, (_, route) in parsed.items():
+            known = self._parsed.get(name)
+            if not kept_services or known is None or known[1] is not route:
+                _check_services(route, services)
+
+
+def read_document(content: bytes) -> Document:
+    """Parse a single configuration document; raises as ``DocumentReader.read``."""
+    return DocumentReader().read(content)
 
 
 def _configuration_error(cause: str) -> ConfigurationError:
