--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -27,8 +27,9 @@
 
 LONG_POLL_MS = 1000
 """Length of a long poll; bounds the time until a reader detects a dead connection."""
-ROLE_CHECK_S = 0.1
-"""How often a node that isn't the reader checks whether it should be."""
+ROLE_CHECK_S = 1.0
+"""How often a node that isn't the reader checks whether it should be, unless a change
+of its peers wakes it earlier."""
 RETRY_PAUSES_S = (0.2, 0.4, 0.8)
 """Pauses of a reader after failed calls; the last one repeats."""
 FALLBACK_RETRY_PAUSE_S = 2.0
@@ -83,7 +84,8 @@
     def tick(self, now_ms: float) -> None:
         """Ask a peer for a newer version, preferably a local one."""
         candidate = None
-        for link in self.members.live_links():
+        behind = self.members.newest_version > self.configuration.version
+        for link in self.members.live_links() if behind else ():
             version = link.state.configuration_version if link.state is not None else 0
             if version <= self.configuration.version:
                 continue
@@ -100,19 +102,16 @@
             candidate[2].request_configuration()
 
     def _should_read(self) -> bool:
-        return not self._preferred_readers()
-
-    def _preferred_readers(self) -> list[str]:
+        """Whether no peer of the data centre precedes this node as the reader."""
         own_host = self.members.own_address[0]
-        return [
-            link.address[0]
-            for link in self.members.live_links()
-            if link.endpoint.data_centre == self.members.data_centre
+        return not any(
+            link.endpoint.data_centre == self.members.data_centre
             and link.address[0] < own_host
             and link.state is not None
             and link.state.store_reachable
             and not link.state.stopping
-        ]
+            for link in self.members.live_links()
+        )
 
     async def _read_once(self) -> bool:
         offset = self._offset
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -34,7 +34,10 @@
 from .interfaces import CallReceiver, FleetListener
 
 BUSY_PROBE_INTERVAL_MS = 90.0
-"""Time between probes of a link with requests in flight."""
+"""Longest time without a message on a link with requests in flight; then the peer is
+probed."""
+UNRESPONSIVE_AFTER_MS = 200.0
+"""Time without an answer to a probe after which a peer gets no new requests."""
 
 
 class ConnectionOwner(Protocol):
@@ -43,6 +46,7 @@
     runtime: Runtime
     connection: "PeerConnection | None"
     condition: ServerCondition | None
+    due_ms: float
 
     @property
     def fleet_listener(self) -> FleetListener:
@@ -121,6 +125,7 @@
         self._decoder = Decoder(PEER_CONNECTION_SCHEMAS)
         self._transport: asyncio.Transport | None = None
         self._last_stream_id = 0
+        self._unresponsive = False
         self._retired = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -140,6 +145,9 @@
     def data_received(self, data: bytes) -> None:
         """Decode messages and handle them."""
         self.last_received_ms = self.link.runtime.now_ms()
+        if self._unresponsive:
+            self._unresponsive = False
+            self.link.due_ms = 0.0
         for stream_id, message in self._decoder.feed(data):
             stream = None
             if stream_id != NO_STREAM:
@@ -178,6 +186,7 @@
         self.streams[self._last_stream_id] = stream
         self.send(Kind.REQUEST, self._last_stream_id, *fields_of(request))
         self._probe_if_idle()
+        self._limit_due(self.last_received_ms + BUSY_PROBE_INTERVAL_MS)
         return stream
 
     def _probe_if_idle(self) -> None:
@@ -193,6 +202,7 @@
 
     def mark_unresponsive(self) -> None:
         """Let all requests in flight be retried elsewhere."""
+        self._unresponsive = True
         for stream in list(self.streams.values()):
             self._notify_unresponsive(stream)
 
@@ -217,6 +227,11 @@
         """Send a probe."""
         self.last_probe_ms = self.link.runtime.now_ms()
         self.send(Kind.PING, self.last_probe_ms)
+        self._limit_due(self.last_probe_ms + UNRESPONSIVE_AFTER_MS)
+
+    def _limit_due(self, due_ms: float) -> None:
+        """Let the link tick at a time at the latest."""
+        self.link.due_ms = min(self.link.due_ms, due_ms)
 
     def abort(self) -> None:
         """Reset the connection, so that unsent bytes are dropped."""
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -1,6 +1,7 @@
 """Links that this node opens to its peers, with reconnects."""
 
 import asyncio
+import math
 from typing import Protocol
 
 import attrs
@@ -13,11 +14,13 @@
 from ..messages import Hello, Kind, Request, State
 from ..runtime import Runtime
 from ..settings import Address
-from .connection import BUSY_PROBE_INTERVAL_MS, PeerConnection
+from .connection import (
+    BUSY_PROBE_INTERVAL_MS,
+    UNRESPONSIVE_AFTER_MS,
+    PeerConnection,
+)
 from .interfaces import CallReceiver, FleetListener, Stream
 
-UNRESPONSIVE_AFTER_MS = 200.0
-"""Time without an answer to a probe after which a peer gets no new requests."""
 LOST_AFTER_MS = 650.0
 """Time without an answer to a probe after which a peer is treated as lost."""
 DIAL_TIMEOUT_S = 1.0
@@ -34,8 +37,8 @@
     def on_link_down(self, link: "PeerLink", cause: str) -> None:
         """Handle the loss of a peer."""
 
-    def on_state(self, link: "PeerLink", state: State) -> None:
-        """Handle a new state of a peer."""
+    def on_state(self, link: "PeerLink", previous: State | None, state: State) -> None:
+        """Handle a state of a peer; ``previous`` is None for its first one."""
 
 
 @attrs.define(eq=False)
@@ -52,7 +55,10 @@
         What that backend server said about itself, as far as the peer told. Kept while
         the peer is away, since its next process may not know it.
     idle_probe_interval_ms : float
-        Time between probes while no request is in flight.
+        Longest time without a message while no request is in flight; then the peer is
+        probed.
+    due_ms : float
+        When the link needs its next tick; earlier ticks have no effect.
     """
 
     runtime: Runtime
@@ -66,6 +72,7 @@
     condition: ServerCondition | None = None
     lost_since_ms: float = 0.0
     idle_probe_interval_ms: float = MIN_IDLE_PROBE_INTERVAL_MS
+    due_ms: float = 0.0
     _dialing: bool = False
     _attempts: int = 0
     _next_dial_ms: float = 0.0
@@ -92,6 +99,7 @@
             if not self._dialing and now_ms >= self._next_dial_ms:
                 self._dialing = True
                 self.runtime.spawn(self._dial())
+            self.due_ms = math.inf if self._dialing else self._next_dial_ms
             return
         waited_ms = now_ms - connection.last_probe_ms
         answered = connection.probe_answered
@@ -103,13 +111,16 @@
         if not answered and waited_ms > LOST_AFTER_MS:
             self._mark_lost(connection, "silent")
             connection.retire()
-        elif answered:
-            pause_ms = (
+        elif not answered:
+            bound_ms = LOST_AFTER_MS if unresponsive else UNRESPONSIVE_AFTER_MS
+            self.due_ms = connection.last_probe_ms + bound_ms
+        else:
+            self.due_ms = connection.last_received_ms + (
                 BUSY_PROBE_INTERVAL_MS
                 if connection.streams
                 else self.idle_probe_interval_ms
             )
-            if waited_ms >= pause_ms:
+            if now_ms >= self.due_ms:
                 connection.ping()
 
     def discount_pause(self, pause_ms: float) -> None:
@@ -127,6 +138,8 @@
         """Reconnect at the next tick."""
         self._attempts = 0
         self._next_dial_ms = 0.0
+        if not self._dialing:
+            self.due_ms = 0.0
 
     def close(self) -> None:
         """Close the link."""
@@ -163,8 +176,7 @@
         endpoint.cold_until_ms = self.runtime.now_ms() + state.cold_remaining_ms
         endpoint.update_load(state.in_flight)
         self._apply_condition()
-        if previous is None or _reader_criteria(previous) != _reader_criteria(state):
-            self.listener.on_state(self, state)
+        self.listener.on_state(self, previous, state)
 
     def on_condition(
         self, connection: PeerConnection, condition: ServerCondition
@@ -196,7 +208,7 @@
     def _mark_lost(self, connection: PeerConnection, cause: str) -> None:
         self.connection = None
         self.endpoint.open = False
-        self._next_dial_ms = self.runtime.now_ms() + REDIAL_PAUSES_MS[0]
+        self._next_dial_ms = self.due_ms = self.runtime.now_ms() + REDIAL_PAUSES_MS[0]
         if self.up:
             self.up = False
             self.lost_since_ms = self.runtime.now_ms()
@@ -217,8 +229,4 @@
             )
         finally:
             self._dialing = False
-
-
-def _reader_criteria(state: State) -> tuple[bool, bool]:
-    """Return what decides whether a peer reads the configuration from the store."""
-    return state.store_reachable, state.stopping
+            self.due_ms = 0.0
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -39,6 +39,11 @@
         Called with a configuration that a peer sent.
     apply_store_era : Callable
         Called with an era of the store that a peer sent.
+    newest_version : int
+        Newest configuration that any peer was ever known to have in force.
+    pressure_changed : bool
+        Whether a peer that answers has reported other refusals or callers, or the
+        peers that answer have changed, since this was last reset.
     """
 
     runtime: Runtime
@@ -50,8 +55,10 @@
     apply_configuration: Callable[[int, bytes], None]
     apply_store_era: Callable[[int], object]
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
+    newest_version: int = 0
+    pressure_changed: bool = True
     _local: Endpoint = attrs.field(init=False)
-    _count: int = 1
+    _up_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._local = Endpoint(
@@ -101,20 +108,19 @@
         return (link for link in self.links.values() if link.up)
 
     def count(self) -> int:
-        """Return how many nodes were reachable at the last tick, including this one."""
-        return self._count
+        """Return how many nodes are reachable, including this one."""
+        return 1 + self._up_count
 
     def tick(self, now_ms: float) -> None:
-        """Expire peers that were lost for long, and maintain all other links."""
+        """Expire peers that were lost for long; maintain all other links when due."""
         pause_ms = idle_probe_interval_ms(len(self.links))
-        for link in list(self.links.values()):
+        for link in [one for one in self.links.values() if one.due_ms <= now_ms]:
             if not link.up and now_ms - link.lost_since_ms > EXPIRE_AFTER_MS:
                 link.close()
                 del self.links[link.address]
                 continue
             link.idle_probe_interval_ms = pause_ms
             self.runtime.run_guarded("tick", link.tick, now_ms)
-        self._count = 1 + sum(1 for _ in self.live_links())
 
     def discount_pause(self, pause_ms: float) -> None:
         """Exclude a pause of this node from the peers' time to answer probes."""
@@ -137,15 +143,25 @@
             peer=link.address[0],
             version=hello.configuration_version,
         )
-        self.on_change()
+        self._up_count += 1
+        self._on_reachability_change()
 
     def on_link_down(self, link: PeerLink, cause: str) -> None:
         """Log that a peer was lost."""
         events.log(events.PEER_LOST, peer=link.address[0], cause=cause)
-        self.on_change()
-
-    def on_state(self, link: PeerLink, state: State) -> None:
-        """Report that a peer's state changed."""
+        self._up_count -= 1
+        self._on_reachability_change()
+
+    def on_state(self, link: PeerLink, previous: State | None, state: State) -> None:
+        """Record what a peer's state changes for this node."""
+        self.newest_version = max(self.newest_version, state.configuration_version)
+        if previous is None or _pressure(previous) != _pressure(state):
+            self.pressure_changed = True
+        if previous is None or _reader_criteria(previous) != _reader_criteria(state):
+            self.on_change()
+
+    def _on_reachability_change(self) -> None:
+        self.pressure_changed = True
         self.on_change()
 
     def on_configuration(self, version: int, content: bytes) -> None:
@@ -175,3 +191,13 @@
             self.runtime.now_ms()
         )
         return local
+
+
+def _reader_criteria(state: State) -> tuple[bool, bool]:
+    """Return what decides whether a peer reads the configuration from the store."""
+    return state.store_reachable, state.stopping
+
+
+def _pressure(state: State) -> tuple[object, ...]:
+    """Return what a peer tells about refusals and about who calls its service."""
+    return state.service, state.callers, state.refusals
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -65,6 +65,8 @@
         Returns the latest era of the store; 0 if unknown.
     condition : Callable
         Returns what the backend server said about itself; None if nothing.
+    local_links : set of IncomingLink
+        Those of ``links`` whose peers are in the local data centre.
     """
 
     runtime: Runtime
@@ -78,6 +80,7 @@
     condition: Callable[[], ServerCondition | None]
     data_centre: str
     links: "set[IncomingLink]" = attrs.field(factory=set)
+    local_links: "set[IncomingLink]" = attrs.field(factory=set)
     _urgent: tuple[object, ...] = ()
     _sent_condition: ServerCondition | None = None
     _local_pacer: ReportPacer = attrs.field(
@@ -105,12 +108,12 @@
             self._remote_pacer.mark_sent(data, now_ms)
             self._write(self.links, data)
             return
-        local = {link for link in self.links if self._is_local(link)}
-        remote = self.links - local
-        if self._local_pacer.mark_sent_if_due(data, len(local), now_ms):
-            self._write(local, data)
-        if self._remote_pacer.mark_sent_if_due(data, len(remote), now_ms):
-            self._write(remote, data)
+        local_count = len(self.local_links)
+        remote_count = len(self.links) - local_count
+        if self._local_pacer.mark_sent_if_due(data, local_count, now_ms):
+            self._write(self.local_links, data)
+        if self._remote_pacer.mark_sent_if_due(data, remote_count, now_ms):
+            self._write(self.links - self.local_links, data)
 
     def _broadcast_condition(self) -> None:
         """Tell all peers what the backend server said, if it differs much."""
@@ -131,11 +134,21 @@
         """
         version, content = self.configuration()
         data = encode(Kind.CONFIGURATION, version, compress(content))
-        self._write({link for link in self.links if self._is_local(link)}, data)
+        self._write(self.local_links, data)
 
     def _is_local(self, link: "IncomingLink") -> bool:
-        peer = link.peer
-        return peer is not None and peer.data_centre == self.data_centre
+        return link in self.local_links
+
+    def identify(self, link: "IncomingLink", peer: Hello) -> None:
+        """Record which peer opened a link."""
+        if link in self.links and peer.data_centre == self.data_centre:
+            self.local_links.add(link)
+        self.on_peer(peer)
+
+    def remove(self, link: "IncomingLink") -> None:
+        """Remove a link that was closed."""
+        self.links.discard(link)
+        self.local_links.discard(link)
 
     def _write(self, links: "set[IncomingLink]", data: bytes) -> None:
         for link in links:
@@ -194,7 +207,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the peer's requests."""
-        self.incoming_links.links.discard(self)
+        self.incoming_links.remove(self)
         runs, self._runs = self._runs, {}
         for run in runs.values():
             self._cancel_run(run)
@@ -284,7 +297,7 @@
 
     def _on_hello(self, _: int, hello: Hello) -> None:
         self.peer = hello
-        self.incoming_links.on_peer(hello)
+        self.incoming_links.identify(self, hello)
 
     def _on_configuration_query(self, _: int, query: ConfigurationQuery) -> None:
         version, content = self.incoming_links.configuration()
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -88,6 +88,7 @@
     _broadcast_due: bool = False
     _ticks: int = 0
     _last_tick_ms: float = 0.0
+    _last_pressure: PressureReport | None = None
     _settings_content: bytes = b""
 
     def __attrs_post_init__(self) -> None:
@@ -424,11 +425,23 @@
             self._stopped.set()
 
     def _update_load_shedder(self) -> None:
-        self.outbound.load_shedder.update(self._pressure_reports())
+        """Pass on the reports of all nodes if one of them has changed."""
+        own_report = self._own_pressure_report()
+        if own_report == self._last_pressure and not self.members.pressure_changed:
+            return
+        self.outbound.load_shedder.update([*self._peer_pressure_reports(), own_report])
+        self._last_pressure = own_report
+        self.members.pressure_changed = False
+
+    def _own_pressure_report(self) -> PressureReport:
+        return PressureReport(
+            self.backend.service,
+            self.inbound.caller_detector.calling_services(),
+            self.call_context.refusals.report(),
+        )
 
-    def _pressure_reports(self) -> list[PressureReport]:
+    def _peer_pressure_reports(self) -> list[PressureReport]:
         states = [link.state for link in self.members.live_links()]
-        states.append(self.state())
         return [
             PressureReport(state.service, state.callers, state.refusals)
             for state in states
--- a/tests/test_mesh_containment_callers.py
+++ b/tests/test_mesh_containment_callers.py
@@ -198,7 +198,7 @@
         (ConfigurationWatcher, "tick"),
         (Node, "schedule_state_broadcast"),
         (Node, "_check_settings"),
-        (Node, "_pressure_reports"),
+        (Node, "_own_pressure_report"),
         (ReturningCallers, "expire"),
     ],
 )
