--- a/azurestep/mesh/callers/placement.py
+++ b/azurestep/mesh/callers/placement.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..decisions.choice import Endpoint, SelectionCriteria, choose_endpoint
+from ..decisions.choice import Endpoint, SelectionCriteria, choose_from_group
 from .context import CallContext
 
 AVOID_AFTER_FAILURE_MS = 400.0
@@ -26,8 +26,8 @@
 
     def choose(self, criteria: SelectionCriteria, now_ms: float) -> Endpoint | None:
         """Return the best backend server that isn't excluded, or None."""
-        return choose_endpoint(
-            self.context.members.endpoints(self.service),
+        return choose_from_group(
+            self.context.members.endpoint_group(self.service),
             criteria,
             self._excluded,
             now_ms,
@@ -61,6 +61,6 @@
         """Whether another backend server is open, responsive and not excluded."""
         return any(
             other.usable and not other.unresponsive and other.key not in self._excluded
-            for other in self.context.members.endpoints(self.service)
+            for other in self.context.members.endpoint_group(self.service)
             if other is not self.endpoint
         )
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -4,8 +4,9 @@
 penalties are in the same unit.
 """
 
+import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from random import Random
 
 import attrs
@@ -25,6 +26,10 @@
 LOCAL_SAMPLE = 4
 REMOTE_SAMPLE = 2
 """Candidates in the local data centre and in remote ones, above ``MAX_UNSAMPLED``."""
+MAX_LISTED = 32
+"""With more backend servers than this, candidates are drawn without listing all."""
+DRAWS_PER_CANDIDATE = 4
+"""Draws for each candidate before all usable backend servers are listed after all."""
 OBJECTIVE_STEEPNESS = 3
 """How fast the value of an answer falls as its time nears the objective."""
 REMOTE_PENALTY_PER_KIB = 0.014
@@ -156,6 +161,28 @@
     data_centre: str
 
 
+@attrs.define(slots=True)
+class EndpointGroup:
+    """The reachable backend servers of one service.
+
+    Attributes
+    ----------
+    local, remote : list of Endpoint
+        Those in the data centre of this node, and all others.
+    """
+
+    local: list[Endpoint] = attrs.field(factory=list)
+    remote: list[Endpoint] = attrs.field(factory=list)
+
+    def __iter__(self) -> Iterator[Endpoint]:
+        """Iterate over all of them."""
+        return itertools.chain(self.local, self.remote)
+
+    def __len__(self) -> int:
+        """Return their number."""
+        return len(self.local) + len(self.remote)
+
+
 @attrs.define(slots=True)
 class MeanRunTimes:
     """Mean run time of each route over all backend servers.
@@ -200,10 +227,53 @@
     random: Random,
 ) -> Endpoint | None:
     """Return the backend server with the highest expected value, or None."""
+    usable = [one for one in endpoints if one.usable and one.key not in excluded]
+    candidates = _sample_candidates(usable, criteria.data_centre, random)
+    return _best_of(candidates, criteria, now_ms, random)
+
+
+def choose_from_group(
+    group: EndpointGroup,
+    criteria: SelectionCriteria,
+    excluded: set[object],
+    now_ms: float,
+    random: Random,
+) -> Endpoint | None:
+    """Return the same as ``choose_endpoint``, in a time that doesn't grow with them."""
+    if len(group) <= MAX_LISTED:
+        return choose_endpoint(group, criteria, excluded, now_ms, random)
+    local = _draw(group.local, LOCAL_SAMPLE, excluded, random)
+    remote = _draw(group.remote, REMOTE_SAMPLE, excluded, random)
+    if local is None or remote is None:
+        return choose_endpoint(group, criteria, excluded, now_ms, random)
+    return _best_of(local + remote, criteria, now_ms, random)
+
+
+def _draw(
+    endpoints: list[Endpoint], count: int, excluded: set[object], random: Random
+) -> list[Endpoint] | None:
+    """Return a random sample of the usable ones; None if most are not usable."""
+    drawn: list[Endpoint] = []
+    if len(endpoints) <= count:
+        return None
+    for _ in range(count * DRAWS_PER_CANDIDATE):
+        one = endpoints[int(random.random() * len(endpoints))]
+        if one.usable and one.key not in excluded and one not in drawn:
+            drawn.append(one)
+            if len(drawn) == count:
+                return drawn
+    return None
+
+
+def _best_of(
+    candidates: list[Endpoint],
+    criteria: SelectionCriteria,
+    now_ms: float,
+    random: Random,
+) -> Endpoint | None:
     best = None
     best_value = 0.0
-    usable = [one for one in endpoints if one.usable and one.key not in excluded]
-    for endpoint in _sample_candidates(usable, criteria.data_centre, random):
+    for endpoint in candidates:
         value = (
             _expected_value(endpoint, criteria, now_ms)
             + random.random() * MAX_TIE_BREAK
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -12,7 +12,7 @@
 from .. import events
 from ..backend.inbound import Inbound
 from ..decisions.cadence import idle_probe_interval_ms
-from ..decisions.choice import Endpoint
+from ..decisions.choice import Endpoint, EndpointGroup
 from ..incarnation import NO_INCARNATION
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
@@ -23,6 +23,7 @@
 
 EXPIRE_AFTER_MS = 300_000.0
 """Time without an answer after which a peer is dropped."""
+NO_ENDPOINTS = EndpointGroup()
 
 
 @attrs.define(eq=False)
@@ -59,6 +60,7 @@
     pressure_changed: bool = True
     _local: Endpoint = attrs.field(init=False)
     _up_count: int = 0
+    _groups: dict[str, EndpointGroup] | None = None
 
     def __attrs_post_init__(self) -> None:
         self._local = Endpoint(
@@ -77,15 +79,27 @@
 
     def endpoints(self, service: str) -> list[Endpoint]:
         """Return the backend servers of a service."""
-        found = [
-            link.endpoint
-            for link in self.links.values()
-            if link.endpoint.service == service and link.up
-        ]
-        local = self._refresh_local()
-        if local.service == service:
-            found.append(local)
-        return found
+        return list(self.endpoint_group(service))
+
+    def endpoint_group(self, service: str) -> EndpointGroup:
+        """Return the backend servers of a service, by data centre."""
+        if self._local.service != self.inbound.backend.service:
+            self._groups = None
+        self._refresh_local()
+        if self._groups is None:
+            self._groups = self._group_endpoints()
+        return self._groups.get(service, NO_ENDPOINTS)
+
+    def _group_endpoints(self) -> dict[str, EndpointGroup]:
+        groups: dict[str, EndpointGroup] = {}
+        for link in self.live_links():
+            endpoint = link.endpoint
+            group = groups.setdefault(endpoint.service, EndpointGroup())
+            is_local = endpoint.data_centre == self.data_centre
+            (group.local if is_local else group.remote).append(endpoint)
+        own = groups.setdefault(self._local.service, EndpointGroup())
+        own.local.append(self._local)
+        return groups
 
     def is_local(self, endpoint: Endpoint) -> bool:
         """Whether a backend server is the local one."""
@@ -157,10 +171,13 @@
         self.newest_version = max(self.newest_version, state.configuration_version)
         if previous is None or _pressure(previous) != _pressure(state):
             self.pressure_changed = True
+        if previous is None or previous.service != state.service:
+            self._groups = None
         if previous is None or _reader_criteria(previous) != _reader_criteria(state):
             self.on_change()
 
     def _on_reachability_change(self) -> None:
+        self._groups = None
         self.pressure_changed = True
         self.on_change()
 
