--- a/azurestep/cli/commands/sidecar.py
+++ b/azurestep/cli/commands/sidecar.py
@@ -4,7 +4,8 @@
 
 from ...environment import Environment
 from ...errors import UsageError
-from ...mesh.node import serve
+from ...mesh.listeners import open_listeners
+from ...mesh.settings import read_settings
 from ...platform.boot import SETTINGS_VARIABLE
 from ...status import ExitStatus
 from ..options import SidecarOptions
@@ -23,5 +24,10 @@
                 f"Give SETTINGS or set {SETTINGS_VARIABLE}",
             )
         path = pathlib.Path(named)
-    serve(path)
+    settings = read_settings(path)
+    listeners = open_listeners(settings)
+    # Imported late, since it takes most of the start.
+    from ...mesh.node import serve
+
+    serve(settings, path, listeners)
     return ExitStatus.OK
