--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -137,6 +137,8 @@
             run.start()
         elif self.backend.is_leaving():
             run.refuse(Reason.LEAVING)
+        elif not request.may_wait:
+            run.refuse(Reason.OVERLOADED)
         else:
             self._schedule_limited_start(self.now_ms())
 
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -58,6 +58,7 @@
         self._fallback_answer: Answer | None = None
         self._possible_runs = 0
         self._withdrawn = False
+        self._may_wait = True
         self._refusal: Refusal | None = None
         self._writer = AnswerWriter(exchange)
         self._outcome = OutcomeReporter(context, exchange, self.record, self._writer)
@@ -118,8 +119,9 @@
         if endpoint is None:
             self._refuse_without_endpoint()
             return
+        self._may_wait = self._body.streamed or self._selector.may_wait
         request = self._request_builder.build_request(
-            now_ms, self._deadline.deadline_ms, endpoint
+            now_ms, self._deadline.deadline_ms, endpoint, self._may_wait
         )
         if context.crashes.is_quarantined(request, now_ms):
             self._refuse(Reason.QUARANTINED, QUARANTINE_RETRY_AFTER_MS)
@@ -248,7 +250,9 @@
             endpoint.record_refusal(
                 refusal.in_flight, refusal.retry_after_ms, self._now_ms()
             )
-            if reason is Reason.OVERLOADED:
+            if reason is Reason.OVERLOADED and not self._may_wait:
+                self._selector.mark_busy(endpoint)
+            elif reason is Reason.OVERLOADED:
                 self._selector.exclude(endpoint)
             else:
                 self._selector.avoid(endpoint)
--- a/azurestep/mesh/callers/outgoing.py
+++ b/azurestep/mesh/callers/outgoing.py
@@ -34,9 +34,9 @@
         )
 
     def build_request(
-        self, now_ms: float, deadline_ms: float, endpoint: Endpoint
+        self, now_ms: float, deadline_ms: float, endpoint: Endpoint, may_wait: bool
     ) -> Request:
-        """Return the request for a backend server."""
+        """Return the request for a backend server, where it may wait for a slot."""
         exchange, body = self.exchange, self.body
         record, route = self.record, self.record.route
         deferred = self.defers_body(endpoint)
@@ -61,6 +61,7 @@
             self.context.mean_run_times.get_or_zero(route.name),
             needs_confirmation=not body.streamed
             and (deferred or not self.is_reroutable()),
+            may_wait=may_wait,
         )
 
     def is_reroutable(self) -> bool:
--- a/azurestep/mesh/callers/placement.py
+++ b/azurestep/mesh/callers/placement.py
@@ -2,9 +2,20 @@
 
 import attrs
 
-from ..decisions.choice import Endpoint, SelectionCriteria, choose_from_group
+from ..decisions.choice import (
+    MAX_UNSAMPLED,
+    Endpoint,
+    SelectionCriteria,
+    choose_from_group,
+)
 from .context import CallContext
 
+TRIES_WITHOUT_WAIT = 2
+"""Backend servers that are asked for a free slot before a request may wait at one.
+
+Only where they are too many to know the load of each: what is known of the others is
+old, and one of them mostly has a slot.
+"""
 AVOID_AFTER_FAILURE_MS = 400.0
 """Time for which a failed backend server is chosen only if there is no other."""
 
@@ -17,23 +28,41 @@
     ----------
     endpoint : Endpoint or None
         Backend server where the call is counted now, or None.
+    may_wait : bool
+        Whether the request may wait at the one that was chosen last.
     """
 
     context: CallContext
     service: str
     endpoint: Endpoint | None = None
+    may_wait: bool = True
     _excluded: set[object] = attrs.field(factory=set)
+    _busy: list[Endpoint] = attrs.field(factory=list)
 
     def choose(self, criteria: SelectionCriteria, now_ms: float) -> Endpoint | None:
-        """Return the best backend server that isn't excluded, or None."""
+        """Return the best backend server that isn't excluded, or None.
+
+        While the request may not wait, those without a free slot are left out.
+        """
+        group = self.context.members.endpoint_group(self.service)
+        random = self.context.runtime.random
+        self.may_wait = (
+            len(group) <= MAX_UNSAMPLED or len(self._busy) >= TRIES_WITHOUT_WAIT
+        )
+        if not self.may_wait:
+            excluded = self._excluded.union(one.key for one in self._busy)
+            found = choose_from_group(group, criteria, excluded, now_ms, random)
+            if found is not None:
+                return found
+            self.may_wait = True
         return choose_from_group(
-            self.context.members.endpoint_group(self.service),
-            criteria,
-            self._excluded,
-            now_ms,
-            self.context.runtime.random,
+            group, criteria, self._excluded, now_ms, random, asked=self._busy
         )
 
+    def mark_busy(self, endpoint: Endpoint) -> None:
+        """Record that a backend server had no free slot for a request."""
+        self._busy.append(endpoint)
+
     def assign(self, endpoint: Endpoint) -> None:
         """Make a backend server the current one and count the call there."""
         self.endpoint = endpoint
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -227,7 +227,7 @@
     random: Random,
 ) -> Endpoint | None:
     """Return the backend server with the highest expected value, or None."""
-    usable = [one for one in endpoints if one.usable and one.key not in excluded]
+    usable = [one for one in endpoints if _is_candidate(one, excluded)]
     candidates = _sample_candidates(usable, criteria.data_centre, random)
     return _best_of(candidates, criteria, now_ms, random)
 
@@ -238,15 +238,38 @@
     excluded: set[object],
     now_ms: float,
     random: Random,
+    *,
+    asked: Iterable[Endpoint] = (),
 ) -> Endpoint | None:
-    """Return the same as ``choose_endpoint``, in a time that doesn't grow with them."""
-    if len(group) <= MAX_LISTED:
-        return choose_endpoint(group, criteria, excluded, now_ms, random)
-    local = _draw(group.local, LOCAL_SAMPLE, excluded, random)
-    remote = _draw(group.remote, REMOTE_SAMPLE, excluded, random)
-    if local is None or remote is None:
-        return choose_endpoint(group, criteria, excluded, now_ms, random)
-    return _best_of(local + remote, criteria, now_ms, random)
+    """Return the same as ``choose_endpoint``, in a time that doesn't grow with them.
+
+    Parameters
+    ----------
+    asked : iterable of Endpoint
+        Backend servers whose load was just told; they are candidates in any case.
+    """
+    candidates = _draw_candidates(group, criteria.data_centre, excluded, random)
+    candidates += [
+        one for one in asked if _is_candidate(one, excluded) and one not in candidates
+    ]
+    return _best_of(candidates, criteria, now_ms, random)
+
+
+def _draw_candidates(
+    group: EndpointGroup, data_centre: str, excluded: set[object], random: Random
+) -> list[Endpoint]:
+    local = remote = None
+    if len(group) > MAX_LISTED:
+        local = _draw(group.local, LOCAL_SAMPLE, excluded, random)
+        remote = _draw(group.remote, REMOTE_SAMPLE, excluded, random)
+    if local is not None and remote is not None:
+        return local + remote
+    usable = [one for one in group if _is_candidate(one, excluded)]
+    return _sample_candidates(usable, data_centre, random)
+
+
+def _is_candidate(endpoint: Endpoint, excluded: set[object]) -> bool:
+    return endpoint.usable and endpoint.key not in excluded
 
 
 def _draw(
@@ -258,7 +281,7 @@
         return None
     for _ in range(count * DRAWS_PER_CANDIDATE):
         one = endpoints[int(random.random() * len(endpoints))]
-        if one.usable and one.key not in excluded and one not in drawn:
+        if _is_candidate(one, excluded) and one not in drawn:
             drawn.append(one)
             if len(drawn) == count:
                 return drawn
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -187,6 +187,9 @@
     needs_confirmation : bool
         Whether the receiver asks for confirmation, once there is a free slot, before
         it runs the request. An unconfirmed request has not run.
+    may_wait : bool
+        Whether the request may wait for a slot. Otherwise it is refused if none is
+        free, as the sender knows other backend servers.
     """
 
     method: bytes
@@ -208,6 +211,7 @@
     server_started_ms: int = START_UNKNOWN
     fleet_mean_run_ms: float = 0.0
     needs_confirmation: bool = False
+    may_wait: bool = True
 
     @property
     def incarnation(self) -> Incarnation:
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -169,6 +169,7 @@
         remaining_ms: float = 1200.0,
         needs_confirmation: bool = False,
         body_bytes: int = 0,
+        may_wait: bool = True,
     ) -> Run:
         """Submit a read, or a request whose body comes later."""
         self.number += 1
@@ -190,6 +191,7 @@
             not body_bytes,
             b"",
             needs_confirmation=needs_confirmation,
+            may_wait=may_wait,
         )
         return self.inbound.submit(request, receiver)
 
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -608,6 +608,7 @@
         77,
         12.5,
         True,
+        False,
     )
 
 
@@ -702,8 +703,8 @@
 def test_missing_fields_of_link_messages_take_their_defaults() -> None:
     fields = mesh.fields_of(REQUEST)
     make: Any = mesh.Request
-    shortened = make(*fields[:-3], 0, 0.0, False)
-    raw = msgpack.packb([5, 7, *fields[:-3]])
+    shortened = make(*fields[:-4], 0, 0.0, False, True)
+    raw = msgpack.packb([5, 7, *fields[:-4]])
     assert decoded(raw, True) == [(7, shortened)]
 
 
