--- a/azurestep/cli/commands/sidecar.py
+++ b/azurestep/cli/commands/sidecar.py
@@ -4,8 +4,7 @@
 
 from ...environment import Environment
 from ...errors import UsageError
-from ...mesh.listeners import open_listeners
-from ...mesh.settings import read_settings
+from ...mesh.node import serve
 from ...platform.boot import SETTINGS_VARIABLE
 from ...status import ExitStatus
 from ..options import SidecarOptions
@@ -24,10 +23,5 @@
                 f"Give SETTINGS or set {SETTINGS_VARIABLE}",
             )
         path = pathlib.Path(named)
-    settings = read_settings(path)
-    listeners = open_listeners(settings)
-    # Imported late, since it takes most of the start.
-    from ...mesh.node import serve
-
-    serve(settings, path, listeners)
+    serve(path)
     return ExitStatus.OK
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -4,7 +4,6 @@
 import gc
 import pathlib
 import signal
-import socket
 import time
 from collections.abc import Callable
 from functools import partial
@@ -12,7 +11,7 @@
 import attrs
 import uvloop
 
-from ..errors import SettingsError
+from ..errors import PortInUseError, SettingsError
 from ..http.server import Handler, ServerConnection, ServerState
 from ..listening import close_listener
 from ..platform.store import StoreClient
@@ -34,7 +33,6 @@
 from .knowledge.store_era import StoreEra
 from .links.members import Members
 from .links.server import IncomingLink, IncomingLinks
-from .listeners import BACKLOG, Listeners, open_listener
 from .messages import PROTOCOL_VERSION, Hello, State
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
@@ -50,8 +48,6 @@
 """Ticks between checks for a changed settings file."""
 READY_AFTER_MS = 600.0
 """Time after the start at which a node counts as ready even without links."""
-READINESS_CHECK_S = 0.01
-"""Interval of the checks whether a starting node can accept its callers."""
 MIN_SUBTRACTED_DELAY_MS = 30.0
 """Event loop delay above which it is subtracted from the time that peers took to
 answer probes, which would otherwise include it."""
@@ -66,18 +62,11 @@
 
 @attrs.define(eq=False)
 class Node:
-    """Connects the components of a node and runs its main loop.
-
-    Attributes
-    ----------
-    listeners : dict of Address to socket.socket
-        Listening sockets that were opened before the node was made.
-    """
+    """Connects the components of a node and runs its main loop."""
 
     settings: MeshSettings
     path: pathlib.Path
     runtime: Runtime
-    listeners: Listeners = attrs.field(factory=dict)
     backend: LocalBackend = attrs.field(init=False)
     crashes: CrashTracker = attrs.field(init=False)
     inbound: Inbound = attrs.field(init=False)
@@ -212,7 +201,7 @@
             ),
         ]
         states = [self.callers]
-        self._open(settings.caller_address)
+        await self._listen(settings.caller_address, self.callers)
         for address, handler in http_endpoints:
             states.append(await self._listen_endpoint(address, handler))
         await self._listen_peers(settings.peer_listen_address or settings.peer_address)
@@ -224,7 +213,6 @@
             service=settings.service,
             first_start=settings.first_start,
         )
-        self.runtime.spawn(self._accept_callers())
         self.runtime.spawn(self.configuration_watcher.run())
         self.runtime.spawn(self.discovery.run())
         gc.collect()
@@ -248,8 +236,6 @@
         """Close all sockets immediately, as a crash does."""
         for server in self._servers:
             server.close()
-        for listener in self.listeners.values():
-            listener.close()
         self.members.close()
         for peer in list(self.incoming_links.links):
             peer.abort()
@@ -375,21 +361,6 @@
             lambda kind: metrics.count("store_calls", kind),
         )
 
-    async def _accept_callers(self) -> None:
-        """Accept callers once their requests can be served, or soon in any case.
-
-        Until then they wait in the kernel's queue.
-        """
-        deadline_ms = self.started_ms + READY_AFTER_MS
-        while not self.is_ready() and not self.is_stopping:
-            if self.runtime.now_ms() >= deadline_ms:
-                break
-            await asyncio.sleep(READINESS_CHECK_S)
-        server = await self._bind(
-            self.settings.caller_address, self._make_caller_connection
-        )
-        self._servers.insert(0, server)
-
     def _stop_accepting(self) -> None:
         listener = self._servers[0]
         self.runtime.spawn(close_listener(listener, self._make_caller_connection))
@@ -397,28 +368,28 @@
     def _make_caller_connection(self) -> ServerConnection:
         return ServerConnection(self.callers)
 
+    async def _listen(self, address: Address, state: ServerState) -> None:
+        await self._bind(address, lambda: ServerConnection(state))
+
     async def _listen_endpoint(self, address: Address, handler: Handler) -> ServerState:
         state = ServerState(handler, self.runtime.fault_handler("endpoint"))
-        server = await self._bind(address, lambda: ServerConnection(state))
-        self._servers.append(server)
+        await self._listen(address, state)
         return state
 
     async def _listen_peers(self, address: Address) -> None:
-        server = await self._bind(address, lambda: IncomingLink(self.incoming_links))
-        self._servers.append(server)
+        await self._bind(address, lambda: IncomingLink(self.incoming_links))
 
-    def _open(self, address: Address) -> socket.socket:
-        """Return the listening socket of an address; open it if that wasn't done."""
-        if address not in self.listeners:
-            self.listeners[address] = open_listener(address)
-        return self.listeners[address]
-
-    async def _bind(self, address: Address, factory: ProtocolFactory) -> asyncio.Server:
-        listener = self._open(address)
-        del self.listeners[address]
-        return await self.runtime.loop.create_server(
-            factory, sock=listener, backlog=BACKLOG
-        )
+    async def _bind(self, address: Address, factory: ProtocolFactory) -> None:
+        try:
+            server = await self.runtime.loop.create_server(
+                factory, *address, backlog=1024, reuse_address=True
+            )
+        except OSError as error:
+            raise PortInUseError(
+                f"{address[0]}:{address[1]} can't be bound: {error.strerror}",
+                "Stop the process that uses the address, or change the settings",
+            ) from error
+        self._servers.append(server)
 
     def _tick(self, states: list[ServerState]) -> None:
         now_ms = self.runtime.now_ms()
@@ -497,31 +468,26 @@
         gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
 
 
-def serve(
-    settings: MeshSettings, path: pathlib.Path, listeners: Listeners | None = None
-) -> None:
+def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
 
     Parameters
     ----------
-    settings : MeshSettings
-        Its settings.
     path : pathlib.Path
-        File that they come from, which is read again when it changes.
-    listeners : dict of Address to socket.socket, optional
-        Listening sockets that are open already.
+        Settings file.
 
     Raises
     ------
+    SettingsError
+        If the settings can't be used.
     PortInUseError
         If a listening address is already in use.
     """
+    settings = read_settings(path)
     events.WRITER.open()
-    uvloop.run(_serve(settings, path, listeners or {}))
+    uvloop.run(_serve(settings, path))
 
 
-async def _serve(
-    settings: MeshSettings, path: pathlib.Path, listeners: Listeners
-) -> None:
+async def _serve(settings: MeshSettings, path: pathlib.Path) -> None:
     runtime = Runtime(asyncio.get_running_loop())
-    await Node(settings, path, runtime, listeners).run()
+    await Node(settings, path, runtime).run()
