--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -131,13 +131,15 @@
             return
         self.record.instance = endpoint.incarnation.instance_id
         self.record.nodes_tried += 1
+        nodes_tried = self.record.nodes_tried
         self._selector.assign(endpoint)
         stream = context.members.send(endpoint, request, self)
         if stream is None:
             self._selector.release()
             self._selector.exclude(endpoint)
             self._dispatch()
-        elif not self.done and self._selector.endpoint is endpoint:
+        elif not self.done and self.record.nodes_tried == nodes_tried:
+            # Otherwise the local node refused it at once, and it was sent again since.
             self._stream = stream
 
     def _send_body(self, data: bytes, whole: bool) -> None:
--- a/tests/test_mesh_offering.py
+++ b/tests/test_mesh_offering.py
@@ -1,10 +1,12 @@
 """A request asks some of many backend servers for a free slot before it waits."""
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from azurestep.mesh.callers import placement
 from azurestep.mesh.callers.placement import TRIES_WITHOUT_WAIT, EndpointSelector
 from azurestep.mesh.decisions.choice import EndpointGroup
 from bench.placement_model import LOADS, Load, play
@@ -14,8 +16,11 @@
     answer,
     make_inbound_harness,
 )
+from .fixtures_mesh import MeshFleet, caller_headers
 from .test_mesh_choice import endpoint
 from .test_mesh_choice_large import CRITERIA, group_of, random
+from .test_mesh_doubt import drain_all_but
+from .test_mesh_faults import eventually
 
 __all__ = ["random"]
 
@@ -113,3 +118,25 @@
 
 def test_few_servers_are_used_as_before() -> None:
     assert play(FEW, SEED, 0) == play(FEW, SEED, TRIES_WITHOUT_WAIT)
+
+
+async def test_a_payment_that_ran_at_the_server_that_was_asked_twice_is_not_refused(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The local server has no free slot, and then is the only one to wait at."""
+    monkeypatch.setattr(placement, "MAX_UNSAMPLED", 0)
+    serving = mesh.instances[0]
+    await drain_all_but(mesh, serving)
+    serving.server.work_s = 0.3
+    reads = [
+        asyncio.create_task(mesh.get(serving, f"/read/{index}", f"f{index}"))
+        for index in range(serving.node.backend.slots)
+    ]
+    await eventually(lambda: serving.server.running == len(reads))
+    serving.server.work_s = 3.0
+    async with mesh.session.post(
+        serving.url("/pay/1"), data=b"x", headers=caller_headers("p1", 1300)
+    ) as answer:
+        assert answer.status == 504
+    assert serving.server.runs["p1"] == 1
+    assert {status for status, _ in await asyncio.gather(*reads)} == {200}
