--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,8 @@
     "request_path",
     "silent_path",
     "rate_limits",
+    "node_size",
+    "placement_model",
 )
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
