--- a/soak/faults.py
+++ b/soak/faults.py
@@ -79,8 +79,8 @@
     end_s = stage.now_s() + plan.STOP_LASTS_S
     while instance.process is process and instance.running:
         await asyncio.sleep(0.05)
-        if stage.now_s() > end_s:
-            instance.send(signal.SIGKILL)
+        if stage.now_s() > end_s and process is not None:
+            process.kill()
             return
 
 
