--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -42,6 +42,8 @@
 OBJECTIVE_MS, DEADLINE_MS = 1500.0, 5000.0
 LOCAL_WAY_MS, REMOTE_WAY_MS = 1.0, 3.0
 MAX_TRIES = 4
+VARIANTS = (0, 1, 2, 3)
+"""Servers that are asked for a free slot before a request may wait."""
 
 
 @attrs.frozen
@@ -306,7 +308,7 @@
     machine = machine_facts()
     rows = []
     for load in LOADS:
-        for variant in (0, 1, 2, 3):
+        for variant in VARIANTS:
             found = [play(load, seed, variant) for seed in range(seeds)]
             rows.append(summarize(load, variant, found))
             print(rows[-1], flush=True)
