EXPOSURE: a bad version got all requests of its share of the servers

Cause: nothing read op/rollout records or the versions that servers announce, so servers of a new version joined the pool like any others, and no status was written.

Change: readers of the configuration find orders; each node keeps the canary's share by itself (half of exposure_share of what reached servers); the nodes beside both versions report their runs to two judges a data centre, which compare them by a CUSUM for each route; a bad verdict is told to all at once, then written under the condition that the status topic has not grown; a good version is shifted to in two steps and completed once the old servers are idle. Nodes skip message fields that they don't know, and send new ones only to peers whose greeting says that they read them.

Pinned formats: hello, heartbeat and settings got new fields, three kinds of message and four events are new. The layer test knows the new package mesh/rollouts.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -15,6 +15,8 @@
 from ..decisions.admission import Admission, Refused, Ticket
 from ..decisions.health import Health
 from ..decisions.pressure import CallerDetector
+from ..decisions.rollout import RolloutTable, VersionRole
+from ..decisions.rollout_verdict import RunCounter, is_bad_run
 from ..incarnation import NO_INCARNATION, Incarnation
 from ..link_messages import ServerCondition
 from ..messages import Reason, Request
@@ -73,6 +75,8 @@
     load: LoadSummary = attrs.field(factory=LoadSummary)
     health: Health = attrs.field(factory=Health)
     caller_detector: CallerDetector = attrs.field(factory=CallerDetector)
+    rollouts: RolloutTable = attrs.field(factory=RolloutTable)
+    trial_runs: RunCounter = attrs.field(factory=RunCounter)
     unreachable: bool = False
     shutting_down: bool = False
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
@@ -152,12 +156,33 @@
         reason = self.backend.refusal_reason(request, self.now_ms())
         if reason is not None:
             return reason
+        if self._is_withheld():
+            return Reason.LEAVING
         if self.unreachable:
             return Reason.UNREACHABLE
         if request.remaining_ms <= 0:
             return Reason.TOO_LATE
         return None
 
+    def _is_withheld(self) -> bool:
+        """Whether a roll-out gives this version of the backend server no requests."""
+        role = self.rollouts.role_of(
+            self.backend.service, self.backend.version, self.now_ms()
+        )
+        return role is VersionRole.WITHHELD
+
+    def apply_rollout(self) -> None:
+        """Hand back the waiting requests if the version of the server is withheld."""
+        self._schedule_scan()
+
+    def record_trial_run(self, route: str, failed: bool, run_ms: float) -> None:
+        """Count a run, if two versions of the service are being compared."""
+        if not self.rollouts.in_trial(self.backend.service):
+            return
+        cold = self.backend.cold_remaining_ms(self.now_ms()) > 0
+        mean_ms = 0.0 if cold else self.admission.fleet_mean_run_ms(route)
+        self.trial_runs.record(route, is_bad_run(failed, run_ms, mean_ms))
+
     def release(self, ticket: Ticket) -> None:
         """Remove a run and schedule a scan of the queue.
 
@@ -192,7 +217,7 @@
         now_ms = self.now_ms()
         self._update_rate_limit()
         self._refuse(self.admission.find_expiring(now_ms), self._expiry_reason)
-        if not self.backend.admits(now_ms):
+        if not self.backend.admits(now_ms) or self._is_withheld():
             self._refuse(self.admission.waiting, Reason.LEAVING)
         for waiting in self.transfers.waiting:
             run_guarded(waiting, waiting.refuse_if_late, now_ms)
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -70,6 +70,9 @@
     def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
         """Apply what an incarnation said about itself in an answer."""
 
+    def record_trial_run(self, route: str, failed: bool, run_ms: float) -> None:
+        """Count a run, if two versions of the service are being compared."""
+
     def record_run(self, failed: bool) -> None:
         """Count a run that ended in the failure ratio."""
 
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -350,10 +350,12 @@
             )
         inbound.runtime.metrics.run_ms.record(run_ms)
         inbound.crashes.record_answered(self.request, inbound.now_ms())
-        inbound.record_run(
+        failed = (
             self._partial.status >= SERVER_ERROR
             and self._partial.status != GATEWAY_TIMEOUT
         )
+        inbound.record_run(failed)
+        inbound.record_trial_run(self.request.route, failed, run_ms)
         self._finish()
 
     def on_failed(self, reason: str) -> None:
@@ -430,9 +432,13 @@
         """
         if self.done:
             return
-        self._run_guarded(self._record_slow_run)
+        self._run_guarded(self._record_slow_run, counts_as_failure)
         if counts_as_failure:
             self._run_guarded(self.inbound.record_run, True)
+            run_ms = self.inbound.now_ms() - self._sent_ms
+            self._run_guarded(
+                self.inbound.record_trial_run, self.request.route, True, run_ms
+            )
         self._finish()
         self._run_guarded(self._log_failed, reason)
         self.receiver.on_failure(Failure(int(reason), self.inbound.admission.in_flight))
@@ -465,12 +471,14 @@
         self.inbound.load.failed += 1
         self.inbound.runtime.metrics.count("failed_here", reason.name)
 
-    def _record_slow_run(self) -> None:
+    def _record_slow_run(self, failed: bool = False) -> None:
         """Count a run without an answer if it was longer than the mean."""
         admission, route = self.inbound.admission, self.request.route
         run_ms = self.inbound.now_ms() - self._sent_ms
         if self._sent_ms and run_ms > admission.mean_run_ms(route):
             admission.record_run(route, run_ms)
+            if not failed:
+                self.inbound.record_trial_run(route, False, run_ms)
 
     def _finish(self) -> None:
         """Release the transfer, the slot and the connection.
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -95,6 +95,8 @@
     conflicting_id : str
         Another incarnation that announced the same address; a health probe finds out
         which of them runs.
+    version : str
+        Software version of that incarnation; empty until announced.
     """
 
     drain_ms: float
@@ -102,6 +104,7 @@
     instance_id: str = ""
     slots: int = 1
     conflicting_id: str = ""
+    version: str = ""
     _cold_until_ms: float = 0.0
     _records: dict[str, IncarnationRecord] = attrs.field(factory=dict)
 
@@ -214,6 +217,7 @@
         self.instance_id = instance_id
         self.service = service
         self.slots = slots
+        self.version = ""
         return True
 
     def confirm_instance(self, instance_id: str, now_ms: float) -> None:
@@ -338,4 +342,5 @@
     def _adopt(self, heartbeat: Heartbeat, now_ms: float) -> None:
         self.service = heartbeat.service
         self.slots = heartbeat.slots
+        self.version = heartbeat.version
         self._cold_until_ms = now_ms + heartbeat.cold_remaining_ms
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -136,6 +136,7 @@
         stream = context.members.send(endpoint, request, self)
         if stream is None:
             self._selector.release()
+            self._selector.record_no_arrival()
             self._selector.exclude(endpoint)
             self._dispatch()
         elif not self.done and self.record.nodes_tried == nodes_tried:
@@ -263,6 +264,9 @@
                 self._selector.avoid(endpoint)
         if refusal.reached_backend:
             self.record.runs += 1
+            self._selector.record_arrival()
+        else:
+            self._selector.record_no_arrival()
         may_retry = (
             not self._body.streamed and self.record.nodes_tried < MAX_NODES_TRIED
         )
@@ -285,6 +289,7 @@
         reason = Reason(failure.reason)
         self.record.runs += 1
         self._possible_runs += 1
+        self._selector.record_arrival()
         if endpoint is not None:
             self._selector.avoid(endpoint)
         if self._writer.started:
@@ -306,8 +311,10 @@
             return
         endpoint = self._selector.endpoint
         self.record.record_times(answer)
+        self._selector.record_arrival()
         if endpoint is not None:
             endpoint.mean_run_ms[self.route.name] = answer.mean_run_ms
+        if endpoint is not None and not self._selector.on_trial:
             self.context.mean_run_times.record_run(self.route.name, answer.mean_run_ms)
         if self._is_retriable_error(answer) and not self._body.streamed:
             self.record.runs += 1
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -13,6 +13,7 @@
 from ..decisions.pressure import RefusalMeter
 from ..decisions.retry_budget import RetryBudget
 from ..decisions.returning import Attempt, ReturningCallers
+from ..decisions.rollout import RolloutTable
 from ..decisions.sizes import AnswerSizes
 from ..links.members import Members
 from ..runtime import Runtime
@@ -47,6 +48,7 @@
     retry_budget: RetryBudget
     calling_service: str
     crashes: CrashTracker
+    rollouts: RolloutTable
     mean_run_times: MeanRunTimes = attrs.field(factory=MeanRunTimes)
     returning_callers: ReturningCallers = attrs.field(factory=ReturningCallers)
     answer_sizes: AnswerSizes = attrs.field(factory=AnswerSizes)
--- a/azurestep/mesh/callers/placement.py
+++ b/azurestep/mesh/callers/placement.py
@@ -8,6 +8,7 @@
     SelectionCriteria,
     choose_from_group,
 )
+from ..links.members import FOCUS_SHARE, CanaryGroups
 from .context import CallContext
 
 TRIES_WITHOUT_WAIT = 2
@@ -30,20 +31,31 @@
         Backend server where the call is counted now, or None.
     may_wait : bool
         Whether the request may wait at the one that was chosen last.
+    on_trial : bool
+        Whether that one has a version that is being tried.
     """
 
     context: CallContext
     service: str
     endpoint: Endpoint | None = None
     may_wait: bool = True
+    on_trial: bool = False
+    _dispatched: bool = False
     _excluded: set[object] = attrs.field(factory=set)
     _busy: list[Endpoint] = attrs.field(factory=list)
 
     def choose(self, criteria: SelectionCriteria, now_ms: float) -> Endpoint | None:
         """Return the best backend server that isn't excluded, or None.
 
-        While the request may not wait, those without a free slot are left out.
+        While the request may not wait, those without a free slot are left out. Only
+        the first one may have a version that is being tried.
         """
+        self.on_trial = False
+        if not self._dispatched:
+            self._dispatched = True
+            found = self._choose_canary(criteria, now_ms)
+            if found is not None:
+                return found
         group = self.context.members.endpoint_group(self.service)
         random = self.context.runtime.random
         self.may_wait = (
@@ -59,6 +71,34 @@
             group, criteria, self._excluded, now_ms, random, asked=self._busy
         )
 
+    def _choose_canary(
+        self, criteria: SelectionCriteria, now_ms: float
+    ) -> Endpoint | None:
+        """Return a backend server of a version on trial, if this request tries it."""
+        rollouts = self.context.rollouts
+        if not rollouts.try_canary(self.service):
+            return None
+        groups = self.context.members.canary_groups(self.service) or CanaryGroups()
+        random = self.context.runtime.random
+        focus = random.random() < FOCUS_SHARE
+        for group in (groups.focus, groups.all) if focus else (groups.all,):
+            found = choose_from_group(group, criteria, self._excluded, now_ms, random)
+            if found is not None:
+                self.on_trial = self.may_wait = True
+                return found
+        rollouts.give_back_canary(self.service)
+        return None
+
+    def record_arrival(self) -> None:
+        """Count that the request reached a backend server."""
+        self.context.rollouts.record_arrival(self.service)
+
+    def record_no_arrival(self) -> None:
+        """Count that the request didn't reach the backend server it was sent to."""
+        if self.on_trial:
+            self.on_trial = False
+            self.context.rollouts.give_back_canary(self.service)
+
     def mark_busy(self, endpoint: Endpoint) -> None:
         """Record that a backend server had no free slot for a request."""
         self._busy.append(endpoint)
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -98,6 +98,10 @@
             else known
         )
 
+    def fleet_mean_run_ms(self, route: str) -> float:
+        """Return the mean run time over all backend servers; 0 if unknown."""
+        return self._fleet_mean_run_ms.get(route, 0.0)
+
     def set_fleet_mean(self, route: str, mean_run_ms: float) -> None:
         """Set a route's mean run time over all backend servers."""
         self._fleet_mean_run_ms[route] = mean_run_ms
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -85,6 +85,8 @@
     limited_until_ms : float
         After a refusal under a rate limit: until this time, it is chosen only if no
         other is available.
+    version : str
+        Its software version, as announced; empty if unknown.
     """
 
     key: object
@@ -103,6 +105,7 @@
     unresponsive: bool = False
     rate_limit_per_s: float = math.inf
     limited_until_ms: float = 0.0
+    version: str = ""
 
     @property
     def usable(self) -> bool:
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -148,6 +148,16 @@
     9504, logging.INFO, "request cancelled by the sending node before the answer"
 )
 
+ROLLOUT_BEGUN = register(9601, logging.INFO, "roll-out of a version begun")
+ROLLOUT_PHASE = register(9602, logging.INFO, "roll-out entered a phase")
+ROLLOUT_EVIDENCE = register(9603, logging.INFO, "roll-out decided by these runs")
+ROLLOUT_REJECTED = register(
+    9604,
+    logging.ERROR,
+    "malformed order of a roll-out ignored",
+    "write the order again with service, new_version and duration",
+)
+
 WRITER = LineWriter()
 
 
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -51,6 +51,9 @@
         Whether the store answered the last call.
     on_store_change : Callable
         Called when ``store_reachable`` changes.
+    apply_order : Callable
+        Called with key, value and offset of the operators' other records, and whether
+        they were just written.
     """
 
     runtime: Runtime
@@ -59,6 +62,9 @@
     members: Members
     era: StoreEra
     on_store_change: Callable[[], None]
+    apply_order: Callable[[str, bytes, int, bool], None] = (
+        lambda key, value, offset, live: None
+    )
     store_reachable: bool = True
     _offset: int | None = None
     _failures: int = 0
@@ -127,7 +133,7 @@
             self._mark_reachable()
             if self._offset == offset:
                 self._offset = outcome.next_offset
-            self._apply_latest(outcome.values)
+            self._apply_latest(outcome.values, offset)
             return True
         if isinstance(outcome, Truncated):
             self._mark_reachable()
@@ -136,21 +142,21 @@
         self._mark_unreachable(repr(outcome))
         return False
 
-    def _apply_latest(self, records: list[bytes]) -> None:
-        """Apply the latest valid document; skip records with other keys."""
-        for record in reversed(records):
-            if self._apply_record(record):
+    def _apply_latest(self, records: list[bytes], first_offset: int) -> None:
+        """Apply the latest valid document, and all records with other keys."""
+        documents = []
+        for index, record in enumerate(records):
+            keyed = parse_keyed_record(record)
+            if keyed is None:
+                events.log(events.RECORD_UNREADABLE, topic=OPERATOR_TOPIC, records=1)
+            elif keyed.key == CONFIGURATION_KEY:
+                documents.append(keyed.value)
+            else:
+                self.apply_order(keyed.key, keyed.value, first_offset + index, True)
+        for document in reversed(documents):
+            if document and self.configuration.apply_if_newer(document, SOURCE_STORE):
                 return
 
-    def _apply_record(self, record: bytes) -> bool:
-        keyed = parse_keyed_record(record)
-        if keyed is None:
-            events.log(events.RECORD_UNREADABLE, topic=OPERATOR_TOPIC, records=1)
-            return False
-        if keyed.key != CONFIGURATION_KEY or not keyed.value:
-            return False
-        return self.configuration.apply_if_newer(keyed.value, SOURCE_STORE)
-
     async def _read_latest(self) -> bool:
         outcome = await self.client.read_latest(OPERATOR_TOPIC)
         if not self.era.accept(outcome.era):
@@ -169,6 +175,8 @@
         for item in outcome.items:
             if item.key == CONFIGURATION_KEY and item.value:
                 self.configuration.apply_if_newer(item.value, SOURCE_STORE)
+            elif item.key != CONFIGURATION_KEY:
+                self.apply_order(item.key, item.value, item.offset, False)
         return True
 
     async def _pause(self, seconds: float) -> None:
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -131,6 +131,65 @@
     era: int
 
 
+@attrs.frozen(slots=True)
+class ServerVersion:
+    """Software version of the backend server beside the sender.
+
+    Attributes
+    ----------
+    version : str
+        As announced; empty if unknown.
+    """
+
+    service: str
+    version: str
+
+
+@attrs.frozen(slots=True)
+class RolloutUpdate:
+    """A roll-out as the sender knows it.
+
+    Attributes
+    ----------
+    era, offset : int
+        Era of the store and offset of the order, which identify it.
+    phase : int
+        Progress; higher ones replace lower ones.
+    duration_ms, remaining_ms : float
+        Duration of the order, and how much of it is left; negative afterwards.
+    """
+
+    service: str
+    new_version: str
+    era: int
+    offset: int
+    phase: int
+    duration_ms: float
+    remaining_ms: float
+
+
+@attrs.frozen(slots=True)
+class TrialCounts:
+    """Runs of the backend server beside the sender during a roll-out.
+
+    Attributes
+    ----------
+    era, offset : int
+        The order of the roll-out.
+    in_flight : int
+        Requests that run or wait at the backend server.
+    rows : tuple
+        Route, runs and bad runs of each route since the order.
+    """
+
+    service: str
+    version: str
+    era: int
+    offset: int
+    in_flight: int
+    rows: tuple[tuple[str, int, int], ...] = ()
+
+
 @attrs.frozen(slots=True)
 class CrashReport:
     """Requests that were in flight when backend servers of a service crashed."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -13,11 +13,16 @@
     CrashReport,
     Credit,
     Pong,
+    RolloutUpdate,
     ServerCondition,
+    ServerVersion,
     SlotReady,
     StoreEraUpdate,
+    TrialCounts,
 )
 from ..messages import (
+    FEATURE_LEVEL,
+    REQUEST_FIELDS_AT_LEVEL_0,
     Answer,
     Failure,
     Hello,
@@ -62,6 +67,14 @@
     def on_state(self, connection: "PeerConnection", state: State) -> None:
         """Handle the peer's state."""
 
+    def on_version(self, connection: "PeerConnection", version: ServerVersion) -> None:
+        """Handle the software version of the peer's backend server."""
+
+    def on_trial_counts(
+        self, connection: "PeerConnection", counts: TrialCounts
+    ) -> None:
+        """Handle the runs of the peer's backend server during a roll-out."""
+
     def on_condition(
         self, connection: "PeerConnection", condition: ServerCondition
     ) -> None:
@@ -126,6 +139,7 @@
         self.streams: dict[int, RemoteStream] = {}
         self.last_received_ms = link.runtime.now_ms()
         self.last_probe_ms = self.last_received_ms
+        self.feature_level = 0
         self._decoder = Decoder(PEER_CONNECTION_SCHEMAS)
         self._transport: asyncio.Transport | None = None
         self._last_stream_id = 0
@@ -188,7 +202,10 @@
             request_id=request.request_id,
         )
         self.streams[self._last_stream_id] = stream
-        self.send(Kind.REQUEST, self._last_stream_id, *fields_of(request))
+        fields = fields_of(request)
+        if self.feature_level < FEATURE_LEVEL:
+            fields = fields[:REQUEST_FIELDS_AT_LEVEL_0]
+        self.send(Kind.REQUEST, self._last_stream_id, *fields)
         self._probe_if_idle()
         self._limit_due(self.last_received_ms + BUSY_PROBE_INTERVAL_MS)
         return stream
@@ -282,6 +299,7 @@
         self.link.on_condition(self, condition)
 
     def _on_hello(self, _: None, hello: Hello) -> None:
+        self.feature_level = hello.feature_level
         self.link.on_hello(self, hello)
 
     def _on_pong(self, _: None, pong: Pong) -> None:
@@ -293,6 +311,15 @@
     def _on_store_era(self, _: None, update: StoreEraUpdate) -> None:
         self.link.fleet_listener.on_store_era(update.era)
 
+    def _on_version(self, _: None, version: ServerVersion) -> None:
+        self.link.on_version(self, version)
+
+    def _on_rollout(self, _: None, update: RolloutUpdate) -> None:
+        self.link.fleet_listener.on_rollout(update)
+
+    def _on_trial_counts(self, _: None, counts: TrialCounts) -> None:
+        self.link.on_trial_counts(self, counts)
+
     def _on_crashes(self, _: None, report: CrashReport) -> None:
         self.link.fleet_listener.on_crashes(report.service, report.updates)
 
@@ -337,5 +364,8 @@
     Credit: PeerConnection._on_credit,
     ServerCondition: PeerConnection._on_condition,
     StoreEraUpdate: PeerConnection._on_store_era,
+    ServerVersion: PeerConnection._on_version,
+    RolloutUpdate: PeerConnection._on_rollout,
+    TrialCounts: PeerConnection._on_trial_counts,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ..backend.crashes import decode_updates
+from ..decisions.rollout import Phase
 from ..link_messages import (
     AnswerData,
     Body,
@@ -25,9 +26,12 @@
     Ping,
     Pong,
     Proceed,
+    RolloutUpdate,
     ServerCondition,
+    ServerVersion,
     SlotReady,
     StoreEraUpdate,
+    TrialCounts,
     Withdraw,
 )
 from ..messages import (
@@ -70,6 +74,9 @@
     | CrashReport
     | ServerCondition
     | StoreEraUpdate
+    | ServerVersion
+    | RolloutUpdate
+    | TrialCounts
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -102,7 +109,11 @@
     has_stream_id: bool = True,
     **overrides: Any,
 ) -> MessageSchema:
-    """Return the schema of a class's messages; fields with defaults may be missing."""
+    """Return the schema of a class's messages.
+
+    Fields with defaults may be missing; unknown ones at the end are skipped, since the
+    sender may run a later version of the program.
+    """
     columns: list[Any] = [("kind_", int)]
     if has_stream_id:
         columns.append(("number_", StreamId))
@@ -114,7 +125,6 @@
         message_class.__name__,
         columns,
         array_like=True,
-        forbid_unknown_fields=message_class is not Hello,
     )
     return MessageSchema(_make_validator(row), build or message_class, has_stream_id)
 
@@ -146,6 +156,15 @@
     return condition
 
 
+def _build_rollout(*fields: Any) -> RolloutUpdate:
+    update = RolloutUpdate(*fields)
+    if update.phase not in set(Phase):
+        raise ValueError(f"{update.phase} is not a phase of a roll-out")
+    if not (math.isfinite(update.duration_ms) and math.isfinite(update.remaining_ms)):
+        raise ValueError("the duration of a roll-out is not finite")
+    return update
+
+
 def _build_crashes(service: str, rows: Iterable[Any]) -> CrashReport:
     return CrashReport(service, decode_updates(rows))
 
@@ -186,6 +205,9 @@
     ),
     Kind.SERVER_CONDITION: _CONDITION,
     Kind.STORE_ERA: _schema(StoreEraUpdate, has_stream_id=False),
+    Kind.SERVER_VERSION: _schema(ServerVersion, has_stream_id=False),
+    Kind.ROLLOUT: _schema(RolloutUpdate, _build_rollout, has_stream_id=False),
+    Kind.TRIAL_COUNTS: _schema(TrialCounts, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/links/interfaces.py
+++ b/azurestep/mesh/links/interfaces.py
@@ -4,6 +4,7 @@
 
 from ...quarantine import QuarantineUpdate
 from ..backend.interfaces import AnswerReceiver
+from ..link_messages import RolloutUpdate
 from ..messages import Hello
 
 
@@ -47,7 +48,7 @@
 
 
 class FleetListener(Protocol):
-    """Receiver of configurations, crash reports and store eras from any peer."""
+    """Receiver of configurations, crashes, store eras and roll-outs from any peer."""
 
     def on_configuration(self, version: int, content: bytes) -> None:
         """Handle a configuration that a peer sent."""
@@ -58,5 +59,8 @@
     def on_store_era(self, era: int) -> None:
         """Handle the era of the store that a peer knows."""
 
+    def on_rollout(self, update: RolloutUpdate) -> None:
+        """Handle a roll-out that a peer knows."""
+
     def hello(self) -> Hello:
         """Return this node's hello."""
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -10,7 +10,7 @@
 from ..decisions.cadence import MIN_IDLE_PROBE_INTERVAL_MS
 from ..decisions.choice import Endpoint
 from ..incarnation import NO_INCARNATION, Incarnation
-from ..link_messages import ServerCondition
+from ..link_messages import ServerCondition, ServerVersion, TrialCounts
 from ..messages import Hello, Kind, Request, State
 from ..runtime import Runtime
 from ..settings import Address
@@ -37,6 +37,12 @@
 class LinkListener(FleetListener, Protocol):
     """Receiver of events of links."""
 
+    def on_version(self, link: "PeerLink") -> None:
+        """Handle a new software version of a peer's backend server."""
+
+    def on_trial_counts(self, link: "PeerLink", counts: TrialCounts) -> None:
+        """Handle the runs of a peer's backend server during a roll-out."""
+
     def on_link_up(self, link: "PeerLink", hello: Hello) -> None:
         """Handle a peer that has begun to answer."""
 
@@ -184,6 +190,18 @@
         self._apply_condition()
         self.listener.on_state(self, previous, state)
 
+    def on_version(self, connection: PeerConnection, version: ServerVersion) -> None:
+        """Update the version of the endpoint, which precedes its state."""
+        endpoint = self.endpoint
+        if connection is self.connection and endpoint.version != version.version:
+            endpoint.version = version.version
+            self.listener.on_version(self)
+
+    def on_trial_counts(self, connection: PeerConnection, counts: TrialCounts) -> None:
+        """Pass on the runs of the peer's backend server."""
+        if connection is self.connection:
+            self.listener.on_trial_counts(self, counts)
+
     def on_condition(
         self, connection: PeerConnection, condition: ServerCondition
     ) -> None:
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -13,7 +13,9 @@
 from ..backend.inbound import Inbound
 from ..decisions.cadence import idle_probe_interval_ms
 from ..decisions.choice import Endpoint, EndpointGroup
+from ..decisions.rollout import VersionRole
 from ..incarnation import NO_INCARNATION
+from ..link_messages import RolloutUpdate, TrialCounts
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
@@ -24,6 +26,27 @@
 EXPIRE_AFTER_MS = 300_000.0
 """Time without an answer after which a peer is dropped."""
 NO_ENDPOINTS = EndpointGroup()
+FOCUS_SHARE = 0.75
+"""Share of the canary requests that go to few servers.
+
+These are as busy as servers of the old version, so that faults under load show.
+"""
+
+
+@attrs.define(slots=True, eq=False)
+class CanaryGroups:
+    """Backend servers of a version that is tried by a share of the requests.
+
+    Attributes
+    ----------
+    focus : EndpointGroup
+        The few that get most of them.
+    all : EndpointGroup
+        All of them.
+    """
+
+    focus: EndpointGroup = attrs.field(factory=EndpointGroup)
+    all: EndpointGroup = attrs.field(factory=EndpointGroup)
 
 
 @attrs.define(eq=False)
@@ -40,6 +63,11 @@
         Called with a configuration that a peer sent.
     apply_store_era : Callable
         Called with an era of the store that a peer sent.
+    apply_rollout : Callable
+        Called with a roll-out that a peer sent.
+    apply_trial_counts : Callable
+        Called with a peer's address and the runs of its backend server during a
+        roll-out.
     newest_version : int
         Newest configuration that any peer was ever known to have in force.
     pressure_changed : bool
@@ -55,12 +83,18 @@
     on_change: Callable[[], None]
     apply_configuration: Callable[[int, bytes], None]
     apply_store_era: Callable[[int], object]
+    apply_rollout: Callable[[RolloutUpdate], object] = lambda update: None
+    apply_trial_counts: Callable[[Address, TrialCounts], object] = (
+        lambda address, counts: None
+    )
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     newest_version: int = 0
     pressure_changed: bool = True
     _local: Endpoint = attrs.field(init=False)
     _up_count: int = 0
     _groups: dict[str, EndpointGroup] | None = None
+    _canaries: dict[str, CanaryGroups] = attrs.field(factory=dict)
+    _rollout_revision: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._local = Endpoint(
@@ -82,25 +116,69 @@
         return list(self.endpoint_group(service))
 
     def endpoint_group(self, service: str) -> EndpointGroup:
-        """Return the backend servers of a service, by data centre."""
-        if self._local.service != self.inbound.backend.service:
+        """Return the backend servers of a service, by data centre.
+
+        Those whose version is tried or withheld during a roll-out are left out.
+        """
+        return self._current_groups().get(service, NO_ENDPOINTS)
+
+    def canary_groups(self, service: str) -> CanaryGroups | None:
+        """Return the backend servers of the version that is tried, if there are any."""
+        self._current_groups()
+        return self._canaries.get(service)
+
+    def all_endpoints(self) -> Iterator[Endpoint]:
+        """Yield the backend servers of all services and versions."""
+        self._refresh_local()
+        yield self._local
+        for link in self.live_links():
+            yield link.endpoint
+
+    def _current_groups(self) -> dict[str, EndpointGroup]:
+        local, backend = self._local, self.inbound.backend
+        if local.service != backend.service or local.version != backend.version:
+            self._groups = None
+        if self._rollout_revision != self.inbound.rollouts.revision:
             self._groups = None
         self._refresh_local()
         if self._groups is None:
+            self._rollout_revision = self.inbound.rollouts.revision
             self._groups = self._group_endpoints()
-        return self._groups.get(service, NO_ENDPOINTS)
+        return self._groups
 
     def _group_endpoints(self) -> dict[str, EndpointGroup]:
         groups: dict[str, EndpointGroup] = {}
-        for link in self.live_links():
-            endpoint = link.endpoint
-            group = groups.setdefault(endpoint.service, EndpointGroup())
-            is_local = endpoint.data_centre == self.data_centre
-            (group.local if is_local else group.remote).append(endpoint)
-        own = groups.setdefault(self._local.service, EndpointGroup())
-        own.local.append(self._local)
+        canaries: dict[str, list[Endpoint]] = {}
+        rollouts, now_ms = self.inbound.rollouts, self.runtime.now_ms()
+        for endpoint in (self._local, *(link.endpoint for link in self.live_links())):
+            role = rollouts.role_of(endpoint.service, endpoint.version, now_ms)
+            if role is VersionRole.CURRENT:
+                self._add(
+                    groups.setdefault(endpoint.service, EndpointGroup()), endpoint
+                )
+            elif role is VersionRole.CANARY:
+                canaries.setdefault(endpoint.service, []).append(endpoint)
+        self._canaries = {
+            service: self._group_canaries(found, len(groups.get(service, ())))
+            for service, found in canaries.items()
+        }
         return groups
 
+    def _group_canaries(self, found: list[Endpoint], current: int) -> CanaryGroups:
+        """Return the groups of a tried version; all nodes focus on the same servers."""
+        groups = CanaryGroups()
+        focused = int(current * self.inbound.rollouts.canary_share * FOCUS_SHARE)
+        ordered = sorted(found, key=lambda one: str(one.key))
+        for index, endpoint in enumerate(ordered):
+            self._add(groups.all, endpoint)
+            if index < max(1, focused):
+                self._add(groups.focus, endpoint)
+        return groups
+
+    def _add(self, group: EndpointGroup, endpoint: Endpoint) -> None:
+        is_local = endpoint.data_centre == self.data_centre
+        (group.local if is_local else group.remote).append(endpoint)
+
     def is_local(self, endpoint: Endpoint) -> bool:
         """Whether a backend server is the local one."""
         return endpoint is self._local
@@ -136,6 +214,10 @@
             link.idle_probe_interval_ms = pause_ms
             self.runtime.run_guarded("tick", link.tick, now_ms)
 
+    def regroup(self) -> None:
+        """Group the backend servers again, as a withheld version may be usable."""
+        self._groups = None
+
     def discount_pause(self, pause_ms: float) -> None:
         """Exclude a pause of this node from the peers' time to answer probes."""
         for link in self.links.values():
@@ -181,6 +263,18 @@
         self.pressure_changed = True
         self.on_change()
 
+    def on_version(self, link: PeerLink) -> None:
+        """Group the backend servers again."""
+        self._groups = None
+
+    def on_rollout(self, update: RolloutUpdate) -> None:
+        """Pass on a roll-out that a peer sent."""
+        self.apply_rollout(update)
+
+    def on_trial_counts(self, link: PeerLink, counts: TrialCounts) -> None:
+        """Pass on the runs of a peer's backend server during a roll-out."""
+        self.apply_trial_counts(link.address, counts)
+
     def on_configuration(self, version: int, content: bytes) -> None:
         """Pass on a configuration that a peer sent."""
         self.apply_configuration(version, content)
@@ -200,6 +294,7 @@
         local.incarnation = backend.incarnation
         local.open = inbound.open
         local.slots = backend.slots
+        local.version = backend.version
         local.rate_limit_per_s = backend.rate_limit_per_s
         local.failure_ratio = inbound.health.failure_ratio
         local.in_flight = inbound.admission.in_flight
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -19,7 +19,10 @@
     Credit,
     Ping,
     Proceed,
+    RolloutUpdate,
     ServerCondition,
+    ServerVersion,
+    TrialCounts,
     Withdraw,
 )
 from ..messages import (
@@ -33,6 +36,7 @@
     fields_of,
 )
 from ..runtime import Runtime
+from ..settings import Address
 from .decoding import INCOMING_LINK_SCHEMAS, NO_STREAM, Decoder, Message
 from .remote_receiver import OutcomeForwarder
 
@@ -83,6 +87,7 @@
     local_links: "set[IncomingLink]" = attrs.field(factory=set)
     _urgent: tuple[object, ...] = ()
     _sent_condition: ServerCondition | None = None
+    _sent_version: ServerVersion | None = None
     _local_pacer: ReportPacer = attrs.field(
         factory=lambda: ReportPacer(LOCAL_REPORTS_PER_S)
     )
@@ -98,6 +103,7 @@
     def broadcast_state(self) -> None:
         """Send this node's state to all peers; rate-limited unless it is urgent."""
         self._broadcast_condition()
+        self.broadcast_version()
         state = self.state()
         data = encode(Kind.STATE, *fields_of(state))
         now_ms = self.runtime.now_ms()
@@ -127,6 +133,29 @@
         """Tell all peers the era of the store."""
         self._write(self.links, encode(Kind.STORE_ERA, self.store_era()))
 
+    def broadcast_version(self) -> None:
+        """Tell all peers the version of the backend server, if it has changed."""
+        version = self.version()
+        if version != self._sent_version:
+            self._sent_version = version
+            self._write(self.links, encode(Kind.SERVER_VERSION, *fields_of(version)))
+
+    def version(self) -> ServerVersion:
+        """Return the version of the backend server."""
+        backend = self.inbound.backend
+        return ServerVersion(backend.service, backend.version)
+
+    def broadcast_rollout(self, update: RolloutUpdate) -> None:
+        """Tell all peers the progress of a roll-out."""
+        self._write(self.links, encode(Kind.ROLLOUT, *fields_of(update)))
+
+    def send_trial_counts(self, counts: TrialCounts, peers: set[Address]) -> None:
+        """Send the runs of the backend server during a roll-out to some peers."""
+        data = encode(Kind.TRIAL_COUNTS, *fields_of(counts))
+        for link in self.links:
+            if link.peer is not None and tuple(link.peer.peer_address) in peers:
+                link.write(data)
+
     def push_configuration(self) -> None:
         """Send the configuration in force to the peers of the local data centre.
 
@@ -190,11 +219,19 @@
         self._min_delay_ms: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send a hello, this node's state and its crash reports."""
+        """Send a hello, this node's state, and what it knows of the fleet.
+
+        Roll-outs and the version precede the state, which makes the backend server
+        usable.
+        """
         self._transport = transport  # type: ignore[assignment]
         incoming_links = self.incoming_links
         incoming_links.links.add(self)
         self.send(Kind.HELLO, *fields_of(incoming_links.hello()))
+        now_ms = incoming_links.runtime.now_ms()
+        for rollout in incoming_links.inbound.rollouts:
+            self.send(Kind.ROLLOUT, *fields_of(rollout.to_update(now_ms)))
+        self.send(Kind.SERVER_VERSION, *fields_of(incoming_links.version()))
         self.send(Kind.STATE, *fields_of(incoming_links.state()))
         if incoming_links.store_era():
             self.send(Kind.STORE_ERA, incoming_links.store_era())
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -15,6 +15,11 @@
 
 Headers = list[tuple[bytes, bytes]]
 PROTOCOL_VERSION = 2
+FEATURE_LEVEL = 1
+"""Rises with each field that is added to a message. Nodes of level 0 reject messages
+with fields that they don't know; later ones skip them."""
+REQUEST_FIELDS_AT_LEVEL_0 = 19
+"""Fields of a request that nodes of level 0 read for sure."""
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
 COMPRESSION_LEVEL = 1
 """Fastest level of zlib."""
@@ -43,6 +48,9 @@
     WITHDRAW = 18
     SERVER_CONDITION = 19
     STORE_ERA = 20
+    SERVER_VERSION = 21
+    ROLLOUT = 22
+    TRIAL_COUNTS = 23
 
 
 class Reason(IntEnum):
@@ -113,6 +121,8 @@
         Start of the sender's process, which identifies its incarnation.
     configuration_version : int
         Configuration in force at the sender; 0 for none.
+    feature_level : int
+        ``FEATURE_LEVEL`` of the sender; 0 if it doesn't know such levels.
     """
 
     protocol_version: int
@@ -120,6 +130,7 @@
     data_centre: str
     started_ms: int
     configuration_version: int
+    feature_level: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -27,13 +27,16 @@
 from .callers.own_answers import answer_bad_gateway
 from .decisions.pressure import PressureReport
 from .decisions.retry_budget import RetryBudget
+from .decisions.rollout import RolloutTable
 from .knowledge.configuration import SOURCE_PEER, Configuration
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
 from .knowledge.store_era import StoreEra
+from .link_messages import RolloutUpdate, TrialCounts
 from .links.members import Members
 from .links.server import IncomingLink, IncomingLinks
-from .messages import PROTOCOL_VERSION, Hello, State
+from .messages import FEATURE_LEVEL, PROTOCOL_VERSION, Hello, State
+from .rollouts.control import Rollouts
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
 from .stopping import GracefulShutdown
@@ -85,6 +88,7 @@
     call_context: CallContext = attrs.field(init=False)
     outbound: Outbound = attrs.field(init=False)
     incoming_links: IncomingLinks = attrs.field(init=False)
+    rollouts: Rollouts = attrs.field(init=False)
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
     shutdown: GracefulShutdown = attrs.field(init=False)
@@ -112,6 +116,11 @@
             self.backend,
             self.schedule_state_broadcast,
             self.crashes,
+            rollouts=RolloutTable(
+                bounds.exposure_ratio,
+                bounds.exposure_extra,
+                self._is_store_reachable,
+            ),
         )
         self.store_era = StoreEra(self._on_store_era)
         self.members = Members(
@@ -123,6 +132,8 @@
             self._on_peer_change,
             self._apply_configuration,
             self.store_era.accept,
+            self._apply_rollout,
+            self._apply_trial_counts,
         )
         self.configuration = Configuration(
             self._on_configuration, random=runtime.random
@@ -134,6 +145,7 @@
             self.members,
             self.store_era,
             self.schedule_state_broadcast,
+            self._apply_order,
         )
         self.discovery = Discovery(
             runtime,
@@ -146,7 +158,12 @@
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_ms
         )
         self.call_context = CallContext(
-            runtime, self.members, budget, settings.service, self.crashes
+            runtime,
+            self.members,
+            budget,
+            settings.service,
+            self.crashes,
+            self.inbound.rollouts,
         )
         self.outbound = Outbound(self.call_context, lambda: self.configuration.table)
         self.incoming_links = IncomingLinks(
@@ -163,6 +180,14 @@
             self.inbound.condition,
             settings.data_centre,
         )
+        self.rollouts = Rollouts(
+            runtime,
+            self._make_store_client(),
+            self.members,
+            self.incoming_links,
+            self.inbound,
+            self.store_era,
+        )
         self.prober = Prober(
             runtime,
             self.inbound,
@@ -236,6 +261,7 @@
         """Begin a graceful shutdown."""
         if not self.shutdown.begin(self.settings.bounds.grace_ms):
             return
+        self.rollouts.stopping = True
         self.runtime.spawn(self.discovery.deregister())
         self.schedule_state_broadcast()
 
@@ -291,6 +317,7 @@
             self.settings.data_centre,
             int(self.started_ms),
             self.configuration.version,
+            FEATURE_LEVEL,
         )
 
     def state(self) -> State:
@@ -345,12 +372,33 @@
     def _apply_configuration(self, version: int, content: bytes) -> None:
         self.configuration.apply_if_newer(content, SOURCE_PEER)
 
+    def _apply_order(self, key: str, value: bytes, offset: int, live: bool) -> None:
+        self.rollouts.apply_record(key, value, offset, live)
+
+    def _apply_rollout(self, update: RolloutUpdate) -> None:
+        self.rollouts.apply_update(update, from_peer=True)
+
+    def _apply_trial_counts(self, address: Address, counts: TrialCounts) -> None:
+        self.rollouts.apply_counts(address, counts)
+
+    def _is_store_reachable(self) -> bool:
+        """Whether the first reader of the data centre reaches the store."""
+        own = (self.settings.peer_address, self.configuration_watcher.store_reachable)
+        peers = [
+            (link.address, link.state.store_reachable)
+            for link in self.members.live_links()
+            if link.state is not None
+            and link.endpoint.data_centre == self.settings.data_centre
+        ]
+        return min([own, *peers])[1]
+
     def _on_store_era(self, former: int, era: int) -> None:
         """Invalidate what is remembered of the store, and write again what is lost."""
         events.log(events.STORE_RETURNED, former=former, era=era)
         self.runtime.metrics.count("store_returns")
         self.configuration_watcher.forget_offset()
         self.discovery.register_again()
+        self.rollouts.on_store_era()
         self.incoming_links.broadcast_store_era()
 
     def _on_configuration(self, table: RoutingTable) -> None:
@@ -411,6 +459,7 @@
         run_guarded(self.members.tick, now_ms)
         run_guarded(self.inbound.tick)
         run_guarded(self.prober.check)
+        run_guarded(self.rollouts.tick, now_ms)
         run_guarded(self.call_context.refusals.tick)
         run_guarded(self._update_load_shedder)
         run_guarded(self.configuration_watcher.tick, now_ms)
--- /dev/null
+++ b/azurestep/mesh/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of versions: evidence from all nodes, decisions, statuses."""
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -52,6 +52,9 @@
         fixed number of retries in each window.
     stability_ms : float
         Value of ``stability_window``, which the node does not use.
+    exposure_ratio, exposure_extra : float
+        Requests that may reach a bad version of a service: a ratio of all between the
+        order and its deadline, plus a fixed number.
     """
 
     drain_ms: float = 2000.0
@@ -61,6 +64,8 @@
     retry_extra: float = 62.0
     retry_window_ms: float = 10_000.0
     stability_ms: float = 3000.0
+    exposure_ratio: float = 0.1
+    exposure_extra: float = 0.0
 
 
 BOUND_FIELDS = {
@@ -71,6 +76,8 @@
     "budget_extra_retries": "retry_extra",
     "budget_window": "retry_window_ms",
     "stability_window": "stability_ms",
+    "exposure_share": "exposure_ratio",
+    "exposure_slack": "exposure_extra",
 }
 
 
--- a/azurestep/platform/announcement.py
+++ b/azurestep/platform/announcement.py
@@ -40,6 +40,8 @@
     started_ms : int or None
         Start time in Unix milliseconds, or None if not announced. The same id with a
         later start is another incarnation.
+    version : str
+        Version of its software.
     """
 
     instance_id: str
@@ -49,6 +51,7 @@
     leaving: bool
     cold_remaining_ms: float
     started_ms: int | None = None
+    version: str = ""
 
 
 @attrs.frozen(slots=True)
@@ -140,6 +143,7 @@
         leaving=fields.status.state is _ReportedState.DRAINING,
         cold_remaining_ms=parse_duration_ms(fields.status.cold_remaining),
         started_ms=_started_ms(fields.born),
+        version=fields.information.version,
     )
 
 
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -198,12 +198,20 @@
         return self._append_outcome(answer)
 
     async def put(
-        self, topic: str, key: str, value: bytes, producer: Producer | None = None
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        producer: Producer | None = None,
+        at: int | None = None,
     ) -> AppendOutcome:
-        """Set the value of a key of a keyed topic; an empty value deletes the key."""
+        """Set the value of a key of a keyed topic; an empty value deletes the key.
+
+        ``at``: required end offset of the topic; another one is a conflict.
+        """
         name = key.encode()
         record = bytes([len(name)]) + name + value
-        return await self.append(topic, [record], producer=producer)
+        return await self.append(topic, [record], at=at, producer=producer)
 
     async def read(
         self, topic: str, from_offset: int, wait_ms: int
--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -29,6 +29,7 @@
 from azurestep.mesh.callers.placement import EndpointSelector
 from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
 from azurestep.mesh.decisions.choice import Endpoint, EndpointGroup, SelectionCriteria
+from azurestep.mesh.decisions.rollout import RolloutTable
 from azurestep.mesh.incarnation import Incarnation
 
 from .results import Machine, at_end, machine_facts, write_result
@@ -162,6 +163,7 @@
         context: Any = SimpleNamespace(
             members=SimpleNamespace(endpoint_group=lambda _: self.group),
             runtime=SimpleNamespace(random=self.random, now_ms=lambda: self.now_ms),
+            rollouts=RolloutTable(),
         )
         run_ms = MEAN_RUN_MS * self.random.lognormvariate(
             -(RUN_SIGMA**2) / 2, RUN_SIGMA
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -72,6 +72,7 @@
     server: SigningServer
     task: asyncio.Task[None] | None = None
     beats: int = 0
+    version: str = "v1"
 
     def url(self, path: str) -> str:
         """Return the URL of a path for callers of this instance."""
@@ -84,7 +85,7 @@
             "address": f"{self.host}:{BACKEND_PORT}",
             "information": {
                 "service": "shop",
-                "version": "v1",
+                "version": self.version,
                 "zone": "dc-0",
                 "slots": 4,
             },
@@ -109,12 +110,13 @@
     path: pathlib.Path
     instances: list[MeshInstance] = attrs.field(factory=list)
 
-    async def add(self, index: int) -> MeshInstance:
-        """Start an instance."""
+    async def add(self, index: int, version: str = "v1") -> MeshInstance:
+        """Start an instance whose backend server has a version."""
         host = f"{NETWORK}.{index}"
         server = SigningServer(f"i-{index}")
         await server.start(host, BACKEND_PORT)
         instance = MeshInstance(host, self._node(host, index), server)
+        instance.version = version
         self.start_node(instance)
         self.instances.append(instance)
         return instance
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,6 +15,14 @@
     "mesh.backend": {"http", "routing", "platform", "mesh", "mesh.decisions"},
     "mesh.links": {"http", "platform", "mesh", "mesh.decisions", "mesh.backend"},
     "mesh.knowledge": {"platform", "routing", "mesh", "mesh.links"},
+    "mesh.rollouts": {
+        "platform",
+        "mesh",
+        "mesh.decisions",
+        "mesh.backend",
+        "mesh.links",
+        "mesh.knowledge",
+    },
     "mesh.callers": {
         "http",
         "routing",
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from azurestep.mesh.decisions.rollout import Phase
 from azurestep.mesh.links import decoding
 from azurestep.mesh.links.connection import HANDLERS as CONNECTION_HANDLERS
 from azurestep.mesh.links.connection import PeerConnection, RemoteStream
@@ -62,6 +63,9 @@
     Kind.WITHDRAW: [STREAM],
     Kind.SERVER_CONDITION: [b"i-1", 5, 47.9, True],
     Kind.STORE_ERA: [4],
+    Kind.SERVER_VERSION: ["shop", "v2"],
+    Kind.ROLLOUT: ["shop", "v2", 1, 7, int(Phase.CANARY), 12_000.0, 9000.0],
+    Kind.TRIAL_COUNTS: ["shop", "v2", 1, 7, 3, [["read", 20, 1]]],
 }
 LEAVES = (
     st.none()
--- a/tests/test_mesh_foreign_records.py
+++ b/tests/test_mesh_foreign_records.py
@@ -53,7 +53,7 @@
 
 def test_valid_heartbeat_is_parsed() -> None:
     found = read_announcement(TARGET, json.dumps(HEARTBEAT).encode())
-    assert found == Heartbeat("i-1", "shop", 7, 4, False, 0.0, 1_764_000_000_000)
+    assert found == Heartbeat("i-1", "shop", 7, 4, False, 0.0, 1_764_000_000_000, "v1")
 
 
 def test_unknown_fields_are_ignored() -> None:
--- a/tests/test_mesh_offering.py
+++ b/tests/test_mesh_offering.py
@@ -9,6 +9,7 @@
 from azurestep.mesh.callers import placement
 from azurestep.mesh.callers.placement import TRIES_WITHOUT_WAIT, EndpointSelector
 from azurestep.mesh.decisions.choice import EndpointGroup
+from azurestep.mesh.decisions.rollout import RolloutTable
 from bench.placement_model import LOADS, Load, play
 
 from .fixtures_inbound import (
@@ -58,6 +59,7 @@
     context: Any = SimpleNamespace(
         members=SimpleNamespace(endpoint_group=lambda _: group),
         runtime=SimpleNamespace(random=random),
+        rollouts=RolloutTable(),
     )
     return EndpointSelector(context, "shop")
 
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -584,7 +584,7 @@
 
 # Messages between nodes on the platform, encoded by position
 
-HELLO = mesh.Hello(2, ("10.0.0.1", 7102), "kgn1", 1700, 5)
+HELLO = mesh.Hello(2, ("10.0.0.1", 7102), "kgn1", 1700, 5, 1)
 
 
 def request(whole: bool) -> mesh.Request:
@@ -674,6 +674,19 @@
     "condition": OnLink(
         19, WHOLE_LINK, False, link.ServerCondition(b"i-1", 77, 47.9, True)
     ),
+    "server_version": OnLink(21, WHOLE_LINK, False, link.ServerVersion("songs", "v2")),
+    "rollout": OnLink(
+        22,
+        WHOLE_LINK,
+        False,
+        link.RolloutUpdate("songs", "v2", 1, 7, 2, 12_000.0, 9000.5),
+    ),
+    "trial_counts": OnLink(
+        23,
+        WHOLE_LINK,
+        False,
+        link.TrialCounts("songs", "v2", 1, 7, 3, (("get-songs", 20, 1),)),
+    ),
     "condition_back": OnLink(
         19, WHOLE_LINK, True, link.ServerCondition(b"i-1", 77, 47.9)
     ),
@@ -708,6 +721,21 @@
     assert decoded(raw, True) == [(7, shortened)]
 
 
+def test_hello_of_feature_level_0_is_read() -> None:
+    pinned = bytes.fromhex(PINNED["hello_of_feature_level_0"])
+    expected = attrs.evolve(HELLO, feature_level=0)
+    assert decoded(pinned, True) == [(WHOLE_LINK, expected)]
+    assert decoded(pinned, False) == [(WHOLE_LINK, expected)]
+
+
+@pytest.mark.parametrize("name", ON_LINKS)
+def test_fields_of_a_later_version_are_skipped(name: str) -> None:
+    sample = ON_LINKS[name]
+    row = msgpack.unpackb(bytes.fromhex(PINNED["link_messages"][name]), raw=False)
+    later = msgpack.packb([*row, "later", 5])
+    assert decoded(later, sample.from_caller) == [(sample.number, sample.message)]
+
+
 def test_configuration_on_a_link() -> None:
     pinned = bytes.fromhex(PINNED["link_configuration"])
     assert decoded(pinned, False) == [(WHOLE_LINK, link.ConfigurationUpdate(7, b"{}"))]
