Receive large bodies in pieces, before their requests get a slot

Cause: a body of 60 KB takes 137 ms on a link of 3.5 Mbit/s.

Change: the rate of the link is a setting (limits.link_mbps). A body that would wait too long is refused at once, with the link's backlog in Retry-After. Nodes tell their peers the backlog, and the choice for large bodies counts it.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -17,6 +17,7 @@
 from ..decisions.pressure import CallerDetector
 from ..decisions.rollout import RolloutTable, VersionRole
 from ..decisions.rollout_verdict import RunCounter, is_bad_run
+from ..decisions.transfers import BodyTransfers
 from ..incarnation import NO_INCARNATION, Incarnation
 from ..link_messages import ServerCondition
 from ..messages import Reason, Request
@@ -28,7 +29,6 @@
 from .load import LoadSummary, tick_load
 from .run import AnswerReceiver, Run
 from .state import LocalBackend
-from .transfers import BodyTransfer, BodyTransfers
 
 CONNECT_TIMEOUT_S = 1.0
 """Time after which a connection attempt counts as failed.
@@ -140,9 +140,12 @@
         self.caller_detector.record_request(
             request.route, request.priority, request.calling_service
         )
+        if run.awaits_body:
+            self._admit_transfer(run)
+            return
         decision = self.admission.admit(run.ticket, self.now_ms())
         if isinstance(decision, Refused):
-            run.refuse(Reason.STOPPING if self.shutting_down else Reason.OVERLOADED)
+            run.refuse(self._overload_reason)
         elif decision:
             run.start()
         elif self.backend.is_leaving():
@@ -152,6 +155,51 @@
         else:
             self._schedule_limited_start(self.now_ms())
 
+    @property
+    def _overload_reason(self) -> Reason:
+        """Reason for the refusal of requests for which there is no capacity."""
+        return Reason.STOPPING if self.shutting_down else Reason.OVERLOADED
+
+    def _admit_transfer(self, run: Run) -> None:
+        """Receive a large body before its request gets a slot, or refuse it at once.
+
+        The body waits for the link only, so it doesn't keep a slot from others.
+        """
+        ticket, now_ms = run.ticket, self.now_ms()
+        wait_ms = self.transfers.wait_ms()
+        transfer_ms = self.transfers.transfer_ms(run.request.length)
+        end_ms = self.admission.estimate_end_ms(ticket, now_ms + wait_ms + transfer_ms)
+        latest_ms = self.admission.run_deadline_ms(ticket)
+        if wait_ms:
+            latest_ms = min(latest_ms, ticket.objective_deadline_ms)
+        if self.backend.is_leaving():
+            run.refuse(Reason.LEAVING)
+        elif end_ms > latest_ms:
+            run.refuse(self._overload_reason)
+        else:
+            in_pieces = run.request.body_in_pieces
+            self.transfers.add(run, run.request.length, in_pieces)
+            self._schedule_scan()
+
+    def record_body(self, run: object, size_bytes: int, whole: bool) -> None:
+        """Record a piece of a body; a request whose body is whole may run."""
+        if not isinstance(run, Run):
+            return
+        if whole:
+            self.transfers.remove(run)
+            self._admit_received(run)
+        else:
+            self.transfers.record_received(run, size_bytes, self.now_ms())
+        self._schedule_scan()
+
+    def _admit_received(self, run: Run) -> None:
+        """Run a request whose body was received, or let it wait for a slot."""
+        decision = self.admission.admit(run.ticket, self.now_ms(), committed=True)
+        if isinstance(decision, Refused):
+            run.refuse(self._overload_reason)
+        elif decision:
+            run.start()
+
     def _find_refusal_reason(self, request: Request) -> Reason | None:
         reason = self.backend.refusal_reason(request, self.now_ms())
         if reason is not None:
@@ -193,11 +241,6 @@
         if self._runs:
             self._schedule_scan()
 
-    def end_transfer(self, transfer: BodyTransfer) -> None:
-        """End the transfer of a body, so that the next one can begin."""
-        self.transfers.end(transfer)
-        self._schedule_scan()
-
     def _schedule_scan(self) -> None:
         """Schedule a scan of the queue on the event loop.
 
@@ -209,7 +252,7 @@
             self.runtime.call_soon(self._scan_queue)
 
     def _scan_queue(self) -> None:
-        """Refuse requests that can't end in time, then assign slots and transfers.
+        """Refuse requests that can't end in time, then assign slots and the link.
 
         Also done between ticks, since the deadline of a short request may pass earlier.
         """
@@ -219,17 +262,25 @@
         self._refuse(self.admission.find_expiring(now_ms), self._expiry_reason)
         if not self.backend.admits(now_ms) or self._is_withheld():
             self._refuse(self.admission.waiting, Reason.LEAVING)
-        for waiting in self.transfers.waiting:
-            run_guarded(waiting, waiting.refuse_if_late, now_ms)
+            self._refuse(self._transferring(), Reason.LEAVING)
+        for run in self._runs_in_transfer():
+            run_guarded(run, run.refuse_if_late, now_ms)
         while (ticket := self.admission.start_next(now_ms)) is not None:
             run = self._runs[ticket]
             run_guarded(run, run.start)
         if self.backend.is_leaving():
             self._refuse(self.admission.waiting, Reason.LEAVING)
-        while (transfer := self.transfers.start_next()) is not None:
-            run_guarded(transfer, transfer.request_body)
+        for grant in self.transfers.grant(now_ms):
+            if isinstance(grant.owner, Run):
+                run_guarded(grant.owner, grant.owner.request_body, grant)
         self._schedule_limited_start(now_ms)
 
+    def _runs_in_transfer(self) -> list[Run]:
+        return [run for run in self.transfers if isinstance(run, Run)]
+
+    def _transferring(self) -> list[Ticket]:
+        return [run.ticket for run in self._runs_in_transfer()]
+
     def _schedule_limited_start(self, now_ms: float) -> None:
         """Schedule a scan for when the rate limit lets the next request start."""
         if self._scan_timer is not None:
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -5,13 +5,13 @@
 from ...http.client import ClientConnection, IdlePool
 from ...platform.headers import ServerNotice
 from ..decisions.admission import Admission, Ticket
+from ..decisions.transfers import BodyTransfers
 from ..incarnation import Incarnation
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from ..runtime import Runtime
 from .crashes import CrashTracker
 from .load import LoadSummary
 from .state import LocalBackend
-from .transfers import BodyTransfer, BodyTransfers
 
 
 class AnswerReceiver(Protocol):
@@ -64,8 +64,8 @@
     def release(self, ticket: Ticket) -> None:
         """Remove a run; calls no receiver."""
 
-    def end_transfer(self, transfer: BodyTransfer) -> None:
-        """End the transfer of a body; calls no receiver."""
+    def record_body(self, run: object, size_bytes: int, whole: bool) -> None:
+        """Record a piece of a body that was held back; calls no receiver."""
 
     def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
         """Apply what an incarnation said about itself in an answer."""
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -6,6 +6,7 @@
 from ...platform.headers import AnswerFields
 from .. import events
 from ..decisions.admission import Ticket
+from ..decisions.transfers import Grant
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_parts import MISDIRECTED, PartialAnswer
 from .interfaces import AnswerReceiver, RunHost
@@ -40,13 +41,6 @@
 Exceeds the time after which a sender abandons an unresponsive link, 250 ms; a sender
 answers within some 3 ms.
 """
-TRANSFER_TIMEOUT_MS = 450.0
-"""Longest time for the transfer of a body.
-
-Enough for the largest body, 512 KB, on a link of 10 Mbit/s, which takes 420 ms. With a
-longer limit, two unresponsive senders kept all other uploads beside a server from their
-bodies until their own deadlines.
-"""
 FIRST_NON_SUCCESS_STATUS = 300
 BAD_REQUEST = 400
 SERVER_ERROR = 500
@@ -83,7 +77,7 @@
         self._sent_ms = 0.0
         self._needs_confirmation = request.needs_confirmation
         self._confirmation_asked_ms = 0.0
-        self._awaits_body = False
+        self.awaits_body = request.needs_confirmation and not request.whole
         self._could_end_in_time: bool | None = None
 
     # Called by the sender of the request.
@@ -95,10 +89,10 @@
         self._whole = whole
         if self._connection is None:
             self._buffered_body.append(data)
-            if whole and self._awaits_body:
-                self._awaits_body = False
-                self.inbound.end_transfer(self)
-                self.start()
+            if self.awaits_body:
+                if whole:
+                    self.awaits_body = self._needs_confirmation = False
+                self.inbound.record_body(self, len(data), whole)
             return
         self._connection.send_more(encode_body_part(self.request, data, whole), whole)
         self._send_credit(len(data))
@@ -109,9 +103,8 @@
             self._needs_confirmation = False
             if self.done or not self._confirmation_asked_ms:
                 return
-            if self._awaits_body:
-                return
-            self.start()
+            if not self.awaits_body:
+                self.start()
 
     def cancel(self) -> None:
         """Abort the request without an outcome; the sender has dropped it."""
@@ -128,6 +121,11 @@
         self._record_slow_run()
         self._finish()
 
+    @property
+    def takes_pieces(self) -> bool:
+        """Whether a body is to be sent in pieces; not within one node."""
+        return False
+
     @property
     def may_have_run(self) -> bool:
         """Whether the request was sent to the backend server."""
@@ -192,14 +190,14 @@
             self._could_end_in_time = in_time
         return not in_time and (self._could_end_in_time or inbound.shutting_down)
 
-    def _request_confirmation(self) -> None:
-        self._awaits_body = not self._whole
-        if self._awaits_body and not self.inbound.transfers.begin(self):
-            return
-        self.request_body()
+    def request_body(self, grant: Grant) -> None:
+        """Ask the sender for a piece of the body, and to confirm the request."""
+        if grant.is_first:
+            self._request_confirmation()
+        if self.request.body_in_pieces and not self.done:
+            self.receiver.on_credit(grant.size_bytes)
 
-    def request_body(self) -> None:
-        """Ask the sender to confirm the request and to send a large body."""
+    def _request_confirmation(self) -> None:
         self._confirmation_asked_ms = self.inbound.now_ms()
         self.receiver.on_slot_ready()
 
@@ -381,8 +379,7 @@
         )
         if self._needs_confirmation and waited_ms > CONFIRMATION_TIMEOUT_MS:
             self.refuse(Reason.TOO_LATE)
-        elif self._awaits_body and waited_ms > TRANSFER_TIMEOUT_MS:
-            self.inbound.end_transfer(self)
+        elif self.awaits_body:
             self.refuse_if_late(now_ms)
         elif now_ms > self.deadline_ms + ABORT_DELAY_MS:
             self.withdraw()
@@ -402,13 +399,11 @@
         self._finish()
         self._run_guarded(self._log_refused, reason)
         admission = self.inbound.admission
+        retry_after_ms = admission.estimate_retry_after_ms(self.inbound.now_ms())
+        if self.awaits_body:
+            retry_after_ms += self.inbound.transfers.wait_ms()
         self.receiver.on_refusal(
-            Refusal(
-                int(reason),
-                admission.in_flight,
-                admission.estimate_retry_after_ms(self.inbound.now_ms()),
-                reached_backend,
-            )
+            Refusal(int(reason), admission.in_flight, retry_after_ms, reached_backend)
         )
 
     def _log_refused(self, reason: Reason) -> None:
@@ -486,7 +481,7 @@
         Each step is guarded, so that the outcome is reported in any case.
         """
         self.done = True
-        self._run_guarded(self.inbound.transfers.end, self)
+        self._run_guarded(self.inbound.transfers.remove, self)
         self._run_guarded(self.inbound.release, self.ticket)
         self._run_guarded(self._drop_connection)
 
--- a/azurestep/mesh/callers/body.py
+++ b/azurestep/mesh/callers/body.py
@@ -15,6 +15,28 @@
 """
 
 
+@attrs.define(slots=True, eq=False)
+class BodyPieces:
+    """A body that is sent in the pieces that the other end asks for.
+
+    Examples
+    --------
+    >>> pieces = BodyPieces(b"abcde")
+    >>> pieces.take(3), pieces.take(3), pieces.take(3)
+    ((b'abc', False), (b'de', True), (b'', True))
+    """
+
+    _content: bytes
+    _sent_bytes: int = 0
+
+    def take(self, size_bytes: int) -> tuple[bytes, bool]:
+        """Return the next bytes, and whether the body ends with them."""
+        end = self._sent_bytes + size_bytes
+        data = self._content[self._sent_bytes : end]
+        self._sent_bytes += len(data)
+        return data, self._sent_bytes >= len(self._content)
+
+
 @attrs.define(slots=True, eq=False)
 class RequestBody:
     """The part of a body that was read so far.
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -9,7 +9,7 @@
 from ..links.interfaces import Stream
 from ..messages import Answer, Failure, Reason, Refusal
 from .answer_writer import AnswerWriter
-from .body import MAX_BUFFERED_BODY_BYTES, RequestBody
+from .body import MAX_BUFFERED_BODY_BYTES, BodyPieces, RequestBody
 from .context import CallContext, Target
 from .deadline import Deadline
 from .ending import GATEWAY_TIMEOUT, OutcomeReporter
@@ -52,6 +52,7 @@
         remaining_ms = min(caller.remaining_ms or route.timeout_ms, route.timeout_ms)
         self.done = False
         self._body = RequestBody()
+        self._pieces: BodyPieces | None = None
         self._request_builder = RequestBuilder(
             context, exchange, caller, self.record, self._body
         )
@@ -130,9 +131,10 @@
             self._refuse(Reason.QUARANTINED, QUARANTINE_RETRY_AFTER_MS)
             return
         self.record.instance = endpoint.incarnation.instance_id
+        self._pieces = None
         self.record.nodes_tried += 1
         nodes_tried = self.record.nodes_tried
-        self._selector.assign(endpoint)
+        self._selector.assign(endpoint, self._request_builder.deferred_kib(endpoint))
         stream = context.members.send(endpoint, request, self)
         if stream is None:
             self._selector.release()
@@ -153,8 +155,12 @@
     # Events of the node beside the backend server.
 
     def on_credit(self, size: int) -> None:
-        """Resume reading the caller's body once the window has room."""
-        if self._body.record_acknowledged(size):
+        """Send the next piece of the body, or resume reading it from the caller."""
+        if self._pieces is not None:
+            data, whole = self._pieces.take(size)
+            if data and self._stream is not None:
+                self._stream.add_body(data, whole)
+        elif self._body.record_acknowledged(size):
             self.exchange.connection.resume_reading()
 
     def on_slot_ready(self) -> None:
@@ -162,7 +168,11 @@
         endpoint = self._selector.endpoint
         if self._stream is None or endpoint is None:
             return
-        if self._request_builder.defers_body(endpoint):
+        if not self._request_builder.defers_body(endpoint):
+            return
+        if self._stream.takes_pieces:
+            self._pieces = BodyPieces(self._body.content())
+        else:
             self._stream.add_body(self._body.content(), True)
 
     def on_unresponsive(self, confirmed: bool) -> None:
--- a/azurestep/mesh/callers/outgoing.py
+++ b/azurestep/mesh/callers/outgoing.py
@@ -31,6 +31,7 @@
             context.mean_run_times.get(route),
             self._transfer_kib(),
             context.members.data_centre,
+            self.body.size_bytes / 1024 if self.body.is_deferred else 0.0,
         )
 
     def build_request(
@@ -62,6 +63,7 @@
             needs_confirmation=not body.streamed
             and (deferred or not self.is_reroutable()),
             may_wait=may_wait,
+            body_in_pieces=deferred,
         )
 
     def is_reroutable(self) -> bool:
@@ -77,6 +79,10 @@
         """Whether the body is sent only once the peer asks for it."""
         return self.body.is_deferred and not self.context.members.is_local(endpoint)
 
+    def deferred_kib(self, endpoint: Endpoint) -> float:
+        """Return the size of the body that a peer will ask for; 0 for none."""
+        return self.body.size_bytes / 1024 if self.defers_body(endpoint) else 0.0
+
     def _transfer_kib(self) -> float:
         """Return the size of the request's body and its expected answer."""
         body_bytes = max(self.body.size_bytes, self.exchange.length)
--- a/azurestep/mesh/callers/placement.py
+++ b/azurestep/mesh/callers/placement.py
@@ -41,6 +41,7 @@
     may_wait: bool = True
     on_trial: bool = False
     _dispatched: bool = False
+    _body_kib: float = 0.0
     _excluded: set[object] = attrs.field(factory=set)
     _busy: list[Endpoint] = attrs.field(factory=list)
 
@@ -103,16 +104,19 @@
         """Record that a backend server had no free slot for a request."""
         self._busy.append(endpoint)
 
-    def assign(self, endpoint: Endpoint) -> None:
+    def assign(self, endpoint: Endpoint, body_kib: float = 0.0) -> None:
         """Make a backend server the current one and count the call there."""
         self.endpoint = endpoint
+        self._body_kib = body_kib
         endpoint.own_in_flight += 1
+        endpoint.bodies.own_kib += body_kib
 
     def release(self) -> Endpoint | None:
         """Clear the current backend server, if any, and return it."""
         endpoint, self.endpoint = self.endpoint, None
         if endpoint is not None:
             endpoint.own_in_flight -= 1
+            endpoint.bodies.own_kib -= self._body_kib
         return endpoint
 
     def exclude(self, endpoint: Endpoint) -> None:
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -118,12 +118,20 @@
         """Clear the run times, which belong to an earlier incarnation."""
         self._mean_run_ms.clear()
 
-    def admit(self, ticket: Ticket, now_ms: float) -> bool | Refused:
+    def admit(
+        self, ticket: Ticket, now_ms: float, committed: bool = False
+    ) -> bool | Refused:
         """Decide whether a new request runs, waits or is refused.
 
         A request that can't meet its objective runs if a slot is free and is refused
         otherwise: in the queue it would mostly be refused shortly before its deadline.
 
+        Parameters
+        ----------
+        committed : bool
+            Whether work was spent on the request already, such as the transfer of its
+            body; then it may miss its objective.
+
         Returns
         -------
         bool or Refused
@@ -139,11 +147,21 @@
         ):
             return True
         end_ms += self._wait_in_queue_ms(ticket, now_ms)
-        if end_ms > min(self.run_deadline_ms(ticket), ticket.objective_deadline_ms):
+        latest_ms = self.run_deadline_ms(ticket)
+        if not committed:
+            latest_ms = min(latest_ms, ticket.objective_deadline_ms)
+        if end_ms > latest_ms:
             return Refused(self.estimate_retry_after_ms(now_ms))
         self._waiting.append(ticket)
         return False
 
+    def estimate_end_ms(self, ticket: Ticket, now_ms: float) -> float:
+        """Return when a request would end that is admitted now."""
+        end_ms = now_ms + self.mean_run_ms(ticket.route)
+        if self._has_free_slot() and not self._waiting:
+            return end_ms
+        return end_ms + self._wait_in_queue_ms(ticket, now_ms)
+
     def remove(self, ticket: Ticket) -> None:
         """Remove a request that ended, whether it ran or waited."""
         if ticket in self.running:
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -56,6 +56,41 @@
 """Random part of a value, so that nodes with the same reports choose differently."""
 
 
+@attrs.define(slots=True)
+class BodyQueue:
+    """Large bodies on the way to a backend server over the link of its node.
+
+    Attributes
+    ----------
+    own_kib, own_kib_at_report : float
+        What this node is sending there, now and at the last report.
+
+    Examples
+    --------
+    >>> queue = BodyQueue()
+    >>> queue.update(wait_ms=300.0, ms_per_kib=2.5)
+    >>> queue.own_kib = 60.0
+    >>> queue.wait_ms(40.0)
+    550.0
+    """
+
+    own_kib: float = 0.0
+    own_kib_at_report: float = 0.0
+    _reported_ms: float = 0.0
+    _ms_per_kib: float = 0.0
+
+    def update(self, wait_ms: float, ms_per_kib: float) -> None:
+        """Apply a report."""
+        self._reported_ms, self._ms_per_kib = wait_ms, ms_per_kib
+        self.own_kib_at_report = self.own_kib
+
+    def wait_ms(self, size_kib: float) -> float:
+        """Return the time until a further body has arrived."""
+        own_ms = self.own_kib * self._ms_per_kib
+        since_ms = (self.own_kib - self.own_kib_at_report) * self._ms_per_kib
+        return max(own_ms, self._reported_ms + since_ms) + size_kib * self._ms_per_kib
+
+
 @attrs.define(slots=True, eq=False)
 class Endpoint:
     """A backend server as known to this node.
@@ -87,6 +122,8 @@
         other is available.
     version : str
         Its software version, as announced; empty if unknown.
+    bodies : BodyQueue
+        Large bodies on their way to it.
     """
 
     key: object
@@ -106,6 +143,7 @@
     rate_limit_per_s: float = math.inf
     limited_until_ms: float = 0.0
     version: str = ""
+    bodies: BodyQueue = attrs.field(factory=BodyQueue)
 
     @property
     def usable(self) -> bool:
@@ -163,6 +201,9 @@
         Bytes that would cross between data centres, in KiB.
     data_centre : str
         Where the caller is.
+    body_kib : float
+        Size of a large body, which waits for the link of the node beside the backend
+        server; 0 for a short one.
     """
 
     service: str
@@ -171,6 +212,7 @@
     fleet_mean_run_ms: float
     size_kib: float
     data_centre: str
+    body_kib: float = 0.0
 
 
 @attrs.define(slots=True)
@@ -340,6 +382,8 @@
     load = endpoint.load
     slots = endpoint.usable_slots(run_ms)
     wait_ms = max(0.0, load + 1 - slots) * endpoint.start_interval_ms(run_ms)
+    if criteria.body_kib:
+        wait_ms = max(wait_ms, endpoint.bodies.wait_ms(criteria.body_kib))
     objective_ms = max(criteria.objective_ms, 1.0)
     value = 1.0 / (1.0 + ((wait_ms + run_ms) / objective_ms) ** OBJECTIVE_STEEPNESS)
     value -= FAILURE_PENALTY * endpoint.failure_ratio
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -190,6 +190,22 @@
     rows: tuple[tuple[str, int, int], ...] = ()
 
 
+@attrs.frozen(slots=True)
+class BodyBacklog:
+    """How long a further large body would wait for the link of the sender.
+
+    Attributes
+    ----------
+    wait_ms : float
+        Time that the link needs for the bodies that the sender receives already.
+    ms_per_kib : float
+        Time that it needs for each further KiB.
+    """
+
+    wait_ms: float
+    ms_per_kib: float
+
+
 @attrs.frozen(slots=True)
 class CrashReport:
     """Requests that were in flight when backend servers of a service crashed."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -9,6 +9,7 @@
 from .. import events
 from ..link_messages import (
     AnswerData,
+    BodyBacklog,
     ConfigurationUpdate,
     CrashReport,
     Credit,
@@ -70,6 +71,9 @@
     def on_version(self, connection: "PeerConnection", version: ServerVersion) -> None:
         """Handle the software version of the peer's backend server."""
 
+    def on_backlog(self, connection: "PeerConnection", backlog: BodyBacklog) -> None:
+        """Handle how long a body would wait for the peer's link."""
+
     def on_trial_counts(
         self, connection: "PeerConnection", counts: TrialCounts
     ) -> None:
@@ -113,6 +117,11 @@
             self.connection.send(Kind.CANCEL, self.stream_id)
             self.connection.close_if_done()
 
+    @property
+    def takes_pieces(self) -> bool:
+        """Whether the peer asks for a body piece by piece."""
+        return self.connection.feature_level >= FEATURE_LEVEL
+
     @property
     def may_have_run(self) -> bool:
         """Whether the request may have run, or may still run."""
@@ -317,6 +326,9 @@
     def _on_rollout(self, _: None, update: RolloutUpdate) -> None:
         self.link.fleet_listener.on_rollout(update)
 
+    def _on_backlog(self, _: None, backlog: BodyBacklog) -> None:
+        self.link.on_backlog(self, backlog)
+
     def _on_trial_counts(self, _: None, counts: TrialCounts) -> None:
         self.link.on_trial_counts(self, counts)
 
@@ -367,5 +379,6 @@
     ServerVersion: PeerConnection._on_version,
     RolloutUpdate: PeerConnection._on_rollout,
     TrialCounts: PeerConnection._on_trial_counts,
+    BodyBacklog: PeerConnection._on_backlog,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -18,6 +18,7 @@
 from ..link_messages import (
     AnswerData,
     Body,
+    BodyBacklog,
     Cancel,
     ConfigurationQuery,
     ConfigurationUpdate,
@@ -77,6 +78,7 @@
     | ServerVersion
     | RolloutUpdate
     | TrialCounts
+    | BodyBacklog
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -165,6 +167,12 @@
     return update
 
 
+def _build_backlog(wait_ms: float, ms_per_kib: float) -> BodyBacklog:
+    if not (0 <= wait_ms < math.inf and 0 <= ms_per_kib < math.inf):
+        raise ValueError("the backlog is not a time")
+    return BodyBacklog(wait_ms, ms_per_kib)
+
+
 def _build_crashes(service: str, rows: Iterable[Any]) -> CrashReport:
     return CrashReport(service, decode_updates(rows))
 
@@ -208,6 +216,7 @@
     Kind.SERVER_VERSION: _schema(ServerVersion, has_stream_id=False),
     Kind.ROLLOUT: _schema(RolloutUpdate, _build_rollout, has_stream_id=False),
     Kind.TRIAL_COUNTS: _schema(TrialCounts, has_stream_id=False),
+    Kind.BODY_BACKLOG: _schema(BodyBacklog, _build_backlog, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/links/interfaces.py
+++ b/azurestep/mesh/links/interfaces.py
@@ -14,6 +14,10 @@
     def add_body(self, data: bytes, whole: bool) -> None:
         """Send more of the body."""
 
+    @property
+    def takes_pieces(self) -> bool:
+        """Whether the other end asks for a body that was held back piece by piece."""
+
     @property
     def may_have_run(self) -> bool:
         """Whether the request may have run, or may still run."""
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -10,7 +10,12 @@
 from ..decisions.cadence import MIN_IDLE_PROBE_INTERVAL_MS
 from ..decisions.choice import Endpoint
 from ..incarnation import NO_INCARNATION, Incarnation
-from ..link_messages import ServerCondition, ServerVersion, TrialCounts
+from ..link_messages import (
+    BodyBacklog,
+    ServerCondition,
+    ServerVersion,
+    TrialCounts,
+)
 from ..messages import Hello, Kind, Request, State
 from ..runtime import Runtime
 from ..settings import Address
@@ -197,6 +202,11 @@
             endpoint.version = version.version
             self.listener.on_version(self)
 
+    def on_backlog(self, connection: PeerConnection, backlog: BodyBacklog) -> None:
+        """Update how long a body would wait for the peer's link."""
+        if connection is self.connection:
+            self.endpoint.bodies.update(backlog.wait_ms, backlog.ms_per_kib)
+
     def on_trial_counts(self, connection: PeerConnection, counts: TrialCounts) -> None:
         """Pass on the runs of the peer's backend server."""
         if connection is self.connection:
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -14,6 +14,7 @@
 from ..decisions.cadence import LOCAL_REPORTS_PER_S, REMOTE_REPORTS_PER_S, ReportPacer
 from ..link_messages import (
     Body,
+    BodyBacklog,
     Cancel,
     ConfigurationQuery,
     Credit,
@@ -44,6 +45,10 @@
 LATE_AFTER_MS = 100.0
 """Tolerated delay in excess of the link's minimum. A larger excess is subtracted from a
 request's remaining time, so that no request runs for longer than its caller waits."""
+BACKLOG_STEP_MS = 100.0
+"""Resolution of the reported time that bodies wait for the link."""
+BACKLOG_INTERVAL_MS = 300.0
+"""Shortest time between two such reports."""
 URGENT_FAILURE_RATIO = 0.3
 """Failure ratio that is reported to peers at once when it is crossed."""
 MIN_DELAY_GROWTH = 0.01
@@ -88,6 +93,8 @@
     _urgent: tuple[object, ...] = ()
     _sent_condition: ServerCondition | None = None
     _sent_version: ServerVersion | None = None
+    _sent_backlog: BodyBacklog = BodyBacklog(0.0, 0.0)
+    _next_backlog_ms: float = 0.0
     _local_pacer: ReportPacer = attrs.field(
         factory=lambda: ReportPacer(LOCAL_REPORTS_PER_S)
     )
@@ -104,6 +111,7 @@
         """Send this node's state to all peers; rate-limited unless it is urgent."""
         self._broadcast_condition()
         self.broadcast_version()
+        self._broadcast_backlog()
         state = self.state()
         data = encode(Kind.STATE, *fields_of(state))
         now_ms = self.runtime.now_ms()
@@ -145,6 +153,20 @@
         backend = self.inbound.backend
         return ServerVersion(backend.service, backend.version)
 
+    def _broadcast_backlog(self) -> None:
+        """Tell all peers how long a large body would wait, if that has changed."""
+        transfers, now_ms = self.inbound.transfers, self.runtime.now_ms()
+        backlog = BodyBacklog(
+            round(transfers.wait_ms() / BACKLOG_STEP_MS) * BACKLOG_STEP_MS,
+            transfers.transfer_ms(1024),
+        )
+        known = self._sent_backlog.wait_ms
+        if backlog.wait_ms == known or now_ms < self._next_backlog_ms:
+            return
+        self._sent_backlog = backlog
+        self._next_backlog_ms = now_ms + BACKLOG_INTERVAL_MS
+        self._write(self.links, encode(Kind.BODY_BACKLOG, *fields_of(backlog)))
+
     def broadcast_rollout(self, update: RolloutUpdate) -> None:
         """Tell all peers the progress of a roll-out."""
         self._write(self.links, encode(Kind.ROLLOUT, *fields_of(update)))
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -51,6 +51,7 @@
     SERVER_VERSION = 21
     ROLLOUT = 22
     TRIAL_COUNTS = 23
+    BODY_BACKLOG = 24
 
 
 class Reason(IntEnum):
@@ -201,6 +202,9 @@
     may_wait : bool
         Whether the request may wait for a slot. Otherwise it is refused if none is
         free, as the sender knows other backend servers.
+    body_in_pieces : bool
+        Whether the sender sends a body that was held back in the pieces for which it
+        gets credit, instead of all at once.
     """
 
     method: bytes
@@ -223,6 +227,7 @@
     fleet_mean_run_ms: float = 0.0
     needs_confirmation: bool = False
     may_wait: bool = True
+    body_in_pieces: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -122,6 +122,8 @@
                 self._is_store_reachable,
             ),
         )
+        if settings.link_mbps:
+            self.inbound.transfers.link_bytes_per_ms = settings.link_mbps * 125
         self.store_era = StoreEra(self._on_store_era)
         self.members = Members(
             runtime,
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -3,6 +3,7 @@
 The platform renders the file from the template ``deploy/settings.json``.
 """
 
+import math
 import pathlib
 from typing import Any
 
@@ -121,6 +122,8 @@
         Address of the platform's store.
     peer_listen_address : Address, optional
         Address to listen on for other nodes, if a relay listens on ``peer_address``.
+    link_mbps : float
+        Rate of the instance's network link in Mbit/s; 0 if unknown.
     """
 
     instance: str
@@ -136,6 +139,7 @@
     store_address: Address
     bounds: Bounds = Bounds()
     peer_listen_address: Address | None = None
+    link_mbps: float = 0.0
 
 
 def read_settings(path: pathlib.Path) -> MeshSettings:
@@ -181,6 +185,7 @@
             store_address=parse_address(fields["store"]["address"]),
             bounds=parse_bounds(fields["bounds"]),
             peer_listen_address=_optional_address(fields.get("peer_listen_address")),
+            link_mbps=_parse_link_rate(fields["link_mbps"]),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(
@@ -189,5 +194,12 @@
         ) from error
 
 
+def _parse_link_rate(value: Any) -> float:
+    rate_mbps = float(value or 0)
+    if not 0 <= rate_mbps < math.inf:
+        raise ValueError(f"{value!r} is not a link rate in Mbit/s")
+    return rate_mbps
+
+
 def _optional_address(value: Any) -> Address | None:
     return parse_address(value) if value else None
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -27,6 +27,7 @@
 WORK_S = 0.06
 ACKNOWLEDGED_WITHIN_S = 1.0
 LONG_PATH, LONG_PAYMENT_PATH = "/long/", "/long-pay/"
+LINK_MBPS = 1000.0
 OK = 200
 
 
@@ -150,6 +151,7 @@
             "announce_address": f"{host}:{ANNOUNCE_PORT}",
             "backend_address": f"{host}:{BACKEND_PORT}",
             "metrics_port": METRICS_PORT,
+            "link_mbps": LINK_MBPS,
             "bounds": {"drain": "2s", "grace": f"{STOP_LASTS_S:.0f}s"},
             "store": {"address": f"{self.store.host}:{self.store.port}"},
         }
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -127,6 +127,7 @@
 
     outcomes: list[str] = attrs.field(factory=list)
     asked: int = 0
+    credits: list[int] = attrs.field(factory=list)
     react: Callable[[str], None] = lambda event: None
 
     def on_answer(self, answer: Answer) -> None:
@@ -148,6 +149,7 @@
         self.react("failure")
 
     def on_credit(self, size: int) -> None:
+        self.credits.append(size)
         self.react("credit")
 
     def on_slot_ready(self) -> None:
@@ -169,7 +171,9 @@
         remaining_ms: float = 1200.0,
         needs_confirmation: bool = False,
         body_bytes: int = 0,
+        *,
         may_wait: bool = True,
+        body_in_pieces: bool = False,
     ) -> Run:
         """Submit a read, or a request whose body comes later."""
         self.number += 1
@@ -192,6 +196,7 @@
             b"",
             needs_confirmation=needs_confirmation,
             may_wait=may_wait,
+            body_in_pieces=body_in_pieces,
         )
         return self.inbound.submit(request, receiver)
 
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -21,6 +21,7 @@
     "listen_addresses.ready": "10.1.0.4:8625",
     "listen_addresses.control": "10.1.0.4:8620",
     "application_address": "10.1.0.4:8628",
+    "limits.link_mbps": 3.5,
     "bounds": {"drain": "2500ms", "retry_budget_ratio": 0.2, "recovery": "15s"},
     "platform": {"address": "10.2.0.7:8627", "form": "log"},
 }
@@ -44,6 +45,7 @@
     assert settings.store_address == ("10.2.0.7", 8627)
     assert settings.bounds.drain_ms == 2500.0
     assert settings.bounds.retry_ratio == 0.2
+    assert settings.link_mbps == 3.5
 
 
 @pytest.mark.parametrize(
@@ -54,6 +56,8 @@
         ("bounds", {"drain": "-1s"}),
         ("store", {}),
         ("metrics_port", "x"),
+        ("link_mbps", "wide"),
+        ("link_mbps", -1.0),
     ],
 )
 def test_invalid_field_is_rejected_with_a_remedy(field: str, value: object) -> None:
@@ -68,6 +72,10 @@
             decode_settings({k: v for k, v in rendered().items() if k != field})
 
 
+def test_an_unknown_link_rate_is_accepted() -> None:
+    assert decode_settings({**rendered(), "link_mbps": None}).link_mbps == 0.0
+
+
 def test_invalid_json_and_missing_file_are_rejected(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "settings.json"
     path.write_text("node: 1")
