BUDGET: calls earned retries, and calls of repeated runs cost none

Cause: each request earned budget at the service it went to, also a call of another server's run, while only requests of clients count; and the calls that a repeated run makes again, which count as repeats at the called service, were charged to nobody. On the shifted deployment media-store gets 58 client requests a second and some 380 calls.

Change: routes whose requests come from one service only, which the node beside the server finds already, are told to all nodes and earn nothing; a retry spends a token of each service that its run calls too, which it may overdraw by a quarter of the fixed number.

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -411,7 +411,8 @@
             return False
         if self.record.nodes_tried >= MAX_NODES_TRIED:
             return False
-        return self.context.retry_budget.try_spend(self.service, now_ms)
+        called = self.context.called_services.get(self.service, ())
+        return self.context.retry_budget.try_spend(self.service, now_ms, called)
 
     def _refuse_without_endpoint(self) -> None:
         refusal = self._refusal
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -41,6 +41,8 @@
         Calls that are not answered yet.
     drain_deadline_ms : float
         When the last call must be answered; infinite until the node shuts down.
+    called_services : dict
+        Services that the runs of each service call.
     """
 
     runtime: Runtime
@@ -55,6 +57,7 @@
     refusals: RefusalMeter = attrs.field(factory=RefusalMeter)
     calls_in_flight: set[ActiveCall] = attrs.field(factory=set)
     drain_deadline_ms: float = math.inf
+    called_services: dict[str, set[str]] = attrs.field(factory=dict)
 
     def limit_deadline(self, drain_deadline_ms: float) -> None:
         """Shorten the deadlines of all calls, present and future."""
@@ -80,7 +83,8 @@
         """Count a request for a service, for load reports and the retry budget."""
         self.refusals.record_offered(route.name, service, route.priority)
         self.retry_budget.members = self.members.count()
-        self.retry_budget.earn(service)
+        if route.name not in self.members.called_routes:
+            self.retry_budget.earn(service)
 
 
 @attrs.frozen(slots=True)
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -69,6 +69,10 @@
             halves = {name: count // 2 for name, count in origins.items()}
             self._origins[route] = {k: count for k, count in halves.items() if count}
 
+    def called_routes(self) -> tuple[str, ...]:
+        """Return the routes on which a service calls the local one."""
+        return tuple(sorted(self._calling_services))
+
     def calling_services(self) -> tuple[CallingService, ...]:
         """Return the calling services, each with the priority of its calls."""
         return tuple(sorted(set(self._calling_services.values())))
@@ -138,6 +142,21 @@
     refusals: tuple[RefusalRatio, ...]
 
 
+def find_called_services(reports: Iterable[PressureReport]) -> dict[str, set[str]]:
+    """Return the services that each service calls.
+
+    Examples
+    --------
+    >>> find_called_services([PressureReport("books", (("shop", 1),), ())])
+    {'shop': {'books'}}
+    """
+    called: dict[str, set[str]] = {}
+    for report in reports:
+        for caller, _ in report.calling_services:
+            called.setdefault(caller, set()).add(report.service)
+    return called
+
+
 class LoadShedder:
     """Ratios of requests to refuse, from the reports of all nodes.
 
--- a/azurestep/mesh/decisions/retry_budget.py
+++ b/azurestep/mesh/decisions/retry_budget.py
@@ -3,15 +3,23 @@
 All nodes share the budget: a ratio of a service's requests plus a fixed number in each
 window. Each node uses an equal part of the number and the ratio of its own requests, so
 the nodes need no coordination.
+
+Load pattern: the servers of one service fail many runs. The retries call other services
+again, and those calls count in the budgets of these, which earn from their own clients'
+requests only.
 """
 
+from collections.abc import Collection
+
 import attrs
 
 USED_RETRY_RATIO = 0.5
 """Fraction of the allowed ratio that is used.
 
-The rest is left for the calls that retried requests make to other services.
+The rest is a reserve for what other nodes count differently.
 """
+MAX_DEBT_RATIO = 0.25
+"""Fraction of the fixed number by which calls of retries may overdraw a budget."""
 USED_EXTRA_RATIO = 0.5
 """Fraction of the fixed number that is used, for the same reason."""
 
@@ -49,18 +57,34 @@
         tokens = self._tokens.get(service, max_tokens)
         self._tokens[service] = min(max_tokens, tokens + self.ratio * USED_RETRY_RATIO)
 
-    def try_spend(self, service: str, now_ms: float) -> bool:
-        """Spend a token for a retry if there is one; return whether it was spent."""
+    def try_spend(
+        self, service: str, now_ms: float, called: Collection[str] = ()
+    ) -> bool:
+        """Spend a token for a retry if there is one; return whether it was spent.
+
+        Parameters
+        ----------
+        called : collection of str
+            Services that the retried run calls again: one token of each is spent too.
+        """
+        if self._refill(service, now_ms) < 1.0:
+            return False
+        max_debt = self.extra * MAX_DEBT_RATIO / max(1, self.members)
+        if any(self._refill(one, now_ms) - 1.0 < -max_debt for one in called):
+            return False
+        for one in (service, *called):
+            self._tokens[one] -= 1.0
+        return True
+
+    def _refill(self, service: str, now_ms: float) -> float:
+        """Add the tokens since the last refill; return how many there are."""
         max_tokens = self._max_tokens()
         since_ms = now_ms - self._refilled_ms.get(service, now_ms)
         self._refilled_ms[service] = now_ms
         refill = since_ms / self.window_ms * max_tokens * USED_EXTRA_RATIO
         tokens = min(max_tokens, self._tokens.get(service, max_tokens) + refill)
-        if tokens < 1.0:
-            self._tokens[service] = tokens
-            return False
-        self._tokens[service] = tokens - 1.0
-        return True
+        self._tokens[service] = tokens
+        return tokens
 
     def _max_tokens(self) -> float:
         return max(1.0, self.extra * USED_EXTRA_RATIO / max(1, self.members))
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -206,6 +206,13 @@
     ms_per_kib: float
 
 
+@attrs.frozen(slots=True)
+class CalledRoutes:
+    """Routes on which other services call the backend server beside the sender."""
+
+    names: tuple[str, ...]
+
+
 @attrs.frozen(slots=True)
 class CrashReport:
     """Requests that were in flight when backend servers of a service crashed."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -10,6 +10,7 @@
 from ..link_messages import (
     AnswerData,
     BodyBacklog,
+    CalledRoutes,
     ConfigurationUpdate,
     CrashReport,
     Credit,
@@ -71,6 +72,11 @@
     def on_version(self, connection: "PeerConnection", version: ServerVersion) -> None:
         """Handle the software version of the peer's backend server."""
 
+    def on_called_routes(
+        self, connection: "PeerConnection", routes: CalledRoutes
+    ) -> None:
+        """Handle the routes on which services call the peer's backend server."""
+
     def on_backlog(self, connection: "PeerConnection", backlog: BodyBacklog) -> None:
         """Handle how long a body would wait for the peer's link."""
 
@@ -326,6 +332,9 @@
     def _on_rollout(self, _: None, update: RolloutUpdate) -> None:
         self.link.fleet_listener.on_rollout(update)
 
+    def _on_called_routes(self, _: None, routes: CalledRoutes) -> None:
+        self.link.on_called_routes(self, routes)
+
     def _on_backlog(self, _: None, backlog: BodyBacklog) -> None:
         self.link.on_backlog(self, backlog)
 
@@ -380,5 +389,6 @@
     RolloutUpdate: PeerConnection._on_rollout,
     TrialCounts: PeerConnection._on_trial_counts,
     BodyBacklog: PeerConnection._on_backlog,
+    CalledRoutes: PeerConnection._on_called_routes,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -19,6 +19,7 @@
     AnswerData,
     Body,
     BodyBacklog,
+    CalledRoutes,
     Cancel,
     ConfigurationQuery,
     ConfigurationUpdate,
@@ -79,6 +80,7 @@
     | RolloutUpdate
     | TrialCounts
     | BodyBacklog
+    | CalledRoutes
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -216,6 +218,7 @@
     Kind.SERVER_VERSION: _schema(ServerVersion, has_stream_id=False),
     Kind.ROLLOUT: _schema(RolloutUpdate, _build_rollout, has_stream_id=False),
     Kind.TRIAL_COUNTS: _schema(TrialCounts, has_stream_id=False),
+    Kind.CALLED_ROUTES: _schema(CalledRoutes, has_stream_id=False),
     Kind.BODY_BACKLOG: _schema(BodyBacklog, _build_backlog, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -12,6 +12,7 @@
 from ..incarnation import NO_INCARNATION, Incarnation
 from ..link_messages import (
     BodyBacklog,
+    CalledRoutes,
     ServerCondition,
     ServerVersion,
     TrialCounts,
@@ -45,6 +46,9 @@
     def on_version(self, link: "PeerLink") -> None:
         """Handle a new software version of a peer's backend server."""
 
+    def on_called_routes(self, routes: CalledRoutes) -> None:
+        """Handle the routes on which services call a peer's backend server."""
+
     def on_trial_counts(self, link: "PeerLink", counts: TrialCounts) -> None:
         """Handle the runs of a peer's backend server during a roll-out."""
 
@@ -202,6 +206,13 @@
             endpoint.version = version.version
             self.listener.on_version(self)
 
+    def on_called_routes(
+        self, connection: PeerConnection, routes: CalledRoutes
+    ) -> None:
+        """Pass on the routes on which services call the peer's backend server."""
+        if connection is self.connection:
+            self.listener.on_called_routes(routes)
+
     def on_backlog(self, connection: PeerConnection, backlog: BodyBacklog) -> None:
         """Update how long a body would wait for the peer's link."""
         if connection is self.connection:
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -15,7 +15,7 @@
 from ..decisions.choice import Endpoint, EndpointGroup
 from ..decisions.rollout import VersionRole
 from ..incarnation import NO_INCARNATION
-from ..link_messages import RolloutUpdate, TrialCounts
+from ..link_messages import CalledRoutes, RolloutUpdate, TrialCounts
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
@@ -73,6 +73,8 @@
     pressure_changed : bool
         Whether a peer that answers has reported other refusals or callers, or the
         peers that answer have changed, since this was last reset.
+    called_routes : set of str
+        Routes on which services call others, as any node found.
     """
 
     runtime: Runtime
@@ -90,6 +92,7 @@
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     newest_version: int = 0
     pressure_changed: bool = True
+    called_routes: set[str] = attrs.field(factory=set)
     _local: Endpoint = attrs.field(init=False)
     _up_count: int = 0
     _groups: dict[str, EndpointGroup] | None = None
@@ -267,6 +270,10 @@
         """Group the backend servers again."""
         self._groups = None
 
+    def on_called_routes(self, routes: CalledRoutes) -> None:
+        """Record routes on which services call others."""
+        self.called_routes.update(routes.names)
+
     def on_rollout(self, update: RolloutUpdate) -> None:
         """Pass on a roll-out that a peer sent."""
         self.apply_rollout(update)
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -15,6 +15,7 @@
 from ..link_messages import (
     Body,
     BodyBacklog,
+    CalledRoutes,
     Cancel,
     ConfigurationQuery,
     Credit,
@@ -95,6 +96,7 @@
     _sent_version: ServerVersion | None = None
     _sent_backlog: BodyBacklog = BodyBacklog(0.0, 0.0)
     _next_backlog_ms: float = 0.0
+    _sent_called_routes: CalledRoutes = CalledRoutes(())
     _local_pacer: ReportPacer = attrs.field(
         factory=lambda: ReportPacer(LOCAL_REPORTS_PER_S)
     )
@@ -112,6 +114,7 @@
         self._broadcast_condition()
         self.broadcast_version()
         self._broadcast_backlog()
+        self._broadcast_called_routes()
         state = self.state()
         data = encode(Kind.STATE, *fields_of(state))
         now_ms = self.runtime.now_ms()
@@ -153,6 +156,17 @@
         backend = self.inbound.backend
         return ServerVersion(backend.service, backend.version)
 
+    def _broadcast_called_routes(self) -> None:
+        """Tell all peers the routes on which services call the backend server."""
+        routes = self.called_routes()
+        if routes != self._sent_called_routes:
+            self._sent_called_routes = routes
+            self._write(self.links, encode(Kind.CALLED_ROUTES, *fields_of(routes)))
+
+    def called_routes(self) -> CalledRoutes:
+        """Return the routes on which services call the backend server."""
+        return CalledRoutes(self.inbound.caller_detector.called_routes())
+
     def _broadcast_backlog(self) -> None:
         """Tell all peers how long a large body would wait, if that has changed."""
         transfers, now_ms = self.inbound.transfers, self.runtime.now_ms()
@@ -255,6 +269,7 @@
             self.send(Kind.ROLLOUT, *fields_of(rollout.to_update(now_ms)))
         self.send(Kind.SERVER_VERSION, *fields_of(incoming_links.version()))
         self.send(Kind.STATE, *fields_of(incoming_links.state()))
+        self.send(Kind.CALLED_ROUTES, *fields_of(incoming_links.called_routes()))
         if incoming_links.store_era():
             self.send(Kind.STORE_ERA, incoming_links.store_era())
         condition = incoming_links.condition()
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -52,6 +52,7 @@
     ROLLOUT = 22
     TRIAL_COUNTS = 23
     BODY_BACKLOG = 24
+    CALLED_ROUTES = 25
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -25,7 +25,7 @@
 from .callers.context import CallContext
 from .callers.outbound import Outbound
 from .callers.own_answers import answer_bad_gateway
-from .decisions.pressure import PressureReport
+from .decisions.pressure import PressureReport, find_called_services
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout import RolloutTable
 from .knowledge.configuration import SOURCE_PEER, Configuration
@@ -464,6 +464,7 @@
         run_guarded(self.rollouts.tick, now_ms)
         run_guarded(self.call_context.refusals.tick)
         run_guarded(self._update_load_shedder)
+        self.members.called_routes.update(self.inbound.caller_detector.called_routes())
         run_guarded(self.configuration_watcher.tick, now_ms)
         self._ticks += 1
         if self._ticks % STATE_BROADCAST_TICKS == 0:
@@ -487,7 +488,9 @@
         own_report = self._own_pressure_report()
         if own_report == self._last_pressure and not self.members.pressure_changed:
             return
-        self.outbound.load_shedder.update([*self._peer_pressure_reports(), own_report])
+        reports = [*self._peer_pressure_reports(), own_report]
+        self.outbound.load_shedder.update(reports)
+        self.call_context.called_services = find_called_services(reports)
         self._last_pressure = own_report
         self.members.pressure_changed = False
 
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -65,6 +65,7 @@
     Kind.STORE_ERA: [4],
     Kind.SERVER_VERSION: ["shop", "v2"],
     Kind.ROLLOUT: ["shop", "v2", 1, 7, int(Phase.CANARY), 12_000.0, 9000.0],
+    Kind.CALLED_ROUTES: [["read"]],
     Kind.BODY_BACKLOG: [300.0, 2.5],
     Kind.TRIAL_COUNTS: ["shop", "v2", 1, 7, 3, [["read", 20, 1]]],
 }
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -689,6 +689,7 @@
         link.TrialCounts("songs", "v2", 1, 7, 3, (("get-songs", 20, 1),)),
     ),
     "body_backlog": OnLink(24, WHOLE_LINK, False, link.BodyBacklog(300.0, 2.5)),
+    "called_routes": OnLink(25, WHOLE_LINK, False, link.CalledRoutes(("get-songs",))),
     "condition_back": OnLink(
         19, WHOLE_LINK, True, link.ServerCondition(b"i-1", 77, 47.9)
     ),
