An order that names the version in service stopped all its requests

Cause: the new version of an order was always tried as a canary, also where it is the version that the service runs, such as to abort a roll-out; no version was current then. Change: the first version that a service ran, known for 10 s, takes all requests at once, and the version of the order before gets none. Measured: by tests only.

--- a/azurestep/mesh/decisions/rollout.py
+++ b/azurestep/mesh/decisions/rollout.py
@@ -31,6 +31,9 @@
 """
 
 
+ESTABLISHED_MS = 10_000.0
+"""Time for which the first version of a service must be known to count as the one in
+service when it is ordered."""
 RECHECK_MS = 1000.0
 """Time after which a version that is held back for want of the store is looked at."""
 
@@ -211,6 +214,12 @@
             return -math.inf
         return seen_ms + UNEXPLAINED_HOLD_MS
 
+    def is_established(self, service: str, version: str, now_ms: float) -> bool:
+        """Whether a service has run this version for long, and none before it."""
+        seen = self._first_seen_ms.get(service, {})
+        seen_ms = seen.get(version, math.inf)
+        return seen_ms == min(seen.values(), default=0.0) <= now_ms - ESTABLISHED_MS
+
 
 @attrs.define(slots=True, eq=False)
 class RolloutTable:
@@ -274,6 +283,11 @@
                 abandoned = self._abandoned.setdefault(update.service, set())
                 abandoned.add(known.new_version)
         self._abandoned.get(update.service, set()).discard(update.new_version)
+        phase = Phase(update.phase)
+        if phase is Phase.CANARY and self._ledger.is_established(
+            update.service, update.new_version, now_ms
+        ):
+            phase = Phase.NEW_ONLY  # the order returns to the version in service
         self._rollouts[update.service] = Rollout(
             update.service,
             update.new_version,
@@ -281,7 +295,7 @@
             update.offset,
             update.duration_ms,
             now_ms + update.remaining_ms,
-            Phase(update.phase),
+            phase,
             now_ms,
         )
         extra = self.exposure_extra * USED_EXPOSURE / max(1, members)
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -157,6 +157,20 @@
     assert not table.apply(ORDER, 300.0)
 
 
+def test_an_order_may_return_to_the_version_in_service(table: RolloutTable) -> None:
+    table.apply(update(Phase.CANARY, new_version="v1", offset=9), 60_000.0)
+    found = [table.role_of("shop", one, 60_100.0).value for one in ("v1", "v2")]
+    assert found == ["current", "withheld"]
+
+
+def test_a_new_version_is_not_taken_for_the_one_in_service() -> None:
+    table = RolloutTable()
+    table.role_of("shop", "v1", 0.0)
+    table.role_of("shop", "v2", 20_000.0)
+    table.apply(ORDER, 60_000.0)
+    assert table.role_of("shop", "v2", 60_100.0) is VersionRole.CANARY
+
+
 def test_the_same_version_may_be_ordered_again(table: RolloutTable) -> None:
     table.apply(update(Phase.ROLLED_BACK), 100.0)
     assert table.apply(update(Phase.CANARY, offset=9), 200.0)
