--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -47,9 +47,11 @@
     Request,
     State,
     decompress,
+    encode,
 )
 from .unpacking import RowReader
 
+PONG = encode(Kind.PONG)
 NO_STREAM = 0
 """Stream id of messages that concern no single request."""
 UNCONVERTED_TYPES = (bytes,)
@@ -261,6 +263,12 @@
         messages: list[tuple[int, Message]] = []
         if self.fault:
             return messages
+        if (
+            data == PONG
+            and not self._rows.holds_unpacker
+            and Kind.PONG in self._schemas
+        ):
+            return [(NO_STREAM, Pong())]  # a large part of all messages
         try:
             for row in self._rows.feed(data):
                 if type(row) is not tuple or not row or type(row[0]) is not int:
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -39,10 +39,9 @@
 )
 from ..runtime import Runtime
 from ..settings import Address
-from .decoding import INCOMING_LINK_SCHEMAS, NO_STREAM, Decoder, Message
+from .decoding import INCOMING_LINK_SCHEMAS, NO_STREAM, PONG, Decoder, Message
 from .remote_receiver import OutcomeForwarder
 
-PONG = encode(Kind.PONG)
 LATE_AFTER_MS = 100.0
 """Tolerated delay in excess of the link's minimum. A larger excess is subtracted from a
 request's remaining time, so that no request runs for longer than its caller waits."""
