Learn the rate at which bodies arrive

Cause: the backlog of bodies was divided by the rate of the link, of which calls, answers and probes take a part, so bodies were taken that could only be late.

Change: the time of a byte is a moving mean over the pieces that arrive, between the rate of the link and a quarter of it.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -185,11 +185,10 @@
         """Record a piece of a body; a request whose body is whole may run."""
         if not isinstance(run, Run):
             return
+        self.transfers.record_received(run, size_bytes, self.now_ms())
         if whole:
             self.transfers.remove(run)
             self._admit_received(run)
-        else:
-            self.transfers.record_received(run, size_bytes, self.now_ms())
         self._schedule_scan()
 
     def _admit_received(self, run: Run) -> None:
--- a/azurestep/mesh/decisions/transfers.py
+++ b/azurestep/mesh/decisions/transfers.py
@@ -18,6 +18,10 @@
 message behind them, and more than a round trip."""
 STALLED_AFTER_MS = 300.0
 """Time without a piece after which other bodies are received meanwhile."""
+RATE_WEIGHT = 0.05
+"""Weight of a new piece in the mean time of a byte, of about the last forty."""
+MIN_RATE_RATIO = 0.25
+"""Lowest rate that is learned, relative to the link's: other messages use the rest."""
 UNKNOWN_LENGTH_BYTES = 65_536
 """Length assumed for a body that names none, until it is longer."""
 
@@ -95,6 +99,8 @@
 
     link_bytes_per_ms: float = math.inf
     _transfers: dict[object, Transfer] = attrs.field(factory=dict)
+    _ms_per_byte: float = 0.0
+    _received_ms: float = -math.inf
 
     def __iter__(self) -> Iterator[object]:
         """Iterate over the owners."""
@@ -115,24 +121,43 @@
             one.ungranted_bytes + max(0, one.unreceived_bytes)
             for one in self._transfers.values()
         )
-        return left_bytes / self.link_bytes_per_ms
+        return left_bytes / self.rate_bytes_per_ms
+
+    @property
+    def rate_bytes_per_ms(self) -> float:
+        """Rate at which bodies arrive, as learned; at first that of the link."""
+        if not self._ms_per_byte:
+            return self.link_bytes_per_ms
+        lowest = self.link_bytes_per_ms * MIN_RATE_RATIO
+        return min(self.link_bytes_per_ms, max(lowest, 1 / self._ms_per_byte))
 
     def transfer_ms(self, size_bytes: int) -> float:
         """Return the time that the link needs for one body."""
         known = size_bytes if size_bytes >= 0 else UNKNOWN_LENGTH_BYTES
-        return known / self.link_bytes_per_ms
+        return known / self.rate_bytes_per_ms
 
     def add(self, owner: object, size_bytes: int, in_pieces: bool) -> None:
         """Queue a body; a negative size is unknown."""
         known = size_bytes if size_bytes >= 0 else UNKNOWN_LENGTH_BYTES
+        if not self._transfers:
+            self._received_ms = -math.inf
         self._transfers[owner] = Transfer(owner, in_pieces, known)
 
+    def _learn_rate(self, size_bytes: int, now_ms: float) -> None:
+        """Add the time since the piece before, if the link was in use all the while."""
+        since_ms, self._received_ms = now_ms - self._received_ms, now_ms
+        if since_ms > STALLED_AFTER_MS or math.isinf(self.link_bytes_per_ms):
+            return
+        known = self._ms_per_byte or 1 / self.link_bytes_per_ms
+        self._ms_per_byte = known + RATE_WEIGHT * (since_ms / size_bytes - known)
+
     def remove(self, owner: object) -> None:
         """Remove a body that is whole or no longer needed."""
         self._transfers.pop(owner, None)
 
     def record_received(self, owner: object, size_bytes: int, now_ms: float) -> None:
-        """Record a piece that is not the last one."""
+        """Record a piece that has arrived."""
+        self._learn_rate(size_bytes, now_ms)
         transfer = self._transfers.get(owner)
         if transfer is None:
             return
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -70,6 +70,30 @@
     assert sum(found.values()) >= 20_000
 
 
+def test_the_rate_is_learned_from_what_arrives(transfers: BodyTransfers) -> None:
+    """Other messages take half of the link; a backlog must not look half as long."""
+    now_ms = 0.0
+    transfers.add("a", 4_000_000, in_pieces=True)
+    for _ in range(200):
+        transfers.grant(now_ms)
+        now_ms += PIECE_BYTES / 200
+        transfers.record_received("a", PIECE_BYTES, now_ms)
+    assert transfers.rate_bytes_per_ms == pytest.approx(200.0, rel=0.05)
+    assert transfers.transfer_ms(60_000) == pytest.approx(300.0, rel=0.05)
+
+
+def test_a_pause_between_bodies_does_not_lower_the_rate(
+    transfers: BodyTransfers,
+) -> None:
+    for number in range(50):
+        start_ms = number * 200.0
+        transfers.add(number, 2 * PIECE_BYTES, in_pieces=True)
+        transfers.grant(start_ms)
+        transfers.record_received(number, PIECE_BYTES, start_ms + 21.0)
+        transfers.remove(number)
+    assert transfers.rate_bytes_per_ms == 400.0
+
+
 def test_a_body_of_unknown_length_is_granted_until_it_ends(
     transfers: BodyTransfers,
 ) -> None:
