--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -15,7 +15,8 @@
 from ..decisions.admission import Admission, Refused, Ticket
 from ..decisions.health import Health
 from ..decisions.pressure import CallerDetector
-from ..decisions.rollout import RolloutTable, VersionRole
+from ..decisions.rollout import VersionRole
+from ..decisions.rollout_table import RolloutTable
 from ..decisions.rollout_verdict import RunCounter, is_bad_run
 from ..decisions.transfers import BodyTransfers
 from ..incarnation import NO_INCARNATION, Incarnation
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -13,7 +13,7 @@
 from ..decisions.pressure import RefusalMeter
 from ..decisions.retry_budget import RetryBudget
 from ..decisions.returning import Attempt, ReturningCallers
-from ..decisions.rollout import RolloutTable
+from ..decisions.rollout_table import RolloutTable
 from ..decisions.sizes import AnswerSizes
 from ..links.members import Members
 from ..runtime import Runtime
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -27,7 +27,7 @@
 from .callers.own_answers import answer_bad_gateway
 from .decisions.pressure import PressureReport, find_called_services
 from .decisions.retry_budget import RetryBudget
-from .decisions.rollout import RolloutTable
+from .decisions.rollout_table import RolloutTable
 from .knowledge.configuration import SOURCE_PEER, Configuration
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
--- a/azurestep/mesh/rollouts/control.py
+++ b/azurestep/mesh/rollouts/control.py
@@ -6,25 +6,16 @@
 the other phases on and writes the status; the first verdict in the store binds all.
 """
 
-import time
-from collections.abc import Iterable
-
 import attrs
 
 from ...errors import MessageMalformedError
-from ...platform.outcomes import Appended, LatestRecords
 from ...platform.rollout import (
     RolloutOrder,
     RolloutState,
-    RolloutStatus,
     is_rollout_key,
     read_order,
-    read_status,
-    rollout_key,
-    write_status,
 )
 from ...platform.store import StoreClient
-from ...platform.topics import STATUS_TOPIC
 from .. import events
 from ..backend.inbound import Inbound
 from ..decisions.rollout import Phase, Rollout, VersionRole
@@ -36,6 +27,7 @@
 from ..links.server import IncomingLinks
 from ..runtime import Runtime
 from ..settings import Address
+from .statuses import Statuses
 from .trials import Trial
 
 JUDGES_PER_DATA_CENTRE = 2
@@ -51,8 +43,6 @@
 """Ticks between repeated messages of the judges about a roll-out's phase."""
 REMINDED_AFTER_END_MS = 10_000.0
 """Time for which they repeat a verdict."""
-WRITE_PAUSE_MS = 300.0
-"""Pause between attempts to write a status."""
 ABSENT_AFTER_MS = 10_000.0
 """Time after which a lost peer no longer delays a roll-out."""
 STATES = {
@@ -61,11 +51,6 @@
     Phase.STOPPED: RolloutState.ROLLED_BACK,
 }
 """Status by phase; all other phases are running."""
-PHASES = {
-    RolloutState.RUNNING: Phase.CANARY,
-    RolloutState.ROLLED_BACK: Phase.ROLLED_BACK,
-    RolloutState.COMPLETED: Phase.COMPLETED,
-}
 
 
 @attrs.define(eq=False)
@@ -86,12 +71,12 @@
     era: StoreEra
     stopping: bool = False
     _trials: dict[str, Trial] = attrs.field(factory=dict)
-    _statuses: dict[str, RolloutStatus] = attrs.field(factory=dict)
-    _writing: bool = False
-    _next_write_ms: float = 0.0
+    _statuses: Statuses = attrs.field(init=False)
     _ticks: int = 0
     _last_incarnation: Incarnation = NO_INCARNATION
-    _sent_counts: TrialCounts | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._statuses = Statuses(self.runtime, self.client, self.era, self._advance)
 
     # Orders and news.
 
@@ -138,7 +123,7 @@
 
     def _begin(self, rollout: Rollout) -> None:
         self._trials[rollout.service] = Trial()
-        self._statuses.pop(rollout.service, None)
+        self._statuses.forget(rollout.service)
         if rollout.service == self.inbound.backend.service:
             self.inbound.trial_runs.clear()
         if not rollout.is_final:
@@ -171,7 +156,7 @@
 
     def on_store_era(self) -> None:
         """Write the statuses again, which the store may have lost."""
-        self._statuses.clear()
+        self._statuses.forget_all()
 
     # Evidence.
 
@@ -240,7 +225,7 @@
             self._report_runs()
         for rollout in rollouts:
             self._trials[rollout.service].comparison.tick()
-            self._write_if_due(rollout, now_ms)
+            self._exchange_status(rollout, now_ms)
             if not self.stopping and self.members.own_address in self._judges():
                 self._decide(rollout, now_ms)
                 self._remind(rollout, now_ms)
@@ -250,7 +235,7 @@
             return True
         if now_ms - rollout.phase_since_ms < REMINDED_AFTER_END_MS:
             return True
-        return rollout.service not in self._statuses and self._is_leader()
+        return not self._statuses.knows(rollout) and self._is_leader()
 
     def _remind(self, rollout: Rollout, now_ms: float) -> None:
         """Repeat the phase to all peers, since a link may have missed it."""
@@ -265,7 +250,7 @@
         elif rollout.in_trial and self._is_leader():
             phase = next_phase(rollout, self._view(rollout, now_ms), now_ms)
             if phase is Phase.COMPLETED:
-                self._write_soon(rollout, RolloutState.COMPLETED, now_ms)
+                self._statuses.write(rollout, RolloutState.COMPLETED, now_ms)
             elif phase is not None:
                 self._log_evidence(rollout)
                 self._advance(rollout, phase)
@@ -340,106 +325,12 @@
             for link in self.members.live_links()
         )
 
-    # Statuses in the store.
-
-    def _write_if_due(self, rollout: Rollout, now_ms: float) -> None:
+    def _exchange_status(self, rollout: Rollout, now_ms: float) -> None:
         """Write the status of a phase, or read it if the phase is not known."""
         if rollout.phase is Phase.PENDING:
             if now_ms - rollout.phase_since_ms > SETTLE_MS:
-                self._spawn_write(rollout, None, now_ms)
-            return
-        if not self._is_leader():
-            return
-        state = STATES.get(rollout.phase, RolloutState.RUNNING)
-        status = self._statuses.get(rollout.service)
-        if status is None or status.state is not state:
-            self._write_soon(rollout, state, now_ms)
-
-    def _write_soon(self, rollout: Rollout, state: RolloutState, now_ms: float) -> None:
-        self._spawn_write(rollout, state, now_ms)
-
-    def _spawn_write(
-        self, rollout: Rollout, state: RolloutState | None, now_ms: float
-    ) -> None:
-        if self._writing or now_ms < self._next_write_ms:
-            return
-        self._writing = True
-        self._next_write_ms = now_ms + WRITE_PAUSE_MS
-        self.runtime.spawn(self._settle(rollout, state))
-
-    async def _settle(self, rollout: Rollout, state: RolloutState | None) -> None:
-        try:
-            await self._exchange_status(rollout, state)
-        finally:
-            self._writing = False
-
-    async def _exchange_status(
-        self, rollout: Rollout, state: RolloutState | None
-    ) -> None:
-        """Read the status and write another one, unless there is a verdict already.
-
-        The write is conditional on the end of the log that was read, so of two writers
-        only one succeeds.
-        """
-        latest = await self.client.read_latest(STATUS_TOPIC)
-        if not self.era.accept(latest.era) or not isinstance(latest, LatestRecords):
-            return
-        known = _find_status(rollout, ((one.key, one.value) for one in latest.items))
-        if known is not None and known.state is not RolloutState.RUNNING:
-            self._adopt(rollout, known)
-            return
-        if state is None:
-            self._resume(rollout, known)
-            return
-        if known is not None and known.state is state:
-            self._statuses[rollout.service] = known
-            return
-        if state is RolloutState.COMPLETED and rollout.phase is Phase.STOPPED:
-            return
-        remaining_ms = rollout.deadline_ms - self.runtime.now_ms()
-        status = RolloutStatus(
-            state,
-            rollout.new_version,
-            rollout.era,
-            rollout.offset,
-            max(0, int(time.time() * 1000 + remaining_ms)),
-        )
-        outcome = await self.client.put(
-            STATUS_TOPIC,
-            rollout_key(rollout.service),
-            write_status(status),
-            at=latest.end_offset,
-        )
-        if isinstance(outcome, Appended) and self.era.accept(outcome.era):
-            self._adopt(rollout, status)
-
-    def _adopt(self, rollout: Rollout, status: RolloutStatus) -> None:
-        """Adopt a status that the store holds."""
-        self._statuses[rollout.service] = status
-        if status.state is not RolloutState.RUNNING:
-            self._advance(rollout, PHASES[status.state])
-
-    def _resume(self, rollout: Rollout, known: RolloutStatus | None) -> None:
-        """Continue an order that was found at the start of this node."""
-        if rollout.phase is not Phase.PENDING:
-            return
-        if known is not None:
-            remaining_ms = known.ends_unix_ms - time.time() * 1000
-            remaining_ms = min(rollout.duration_ms, max(0.0, remaining_ms))
-            rollout.deadline_ms = self.runtime.now_ms() + remaining_ms
-        self._advance(rollout, Phase.CANARY)
-
-
-def _find_status(
-    rollout: Rollout, records: Iterable[tuple[str, bytes]]
-) -> RolloutStatus | None:
-    """Return the status of a roll-out; that of an earlier order doesn't count."""
-    for key, value in records:
-        if key != rollout_key(rollout.service):
-            continue
-        status = read_status(value)
-        if status is None or status.new_version != rollout.new_version:
-            return None
-        later = status.order_era == rollout.era and status.order_offset < rollout.offset
-        return None if later else status
-    return None
+                self._statuses.read(rollout, now_ms)
+        elif self._is_leader():
+            state = STATES.get(rollout.phase, RolloutState.RUNNING)
+            if not self._statuses.is_written(rollout, state):
+                self._statuses.write(rollout, state, now_ms)
--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -29,7 +29,7 @@
 from azurestep.mesh.callers.placement import EndpointSelector
 from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
 from azurestep.mesh.decisions.choice import Endpoint, EndpointGroup, SelectionCriteria
-from azurestep.mesh.decisions.rollout import RolloutTable
+from azurestep.mesh.decisions.rollout_table import RolloutTable
 from azurestep.mesh.incarnation import Incarnation
 
 from .results import Machine, at_end, machine_facts, write_result
--- a/bench/rollout_verdicts.py
+++ b/bench/rollout_verdicts.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from azurestep.mesh.decisions.rollout import USED_EXPOSURE
+from azurestep.mesh.decisions.rollout_table import USED_EXPOSURE
 from azurestep.mesh.decisions.rollout_verdict import VersionComparison, is_bad_run
 
 TICK_S = 0.1
--- a/tests/test_mesh_offering.py
+++ b/tests/test_mesh_offering.py
@@ -9,7 +9,7 @@
 from azurestep.mesh.callers import placement
 from azurestep.mesh.callers.placement import TRIES_WITHOUT_WAIT, EndpointSelector
 from azurestep.mesh.decisions.choice import EndpointGroup
-from azurestep.mesh.decisions.rollout import RolloutTable
+from azurestep.mesh.decisions.rollout_table import RolloutTable
 from bench.placement_model import LOADS, Load, play
 
 from .fixtures_inbound import (
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -8,14 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurestep.mesh.decisions.rollout import (
+from azurestep.mesh.decisions.rollout import Phase, VersionRole
+from azurestep.mesh.decisions.rollout_plan import RolloutView, next_phase
+from azurestep.mesh.decisions.rollout_table import (
     FIRST_VERSIONS_MS,
     UNEXPLAINED_HOLD_MS,
-    Phase,
     RolloutTable,
-    VersionRole,
 )
-from azurestep.mesh.decisions.rollout_plan import RolloutView, next_phase
 from azurestep.mesh.link_messages import RolloutUpdate
 
 ORDER = RolloutUpdate("shop", "v2", 1, 7, int(Phase.CANARY), 12_000.0, 12_000.0)
