Observability: how long store calls took, who reads, what versions cost

Nothing told the hypotheses of the incident apart: how long a failed call to the store waited and how much of its answer was there (9101), which node reads for its data centre (9107, gauge), how many bytes of versions go to how many peers and what their links still hold (9108, counter, gauge), and how often a node asks for a version (counter).

--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -62,6 +62,10 @@
     "platform store returned from an older copy",
     "check that the latest configuration was published again; the node keeps its own",
 )
+READER = register(
+    9107, logging.INFO, "reader of the data centre's configuration began or ended"
+)
+VERSION_SENT = register(9108, logging.INFO, "configuration sent to peers")
 PEER_LOST = register(
     9201,
     logging.WARNING,
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -16,6 +16,7 @@
     Records,
     StoreClient,
     Truncated,
+    Unanswered,
     parse_keyed_record,
 )
 from ...platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
@@ -49,6 +50,8 @@
     ----------
     store_reachable : bool
         Whether the store answered the last call.
+    is_reader : bool
+        Whether this node reads new versions for its data centre.
     on_store_change : Callable
         Called when ``store_reachable`` changes.
     apply_order : Callable
@@ -66,6 +69,7 @@
         lambda key, value, offset, live: None
     )
     store_reachable: bool = True
+    is_reader: bool = False
     _offset: int | None = None
     _failures: int = 0
     _behind_since_ms: float | None = None
@@ -74,7 +78,8 @@
     async def run(self) -> None:
         """Read from the store while this node is the reader or has no configuration."""
         while True:
-            if self.configuration.version and not self._should_read():
+            self._record_role(self._should_read())
+            if self.configuration.version and not self.is_reader:
                 await self._pause(ROLE_CHECK_S)
                 continue
             if await self._read_once():
@@ -108,8 +113,14 @@
             self._behind_since_ms = now_ms
         elif now_ms - self._behind_since_ms > CATCH_UP_AFTER_MS:
             self._behind_since_ms = now_ms
+            self.runtime.metrics.count("configuration_queries")
             candidate[2].request_configuration()
 
+    def _record_role(self, is_reader: bool) -> None:
+        if is_reader != self.is_reader:
+            self.is_reader = is_reader
+            events.log(events.READER, reader=is_reader)
+
     def _should_read(self) -> bool:
         """Whether no peer of the data centre precedes this node as the reader."""
         own_host = self.members.own_address[0]
@@ -139,7 +150,7 @@
             self._mark_reachable()
             self._offset = None
             return True
-        self._mark_unreachable(repr(outcome))
+        self._mark_unreachable(outcome)
         return False
 
     def _apply_latest(self, records: list[bytes], first_offset: int) -> None:
@@ -162,7 +173,7 @@
         if not self.era.accept(outcome.era):
             return False
         if not isinstance(outcome, LatestRecords):
-            self._mark_unreachable(repr(outcome))
+            self._mark_unreachable(outcome)
             return False
         self._mark_reachable()
         self._offset = outcome.end_offset
@@ -205,9 +216,18 @@
             events.log(events.STORE_REACHED)
             self.on_store_change()
 
-    def _mark_unreachable(self, cause: str) -> None:
+    def _mark_unreachable(self, outcome: object) -> None:
         self.runtime.metrics.count("store_failures")
         if self.store_reachable:
             self.store_reachable = False
-            events.log(events.STORE_LOST, cause=cause)
+            waited_ms = received_bytes = 0
+            if isinstance(outcome, Unanswered):
+                waited_ms = round(outcome.waited_ms)
+                received_bytes = outcome.received_bytes
+            events.log(
+                events.STORE_LOST,
+                cause=repr(outcome),
+                waited_ms=waited_ms,
+                received_bytes=received_bytes,
+            )
             self.on_store_change()
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -199,6 +199,23 @@
         version, content = self.configuration()
         data = encode(Kind.CONFIGURATION, version, compress(content))
         self._write(self.local_links, data)
+        self.record_version_sent(version, len(self.local_links), len(data))
+
+    def record_version_sent(self, version: int, peers: int, size_bytes: int) -> None:
+        """Log and count a version that was sent to some peers."""
+        metrics = self.runtime.metrics
+        metrics.count("configuration_sent_bytes", amount=peers * size_bytes)
+        events.log_routine(
+            events.VERSION_SENT,
+            version=version,
+            peers=peers,
+            size_bytes=size_bytes,
+            unsent_bytes=self.unsent_bytes(),
+        )
+
+    def unsent_bytes(self) -> int:
+        """Return how many bytes wait in the send buffers of all links."""
+        return sum(link.unsent_bytes for link in self.links)
 
     def _is_local(self, link: "IncomingLink") -> bool:
         return link in self.local_links
@@ -329,6 +346,11 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait in the send buffer."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     @property
     def has_unsent_outcome(self) -> bool:
         """Whether the send buffer has not been empty since the last outcome.
@@ -374,7 +396,9 @@
 
     def _on_configuration_query(self, _: int, query: ConfigurationQuery) -> None:
         version, content = self.incoming_links.configuration()
-        self.send(Kind.CONFIGURATION, version, compress(content))
+        data = encode(Kind.CONFIGURATION, version, compress(content))
+        self.write(data)
+        self.incoming_links.record_version_sent(version, 1, len(data))
 
     def _on_condition(self, _: int, condition: ServerCondition) -> None:
         self.incoming_links.inbound.apply_peer_condition(condition)
--- a/azurestep/mesh/metrics.py
+++ b/azurestep/mesh/metrics.py
@@ -49,9 +49,9 @@
     counters: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(factory=dict)
 
-    def count(self, name: str, label: str = "") -> None:
-        """Increment a counter."""
-        self.counters[name, label] += 1
+    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Increase a counter."""
+        self.counters[name, label] += amount
 
     def text(self) -> str:
         """Return all metrics in the text format."""
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -525,6 +525,8 @@
         gauges["backend_running"] = len(self.inbound.admission.running)
         gauges["backend_busy"] = self.inbound.admission.in_flight
         gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
+        gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
         gauges["store_era"] = self.store_era.current
         gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
 
--- a/azurestep/platform/outcomes.py
+++ b/azurestep/platform/outcomes.py
@@ -128,10 +128,20 @@
 
 @attrs.frozen(slots=True)
 class Unanswered:
-    """No answer was received; the call may have taken effect."""
+    """No complete answer was received; the call may have taken effect.
+
+    Attributes
+    ----------
+    waited_ms : float
+        Time from the call until it was given up.
+    received_bytes : int
+        How much of the answer's body was there by then.
+    """
 
     cause: str
     era: int | None = None
+    waited_ms: float = 0.0
+    received_bytes: int = 0
 
 
 Failed = Refused | Unanswered
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -117,10 +117,11 @@
     """Collects the answer to a call and resolves its future."""
 
     def __init__(self, future: "asyncio.Future[StoreAnswer]") -> None:
-        self._future = future
+        self.future = future
         self._status = 0
         self._era: int | None = None
         self._parts: list[bytes] = []
+        self.received_bytes = 0
 
     def on_head(self, status: int, headers: Headers) -> bool:
         """Store the status and the era."""
@@ -131,17 +132,18 @@
     def on_data(self, data: bytes) -> None:
         """Add a chunk of the body."""
         self._parts.append(data)
+        self.received_bytes += len(data)
 
     def on_complete(self, reusable: bool) -> None:
         """Resolve the future with the answer."""
-        if not self._future.done():
+        if not self.future.done():
             content = b"".join(self._parts)
-            self._future.set_result(StoreAnswer(self._status, content, self._era))
+            self.future.set_result(StoreAnswer(self._status, content, self._era))
 
     def on_failed(self, reason: str) -> None:
         """Resolve the future with an error."""
-        if not self._future.done():
-            self._future.set_exception(ConnectionError(reason))
+        if not self.future.done():
+            self.future.set_exception(ConnectionError(reason))
 
     def on_writable(self) -> None:
         """Do nothing: a call is sent at once."""
@@ -273,14 +275,22 @@
     ) -> StoreAnswer | Unanswered:
         async with self._lock:
             self.on_call(kind)
+            began_s = self.loop.time()
+            collector = AnswerCollector(self.loop.create_future())
             try:
                 async with asyncio.timeout(timeout_ms / 1000):
-                    return await self._exchange(method, path, body)
+                    return await self._exchange(method, path, body, collector)
             except (OSError, TimeoutError) as error:
                 self.close()
-                return Unanswered(f"{type(error).__name__} {error}".strip())
+                return Unanswered(
+                    f"{type(error).__name__} {error}".strip(),
+                    waited_ms=(self.loop.time() - began_s) * 1000,
+                    received_bytes=collector.received_bytes,
+                )
 
-    async def _exchange(self, method: bytes, path: str, body: bytes) -> StoreAnswer:
+    async def _exchange(
+        self, method: bytes, path: str, body: bytes, collector: AnswerCollector
+    ) -> StoreAnswer:
         connection = self._connection
         if connection is None or not connection.usable:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -288,14 +298,13 @@
                     ClientConnection, *self.address
                 )
             self._connection = connection
-        future: asyncio.Future[StoreAnswer] = self.loop.create_future()
         host, port = self.address
         head = (
             f"{method.decode()} {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        connection.send(head.encode() + body, AnswerCollector(future), True)
-        return await future
+        connection.send(head.encode() + body, collector, True)
+        return await collector.future
 
     def _append_outcome(self, answer: StoreAnswer) -> AppendOutcome:
         content, era = answer.content, answer.era
