--- a/standins/store.py
+++ b/standins/store.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import copy
+import math
 import struct
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
@@ -17,6 +18,9 @@
 ENDS = struct.Struct(">QQ")
 KEYED_PREFIX = "keyed."
 SILENCE_CHECK_S = 0.02
+PACE_S = 0.02
+"""Time between two pieces of an answer to a caller with a narrow link."""
+DEFAULT_READ_KIB = 1024
 ANSWERS_KEPT = 5
 """Appends of a producer whose repeats get their first answer."""
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -103,6 +107,8 @@
         Delay of an append that is carried out after its call broke off.
     page_items : int
         Most keys of one page.
+    link_bytes_per_s : float
+        Rate at which each answer reaches its caller; infinite for no limit.
     raw_items : list
         Items of another writer that stand on each page of newest records.
     calls : list of str
@@ -115,6 +121,7 @@
     refused_hosts: set[str] = attrs.field(factory=set)
     late_s: float = 0.5
     page_items: int = 500
+    link_bytes_per_s: float = math.inf
     raw_items: list[object] = attrs.field(factory=list)
     calls: list[str] = attrs.field(factory=list)
     era: int | None = None
@@ -172,7 +179,24 @@
         answer = self._with_era(await handler(request))
         if self.trouble is Trouble.ANSWER_LOST:
             _abort(request)
-        return answer
+        return await self._paced(request, answer)
+
+    async def _paced(
+        self, request: web.Request, answer: web.StreamResponse
+    ) -> web.StreamResponse:
+        """Send an answer at the rate of the caller's link."""
+        if math.isinf(self.link_bytes_per_s) or not isinstance(answer, web.Response):
+            return answer
+        body = answer.body if isinstance(answer.body, bytes) else b""
+        paced = web.StreamResponse(status=answer.status, headers=answer.headers)
+        paced.content_length = len(body)
+        await paced.prepare(request)
+        step = max(1, int(self.link_bytes_per_s * PACE_S))
+        with contextlib.suppress(ConnectionResetError):
+            for start in range(0, len(body), step):
+                await asyncio.sleep(PACE_S)
+                await paced.write(body[start : start + step])
+        return paced
 
     def _with_era(self, answer: web.StreamResponse) -> web.StreamResponse:
         if self.era is not None:
@@ -259,7 +283,10 @@
             topic = self.topic(request.query["topic"])
             if start > topic.end_offset:
                 return web.json_response({}, status=410)
-        records = topic.records[max(0, start - topic.first_offset) :]
+        records = _up_to(
+            topic.records[max(0, start - topic.first_offset) :],
+            int(request.query.get("max_kilobytes", DEFAULT_READ_KIB)) * 1024,
+        )
         body = ENDS.pack(topic.end_offset, topic.first_offset)
         body += b"".join(LENGTH.pack(len(item)) + item for item in records)
         return web.Response(body=body)
@@ -281,6 +308,16 @@
         return web.Response(body=orjson.dumps(fields), content_type="application/json")
 
 
+def _up_to(records: list[bytes], size_bytes: int) -> list[bytes]:
+    """Return the first records up to a size, one at least."""
+    total = 0
+    for index, record in enumerate(records):
+        total += LENGTH.size + len(record)
+        if total > size_bytes:
+            return records[: max(1, index)]
+    return records
+
+
 def _abort(request: web.Request) -> None:
     if request.transport is not None:
         request.transport.abort()
