A reader gave up documents that its link carries too slowly

Callers got 404 on routes that had been added, or the former service, for 12 s: the versions were not in force (CONFIG, DENIED).

Cause: a call to the store had a fixed time limit, 1 s, or 1.5 s for a long poll of 1 s. A link of 3.5 Mbit/s carries 600 KB in 1.4 s and one answer holds up to 1 MB.

Now the time limit is the time without a byte of the answer. A reader whose answer has been arriving for 1.5 s says so as before, so that another node reads too, but goes on.

--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -38,6 +38,11 @@
 """Pauses of a reader after failed calls; the last one repeats."""
 FALLBACK_RETRY_PAUSE_S = 2.0
 """Pause after a failed call of a node that isn't first in the order of readers."""
+SLOW_ANSWER_MS = 1500.0
+"""Time that an answer of the store may take to arrive before another node reads too.
+
+The link of another node may be free or wider.
+"""
 CATCH_UP_AFTER_MS = 250.0
 """Time after which a node asks a peer for a newer version."""
 
@@ -96,6 +101,14 @@
         self._offset = None
 
     def tick(self, now_ms: float) -> None:
+        """Let another node read if the store's answer is slow; catch up with peers."""
+        if self.store_reachable and self.client.receiving_ms > SLOW_ANSWER_MS:
+            self._report_unreachable(
+                "slow answer", self.client.receiving_ms, self.client.received_bytes
+            )
+        self._catch_up(now_ms)
+
+    def _catch_up(self, now_ms: float) -> None:
         """Ask a peer for a newer version, preferably a local one."""
         candidate = None
         behind = self.members.newest_version > self.configuration.version
@@ -218,16 +231,24 @@
 
     def _mark_unreachable(self, outcome: object) -> None:
         self.runtime.metrics.count("store_failures")
-        if self.store_reachable:
-            self.store_reachable = False
-            waited_ms = received_bytes = 0
-            if isinstance(outcome, Unanswered):
-                waited_ms = round(outcome.waited_ms)
-                received_bytes = outcome.received_bytes
-            events.log(
-                events.STORE_LOST,
-                cause=repr(outcome),
-                waited_ms=waited_ms,
-                received_bytes=received_bytes,
+        if isinstance(outcome, Unanswered):
+            self._report_unreachable(
+                outcome.cause, outcome.waited_ms, outcome.received_bytes
             )
-            self.on_store_change()
+        else:
+            self._report_unreachable(repr(outcome), 0.0, 0)
+
+    def _report_unreachable(
+        self, cause: str, waited_ms: float, received_bytes: int
+    ) -> None:
+        """Let the next node in order read the configuration."""
+        if not self.store_reachable:
+            return
+        self.store_reachable = False
+        events.log(
+            events.STORE_LOST,
+            cause=cause,
+            waited_ms=round(waited_ms),
+            received_bytes=received_bytes,
+        )
+        self.on_store_change()
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -33,6 +33,7 @@
 )
 
 CALL_TIMEOUT_MS = 1000.0
+"""Time without a byte of the answer after which a call is given up."""
 CONNECT_TIMEOUT_S = 1.0
 OK = 200
 GONE = 410
@@ -114,23 +115,48 @@
 
 
 class AnswerCollector:
-    """Collects the answer to a call and resolves its future."""
+    """Collects the answer to a call and resolves its future.
 
-    def __init__(self, future: "asyncio.Future[StoreAnswer]") -> None:
-        self.future = future
+    The time limit of the call starts anew with each piece of the answer, so that a
+    long answer may take its time over a narrow link.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        Event loop of the call.
+    timeout : Timeout
+        Time limit of the call, which is running.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, timeout: asyncio.Timeout
+    ) -> None:
+        self.future: asyncio.Future[StoreAnswer] = loop.create_future()
+        self.received_bytes = 0
+        self.receiving_since_s: float | None = None
+        self._loop = loop
+        self._timeout = timeout
         self._status = 0
         self._era: int | None = None
         self._parts: list[bytes] = []
-        self.received_bytes = 0
+
+    def _record_progress(self) -> None:
+        now_s = self._loop.time()
+        if self.receiving_since_s is None:
+            self.receiving_since_s = now_s
+        if not self._timeout.expired():
+            self._timeout.reschedule(now_s + CALL_TIMEOUT_MS / 1000)
 
     def on_head(self, status: int, headers: Headers) -> bool:
         """Store the status and the era."""
+        self._record_progress()
         self._status = status
         self._era = parse_era(headers)
         return True
 
     def on_data(self, data: bytes) -> None:
         """Add a chunk of the body."""
+        self._record_progress()
         self._parts.append(data)
         self.received_bytes += len(data)
 
@@ -163,8 +189,22 @@
     address: tuple[str, int]
     on_call: Callable[[str], None]
     _connection: ClientConnection | None = None
+    _collector: AnswerCollector | None = None
     _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
+    @property
+    def received_bytes(self) -> int:
+        """How much of the answer to the current call has arrived."""
+        return 0 if self._collector is None else self._collector.received_bytes
+
+    @property
+    def receiving_ms(self) -> float:
+        """How long the answer to the current call has been arriving; 0 if it isn't."""
+        collector = self._collector
+        if collector is None or collector.receiving_since_s is None:
+            return 0.0
+        return (self.loop.time() - collector.receiving_since_s) * 1000
+
     async def append(
         self,
         topic: str,
@@ -276,17 +316,21 @@
         async with self._lock:
             self.on_call(kind)
             began_s = self.loop.time()
-            collector = AnswerCollector(self.loop.create_future())
+            collector = None
             try:
-                async with asyncio.timeout(timeout_ms / 1000):
+                async with asyncio.timeout(timeout_ms / 1000) as timeout:
+                    collector = AnswerCollector(self.loop, timeout)
+                    self._collector = collector
                     return await self._exchange(method, path, body, collector)
             except (OSError, TimeoutError) as error:
                 self.close()
                 return Unanswered(
                     f"{type(error).__name__} {error}".strip(),
                     waited_ms=(self.loop.time() - began_s) * 1000,
-                    received_bytes=collector.received_bytes,
+                    received_bytes=collector.received_bytes if collector else 0,
                 )
+            finally:
+                self._collector = None
 
     async def _exchange(
         self, method: bytes, path: str, body: bytes, collector: AnswerCollector
