A reader worked through all versions of a storm one after the other

Cause: a read continued at the next offset and took up to 1 MB of documents, of which only the last one counts. 30 versions in 1.5 s over a link of 100 kB/s were in force after 15 s.

Now a read takes one large document, and if the store has more than one later record, the reader continues at the latest document. Orders of roll-outs in between are read without the document (keys after its key); whether they were just written is known by their offsets. An order as the latest record, one overtaken by another, and a store that returns no record beyond the size of a read are tested. After a document the next read waits 0.1 s, so that a storm costs a wide link less. A document that peers had passed on before no longer makes the reader parse the overtaken ones.

--- a/azurestep/mesh/knowledge/configuration.py
+++ b/azurestep/mesh/knowledge/configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force at this node, which is only replaced by newer ones."""
 
 from collections.abc import Callable
+from enum import Enum
 from random import Random
 
 import attrs
@@ -16,6 +17,24 @@
 """Source of a document, as it is logged."""
 
 
+class Applied(Enum):
+    """What became of a document.
+
+    Attributes
+    ----------
+    NOW
+        It has come into force.
+    KNOWN
+        It is not newer than the one in force.
+    INVALID
+        It can't be used.
+    """
+
+    NOW = "now"
+    KNOWN = "known"
+    INVALID = "invalid"
+
+
 @attrs.define(eq=False)
 class Configuration:
     """The latest configuration that this node has received.
@@ -48,15 +67,19 @@
 
     def apply_if_newer(self, content: bytes, source: str) -> bool:
         """Apply a document if it is valid and newer; return whether it was applied."""
+        return self.apply(content, source) is Applied.NOW
+
+    def apply(self, content: bytes, source: str) -> Applied:
+        """Apply a document if it is valid and newer; return what became of it."""
         if content == self.content:
-            return False
+            return Applied.KNOWN
         try:
             document = self._reader.read(content)
         except ConfigurationError as error:
             events.log(events.VERSION_REJECTED, source=source, cause=error.problem)
-            return False
+            return Applied.INVALID
         if document.version <= self.version:
-            return False
+            return Applied.KNOWN
         self.table = self._build_table(document)
         self.content = content
         if source == SOURCE_STORE:
@@ -68,7 +91,7 @@
             source=source,
         )
         self.on_change(self.table)
-        return True
+        return Applied.NOW
 
     def _build_table(self, document: Document) -> RoutingTable:
         if self.table is None:
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -23,7 +23,7 @@
 from .. import events
 from ..links.members import Members
 from ..runtime import Runtime
-from .configuration import SOURCE_STORE, Configuration
+from .configuration import SOURCE_STORE, Applied, Configuration
 from .store_era import StoreEra
 
 LONG_POLL_MS = 1000
@@ -31,6 +31,10 @@
 
 It knows it after this and half a second, within the bound of two seconds for a version.
 """
+MAX_READ_KIB = 64
+"""Size up to which a read returns several records; a larger document comes alone."""
+MIN_READ_INTERVAL_S = 0.1
+"""Time from a document to the next read, which may find several later ones."""
 ROLE_CHECK_S = 1.0
 """How often a node that isn't the reader checks whether it should be, unless a change
 of its peers wakes it earlier."""
@@ -76,6 +80,7 @@
     store_reachable: bool = True
     is_reader: bool = False
     _offset: int | None = None
+    _expects_document: bool = False
     _failures: int = 0
     _behind_since_ms: float | None = None
     _wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -150,24 +155,71 @@
         offset = self._offset
         if offset is None:
             return await self._read_latest()
-        outcome = await self.client.read(OPERATOR_TOPIC, offset, LONG_POLL_MS)
+        outcome = await self.client.read(
+            OPERATOR_TOPIC, offset, LONG_POLL_MS, MAX_READ_KIB
+        )
         if not self.era.accept(outcome.era):
             return False
-        if isinstance(outcome, Records):
-            self._mark_reachable()
-            if self._offset == offset:
-                self._offset = outcome.next_offset
-            self._apply_latest(outcome.values, offset)
-            return True
         if isinstance(outcome, Truncated):
             self._mark_reachable()
             self._offset = None
             return True
-        self._mark_unreachable(outcome)
-        return False
+        if not isinstance(outcome, Records):
+            self._mark_unreachable(outcome)
+            return False
+        self._mark_reachable()
+        return await self._apply_records(outcome, offset)
+
+    async def _apply_records(self, records: Records, offset: int) -> bool:
+        """Apply records that were read from an offset, and continue after them."""
+        has_document = self._apply_latest(records.values, offset)
+        expected_document, self._expects_document = self._expects_document, False
+        if self._offset != offset:
+            return True
+        remaining = records.end_offset - records.next_offset
+        if (expected_document and not has_document) or (
+            remaining and not records.values
+        ):
+            self._offset = None
+            return True
+        self._offset = records.next_offset
+        if remaining > 1:
+            return await self._skip_to_latest(records.next_offset)
+        if has_document:
+            await asyncio.sleep(MIN_READ_INTERVAL_S)
+        return True
 
-    def _apply_latest(self, records: list[bytes], first_offset: int) -> None:
-        """Apply the latest valid document, and all records with other keys."""
+    async def _skip_to_latest(self, offset: int) -> bool:
+        """Continue at the latest document, without those that it has overtaken.
+
+        Records of other keys are read without the document, which is large.
+        """
+        outcome = await self.client.read_latest(OPERATOR_TOPIC, after=CONFIGURATION_KEY)
+        if not self.era.accept(outcome.era):
+            return False
+        if not isinstance(outcome, LatestRecords):
+            self._mark_unreachable(outcome)
+            return False
+        for item in outcome.items:
+            if item.offset >= offset:
+                self.apply_order(item.key, item.value, item.offset, True)
+        if self._offset == offset:
+            others = {item.offset for item in outcome.items}
+            latest = outcome.end_offset - 1
+            while latest in others:
+                latest -= 1
+            self._expects_document = latest > offset
+            self._offset = max(latest, offset)
+        return True
+
+    def _apply_latest(self, records: list[bytes], first_offset: int) -> bool:
+        """Apply the latest valid document, and all records with other keys.
+
+        Returns
+        -------
+        bool
+            Whether there was a valid document.
+        """
         documents = []
         for index, record in enumerate(records):
             keyed = parse_keyed_record(record)
@@ -177,9 +229,11 @@
                 documents.append(keyed.value)
             else:
                 self.apply_order(keyed.key, keyed.value, first_offset + index, True)
-        for document in reversed(documents):
-            if document and self.configuration.apply_if_newer(document, SOURCE_STORE):
-                return
+        return any(
+            document
+            and self.configuration.apply(document, SOURCE_STORE) is not Applied.INVALID
+            for document in reversed(documents)
+        )
 
     async def _read_latest(self) -> bool:
         outcome = await self.client.read_latest(OPERATOR_TOPIC)
--- a/azurestep/platform/outcomes.py
+++ b/azurestep/platform/outcomes.py
@@ -27,10 +27,19 @@
 
 @attrs.frozen(slots=True)
 class Records:
-    """Records of a read, and the offset of the next read."""
+    """Records of a read.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset after these records, at which to continue.
+    end_offset : int
+        Offset at which the log ended; higher if there were more records.
+    """
 
     values: list[bytes]
     next_offset: int
+    end_offset: int
     era: int | None = None
 
 
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -256,10 +256,15 @@
         return await self.append(topic, [record], at=at, producer=producer)
 
     async def read(
-        self, topic: str, from_offset: int, wait_ms: int
+        self, topic: str, from_offset: int, wait_ms: int, max_kib: int | None = None
     ) -> Records | Truncated | Failed:
-        """Read records from an offset, waiting up to ``wait_ms`` for the first one."""
+        """Read records from an offset, waiting up to ``wait_ms`` for the first one.
+
+        ``max_kib``: size of the records up to which more of them are returned.
+        """
         path = f"/v1/log-read?topic={quote(topic)}&part=0&from={from_offset}"
+        if max_kib is not None:
+            path += f"&max_kilobytes={max_kib}"
         if wait_ms:
             path += f"&wait_ms={wait_ms}"
         answer = await self._call(
@@ -273,14 +278,20 @@
             return Refused(answer.status, answer.era)
         return _parse_records(answer, from_offset)
 
-    async def read_latest(self, topic: str) -> LatestRecords | Failed:
+    async def read_latest(self, topic: str, after: str = "") -> LatestRecords | Failed:
         """Return the latest record of each key of a keyed topic.
 
         Pages of different eras are no result.
+
+        Parameters
+        ----------
+        topic : str
+            Name of the topic.
+        after : str, optional
+            Only keys after this one are returned.
         """
         items: list[KeyedRecord] = []
         unreadable = 0
-        after = ""
         eras: set[int | None] = set()
         while True:
             path = f"/v1/log-newest?topic={quote(topic)}&part=0"
@@ -404,6 +415,7 @@
     if len(content) < OFFSETS.size:
         return Unanswered("malformed answer: too short")
     values = []
+    end_offset, _ = OFFSETS.unpack_from(content)
     at = OFFSETS.size
     while at + RECORD_LENGTH.size <= len(content):
         (size,) = RECORD_LENGTH.unpack_from(content, at)
@@ -412,7 +424,8 @@
             break
         values.append(content[at : at + size])
         at += size
-    return Records(values, from_offset + len(values), answer.era)
+    next_offset = from_offset + len(values)
+    return Records(values, next_offset, max(next_offset, end_offset), answer.era)
 
 
 @attrs.frozen(slots=True)
--- a/tests/test_mesh_narrow_links.py
+++ b/tests/test_mesh_narrow_links.py
@@ -82,3 +82,45 @@
         publish(narrow_store, large_document(version, 50_000))
         await asyncio.sleep(0.05)
     await wait_until_in_force(narrow_store, 39, PROPAGATION_S)
+
+
+ROLLOUT_KEY = "rollout/shop"
+
+
+def order(number: int) -> bytes:
+    """Return the order of a roll-out, as one of another service."""
+    fields = {"service": "shop", "new_version": f"v{number}", "duration": "9s"}
+    return orjson.dumps(fields)
+
+
+@pytest.mark.parametrize("after_order", [0, 1, 5])
+@pytest.mark.parametrize("orders", [1, 2])
+async def test_orders_between_overtaken_versions_are_not_lost(
+    narrow_store: MeshFleet, orders: int, after_order: int
+) -> None:
+    watcher = narrow_store.instances[0].node.configuration_watcher
+    applied: list[tuple[str, bytes, bool]] = []
+    watcher.apply_order = lambda key, value, offset, live: applied.append(
+        (key, value, live)
+    )
+    publish(narrow_store, large_document(10, 70_000))
+    await asyncio.sleep(0.05)
+    for version in range(11, 16):
+        publish(narrow_store, large_document(version, 70_000))
+    for number in range(orders):
+        narrow_store.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, order(number))
+    for version in range(16, 16 + after_order):
+        publish(narrow_store, large_document(version, 70_000))
+    await wait_until_in_force(narrow_store, 15 + after_order, 4.0)
+    async with asyncio.timeout(2.0):
+        while (ROLLOUT_KEY, order(orders - 1), True) not in applied:
+            await asyncio.sleep(0.01)
+    assert [key for key, _, _ in applied] == [ROLLOUT_KEY] * len(applied)
+
+
+async def test_a_document_beyond_the_size_of_a_read_is_read(
+    narrow_store: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("standins.store._up_to", lambda records, size_bytes: [])
+    publish(narrow_store, large_document(10, 50_000))
+    await wait_until_in_force(narrow_store, 10, PROPAGATION_S)
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -39,7 +39,7 @@
 
 async def test_appended_records_are_read_back(client: StoreClient) -> None:
     assert await client.append(TOPIC, [b"a", b"bc"]) == Appended(0, 2)
-    assert await client.read(TOPIC, 0, 0) == Records([b"a", b"bc"], 2)
+    assert await client.read(TOPIC, 0, 0) == Records([b"a", b"bc"], 2, 2)
 
 
 async def test_append_at_another_offset_is_a_conflict(
@@ -53,7 +53,7 @@
 async def test_repeated_append_is_stored_once(client: StoreClient) -> None:
     first = await client.append(TOPIC, [b"a"], producer=Producer("p", 7, 0))
     assert await client.append(TOPIC, [b"a"], producer=Producer("p", 7, 0)) == first
-    assert await client.read(TOPIC, 0, 0) == Records([b"a"], 1)
+    assert await client.read(TOPIC, 0, 0) == Records([b"a"], 1, 1)
 
 
 async def test_sequence_gap_and_earlier_epoch_are_distinguished(
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -1025,7 +1025,7 @@
     client.close()
     items = [outcomes.KeyedRecord("a/b", b"ab", 4), outcomes.KeyedRecord("c", b"", 5)]
     assert found == [
-        outcomes.Records([b"ab", b"c"], 7),
+        outcomes.Records([b"ab", b"c"], 7, 7),
         outcomes.Truncated(3),
         outcomes.LatestRecords(items, 7, 1),
     ]
