Bytes that came after a call to the store was cancelled raised an error

A node that stops, or whose task is cancelled, logged event 9010: the time limit of the call was moved after the call had ended (RuntimeError: cannot change state of finished Timeout), which came with the limit by progress. Test: an answer to a cancelled call, with the fault before.

--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -144,7 +144,7 @@
         now_s = self._loop.time()
         if self.receiving_since_s is None:
             self.receiving_since_s = now_s
-        if not self._timeout.expired():
+        if not self.future.done():
             self._timeout.reschedule(now_s + CALL_TIMEOUT_MS / 1000)
 
     def on_head(self, status: int, headers: Headers) -> bool:
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -140,3 +140,17 @@
     await eventually(lambda: instance.node.discovery.done)
     await asyncio.sleep(0.8)
     assert instance.host in mesh.store.topic(MEMBERS_TOPIC).newest
+
+
+async def test_an_answer_to_a_cancelled_call_is_ignored(
+    client: StoreClient, mesh_store: StoreStandIn
+) -> None:
+    faults: list[object] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda loop, context: faults.append(context))
+    call = asyncio.create_task(client.read(TOPIC, 0, 1000))
+    await asyncio.sleep(0.1)
+    call.cancel()
+    mesh_store.put(TOPIC, "a", b"b")
+    await asyncio.sleep(0.1)
+    assert faults == []
