Versions were sent whole to every peer of the reader at once

Cause: the reader sent each version whole to all peers of its data centre, 36,721 bytes to 31 peers, 2.6 s of its link, and its next question to the store waited behind them (four readers that had just sent a version gave up a call with no byte received). Besides, each version made it send its state to all nodes at once, and each node that knew of a newer version asked for it each 250 ms and got the whole document each time.

Now a node that puts a version in force tells up to three nodes of its data centre (the reader six) by a notice of some 20 bytes. They ask, one peer at a time, and get what differs from the version that they name (zstandard against the former document, which has the checksum of the result). The trees are chosen so that one silent node cuts off no other; who hears no notice still learns the version from the state of its peers. Two nodes of each other data centre hear of it too, in case their reader has no store. Answers leave at the rate of the link and with the version in force when their turn comes, so that overtaken ones are not sent. Nodes of the former release get whole documents as before.

--- a/azurestep/mesh/knowledge/configuration.py
+++ b/azurestep/mesh/knowledge/configuration.py
@@ -1,5 +1,6 @@
 """The configuration in force at this node, which is only replaced by newer ones."""
 
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 from random import Random
@@ -12,9 +13,16 @@
 from ...routing.table import RoutingTable
 from .. import events
 
-SOURCE_STORE = "store"
-SOURCE_PEER = "node"
-"""Source of a document, as it is logged."""
+KEPT_DOCUMENTS = 3
+"""Former documents that deltas of later ones may refer to."""
+
+
+class Origin(Enum):
+    """Where a document came from, as it is logged."""
+
+    STORE = "store"
+    LOCAL_PEER = "node"
+    REMOTE_PEER = "remote node"
 
 
 class Applied(Enum):
@@ -45,15 +53,18 @@
         Called after a new version was applied.
     content : bytes
         The document as the operators published it.
-    store_version : int
-        Latest version that this node read from the store itself; 0 for none.
+    origin : Origin
+        Where it came from.
     """
 
     on_change: Callable[[RoutingTable], None]
     table: RoutingTable | None = None
     random: Random = attrs.field(factory=Random)
     content: bytes = b""
-    store_version: int = 0
+    origin: Origin = Origin.STORE
+    _former: "deque[tuple[int, bytes]]" = attrs.field(
+        factory=lambda: deque(maxlen=KEPT_DOCUMENTS)
+    )
     _reader: DocumentReader = attrs.field(factory=DocumentReader)
 
     @property
@@ -65,30 +76,39 @@
         """Whether the configuration has the service; True while there is none."""
         return self.table is None or service in self.table.services
 
-    def apply_if_newer(self, content: bytes, source: str) -> bool:
-        """Apply a document if it is valid and newer; return whether it was applied."""
-        return self.apply(content, source) is Applied.NOW
+    def content_of(self, version: int) -> bytes:
+        """Return the document of a version; empty if it isn't kept."""
+        if version and version == self.version:
+            return self.content
+        return dict(self._former).get(version, b"")
+
+    def apply(self, content: bytes, origin: Origin, took_ms: float = 0.0) -> Applied:
+        """Apply a document if it is valid and newer; return what became of it.
 
-    def apply(self, content: bytes, source: str) -> Applied:
-        """Apply a document if it is valid and newer; return what became of it."""
+        ``took_ms``: time from the question for it until it had arrived.
+        """
         if content == self.content:
             return Applied.KNOWN
         try:
             document = self._reader.read(content)
         except ConfigurationError as error:
-            events.log(events.VERSION_REJECTED, source=source, cause=error.problem)
+            events.log(
+                events.VERSION_REJECTED, source=origin.value, cause=error.problem
+            )
             return Applied.INVALID
         if document.version <= self.version:
             return Applied.KNOWN
+        if self.table is not None:
+            self._former.append((self.version, self.content))
         self.table = self._build_table(document)
         self.content = content
-        if source == SOURCE_STORE:
-            self.store_version = document.version
+        self.origin = origin
         events.log(
             events.VERSION,
             version=document.version,
             routes=len(document.routes),
-            source=source,
+            source=origin.value,
+            took_ms=round(took_ms),
         )
         self.on_change(self.table)
         return Applied.NOW
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -1,9 +1,8 @@
-"""Keeping a node's configuration up to date.
+"""Reading of the configuration from the store.
 
-One node of each data centre, the reader, watches the store with a long poll and pushes
-new versions to its peers there. The other nodes compare their version with those of
-their peers and ask for a newer one. If the reader can't reach the store, the next node
-in the order of addresses takes over.
+One node of each data centre, the reader, watches the store with a long poll; the others
+get new versions from their peers. If the reader can't reach the store, the next node in
+the order of addresses takes over.
 """
 
 import asyncio
@@ -23,7 +22,7 @@
 from .. import events
 from ..links.members import Members
 from ..runtime import Runtime
-from .configuration import SOURCE_STORE, Applied, Configuration
+from .configuration import Applied, Configuration, Origin
 from .store_era import StoreEra
 
 LONG_POLL_MS = 1000
@@ -47,8 +46,6 @@
 
 The link of another node may be free or wider.
 """
-CATCH_UP_AFTER_MS = 250.0
-"""Time after which a node asks a peer for a newer version."""
 
 
 @attrs.define(eq=False)
@@ -82,7 +79,6 @@
     _offset: int | None = None
     _expects_document: bool = False
     _failures: int = 0
-    _behind_since_ms: float | None = None
     _wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def run(self) -> None:
@@ -105,34 +101,12 @@
         """Read the latest records again, since offsets have a new meaning."""
         self._offset = None
 
-    def tick(self, now_ms: float) -> None:
-        """Let another node read if the store's answer is slow; catch up with peers."""
+    def tick(self) -> None:
+        """Let another node read too if the store's answer is slow."""
         if self.store_reachable and self.client.receiving_ms > SLOW_ANSWER_MS:
             self._report_unreachable(
                 "slow answer", self.client.receiving_ms, self.client.received_bytes
             )
-        self._catch_up(now_ms)
-
-    def _catch_up(self, now_ms: float) -> None:
-        """Ask a peer for a newer version, preferably a local one."""
-        candidate = None
-        behind = self.members.newest_version > self.configuration.version
-        for link in self.members.live_links() if behind else ():
-            version = link.state.configuration_version if link.state is not None else 0
-            if version <= self.configuration.version:
-                continue
-            is_local = link.endpoint.data_centre == self.members.data_centre
-            if candidate is None or (is_local, version) > candidate[:2]:
-                candidate = (is_local, version, link)
-        if candidate is None:
-            self._behind_since_ms = None
-            return
-        if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-        elif now_ms - self._behind_since_ms > CATCH_UP_AFTER_MS:
-            self._behind_since_ms = now_ms
-            self.runtime.metrics.count("configuration_queries")
-            candidate[2].request_configuration()
 
     def _record_role(self, is_reader: bool) -> None:
         if is_reader != self.is_reader:
@@ -231,7 +205,7 @@
                 self.apply_order(keyed.key, keyed.value, first_offset + index, True)
         return any(
             document
-            and self.configuration.apply(document, SOURCE_STORE) is not Applied.INVALID
+            and self.configuration.apply(document, Origin.STORE) is not Applied.INVALID
             for document in reversed(documents)
         )
 
@@ -252,7 +226,7 @@
             )
         for item in outcome.items:
             if item.key == CONFIGURATION_KEY and item.value:
-                self.configuration.apply_if_newer(item.value, SOURCE_STORE)
+                self.configuration.apply(item.value, Origin.STORE)
             elif item.key != CONFIGURATION_KEY:
                 self.apply_order(item.key, item.value, item.offset, False)
         return True
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -66,7 +66,15 @@
 
 @attrs.frozen(slots=True)
 class ConfigurationQuery:
-    """Asks for the configuration of the other node."""
+    """Asks for the configuration of the other node, if that is newer.
+
+    Attributes
+    ----------
+    known_version : int
+        Version in force at the sender; 0 for none.
+    """
+
+    known_version: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -77,6 +85,37 @@
     content: bytes
 
 
+@attrs.frozen(slots=True)
+class ConfigurationDelta:
+    """Configuration in force at the sender, compressed against another version.
+
+    Attributes
+    ----------
+    base_version : int
+        Version that the receiver needs to read it; 0 for none.
+    delta : bytes
+        As ``encode_delta`` returns it.
+    """
+
+    version: int
+    base_version: int
+    delta: bytes
+
+
+@attrs.frozen(slots=True)
+class VersionNotice:
+    """Tells that a version is in force at the sender.
+
+    Attributes
+    ----------
+    root : tuple
+        Address of the node of the sender's data centre that had it first.
+    """
+
+    version: int
+    root: tuple[str, int]
+
+
 @attrs.frozen(slots=True)
 class ServerCondition:
     """What the backend server beside a node said about itself in its answers.
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -11,6 +11,7 @@
     AnswerData,
     BodyBacklog,
     CalledRoutes,
+    ConfigurationDelta,
     ConfigurationUpdate,
     CrashReport,
     Credit,
@@ -21,9 +22,11 @@
     SlotReady,
     StoreEraUpdate,
     TrialCounts,
+    VersionNotice,
 )
 from ..messages import (
-    FEATURE_LEVEL,
+    DELTA_FEATURE_LEVEL,
+    PIECES_FEATURE_LEVEL,
     REQUEST_FIELDS_AT_LEVEL_0,
     Answer,
     Failure,
@@ -90,6 +93,16 @@
     ) -> None:
         """Handle what the peer's backend server said about itself."""
 
+    def on_notice(self, connection: "PeerConnection", notice: VersionNotice) -> None:
+        """Handle the version that is in force at the peer."""
+
+    def on_configuration(
+        self,
+        connection: "PeerConnection",
+        update: ConfigurationUpdate | ConfigurationDelta,
+    ) -> None:
+        """Handle a configuration of the peer."""
+
     def on_connection_lost(self, connection: "PeerConnection") -> None:
         """Handle the end of the connection."""
 
@@ -126,7 +139,7 @@
     @property
     def takes_pieces(self) -> bool:
         """Whether the peer asks for a body piece by piece."""
-        return self.connection.feature_level >= FEATURE_LEVEL
+        return self.connection.feature_level >= PIECES_FEATURE_LEVEL
 
     @property
     def may_have_run(self) -> bool:
@@ -218,13 +231,21 @@
         )
         self.streams[self._last_stream_id] = stream
         fields = fields_of(request)
-        if self.feature_level < FEATURE_LEVEL:
+        if self.feature_level < PIECES_FEATURE_LEVEL:
             fields = fields[:REQUEST_FIELDS_AT_LEVEL_0]
         self.send(Kind.REQUEST, self._last_stream_id, *fields)
         self._probe_if_idle()
         self._limit_due(self.last_received_ms + BUSY_PROBE_INTERVAL_MS)
         return stream
 
+    def request_configuration(self, known_version: int) -> None:
+        """Ask for a configuration that is newer than a version."""
+        if self.feature_level < DELTA_FEATURE_LEVEL:
+            self.send(Kind.CONFIGURATION_QUERY)
+        else:
+            self.send(Kind.CONFIGURATION_QUERY, known_version)
+        self._probe_if_idle()
+
     def _probe_if_idle(self) -> None:
         """Probe along with a request if the link was idle, as it may be broken."""
         age_ms = self.link.runtime.now_ms() - self.last_received_ms
@@ -320,8 +341,13 @@
     def _on_pong(self, _: None, pong: Pong) -> None:
         """Ignore; any received message answers the probe."""
 
-    def _on_configuration(self, _: None, update: ConfigurationUpdate) -> None:
-        self.link.fleet_listener.on_configuration(update.version, update.content)
+    def _on_configuration(
+        self, _: None, update: ConfigurationUpdate | ConfigurationDelta
+    ) -> None:
+        self.link.on_configuration(self, update)
+
+    def _on_notice(self, _: None, notice: VersionNotice) -> None:
+        self.link.on_notice(self, notice)
 
     def _on_store_era(self, _: None, update: StoreEraUpdate) -> None:
         self.link.fleet_listener.on_store_era(update.era)
@@ -376,6 +402,8 @@
     Hello: PeerConnection._on_hello,
     Pong: PeerConnection._on_pong,
     ConfigurationUpdate: PeerConnection._on_configuration,
+    ConfigurationDelta: PeerConnection._on_configuration,
+    VersionNotice: PeerConnection._on_notice,
     CrashReport: PeerConnection._on_crashes,
     Answer: PeerConnection._on_answer,
     AnswerData: PeerConnection._on_answer_data,
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -21,6 +21,7 @@
     BodyBacklog,
     CalledRoutes,
     Cancel,
+    ConfigurationDelta,
     ConfigurationQuery,
     ConfigurationUpdate,
     CrashReport,
@@ -34,6 +35,7 @@
     SlotReady,
     StoreEraUpdate,
     TrialCounts,
+    VersionNotice,
     Withdraw,
 )
 from ..messages import (
@@ -75,6 +77,8 @@
     | Failure
     | ConfigurationQuery
     | ConfigurationUpdate
+    | ConfigurationDelta
+    | VersionNotice
     | CrashReport
     | ServerCondition
     | StoreEraUpdate
@@ -212,6 +216,8 @@
     Kind.CONFIGURATION: _schema(
         ConfigurationUpdate, _build_configuration, has_stream_id=False
     ),
+    Kind.CONFIGURATION_DELTA: _schema(ConfigurationDelta, has_stream_id=False),
+    Kind.VERSION_NOTICE: _schema(VersionNotice, has_stream_id=False),
     Kind.CRASHES: _schema(
         CrashReport, _build_crashes, has_stream_id=False, updates=_CRASH_ROWS
     ),
--- a/azurestep/mesh/links/interfaces.py
+++ b/azurestep/mesh/links/interfaces.py
@@ -52,10 +52,7 @@
 
 
 class FleetListener(Protocol):
-    """Receiver of configurations, crashes, store eras and roll-outs from any peer."""
-
-    def on_configuration(self, version: int, content: bytes) -> None:
-        """Handle a configuration that a peer sent."""
+    """Receiver of crashes, store eras and roll-outs from any peer."""
 
     def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
         """Handle a report of requests in flight at a backend server's crash."""
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -13,11 +13,14 @@
 from ..link_messages import (
     BodyBacklog,
     CalledRoutes,
+    ConfigurationDelta,
+    ConfigurationUpdate,
     ServerCondition,
     ServerVersion,
     TrialCounts,
+    VersionNotice,
 )
-from ..messages import Hello, Kind, Request, State
+from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
 from .connection import (
@@ -52,6 +55,14 @@
     def on_trial_counts(self, link: "PeerLink", counts: TrialCounts) -> None:
         """Handle the runs of a peer's backend server during a roll-out."""
 
+    def on_notice(self, link: "PeerLink", notice: VersionNotice) -> None:
+        """Handle the version that is in force at a peer."""
+
+    def on_configuration(
+        self, link: "PeerLink", update: ConfigurationUpdate | ConfigurationDelta
+    ) -> None:
+        """Handle a configuration that a peer sent."""
+
     def on_link_up(self, link: "PeerLink", hello: Hello) -> None:
         """Handle a peer that has begun to answer."""
 
@@ -150,10 +161,10 @@
             self.connection.last_received_ms += pause_ms
             self.connection.last_probe_ms += pause_ms
 
-    def request_configuration(self) -> None:
-        """Ask the peer for its configuration."""
+    def request_configuration(self, known_version: int) -> None:
+        """Ask the peer for a configuration that is newer than a version."""
         if self.connection is not None:
-            self.connection.send(Kind.CONFIGURATION_QUERY)
+            self.connection.request_configuration(known_version)
 
     def dial_soon(self) -> None:
         """Reconnect at the next tick."""
@@ -223,6 +234,19 @@
         if connection is self.connection:
             self.listener.on_trial_counts(self, counts)
 
+    def on_notice(self, connection: PeerConnection, notice: VersionNotice) -> None:
+        """Pass on the version that is in force at the peer."""
+        if connection is self.connection:
+            self.listener.on_notice(self, notice)
+
+    def on_configuration(
+        self,
+        connection: PeerConnection,
+        update: ConfigurationUpdate | ConfigurationDelta,
+    ) -> None:
+        """Pass on a configuration of the peer, which any connection may bring."""
+        self.listener.on_configuration(self, update)
+
     def on_condition(
         self, connection: PeerConnection, condition: ServerCondition
     ) -> None:
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -15,7 +15,14 @@
 from ..decisions.choice import Endpoint, EndpointGroup
 from ..decisions.rollout import VersionRole
 from ..incarnation import NO_INCARNATION
-from ..link_messages import CalledRoutes, RolloutUpdate, TrialCounts
+from ..link_messages import (
+    CalledRoutes,
+    ConfigurationDelta,
+    ConfigurationUpdate,
+    RolloutUpdate,
+    TrialCounts,
+    VersionNotice,
+)
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
@@ -59,8 +66,10 @@
         Returns this node's hello.
     on_change : Callable
         Called when a peer was reached or lost, or sent a new state.
+    apply_notice : Callable
+        Called with the link to a peer and the version that is in force there.
     apply_configuration : Callable
-        Called with a configuration that a peer sent.
+        Called with the link to a peer and a configuration that it sent.
     apply_store_era : Callable
         Called with an era of the store that a peer sent.
     apply_rollout : Callable
@@ -83,12 +92,15 @@
     inbound: Inbound
     make_hello: Callable[[], Hello]
     on_change: Callable[[], None]
-    apply_configuration: Callable[[int, bytes], None]
     apply_store_era: Callable[[int], object]
     apply_rollout: Callable[[RolloutUpdate], object] = lambda update: None
     apply_trial_counts: Callable[[Address, TrialCounts], object] = (
         lambda address, counts: None
     )
+    apply_notice: Callable[[PeerLink, VersionNotice], None] = lambda link, notice: None
+    apply_configuration: Callable[
+        [PeerLink, ConfigurationUpdate | ConfigurationDelta], None
+    ] = lambda link, update: None
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     newest_version: int = 0
     pressure_changed: bool = True
@@ -282,9 +294,16 @@
         """Pass on the runs of a peer's backend server during a roll-out."""
         self.apply_trial_counts(link.address, counts)
 
-    def on_configuration(self, version: int, content: bytes) -> None:
+    def on_notice(self, link: PeerLink, notice: VersionNotice) -> None:
+        """Pass on the version that is in force at a peer."""
+        self.newest_version = max(self.newest_version, notice.version)
+        self.apply_notice(link, notice)
+
+    def on_configuration(
+        self, link: PeerLink, update: ConfigurationUpdate | ConfigurationDelta
+    ) -> None:
         """Pass on a configuration that a peer sent."""
-        self.apply_configuration(version, content)
+        self.apply_configuration(link, update)
 
     def on_store_era(self, era: int) -> None:
         """Pass on an era of the store that a peer sent."""
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -1,7 +1,7 @@
 """Links that peers opened: their requests in, outcomes and state out."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 import attrs
@@ -33,7 +33,6 @@
     Reason,
     Request,
     State,
-    compress,
     encode,
     fields_of,
 )
@@ -66,12 +65,10 @@
         Return this node's current hello and state.
     on_peer : Callable
         Called with the hello of a peer that opened a link.
-    configuration : Callable
-        Returns version and content of the configuration in force.
-    store_version : Callable
-        Returns the latest version that this node read from the store itself.
     store_era : Callable
         Returns the latest era of the store; 0 if unknown.
+    on_query : Callable
+        Called with a link and the question for a newer configuration on it.
     condition : Callable
         Returns what the backend server said about itself; None if nothing.
     local_links : set of IncomingLink
@@ -83,11 +80,12 @@
     hello: Callable[[], Hello]
     state: Callable[[], State]
     on_peer: Callable[[Hello], None]
-    configuration: Callable[[], tuple[int, bytes]]
-    store_version: Callable[[], int]
     store_era: Callable[[], int]
     condition: Callable[[], ServerCondition | None]
     data_centre: str
+    on_query: "Callable[[IncomingLink, ConfigurationQuery], None]" = (
+        lambda link, query: None
+    )
     links: "set[IncomingLink]" = attrs.field(factory=set)
     local_links: "set[IncomingLink]" = attrs.field(factory=set)
     _urgent: tuple[object, ...] = ()
@@ -117,7 +115,7 @@
         state = self.state()
         data = encode(Kind.STATE, *fields_of(state))
         now_ms = self.runtime.now_ms()
-        urgent = (self.store_version(), *_urgent_fields(state))
+        urgent = _urgent_fields(state)
         if urgent != self._urgent:
             self._urgent = urgent
             self._local_pacer.mark_sent(data, now_ms)
@@ -187,28 +185,23 @@
     def send_trial_counts(self, counts: TrialCounts, peers: set[Address]) -> None:
         """Send the runs of the backend server during a roll-out to some peers."""
         data = encode(Kind.TRIAL_COUNTS, *fields_of(counts))
-        for link in self.links:
-            if link.peer is not None and tuple(link.peer.peer_address) in peers:
-                link.write(data)
-
-    def push_configuration(self) -> None:
-        """Send the configuration in force to the peers of the local data centre.
+        for link in self.links_of(peers):
+            link.write(data)
 
-        Only the node that read it from the store pushes it, to spare narrow links.
-        """
-        version, content = self.configuration()
-        data = encode(Kind.CONFIGURATION, version, compress(content))
-        self._write(self.local_links, data)
-        self.record_version_sent(version, len(self.local_links), len(data))
-
-    def record_version_sent(self, version: int, peers: int, size_bytes: int) -> None:
-        """Log and count a version that was sent to some peers."""
-        metrics = self.runtime.metrics
-        metrics.count("configuration_sent_bytes", amount=peers * size_bytes)
+    def links_of(self, addresses: Container[Address]) -> "list[IncomingLink]":
+        """Return the links that the nodes at some addresses opened."""
+        return [
+            link
+            for link in self.links
+            if link.peer is not None and tuple(link.peer.peer_address) in addresses
+        ]
+
+    def record_version_sent(self, version: int, size_bytes: int) -> None:
+        """Log and count a version that was sent to a peer."""
+        self.runtime.metrics.count("configuration_sent_bytes", amount=size_bytes)
         events.log_routine(
             events.VERSION_SENT,
             version=version,
-            peers=peers,
             size_bytes=size_bytes,
             unsent_bytes=self.unsent_bytes(),
         )
@@ -346,6 +339,16 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self not in self.incoming_links.links
+
+    @property
+    def feature_level(self) -> int:
+        """Feature level of the peer; 0 until its hello."""
+        return 0 if self.peer is None else self.peer.feature_level
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait in the send buffer."""
@@ -395,10 +398,7 @@
         self.incoming_links.identify(self, hello)
 
     def _on_configuration_query(self, _: int, query: ConfigurationQuery) -> None:
-        version, content = self.incoming_links.configuration()
-        data = encode(Kind.CONFIGURATION, version, compress(content))
-        self.write(data)
-        self.incoming_links.record_version_sent(version, 1, len(data))
+        self.incoming_links.on_query(self, query)
 
     def _on_condition(self, _: int, condition: ServerCondition) -> None:
         self.incoming_links.inbound.apply_peer_condition(condition)
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -15,9 +15,13 @@
 
 Headers = list[tuple[bytes, bytes]]
 PROTOCOL_VERSION = 2
-FEATURE_LEVEL = 1
+FEATURE_LEVEL = 2
 """Rises with each field that is added to a message. Nodes of level 0 reject messages
 with fields that they don't know; later ones skip them."""
+PIECES_FEATURE_LEVEL = 1
+"""Nodes from this level on know requests whose body they ask for piece by piece."""
+DELTA_FEATURE_LEVEL = 2
+"""Nodes from this level on know notices of versions and configurations as deltas."""
 REQUEST_FIELDS_AT_LEVEL_0 = 19
 """Fields of a request that nodes of level 0 read for sure."""
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
@@ -53,6 +57,8 @@
     TRIAL_COUNTS = 23
     BODY_BACKLOG = 24
     CALLED_ROUTES = 25
+    VERSION_NOTICE = 26
+    CONFIGURATION_DELTA = 27
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -28,10 +28,12 @@
 from .decisions.pressure import PressureReport, find_called_services
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
-from .knowledge.configuration import SOURCE_PEER, Configuration
+from .knowledge.configuration import Configuration, Origin
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
 from .knowledge.store_era import StoreEra
+from .knowledge.version_fetcher import VersionFetcher
+from .knowledge.version_server import VersionServer
 from .link_messages import RolloutUpdate, TrialCounts
 from .links.members import Members
 from .links.server import IncomingLink, IncomingLinks
@@ -84,6 +86,8 @@
     configuration: Configuration = attrs.field(init=False)
     store_era: StoreEra = attrs.field(init=False)
     configuration_watcher: ConfigurationWatcher = attrs.field(init=False)
+    version_fetcher: VersionFetcher = attrs.field(init=False)
+    version_server: VersionServer = attrs.field(init=False)
     discovery: Discovery = attrs.field(init=False)
     call_context: CallContext = attrs.field(init=False)
     outbound: Outbound = attrs.field(init=False)
@@ -132,7 +136,6 @@
             self.inbound,
             self.hello,
             self._on_peer_change,
-            self._apply_configuration,
             self.store_era.accept,
             self._apply_rollout,
             self._apply_trial_counts,
@@ -140,6 +143,9 @@
         self.configuration = Configuration(
             self._on_configuration, random=runtime.random
         )
+        self.version_fetcher = VersionFetcher(runtime, self.configuration, self.members)
+        self.members.apply_notice = self.version_fetcher.on_notice
+        self.members.apply_configuration = self.version_fetcher.on_answer
         self.configuration_watcher = ConfigurationWatcher(
             runtime,
             self._make_store_client(),
@@ -176,12 +182,18 @@
             lambda hello: self.members.add(
                 (hello.peer_address[0], hello.peer_address[1])
             ),
-            lambda: (self.configuration.version, self.configuration.content),
-            lambda: self.configuration.store_version,
             lambda: self.store_era.current,
             self.inbound.condition,
             settings.data_centre,
         )
+        self.version_server = VersionServer(
+            runtime,
+            self.configuration,
+            self.members,
+            self.incoming_links,
+            settings.link_mbps,
+        )
+        self.incoming_links.on_query = self.version_server.on_query
         self.rollouts = Rollouts(
             runtime,
             self._make_store_client(),
@@ -371,9 +383,6 @@
     def _on_peer_change(self) -> None:
         self.configuration_watcher.wake()
 
-    def _apply_configuration(self, version: int, content: bytes) -> None:
-        self.configuration.apply_if_newer(content, SOURCE_PEER)
-
     def _apply_order(self, key: str, value: bytes, offset: int, live: bool) -> None:
         self.rollouts.apply_record(key, value, offset, live)
 
@@ -406,8 +415,11 @@
     def _on_configuration(self, table: RoutingTable) -> None:
         self.callers.limits = table.limits
         self.schedule_state_broadcast()
-        if self.configuration.store_version == table.version:
-            self.incoming_links.push_configuration()
+        origin = self.configuration.origin
+        root = self.settings.peer_address
+        if origin is Origin.LOCAL_PEER:
+            root = self.version_fetcher.root
+        self.version_server.announce(origin, root)
         self.prober.check()
 
     def _make_store_client(self) -> StoreClient:
@@ -465,7 +477,8 @@
         run_guarded(self.call_context.refusals.tick)
         run_guarded(self._update_load_shedder)
         self.members.called_routes.update(self.inbound.caller_detector.called_routes())
-        run_guarded(self.configuration_watcher.tick, now_ms)
+        run_guarded(self.configuration_watcher.tick)
+        run_guarded(self.version_fetcher.tick, now_ms)
         self._ticks += 1
         if self._ticks % STATE_BROADCAST_TICKS == 0:
             run_guarded(self.schedule_state_broadcast)
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -63,6 +63,24 @@
     return orjson.dumps(fields)
 
 
+def large_document(version: int, size_bytes: int) -> bytes:
+    """Return a valid document of about a size, whose routes have random names."""
+    routes = {}
+    size = 0
+    while size < size_bytes:
+        name = os.urandom(8).hex()
+        routes[name] = {
+            "host": "shop.example",
+            "path_prefix": f"/{name}/",
+            "route_kind": "safe",
+            "timeout": "1200ms",
+            "max_attempts": 2,
+            "service": "shop",
+        }
+        size += len(name) + len(orjson.dumps(routes[name]))
+    return document(version, routes=routes)
+
+
 @attrs.define
 class MeshInstance:
     """One instance with its node and backend server."""
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from azurestep.mesh.decisions.rollout import Phase
+from azurestep.mesh.deltas import encode_delta
 from azurestep.mesh.links import decoding
 from azurestep.mesh.links.connection import HANDLERS as CONNECTION_HANDLERS
 from azurestep.mesh.links.connection import PeerConnection, RemoteStream
@@ -57,6 +58,8 @@
     Kind.CREDIT: [STREAM, 500],
     Kind.CONFIGURATION: [4, compress(b"{}")],
     Kind.CONFIGURATION_QUERY: [],
+    Kind.CONFIGURATION_DELTA: [4, 0, encode_delta(b"", b"{}")],
+    Kind.VERSION_NOTICE: [4, ["10.0.0.1", 7]],
     Kind.SLOT_READY: [STREAM],
     Kind.PROCEED: [STREAM],
     Kind.CRASHES: ["shop", CRASHES],
--- a/tests/test_mesh_narrow_links.py
+++ b/tests/test_mesh_narrow_links.py
@@ -1,38 +1,19 @@
 """Versions get in force in time though a link needs seconds for a document."""
 
 import asyncio
-import os
 
 import orjson
 import pytest
 
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 
-from .fixtures_mesh import MeshFleet, document
+from .fixtures_mesh import MeshFleet, large_document
 
 PROPAGATION_S = 2.5
 """Bound of the users from the acknowledgement of a version until it is in force."""
 SLACK_S = 0.5
 
 
-def large_document(version: int, size_bytes: int) -> bytes:
-    """Return a valid document of about a size, whose routes have random names."""
-    routes = {}
-    size = 0
-    while size < size_bytes:
-        name = os.urandom(8).hex()
-        routes[name] = {
-            "host": "shop.example",
-            "path_prefix": f"/{name}/",
-            "route_kind": "safe",
-            "timeout": "1200ms",
-            "max_attempts": 2,
-            "service": "shop",
-        }
-        size += len(name) + len(orjson.dumps(routes[name]))
-    return document(version, routes=routes)
-
-
 def publish(mesh: MeshFleet, content: bytes) -> None:
     mesh.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
 
