A rejected request was not answered while its body was under way

A caller whose request was shed, or had no route, and whose body came slowly or stopped, got no answer at all, also long after the route's timeout (CONFIG has a check on that): the rejection waited for the end of the body.

Now it waits for 1 s at most, so that a connection can be used again after most rejections, and is then answered before the body's end.

Found while the checks of CONFIG were gone through. The two cases (no route, shed) had no answer after 2 s before; requests that are sent on are answered at their timeout while the body is under way, before and now.

--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -1,5 +1,6 @@
 """Entry point of callers' requests: route matching and load shedding."""
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -19,6 +20,11 @@
 SHED_RETRY_AFTER_MS = 120.0
 """Time after which to retry a shed request; short enough for the retry to meet the
 route's objective."""
+REJECTED_BODY_MS = 1000.0
+"""Time in which the body of a rejected request may arrive.
+
+An answer before its end closes the connection.
+"""
 NOT_FOUND = 404
 BAD_REQUEST = 400
 
@@ -84,7 +90,9 @@
 
 @attrs.define(eq=False)
 class Rejection:
-    """Answers a request that goes to no backend server, after it was read completely.
+    """Answers a request that goes to no backend server, once it was read completely.
+
+    If its body takes long, it is answered before.
 
     Attributes
     ----------
@@ -100,12 +108,23 @@
     status: int
     reason: Reason = Reason.NO_BACKEND
     route: str = ""
+    _timer: asyncio.TimerHandle | None = None
+
+    def __attrs_post_init__(self) -> None:
+        if self.exchange.chunked or self.exchange.length:
+            self._timer = self.runtime.call_later(REJECTED_BODY_MS, self._answer)
 
     def on_body(self, data: bytes) -> None:
         """Ignore the body."""
 
     def on_end(self) -> None:
+        """Answer the request."""
+        self._answer()
+
+    def _answer(self) -> None:
         """Log, count and answer the request."""
+        self._cancel_timer()
+        self.exchange.sink = None
         events.log(
             events.CALL_REFUSED,
             id=self.request_id,
@@ -122,11 +141,17 @@
             headers = request_id_header(self.request_id)
             self.exchange.answer(self.status, headers, b"")
 
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
     def on_disconnect(self) -> None:
-        """Ignore; nothing was started."""
+        """Stop waiting for the body."""
+        self._cancel_timer()
 
     def on_writable(self) -> None:
         """Ignore; the answer is short."""
 
     def on_fault(self) -> None:
-        """Ignore; the caller's connection answers 502."""
+        """Stop waiting; the caller's connection answers 502."""
+        self._cancel_timer()
