A reader that takes over read documents that were overtaken long ago

A node that becomes the reader of its data centre went on where it had read last, mostly at its start, and took a stale document first; one that knew no offset read the latest record of the key, which comes in base64: 600 KB for a document of 450 KB, 1.4 s of a link of 3.5 Mbit/s. With the time until a lost reader is noticed both are beyond the bound of 2.5 s. All nodes of a restart took the document in that form too, though their peers had it, compressed to a twentieth, a few milliseconds away.

A node that has a configuration reads the other keys, which tells the end of the log, and then the latest document from the log; if it isn't there, by its key. A restarted node leaves its peers 0.3 s before it reads by key.

Tests, both failing on the commit before: a reader takes over and gets a document of 205 kB at 100 kB/s within 2.5 s; a restarted node takes less than a tenth of the document's size from the store (206 kB before).

--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -34,6 +34,8 @@
 """Size up to which a read returns several records; a larger document comes alone."""
 MIN_READ_INTERVAL_S = 0.1
 """Time from a document to the next read, which may find several later ones."""
+PEER_WAIT_S = 0.3
+"""Time that a restarted node waits for a configuration of its peers."""
 ROLE_CHECK_S = 1.0
 """How often a node that isn't the reader checks whether it should be, unless a change
 of its peers wakes it earlier."""
@@ -54,6 +56,8 @@
 
     Attributes
     ----------
+    restarted : bool
+        Whether peers may run already that have a configuration.
     store_reachable : bool
         Whether the store answered the last call.
     is_reader : bool
@@ -74,25 +78,39 @@
     apply_order: Callable[[str, bytes, int, bool], None] = (
         lambda key, value, offset, live: None
     )
+    restarted: bool = False
     store_reachable: bool = True
     is_reader: bool = False
     _offset: int | None = None
     _expects_document: bool = False
+    _is_missing: bool = False
+    _has_tried: bool = False
     _failures: int = 0
     _wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def run(self) -> None:
         """Read from the store while this node is the reader or has no configuration."""
+        if self.restarted:
+            await self._wait_for_peers()
         while True:
             self._record_role(not self.members.preceding_readers())
-            if self.configuration.version and not self.is_reader:
+            is_needed = self.is_reader or not self.configuration.version
+            if self._has_tried and not is_needed:
                 await self._pause(ROLE_CHECK_S)
                 continue
+            self._has_tried = True
             if await self._read_once():
                 self._failures = 0
                 continue
             await asyncio.sleep(self._retry_pause_s())
 
+    async def _wait_for_peers(self) -> None:
+        """Leave peers some time to send the configuration, which is shorter there."""
+        loop = self.runtime.loop
+        end_s = loop.time() + PEER_WAIT_S
+        while not self.configuration.version and loop.time() < end_s:
+            await self._pause(end_s - loop.time())
+
     def wake(self) -> None:
         """Check now whether this node should be the reader."""
         self._wake_event.set()
@@ -111,10 +129,13 @@
     def _record_role(self, is_reader: bool) -> None:
         if is_reader != self.is_reader:
             self.is_reader = is_reader
+            self._offset = None
             events.log(events.READER, reader=is_reader)
 
     async def _read_once(self) -> bool:
         offset = self._offset
+        if offset is None and self.configuration.version and not self._is_missing:
+            return await self._skip_to_latest(None)
         if offset is None:
             return await self._read_latest()
         outcome = await self.client.read(
@@ -124,7 +145,7 @@
             return False
         if isinstance(outcome, Truncated):
             self._mark_reachable()
-            self._offset = None
+            self._offset, self._is_missing = None, True
             return True
         if not isinstance(outcome, Records):
             self._mark_unreachable(outcome)
@@ -142,7 +163,7 @@
         if (expected_document and not has_document) or (
             remaining and not records.values
         ):
-            self._offset = None
+            self._offset, self._is_missing = None, True
             return True
         self._offset = records.next_offset
         if remaining > 1:
@@ -151,10 +172,15 @@
             await asyncio.sleep(MIN_READ_INTERVAL_S)
         return True
 
-    async def _skip_to_latest(self, offset: int) -> bool:
+    async def _skip_to_latest(self, offset: int | None) -> bool:
         """Continue at the latest document, without those that it has overtaken.
 
         Records of other keys are read without the document, which is large.
+
+        Parameters
+        ----------
+        offset : int or None
+            Offset up to which all records were read; None if that isn't known.
         """
         outcome = await self.client.read_latest(OPERATOR_TOPIC, after=CONFIGURATION_KEY)
         if not self.era.accept(outcome.era):
@@ -162,16 +188,18 @@
         if not isinstance(outcome, LatestRecords):
             self._mark_unreachable(outcome)
             return False
+        self._mark_reachable()
         for item in outcome.items:
-            if item.offset >= offset:
-                self.apply_order(item.key, item.value, item.offset, True)
+            if offset is None or item.offset >= offset:
+                is_new = offset is not None
+                self.apply_order(item.key, item.value, item.offset, is_new)
         if self._offset == offset:
             others = {item.offset for item in outcome.items}
             latest = outcome.end_offset - 1
             while latest in others:
                 latest -= 1
-            self._expects_document = latest > offset
-            self._offset = max(latest, offset)
+            self._expects_document = offset is None or latest > offset
+            self._offset = max(latest, offset or 0)
         return True
 
     def _apply_latest(self, records: list[bytes], first_offset: int) -> bool:
@@ -205,7 +233,7 @@
             self._mark_unreachable(outcome)
             return False
         self._mark_reachable()
-        self._offset = outcome.end_offset
+        self._offset, self._is_missing = outcome.end_offset, False
         if outcome.unreadable:
             events.log(
                 events.RECORD_UNREADABLE,
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -154,6 +154,7 @@
             self.store_era,
             self.schedule_state_broadcast,
             self._apply_order,
+            restarted=not self.settings.first_start,
         )
         self.discovery = Discovery(
             runtime,
@@ -420,6 +421,7 @@
         if origin is Origin.LOCAL_PEER:
             root = self.version_fetcher.root
         self.version_server.announce(origin, root)
+        self.configuration_watcher.wake()
         self.prober.check()
 
     def _make_store_client(self) -> StoreClient:
--- a/standins/store.py
+++ b/standins/store.py
@@ -109,6 +109,8 @@
         Most keys of one page.
     link_bytes_per_s : float
         Rate at which each answer reaches its caller; infinite for no limit.
+    sent_bytes : int
+        Bodies of all answers so far.
     raw_items : list
         Items of another writer that stand on each page of newest records.
     calls : list of str
@@ -122,6 +124,7 @@
     late_s: float = 0.5
     page_items: int = 500
     link_bytes_per_s: float = math.inf
+    sent_bytes: int = 0
     raw_items: list[object] = attrs.field(factory=list)
     calls: list[str] = attrs.field(factory=list)
     era: int | None = None
@@ -185,9 +188,12 @@
         self, request: web.Request, answer: web.StreamResponse
     ) -> web.StreamResponse:
         """Send an answer at the rate of the caller's link."""
-        if math.isinf(self.link_bytes_per_s) or not isinstance(answer, web.Response):
+        if not isinstance(answer, web.Response):
             return answer
         body = answer.body if isinstance(answer.body, bytes) else b""
+        self.sent_bytes += len(body)
+        if math.isinf(self.link_bytes_per_s):
+            return answer
         paced = web.StreamResponse(status=answer.status, headers=answer.headers)
         paced.content_length = len(body)
         await paced.prepare(request)
--- a/tests/test_mesh_narrow_links.py
+++ b/tests/test_mesh_narrow_links.py
@@ -5,9 +5,10 @@
 import orjson
 import pytest
 
+from azurestep.mesh.knowledge.configuration import Origin
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 
-from .fixtures_mesh import MeshFleet, large_document
+from .fixtures_mesh import MeshFleet, MeshInstance, large_document
 
 PROPAGATION_S = 2.5
 """Bound of the users from the acknowledgement of a version until it is in force."""
@@ -105,3 +106,51 @@
     monkeypatch.setattr("standins.store._up_to", lambda records, size_bytes: [])
     publish(narrow_store, large_document(10, 50_000))
     await wait_until_in_force(narrow_store, 10, PROPAGATION_S)
+
+
+async def test_a_reader_that_takes_over_gets_the_document_in_time(
+    narrow_store: MeshFleet,
+) -> None:
+    """It had its last version from the former reader, not from the store."""
+    *others, heir = narrow_store.instances
+    async with asyncio.timeout(PROPAGATION_S):
+        while heir.node.configuration_watcher.is_reader:
+            await asyncio.sleep(0.05)
+    publish(narrow_store, large_document(10, 100_000))
+    await wait_until_in_force(narrow_store, 10, PROPAGATION_S)
+    for instance in others:
+        await stop_instance(instance)
+    publish(narrow_store, large_document(11, 205_000))
+    async with asyncio.timeout(PROPAGATION_S):
+        while heir.node.configuration.version < 11:
+            await asyncio.sleep(0.01)
+
+
+async def stop_instance(instance: MeshInstance) -> None:
+    assert instance.task is not None
+    instance.task.cancel()
+    instance.node.abort()
+    await instance.server.stop()
+
+
+async def test_a_restarted_node_gets_a_document_from_its_peers_alone(
+    narrow_store: MeshFleet,
+) -> None:
+    document = large_document(10, 150_000)
+    publish(narrow_store, document)
+    await wait_until_in_force(narrow_store, 10, 6.0)
+    await asyncio.sleep(1.1)
+    before = narrow_store.store.sent_bytes
+    restarted = narrow_store.instances[2]
+    assert restarted.task is not None
+    restarted.task.cancel()
+    restarted.node.abort()
+    await asyncio.sleep(0.05)
+    restarted.node = narrow_store.new_node(restarted)
+    narrow_store.start_node(restarted)
+    async with asyncio.timeout(0.5):
+        while restarted.node.configuration.version < 10:
+            await asyncio.sleep(0.01)
+    assert restarted.node.configuration.origin is Origin.LOCAL_PEER
+    await asyncio.sleep(0.5)
+    assert narrow_store.store.sent_bytes - before < len(document) / 10
