--- a/tests/test_mesh_spreading.py
+++ b/tests/test_mesh_spreading.py
@@ -15,11 +15,18 @@
 )
 from azurestep.mesh.deltas import decode_delta, encode_delta
 from azurestep.mesh.settings import Address
+from bench.version_spreading import (
+    BYTES_PER_MS_AT_1_MBPS,
+    NODES,
+    ROUTES_BYTES,
+    simulate_trees,
+)
 
 from .fixtures_mesh import document, large_document
 
 SIZES = st.integers(min_value=1, max_value=300)
 TARGET_SIZE = 1100
+PROPAGATION_MS = 2500.0
 
 
 def addresses(size: int) -> list[Address]:
@@ -132,3 +139,15 @@
     delta = zstandard.ZstdCompressor().compress(b"x" * 1001)
     with pytest.raises(ValueError, match="too long"):
         decode_delta(b"", delta)
+
+
+@pytest.mark.parametrize("nodes", NODES)
+@pytest.mark.parametrize("silent_ratio", [0.0, 0.2])
+def test_added_routes_reach_a_data_centre_of_narrow_links_in_time(
+    nodes: int, silent_ratio: float
+) -> None:
+    """The rest of the bound is left for the way from the store."""
+    found = simulate_trees(nodes, 3.5, ROUTES_BYTES, silent_ratio)
+    read_ms = 450_000 / (3.5 * BYTES_PER_MS_AT_1_MBPS)
+    assert found.last_ms < PROPAGATION_MS - read_ms
+    assert found.most_sent_bytes <= 2 * FAN_OUT * ROUTES_BYTES
