A version that a node can't use was asked for again and again

A node that finds a document invalid, as one of an earlier release may, kept asking its peers for it, and parsed and logged it each time: six questions in a second, without end. Found while reading the fetching of versions for repeated questions.

The version is remembered, and asked for again only when there is a later one. The test failed before with six questions in place of one.

--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -83,7 +83,7 @@
     is_reader: bool = False
     _offset: int | None = None
     _expects_document: bool = False
-    _is_missing: bool = False
+    _lacks_document: bool = False
     _has_tried: bool = False
     _failures: int = 0
     _wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -134,7 +134,7 @@
 
     async def _read_once(self) -> bool:
         offset = self._offset
-        if offset is None and self.configuration.version and not self._is_missing:
+        if offset is None and self.configuration.version and not self._lacks_document:
             return await self._skip_to_latest(None)
         if offset is None:
             return await self._read_latest()
@@ -145,7 +145,7 @@
             return False
         if isinstance(outcome, Truncated):
             self._mark_reachable()
-            self._offset, self._is_missing = None, True
+            self._offset, self._lacks_document = None, True
             return True
         if not isinstance(outcome, Records):
             self._mark_unreachable(outcome)
@@ -163,7 +163,7 @@
         if (expected_document and not has_document) or (
             remaining and not records.values
         ):
-            self._offset, self._is_missing = None, True
+            self._offset, self._lacks_document = None, True
             return True
         self._offset = records.next_offset
         if remaining > 1:
@@ -233,7 +233,7 @@
             self._mark_unreachable(outcome)
             return False
         self._mark_reachable()
-        self._offset, self._is_missing = outcome.end_offset, False
+        self._offset, self._lacks_document = outcome.end_offset, False
         if outcome.unreadable:
             events.log(
                 events.RECORD_UNREADABLE,
--- a/azurestep/mesh/knowledge/version_fetcher.py
+++ b/azurestep/mesh/knowledge/version_fetcher.py
@@ -11,7 +11,7 @@
 from ..links.members import Members
 from ..runtime import Runtime
 from ..settings import Address
-from .configuration import Configuration, Origin
+from .configuration import Applied, Configuration, Origin
 from .version_server import ANSWER_TIMEOUT_MS
 
 CATCH_UP_AFTER_MS = 250.0
@@ -41,10 +41,11 @@
     _last_answer_ms: float = float("-inf")
     _behind_since_ms: float | None = None
     _needs_whole: bool = False
+    _unusable_version: int = 0
 
     def on_notice(self, link: PeerLink, notice: VersionNotice) -> None:
         """Ask a local peer for the newer version that it has told of."""
-        if notice.version <= self.configuration.version:
+        if notice.version <= self._known_version:
             if link is self._asked:
                 self._asked = None
             return
@@ -74,7 +75,8 @@
         self.root = self._find_root(link)
         is_local = link.endpoint.data_centre == self.members.data_centre
         origin = Origin.LOCAL_PEER if is_local else Origin.REMOTE_PEER
-        self.configuration.apply(content, origin, took_ms)
+        if self.configuration.apply(content, origin, took_ms) is Applied.INVALID:
+            self._unusable_version = max(self._unusable_version, update.version)
         self._forget_known()
 
     @singledispatchmethod
@@ -100,8 +102,13 @@
             return self.members.own_address
         return notice.root
 
+    @property
+    def _known_version(self) -> int:
+        """Latest version that needs no question: in force, or found unusable."""
+        return max(self.configuration.version, self._unusable_version)
+
     def _forget_known(self) -> None:
-        version = self.configuration.version
+        version = self._known_version
         self._notices = {
             address: notice
             for address, notice in self._notices.items()
@@ -138,7 +145,7 @@
             source.request_configuration(known)
 
     def _is_behind_states(self) -> bool:
-        return self.members.newest_version > self.configuration.version
+        return self.members.newest_version > self._known_version
 
     def _choose_source(self, behind_ms: float) -> PeerLink | None:
         """Return the peer to ask: one that told of a version, else any that has one.
@@ -172,7 +179,7 @@
     def _newest(self, found: list[tuple[PeerLink, int]]) -> PeerLink | None:
         """Return one of the peers with the newest version, if that is newer."""
         newest = max((version for _, version in found), default=0)
-        if newest <= self.configuration.version:
+        if newest <= self._known_version:
             return None
         return self.runtime.random.choice(
             [link for link, version in found if version == newest]
--- a/tests/test_mesh_version_links.py
+++ b/tests/test_mesh_version_links.py
@@ -7,6 +7,7 @@
 import pytest
 import pytest_asyncio
 
+from azurestep.errors import ConfigurationError
 from azurestep.mesh.decisions.spreading import FAN_OUT
 from azurestep.mesh.knowledge.configuration import Origin
 from azurestep.mesh.knowledge.version_server import ANSWER_TIMEOUT_MS
@@ -260,3 +261,27 @@
     rest = [item for item in wide_mesh.instances if not reads(item)]
     publish(wide_mesh, document(20))
     await wait_until_in_force(rest, 20, PROPAGATION_S)
+
+
+async def test_a_version_that_a_node_can_not_use_is_asked_for_once(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    local = [
+        item for item in mesh.instances if item.node.settings.data_centre == "dc-1"
+    ]
+    _, other = sorted(local, key=lambda item: item.host)
+    monkeypatch.setattr(other.node.configuration, "_reader", RejectingReader())
+    await asyncio.sleep(1.2)
+    before = counted(other, "configuration_queries")
+    publish(mesh, document(20))
+    await wait_until_in_force(local[:1], 20)
+    await asyncio.sleep(1.0)
+    assert counted(other, "configuration_queries") - before == 1
+    assert other.node.configuration.version == 3
+
+
+class RejectingReader:
+    """Reads documents of no version."""
+
+    def read(self, content: bytes) -> None:
+        raise ConfigurationError("a field is unknown", "Use a later release")
