--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -67,6 +67,14 @@
     apply_order : Callable
         Called with key, value and offset of the operators' other records, and whether
         they were just written.
+    _offset : int or None
+        Where to go on reading the log; None if that isn't known.
+    _expects_document : bool
+        Whether the record at ``_offset`` should be a document.
+    _lacks_document : bool
+        Whether it was none, so that the latest document has to be read by its key.
+    _has_tried : bool
+        Whether a first call was made, which tells the records of other keys.
     """
 
     runtime: Runtime
@@ -182,26 +190,33 @@
         offset : int or None
             Offset up to which all records were read; None if that isn't known.
         """
-        outcome = await self.client.read_latest(OPERATOR_TOPIC, after=CONFIGURATION_KEY)
-        if not self.era.accept(outcome.era):
-            return False
-        if not isinstance(outcome, LatestRecords):
-            self._mark_unreachable(outcome)
+        others = await self._list_latest(after=CONFIGURATION_KEY)
+        if others is None:
             return False
-        self._mark_reachable()
-        for item in outcome.items:
+        for item in others.items:
             if offset is None or item.offset >= offset:
                 is_new = offset is not None
                 self.apply_order(item.key, item.value, item.offset, is_new)
         if self._offset == offset:
-            others = {item.offset for item in outcome.items}
-            latest = outcome.end_offset - 1
-            while latest in others:
+            offsets_of_others = {item.offset for item in others.items}
+            latest = others.end_offset - 1
+            while latest in offsets_of_others:
                 latest -= 1
             self._expects_document = offset is None or latest > offset
             self._offset = max(latest, offset or 0)
         return True
 
+    async def _list_latest(self, after: str = "") -> LatestRecords | None:
+        """Return the latest records of keys after one; None if the store has failed."""
+        outcome = await self.client.read_latest(OPERATOR_TOPIC, after)
+        if not self.era.accept(outcome.era):
+            return None
+        if not isinstance(outcome, LatestRecords):
+            self._mark_unreachable(outcome)
+            return None
+        self._mark_reachable()
+        return outcome
+
     def _apply_latest(self, records: list[bytes], first_offset: int) -> bool:
         """Apply the latest valid document, and all records with other keys.
 
@@ -226,21 +241,17 @@
         )
 
     async def _read_latest(self) -> bool:
-        outcome = await self.client.read_latest(OPERATOR_TOPIC)
-        if not self.era.accept(outcome.era):
+        latest = await self._list_latest()
+        if latest is None:
             return False
-        if not isinstance(outcome, LatestRecords):
-            self._mark_unreachable(outcome)
-            return False
-        self._mark_reachable()
-        self._offset, self._lacks_document = outcome.end_offset, False
-        if outcome.unreadable:
+        self._offset, self._lacks_document = latest.end_offset, False
+        if latest.unreadable:
             events.log(
                 events.RECORD_UNREADABLE,
                 topic=OPERATOR_TOPIC,
-                records=outcome.unreadable,
+                records=latest.unreadable,
             )
-        for item in outcome.items:
+        for item in latest.items:
             if item.key == CONFIGURATION_KEY and item.value:
                 self.configuration.apply(item.value, Origin.STORE)
             elif item.key != CONFIGURATION_KEY:
