Keys of callers reached backend servers, and nobody checked them

Cause: no part of the program read the document's teams.

Change: TeamDirectory finds a team by the digest of its key; the first node checks the key, drops it together with any team that the caller named, and adds the team. Unknown keys get 401, or 503 while this node knows that it is behind. The priority of the team precedes that of the route. Requests without a team are encoded as before; nodes of the release before get none.

The pinned formats grow by the new fields and reasons; nothing pinned before has another value except that a request has one more, empty, field at its end.

--- a/azurestep/lines/explanation.py
+++ b/azurestep/lines/explanation.py
@@ -54,6 +54,8 @@
     Decision.UNREACHABLE: "the backend server took no connections",
     Decision.QUARANTINED: "requests like it crash the backend servers that run them",
     Decision.NO_ROUTE: "no route matches it",
+    Decision.UNKNOWN_KEY: "no team held its key in the version in force",
+    Decision.QUOTA: "its team had used up its quota",
     Decision.SERVER_REFUSED: "the backend server said that it did not run it",
     Decision.SERVER_BROKE_OFF: "{instance} broke off or spoiled its answer ({reason})",
     Decision.SERVER_ERROR: "{instance} answered {status} itself",
--- a/azurestep/lines/verdict.py
+++ b/azurestep/lines/verdict.py
@@ -33,6 +33,8 @@
     UNREACHABLE = "server unreachable"
     QUARANTINED = "crashes the servers that run it"
     NO_ROUTE = "no route"
+    UNKNOWN_KEY = "no team holds its key"
+    QUOTA = "above the quota of its team"
     SERVER_REFUSED = "refused by the server"
     SERVER_BROKE_OFF = "server broke off or spoiled its answer"
     SERVER_ERROR = "server answered with an error"
@@ -75,6 +77,8 @@
     "TIMEOUT": Decision.TIMEOUT,
     "STOPPING": Decision.STOPPED,
     "FAULT": Decision.FAULT,
+    "UNKNOWN_KEY": Decision.UNKNOWN_KEY,
+    "QUOTA": Decision.QUOTA,
 }
 NOT_FOUND = 404
 
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -47,14 +47,20 @@
         self.service = target.service
         now_ms = context.runtime.now_ms()
         self.record = CallRecord(
-            caller.request_id, route, target.service, target.version, attempt, now_ms
+            caller.request_id,
+            route,
+            target.service,
+            target.version,
+            attempt,
+            now_ms,
+            team=target.team,
         )
         remaining_ms = min(caller.remaining_ms or route.timeout_ms, route.timeout_ms)
         self.done = False
         self._body = RequestBody()
         self._pieces: BodyPieces | None = None
         self._request_builder = RequestBuilder(
-            context, exchange, caller, self.record, self._body
+            context, exchange, caller, self.record, self._body, target.priority
         )
         self._selector = EndpointSelector(context, target.service)
         self._stream: Stream | None = None
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -29,6 +29,25 @@
         """Log that the node exits before the request is answered."""
 
 
+@attrs.frozen(slots=True)
+class Target:
+    """What a request asks for, by the configuration of the given version.
+
+    Attributes
+    ----------
+    priority : int
+        Priority of the request under overload; 0 is the highest.
+    team : str
+        Team of the caller; empty for none.
+    """
+
+    route: Route
+    service: str
+    version: int
+    priority: int
+    team: str = ""
+
+
 @attrs.define(eq=False)
 class CallContext:
     """State that all calls of a node share.
@@ -79,18 +98,10 @@
             request_key, first_attempt_ms, deadline_ms, first_attempt_ms < now_ms
         )
 
-    def record_offered(self, route: Route, service: str) -> None:
+    def record_offered(self, target: Target) -> None:
         """Count a request for a service, for load reports and the retry budget."""
-        self.refusals.record_offered(route.name, service, route.priority)
+        route, service = target.route, target.service
+        self.refusals.record_offered(route.name, service, target.priority)
         self.retry_budget.members = self.members.count()
         if route.name not in self.members.called_routes:
             self.retry_budget.earn(service)
-
-
-@attrs.frozen(slots=True)
-class Target:
-    """Route and service of a request in the configuration of the given version."""
-
-    route: Route
-    service: str
-    version: int
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -1,4 +1,4 @@
-"""Entry point of callers' requests: route matching and load shedding."""
+"""Entry point of callers' requests: routes, keys and load shedding."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,7 +6,20 @@
 import attrs
 
 from ...http.server import Exchange
-from ...platform.headers import read_caller
+from ...platform.headers import (
+    CallerFields,
+    read_caller,
+    read_keys,
+    replace_credentials,
+)
+from ...routing.authentication import (
+    PUBLIC,
+    Access,
+    Identity,
+    effective_priority,
+    identify,
+)
+from ...routing.model import Route
 from ...routing.table import RoutingTable
 from .. import events
 from ..decisions.pressure import LoadShedder
@@ -27,6 +40,8 @@
 """
 NOT_FOUND = 404
 BAD_REQUEST = 400
+UNAUTHORIZED = 401
+CHALLENGE = (b"WWW-Authenticate", b"Token")
 
 
 @attrs.define(eq=False)
@@ -37,12 +52,15 @@
     ----------
     table : Callable
         Returns the configuration in force, or None.
+    outdated : Callable
+        Returns whether this node may lack the latest version of the configuration.
     closed : bool
         Whether new requests are refused, because the node is about to exit.
     """
 
     context: CallContext
     table: Callable[[], RoutingTable | None]
+    outdated: Callable[[], bool] = lambda: False
     closed: bool = False
     load_shedder: LoadShedder = attrs.field(factory=LoadShedder)
 
@@ -66,9 +84,16 @@
                 context.runtime, exchange, request_id, BAD_REQUEST
             )
             return
+        identity = self._identify(table, route, exchange)
+        if identity.access is not Access.ALLOWED:
+            self._reject_key(exchange, request_id, route, identity.access)
+            return
+        if table.teams is not None:
+            caller = _with_team(caller, identity)
         service = table.choose_service(route)
         attempt = context.identify_attempt(exchange, caller)
-        if self._should_shed(service, route.priority):
+        target = _target(table, route, service, identity)
+        if self._should_shed(service, target.priority):
             exchange.sink = Rejection(
                 context.runtime,
                 exchange,
@@ -79,15 +104,53 @@
             )
             context.returning_callers.add(attempt)
             return
-        context.record_offered(route, service)
-        target = Target(route, service, table.version)
+        context.record_offered(target)
         exchange.sink = Call(context, exchange, caller, target, attempt)
 
+    def _identify(
+        self, table: RoutingTable, route: Route, exchange: Exchange
+    ) -> Identity:
+        if table.teams is None:
+            return PUBLIC
+        keys = read_keys(exchange.headers)
+        return identify(table.teams, route, keys, self.outdated())
+
+    def _reject_key(
+        self, exchange: Exchange, request_id: bytes, route: Route, access: Access
+    ) -> None:
+        status = UNAVAILABLE if access is Access.UNDECIDED else UNAUTHORIZED
+        exchange.sink = Rejection(
+            self.context.runtime,
+            exchange,
+            request_id,
+            status,
+            Reason.UNKNOWN_KEY,
+            route.name,
+        )
+
     def _should_shed(self, service: str, priority: int) -> bool:
         ratio = self.load_shedder.shed_ratio(service, priority)
         return ratio > 0 and self.context.runtime.random.random() < ratio
 
 
+def _with_team(caller: CallerFields, identity: Identity) -> CallerFields:
+    """Return the caller's fields with its team's name in place of its key."""
+    name = "" if identity.team is None else identity.team.name
+    forwarded = replace_credentials(caller.forwarded, name)
+    return attrs.evolve(caller, forwarded=forwarded)
+
+
+def _target(
+    table: RoutingTable, route: Route, service: str, identity: Identity
+) -> Target:
+    if table.teams is None:
+        return Target(route, service, table.version, route.priority)
+    team = identity.team
+    priority = effective_priority(route, team)
+    name = "" if team is None else team.name
+    return Target(route, service, table.version, priority, name)
+
+
 @attrs.define(eq=False)
 class Rejection:
     """Answers a request that goes to no backend server, once it was read completely.
@@ -139,6 +202,8 @@
             answer_refused(self.runtime, self.exchange, self.request_id, retry_after_ms)
         else:
             headers = request_id_header(self.request_id)
+            if self.status == UNAUTHORIZED:
+                headers.append(CHALLENGE)
             self.exchange.answer(self.status, headers, b"")
 
     def _cancel_timer(self) -> None:
--- a/azurestep/mesh/callers/outgoing.py
+++ b/azurestep/mesh/callers/outgoing.py
@@ -20,6 +20,7 @@
     caller: CallerFields
     record: CallRecord
     body: RequestBody
+    priority: int
 
     def selection_criteria(self, now_ms: float) -> SelectionCriteria:
         """Return the criteria for the choice of a backend server."""
@@ -51,7 +52,7 @@
             record.request_id,
             self.context.calling_service.encode(),
             route.idempotent,
-            route.priority,
+            self.priority,
             deadline_ms - now_ms,
             record.objective_ms(now_ms),
             now_ms,
@@ -64,6 +65,7 @@
             and (deferred or not self.is_reroutable()),
             may_wait=may_wait,
             body_in_pieces=deferred,
+            team=record.team,
         )
 
     def is_reroutable(self) -> bool:
--- a/azurestep/mesh/callers/own_answers.py
+++ b/azurestep/mesh/callers/own_answers.py
@@ -21,13 +21,17 @@
 
 
 def answer_refused(
-    runtime: Runtime, exchange: Exchange, request_id: bytes, retry_after_ms: float
+    runtime: Runtime,
+    exchange: Exchange,
+    request_id: bytes,
+    retry_after_ms: float,
+    status: int = UNAVAILABLE,
 ) -> None:
-    """Answer 503 with Retry-After: the request has not run."""
+    """Answer 503 or 429 with Retry-After: the request has not run."""
     jitter = 1 + RETRY_AFTER_JITTER * (2 * runtime.random.random() - 1)
     headers = request_id_header(request_id)
     headers.append((b"Retry-After", b"%.3f" % (retry_after_ms * jitter / 1000)))
-    exchange.answer(UNAVAILABLE, headers, b"")
+    exchange.answer(status, headers, b"")
 
 
 def answer_bad_gateway(exchange: Exchange) -> None:
--- a/azurestep/mesh/callers/record.py
+++ b/azurestep/mesh/callers/record.py
@@ -24,6 +24,8 @@
         Backend server that the request was sent to last.
     waited_ms, ran_ms : float
         Time in the queue before that server, and at the server.
+    team : str
+        Team of the caller; empty for none.
     """
 
     request_id: bytes
@@ -37,6 +39,7 @@
     instance: bytes = b""
     waited_ms: float = 0.0
     ran_ms: float = 0.0
+    team: str = ""
 
     def objective_ms(self, now_ms: float) -> float:
         """Return the time left to the objective; negative once it is missed."""
@@ -75,7 +78,7 @@
         )
 
     def _fields(self, status: int, reason: str, now_ms: float) -> dict[str, object]:
-        return {
+        fields: dict[str, object] = {
             "id": self.request_id,
             "route": self.route.name,
             "service": self.service,
@@ -91,3 +94,6 @@
             "waited_ms": round(self.waited_ms),
             "ran_ms": round(self.ran_ms),
         }
+        if self.team:
+            fields["team"] = self.team
+        return fields
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -28,6 +28,7 @@
     DELTA_FEATURE_LEVEL,
     PIECES_FEATURE_LEVEL,
     REQUEST_FIELDS_AT_LEVEL_0,
+    TEAM_FEATURE_LEVEL,
     Answer,
     Failure,
     Hello,
@@ -233,6 +234,8 @@
         fields = fields_of(request)
         if self.feature_level < PIECES_FEATURE_LEVEL:
             fields = fields[:REQUEST_FIELDS_AT_LEVEL_0]
+        elif not request.team or self.feature_level < TEAM_FEATURE_LEVEL:
+            fields.pop()
         self.send(Kind.REQUEST, self._last_stream_id, *fields)
         self._probe_if_idle()
         self._limit_due(self.last_received_ms + BUSY_PROBE_INTERVAL_MS)
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -15,13 +15,15 @@
 
 Headers = list[tuple[bytes, bytes]]
 PROTOCOL_VERSION = 2
-FEATURE_LEVEL = 2
+FEATURE_LEVEL = 3
 """Rises with each field that is added to a message. Nodes of level 0 reject messages
 with fields that they don't know; later ones skip them."""
 PIECES_FEATURE_LEVEL = 1
 """Nodes from this level on know requests whose body they ask for piece by piece."""
 DELTA_FEATURE_LEVEL = 2
 """Nodes from this level on know notices of versions and configurations as deltas."""
+TEAM_FEATURE_LEVEL = 3
+"""Nodes from this level on know the teams of requests, and messages about quotas."""
 REQUEST_FIELDS_AT_LEVEL_0 = 19
 """Fields of a request that nodes of level 0 read for sure."""
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
@@ -92,6 +94,10 @@
         Failed: internal error of a node.
     BUDGET
         Not used.
+    UNKNOWN_KEY
+        Refused: no team holds the key of the caller.
+    QUOTA
+        Refused: the team of the caller has used up its quota.
     """
 
     NO_BACKEND = 1
@@ -113,6 +119,8 @@
     QUARANTINED = 17
     PRESSURE = 18
     FAULT = 19
+    UNKNOWN_KEY = 20
+    QUOTA = 21
 
 
 @attrs.frozen(slots=True)
@@ -212,6 +220,8 @@
     body_in_pieces : bool
         Whether the sender sends a body that was held back in the pieces for which it
         gets credit, instead of all at once.
+    team : str
+        Team of the caller; empty for none.
     """
 
     method: bytes
@@ -235,6 +245,7 @@
     needs_confirmation: bool = False
     may_wait: bool = True
     body_in_pieces: bool = False
+    team: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -174,7 +174,9 @@
             self.crashes,
             self.inbound.rollouts,
         )
-        self.outbound = Outbound(self.call_context, lambda: self.configuration.table)
+        self.outbound = Outbound(
+            self.call_context, lambda: self.configuration.table, self._is_outdated
+        )
         self.incoming_links = IncomingLinks(
             runtime,
             self.inbound,
@@ -393,6 +395,13 @@
     def _apply_trial_counts(self, address: Address, counts: TrialCounts) -> None:
         self.rollouts.apply_counts(address, counts)
 
+    def _is_outdated(self) -> bool:
+        """Whether this node may lack the latest version of the configuration."""
+        if self.members.newest_version > self.configuration.version:
+            return True
+        isolated = self.members.count() == 1
+        return isolated and not self.configuration_watcher.store_reachable
+
     def _is_store_reachable(self) -> bool:
         """Whether the first reader of the data centre reaches the store."""
         own = (self.settings.peer_address, self.configuration_watcher.store_reachable)
--- a/azurestep/platform/document.py
+++ b/azurestep/platform/document.py
@@ -8,6 +8,7 @@
 
 from ..errors import ConfigurationError
 from ..routing.model import Document, Limits, Route, Service, WeightedService
+from ..routing.teams import Team, TeamDirectory
 from .units import DURATION_PATTERN, parse_duration_ms
 
 IDEMPOTENT_ROUTE_KINDS = frozenset({"safe", "download"})
@@ -26,6 +27,7 @@
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
 @attrs.frozen(slots=True)
@@ -45,6 +47,7 @@
     aim: Duration | None = None
     priority: NonNegativeInteger = DEFAULT_PRIORITY
     max_attempts: PositiveInteger = 1
+    public: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -61,12 +64,21 @@
     idle_timeout: Duration
 
 
+@attrs.frozen(slots=True)
+class _Tenant:
+    api_keys: list[Name] = attrs.field(factory=list, repr=False)
+    priority: NonNegativeInteger = DEFAULT_PRIORITY
+    requests_per_s: Rate = 0.0
+    burst: Rate = 0.0
+
+
 @attrs.frozen(slots=True)
 class _Document:
     version: PositiveInteger
     routes: dict[str, msgspec.Raw]
     services: dict[str, _Service]
     limits: _Limits
+    tenants: dict[Name, _Tenant] | None = None
 
 
 _DOCUMENT_DECODER = msgspec.json.Decoder(_Document)
@@ -100,10 +112,11 @@
             raise _configuration_error(str(error)) from error
         services = {name: _service(name, one) for name, one in fields.services.items()}
         self._check_routes(parsed, services)
+        teams = None if fields.tenants is None else _teams(fields.tenants)
         self._parsed = parsed
         self._service_names = frozenset(services)
         routes = [route for _, route in parsed.values()]
-        return Document(fields.version, services, _limits(fields.limits), routes)
+        return Document(fields.version, services, _limits(fields.limits), routes, teams)
 
     def _parse_routes(self, routes: dict[str, msgspec.Raw]) -> _ParsedRoutes:
         """Return all routes with their text, which is that of this document.
@@ -163,6 +176,7 @@
         priority=fields.priority,
         max_attempts=fields.max_attempts,
         weighted_services=_weighted_services(name, fields),
+        public=fields.public,
     )
 
 
@@ -194,6 +208,19 @@
     return (WeightedService(service, 1.0),)
 
 
+def _teams(tenants: dict[str, _Tenant]) -> TeamDirectory:
+    try:
+        return TeamDirectory.build(
+            (
+                Team(name, one.priority, one.requests_per_s, one.burst),
+                [key.encode() for key in one.api_keys],
+            )
+            for name, one in tenants.items()
+        )
+    except ValueError as error:
+        raise _configuration_error(str(error)) from error
+
+
 def _limits(fields: _Limits) -> Limits:
     return Limits(
         fields.max_header_bytes,
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -15,6 +15,9 @@
 DEADLINE = b"deadline-milliseconds"
 EXPECTED_INSTANCE = b"expected-instance"
 CALLING_SERVICE = b"calling-service"
+AUTHORIZATION = b"authorization"
+TEAM = b"tenant"
+KEY_SCHEME = b"token"
 SIGNATURE = b"response-signature"
 NOT_RUN = b"not-executed"
 INSTANCE = b"instance-id"
@@ -182,6 +185,38 @@
     return CallerFields(host.lower(), request_id, remaining_ms, forwarded)
 
 
+def read_keys(headers: Headers) -> list[bytes]:
+    """Return the keys in a caller's headers; empty ones for other credentials.
+
+    Examples
+    --------
+    >>> read_keys([(b"authorization", b"token  s3cret "), (b"Accept", b"*/*")])
+    [b's3cret']
+    >>> read_keys([(b"Authorization", b"Basic YTpi"), (b"Authorization", b"")])
+    [b'', b'']
+    """
+    keys = []
+    for name, value in headers:
+        if name.lower() == AUTHORIZATION:
+            scheme, *key = value.split(maxsplit=1) or [b""]
+            known = scheme.lower() == KEY_SCHEME
+            keys.append(key[0].strip() if known and key else b"")
+    return keys
+
+
+def replace_credentials(forwarded: Headers, team: str) -> Headers:
+    """Return headers for a backend server that name the team instead of its key.
+
+    ``team`` is empty for a request without one.
+    """
+    kept = [
+        field for field in forwarded if field[0].lower() not in (AUTHORIZATION, TEAM)
+    ]
+    if team:
+        kept.append((b"Tenant", team.encode()))
+    return kept
+
+
 def _keep_alive_ms(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- /dev/null
+++ b/azurestep/routing/authentication.py
@@ -0,0 +1,85 @@
+"""Which team a request belongs to, by the key that its caller presents.
+
+Answers the load of callers with keys that were just added or removed, and of callers
+that guess keys.
+"""
+
+from enum import Enum
+
+import attrs
+
+from .model import Route
+from .teams import Team, TeamDirectory
+
+PRIORITY_LEVELS = 16
+"""Priorities of routes that are told apart within one priority of teams."""
+
+
+class Access(Enum):
+    """What becomes of a request.
+
+    Attributes
+    ----------
+    ALLOWED
+        It belongs to a team, or needs none.
+    UNKNOWN_KEY
+        No team holds its key.
+    UNDECIDED
+        No known team holds its key, but a newer version may have one that does.
+    """
+
+    ALLOWED = "allowed"
+    UNKNOWN_KEY = "unknown key"
+    UNDECIDED = "undecided"
+
+
+@attrs.frozen(slots=True)
+class Identity:
+    """The team of a request, if it has one, and whether it is allowed."""
+
+    access: Access
+    team: Team | None = None
+
+
+PUBLIC = Identity(Access.ALLOWED)
+
+
+def identify(
+    teams: TeamDirectory, route: Route, keys: list[bytes], outdated: bool
+) -> Identity:
+    """Return the team of a request.
+
+    Parameters
+    ----------
+    keys : list of bytes
+        Keys that the caller presented. Different ones identify no team, since the
+        caller and an intermediary may each have added one.
+    outdated : bool
+        Whether this node may lack the latest version of the configuration.
+    """
+    key = keys[0] if keys and all(one == keys[0] for one in keys) else b""
+    team = teams.find(key) if key else None
+    if team is not None:
+        return Identity(Access.ALLOWED, team)
+    if route.public:
+        return PUBLIC
+    if key and outdated:
+        return Identity(Access.UNDECIDED)
+    return Identity(Access.UNKNOWN_KEY)
+
+
+def effective_priority(route: Route, team: Team | None) -> int:
+    """Return the priority of a request: first its team's, then its route's.
+
+    A request without a team, such as a call between backend servers, competes with its
+    route's priority on both levels.
+
+    Examples
+    --------
+    >>> from azurestep.platform.document import DEFAULT_PRIORITY
+    >>> DEFAULT_PRIORITY < PRIORITY_LEVELS
+    True
+    """
+    within_team = min(route.priority, PRIORITY_LEVELS - 1)
+    first = route.priority if team is None else team.priority
+    return first * PRIORITY_LEVELS + within_team
--- a/azurestep/routing/model.py
+++ b/azurestep/routing/model.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from .teams import TeamDirectory
+
 
 @attrs.frozen(slots=True)
 class WeightedService:
@@ -27,6 +29,8 @@
         Priority under overload; 0 is the highest.
     max_attempts : int
         Maximum number of backend servers that a request is sent to.
+    public : bool
+        Whether requests need no key, where the configuration has teams.
     """
 
     name: str
@@ -38,6 +42,7 @@
     priority: int
     max_attempts: int
     weighted_services: tuple[WeightedService, ...]
+    public: bool = False
 
 
 @attrs.frozen(slots=True)
@@ -61,9 +66,16 @@
 
 @attrs.frozen(slots=True)
 class Document:
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    Attributes
+    ----------
+    teams : TeamDirectory or None
+        Teams whose keys callers must present; None if the configuration has none.
+    """
 
     version: int
     services: dict[str, Service]
     limits: Limits
     routes: list[Route]
+    teams: TeamDirectory | None = None
--- a/azurestep/routing/table.py
+++ b/azurestep/routing/table.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .model import Document, Limits, Route, Service, WeightedService
+from .teams import TeamDirectory
 
 MAX_START_POSITION = 1000
 """Upper bound of the random start position."""
@@ -85,6 +86,11 @@
         """Services that routes may refer to."""
         return self.document.services
 
+    @property
+    def teams(self) -> TeamDirectory | None:
+        """Teams whose keys callers must present; None for no such teams."""
+        return self.document.teams
+
     @property
     def limits(self) -> Limits:
         """Limits for callers."""
--- a/tests/test_mesh_feature_levels.py
+++ b/tests/test_mesh_feature_levels.py
@@ -1,5 +1,6 @@
 """Messages to nodes of the release before, which reject fields that they don't know."""
 
+import asyncio
 from typing import Any
 
 import msgpack
@@ -9,16 +10,21 @@
 from azurestep.mesh.links.connection import PeerConnection
 from azurestep.mesh.links.decoding import INCOMING_LINK_SCHEMAS, Decoder
 from azurestep.mesh.messages import (
+    DELTA_FEATURE_LEVEL,
     FEATURE_LEVEL,
     REQUEST_FIELDS_AT_LEVEL_0,
     Hello,
     Kind,
     encode,
 )
+from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 
-from .fixtures_mesh import MeshFleet, caller_headers
+from .fixtures_mesh import MeshFleet, caller_headers, document
 from .test_mesh_uploads import BODY
 
+FIELDS_AT_LEVEL_2 = 21
+"""Fields of a request that nodes of the former release send."""
+
 
 @pytest.fixture
 def sent_requests(monkeypatch: pytest.MonkeyPatch) -> list[tuple[Any, ...]]:
@@ -42,6 +48,44 @@
             link.connection.feature_level = level
 
 
+async def test_a_request_without_a_team_is_sent_as_by_the_former_release(
+    mesh: MeshFleet, sent_requests: list[tuple[Any, ...]]
+) -> None:
+    set_levels(mesh, FEATURE_LEVEL)
+    for number in range(30):
+        await mesh.get(mesh.instances[0], "/read/1", f"q{number}")
+    assert {len(fields) for fields in sent_requests} == {FIELDS_AT_LEVEL_2}
+
+
+async def test_only_nodes_that_know_teams_are_sent_one(
+    mesh: MeshFleet, sent_requests: list[tuple[Any, ...]]
+) -> None:
+    set_levels(mesh, DELTA_FEATURE_LEVEL)
+    tenants = {"riggers": {"api_keys": ["k3y"]}}
+    content = document(4, tenants=tenants)
+    mesh.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
+    async with asyncio.timeout(5):
+        while any(one.node.configuration.version != 4 for one in mesh.instances):
+            await asyncio.sleep(0.02)
+    lengths = {}
+    for level in (DELTA_FEATURE_LEVEL, FEATURE_LEVEL):
+        sent_requests.clear()
+        set_levels(mesh, level)
+        for number in range(30):
+            headers = {
+                **caller_headers(f"q{level}-{number}"),
+                "Authorization": "Token k3y",
+            }
+            url = mesh.instances[0].url("/read/1")
+            async with mesh.session.get(url, headers=headers) as answer:
+                assert answer.status == 200
+        lengths[level] = {len(fields) for fields in sent_requests}
+    assert lengths == {
+        DELTA_FEATURE_LEVEL: {FIELDS_AT_LEVEL_2},
+        FEATURE_LEVEL: {FIELDS_AT_LEVEL_2 + 1},
+    }
+
+
 @pytest.mark.parametrize("level", [0, FEATURE_LEVEL])
 async def test_a_former_node_gets_no_field_that_it_rejects(
     mesh: MeshFleet, sent_requests: list[tuple[Any, ...]], level: int
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -725,8 +725,8 @@
 def test_missing_fields_of_link_messages_take_their_defaults() -> None:
     fields = mesh.fields_of(REQUEST)
     make: Any = mesh.Request
-    shortened = make(*fields[:-5], 0, 0.0, False, True, False)
-    raw = msgpack.packb([5, 7, *fields[:-5]])
+    shortened = make(*fields[:-6], 0, 0.0, False, True, False, "")
+    raw = msgpack.packb([5, 7, *fields[:-6]])
     assert decoded(raw, True) == [(7, shortened)]
 
 
