After a restart of the whole fleet nodes waited for one another's configuration

Callers saw 503 for some 0.6 s after the power came back: a restarted node waits 0.3 s for its peers' configuration before it reads the store, and no peer had one.

A reader all of whose peers have none reads the store at once; the others get the document from there. A node that restarts alone waits as before.

--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -113,12 +113,25 @@
             await asyncio.sleep(self._retry_pause_s())
 
     async def _wait_for_peers(self) -> None:
-        """Leave peers some time to send the configuration, which is shorter there."""
+        """Leave peers some time to send the configuration, which is shorter there.
+
+        After a restart of the whole fleet no peer has one. Then the reader reads it at
+        once, and the others get it from there.
+        """
         loop = self.runtime.loop
         end_s = loop.time() + PEER_WAIT_S
         while not self.configuration.version and loop.time() < end_s:
+            if self._is_reader_of_restarted_fleet():
+                return
             await self._pause(end_s - loop.time())
 
+    def _is_reader_of_restarted_fleet(self) -> bool:
+        """Whether this node is the reader, and no peer has a configuration."""
+        peers = [link.peer for link in self.members.live_links() if link.peer]
+        if not peers or any(peer.configuration_version for peer in peers):
+            return False
+        return not self.members.preceding_readers()
+
     def wake(self) -> None:
         """Check now whether this node should be the reader."""
         self._wake_event.set()
--- a/tests/test_mesh_restart.py
+++ b/tests/test_mesh_restart.py
@@ -6,6 +6,8 @@
 import pytest
 
 from azurestep.mesh.backend.state import LocalBackend
+from azurestep.mesh.knowledge import configuration_watcher
+from azurestep.mesh.knowledge.configuration import Origin
 from azurestep.platform.announcement import Heartbeat, LeavingNotice
 
 from .fixtures_mesh import MeshFleet, MeshInstance
@@ -86,3 +88,33 @@
     assert not backend.is_open()
     assert backend.admits(150.0)
     assert not backend.admits(100.0 + DRAIN_MS)
+
+
+async def test_a_restarted_fleet_reads_the_configuration_without_waiting(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against refusing all requests while nodes wait for one another."""
+    monkeypatch.setattr(configuration_watcher, "PEER_WAIT_S", 30.0)
+    for instance in mesh.instances:
+        assert instance.task is not None
+        instance.task.cancel()
+        instance.node.abort()
+    await asyncio.sleep(0.05)
+    for instance in mesh.instances:
+        instance.node = mesh.new_node(instance)
+        mesh.start_node(instance)
+    async with asyncio.timeout(10):
+        while not all(one.node.configuration.version for one in mesh.instances):
+            await asyncio.sleep(0.02)
+
+
+async def test_a_node_that_restarts_alone_leaves_the_store_alone(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a read of the whole document for each restarted node."""
+    monkeypatch.setattr(configuration_watcher, "PEER_WAIT_S", 30.0)
+    await restart(mesh, mesh.instances[0])
+    async with asyncio.timeout(10):
+        while not mesh.instances[0].node.configuration.version:
+            await asyncio.sleep(0.02)
+    assert mesh.instances[0].node.configuration.origin is not Origin.STORE
