Keys could be used without end where their removal can't be learned

Nodes that neither reach the store nor a peer that does went on with the keys that they held. With strict_revocation in the settings they refuse requests with keys once the bound 'revoke' has passed since a reader last learned that there is no later version; readers tell their peers so after each read. Without the setting nothing is sent and nothing is refused.

The pinned settings grow by the two new bounds, the link messages by one.

--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -23,6 +23,7 @@
 from ...routing.table import RoutingTable
 from .. import events
 from ..decisions.pressure import LoadShedder
+from ..decisions.revocation import KeyFreshness
 from ..messages import Reason
 from ..runtime import Runtime
 from .call import Call
@@ -62,6 +63,7 @@
     table: Callable[[], RoutingTable | None]
     outdated: Callable[[], bool] = lambda: False
     closed: bool = False
+    key_freshness: KeyFreshness = attrs.field(factory=KeyFreshness)
     load_shedder: LoadShedder = attrs.field(factory=LoadShedder)
 
     def handle(self, exchange: Exchange) -> None:
@@ -113,7 +115,14 @@
         if table.teams is None:
             return PUBLIC
         keys = read_keys(exchange.headers)
-        return identify(table.teams, route, keys, self.outdated())
+        now_ms = self.context.runtime.now_ms()
+        return identify(
+            table.teams,
+            route,
+            keys,
+            outdated=self.outdated(),
+            expired=self.key_freshness.is_expired(now_ms),
+        )
 
     def _reject_key(
         self, exchange: Exchange, request_id: bytes, route: Route, access: Access
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -56,6 +56,8 @@
 
     Attributes
     ----------
+    on_contact : Callable
+        Called when the store had no later version than the one in force.
     restarted : bool
         Whether peers may run already that have a configuration.
     store_reachable : bool
@@ -86,6 +88,7 @@
     apply_order: Callable[[str, bytes, int, bool], None] = (
         lambda key, value, offset, live: None
     )
+    on_contact: Callable[[], None] = lambda: None
     restarted: bool = False
     store_reachable: bool = True
     is_reader: bool = False
@@ -187,6 +190,8 @@
             self._offset, self._lacks_document = None, True
             return True
         self._offset = records.next_offset
+        if not remaining:
+            self.on_contact()
         if remaining > 1:
             return await self._skip_to_latest(records.next_offset)
         if has_document:
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -170,6 +170,21 @@
     era: int
 
 
+@attrs.frozen(slots=True)
+class StoreContact:
+    """Tells that the store has just had no later configuration for the sender.
+
+    Sent where revocation of keys is strict.
+
+    Attributes
+    ----------
+    version : int
+        Version in force at the sender.
+    """
+
+    version: int
+
+
 @attrs.frozen(slots=True)
 class ServerVersion:
     """Software version of the backend server beside the sender.
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -20,6 +20,7 @@
     ServerCondition,
     ServerVersion,
     SlotReady,
+    StoreContact,
     StoreEraUpdate,
     TrialCounts,
     VersionNotice,
@@ -355,6 +356,9 @@
     def _on_store_era(self, _: None, update: StoreEraUpdate) -> None:
         self.link.fleet_listener.on_store_era(update.era)
 
+    def _on_store_contact(self, _: None, contact: StoreContact) -> None:
+        self.link.fleet_listener.on_store_contact(contact.version)
+
     def _on_version(self, _: None, version: ServerVersion) -> None:
         self.link.on_version(self, version)
 
@@ -416,6 +420,7 @@
     Credit: PeerConnection._on_credit,
     ServerCondition: PeerConnection._on_condition,
     StoreEraUpdate: PeerConnection._on_store_era,
+    StoreContact: PeerConnection._on_store_contact,
     ServerVersion: PeerConnection._on_version,
     RolloutUpdate: PeerConnection._on_rollout,
     TrialCounts: PeerConnection._on_trial_counts,
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -33,6 +33,7 @@
     ServerCondition,
     ServerVersion,
     SlotReady,
+    StoreContact,
     StoreEraUpdate,
     TrialCounts,
     VersionNotice,
@@ -82,6 +83,7 @@
     | CrashReport
     | ServerCondition
     | StoreEraUpdate
+    | StoreContact
     | ServerVersion
     | RolloutUpdate
     | TrialCounts
@@ -223,6 +225,7 @@
     ),
     Kind.SERVER_CONDITION: _CONDITION,
     Kind.STORE_ERA: _schema(StoreEraUpdate, has_stream_id=False),
+    Kind.STORE_CONTACT: _schema(StoreContact, has_stream_id=False),
     Kind.SERVER_VERSION: _schema(ServerVersion, has_stream_id=False),
     Kind.ROLLOUT: _schema(RolloutUpdate, _build_rollout, has_stream_id=False),
     Kind.TRIAL_COUNTS: _schema(TrialCounts, has_stream_id=False),
--- a/azurestep/mesh/links/interfaces.py
+++ b/azurestep/mesh/links/interfaces.py
@@ -60,6 +60,9 @@
     def on_store_era(self, era: int) -> None:
         """Handle the era of the store that a peer knows."""
 
+    def on_store_contact(self, version: int) -> None:
+        """Handle that the store has no later version than a peer's."""
+
     def on_rollout(self, update: RolloutUpdate) -> None:
         """Handle a roll-out that a peer knows."""
 
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -77,6 +77,8 @@
         Called with the link to a peer and a configuration that it sent.
     apply_store_era : Callable
         Called with an era of the store that a peer sent.
+    apply_store_contact : Callable
+        Called with the version of a peer if the store has just had no later one.
     apply_rollout : Callable
         Called with a roll-out that a peer sent.
     apply_trial_counts : Callable
@@ -106,6 +108,7 @@
     apply_configuration: Callable[
         [PeerLink, ConfigurationUpdate | ConfigurationDelta], None
     ] = lambda link, update: None
+    apply_store_contact: Callable[[int], None] = lambda version: None
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     newest_version: int = 0
     pressure_changed: bool = True
@@ -347,6 +350,10 @@
         """Pass on an era of the store that a peer sent."""
         self.apply_store_era(era)
 
+    def on_store_contact(self, version: int) -> None:
+        """Pass on that the store has no later version than a peer's."""
+        self.apply_store_contact(version)
+
     def on_crashes(self, service: str, updates: list[QuarantineUpdate]) -> None:
         """Merge a report of requests in flight at a backend server's crash."""
         self.inbound.crashes.merge(service, updates, self.runtime.now_ms())
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -28,6 +28,7 @@
     Withdraw,
 )
 from ..messages import (
+    TEAM_FEATURE_LEVEL,
     Hello,
     Kind,
     Reason,
@@ -141,6 +142,13 @@
         """Tell all peers the era of the store."""
         self._write(self.links, encode(Kind.STORE_ERA, self.store_era()))
 
+    def broadcast_store_contact(self, version: int) -> None:
+        """Tell all peers that the store has no later version than this node's."""
+        data = encode(Kind.STORE_CONTACT, version)
+        for link in self.links:
+            if link.feature_level >= TEAM_FEATURE_LEVEL:
+                link.write(data)
+
     def broadcast_version(self) -> None:
         """Tell all peers the version of the backend server, if it has changed."""
         version = self.version()
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -61,6 +61,7 @@
     CALLED_ROUTES = 25
     VERSION_NOTICE = 26
     CONFIGURATION_DELTA = 27
+    STORE_CONTACT = 31
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import math
 import pathlib
 import signal
 import time
@@ -146,6 +147,7 @@
         self.version_fetcher = VersionFetcher(runtime, self.configuration, self.members)
         self.members.apply_notice = self.version_fetcher.on_notice
         self.members.apply_configuration = self.version_fetcher.on_answer
+        self.members.apply_store_contact = self._confirm_keys
         self.configuration_watcher = ConfigurationWatcher(
             runtime,
             self._make_store_client(),
@@ -154,6 +156,7 @@
             self.store_era,
             self.schedule_state_broadcast,
             self._apply_order,
+            self._on_store_contact,
             restarted=not self.settings.first_start,
         )
         self.discovery = Discovery(
@@ -177,6 +180,8 @@
         self.outbound = Outbound(
             self.call_context, lambda: self.configuration.table, self._is_outdated
         )
+        self.outbound.key_freshness.confirmed_ms = self.started_ms
+        self._apply_revocation_bound()
         self.incoming_links = IncomingLinks(
             runtime,
             self.inbound,
@@ -311,6 +316,7 @@
         budget.extra = settings.bounds.retry_extra
         budget.window_ms = settings.bounds.retry_window_ms
         self.inbound.address = settings.backend_address
+        self._apply_revocation_bound()
         events.log(events.RELOADED, changed=True, service=settings.service)
 
     @property
@@ -402,6 +408,24 @@
         isolated = self.members.count() == 1
         return isolated and not self.configuration_watcher.store_reachable
 
+    def _apply_revocation_bound(self) -> None:
+        bounds = self.settings.bounds
+        self.outbound.key_freshness.bound_ms = (
+            bounds.revoke_ms if bounds.strict_revocation else math.inf
+        )
+
+    def _on_store_contact(self) -> None:
+        """Confirm the keys in force, here and at peers with the same version."""
+        if self.settings.bounds.strict_revocation:
+            version = self.configuration.version
+            self._confirm_keys(version)
+            self.incoming_links.broadcast_store_contact(version)
+
+    def _confirm_keys(self, version: int) -> None:
+        if self.configuration.version >= version:
+            now_ms = self.runtime.now_ms()
+            self.outbound.key_freshness.confirmed_ms = now_ms
+
     def _is_store_reachable(self) -> bool:
         """Whether the first reader of the data centre reaches the store."""
         own = (self.settings.peer_address, self.configuration_watcher.store_reachable)
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -56,6 +56,11 @@
     exposure_ratio, exposure_extra : float
         Requests that may reach a bad version of a service: a ratio of all between the
         order and its deadline, plus a fixed number.
+    revoke_ms : float
+        Longest time for which a removed key may still be used at a node that can't
+        receive the version that removed it, if revocation is strict.
+    strict_revocation : bool
+        Whether such a node refuses all requests with keys after that time.
     """
 
     drain_ms: float = 2000.0
@@ -67,6 +72,8 @@
     stability_ms: float = 3000.0
     exposure_ratio: float = 0.1
     exposure_extra: float = 0.0
+    revoke_ms: float = 5000.0
+    strict_revocation: bool = attrs.field(default=False, converter=bool)
 
 
 BOUND_FIELDS = {
@@ -79,6 +86,8 @@
     "stability_window": "stability_ms",
     "exposure_share": "exposure_ratio",
     "exposure_slack": "exposure_extra",
+    "revoke": "revoke_ms",
+    "strict_revocation": "strict_revocation",
 }
 
 
--- a/azurestep/routing/authentication.py
+++ b/azurestep/routing/authentication.py
@@ -25,7 +25,7 @@
     UNKNOWN_KEY
         No team holds its key.
     UNDECIDED
-        No known team holds its key, but a newer version may have one that does.
+        A newer version may have a team that holds its key, or have removed the key.
     """
 
     ALLOWED = "allowed"
@@ -45,7 +45,12 @@
 
 
 def identify(
-    teams: TeamDirectory, route: Route, keys: list[bytes], outdated: bool
+    teams: TeamDirectory,
+    route: Route,
+    keys: list[bytes],
+    *,
+    outdated: bool = False,
+    expired: bool = False,
 ) -> Identity:
     """Return the team of a request.
 
@@ -56,9 +61,13 @@
         caller and an intermediary may each have added one.
     outdated : bool
         Whether this node may lack the latest version of the configuration.
+    expired : bool
+        Whether it may lack it for so long that known keys can't be used any more.
     """
     key = keys[0] if keys and all(one == keys[0] for one in keys) else b""
     team = teams.find(key) if key else None
+    if team is not None and expired and not route.public:
+        return Identity(Access.UNDECIDED)
     if team is not None:
         return Identity(Access.ALLOWED, team)
     if route.public:
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -66,6 +66,7 @@
     Kind.WITHDRAW: [STREAM],
     Kind.SERVER_CONDITION: [b"i-1", 5, 47.9, True],
     Kind.STORE_ERA: [4],
+    Kind.STORE_CONTACT: [7],
     Kind.SERVER_VERSION: ["shop", "v2"],
     Kind.ROLLOUT: ["shop", "v2", 1, 7, int(Phase.CANARY), 12_000.0, 9000.0],
     Kind.CALLED_ROUTES: [["read"]],
--- a/tests/test_mesh_teams.py
+++ b/tests/test_mesh_teams.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import attrs
 import pytest
 import pytest_asyncio
 
@@ -17,6 +18,7 @@
 )
 from azurestep.routing.model import Document, Route
 from standins.signing_server import Received
+from standins.store import Trouble
 
 from .fixtures_mesh import CALLER_PORT, MeshFleet, MeshLines, caller_headers, document
 
@@ -112,7 +114,16 @@
 ) -> None:
     assert teams.teams is not None
     presented = [key.encode() for key in keys]
-    assert identify(teams.teams, route, presented, outdated).access is access
+    found = identify(teams.teams, route, presented, outdated=outdated)
+    assert found.access is access
+
+
+def test_a_known_key_is_not_used_after_too_long_without_contact(
+    teams: Document, route: Route
+) -> None:
+    assert teams.teams is not None
+    found = identify(teams.teams, route, [KEY.encode()], expired=True)
+    assert found.access is Access.UNDECIDED
 
 
 def test_the_priority_of_the_team_precedes_that_of_the_route(
@@ -201,6 +212,30 @@
     assert await ask(team_mesh, "new2", ("Authorization", f"Token {NEW_KEY}")) == 401
 
 
+def bound_revocation(mesh: MeshFleet, strict: bool) -> None:
+    for instance in mesh.instances:
+        node = instance.node
+        bounds = attrs.evolve(
+            node.settings.bounds, revoke_ms=2500.0, strict_revocation=strict
+        )
+        node.settings = attrs.evolve(node.settings, bounds=bounds)
+        node._apply_revocation_bound()
+
+
+@pytest.mark.parametrize(("strict", "status"), [(True, 503), (False, 200)])
+async def test_a_known_key_while_the_store_is_away(
+    team_mesh: MeshFleet, strict: bool, status: int
+) -> None:
+    """Guards against removed keys that are used on where no removal can be learned."""
+    bound_revocation(team_mesh, strict)
+    key = ("Authorization", f"Token {KEY}")
+    await asyncio.sleep(3.0)
+    assert await ask(team_mesh, "in-contact", key) == 200
+    team_mesh.store.trouble = Trouble.RESET
+    await asyncio.sleep(3.0)
+    assert await ask(team_mesh, "cut-off", key) == status
+
+
 async def test_a_public_route_needs_no_key(mesh: MeshFleet) -> None:
     routes = {
         "calls": {
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -672,6 +672,7 @@
     "go": OnLink(16, 7, True, link.Proceed()),
     "withdraw": OnLink(18, 7, True, link.Withdraw()),
     "store_era": OnLink(20, WHOLE_LINK, False, link.StoreEraUpdate(4)),
+    "store_contact": OnLink(31, WHOLE_LINK, False, link.StoreContact(7)),
     "condition": OnLink(
         19, WHOLE_LINK, False, link.ServerCondition(b"i-1", 77, 47.9, True)
     ),
