The stand-in of a backend server had neither a speed nor a full queue

Cause: two deployments have backend servers that name how long work takes as a fourth load figure, and that never answer a request which does not fit in their queue. The stand-in of the soak and of the fleet tests named three figures and ran everything at once.

Change: SigningServer has a work percentage, which all its answers name and which slows its work, a queue of bounded length, and the option that a request beyond the queue and all later ones on its connection are never answered. It keeps the headers of the requests that ran. Without these settings its answers are as before.

--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -11,6 +11,9 @@
 import attrs
 
 Handler = Callable[["Received"], bytes | None]
+HEALTH_PATH = "/health"
+POLL_S = 0.005
+"""Time between checks whether a slot is free, or a connection was closed."""
 
 
 @attrs.frozen
@@ -40,6 +43,15 @@
         Value of the header that says that it leaves; None for no header.
     tells_probes : bool
         Whether its answers to health probes say both too.
+    work_percent : int or None
+        How long work takes on its machine, 100 being normal. All its answers name it as
+        the fourth load figure; None names three figures, in health answers only.
+    queue_limit : int or None
+        Requests that may wait for one of its slots. One beyond it does not run and is
+        answered 503. None runs all requests at once, whatever the slots.
+    silent_when_full : bool
+        Whether a request beyond the queue, and any later one on its connection, is
+        never answered instead.
     answer_override : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -47,6 +59,10 @@
         How often each request ran, by its id.
     arrivals : list of tuple
         Id, incarnation and time of each request that ran.
+    arrived_headers : list of dict
+        Headers of the same requests, in the same order.
+    unanswered : int
+        Requests that were left unanswered since the queue was full.
     """
 
     instance_id: str
@@ -56,16 +72,22 @@
     rate_limit: str | None = None
     leaving: str | None = None
     tells_probes: bool = True
+    work_percent: int | None = None
+    queue_limit: int | None = None
+    silent_when_full: bool = False
     answer_override: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
     received: list[Received] = attrs.field(factory=list)
     arrivals: list[tuple[str, str, float]] = attrs.field(factory=list)
+    arrived_headers: list[dict[str, str]] = attrs.field(factory=list)
+    unanswered: int = 0
     connections: int = 0
     running: int = 0
     most_running: int = 0
     cancelled: int = 0
     answered: int = 0
     _server: asyncio.Server | None = None
+    _queue: list[Received] = attrs.field(factory=list)
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _forgotten: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
@@ -97,6 +119,11 @@
                 if writer in self._forgotten:
                     writer.transport.abort()
                     return
+                if not self._has_room(received) and self.silent_when_full:
+                    while received is not None:
+                        self.unanswered += 1
+                        received = await _read_request(reader)
+                    return
                 answer = await self._answer(received, reader)
                 if answer is None:
                     writer.transport.abort()
@@ -113,25 +140,29 @@
     async def _answer(
         self, received: Received, reader: asyncio.StreamReader
     ) -> bytes | None:
-        if received.target == "/health":
+        if received.target == HEALTH_PATH:
             status = 200 if self.healthy else 503
-            load = f"Server-Load: {self.running},0,{self.slots}"
-            headers = [f"Instance-Id: {self.instance_id}", load]
+            headers = [f"Instance-Id: {self.instance_id}", self._load()]
             if self.tells_probes:
                 headers += self._notice()
-            return _text(status, headers, b"")
+            return _text(status, list(dict.fromkeys(headers)), b"")
         if received.headers.get("expected-instance") != self.instance_id:
             return _text(421, [f"Instance-Id: {self.instance_id}"], b"")
+        if not self._has_room(received):
+            return signed(received, b"", 503, ["Not-Executed: 1"])
+        await self._wait_for_slot(received, reader)
         self.received.append(received)
         name = received.headers.get("attempt-id", "")
         self.runs[name] += 1
         self.arrivals.append((name, self.instance_id, received.at_s))
+        self.arrived_headers.append(received.headers)
         if self.answer_override is not None:
             return self.answer_override(received)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
-            await self._work(reader, _work_s(received.target, self.work_s))
+            work_s = _work_s(received.target, self.work_s)
+            await self._work(reader, work_s * (self.work_percent or 100) / 100)
         finally:
             self.running -= 1
         self.answered += 1
@@ -140,14 +171,45 @@
     def _notice(self) -> list[str]:
         """Return the headers in which it tells of itself."""
         fields = {"Server-Limit": self.rate_limit, "Server-Leaving": self.leaving}
-        return [
+        told = [
             f"{name}: {value}" for name, value in fields.items() if value is not None
         ]
+        return told if self.work_percent is None else [*told, self._load()]
+
+    def _load(self) -> str:
+        """Return the header with its three or four load figures."""
+        figures = [self.running, len(self._queue), self.slots]
+        if self.work_percent is not None:
+            figures.append(self.work_percent)
+        return f"Server-Load: {','.join(map(str, figures))}"
+
+    def _has_room(self, received: Received) -> bool:
+        """Whether a request may run or wait; health probes always may."""
+        if self.queue_limit is None or received.target == HEALTH_PATH:
+            return True
+        taken = self.running + len(self._queue)
+        return taken < self.slots + self.queue_limit
+
+    async def _wait_for_slot(
+        self, received: Received, reader: asyncio.StreamReader
+    ) -> None:
+        """Wait until a slot is free and no earlier request waits for it."""
+        if self.queue_limit is None:
+            return
+        self._queue.append(received)
+        try:
+            while self.running >= self.slots or self._queue[0] is not received:
+                await asyncio.sleep(POLL_S)
+                if reader.at_eof():
+                    self.cancelled += 1
+                    raise ConnectionError
+        finally:
+            self._queue.remove(received)
 
     async def _work(self, reader: asyncio.StreamReader, work_s: float) -> None:
         end = asyncio.get_running_loop().time() + work_s
         while asyncio.get_running_loop().time() < end:
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(POLL_S)
             if reader.at_eof():
                 self.cancelled += 1
                 raise ConnectionError
