The soak sent no keys and had no teams

Cause: its configuration had no teams, so that nothing in it could show a key that works after its removal, one that reaches a backend server, or a node that denies a key of all versions.

Callers send keys and a forged team.

Tests: each check fails on what a broken node shows (tests/test_soak_checks.py), and five broken nodes are found by a run (tests/test_soak_run.py).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,20 +5,21 @@
 import signal
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from docopt import docopt
 
-from .plan import draw
+from .plan import Plan, draw
 from .report import write
 from .run import Result, play
 
 USAGE = """Run real nodes under random faults and check the promises.
 
 Usage:
-  soak [--seeds LIST] [--nodes N] [--faults N] [--notices N] [--at-once N]
-       [--report FILE]
+  soak [--seeds LIST] [--nodes N] [--faults N] [--notices N] [--teams N]
+       [--quota RATE] [--at-once N] [--report FILE]
 
 Options:
   --seeds LIST    Seeds, as 3,7,20-29, or the number of fresh ones, as x5 [default: x3].
@@ -26,6 +27,11 @@
   --faults N      Faults of each run [default: 8].
   --notices N     Limits and leavings that servers tell in answers, and returns of the
                   store from a copy, of each run [default: 0].
+  --teams N       Keys added and removed, wrong keys, teams that send several times
+                  their usual, and slow servers, of each run; with 0 the configuration
+                  has no teams [default: 0].
+  --quota RATE    Requests a second that each team is allowed, and its burst; 0 for no
+                  limit. A team sends some 80 a second [default: 0].
   --at-once N     Runs at the same time [default: 2].
   --report FILE   Report with plots, as HTML.
 """
@@ -52,9 +58,9 @@
 
 
 async def play_all(
-    seeds: list[int], nodes: int, faults: int, notices: int, at_once: int
+    seeds: list[int], plan_of: Callable[[int], Plan], at_once: int
 ) -> list[Result]:
-    """Play all seeds, some at the same time."""
+    """Play the plans of all seeds, some at the same time."""
     slots = asyncio.Queue[int]()
     for slot in range(at_once):
         slots.put_nowait(slot)
@@ -62,7 +68,7 @@
     async def one(seed: int) -> Result:
         slot = await slots.get()
         try:
-            result = await play(draw(seed, nodes, faults, notices), slot)
+            result = await play(plan_of(seed), slot)
         finally:
             slots.put_nowait(slot)
         print(line_of(result), flush=True)
@@ -94,17 +100,17 @@
 def main() -> int:
     """Run the command; 1 if a promise was broken."""
     arguments = docopt(USAGE)
-    results = asyncio.run(
-        _until_signalled(
-            play_all(
-                parse_seeds(arguments["--seeds"]),
-                int(arguments["--nodes"]),
-                int(arguments["--faults"]),
-                int(arguments["--notices"]),
-                int(arguments["--at-once"]),
-            )
-        )
+    plan_of = partial(
+        draw,
+        instances=int(arguments["--nodes"]),
+        faults=int(arguments["--faults"]),
+        notices=int(arguments["--notices"]),
+        teams=int(arguments["--teams"]),
+        quota_per_s=float(arguments["--quota"]),
     )
+    seeds = parse_seeds(arguments["--seeds"])
+    playing = play_all(seeds, plan_of, int(arguments["--at-once"]))
+    results = asyncio.run(_until_signalled(playing))
     failed = [result for result in results if result.broken]
     print(f"{len(results)} seeds, {len(failed)} with a broken promise")
     if arguments["--report"]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,9 +6,11 @@
 import attrs
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
-from .fleet import CALLER_PORT, LONG_PATH, LONG_PAYMENT_PATH, Fleet
+from .document import LONG_PATH, LONG_PAYMENT_PATH
+from .fleet import CALLER_PORT, Fleet
 from .plan import STOP_LASTS_S
 from .records import Call, Observations
+from .teams import PUBLIC_PATH, team_of
 
 DEADLINE_S = 2.0
 LONG_DEADLINE_S = STOP_LASTS_S + 2.0
@@ -21,6 +23,7 @@
 PAUSE_S = 0.03
 PAYMENT_SHARE = 0.4
 LONG_KINDS = ("read", "payment", "upload")
+FORGED_TEAM = "forged"
 NO_CONNECTION = -1
 CUT = 0
 
@@ -47,6 +50,10 @@
     random: Random
     ending: bool = False
     _sent: int = 0
+    team: str = attrs.field(
+        default=attrs.Factory(lambda self: team_of(self.number), takes_self=True),
+        kw_only=True,
+    )
 
     async def run(self) -> None:
         """Send until cancelled, or until the request after ``ending`` was set."""
@@ -69,9 +76,10 @@
         self._sent += 1
         name = f"c{self.number}-{self._sent}"
         sending = self.draw(name)
+        key = self._draw_key(sending)
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
-        status, own = await self._send(session, name, sending)
+        status, own = await self._send(session, name, sending, key)
         self.seen.calls.append(
             Call(
                 name,
@@ -83,11 +91,18 @@
                 status,
                 own,
                 sending.deadline_s,
+                key,
             )
         )
 
+    def _draw_key(self, sending: Sending) -> str | None:
+        keyring = self.fleet.keyring
+        if keyring is None or sending.path == PUBLIC_PATH:
+            return None
+        return keyring.draw(self.team, self.random)
+
     async def _send(
-        self, session: ClientSession, name: str, sending: Sending
+        self, session: ClientSession, name: str, sending: Sending, key: str | None
     ) -> tuple[int, bool]:
         host = self.fleet.instances[self.node].host
         url = f"http://{host}:{CALLER_PORT}{sending.target}"
@@ -96,6 +111,10 @@
             "Attempt-Id": name,
             "Deadline-Milliseconds": str(round(sending.deadline_s * 1000)),
         }
+        if key:
+            headers["Authorization"] = f"Token {key}"
+        if self.fleet.keyring is not None:
+            headers["Tenant"] = FORGED_TEAM
         timeout = ClientTimeout(total=sending.deadline_s + GIVE_UP_S)
         body = sending.body
         method = "POST" if body else "GET"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,13 +1,15 @@
 """The promises, checked on what was seen. Pure: each yields what broke it."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from .records import Limit, Observations
+from .records import Call, KeySpan, Limit, Observations
 
 NOT_RUN = frozenset({429, 503})
 GOOD = 200
 NOT_FOUND = 404
+UNAUTHORIZED = 401
 DRAIN_S = 2.0
 PROPAGATION_S = 2.0
 STABILITY_S = 3.0
@@ -18,6 +20,9 @@
 LIMIT_EXTRA = 5
 LIMIT_LEARNT_S = 0.5
 """Time in which nodes learn a limit from the first answers."""
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERAGE = 0.1
+QUOTA_SLACK = 20
 RECOVERED_SHARE = 0.9
 FEW_CALLS = 20
 CAUSE_SHOWN = 200
@@ -154,9 +159,103 @@
         yield f"{node} ended by an error, see its traceback"
 
 
+def unknown_keys_never_run(seen: Observations) -> Iterator[str]:
+    """Yield requests that ran though no version had held their key until then."""
+    spans = {span.key: span for span in seen.keys}
+    arrived_s = {arrival.name: arrival.at_s for arrival in seen.arrivals}
+    for call in seen.calls:
+        if call.key is None or call.name not in arrived_s:
+            continue
+        span = spans.get(call.key)
+        if span is None or arrived_s[call.name] < span.from_s:
+            yield f"{call.name} ran at {call.node} with the unknown key {call.key!r}"
+
+
+def removed_keys_stop(seen: Observations) -> Iterator[str]:
+    """Yield requests that ran, at a node without trouble, with a removed key."""
+    spans = {span.key: span for span in seen.keys}
+    ran = {arrival.name for arrival in seen.arrivals}
+    for call in seen.calls:
+        span = spans.get(call.key or "")
+        if span is None or call.name not in ran:
+            continue
+        late_s = call.sent_s - span.to_s - PROPAGATION_S
+        from_s = call.sent_s - STABILITY_S
+        if late_s > 0 and not seen.troubled(call.node, from_s, call.ended_s):
+            yield f"{call.name} ran, sent {late_s:.2f} s too late with {call.key}"
+
+
+def known_keys_are_let_in(seen: Observations) -> Iterator[str]:
+    """Yield requests answered 401 whose key all versions in force held.
+
+    All nodes hold the keys of the first version, also those in trouble.
+    """
+    spans = {span.key: span for span in seen.keys}
+    for call in seen.calls:
+        if call.status != UNAUTHORIZED:
+            continue
+        if call.key is None:
+            yield f"{call.name} got 401 on {call.path}, which needs no key"
+            continue
+        span = spans.get(call.key)
+        if span is None or not _held(span, call):
+            continue
+        from_s = call.sent_s - STABILITY_S
+        first = span.from_s == -math.inf
+        if first or not seen.troubled(call.node, from_s, call.ended_s):
+            yield f"{call.name} got 401 at {call.node} with {call.key}, which is held"
+
+
+def _held(span: KeySpan, call: Call) -> bool:
+    """Whether all versions that may be in force for a request hold a key."""
+    return span.from_s + PROPAGATION_S <= call.sent_s and call.ended_s <= span.to_s
+
+
+def servers_see_teams(seen: Observations) -> Iterator[str]:
+    """Yield requests that reached a server with a key, or with a wrong team."""
+    if not seen.keys:
+        return
+    teams: dict[str | None, str] = {span.key: span.team for span in seen.keys}
+    keys = {call.name: call.key for call in seen.calls}
+    for arrival in seen.arrivals:
+        if arrival.shows_key:
+            yield f"{arrival.name} reached {arrival.instance_id} with a key"
+        team = teams.get(keys.get(arrival.name), "")
+        if arrival.name in keys and arrival.team != team:
+            told = f"with team {arrival.team!r} instead of {team!r}"
+            yield f"{arrival.name} reached {arrival.instance_id} {told}"
+
+
+def servers_are_not_overfilled(seen: Observations) -> Iterator[str]:
+    """Yield servers that got more requests than they can queue."""
+    for name in seen.overfilled:
+        yield f"{name} left requests unanswered since its queue was full"
+
+
+def quotas_are_kept(seen: Observations) -> Iterator[str]:
+    """Yield teams of which more requests ran in a window than they are allowed."""
+    usual = seen.quota_per_s * (QUOTA_WINDOW_S + 1)
+    allowed = usual * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+    for team in sorted({span.team for span in seen.keys}) if usual else ():
+        times_s = sorted(one.at_s for one in seen.arrivals if one.team == team)
+        first = most = 0
+        for last, at_s in enumerate(times_s):
+            while times_s[first] < at_s - QUOTA_WINDOW_S:
+                first += 1
+            most = max(most, last - first + 1)
+        if most > allowed:
+            yield f"{most} requests of {team} ran in {QUOTA_WINDOW_S} s"
+
+
 def fleet_recovers(seen: Observations) -> Iterator[str]:
     """Say if requests are not served in the calm after the last fault."""
-    calm = [call for call in seen.calls if call.sent_s > seen.calm_from_s]
+    spans = {span.key: span for span in seen.keys}
+    calm = [
+        call
+        for call in seen.calls
+        if call.sent_s > seen.calm_from_s
+        and (call.key is None or (call.key in spans and _held(spans[call.key], call)))
+    ]
     good = sum(call.status == GOOD for call in calm)
     if len(calm) < FEW_CALLS:
         yield f"only {len(calm)} requests were sent after the last fault"
@@ -175,6 +274,12 @@
     versions_never_go_back,
     planned_stops_cut_nothing,
     programs_have_no_faults,
+    unknown_keys_never_run,
+    removed_keys_stop,
+    known_keys_are_let_in,
+    servers_see_teams,
+    servers_are_not_overfilled,
+    quotas_are_kept,
     fleet_recovers,
 )
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,8 +1,11 @@
 """Carrying a plan's faults out, from outside the nodes."""
 
 import asyncio
+import itertools
 import signal
+from collections.abc import Iterator
 from functools import singledispatch
+from random import Random
 
 import attrs
 
@@ -28,6 +31,12 @@
 
     fleet: Fleet
     seen: Observations
+    random: Random = attrs.field(factory=Random)
+    _callers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1000))
+
+    def new_caller(self) -> int:
+        """Return a number that no caller has."""
+        return next(self._callers)
 
     def now_s(self) -> float:
         """Return the time of the event loop."""
@@ -185,6 +194,11 @@
         f"i-{instance.index}-{number}", work_s=former.work_s, slots=former.slots
     )
     server.arrivals = former.arrivals
+    server.arrived_headers = former.arrived_headers
+    server.unanswered = former.unanswered
+    server.work_percent = former.work_percent and 100
+    server.queue_limit = former.queue_limit
+    server.silent_when_full = former.silent_when_full
     await server.start(instance.host, BACKEND_PORT)
     instance.server, instance.beats, instance.beating = server, 0, True
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,7 +18,9 @@
 from standins.silent_proxy import SilentProxy
 from standins.store import StoreStandIn
 
+from .document import document
 from .plan import STOP_LASTS_S
+from .teams import PUBLIC_PATH, SERVER_QUEUE, Keyring
 
 CALLER_PORT, PEER_PORT, PEER_LISTEN_PORT, READY_PORT = 7201, 7202, 7203, 7204
 ANNOUNCE_PORT, METRICS_PORT, BACKEND_PORT, STORE_PORT = 7205, 7206, 7207, 7208
@@ -26,67 +28,10 @@
 HEARTBEAT_S = 0.5
 WORK_S = 0.06
 ACKNOWLEDGED_WITHIN_S = 1.0
-LONG_PATH, LONG_PAYMENT_PATH = "/long/", "/long-pay/"
 LINK_MBPS = 1000.0
 OK = 200
 
 
-def document(version: int, paths: list[str]) -> bytes:
-    """Return the operators' document with a payment route and one per path."""
-    common = {
-        "host": "shop.example",
-        "max_attempts": 2,
-        "aim": "400ms",
-        "timeout": "1800ms",
-        "service": "shop",
-    }
-    routes = {
-        f"read-{index}": {
-            **common,
-            "path_prefix": path,
-            "route_kind": "safe",
-            "priority": 2,
-        }
-        for index, path in enumerate(paths)
-    }
-    routes["pay"] = {
-        **common,
-        "path_prefix": "/pay/",
-        "route_kind": "unsafe",
-        "priority": 1,
-    }
-    long = {
-        **common,
-        "aim": f"{STOP_LASTS_S:.0f}s",
-        "timeout": f"{2 * STOP_LASTS_S:.0f}s",
-    }
-    routes["long"] = {
-        **long,
-        "path_prefix": LONG_PATH,
-        "route_kind": "safe",
-        "priority": 2,
-    }
-    routes["long-pay"] = {
-        **long,
-        "path_prefix": LONG_PAYMENT_PATH,
-        "route_kind": "unsafe",
-        "priority": 1,
-    }
-    return orjson.dumps(
-        {
-            "version": version,
-            "routes": routes,
-            "services": {"shop": {"health_check_path": "/health"}},
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 4_000_000,
-                "header_timeout": "3000ms",
-                "idle_timeout": "15000ms",
-            },
-        }
-    )
-
-
 @attrs.define(eq=False)
 class Instance:
     """One instance: a node process, its relay, and a backend server.
@@ -165,6 +110,8 @@
     ----------
     program : tuple of str
         Arguments of the interpreter that start a node.
+    keyring : Keyring or None
+        Keys of callers; None where the configuration has no teams.
     """
 
     network: str
@@ -175,9 +122,15 @@
     instances: list[Instance] = attrs.field(factory=list)
     paths: list[str] = attrs.field(factory=lambda: ["/read/"])
     version: int = 0
+    keyring: Keyring | None = None
     _runner: web.AppRunner | None = None
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
+    def use_teams(self, quota_per_s: float) -> None:
+        """Have teams in the configuration, and a public route."""
+        self.keyring = Keyring(quota_per_s)
+        self.paths.append(PUBLIC_PATH)
+
     async def start(self, count: int) -> None:
         """Start the store and all instances, and wait until all are ready."""
         self.publish()
@@ -198,13 +151,13 @@
         self.version += 1
         if path:
             self.paths.append(path)
-        content = document(self.version, self.paths)
-        self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
+        self.publish_again()
         return self.version
 
     def publish_again(self) -> None:
         """Publish the latest version once more, as after the store lost it."""
-        content = document(self.version, self.paths)
+        tenants = None if self.keyring is None else self.keyring.tenants()
+        content = document(self.version, self.paths, tenants)
         self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
 
     async def announce(self, instance: Instance, state: str = "ready") -> bool:
@@ -253,6 +206,9 @@
     async def _new_instance(self, index: int, store: Address) -> Instance:
         host = f"{self.network}.{index + 1}"
         server = SigningServer(f"i-{index}-0", work_s=WORK_S, slots=8)
+        if self.keyring is not None:
+            server.work_percent = 100
+            server.queue_limit, server.silent_when_full = SERVER_QUEUE, True
         await server.start(host, BACKEND_PORT)
         relay = SilentProxy(Address(host, PEER_LISTEN_PORT), Address(host, PEER_PORT))
         await relay.start()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -142,6 +142,26 @@
     """The store comes back from a copy that was taken ``for_s`` before."""
 
 
+class KeyAdded(Fault):
+    """A version adds a key to a team."""
+
+
+class KeyRemoved(Fault):
+    """A version removes a team's oldest key."""
+
+
+class WrongKeys(Fault):
+    """Half of the requests have a key that no version holds, or none."""
+
+
+class TeamSurge(Fault):
+    """A team sends several times its usual."""
+
+
+class ServerSlowed(Fault):
+    """Work takes longer at the backend server, which tells it in its answers."""
+
+
 KINDS: tuple[type[Fault], ...] = (
     Kill,
     Pause,
@@ -167,14 +187,34 @@
 NOTICE_KINDS: tuple[type[Fault], ...] = (ServerLimited, ServerSaysLeaving, StoreReturns)
 """Kinds drawn beside the others, so that these stay the same for a seed."""
 
+TEAM_KINDS: tuple[type[Fault], ...] = (
+    KeyAdded,
+    KeyRemoved,
+    KeyRemoved,
+    WrongKeys,
+    TeamSurge,
+    ServerSlowed,
+)
+"""Kinds drawn beside the others for a configuration with teams."""
+
 
 @attrs.frozen
 class Plan:
-    """What happens in one run."""
+    """What happens in one run.
+
+    Attributes
+    ----------
+    teams : bool
+        Whether the configuration has teams and callers send keys.
+    quota_per_s : float
+        Rate and burst of each team; 0 for no limit.
+    """
 
     seed: int
     instances: int
     faults: tuple[Fault, ...]
+    teams: bool = False
+    quota_per_s: float = 0.0
 
     @property
     def duration_s(self) -> float:
@@ -182,11 +222,19 @@
         return max((fault.end_s for fault in self.faults), default=0.0) + CALM_S
 
 
-def draw(seed: int, instances: int, faults: int, notices: int = 0) -> Plan:
+def draw(
+    seed: int,
+    instances: int,
+    faults: int,
+    notices: int = 0,
+    *,
+    teams: int = 0,
+    quota_per_s: float = 0.0,
+) -> Plan:
     """Draw a plan: faults, and when they are over, the stop of one node.
 
     ``notices`` is the number of faults of ``NOTICE_KINDS``, at any time among the
-    others.
+    others, ``teams`` that of ``TEAM_KINDS``; with 0 the configuration has no teams.
 
     Examples
     --------
@@ -207,10 +255,20 @@
     last_s = at_s
     notice_random = Random(f"notices of {seed}")
     for _ in range(notices):
-        kind = notice_random.choice(NOTICE_KINDS)
-        begin_s = notice_random.uniform(SETTLE_S, last_s)
-        for_s = notice_random.uniform(SHORTEST_S, LONGEST_S)
-        drawn.append(kind(begin_s, for_s, notice_random.randrange(instances)))
+        drawn.append(_draw_among(notice_random, NOTICE_KINDS, last_s, instances))
+    team_random = Random(f"teams of {seed}")
+    for _ in range(teams):
+        drawn.append(_draw_among(team_random, TEAM_KINDS, last_s, instances))
     over_s = max((fault.end_s for fault in drawn), default=0.0) + QUIET_S
     drawn.append(Stop(over_s, SHORTEST_S, random.randrange(instances)))
-    return Plan(seed, instances, tuple(drawn))
+    return Plan(seed, instances, tuple(drawn), teams > 0, quota_per_s)
+
+
+def _draw_among(
+    random: Random, kinds: tuple[type[Fault], ...], last_s: float, instances: int
+) -> Fault:
+    """Return a fault that begins at any time up to that of the last one."""
+    kind = random.choice(kinds)
+    begin_s = random.uniform(SETTLE_S, last_s)
+    for_s = random.uniform(SHORTEST_S, LONGEST_S)
+    return kind(begin_s, for_s, random.randrange(instances))
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,5 +1,7 @@
 """What callers and backend servers saw in one run."""
 
+import math
+
 import attrs
 
 from azurestep.lines.faults import ProgramFault
@@ -21,6 +23,8 @@
         Whether the answer names this request and its body is the one owed.
     deadline_s : float
         Time for which its caller said that it waits.
+    key : str or None
+        Key that was sent; empty for none, None where none is asked for.
     """
 
     name: str
@@ -32,15 +36,26 @@
     status: int
     own: bool
     deadline_s: float = 2.0
+    key: str | None = None
 
 
 @attrs.frozen
 class Arrival:
-    """One request at a backend server."""
+    """One request at a backend server.
+
+    Attributes
+    ----------
+    team : str
+        Team that its headers name; empty for none.
+    shows_key : bool
+        Whether a key stands in its headers.
+    """
 
     name: str
     instance_id: str
     at_s: float
+    team: str = ""
+    shows_key: bool = False
 
 
 @attrs.frozen
@@ -61,6 +76,27 @@
     to_s: float
 
 
+@attrs.frozen
+class KeySpan:
+    """When the versions held a key, by their publication.
+
+    Attributes
+    ----------
+    from_s : float
+        Infinitely long ago for a key of the first version.
+    """
+
+    key: str
+    team: str
+    from_s: float
+    to_s: float = math.inf
+
+    @property
+    def ended(self) -> bool:
+        """Whether the key was removed."""
+        return self.to_s < math.inf
+
+
 @attrs.frozen
 class Publication:
     """A version that the operators published, and the path that it adds."""
@@ -98,6 +134,12 @@
         Faults of the program that the nodes' lines tell of.
     crashes : list of str
         Nodes whose process an error ended.
+    keys : list of KeySpan
+        All keys that versions held; none where the configuration has no teams.
+    quota_per_s : float
+        Rate and burst of each team; 0 for no limit.
+    overfilled : list of str
+        Backend servers that left requests unanswered since their queue was full.
     """
 
     calls: list[Call] = attrs.field(factory=list)
@@ -108,6 +150,9 @@
     troubles: list[Trouble] = attrs.field(factory=list)
     faults: list[ProgramFault] = attrs.field(factory=list)
     crashes: list[str] = attrs.field(factory=list)
+    keys: list[KeySpan] = attrs.field(factory=list)
+    quota_per_s: float = 0.0
+    overfilled: list[str] = attrs.field(factory=list)
     calm_from_s: float = 0.0
 
     def troubled(
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,8 +10,10 @@
 import attrs
 from aiohttp import ClientSession
 
+from standins.signing_server import SigningServer
 from standins.store import StoreStandIn
 
+from . import team_faults  # noqa: F401  (registers its faults)
 from .callers import Caller, LongCaller
 from .checks import broken
 from .faults import BACK_S, Stage, strike
@@ -19,6 +21,7 @@
 from .lines import read_crashes, read_faults
 from .plan import CALM_S, Plan
 from .records import Arrival, Observations
+from .teams import KEY_MARK
 
 CALLERS_PER_NODE = 6
 """With runs of 60 ms, some four requests are under way at each backend server when a
@@ -59,17 +62,18 @@
         fleet = Fleet(
             network_of(slot), directory, StoreStandIn(era=1), session, program
         )
+        if plan.teams:
+            fleet.use_teams(plan.quota_per_s)
+            seen.quota_per_s = plan.quota_per_s
         try:
             await fleet.start(plan.instances)
             await _traffic(plan, fleet, seen)
         finally:
-            arrivals = [one.server.arrivals for one in fleet.instances]
+            servers = [one.server for one in fleet.instances]
             await fleet.stop()
-    seen.arrivals = [
-        Arrival(name, instance_id, at_s)
-        for rows in arrivals
-        for name, instance_id, at_s in rows
-    ]
+    seen.arrivals = [one for server in servers for one in _arrivals(server)]
+    seen.overfilled = [one.instance_id for one in servers if one.unanswered]
+    seen.keys = [] if fleet.keyring is None else fleet.keyring.spans
     seen.faults = read_faults(directory)
     seen.crashes = read_crashes(directory)
     found = broken(seen)
@@ -78,11 +82,23 @@
     return Result(plan, seen, found, directory if found else None)
 
 
+def _arrivals(server: SigningServer) -> list[Arrival]:
+    rows = zip(server.arrivals, server.arrived_headers, strict=True)
+    return [
+        Arrival(
+            *arrival,
+            headers.get("tenant", ""),
+            any(KEY_MARK in value for value in headers.values()),
+        )
+        for arrival, headers in rows
+    ]
+
+
 async def _traffic(plan: Plan, fleet: Fleet, seen: Observations) -> None:
     loop = asyncio.get_running_loop()
     start_s = loop.time()
-    stage = Stage(fleet, seen)
     random = Random(plan.seed)
+    stage = Stage(fleet, seen, random)
     few = plan.instances * CALLERS_PER_NODE
     many = few + plan.instances * LONG_CALLERS_PER_NODE
     callers = [
--- /dev/null
+++ b/soak/team_faults.py
@@ -0,0 +1,71 @@
+"""Carrying out the faults that concern teams and the speed of backend servers."""
+
+import asyncio
+
+from . import plan
+from .callers import Caller
+from .faults import Stage, strike
+from .teams import GUESS_RATIO, Keyring, team_of
+
+SURGE_CALLERS_PER_NODE = 4
+"""With four teams and six callers of a node, a team has 1.5 of its own there: it sends
+3.7 times its usual."""
+WRONG_KEYS_RATIO = 0.5
+SLOW_PERCENT = 250
+NORMAL_PERCENT = 100
+
+
+def _keyring(stage: Stage) -> Keyring:
+    keyring = stage.fleet.keyring
+    if keyring is None:
+        raise ValueError("the run has no teams; draw its plan with some")
+    return keyring
+
+
+@strike.register
+async def _(fault: plan.KeyAdded, stage: Stage) -> None:
+    _keyring(stage).add(team_of(fault.target), stage.now_s())
+    stage.fleet.publish()
+
+
+@strike.register
+async def _(fault: plan.KeyRemoved, stage: Stage) -> None:
+    _keyring(stage).remove(team_of(fault.target), stage.now_s())
+    stage.fleet.publish()
+
+
+@strike.register
+async def _(fault: plan.WrongKeys, stage: Stage) -> None:
+    keyring = _keyring(stage)
+    keyring.guess_ratio = WRONG_KEYS_RATIO
+    await asyncio.sleep(fault.for_s)
+    keyring.guess_ratio = GUESS_RATIO
+
+
+@strike.register
+async def _(fault: plan.TeamSurge, stage: Stage) -> None:
+    nodes = len(stage.fleet.instances)
+    callers = [
+        Caller(
+            stage.new_caller(),
+            index % nodes,
+            stage.fleet,
+            stage.seen,
+            stage.random,
+            team=team_of(fault.target),
+        )
+        for index in range(SURGE_CALLERS_PER_NODE * nodes)
+    ]
+    tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    await asyncio.sleep(fault.for_s)
+    for caller in callers:
+        caller.ending = True
+    await asyncio.gather(*tasks)
+
+
+@strike.register
+async def _(fault: plan.ServerSlowed, stage: Stage) -> None:
+    server = stage.instance(fault).server
+    server.work_percent = SLOW_PERCENT
+    await asyncio.sleep(fault.for_s)
+    server.work_percent = NORMAL_PERCENT
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -14,12 +14,16 @@
 from azurestep.http.server import Exchange
 from azurestep.mesh import node as run
 from azurestep.mesh.backend.state import LocalBackend
-from azurestep.mesh.callers import call
+from azurestep.mesh.callers import call, outbound
 from azurestep.mesh.callers.answer_writer import AnswerWriter
 from azurestep.mesh.callers.outbound import Outbound
 from azurestep.mesh.decisions.stopping import ShutdownPlan
 from azurestep.mesh.knowledge import configuration
 from azurestep.mesh.messages import Answer, Failure, Reason
+from azurestep.platform.announcement import Heartbeat
+from azurestep.routing.authentication import Access, Identity
+from azurestep.routing.model import Route
+from azurestep.routing.teams import TeamDirectory
 
 
 def repeat_payments() -> None:
@@ -113,6 +117,58 @@
     AnswerWriter.write_whole = lambda self, answer: None  # type: ignore[method-assign]
 
 
+def accept_any_key() -> None:
+    """Take a request with an unknown key for one of some team."""
+    plain = outbound.identify
+
+    def identify(
+        teams: TeamDirectory, route: Route, keys: list[bytes], outdated: bool
+    ) -> Identity:
+        found = plain(teams, route, keys, outdated)
+        if found.access is Access.ALLOWED:
+            return found
+        return Identity(Access.ALLOWED, next(iter(teams)))
+
+    outbound.identify = identify
+
+
+def keep_first_keys() -> None:
+    """Keep the teams of the first version."""
+    plain = configuration.Configuration.apply
+    first: list[TeamDirectory | None] = []
+
+    def apply(
+        self: configuration.Configuration,
+        content: bytes,
+        origin: configuration.Origin,
+        took_ms: float = 0.0,
+    ) -> configuration.Applied:
+        applied = plain(self, content, origin, took_ms)
+        if self.table is not None:
+            first.append(self.table.teams)
+            object.__setattr__(self.table, "teams", first[0])
+        return applied
+
+    configuration.Configuration.apply = apply  # type: ignore[method-assign]
+
+
+def forward_keys() -> None:
+    """Leave the key of a caller in its request."""
+    outbound._with_team = lambda caller, identity: caller
+
+
+def overfill_servers() -> None:
+    """Send a backend server more requests than it has slots."""
+    plain = LocalBackend.apply_heartbeat
+
+    def apply_heartbeat(
+        self: LocalBackend, heartbeat: Heartbeat, now_ms: float
+    ) -> None:
+        plain(self, attrs.evolve(heartbeat, slots=4 * heartbeat.slots), now_ms)
+
+    LocalBackend.apply_heartbeat = apply_heartbeat  # type: ignore[method-assign]
+
+
 BREAKAGES: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -126,6 +182,10 @@
         end_unanswered,
         fail_to_handle,
         never_answer,
+        accept_any_key,
+        keep_first_keys,
+        forward_keys,
+        overfill_servers,
     )
 }
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,5 +1,7 @@
 """Each check of the soak fails on what a broken node would show, and only there."""
 
+import math
+
 import attrs
 import pytest
 
@@ -8,6 +10,7 @@
 from soak.records import (
     Arrival,
     Call,
+    KeySpan,
     Leaving,
     Limit,
     Observations,
@@ -30,6 +33,34 @@
     )
 
 
+SPANS = [
+    KeySpan("first", "riggers", -math.inf),
+    KeySpan("added", "riggers", 20.0),
+    KeySpan("removed", "yards", -math.inf, 5.0),
+]
+
+
+@pytest.fixture
+def seen_teams(seen: Observations) -> Observations:
+    """Return what a sound fleet shows where callers send keys."""
+    seen.keys = list(SPANS)
+    seen.calls = [
+        attrs.evolve(call, key="added" if call.sent_s > 22 else "first")
+        for call in seen.calls
+    ]
+    seen.arrivals = [attrs.evolve(ARRIVAL, team="riggers")]
+    return seen
+
+
+def read_with(seen: Observations, key: str | None, **changes: float) -> None:
+    """Change the read, which does not run, to one with a key."""
+    seen.calls[1] = attrs.evolve(READ, name="read", key=key, **changes)
+
+
+def runs(seen: Observations, team: str, at_s: float = 10.05) -> None:
+    seen.arrivals.append(Arrival("read", "i-0-0", at_s, team))
+
+
 def test_a_sound_fleet_breaks_nothing(seen: Observations) -> None:
     assert checks.broken(seen) == {}
 
@@ -144,6 +175,117 @@
     assert set(checks.broken(seen)) == {"answers_come_in_time"}
 
 
+def guess(seen: Observations) -> None:
+    read_with(seen, "guess")
+    runs(seen, "")
+
+
+def missing_key(seen: Observations) -> None:
+    read_with(seen, "")
+    runs(seen, "")
+
+
+def early_key(seen: Observations) -> None:
+    read_with(seen, "added")
+    runs(seen, "riggers")
+
+
+def late_key(seen: Observations) -> None:
+    read_with(seen, "removed")
+    runs(seen, "yards")
+
+
+def known_key_denied(seen: Observations) -> None:
+    read_with(seen, "first", status=401)
+
+
+def added_key_denied(seen: Observations) -> None:
+    read_with(seen, "added", status=401, sent_s=23.0, ended_s=23.1)
+
+
+def public_route_denied(seen: Observations) -> None:
+    read_with(seen, None, status=401)
+
+
+def shown_key(seen: Observations) -> None:
+    seen.arrivals[0] = attrs.evolve(seen.arrivals[0], shows_key=True)
+
+
+def wrong_team(seen: Observations) -> None:
+    seen.arrivals[0] = attrs.evolve(seen.arrivals[0], team="yards")
+
+
+def forged_team(seen: Observations) -> None:
+    read_with(seen, None)
+    runs(seen, "forged")
+
+
+def overfilled_server(seen: Observations) -> None:
+    seen.overfilled.append("i-0-0")
+
+
+def broken_quota(seen: Observations) -> None:
+    seen.quota_per_s = 2.0
+    seen.arrivals += [
+        Arrival(f"q{i}", "i-0-0", 12.0 + i / 10, "riggers") for i in range(34)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("damage", "check"),
+    [
+        (guess, checks.unknown_keys_never_run),
+        (missing_key, checks.unknown_keys_never_run),
+        (early_key, checks.unknown_keys_never_run),
+        (late_key, checks.removed_keys_stop),
+        (known_key_denied, checks.known_keys_are_let_in),
+        (added_key_denied, checks.known_keys_are_let_in),
+        (public_route_denied, checks.known_keys_are_let_in),
+        (shown_key, checks.servers_see_teams),
+        (wrong_team, checks.servers_see_teams),
+        (forged_team, checks.servers_see_teams),
+        (overfilled_server, checks.servers_are_not_overfilled),
+        (broken_quota, checks.quotas_are_kept),
+    ],
+)
+def test_a_broken_promise_on_teams_is_found(
+    seen_teams: Observations,
+    damage,  # type: ignore[no-untyped-def]
+    check,  # type: ignore[no-untyped-def]
+) -> None:
+    assert checks.broken(seen_teams) == {}
+    damage(seen_teams)
+    assert set(checks.broken(seen_teams)) == {check.__name__}
+
+
+def test_a_removed_key_may_be_denied_and_may_run_until_the_version_is_everywhere(
+    seen_teams: Observations,
+) -> None:
+    for status in (200, 401):
+        read_with(seen_teams, "removed", status=status, sent_s=6.9, ended_s=7.0)
+        assert checks.broken(seen_teams) == {}
+    runs(seen_teams, "yards", at_s=6.95)
+    assert checks.broken(seen_teams) == {}
+
+
+def test_trouble_excuses_a_key_that_a_later_version_added(
+    seen_teams: Observations,
+) -> None:
+    seen_teams.troubles.append(Trouble(0, 7.0, 24.0))
+    added_key_denied(seen_teams)
+    assert checks.broken(seen_teams) == {}
+    known_key_denied(seen_teams)
+    assert set(checks.broken(seen_teams)) == {"known_keys_are_let_in"}
+
+
+def test_wrong_keys_in_the_calm_are_not_missed(seen_teams: Observations) -> None:
+    seen_teams.calls[2:] = [
+        attrs.evolve(call, key=key, status=401 if key == "guess" else 200)
+        for call, key in zip(seen_teams.calls[2:], ["guess", "added"] * 20, strict=True)
+    ]
+    assert checks.broken(seen_teams) == {}
+
+
 def test_trouble_of_another_node_excuses_nothing(seen: Observations) -> None:
     late_answer(seen)
     seen.troubles.append(Trouble(1, 7.0, 14.0))
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -9,7 +9,10 @@
     KINDS,
     NOTICE_KINDS,
     STOP_LASTS_S,
+    TEAM_KINDS,
     Fault,
+    KeyAdded,
+    KeyRemoved,
     Kill,
     Plan,
     Publish,
@@ -17,15 +20,25 @@
     ServerLimited,
     ServerReplaced,
     ServerSaysLeaving,
+    ServerSlowed,
     Stop,
     StoreReturns,
+    TeamSurge,
+    WrongKeys,
     draw,
 )
 from soak.report import write
 from soak.run import play
+from soak.teams import TEAMS
 
 SEED = 1
 NODES = 3
+KEPT_KINDS = [
+    *("Publish", "StoreForgets", "Publish", "Hold", "Hold", "ServerForgets", "Reset"),
+    *("CutOneWay", "Publish", "Stop"),
+    *("ServerSaysLeaving", "ServerLimited", "ServerLimited", "Stop"),
+]
+"""Of a seed in KNOWN-RED.txt, as it was first played."""
 OUTLASTING_S = (STOP_LASTS_S + 0.5, STOP_LASTS_S + 1.0)
 """Work times of requests that are still unanswered when the first node stops."""
 
@@ -45,6 +58,23 @@
     noticed = draw(5, 4, 30, notices=12).faults
     assert noticed[:30] == draw(5, 4, 30).faults[:30]
     assert {type(fault) for fault in noticed[30:-1]} == set(NOTICE_KINDS)
+    teams = draw(5, 4, 30, notices=12, teams=40).faults
+    assert teams[:42] == noticed[:42]
+    assert {type(fault) for fault in teams[42:-1]} == set(TEAM_KINDS)
+
+
+def test_a_kept_seed_has_the_faults_that_it_was_kept_for() -> None:
+    kinds = [type(fault).__name__ for fault in draw(14012, 5, 10, notices=3).faults]
+    assert kinds == KEPT_KINDS
+
+
+async def test_teams_and_slow_servers_keep_every_promise() -> None:
+    faults = (KeyAdded(1.0, 1.0, 0), KeyRemoved(1.5, 1.0, 0), TeamSurge(2.0, 1.0, 1))
+    late = (ServerSlowed(2.0, 1.5, 1), WrongKeys(3.0, 1.0, 0), Kill(0.8, 0.3, 2))
+    result = await play(Plan(SEED, NODES, (*faults, *late), teams=True), slot=4)
+    assert result.broken == {}
+    assert {call.status for call in result.seen.calls} >= {200, 401}
+    assert {arrival.team for arrival in result.seen.arrivals} >= {"", *TEAMS}
 
 
 async def test_notices_of_servers_and_store_keep_every_promise() -> None:
@@ -88,3 +118,24 @@
     assert check in result.broken
     assert result.logs is not None
     shutil.rmtree(result.logs)
+
+
+@pytest.mark.parametrize(
+    ("breakage", "kind", "check"),
+    [
+        ("accept_any_key", WrongKeys, "unknown_keys_never_run"),
+        ("keep_first_keys", KeyRemoved, "removed_keys_stop"),
+        ("keep_first_keys", KeyAdded, "known_keys_are_let_in"),
+        ("forward_keys", KeyAdded, "servers_see_teams"),
+        ("overfill_servers", TeamSurge, "servers_are_not_overfilled"),
+    ],
+)
+async def test_a_node_that_is_broken_for_teams_is_found(
+    breakage: str, kind: type[Fault], check: str
+) -> None:
+    faults = tuple(kind(0.5 + node, 1.0, node) for node in range(NODES))
+    program = ("-m", "tests.broken_node", breakage, "sidecar")
+    result = await play(Plan(SEED, NODES, faults, teams=True), 5, program)
+    assert check in result.broken
+    assert result.logs is not None
+    shutil.rmtree(result.logs)
