Nothing showed which team loses requests, or which unknown key was refused

Cause: calls were counted for all callers together, lines of shed requests named no team, and lines of unknown keys could not be told apart.

Event 9402 names the team and the version of a shed request; of an unknown key it has the version and 8 hexadecimal digits of the digest. An answer that is passed on in pieces counts once, when it is complete.

azurestep losses has a table by team, azurestep explain names team, version, limit and grant, and a key that a node refused with 503 since it is behind has a decision of its own.

The pinned formats grow: one more decision, fields of log lines that the commands read, a list of teams in the result of losses, and further fields of event 9402, which has the same ones as before without teams.

--- a/azurestep/lines/explanation.py
+++ b/azurestep/lines/explanation.py
@@ -54,8 +54,10 @@
     Decision.UNREACHABLE: "the backend server took no connections",
     Decision.QUARANTINED: "requests like it crash the backend servers that run them",
     Decision.NO_ROUTE: "no route matches it",
-    Decision.UNKNOWN_KEY: "no team held its key in the version in force",
-    Decision.QUOTA: "its team had used up its quota",
+    Decision.UNKNOWN_KEY: "{key} in version {version}",
+    Decision.KEY_UNDECIDED: "{key} in version {version}, and its first node knew that"
+    " it may lack a newer one",
+    Decision.QUOTA: "it was above the limit of its team {team} in version {version}",
     Decision.SERVER_REFUSED: "the backend server said that it did not run it",
     Decision.SERVER_BROKE_OFF: "{instance} broke off or spoiled its answer ({reason})",
     Decision.SERVER_ERROR: "{instance} answered {status} itself",
@@ -71,6 +73,12 @@
     Decision.OTHER: "the reason is {reason}",
     Decision.NONE: "{instance} answered after {after_ms} ms",
 }
+KEYS = {
+    "": "no team holds its key",
+    "none": "it had no key, and its route is not public",
+    "several": "it had different keys, which name no team",
+}
+"""What a sentence says of keys that have no digest."""
 
 
 def explain(request_id: str, lines: Iterable[LogLine]) -> ExplainResult:
@@ -105,6 +113,9 @@
         after_ms=line.after_ms,
         waited_ms=line.waited_ms,
         ran_ms=line.ran_ms,
+        team=line.team,
+        version=line.version,
+        key=KEYS.get(line.key, f"no team holds its key (digest {line.key}...)"),
     )
     return f"{str(verdict.outcome).capitalize()}: {cause}."
 
@@ -130,4 +141,18 @@
         parts.append(f"{abs(line.left_ms)} ms of its objective {left}")
     if line.returned:
         parts.append("its caller had asked before")
-    return ", ".join(parts)
+    return ", ".join(parts + _team_inputs(line))
+
+
+def _team_inputs(line: LogLine) -> list[str]:
+    """Return what the node knew of the caller's team."""
+    parts = []
+    if line.team:
+        parts.append(f"team {line.team} in version {line.version}")
+    if line.key:
+        parts.append(f"key {line.key} in version {line.version}")
+    if line.team and line.limit_per_s is not None:
+        parts.append(f"limit {line.limit_per_s:g} a second")
+    if line.grant_per_s is not None and line.grant_age_ms is not None:
+        parts.append(f"granted {line.grant_per_s:g}, {line.grant_age_ms:g} ms before")
+    return parts
--- a/azurestep/lines/losses.py
+++ b/azurestep/lines/losses.py
@@ -39,6 +39,22 @@
     in_time: int
 
 
+@attrs.frozen(slots=True)
+class TeamTotal:
+    """All attempts of one team that have a line.
+
+    Attributes
+    ----------
+    decision : Decision
+        What decided most of those that were lost.
+    """
+
+    team: str
+    attempts: int
+    lost: int
+    decision: Decision
+
+
 @attrs.frozen(slots=True)
 class LossesResult:
     """What the lines of some nodes tell of lost attempts.
@@ -52,12 +68,15 @@
     left_out, unreadable : int
         Lines that nodes left out above their rate, and lines that can't be read; the
         counts are short by up to so many.
+    teams : list of TeamTotal
+        All teams with a loss, that with most losses first.
     """
 
     losses: list[Loss]
     routes: list[RouteTotal]
     left_out: int
     unreadable: int
+    teams: list[TeamTotal] = attrs.field(factory=list)
 
 
 @attrs.frozen(slots=True)
@@ -75,6 +94,7 @@
     returned: Counter[_Place] = Counter()
     offered: Counter[str] = Counter()
     in_time: Counter[str] = Counter()
+    by_team: dict[str, Counter[Decision]] = {}
     left_out = 0
     begin_ms: float | None = None
     for line in lines:
@@ -84,6 +104,8 @@
         if verdict is None:
             continue
         offered[line.route] += 1
+        if line.team:
+            by_team.setdefault(line.team, Counter())[verdict.decision] += 1
         if verdict.outcome is Outcome.IN_TIME:
             in_time[line.route] += 1
             continue
@@ -106,4 +128,16 @@
     losses.sort(key=lambda loss: (loss.second, -loss.attempts, loss.node))
     names = sorted({loss.route for loss in losses})
     routes = [RouteTotal(name, offered[name], in_time[name]) for name in names]
-    return LossesResult(losses, routes, left_out, unreadable)
+    return LossesResult(losses, routes, left_out, unreadable, _teams(by_team))
+
+
+def _teams(decisions: dict[str, Counter[Decision]]) -> list[TeamTotal]:
+    """Return the teams with a loss; an attempt in time has no decision."""
+    totals = []
+    for team, counts in decisions.items():
+        attempts = counts.total()
+        del counts[Decision.NONE]
+        if counts:
+            most = counts.most_common(1)[0][0]
+            totals.append(TeamTotal(team, attempts, counts.total(), most))
+    return sorted(totals, key=lambda total: (-total.lost, total.team))
--- a/azurestep/lines/reader.py
+++ b/azurestep/lines/reader.py
@@ -47,6 +47,16 @@
         Lines that the node left out above its rate.
     cause, traceback, place : str
         What went wrong, and where in the program.
+    team : str
+        Team of the caller; empty for none.
+    version : int or str
+        Version of the configuration by which the request was handled, or of backend
+        servers; 0 where the line tells none.
+    key : str
+        First digits of the digest of an unknown key; ``none`` or ``several`` if that
+        many came.
+    limit_per_s, grant_per_s, grant_age_ms : float or None
+        Quota of the team, and what its owner last granted this node.
     """
 
     time: datetime
@@ -74,6 +84,12 @@
     cause: str = ""
     traceback: str = ""
     place: str = ""
+    team: str = ""
+    version: int | str = 0
+    key: str = ""
+    limit_per_s: float | None = None
+    grant_per_s: float | None = None
+    grant_age_ms: float | None = None
 
     @property
     def at_ms(self) -> float:
--- a/azurestep/lines/verdict.py
+++ b/azurestep/lines/verdict.py
@@ -34,6 +34,7 @@
     QUARANTINED = "crashes the servers that run it"
     NO_ROUTE = "no route"
     UNKNOWN_KEY = "no team holds its key"
+    KEY_UNDECIDED = "unknown key at a node that is behind"
     QUOTA = "above the quota of its team"
     SERVER_REFUSED = "refused by the server"
     SERVER_BROKE_OFF = "server broke off or spoiled its answer"
@@ -81,6 +82,8 @@
     "QUOTA": Decision.QUOTA,
 }
 NOT_FOUND = 404
+UNAVAILABLE = 503
+UNKNOWN_KEY = "UNKNOWN_KEY"
 
 
 def judge(line: LogLine) -> Verdict | None:
@@ -88,9 +91,7 @@
     if line.event == events.CALL_ENDED.number:
         return _judge_answer(line)
     if line.event == events.CALL_REFUSED.number:
-        if line.status == NOT_FOUND:
-            return Verdict(Outcome.REFUSED, Decision.NO_ROUTE)
-        return Verdict(Outcome.REFUSED, BY_REASON.get(line.reason, Decision.OTHER))
+        return Verdict(Outcome.REFUSED, _why_refused(line))
     if line.event == events.CALL_FAILED.number:
         return Verdict(Outcome.FAILED, BY_REASON.get(line.reason, Decision.OTHER))
     if line.event == events.CALLER_DISCONNECTED.number:
@@ -98,6 +99,14 @@
     return None
 
 
+def _why_refused(line: LogLine) -> Decision:
+    if line.status == NOT_FOUND:
+        return Decision.NO_ROUTE
+    if line.reason == UNKNOWN_KEY and line.status == UNAVAILABLE:
+        return Decision.KEY_UNDECIDED
+    return BY_REASON.get(line.reason, Decision.OTHER)
+
+
 def _judge_answer(line: LogLine) -> Verdict:
     if line.status >= GOOD_BELOW:
         return Verdict(Outcome.ERROR, Decision.SERVER_ERROR)
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -382,6 +382,7 @@
         self._grant_credit()
         if whole:
             self._close(cancel=False)
+            self._outcome.report_completed()
             self._writer.finish()
 
     def _send_answer(self, answer: Answer) -> None:
@@ -394,7 +395,7 @@
             self._outcome.report_answered(answer.status)
             self._writer.write_whole(answer)
             return
-        self.record.log_answered(answer.status, self._now_ms())
+        self._outcome.report_started(answer.status)
         self._writer.start(answer)
         self._grant_credit()
 
--- a/azurestep/mesh/callers/ending.py
+++ b/azurestep/mesh/callers/ending.py
@@ -4,6 +4,7 @@
 
 from ...http.server import Exchange
 from ..messages import Reason
+from ..team_metrics import TeamOutcome, outcome_of_refusal
 from .answer_writer import AnswerWriter
 from .context import CallContext
 from .own_answers import BAD_GATEWAY, answer_refused, request_id_header
@@ -25,6 +26,7 @@
     exchange: Exchange
     record: CallRecord
     writer: AnswerWriter
+    _streamed: TeamOutcome = TeamOutcome.FAILED
 
     def report_answered(self, status: int) -> None:
         """Log and count a complete answer of a backend server."""
@@ -36,13 +38,25 @@
         )
         if status >= FIRST_NON_SUCCESS_STATUS:
             self.context.returning_callers.add(record.attempt)
+        self._count_for_team(self._outcome_of_answer(status, now_ms))
         record.log_answered(status, now_ms)
 
+    def report_started(self, status: int) -> None:
+        """Log the answer of a backend server of which only the begin is there."""
+        now_ms = self.context.runtime.now_ms()
+        self._streamed = self._outcome_of_answer(status, now_ms)
+        self.record.log_answered(status, now_ms)
+
+    def report_completed(self) -> None:
+        """Count a started answer whose end was passed on."""
+        self._count_for_team(self._streamed)
+
     def report_refused(self, reason: Reason, retry_after_ms: float) -> None:
         """Answer 503: the request has not run and may be retried later."""
         runtime, record = self.context.runtime, self.record
         record.log_refused(UNAVAILABLE, reason, runtime.now_ms())
         runtime.metrics.count("calls", "refused")
+        self._count_for_team(outcome_of_refusal(reason))
         if reason in CAPACITY_REASONS:
             self.context.refusals.record_refused(record.route.name)
         self.context.returning_callers.add(record.attempt)
@@ -82,4 +96,14 @@
         self.record.log_failed(logged_status, reason, runtime.now_ms())
         timed_out = status == GATEWAY_TIMEOUT
         runtime.metrics.count("calls", "timeout" if timed_out else "failed")
+        self._count_for_team(TeamOutcome.FAILED)
         self.context.returning_callers.add(self.record.attempt)
+
+    def _outcome_of_answer(self, status: int, now_ms: float) -> TeamOutcome:
+        if status >= FIRST_NON_SUCCESS_STATUS:
+            return TeamOutcome.FAILED
+        in_time = self.record.objective_ms(now_ms) >= 0
+        return TeamOutcome.GOOD if in_time else TeamOutcome.LATE
+
+    def _count_for_team(self, outcome: TeamOutcome) -> None:
+        self.context.runtime.metrics.teams.record(self.record.team, outcome)
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -16,6 +16,7 @@
     PUBLIC,
     Access,
     Identity,
+    describe_keys,
     effective_priority,
     identify,
 )
@@ -25,6 +26,7 @@
 from ..decisions.pressure import LoadShedder
 from ..messages import Reason
 from ..runtime import Runtime
+from ..team_metrics import outcome_of_refusal
 from .call import Call
 from .context import CallContext, Target
 from .ending import UNAVAILABLE
@@ -86,7 +88,7 @@
             return
         identity = self._identify(table, route, exchange)
         if identity.access is not Access.ALLOWED:
-            self._reject_key(exchange, request_id, route, identity.access)
+            self._reject_key(exchange, request_id, route, identity.access, table)
             return
         if table.teams is not None:
             caller = _with_team(caller, identity)
@@ -101,6 +103,7 @@
                 UNAVAILABLE,
                 Reason.PRESSURE,
                 route.name,
+                details=_details(target),
             )
             context.returning_callers.add(attempt)
             return
@@ -116,7 +119,12 @@
         return identify(table.teams, route, keys, self.outdated())
 
     def _reject_key(
-        self, exchange: Exchange, request_id: bytes, route: Route, access: Access
+        self,
+        exchange: Exchange,
+        request_id: bytes,
+        route: Route,
+        access: Access,
+        table: RoutingTable,
     ) -> None:
         status = UNAVAILABLE if access is Access.UNDECIDED else UNAUTHORIZED
         exchange.sink = Rejection(
@@ -126,6 +134,10 @@
             status,
             Reason.UNKNOWN_KEY,
             route.name,
+            details={
+                "version": table.version,
+                "key": describe_keys(read_keys(exchange.headers)),
+            },
         )
 
     def _should_shed(self, service: str, priority: int) -> bool:
@@ -151,6 +163,13 @@
     return Target(route, service, table.version, priority, name)
 
 
+def _details(target: Target) -> dict[str, object]:
+    """Return what the line of a refused request says of its team."""
+    if not target.team:
+        return {}
+    return {"team": target.team, "version": target.version}
+
+
 @attrs.define(eq=False)
 class Rejection:
     """Answers a request that goes to no backend server, once it was read completely.
@@ -163,6 +182,8 @@
         Status of the answer.
     route : str
         Name of the matched route; empty for none.
+    details : dict
+        Further fields of the log line; ``team`` is counted.
     """
 
     runtime: Runtime
@@ -171,6 +192,7 @@
     status: int
     reason: Reason = Reason.NO_BACKEND
     route: str = ""
+    details: dict[str, object] = attrs.field(factory=dict)
     _timer: asyncio.TimerHandle | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -194,8 +216,11 @@
             route=self.route,
             status=self.status,
             reason=self.reason.name,
+            **self.details,
         )
         self.runtime.metrics.count("calls", f"rejected_{self.status}")
+        team = str(self.details.get("team", ""))
+        self.runtime.metrics.teams.record(team, outcome_of_refusal(self.reason))
         if self.status == UNAVAILABLE:
             shed = self.reason is Reason.PRESSURE
             retry_after_ms = SHED_RETRY_AFTER_MS if shed else NO_BACKEND_RETRY_AFTER_MS
--- a/azurestep/mesh/metrics.py
+++ b/azurestep/mesh/metrics.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from .team_metrics import TeamMetrics
+
 BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1600, 3200, 6400)
 
 
@@ -42,12 +44,13 @@
 
 @attrs.define(slots=True)
 class Metrics:
-    """All metrics of a node: histograms, counters and gauges."""
+    """All metrics of a node: histograms, counters and gauges, and calls by team."""
 
     call_ms: Histogram = attrs.field(factory=Histogram)
     run_ms: Histogram = attrs.field(factory=Histogram)
     counters: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(factory=dict)
+    teams: TeamMetrics = attrs.field(factory=TeamMetrics)
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Increase a counter."""
@@ -59,5 +62,6 @@
         for (name, label), value in sorted(self.counters.items()):
             labels = f'{{kind="{label}"}}' if label else ""
             lines.append(f"azurestep_{name}_total{labels} {value}")
+        lines += self.teams.lines()
         lines += [f"azurestep_{name} {value:g}" for name, value in self.gauges.items()]
         return "\n".join(lines) + "\n"
--- a/azurestep/output/lines.py
+++ b/azurestep/output/lines.py
@@ -11,6 +11,8 @@
 
 SECONDS_SHOWN = 12
 """Worst seconds in the text; ``--json`` has all."""
+TEAMS_SHOWN = 20
+"""Teams with most losses in the text; ``--json`` has all."""
 
 
 @render.register
@@ -29,6 +31,8 @@
 @render.register
 def _losses(result: LossesResult) -> str:
     parts = [_by_route(result), _by_second(result)]
+    if result.teams:
+        parts.append(_by_team(result))
     if result.left_out or result.unreadable:
         parts.append(
             f"Lines left out above the nodes' rate: {result.left_out};"
@@ -53,6 +57,20 @@
     return format_table(headers, rows)
 
 
+def _by_team(result: LossesResult) -> str:
+    rows = [
+        [
+            total.team,
+            total.attempts,
+            total.lost,
+            f"{total.lost / total.attempts:.3f}",
+            str(total.decision),
+        ]
+        for total in result.teams[:TEAMS_SHOWN]
+    ]
+    return format_table(["team", "attempts", "lost", "share", "most for"], rows)
+
+
 def _by_second(result: LossesResult) -> str:
     counts: Counter[int] = Counter()
     first: dict[int, Counter[str]] = {}
--- a/azurestep/routing/authentication.py
+++ b/azurestep/routing/authentication.py
@@ -9,10 +9,13 @@
 import attrs
 
 from .model import Route
-from .teams import Team, TeamDirectory
+from .teams import Team, TeamDirectory, digest_key
 
 PRIORITY_LEVELS = 16
 """Priorities of routes that are told apart within one priority of teams."""
+KEY_DIGITS = 8
+"""Digits of a key's digest in log lines, which tell unknown keys apart. 2^96 digests
+begin with the same ones."""
 
 
 class Access(Enum):
@@ -68,6 +71,23 @@
     return Identity(Access.UNKNOWN_KEY)
 
 
+def describe_keys(keys: list[bytes]) -> str:
+    """Return what a log line says of the keys that a caller presented.
+
+    Examples
+    --------
+    >>> describe_keys([b"guess"]) == digest_key(b"guess").hex()[:8]
+    True
+    >>> describe_keys([]), describe_keys([b""]), describe_keys([b"a", b"b"])
+    ('none', 'none', 'several')
+    """
+    if not any(keys):
+        return "none"
+    if any(key != keys[0] for key in keys):
+        return "several"
+    return digest_key(keys[0]).hex()[:KEY_DIGITS]
+
+
 def effective_priority(route: Route, team: Team | None) -> int:
     """Return the priority of a request: first its team's, then its route's.
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -5,6 +5,7 @@
 import pathlib
 from datetime import UTC, datetime
 
+import attrs
 import orjson
 import pytest
 from hypothesis import given
@@ -60,6 +61,17 @@
         (line(ENDED, status=500), Outcome.ERROR, Decision.SERVER_ERROR),
         (line(REFUSED, status=503, reason="PRESSURE"), Outcome.REFUSED, Decision.SHED),
         (line(REFUSED, status=404), Outcome.REFUSED, Decision.NO_ROUTE),
+        (
+            line(REFUSED, status=401, reason="UNKNOWN_KEY"),
+            Outcome.REFUSED,
+            Decision.UNKNOWN_KEY,
+        ),
+        (
+            line(REFUSED, status=503, reason="UNKNOWN_KEY"),
+            Outcome.REFUSED,
+            Decision.KEY_UNDECIDED,
+        ),
+        (line(REFUSED, status=429, reason="QUOTA"), Outcome.REFUSED, Decision.QUOTA),
         (line(FAILED, reason="TIMEOUT"), Outcome.FAILED, Decision.TIMEOUT),
         (line(FAILED, reason="STOPPING"), Outcome.FAILED, Decision.STOPPED),
         (line(FAILED, reason="NEW"), Outcome.FAILED, Decision.OTHER),
@@ -113,6 +125,67 @@
     assert result.left_out == 7
 
 
+def test_the_team_that_loses_most_comes_first() -> None:
+    lines = [
+        line(ENDED, route="read", status=200, left_ms=10, team="riggers"),
+        line(REFUSED, route="read", status=429, reason="QUOTA", team="riggers"),
+        line(REFUSED, route="read", status=503, reason="OVERLOADED", team="yards"),
+        line(REFUSED, route="read", status=503, reason="OVERLOADED", team="yards"),
+        line(ENDED, route="read", status=200, left_ms=10, team="dyers"),
+        line(REFUSED, route="read", status=401, reason="UNKNOWN_KEY", key="04341156"),
+    ]
+    teams = find_losses(lines).teams
+    assert [(one.team, one.attempts, one.lost, one.decision) for one in teams] == [
+        ("yards", 2, 2, Decision.NO_ROOM),
+        ("riggers", 2, 1, Decision.QUOTA),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("found", "cause"),
+    [
+        (
+            line(REFUSED, status=401, reason="UNKNOWN_KEY", key="04341156", version=4),
+            "Refused: no team holds its key (digest 04341156...) in version 4.",
+        ),
+        (
+            line(REFUSED, status=401, reason="UNKNOWN_KEY", key="none", version=4),
+            "Refused: it had no key, and its route is not public in version 4.",
+        ),
+        (
+            line(REFUSED, status=503, reason="UNKNOWN_KEY", key="04341156", version=4),
+            "Refused: no team holds its key (digest 04341156...) in version 4, and its"
+            " first node knew that it may lack a newer one.",
+        ),
+        (
+            line(REFUSED, status=429, reason="QUOTA", team="riggers", version=4),
+            "Refused: it was above the limit of its team riggers in version 4.",
+        ),
+    ],
+)
+def test_a_sentence_names_the_team_or_the_key_and_the_version(
+    found: LogLine, cause: str
+) -> None:
+    assert explain("q1", [attrs.evolve(found, id="q1")]).cause == cause
+
+
+def test_a_step_names_team_limit_and_grant() -> None:
+    fields = {"limit_per_s": 40.0, "grant_per_s": 8.5, "grant_age_ms": 70}
+    found = line(
+        REFUSED,
+        status=429,
+        reason="QUOTA",
+        team="riggers",
+        version=4,
+        id="q1",
+        **fields,
+    )
+    (step,) = explain("q1", [found]).steps
+    assert step.inputs == (
+        "QUOTA, team riggers in version 4, limit 40 a second, granted 8.5, 70 ms before"
+    )
+
+
 def test_a_collectors_prefix_names_the_node() -> None:
     text = b'{"time":"2026-01-31T10:00:00Z","event":9001,"message":"started","x":[1]}'
     decoded = decode_line(b"  -9.99 node-4 " + text, "file")
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -74,6 +74,7 @@
 from azurestep.mesh.links import decoding
 from azurestep.mesh.metrics import Metrics
 from azurestep.mesh.runtime import Runtime
+from azurestep.mesh.team_metrics import SHOWN_TEAMS, TeamOutcome
 from azurestep.node import audit as node_audit
 from azurestep.node import follow, once, readers
 from azurestep.node.announce import PATH as ANNOUNCE_PATH
@@ -1403,6 +1404,16 @@
     check("metrics_text", metrics.text().splitlines())
 
 
+def test_metrics_by_team_in_the_text_format() -> None:
+    metrics = Metrics()
+    for outcome in TeamOutcome:
+        metrics.teams.record("riggers", outcome)
+    for number in range(SHOWN_TEAMS):
+        metrics.teams.record(f"t{number}", TeamOutcome.GOOD)
+    lines = [line for line in metrics.text().splitlines() if "team" in line]
+    check("metrics_text_teams", [line for line in lines if '"t' not in line])
+
+
 def calls_of(*names: str) -> Iterator[tuple[pathlib.Path, ast.Call]]:
     """Yield the calls in the package of functions or methods of some names."""
     for path, tree in sources():
@@ -1631,6 +1642,12 @@
     check("log_line_least_read", attrs.astuple(least)[1:])
 
 
+def test_keys_of_log_lines_about_teams_that_the_commands_read() -> None:
+    line = reader.decode_line(orjson.dumps(PINNED["log_line_team"]), "node-7")
+    assert isinstance(line, reader.LogLine)
+    check("log_line_team_read", attrs.astuple(line)[1:])
+
+
 @pytest.fixture
 def log_file(tmp_path: pathlib.Path) -> pathlib.Path:
     path = tmp_path / "node-1.log"
