--- a/azurestep/lines/explanation.py
+++ b/azurestep/lines/explanation.py
@@ -54,10 +54,10 @@
     Decision.UNREACHABLE: "the backend server took no connections",
     Decision.QUARANTINED: "requests like it crash the backend servers that run them",
     Decision.NO_ROUTE: "no route matches it",
-    Decision.UNKNOWN_KEY: "{key} in version {version}",
-    Decision.KEY_UNDECIDED: "{key} in version {version}, and its first node knew that"
-    " it may lack a newer one",
-    Decision.QUOTA: "it was above the limit of its team {team} in version {version}",
+    Decision.UNKNOWN_KEY: "{key}{in_version}",
+    Decision.KEY_UNDECIDED: "{key}{in_version}, and its first node knew that it may"
+    " lack a newer one",
+    Decision.QUOTA: "it was above the limit of its team {team}{in_version}",
     Decision.SERVER_REFUSED: "the backend server said that it did not run it",
     Decision.SERVER_BROKE_OFF: "{instance} broke off or spoiled its answer ({reason})",
     Decision.SERVER_ERROR: "{instance} answered {status} itself",
@@ -114,7 +114,7 @@
         waited_ms=line.waited_ms,
         ran_ms=line.ran_ms,
         team=line.team,
-        version=line.version,
+        in_version=_in_version(line),
         key=KEYS.get(line.key, f"no team holds its key (digest {line.key}...)"),
     )
     return f"{str(verdict.outcome).capitalize()}: {cause}."
@@ -148,11 +148,15 @@
     """Return what the node knew of the caller's team."""
     parts = []
     if line.team:
-        parts.append(f"team {line.team} in version {line.version}")
+        parts.append(f"team {line.team}{_in_version(line)}")
     if line.key:
-        parts.append(f"key {line.key} in version {line.version}")
+        parts.append(f"key {line.key}{_in_version(line)}")
     if line.team and line.limit_per_s is not None:
         parts.append(f"limit {line.limit_per_s:g} a second")
     if line.grant_per_s is not None and line.grant_age_ms is not None:
         parts.append(f"granted {line.grant_per_s:g}, {line.grant_age_ms:g} ms before")
     return parts
+
+
+def _in_version(line: LogLine) -> str:
+    return f" in version {line.version}" if line.version else ""
