--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 DEPLOYMENT ?= riddim
 SEEDS ?= x10
 NOTICES ?= 3
+TEAMS ?= 0
+QUOTA ?= 0
 REPORT ?= build/soak.html
 STAMP := $(VENV)/.installed
 
@@ -25,7 +27,8 @@
 	HYPOTHESIS_PROFILE=soak $(PYTHON) -m pytest -n 4 --dist worksteal
 
 soak: install
-	$(PYTHON) -m soak --seeds $(SEEDS) --notices $(NOTICES) --report $(REPORT)
+	$(PYTHON) -m soak --seeds $(SEEDS) --notices $(NOTICES) --teams $(TEAMS) \
+		--quota $(QUOTA) --report $(REPORT)
 
 lint: install
 	$(VENV)/bin/ruff format --check .
