The stand-in's queue had other names than in the tests of server speed

Change: queue_length, unqueued and keeps_runs as the tests of server speed use them; a full queue never answers unless answers_when_full is set. work_percent slows the work here.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -195,10 +195,9 @@
     )
     server.arrivals = former.arrivals
     server.arrived_headers = former.arrived_headers
-    server.unanswered = former.unanswered
+    server.unqueued = former.unqueued
     server.work_percent = former.work_percent and 100
-    server.queue_limit = former.queue_limit
-    server.silent_when_full = former.silent_when_full
+    server.queue_length = former.queue_length
     await server.start(instance.host, BACKEND_PORT)
     instance.server, instance.beats, instance.beating = server, 0, True
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -207,8 +207,7 @@
         host = f"{self.network}.{index + 1}"
         server = SigningServer(f"i-{index}-0", work_s=WORK_S, slots=8)
         if self.keyring is not None:
-            server.work_percent = 100
-            server.queue_limit, server.silent_when_full = SERVER_QUEUE, True
+            server.work_percent, server.queue_length = 100, SERVER_QUEUE
         await server.start(host, BACKEND_PORT)
         relay = SilentProxy(Address(host, PEER_LISTEN_PORT), Address(host, PEER_PORT))
         await relay.start()
--- a/soak/run.py
+++ b/soak/run.py
@@ -72,7 +72,7 @@
             servers = [one.server for one in fleet.instances]
             await fleet.stop()
     seen.arrivals = [one for server in servers for one in _arrivals(server)]
-    seen.overfilled = [one.instance_id for one in servers if one.unanswered]
+    seen.overfilled = [one.instance_id for one in servers if one.unqueued]
     seen.keys = [] if fleet.keyring is None else fleet.keyring.spans
     seen.faults = read_faults(directory)
     seen.crashes = read_crashes(directory)
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -46,12 +46,14 @@
     work_percent : int or None
         How long work takes on its machine, 100 being normal. All its answers name it as
         the fourth load figure; None names three figures, in health answers only.
-    queue_limit : int or None
-        Requests that may wait for one of its slots. One beyond it does not run and is
-        answered 503. None runs all requests at once, whatever the slots.
-    silent_when_full : bool
-        Whether a request beyond the queue, and any later one on its connection, is
-        never answered instead.
+    queue_length : int or None
+        Requests that may wait for one of its slots. One beyond it does not run, and
+        neither it nor any later one on its connection is ever answered. None runs all
+        requests at once, whatever the slots.
+    answers_when_full : bool
+        Whether a request beyond the queue is answered 503 instead.
+    keeps_runs : bool
+        Whether a request runs on after its connection has ended.
     answer_override : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -61,7 +63,7 @@
         Id, incarnation and time of each request that ran.
     arrived_headers : list of dict
         Headers of the same requests, in the same order.
-    unanswered : int
+    unqueued : int
         Requests that were left unanswered since the queue was full.
     """
 
@@ -73,14 +75,15 @@
     leaving: str | None = None
     tells_probes: bool = True
     work_percent: int | None = None
-    queue_limit: int | None = None
-    silent_when_full: bool = False
+    queue_length: int | None = None
+    answers_when_full: bool = False
+    keeps_runs: bool = False
     answer_override: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
     received: list[Received] = attrs.field(factory=list)
     arrivals: list[tuple[str, str, float]] = attrs.field(factory=list)
     arrived_headers: list[dict[str, str]] = attrs.field(factory=list)
-    unanswered: int = 0
+    unqueued: int = 0
     connections: int = 0
     running: int = 0
     most_running: int = 0
@@ -119,9 +122,9 @@
                 if writer in self._forgotten:
                     writer.transport.abort()
                     return
-                if not self._has_room(received) and self.silent_when_full:
+                if not (self._has_room(received) or self.answers_when_full):
                     while received is not None:
-                        self.unanswered += 1
+                        self.unqueued += 1
                         received = await _read_request(reader)
                     return
                 answer = await self._answer(received, reader)
@@ -185,16 +188,16 @@
 
     def _has_room(self, received: Received) -> bool:
         """Whether a request may run or wait; health probes always may."""
-        if self.queue_limit is None or received.target == HEALTH_PATH:
+        if self.queue_length is None or received.target == HEALTH_PATH:
             return True
         taken = self.running + len(self._queue)
-        return taken < self.slots + self.queue_limit
+        return taken < self.slots + self.queue_length
 
     async def _wait_for_slot(
         self, received: Received, reader: asyncio.StreamReader
     ) -> None:
         """Wait until a slot is free and no earlier request waits for it."""
-        if self.queue_limit is None:
+        if self.queue_length is None:
             return
         self._queue.append(received)
         try:
@@ -210,7 +213,7 @@
         end = asyncio.get_running_loop().time() + work_s
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(POLL_S)
-            if reader.at_eof():
+            if reader.at_eof() and not self.keeps_runs:
                 self.cancelled += 1
                 raise ConnectionError
 
--- a/tests/test_standins_signing_server.py
+++ b/tests/test_standins_signing_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import pytest
 import pytest_asyncio
 
 from standins.signing_server import SigningServer
@@ -73,7 +74,7 @@
 async def test_requests_wait_for_a_slot_and_run_one_after_the_other(
     server: SigningServer,
 ) -> None:
-    server.queue_limit = 2
+    server.queue_length = 2
     names = ("r1", "r2", "r3")
     answers = await asyncio.gather(*(ask(name) for name in names))
     assert all(" 200 " in answer for answer in answers)
@@ -81,7 +82,7 @@
 
 
 async def test_a_request_beyond_the_queue_is_refused(server: SigningServer) -> None:
-    server.queue_limit = 0
+    server.queue_length, server.answers_when_full = 0, True
     first = asyncio.create_task(ask("r1"))
     await asyncio.sleep(WORK_S / 4)
     refused = await ask("r2")
@@ -94,7 +95,7 @@
 async def test_a_request_beyond_the_queue_and_later_ones_are_never_answered(
     server: SigningServer,
 ) -> None:
-    server.queue_limit, server.silent_when_full = 0, True
+    server.queue_length = 0
     first = asyncio.create_task(ask("r1"))
     await asyncio.sleep(WORK_S / 4)
     reader, writer = await connect()
@@ -106,4 +107,17 @@
     writer.close()
     assert " 200 " in await ask("r4")
     assert set(server.runs) == {"r1", "r4"}
-    assert server.unanswered == 2
+    assert server.unqueued == 2
+
+
+@pytest.mark.parametrize("keeps", [False, True])
+async def test_a_run_may_go_on_after_its_connection_has_ended(
+    server: SigningServer, keeps: bool
+) -> None:
+    server.keeps_runs = keeps
+    _, writer = await connect()
+    send(writer, "r1")
+    await asyncio.sleep(WORK_S / 4)
+    writer.close()
+    await asyncio.sleep(WORK_S * 2)
+    assert (server.answered, server.cancelled) == ((1, 0) if keeps else (0, 1))
