--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,7 +31,7 @@
                   their usual, and slow servers, of each run; with 0 the configuration
                   has no teams [default: 0].
   --quota RATE    Requests a second that each team is allowed, and its burst; 0 for no
-                  limit. A team sends some 80 a second [default: 0].
+                  limit. A team sends some 50 a second, and 180 in a surge [default: 0].
   --at-once N     Runs at the same time [default: 2].
   --report FILE   Report with plots, as HTML.
 """
--- a/soak/team_faults.py
+++ b/soak/team_faults.py
@@ -8,8 +8,8 @@
 from .teams import GUESS_RATIO, Keyring, team_of
 
 SURGE_CALLERS_PER_NODE = 4
-"""With four teams and six callers of a node, a team has 1.5 of its own there: it sends
-3.7 times its usual."""
+"""A team has 1.5 of the six callers of a node: with these it sends about 3.7 times its
+usual."""
 WRONG_KEYS_RATIO = 0.5
 SLOW_PERCENT = 250
 NORMAL_PERCENT = 100
--- a/soak/teams.py
+++ b/soak/teams.py
@@ -10,7 +10,7 @@
 from .records import KeySpan
 
 TEAMS = ("riggers", "yards", "dyers", "millers")
-"""No number of nodes in use divides their number, so each node has callers of all."""
+"""As many as have no common factor with 3 or 5 nodes: each node has callers of all."""
 KEY_MARK = "soak-key-"
 """Begin of all keys, by which one is found in what a backend server received."""
 KEYS_AT_START = 2
