--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -258,3 +258,31 @@
 
     service: str
     updates: list[QuarantineUpdate]
+
+
+@attrs.frozen(slots=True)
+class QuotaUsage:
+    """Requests of teams at the sender since its last such message.
+
+    Attributes
+    ----------
+    rows : tuple
+        Team, how many requests were admitted, and how many were refused. A negative
+        number takes back requests that were admitted and have not run.
+    """
+
+    rows: tuple[tuple[str, int, int], ...]
+
+
+@attrs.frozen(slots=True)
+class QuotaGrant:
+    """What the receiver may admit of teams, as their quota owner says.
+
+    Attributes
+    ----------
+    rows : tuple
+        Team, requests per second, and for how long in ms these are a limit; 0 if they
+        are none.
+    """
+
+    rows: tuple[tuple[str, float, float], ...]
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -16,6 +16,8 @@
     CrashReport,
     Credit,
     Pong,
+    QuotaGrant,
+    QuotaUsage,
     RolloutUpdate,
     ServerCondition,
     ServerVersion,
@@ -94,6 +96,9 @@
     ) -> None:
         """Handle what the peer's backend server said about itself."""
 
+    def on_quota_grant(self, connection: "PeerConnection", grant: QuotaGrant) -> None:
+        """Handle what the peer, as a quota owner, lets this node admit."""
+
     def on_notice(self, connection: "PeerConnection", notice: VersionNotice) -> None:
         """Handle the version that is in force at the peer."""
 
@@ -249,6 +254,13 @@
             self.send(Kind.CONFIGURATION_QUERY, known_version)
         self._probe_if_idle()
 
+    def send_usage(self, usage: QuotaUsage) -> None:
+        """Report requests of teams; the peer answers, so this is also a probe."""
+        self.send(Kind.QUOTA_USAGE, *fields_of(usage))
+        if self.probe_answered:
+            self.last_probe_ms = self.link.runtime.now_ms()
+            self._limit_due(self.last_probe_ms + UNRESPONSIVE_AFTER_MS)
+
     def _probe_if_idle(self) -> None:
         """Probe along with a request if the link was idle, as it may be broken."""
         age_ms = self.link.runtime.now_ms() - self.last_received_ms
@@ -370,6 +382,9 @@
     def _on_trial_counts(self, _: None, counts: TrialCounts) -> None:
         self.link.on_trial_counts(self, counts)
 
+    def _on_quota_grant(self, _: None, grant: QuotaGrant) -> None:
+        self.link.on_quota_grant(self, grant)
+
     def _on_crashes(self, _: None, report: CrashReport) -> None:
         self.link.fleet_listener.on_crashes(report.service, report.updates)
 
@@ -421,5 +436,6 @@
     TrialCounts: PeerConnection._on_trial_counts,
     BodyBacklog: PeerConnection._on_backlog,
     CalledRoutes: PeerConnection._on_called_routes,
+    QuotaGrant: PeerConnection._on_quota_grant,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -29,6 +29,8 @@
     Ping,
     Pong,
     Proceed,
+    QuotaGrant,
+    QuotaUsage,
     RolloutUpdate,
     ServerCondition,
     ServerVersion,
@@ -87,6 +89,8 @@
     | TrialCounts
     | BodyBacklog
     | CalledRoutes
+    | QuotaUsage
+    | QuotaGrant
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -181,6 +185,12 @@
     return BodyBacklog(wait_ms, ms_per_kib)
 
 
+def _build_grant(rows: tuple[tuple[str, float, float], ...]) -> QuotaGrant:
+    if not all(0 <= value < math.inf for _, *values in rows for value in values):
+        raise ValueError("a grant is not a rate and a time")
+    return QuotaGrant(rows)
+
+
 def _build_crashes(service: str, rows: Iterable[Any]) -> CrashReport:
     return CrashReport(service, decode_updates(rows))
 
@@ -201,6 +211,7 @@
     Kind.CREDIT: _CREDIT,
     Kind.CONFIGURATION_QUERY: _schema(ConfigurationQuery, has_stream_id=False),
     Kind.SERVER_CONDITION: _CONDITION,
+    Kind.QUOTA_USAGE: _schema(QuotaUsage, has_stream_id=False),
 }
 """Kinds of messages that the node that opened a link may send."""
 PEER_CONNECTION_SCHEMAS: MessageSchemas = {
@@ -228,6 +239,7 @@
     Kind.TRIAL_COUNTS: _schema(TrialCounts, has_stream_id=False),
     Kind.CALLED_ROUTES: _schema(CalledRoutes, has_stream_id=False),
     Kind.BODY_BACKLOG: _schema(BodyBacklog, _build_backlog, has_stream_id=False),
+    Kind.QUOTA_GRANT: _schema(QuotaGrant, _build_grant, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -15,6 +15,8 @@
     CalledRoutes,
     ConfigurationDelta,
     ConfigurationUpdate,
+    QuotaGrant,
+    QuotaUsage,
     ServerCondition,
     ServerVersion,
     TrialCounts,
@@ -55,6 +57,9 @@
     def on_trial_counts(self, link: "PeerLink", counts: TrialCounts) -> None:
         """Handle the runs of a peer's backend server during a roll-out."""
 
+    def on_quota_grant(self, link: "PeerLink", grant: QuotaGrant) -> None:
+        """Handle what a quota owner lets this node admit."""
+
     def on_notice(self, link: "PeerLink", notice: VersionNotice) -> None:
         """Handle the version that is in force at a peer."""
 
@@ -166,6 +171,11 @@
         if self.connection is not None:
             self.connection.request_configuration(known_version)
 
+    def send_usage(self, usage: QuotaUsage) -> None:
+        """Report requests of teams to the peer, if it is connected."""
+        if self.connection is not None and self.up:
+            self.connection.send_usage(usage)
+
     def dial_soon(self) -> None:
         """Reconnect at the next tick."""
         self._attempts = 0
@@ -234,6 +244,11 @@
         if connection is self.connection:
             self.listener.on_trial_counts(self, counts)
 
+    def on_quota_grant(self, connection: PeerConnection, grant: QuotaGrant) -> None:
+        """Pass on what the peer lets this node admit."""
+        if connection is self.connection:
+            self.listener.on_quota_grant(self, grant)
+
     def on_notice(self, connection: PeerConnection, notice: VersionNotice) -> None:
         """Pass on the version that is in force at the peer."""
         if connection is self.connection:
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -19,6 +19,7 @@
     CalledRoutes,
     ConfigurationDelta,
     ConfigurationUpdate,
+    QuotaGrant,
     RolloutUpdate,
     TrialCounts,
     VersionNotice,
@@ -82,6 +83,8 @@
     apply_trial_counts : Callable
         Called with a peer's address and the runs of its backend server during a
         roll-out.
+    apply_grant : Callable
+        Called with a quota owner's address and what it lets this node admit.
     newest_version : int
         Newest configuration that any peer was ever known to have in force.
     pressure_changed : bool
@@ -106,6 +109,7 @@
     apply_configuration: Callable[
         [PeerLink, ConfigurationUpdate | ConfigurationDelta], None
     ] = lambda link, update: None
+    apply_grant: Callable[[Address, QuotaGrant], None] = lambda owner, grant: None
     links: dict[Address, PeerLink] = attrs.field(factory=dict)
     newest_version: int = 0
     pressure_changed: bool = True
@@ -332,6 +336,10 @@
         """Pass on the runs of a peer's backend server during a roll-out."""
         self.apply_trial_counts(link.address, counts)
 
+    def on_quota_grant(self, link: PeerLink, grant: QuotaGrant) -> None:
+        """Pass on what a quota owner lets this node admit."""
+        self.apply_grant(link.address, grant)
+
     def on_notice(self, link: PeerLink, notice: VersionNotice) -> None:
         """Pass on the version that is in force at a peer."""
         self.newest_version = max(self.newest_version, notice.version)
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -1,7 +1,7 @@
 """Links that peers opened: their requests in, outcomes and state out."""
 
 import asyncio
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Container
 from typing import Any
 
 import attrs
@@ -21,6 +21,8 @@
     Credit,
     Ping,
     Proceed,
+    QuotaGrant,
+    QuotaUsage,
     RolloutUpdate,
     ServerCondition,
     ServerVersion,
@@ -69,6 +71,8 @@
         Returns the latest era of the store; 0 if unknown.
     on_query : Callable
         Called with a link and the question for a newer configuration on it.
+    on_usage : Callable
+        Called with a peer's address and its report of requests of teams.
     condition : Callable
         Returns what the backend server said about itself; None if nothing.
     local_links : set of IncomingLink
@@ -86,8 +90,10 @@
     on_query: "Callable[[IncomingLink, ConfigurationQuery], None]" = (
         lambda link, query: None
     )
+    on_usage: Callable[[Address, QuotaUsage], None] = lambda peer, usage: None
     links: "set[IncomingLink]" = attrs.field(factory=set)
     local_links: "set[IncomingLink]" = attrs.field(factory=set)
+    _by_address: "dict[Address, IncomingLink]" = attrs.field(factory=dict)
     _urgent: tuple[object, ...] = ()
     _sent_condition: ServerCondition | None = None
     _sent_version: ServerVersion | None = None
@@ -188,6 +194,14 @@
         for link in self.links_of(peers):
             link.write(data)
 
+    def send_grants(self, peers: Collection[Address], grant: QuotaGrant) -> None:
+        """Send what peers may admit of teams."""
+        data = encode(Kind.QUOTA_GRANT, *fields_of(grant))
+        for address in peers:
+            link = self._by_address.get(address)
+            if link is not None:
+                link.write(data)
+
     def links_of(self, addresses: Container[Address]) -> "list[IncomingLink]":
         """Return the links that the nodes at some addresses opened."""
         return [
@@ -217,12 +231,16 @@
         """Record which peer opened a link."""
         if link in self.links and peer.data_centre == self.data_centre:
             self.local_links.add(link)
+        if link in self.links:
+            self._by_address[link.peer_address] = link
         self.on_peer(peer)
 
     def remove(self, link: "IncomingLink") -> None:
         """Remove a link that was closed."""
         self.links.discard(link)
         self.local_links.discard(link)
+        if self._by_address.get(link.peer_address) is link:
+            del self._by_address[link.peer_address]
 
     def _write(self, links: "set[IncomingLink]", data: bytes) -> None:
         for link in links:
@@ -349,6 +367,14 @@
         """Feature level of the peer; 0 until its hello."""
         return 0 if self.peer is None else self.peer.feature_level
 
+    @property
+    def peer_address(self) -> Address:
+        """Address at which the peer accepts links; empty until its hello."""
+        if self.peer is None:
+            return "", 0
+        host, port = self.peer.peer_address
+        return host, port
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait in the send buffer."""
@@ -403,6 +429,9 @@
     def _on_condition(self, _: int, condition: ServerCondition) -> None:
         self.incoming_links.inbound.apply_peer_condition(condition)
 
+    def _on_usage(self, _: int, usage: QuotaUsage) -> None:
+        self.incoming_links.on_usage(self.peer_address, usage)
+
     def _on_proceed(self, stream_id: int, _: Proceed) -> None:
         run = self._runs.get(stream_id)
         if run is not None:
@@ -451,5 +480,6 @@
     Hello: IncomingLink._on_hello,
     ConfigurationQuery: IncomingLink._on_configuration_query,
     ServerCondition: IncomingLink._on_condition,
+    QuotaUsage: IncomingLink._on_usage,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -61,6 +61,8 @@
     CALLED_ROUTES = 25
     VERSION_NOTICE = 26
     CONFIGURATION_DELTA = 27
+    QUOTA_USAGE = 28
+    QUOTA_GRANT = 29
 
 
 class Reason(IntEnum):
--- /dev/null
+++ b/azurestep/mesh/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of teams, enforced by all nodes together."""
--- /dev/null
+++ b/azurestep/mesh/quotas/control.py
@@ -0,0 +1,444 @@
+"""Quotas of teams over all nodes: messages between nodes and quota owners, timers.
+
+For each team, one node is the quota owner. Each node admits requests at once and
+reports them to the owner, which answers each report with a grant. While tokens are
+left, the grant limits nothing; afterwards it is the node's part of the team's rate.
+"""
+
+import math
+from collections.abc import Callable, Collection
+from typing import Protocol
+
+import attrs
+
+from ..decisions.quota_account import (
+    GRANT_VALID_MS,
+    Grant,
+    QuotaAccount,
+    QuotaLimit,
+)
+from ..decisions.quota_allowance import (
+    QuotaAllowance,
+    report_interval_ms,
+)
+from ..decisions.quota_owner import QuotaOwners
+from ..link_messages import QuotaGrant, QuotaUsage
+from ..settings import Address, Bounds
+
+RENEWAL_MS = GRANT_VALID_MS * 0.4
+"""Time between grants that are sent to all nodes, so that one of them may be late."""
+UNREPORTED = 3.0
+"""Requests that a node may admit before it learns that the team is limited."""
+PAUSE_MS = 400.0
+"""Time without a tick after which this node's accounts begin anew.
+
+Peers take a silent node for lost after 650 ms, less the time since their last probe.
+Another node may then have been the owner.
+"""
+REPORTER_MEMORY_MS = 5000.0
+"""Time for which a node counts that reports here though it should report elsewhere."""
+UNUSED_AFTER_MS = 60_000.0
+"""Time without requests after which what is kept of a team is dropped."""
+REFRESH_TICKS = 5
+"""Ticks between counts of the nodes that share the quotas."""
+SWEEP_TICKS = 100
+"""Ticks between searches for these."""
+
+
+class QuotaTeam(Protocol):
+    """A team as the configuration has it."""
+
+    @property
+    def name(self) -> str:
+        """Name of the team."""
+
+    @property
+    def requests_per_s(self) -> float:
+        """Rate over all nodes; 0 for no limit."""
+
+    @property
+    def burst(self) -> float:
+        """Burst over all nodes."""
+
+
+class QuotaPeers(Protocol):
+    """The other nodes, as far as quotas are concerned."""
+
+    def reachable(self) -> Collection[Address]:
+        """Return the peers that answer and know quotas."""
+
+    def known_count(self) -> int:
+        """Return the number of nodes that share the quotas, including this one.
+
+        0 if it is not known yet, since the node has just started.
+        """
+
+    def send_usage(self, owner: Address, usage: QuotaUsage) -> None:
+        """Report requests to a quota owner."""
+
+    def send_grants(self, peers: Collection[Address], grant: QuotaGrant) -> None:
+        """Send grants to peers."""
+
+
+@attrs.define(slots=True, eq=False)
+class TeamUse:
+    """A team's requests at this node.
+
+    Attributes
+    ----------
+    owner : Address
+        Node that they are reported to.
+    """
+
+    team: QuotaTeam
+    allowance: QuotaAllowance
+    owner: Address
+    used_ms: float = 0.0
+    next_report_ms: float = 0.0
+
+
+@attrs.define(slots=True, eq=False)
+class OwnedTeam:
+    """A team whose account is at this node.
+
+    Attributes
+    ----------
+    team : QuotaTeam
+        As the configuration had it last.
+    is_owner : bool
+        Whether this node is the owner by its own view. Other nodes may report here
+        since they can't reach the owner.
+    reporters : dict
+        When each node last reported.
+    """
+
+    team: QuotaTeam
+    account: QuotaAccount
+    is_owner: bool
+    reporters: dict[Address, float] = attrs.field(factory=dict)
+    used_ms: float = 0.0
+    next_renewal_ms: float = 0.0
+    was_limited: bool = False
+
+
+@attrs.define(eq=False)
+class Quotas:
+    """Admits requests of teams at one node, and keeps the accounts that it owns.
+
+    Attributes
+    ----------
+    now_ms : Callable
+        Returns the time.
+    find_team : Callable
+        Returns the team of a name; None if the configuration in force has none.
+    on_limited : Callable
+        Called when a team whose account is here has used up its quota, or is below it
+        again.
+    """
+
+    own_address: Address
+    peers: QuotaPeers
+    bounds: Bounds
+    now_ms: Callable[[], float]
+    find_team: Callable[[str], QuotaTeam | None]
+    on_limited: Callable[[QuotaTeam, QuotaAccount], None] = lambda team, account: None
+    uses: dict[str, TeamUse] = attrs.field(factory=dict)
+    owned: dict[str, OwnedTeam] = attrs.field(factory=dict)
+    _owners: QuotaOwners = attrs.field(init=False)
+    _nodes: int = 0
+    _reachable: int = 1
+    _known: bool = False
+    _ticks: int = 0
+    _last_tick_ms: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._owners = QuotaOwners(self.own_address)
+
+    # Requests.
+
+    def admit(self, team: QuotaTeam) -> float:
+        """Admit a request and return 0, or refuse it and return when to retry in ms."""
+        if team.requests_per_s <= 0:
+            return 0.0
+        now_ms = self.now_ms()
+        use = self.uses.get(team.name)
+        if use is None:
+            use = self._begin_use(team)
+        elif use.team is not team:
+            self._update_team(use, team)
+        use.used_ms = now_ms
+        is_own = use.owner == self.own_address
+        if is_own and self._known:
+            self._anticipate(team, now_ms)
+        wait_ms = use.allowance.admit(now_ms)
+        if not wait_ms and (is_own or use.allowance.is_urgent):
+            self._report([use], now_ms)
+        return wait_ms
+
+    def give_back(self, name: str) -> None:
+        """Return the token of a request that was admitted and has not run."""
+        use = self.uses.get(name)
+        if use is not None:
+            use.allowance.give_back()
+
+    def describe(self, name: str) -> dict[str, float]:
+        """Return limit and grant of a team, and the grant's age, for log lines."""
+        use = self.uses.get(name)
+        if use is None:
+            return {}
+        fields = {"limit_per_s": use.team.requests_per_s}
+        allowance = use.allowance
+        if allowance.granted_ms:
+            fields["grant_per_s"] = allowance.grant.rate_per_s
+            fields["grant_age_ms"] = round(self.now_ms() - allowance.granted_ms)
+        return fields
+
+    def _anticipate(self, team: QuotaTeam, now_ms: float) -> None:
+        """Limit this node before a request that its own account can't bear."""
+        owned = self.owned.get(team.name)
+        if owned is not None and owned.team is team and owned.account.tokens > 1:
+            return
+        owned = self._open_account(team, self.own_address, now_ms)
+        if not owned.account.limited:
+            owned.account.anticipate(now_ms)
+            if owned.account.limited:
+                self._tell_all(owned, now_ms)
+                self._grant_self(owned, now_ms)
+
+    def _grant_self(self, owned: OwnedTeam, now_ms: float) -> None:
+        grant = owned.account.grant(self.own_address, now_ms)
+        row = _row(owned.team.name, grant)
+        self.on_grant(self.own_address, QuotaGrant((row,)))
+
+    def _begin_use(self, team: QuotaTeam) -> TeamUse:
+        if not self._nodes:
+            self._refresh_peers()
+        allowance = QuotaAllowance(self._limit_of(team), self._nodes)
+        use = TeamUse(team, allowance, self._owners.of(team.name))
+        self.uses[team.name] = use
+        return use
+
+    def _update_team(self, use: TeamUse, team: QuotaTeam) -> None:
+        """Apply the team's limits in a new version of the configuration."""
+        use.team = team
+        use.allowance.set_limit(self._limit_of(team), self._nodes)
+        owned = self.owned.get(team.name)
+        if owned is not None:
+            self._update_account(owned, team, self.now_ms())
+
+    def _limit_of(self, team: QuotaTeam) -> QuotaLimit:
+        bounds = self.bounds
+        return QuotaLimit.of(
+            team.requests_per_s,
+            team.burst,
+            bounds.quota_window_ms / 1000,
+            bounds.quota_overage,
+            bounds.quota_slack,
+        )
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Change the quota bound, of which limits tolerate a part."""
+        self.bounds = bounds
+        for use in self.uses.values():
+            use.allowance.set_limit(self._limit_of(use.team), self._nodes)
+        for owned in self.owned.values():
+            self._update_account(owned, owned.team, self.now_ms())
+
+    def limited_count(self) -> int:
+        """Return how many of the teams that this node accounts for are limited."""
+        return sum(1 for owned in self.owned.values() if owned.account.limited)
+
+    # Reports and answers.
+
+    def _report(self, uses: Collection[TeamUse], now_ms: float) -> None:
+        """Report to the owners of some teams, with one message to each owner."""
+        rows: dict[Address, list[tuple[str, int, int]]] = {}
+        for use in uses:
+            report = use.allowance.take_report(now_ms)
+            if report is not None:
+                use.next_report_ms = now_ms + report_interval_ms(self._nodes)
+                rows.setdefault(use.owner, []).append((use.team.name, *report))
+        for owner, reports in rows.items():
+            usage = QuotaUsage(tuple(reports))
+            if owner == self.own_address:
+                self.on_grant(owner, self._record(owner, usage))
+            else:
+                self.peers.send_usage(owner, usage)
+
+    def on_usage(self, peer: Address, usage: QuotaUsage) -> None:
+        """Record the requests that a peer reports, and answer.
+
+        The answer may have no rows; it also tells the peer that this node is alive.
+        """
+        self.peers.send_grants([peer], self._record(peer, usage))
+
+    def _record(self, peer: Address, usage: QuotaUsage) -> QuotaGrant:
+        now_ms = self.now_ms()
+        if not self._nodes:
+            self._refresh_peers()
+        rows = []
+        for name, admitted, refused in usage.rows:
+            team = self.find_team(name)
+            if team is None or team.requests_per_s <= 0 or not self._nodes:
+                continue
+            owned = self._open_account(team, peer, now_ms)
+            account, was_limited = owned.account, owned.account.limited
+            account.record(peer, admitted, refused, now_ms)
+            if account.limited != was_limited:
+                self._tell_all(owned, now_ms)
+            rows.append(_row(name, account.grant(peer, now_ms)))
+        return QuotaGrant(tuple(rows))
+
+    def _open_account(self, team: QuotaTeam, peer: Address, now_ms: float) -> OwnedTeam:
+        owned = self.owned.get(team.name)
+        if owned is None:
+            is_owner = self._owners.of(team.name) == self.own_address
+            limit = self._limit_of(team).scaled(0.0)
+            account = QuotaAccount.open(limit, 1, now_ms)
+            owned = self.owned[team.name] = OwnedTeam(team, account, is_owner)
+            owned.reporters[peer] = owned.used_ms = now_ms
+            self._update_account(owned, team, now_ms)
+            account.tokens = account.limit.start_tokens
+        owned.used_ms = now_ms
+        is_new = peer not in owned.reporters
+        owned.reporters[peer] = now_ms
+        if owned.team is not team or (is_new and not owned.is_owner):
+            self._update_account(owned, team, now_ms)
+        return owned
+
+    def _update_account(self, owned: OwnedTeam, team: QuotaTeam, now_ms: float) -> None:
+        """Let the account have the part of the limit of the nodes that report to it."""
+        nodes = self._reachable if owned.is_owner else len(owned.reporters)
+        ratio = min(1.0, nodes / self._nodes) if self._nodes else 0.0
+        owned.team = team
+        owned.account.set_limit(self._limit_of(team).scaled(ratio), nodes, now_ms)
+
+    def on_grant(self, owner: Address, grant: QuotaGrant) -> None:
+        """Apply the answers of a quota owner."""
+        now_ms = self.now_ms()
+        for name, rate_per_s, valid_ms in grant.rows:
+            use = self.uses.get(name)
+            if use is None:
+                team = self.find_team(name)
+                if not valid_ms or team is None or team.requests_per_s <= 0:
+                    continue
+                use = self._begin_use(team)
+                use.used_ms = now_ms
+            if use.owner == owner:
+                use.allowance.apply_grant(Grant(rate_per_s, valid_ms), now_ms)
+
+    def _tell_all(self, owned: OwnedTeam, now_ms: float) -> None:
+        """Grant all nodes their parts, if even unreported requests may be too many.
+
+        Where the tolerated excess is larger, only the nodes that report are answered.
+        """
+        owned.next_renewal_ms = now_ms + RENEWAL_MS
+        account, name = owned.account, owned.team.name
+        if account.limited != owned.was_limited:
+            owned.was_limited = account.limited
+            self.on_limited(owned.team, account)
+        peers = self.peers.reachable() if owned.is_owner else list(owned.reporters)
+        if UNREPORTED * len(peers) <= account.limit.excess / 2:
+            return
+        by_row: dict[tuple[str, float, float], list[Address]] = {}
+        for peer in peers:
+            row = _row(name, account.grant(peer, now_ms))
+            by_row.setdefault(row, []).append(peer)
+        for row, receivers in by_row.items():
+            self.peers.send_grants(receivers, QuotaGrant((row,)))
+        if self.own_address not in peers:
+            self._grant_self(owned, now_ms)
+
+    # Timers and changes of the fleet.
+
+    def on_reachability_change(self) -> None:
+        """Find the owners over the peers that are reachable now, if they are needed."""
+        self._nodes = 0
+        if self.uses or self.owned:
+            self._refresh_peers()
+
+    def _refresh_peers(self) -> None:
+        now_ms = self.now_ms()
+        reachable = self.peers.reachable()
+        self._owners.set_reachable(reachable)
+        self._reachable = len(reachable) + 1
+        was_known, self._nodes = self._known, self.peers.known_count()
+        self._known = self._nodes > 0
+        for name, use in self.uses.items():
+            owner = self._owners.of(name)
+            if owner != use.owner or self._known is not was_known:
+                if use.owner == self.own_address:
+                    use.allowance.drop_grant()
+                use.owner = owner
+                use.allowance.report_again(now_ms)
+            if use.allowance.nodes != self._nodes:
+                use.allowance.set_limit(use.allowance.limit, self._nodes)
+        for name, owned in self.owned.items():
+            is_owner = self._owners.of(name) == self.own_address
+            if is_owner != owned.is_owner:
+                owned.is_owner = is_owner
+                owned.account.restart(now_ms)
+            self._update_account(owned, owned.team, now_ms)
+            if not is_owner:
+                self._hand_over(owned)
+
+    def _hand_over(self, owned: OwnedTeam) -> None:
+        """Charge a debt to the account of the node that is now the owner."""
+        name, debt = owned.team.name, math.ceil(-owned.account.tokens)
+        if debt > 0 and self._known:
+            owned.account.tokens = 0.0
+            usage = QuotaUsage(((name, debt, 0),))
+            self.peers.send_usage(self._owners.of(name), usage)
+
+    def tick(self, now_ms: float) -> None:
+        """Send the reports that are due, and renew grants."""
+        last_ms, self._last_tick_ms = self._last_tick_ms, now_ms
+        if not self.uses and not self.owned:
+            return
+        if last_ms is not None and now_ms - last_ms > PAUSE_MS:
+            for owned in self.owned.values():
+                owned.account.restart(now_ms)
+        if self._ticks % REFRESH_TICKS == 0 or not self._nodes:
+            self._refresh_peers()
+        due = [use for use in self.uses.values() if now_ms >= use.next_report_ms]
+        self._report(due, now_ms)
+        for owned in self.owned.values():
+            self._renew(owned, now_ms)
+        self._ticks += 1
+        if self._ticks % SWEEP_TICKS == 0:
+            self._sweep(now_ms)
+
+    def _renew(self, owned: OwnedTeam, now_ms: float) -> None:
+        account, was_limited = owned.account, owned.account.limited
+        account.tick(now_ms)
+        renewal = account.limited and now_ms >= owned.next_renewal_ms
+        if renewal or account.limited != was_limited:
+            self._tell_all(owned, now_ms)
+
+    def _sweep(self, now_ms: float) -> None:
+        """Drop teams without requests, and those without a limit."""
+        oldest_ms = now_ms - UNUSED_AFTER_MS
+        for name, use in list(self.uses.items()):
+            team = self.find_team(name)
+            unused = use.used_ms < oldest_ms and use.allowance.is_idle
+            if unused or team is None or team.requests_per_s <= 0:
+                del self.uses[name]
+        for name, owned in list(self.owned.items()):
+            team = self.find_team(name)
+            if team is None or team.requests_per_s <= 0:
+                del self.owned[name]
+                continue
+            owned.account.demand.expire(now_ms)
+            recent_ms = now_ms - REPORTER_MEMORY_MS
+            owned.reporters = {
+                peer: last_ms
+                for peer, last_ms in owned.reporters.items()
+                if last_ms > recent_ms
+            }
+            self._update_account(owned, team, now_ms)
+            if not owned.is_owner and owned.used_ms < oldest_ms:
+                del self.owned[name]
+
+
+def _row(name: str, grant: Grant) -> tuple[str, float, float]:
+    return name, round(grant.rate_per_s, 3), grant.valid_ms
--- /dev/null
+++ b/azurestep/mesh/quotas/peers.py
@@ -0,0 +1,82 @@
+"""The nodes that share the quotas, and the messages to them."""
+
+from collections.abc import Callable, Collection
+
+import attrs
+
+from ..link_messages import QuotaGrant, QuotaUsage
+from ..links.link import PeerLink
+from ..links.members import Members
+from ..links.server import IncomingLinks
+from ..messages import TEAM_FEATURE_LEVEL
+from ..settings import Address
+
+
+@attrs.define(eq=False)
+class FleetPeers:
+    """Peers over the links of a node.
+
+    A data centre that can't be reached for long keeps its part of the quotas: its nodes
+    count as known after their links have expired, until one of them is reached again.
+
+    Attributes
+    ----------
+    settled : Callable
+        Returns whether the node has had the time to find all peers.
+    """
+
+    members: Members
+    incoming_links: IncomingLinks
+    settled: Callable[[], bool]
+    _data_centres: dict[Address, str] = attrs.field(factory=dict)
+
+    def reachable(self) -> Collection[Address]:
+        """Return the peers that answer, know quotas and don't shut down."""
+        return [
+            link.address for link in self.members.live_links() if _shares_quotas(link)
+        ]
+
+    def known_count(self) -> int:
+        """Return the number of nodes that share the quotas; 0 if not known yet."""
+        if not self.settled():
+            return 0
+        links = self.members.links
+        known = sum(1 for link in links.values() if not link.up or _shares_quotas(link))
+        known -= sum(1 for link in links.values() if not link.up and _is_leaving(link))
+        return 1 + known + self._count_expired()
+
+    def _count_expired(self) -> int:
+        """Return how many expired peers are in data centres that can't be reached."""
+        seen = {self.members.data_centre}
+        for link in self.members.live_links():
+            seen.add(link.endpoint.data_centre)
+            self._data_centres[link.address] = link.endpoint.data_centre
+        expired = 0
+        for address, data_centre in list(self._data_centres.items()):
+            known = self.members.links.get(address)
+            if known is not None and not _is_leaving(known):
+                continue
+            if known is not None or data_centre in seen:
+                del self._data_centres[address]
+            else:
+                expired += 1
+        return expired
+
+    def send_usage(self, owner: Address, usage: QuotaUsage) -> None:
+        """Report requests to a quota owner."""
+        link = self.members.links.get(owner)
+        if link is not None:
+            link.send_usage(usage)
+
+    def send_grants(self, peers: Collection[Address], grant: QuotaGrant) -> None:
+        """Send grants to peers."""
+        self.incoming_links.send_grants(peers, grant)
+
+
+def _shares_quotas(link: PeerLink) -> bool:
+    knows_quotas = link.peer and link.peer.feature_level >= TEAM_FEATURE_LEVEL
+    return bool(knows_quotas) and not _is_leaving(link)
+
+
+def _is_leaving(link: PeerLink) -> bool:
+    return link.state is not None and link.state.stopping
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -56,6 +56,9 @@
     exposure_ratio, exposure_extra : float
         Requests that may reach a bad version of a service: a ratio of all between the
         order and its deadline, plus a fixed number.
+    quota_window_ms, quota_overage, quota_slack : float
+        Requests of a team that may run in any such window beyond its rate and burst: a
+        ratio of these, plus a fixed number.
     """
 
     drain_ms: float = 2000.0
@@ -67,6 +70,9 @@
     stability_ms: float = 3000.0
     exposure_ratio: float = 0.1
     exposure_extra: float = 0.0
+    quota_window_ms: float = 5000.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 BOUND_FIELDS = {
@@ -79,6 +85,9 @@
     "stability_window": "stability_ms",
     "exposure_share": "exposure_ratio",
     "exposure_slack": "exposure_extra",
+    "quota_window": "quota_window_ms",
+    "quota_overage": "quota_overage",
+    "quota_slack": "quota_slack",
 }
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -23,6 +23,7 @@
         "mesh.links",
         "mesh.knowledge",
     },
+    "mesh.quotas": {"mesh", "mesh.decisions", "mesh.links"},
     "mesh.callers": {
         "http",
         "routing",
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -60,6 +60,8 @@
     Kind.CONFIGURATION_QUERY: [],
     Kind.CONFIGURATION_DELTA: [4, 0, encode_delta(b"", b"{}")],
     Kind.VERSION_NOTICE: [4, ["10.0.0.1", 7]],
+    Kind.QUOTA_USAGE: [[["riggers", 3, 1]]],
+    Kind.QUOTA_GRANT: [[["riggers", 2.5, 1000.0]]],
     Kind.SLOT_READY: [STREAM],
     Kind.PROCEED: [STREAM],
     Kind.CRASHES: ["shop", CRASHES],
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -696,6 +696,12 @@
     "configuration_delta": OnLink(
         27, WHOLE_LINK, False, link.ConfigurationDelta(7, 5, b"\xffx")
     ),
+    "quota_usage": OnLink(
+        28, WHOLE_LINK, True, link.QuotaUsage((("riggers", 3, 1), ("yards", -1, 0)))
+    ),
+    "quota_grant": OnLink(
+        29, WHOLE_LINK, False, link.QuotaGrant((("riggers", 2.5, 1000.0),))
+    ),
     "condition_back": OnLink(
         19, WHOLE_LINK, True, link.ServerCondition(b"i-1", 77, 47.9)
     ),
