Quotas are enforced for callers of a node: 429 with Retry-After

Change: Outbound asks for a token after the key check and before load shedding. A request that is refused without having run, or shed, returns its token. Retry-After of a 429 has its jitter upwards only, as an earlier retry would find no token.

--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -8,6 +8,7 @@
 from ...http.server import Exchange
 from ...platform.headers import CallerFields
 from ...routing.model import Route
+from ...routing.teams import Team
 from ..backend.crashes import CrashTracker
 from ..decisions.choice import MeanRunTimes
 from ..decisions.pressure import RefusalMeter
@@ -29,6 +30,34 @@
         """Log that the node exits before the request is answered."""
 
 
+class TeamQuotas(Protocol):
+    """Quotas of teams over all nodes."""
+
+    def admit(self, team: Team) -> float:
+        """Admit a request and return 0, or return when to retry in ms."""
+
+    def give_back(self, name: str) -> None:
+        """Return the token of a request that was admitted and has not run."""
+
+    def describe(self, name: str) -> dict[str, float]:
+        """Return limit and grant of a team, for log lines."""
+
+
+class NoQuotas:
+    """Admits all requests."""
+
+    def admit(self, team: Team) -> float:
+        """Admit a request."""
+        return 0.0
+
+    def give_back(self, name: str) -> None:
+        """Do nothing."""
+
+    def describe(self, name: str) -> dict[str, float]:
+        """Return nothing."""
+        return {}
+
+
 @attrs.frozen(slots=True)
 class Target:
     """What a request asks for, by the configuration of the given version.
@@ -62,6 +91,8 @@
         When the last call must be answered; infinite until the node shuts down.
     called_services : dict
         Services that the runs of each service call.
+    quotas : TeamQuotas
+        Quotas of the callers' teams.
     """
 
     runtime: Runtime
@@ -77,6 +108,7 @@
     calls_in_flight: set[ActiveCall] = attrs.field(factory=set)
     drain_deadline_ms: float = math.inf
     called_services: dict[str, set[str]] = attrs.field(factory=dict)
+    quotas: TeamQuotas = attrs.field(factory=NoQuotas)
 
     def limit_deadline(self, drain_deadline_ms: float) -> None:
         """Shorten the deadlines of all calls, present and future."""
--- a/azurestep/mesh/callers/ending.py
+++ b/azurestep/mesh/callers/ending.py
@@ -45,6 +45,8 @@
         runtime.metrics.count("calls", "refused")
         if reason in CAPACITY_REASONS:
             self.context.refusals.record_refused(record.route.name)
+        if record.team:
+            self.context.quotas.give_back(record.team)
         self.context.returning_callers.add(record.attempt)
         answer_refused(runtime, self.exchange, record.request_id, retry_after_ms)
 
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -28,7 +28,12 @@
 from .call import Call
 from .context import CallContext, Target
 from .ending import UNAVAILABLE
-from .own_answers import NO_BACKEND_RETRY_AFTER_MS, answer_refused, request_id_header
+from .own_answers import (
+    NO_BACKEND_RETRY_AFTER_MS,
+    TOO_MANY_REQUESTS,
+    answer_refused,
+    request_id_header,
+)
 
 SHED_RETRY_AFTER_MS = 120.0
 """Time after which to retry a shed request; short enough for the retry to meet the
@@ -93,7 +98,12 @@
         service = table.choose_service(route)
         attempt = context.identify_attempt(exchange, caller)
         target = _target(table, route, service, identity)
+        if self._exceeds_quota(exchange, request_id, route, identity):
+            context.returning_callers.add(attempt)
+            return
         if self._should_shed(service, target.priority):
+            if target.team:
+                context.quotas.give_back(target.team)
             exchange.sink = Rejection(
                 context.runtime,
                 exchange,
@@ -128,6 +138,28 @@
             route.name,
         )
 
+    def _exceeds_quota(
+        self, exchange: Exchange, request_id: bytes, route: Route, identity: Identity
+    ) -> bool:
+        """Refuse a request above its team's quota; otherwise count it."""
+        team, context = identity.team, self.context
+        if team is None or not team.limited:
+            return False
+        retry_after_ms = context.quotas.admit(team)
+        if not retry_after_ms:
+            return False
+        exchange.sink = Rejection(
+            context.runtime,
+            exchange,
+            request_id,
+            TOO_MANY_REQUESTS,
+            Reason.QUOTA,
+            route.name,
+            retry_after_ms,
+            {"team": team.name, **context.quotas.describe(team.name)},
+        )
+        return True
+
     def _should_shed(self, service: str, priority: int) -> bool:
         ratio = self.load_shedder.shed_ratio(service, priority)
         return ratio > 0 and self.context.runtime.random.random() < ratio
@@ -163,6 +195,10 @@
         Status of the answer.
     route : str
         Name of the matched route; empty for none.
+    retry_after_ms : float
+        When the caller may retry; 0 for the default of the reason.
+    details : dict
+        Further fields of the log line.
     """
 
     runtime: Runtime
@@ -171,6 +207,8 @@
     status: int
     reason: Reason = Reason.NO_BACKEND
     route: str = ""
+    retry_after_ms: float = 0.0
+    details: dict[str, object] = attrs.field(factory=dict)
     _timer: asyncio.TimerHandle | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -194,18 +232,27 @@
             route=self.route,
             status=self.status,
             reason=self.reason.name,
+            **self.details,
         )
         self.runtime.metrics.count("calls", f"rejected_{self.status}")
-        if self.status == UNAVAILABLE:
-            shed = self.reason is Reason.PRESSURE
-            retry_after_ms = SHED_RETRY_AFTER_MS if shed else NO_BACKEND_RETRY_AFTER_MS
-            answer_refused(self.runtime, self.exchange, self.request_id, retry_after_ms)
+        if self.status in (UNAVAILABLE, TOO_MANY_REQUESTS):
+            answer_refused(
+                self.runtime,
+                self.exchange,
+                self.request_id,
+                self.retry_after_ms or self._default_retry_after_ms(),
+                self.status,
+            )
         else:
             headers = request_id_header(self.request_id)
             if self.status == UNAUTHORIZED:
                 headers.append(CHALLENGE)
             self.exchange.answer(self.status, headers, b"")
 
+    def _default_retry_after_ms(self) -> float:
+        shed = self.reason is Reason.PRESSURE
+        return SHED_RETRY_AFTER_MS if shed else NO_BACKEND_RETRY_AFTER_MS
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/azurestep/mesh/callers/own_answers.py
+++ b/azurestep/mesh/callers/own_answers.py
@@ -13,6 +13,7 @@
 """
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
+TOO_MANY_REQUESTS = 429
 
 
 def request_id_header(request_id: bytes) -> Headers:
@@ -27,8 +28,13 @@
     retry_after_ms: float,
     status: int = UNAVAILABLE,
 ) -> None:
-    """Answer 503 or 429 with Retry-After: the request has not run."""
+    """Answer 503 or 429 with Retry-After: the request has not run.
+
+    A caller above its quota is not told to retry before there is a token.
+    """
     jitter = 1 + RETRY_AFTER_JITTER * (2 * runtime.random.random() - 1)
+    if status == TOO_MANY_REQUESTS:
+        jitter = 1 + RETRY_AFTER_JITTER * runtime.random.random()
     headers = request_id_header(request_id)
     headers.append((b"Retry-After", b"%.3f" % (retry_after_ms * jitter / 1000)))
     exchange.answer(status, headers, b"")
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -162,6 +162,14 @@
     "write the order again with service, new_version and duration",
 )
 
+QUOTA_LIMITED = register(
+    9701,
+    logging.INFO,
+    "team has used up its quota",
+    "ask the team to send less, or raise its limit in the configuration",
+)
+QUOTA_RELEASED = register(9702, logging.INFO, "team is below its quota again")
+
 WRITER = LineWriter()
 
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -17,6 +17,7 @@
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
 from ..routing.table import RoutingTable
+from ..routing.teams import Team
 from . import endpoints, events
 from .backend.crashes import CrashTracker
 from .backend.inbound import Inbound
@@ -26,6 +27,7 @@
 from .callers.outbound import Outbound
 from .callers.own_answers import answer_bad_gateway
 from .decisions.pressure import PressureReport, find_called_services
+from .decisions.quota_account import QuotaAccount
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
 from .knowledge.configuration import Configuration, Origin
@@ -38,6 +40,8 @@
 from .links.members import Members
 from .links.server import IncomingLink, IncomingLinks
 from .messages import FEATURE_LEVEL, PROTOCOL_VERSION, Hello, State
+from .quotas.control import Quotas, QuotaTeam
+from .quotas.peers import FleetPeers
 from .rollouts.control import Rollouts
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
@@ -53,6 +57,9 @@
 """Ticks between checks for a changed settings file."""
 READY_AFTER_MS = 600.0
 """Time after the start at which a node counts as ready even without links."""
+FLEET_KNOWN_AFTER_MS = 2000.0
+"""Time after the start at which a node takes the peers that it knows for the fleet,
+even without the store; peers reconnect within about a second."""
 MIN_SUBTRACTED_DELAY_MS = 30.0
 """Event loop delay above which it is subtracted from the time that peers took to
 answer probes, which would otherwise include it.
@@ -93,6 +100,7 @@
     outbound: Outbound = attrs.field(init=False)
     incoming_links: IncomingLinks = attrs.field(init=False)
     rollouts: Rollouts = attrs.field(init=False)
+    quotas: Quotas = attrs.field(init=False)
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
     shutdown: GracefulShutdown = attrs.field(init=False)
@@ -205,6 +213,17 @@
             self.inbound,
             self.store_era,
         )
+        self.quotas = Quotas(
+            settings.peer_address,
+            FleetPeers(self.members, self.incoming_links, self._knows_fleet),
+            bounds,
+            runtime.now_ms,
+            self._find_team,
+            self._log_limited,
+        )
+        self.members.apply_grant = self.quotas.on_grant
+        self.incoming_links.on_usage = self.quotas.on_usage
+        self.call_context.quotas = self.quotas
         self.prober = Prober(
             runtime,
             self.inbound,
@@ -310,6 +329,7 @@
         budget.ratio = settings.bounds.retry_ratio
         budget.extra = settings.bounds.retry_extra
         budget.window_ms = settings.bounds.retry_window_ms
+        self.quotas.set_bounds(settings.bounds)
         self.inbound.address = settings.backend_address
         events.log(events.RELOADED, changed=True, service=settings.service)
 
@@ -385,6 +405,29 @@
 
     def _on_peer_change(self) -> None:
         self.configuration_watcher.wake()
+        self.quotas.on_reachability_change()
+
+    def _knows_fleet(self) -> bool:
+        """Whether this node has had the time to find all peers.
+
+        Those that run have opened a link to it by then, also if the store is away.
+        """
+        age_ms = self.runtime.now_ms() - self.started_ms
+        return self.discovery.done or age_ms > FLEET_KNOWN_AFTER_MS
+
+    def _log_limited(self, team: QuotaTeam, account: QuotaAccount) -> None:
+        event = events.QUOTA_LIMITED if account.limited else events.QUOTA_RELEASED
+        events.log(
+            event,
+            team=team.name,
+            limit_per_s=round(account.limit.rate_per_s, 3),
+            demand_per_s=round(account.demand.total(self.runtime.now_ms()), 1),
+            nodes=account.nodes,
+        )
+
+    def _find_team(self, name: str) -> Team | None:
+        table = self.configuration.table
+        return None if table is None or table.teams is None else table.teams.get(name)
 
     def _apply_order(self, key: str, value: bytes, offset: int, live: bool) -> None:
         self.rollouts.apply_record(key, value, offset, live)
@@ -485,6 +528,7 @@
         run_guarded(self.inbound.tick)
         run_guarded(self.prober.check)
         run_guarded(self.rollouts.tick, now_ms)
+        run_guarded(self.quotas.tick, now_ms)
         run_guarded(self.call_context.refusals.tick)
         run_guarded(self._update_load_shedder)
         self.members.called_routes.update(self.inbound.caller_detector.called_routes())
@@ -551,6 +595,8 @@
         gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
         gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
         gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
+        gauges["quota_teams_owned"] = len(self.quotas.owned)
+        gauges["quota_teams_limited"] = self.quotas.limited_count()
         gauges["store_era"] = self.store_era.current
         gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
 
