--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
     "request_path",
     "silent_path",
     "rate_limits",
+    "quota_ways",
     "version_spreading",
     "node_size",
     "placement_model",
