--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -61,6 +61,9 @@
         receive the version that removed it, if revocation is strict.
     strict_revocation : bool
         Whether such a node refuses all requests with keys after that time.
+    quota_window_ms, quota_overage, quota_slack : float
+        Requests of a team that may run in any such window beyond its rate and burst: a
+        ratio of these, plus a fixed number.
     """
 
     drain_ms: float = 2000.0
@@ -74,6 +77,9 @@
     exposure_extra: float = 0.0
     revoke_ms: float = 5000.0
     strict_revocation: bool = attrs.field(default=False, converter=bool)
+    quota_window_ms: float = 5000.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 BOUND_FIELDS = {
@@ -88,6 +94,9 @@
     "exposure_slack": "exposure_extra",
     "revoke": "revoke_ms",
     "strict_revocation": "strict_revocation",
+    "quota_window": "quota_window_ms",
+    "quota_overage": "quota_overage",
+    "quota_slack": "quota_slack",
 }
 
 
