A limited team's tokens went to requests that came back too late

Callers that came back after a 429 took half of the tokens of a team above its quota, and their answers missed their objectives, while fresh requests were refused.

A request that can't meet its objective any more gets a token only if none that can was refused in the last second.

--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -33,8 +33,11 @@
 class TeamQuotas(Protocol):
     """Quotas of teams over all nodes."""
 
-    def admit(self, team: Team) -> float:
-        """Admit a request and return 0, or return when to retry in ms."""
+    def admit(self, team: Team, late: bool = False) -> float:
+        """Admit a request and return 0, or return when to retry in ms.
+
+        ``late``: it can't meet its objective any more.
+        """
 
     def give_back(self, name: str) -> None:
         """Return the token of a request that was admitted and has not run."""
@@ -46,7 +49,7 @@
 class NoQuotas:
     """Admits all requests."""
 
-    def admit(self, team: Team) -> float:
+    def admit(self, team: Team, late: bool = False) -> float:
         """Admit a request."""
         return 0.0
 
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -22,8 +22,10 @@
 )
 from ...routing.model import Route
 from ...routing.table import RoutingTable
+from ...routing.teams import Team
 from .. import events
 from ..decisions.pressure import LoadShedder
+from ..decisions.returning import Attempt
 from ..decisions.revocation import KeyFreshness
 from ..messages import Reason
 from ..runtime import Runtime
@@ -102,7 +104,7 @@
         service = table.choose_service(route)
         attempt = context.identify_attempt(exchange, caller)
         target = _target(table, route, service, identity)
-        if self._exceeds_quota(exchange, request_id, target, identity):
+        if self._exceeds_quota(exchange, request_id, target, identity.team, attempt):
             context.returning_callers.add(attempt)
             return
         if self._should_shed(service, target.priority):
@@ -160,13 +162,19 @@
         )
 
     def _exceeds_quota(
-        self, exchange: Exchange, request_id: bytes, target: Target, identity: Identity
+        self,
+        exchange: Exchange,
+        request_id: bytes,
+        target: Target,
+        team: Team | None,
+        attempt: Attempt,
     ) -> bool:
         """Refuse a request above its team's quota; otherwise count it."""
-        team, context = identity.team, self.context
+        context = self.context
         if team is None or not team.limited:
             return False
-        retry_after_ms = context.quotas.admit(team)
+        late = self._returned_too_late(target.route, attempt)
+        retry_after_ms = context.quotas.admit(team, late)
         if not retry_after_ms:
             return False
         exchange.sink = Rejection(
@@ -181,6 +189,13 @@
         )
         return True
 
+    def _returned_too_late(self, route: Route, attempt: Attempt) -> bool:
+        """Whether a caller came back when its request can't meet its objective."""
+        left_ms = attempt.first_attempt_ms + route.objective_ms
+        left_ms -= self.context.runtime.now_ms()
+        run_ms = self.context.mean_run_times.get(route.name)
+        return attempt.is_retry and left_ms < run_ms
+
     def _should_shed(self, service: str, priority: int) -> bool:
         ratio = self.load_shedder.shed_ratio(service, priority)
         return ratio > 0 and self.context.runtime.random.random() < ratio
--- a/azurestep/mesh/decisions/quota_allowance.py
+++ b/azurestep/mesh/decisions/quota_allowance.py
@@ -45,6 +45,9 @@
 """Limits of the time after which to retry."""
 PACED_BURST_S = 0.1
 """Unused tokens of this time are kept under a grant."""
+CONTENTION_MS = 1000.0
+"""Time after the refusal of a request that could have met its objective in which a
+limited team gets no tokens for requests that can't."""
 ROUNDING = 1e-6
 
 
@@ -97,6 +100,7 @@
     _must_report: bool = False
     _reported_ms: float = math.inf
     _limited_until_ms: float = -math.inf
+    _refused_in_time_ms: float = -math.inf
     _was_limited: bool = False
     _tokens: float = 0.0
     _filled_ms: float = 0.0
@@ -107,13 +111,23 @@
             self._limited_until_ms = -math.inf
         self.limit, self.nodes = limit, nodes
 
-    def admit(self, now_ms: float) -> float:
-        """Admit a request and return 0, or refuse it and return when to retry in ms."""
+    def admit(self, now_ms: float, late: bool = False) -> float:
+        """Admit a request and return 0, or refuse it and return when to retry in ms.
+
+        ``late``: it can't meet its objective any more. The tokens of a limited team go
+        to requests that can, as long as some of these are refused.
+        """
         if now_ms < self._limited_until_ms:
-            wait_ms = self._take_token(now_ms)
+            contended = now_ms - self._refused_in_time_ms < CONTENTION_MS
+            if late and contended:
+                wait_ms = self._wait_for_token(now_ms)
+            else:
+                wait_ms = self._take_token(now_ms)
         else:
             wait_ms = self._wait_for_answer(now_ms)
         if wait_ms > 0:
+            if not late:
+                self._refused_in_time_ms = now_ms
             self._refused += 1
             return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         self._admitted += 1
@@ -225,19 +239,23 @@
         return missing / rate_per_s * 1000
 
     def _take_token(self, now_ms: float) -> float:
-        """Take a token of the grant and return 0, or return when there will be one.
-
-        A grant below the equal share is soon followed by a higher one: the team repays
-        a debt, or had few requests here.
-        """
+        """Take a token of the grant and return 0, or return when there will be one."""
         self._fill(now_ms)
         if self._tokens >= 1 - ROUNDING:
             self._tokens -= 1
             return 0.0
+        return self._wait_for_token(now_ms)
+
+    def _wait_for_token(self, now_ms: float) -> float:
+        """Return when a further request gets a token.
+
+        A grant below the equal share is soon followed by a higher one: the team repays
+        a debt, or had few requests here.
+        """
         rate_per_s = max(self.grant.rate_per_s, self._rate_per_s)
         if rate_per_s <= 0:
             return max(AWAITED_MS, self._limited_until_ms - now_ms)
-        return (1 - self._tokens) / rate_per_s * 1000
+        return max(0.0, 1 - self._tokens) / rate_per_s * 1000 or MIN_RETRY_AFTER_MS
 
     def _fill(self, now_ms: float) -> None:
         added = max(0.0, now_ms - self._filled_ms) / 1000 * self.grant.rate_per_s
--- a/azurestep/mesh/quotas/control.py
+++ b/azurestep/mesh/quotas/control.py
@@ -156,8 +156,11 @@
 
     # Requests.
 
-    def admit(self, team: QuotaTeam) -> float:
-        """Admit a request and return 0, or refuse it and return when to retry in ms."""
+    def admit(self, team: QuotaTeam, late: bool = False) -> float:
+        """Admit a request and return 0, or refuse it and return when to retry in ms.
+
+        ``late``: it can't meet its objective any more.
+        """
         if team.requests_per_s <= 0:
             return 0.0
         now_ms = self.now_ms()
@@ -170,7 +173,7 @@
         is_own = use.owner == self.own_address
         if is_own and self._known:
             self._anticipate(team, now_ms)
-        wait_ms = use.allowance.admit(now_ms)
+        wait_ms = use.allowance.admit(now_ms, late)
         if not wait_ms and (is_own or use.allowance.is_urgent):
             self._report([use], now_ms)
         return wait_ms
--- a/tests/test_quota_decisions.py
+++ b/tests/test_quota_decisions.py
@@ -132,3 +132,28 @@
     owners.set_reachable(addresses[:-1])
     moved = {team for team in teams if owners.of(team) != before[team]}
     assert moved == {team for team in teams if before[team] == addresses[-1]}
+
+
+def limited_allowance(rate_per_s: float) -> QuotaAllowance:
+    allowance = QuotaAllowance(QuotaLimit(100.0, 10.0, 20.0), nodes=10)
+    allowance.apply_grant(Grant(rate_per_s, 60_000.0), now_ms=0.0)
+    return allowance
+
+
+def test_tokens_of_a_limited_team_go_to_requests_that_can_meet_their_objective() -> (
+    None
+):
+    """Guards against spending the quota on answers that come too late."""
+    allowance = limited_allowance(rate_per_s=2.0)
+    admitted = {False: 0, True: 0}
+    for number in range(400):
+        late = number % 2 == 1
+        admitted[late] += not allowance.admit(number * 25.0, late)
+    assert admitted[False] >= 18
+    assert admitted[True] == 0
+
+
+def test_late_requests_get_the_tokens_that_nobody_else_needs() -> None:
+    """Guards against refusing requests while their team's tokens are unused."""
+    allowance = limited_allowance(rate_per_s=2.0)
+    assert sum(not allowance.admit(at * 25.0, late=True) for at in range(400)) >= 18
