Fair queueing: a team that sends much no longer delays the others

Cause: a backend server's queue was ordered by priority and objective only, so that a team's share of it was its share of all requests.

Change: within a priority, start-time fair queueing between teams, weighted by `requests_per_s` (1 without). A team is charged the expected run time when a request starts, which is corrected by the time that it held the slot. Requests without a team stay ahead; without teams each decision is the former one (test_without_teams_every_decision_is_the_former_one).

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -11,6 +11,7 @@
 
 from ...http.client import ClientConnection, IdlePool
 from ...platform.headers import NO_RATE_LIMIT, ServerNotice
+from ...routing.table import RoutingTable
 from .. import events
 from ..decisions.admission import Admission, Refused, Ticket
 from ..decisions.health import Health
@@ -63,6 +64,8 @@
     ----------
     on_change : Callable
         Called when the state to be reported to other nodes has changed.
+    table : Callable
+        Returns the configuration in force, or None.
     """
 
     runtime: Runtime
@@ -78,6 +81,7 @@
     caller_detector: CallerDetector = attrs.field(factory=CallerDetector)
     rollouts: RolloutTable = attrs.field(factory=RolloutTable)
     trial_runs: RunCounter = attrs.field(factory=RunCounter)
+    table: Callable[[], RoutingTable | None] = lambda: None
     unreachable: bool = False
     shutting_down: bool = False
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
@@ -108,6 +112,14 @@
         """Reason for the refusal of requests that can't end in time."""
         return Reason.STOPPING if self.shutting_down else Reason.TOO_LATE
 
+    def team_weight(self, team: str) -> float:
+        """Return the weight of a team's requests in the queue; 1 if it isn't known."""
+        table = self.table() if team else None
+        if table is None or table.teams is None:
+            return 1.0
+        found = table.teams.get(team)
+        return found.requests_per_s if found and found.limited else 1.0
+
     def begin_shutdown(self, drain_deadline_ms: float) -> None:
         """Stop taking new requests, and refuse what can't end by the deadline."""
         self.shutting_down = True
@@ -236,7 +248,7 @@
 
         The ticket is removed first, since the scan expects a run for each ticket.
         """
-        self.admission.remove(ticket)
+        self.admission.remove(ticket, self.now_ms())
         self._runs.pop(ticket, None)
         if self._runs:
             self._schedule_scan()
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -55,6 +55,9 @@
     def now_ms(self) -> float:
         """Return the monotonic time."""
 
+    def team_weight(self, team: str) -> float:
+        """Return the weight of a team's requests in the queue; 1 if it isn't known."""
+
     async def connect(self) -> ClientConnection | None:
         """Open a connection to the backend server; None if it accepts none."""
 
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -65,6 +65,8 @@
             now_ms,
             now_ms + request.objective_ms,
             self.deadline_ms,
+            team=request.team,
+            weight=inbound.team_weight(request.team),
         )
         self.done = False
         self._connection: ClientConnection | None = None
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -9,6 +9,7 @@
 import attrs
 
 from .rate_limit import RateLimiter
+from .team_shares import NO_TEAM_TAG, TeamShares
 
 INITIAL_RUN_MS = 150.0
 """Run time assumed for a route before its first sample."""
@@ -18,6 +19,9 @@
 """Shortest time after which a refused caller is asked to retry."""
 MAX_RETRY_AFTER_MS = 1000.0
 """Longest such time, since a backend server may lift its rate limit at any moment."""
+Rank = tuple[bool, int, float, float]
+"""Sort key of a request: whether it misses its objective, its priority, the virtual
+start time of its team, and its objective."""
 
 
 @attrs.define(slots=True, eq=False)
@@ -34,6 +38,12 @@
         Data attached by the code that submits the request; not used here.
     sent : bool
         Whether the request was sent to the backend server.
+    team : str
+        Team of the caller; empty for none.
+    weight : float
+        Weight of the team.
+    started_ms, charged_ms : float
+        When it got its slot, and the run time that its team was charged for then.
     """
 
     route: str
@@ -43,6 +53,10 @@
     deadline_ms: float
     owner: object = None
     sent: bool = False
+    team: str = ""
+    weight: float = 1.0
+    started_ms: float = 0.0
+    charged_ms: float = 0.0
 
 
 @attrs.frozen(slots=True)
@@ -66,12 +80,15 @@
         When all runs must have ended; infinite unless the node is shutting down.
     limiter : RateLimiter
         Rate limit that the backend server named, if any.
+    shares : TeamShares
+        Run time that each team has used.
     """
 
     slots: int = 1
     running: set[Ticket] = attrs.field(factory=set)
     drain_deadline_ms: float = math.inf
     limiter: RateLimiter = attrs.field(factory=RateLimiter)
+    shares: TeamShares = attrs.field(factory=TeamShares)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _mean_run_ms: dict[str, float] = attrs.field(factory=dict)
     _fleet_mean_run_ms: dict[str, float] = attrs.field(factory=dict)
@@ -162,12 +179,21 @@
             return end_ms
         return end_ms + self._wait_in_queue_ms(ticket, now_ms)
 
-    def remove(self, ticket: Ticket) -> None:
-        """Remove a request that ended, whether it ran or waited."""
+    def remove(self, ticket: Ticket, now_ms: float | None = None) -> None:
+        """Remove a request that ended, whether it ran or waited.
+
+        ``now_ms``: charges its team for the time that it held its slot, instead of the
+        expected one.
+        """
         if ticket in self.running:
             self.running.discard(ticket)
             if not ticket.sent:
                 self.limiter.give_back()
+            if ticket.team and now_ms is not None:
+                excess_ms = now_ms - ticket.started_ms - ticket.charged_ms
+                self.shares.correct(
+                    ticket.priority, ticket.team, ticket.weight, excess_ms
+                )
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
@@ -175,7 +201,7 @@
         """Give a free slot to the first request in the queue and return it."""
         if not self._waiting or not self._has_free_slot():
             return None
-        chosen = min(self._waiting, key=lambda item: self._rank(item, now_ms))
+        chosen = self._in_order(now_ms)[0]
         if not self._take_slot(chosen, now_ms):
             return None
         self._waiting.remove(chosen)
@@ -189,6 +215,12 @@
         if not self.limiter.try_take(now_ms):
             return False
         self.running.add(ticket)
+        if ticket.team:
+            ticket.started_ms = now_ms
+            ticket.charged_ms = self.mean_run_ms(ticket.route)
+            self.shares.record_start(
+                ticket.priority, ticket.team, ticket.weight, ticket.charged_ms
+            )
         return True
 
     def next_start_ms(self, now_ms: float) -> float | None:
@@ -217,7 +249,7 @@
         expiring: list[Ticket] = []
         slot_ms = now_ms + (self._estimate_wait_ms(0.0) if draining else 0.0)
         ahead = 0
-        for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
+        for ticket in self._in_order(now_ms):
             start_ms = max(slot_ms, now_ms + self.limiter.wait_ms(now_ms, ahead))
             if self._is_worth_waiting(ticket, start_ms, ahead):
                 ahead += 1
@@ -260,8 +292,13 @@
 
     def _wait_in_queue_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return how long a new request would wait."""
-        rank = self._rank(ticket, now_ms)
-        ahead = [one for one in self._waiting if self._rank(one, now_ms) <= rank]
+        ranks = self._ranks([*self._waiting, ticket], now_ms)
+        rank = ranks.pop()
+        ahead = [
+            one
+            for one, other in zip(self._waiting, ranks, strict=True)
+            if other <= rank
+        ]
         ahead_ms = sum(self.mean_run_ms(one.route) for one in ahead)
         limit_ms = self.limiter.wait_ms(now_ms, len(ahead))
         return max(self._estimate_wait_ms(ahead_ms), limit_ms)
@@ -271,14 +308,42 @@
         running_ms = sum(self.mean_run_ms(other.route) for other in self.running)
         return (ahead_ms + running_ms / max(1, len(self.running))) / self.slots
 
-    def _rank(self, ticket: Ticket, now_ms: float) -> tuple[bool, int, float]:
-        """Return the sort key of a waiting request.
+    def _in_order(self, now_ms: float) -> list[Ticket]:
+        """Return the waiting requests in the order in which they get slots."""
+        ranks = self._ranks(self._waiting, now_ms)
+        order = sorted(range(len(ranks)), key=ranks.__getitem__)
+        return [self._waiting[index] for index in order]
+
+    def _ranks(self, tickets: list[Ticket], now_ms: float) -> list[Rank]:
+        """Return the sort keys of requests.
 
         Requests that can meet their objective go first, then the more urgent priority,
-        then the earlier objective. Calls between services have the shortest objectives
-        and so go first within a priority; refusing one wastes the calling run.
+        then the team that is furthest behind its share, then the earlier objective.
+        Calls between services have no team and the shortest objectives, and so go first
+        within a priority; refusing one wastes the calling run.
         """
+        ranks = [self._rank(ticket, now_ms) for ticket in tickets]
+        if not any(ticket.team for ticket in tickets):
+            return ranks
+        order = sorted(range(len(ranks)), key=ranks.__getitem__)
+        in_order = (tickets[index] for index in order)
+        tags = self.shares.tags(
+            (one.priority, one.team, one.weight, self.mean_run_ms(one.route))
+            for one in in_order
+        )
+        for index, tag in zip(order, tags, strict=True):
+            misses_objective, priority, _, objective_ms = ranks[index]
+            ranks[index] = (misses_objective, priority, tag, objective_ms)
+        return ranks
+
+    def _rank(self, ticket: Ticket, now_ms: float) -> Rank:
+        """Return the sort key of a request without its team."""
         misses_objective = (
             now_ms + self.mean_run_ms(ticket.route) > ticket.objective_deadline_ms
         )
-        return misses_objective, ticket.priority, ticket.objective_deadline_ms
+        return (
+            misses_objective,
+            ticket.priority,
+            NO_TEAM_TAG,
+            ticket.objective_deadline_ms,
+        )
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -125,6 +125,7 @@
                 bounds.exposure_extra,
                 self._is_store_reachable,
             ),
+            table=lambda: self.configuration.table,
         )
         if settings.link_mbps:
             self.inbound.transfers.link_bytes_per_ms = settings.link_mbps * 125
