New work is shed as much as its calls lack capacity; none is starved by calls

Cause: calls of route priority 1 have the effective priority 17, as have the requests of a team with priority 1 that make them, and only less urgent ones were shed. The ratio of refused calls was a mean over all nodes, although only nodes of the calling service make calls; and calls that come first could take all slots of a server for good (reads served 0.5% with one server of twelve).

Change: a node whose own runs' calls are refused or late reports that ratio as a row of `State.refusals` with its own service and the priority -1; nodes shed requests to that service by it, whatever their priority. No such row is sent while no more than a fifth of the calls is concerned. At a called server, new work that waits gets a fifth of the run time.

--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from .call_slots import CallSlots
+from .call_slots import MIN_NEW_SHARE, CallSlots
 from .rate_limit import RateLimiter
 from .team_shares import NO_TEAM_TAG, TeamShares
 
@@ -218,7 +218,12 @@
         """Return the first request in the queue if there is a slot for it."""
         if not self._waiting or len(self.running) >= self.slots:
             return None
-        first = self._in_order(now_ms)[0]
+        in_order = self._in_order(now_ms)
+        first = in_order[0]
+        if first.is_call and self._call_slots.owes_new_work:
+            first = next((one for one in in_order if not one.is_call), first)
+            if not self._has_free_slot(first, now_ms):
+                first = in_order[0]
         return first if self._has_free_slot(first, now_ms) else None
 
     def _has_free_slot(self, ticket: Ticket, now_ms: float) -> bool:
@@ -230,9 +235,9 @@
         if not self.limiter.try_take(now_ms):
             return False
         self.running.add(ticket)
-        if ticket.is_call:
-            wait_ms = now_ms - ticket.arrived_ms
-            self._call_slots.record_start(wait_ms, self.mean_run_ms(ticket.route))
+        self._call_slots.record_start(
+            now_ms - ticket.arrived_ms, self.mean_run_ms(ticket.route), ticket.is_call
+        )
         if ticket.team:
             ticket.started_ms = now_ms
             ticket.charged_ms = self.mean_run_ms(ticket.route)
@@ -321,10 +326,24 @@
         ]
         ahead_ms = sum(self.mean_run_ms(one.route) for one in ahead)
         limit_ms = self.limiter.wait_ms(now_ms, len(ahead))
-        slots = (
-            self.slots if ticket.is_call else self._call_slots.left(now_ms, self.slots)
+        wait_ms = self._estimate_wait_ms(ahead_ms, self.slots)
+        if not ticket.is_call:
+            wait_ms = self._wait_of_new_work_ms(ahead, ahead_ms, now_ms)
+        return max(wait_ms, limit_ms)
+
+    def _wait_of_new_work_ms(
+        self, ahead: list[Ticket], ahead_ms: float, now_ms: float
+    ) -> float:
+        """Return how long new work waits on the slots that calls leave to it.
+
+        At most until its guaranteed share of the run time reaches it.
+        """
+        left = self._call_slots.left(now_ms, self.slots)
+        new_ms = sum(self.mean_run_ms(one.route) for one in ahead if not one.is_call)
+        return min(
+            self._estimate_wait_ms(ahead_ms, left),
+            self._estimate_wait_ms(new_ms, self.slots * MIN_NEW_SHARE),
         )
-        return max(self._estimate_wait_ms(ahead_ms, slots), limit_ms)
 
     def _estimate_wait_ms(self, ahead_ms: float, slots: float) -> float:
         """Return how long a request waits behind queued work of a given length."""
--- a/azurestep/mesh/decisions/call_slots.py
+++ b/azurestep/mesh/decisions/call_slots.py
@@ -14,6 +14,10 @@
 """Ratio of such calls from which a slot is kept free of new work."""
 CALL_MEMORY_MS = 1000.0
 """Time after the last call for which a slot is kept free."""
+MIN_NEW_SHARE = 0.2
+"""Share of the run time that new work gets while it waits behind calls."""
+SHARE_DECAY = 0.98
+"""Decay factor of the run times by which that share is measured, at each start."""
 RUNNING_CALLS_WEIGHT = 0.05
 """Weight of a new sample in the mean number of running calls."""
 
@@ -27,7 +31,7 @@
     >>> calls = CallSlots()
     >>> for _ in range(4):
     ...     calls.record_arrival(0.0, is_call=True, running_calls=1)
-    ...     calls.record_start(wait_ms=90.0, run_ms=40.0)
+    ...     calls.record_start(wait_ms=90.0, run_ms=40.0, is_call=True)
     >>> calls.kept(100.0, slots=3), calls.kept(2000.0, slots=3)
     (1, 0)
     """
@@ -35,6 +39,13 @@
     _late: float = 0.0
     _running: float = 0.0
     _last_call_ms: float = -math.inf
+    _call_ms: float = 0.0
+    _new_ms: float = 0.0
+
+    @property
+    def owes_new_work(self) -> bool:
+        """Whether new work that waits goes before calls, so that it isn't starved."""
+        return self._new_ms < MIN_NEW_SHARE * (self._new_ms + self._call_ms)
 
     def record_arrival(self, now_ms: float, is_call: bool, running_calls: int) -> None:
         """Count a request that arrived, with the number of calls that run."""
@@ -42,10 +53,16 @@
             self._last_call_ms = now_ms
         self._running += RUNNING_CALLS_WEIGHT * (running_calls - self._running)
 
-    def record_start(self, wait_ms: float, run_ms: float) -> None:
-        """Count a call that got a slot after a wait; ``run_ms``: its mean run time."""
-        late = float(wait_ms > run_ms)
-        self._late += LATE_CALL_WEIGHT * (late - self._late)
+    def record_start(self, wait_ms: float, run_ms: float, is_call: bool) -> None:
+        """Count a request that got a slot after a wait.
+
+        ``run_ms``: mean run time of its route.
+        """
+        self._call_ms = self._call_ms * SHARE_DECAY + run_ms * is_call
+        self._new_ms = self._new_ms * SHARE_DECAY + run_ms * (not is_call)
+        if is_call:
+            late = float(wait_ms > run_ms)
+            self._late += LATE_CALL_WEIGHT * (late - self._late)
 
     def kept(self, now_ms: float, slots: int) -> int:
         """Return how many slots are kept free of new work.
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -9,7 +9,7 @@
 instances of a single service, while those of external clients come from all instances.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 import attrs
 
@@ -37,13 +37,31 @@
 
 Without it, less than a quarter of all requests was served after a restart of the fleet.
 """
+CALLS_PRIORITY = -1
+"""In place of a priority: calls that the runs of a node's own service made."""
+TOLERATED_LACK = 0.2
+"""Ratio of calls without an answer in time at which new work is not shed yet.
+
+A called service without spare slots makes some calls wait, but serves them all.
+"""
+LACK_GAIN = 5.0
+"""How fast shedding rises with that ratio."""
+MAX_LACK_SHED_RATIO = 0.95
+"""Keeps some requests, which show when the called service has capacity again.
+
+High, since a caller that is refused asks up to three times more.
+"""
 REPORT_STEP = 0.05
 """Ratios are rounded to this, so that small changes cause no messages."""
 
 CallingService = tuple[str, int]
 """A service that calls the local one, and the priority of its calls."""
 RefusalRatio = tuple[str, int, float]
-"""Service, priority, and the ratio of a route's requests that were refused."""
+"""Service, priority, and the ratio of a route's requests that were refused.
+
+With ``CALLS_PRIORITY``, the calling service, and the ratio of its calls that were
+refused or answered after their objective.
+"""
 
 
 class CallerDetector:
@@ -90,18 +108,28 @@
     priority: int
     offered: float = 0.0
     refused: float = 0.0
+    late: float = 0.0
 
     def decay(self) -> None:
         """Apply the decay of one tick."""
         self.offered *= TICK_DECAY
         self.refused *= TICK_DECAY
+        self.late *= TICK_DECAY
 
     @property
     def ratio(self) -> float:
         """Ratio that was refused, rounded."""
+        return self._ratio_of(self.refused)
+
+    @property
+    def lack(self) -> float:
+        """Ratio that was refused or answered after the objective, rounded."""
+        return min(1.0, self._ratio_of(self.refused + self.late))
+
+    def _ratio_of(self, count: float) -> float:
         if self.offered < MIN_RECENT_REQUESTS:
             return 0.0
-        return round(round(self.refused / self.offered / REPORT_STEP) * REPORT_STEP, 2)
+        return round(round(count / self.offered / REPORT_STEP) * REPORT_STEP, 2)
 
 
 class RefusalMeter:
@@ -123,18 +151,39 @@
         if counts is not None:
             counts.refused += 1
 
+    def record_late(self, route: str) -> None:
+        """Count a request that was answered after its objective."""
+        counts = self._counts.get(route)
+        if counts is not None:
+            counts.late += 1
+
     def tick(self) -> None:
         """Decay the counts; called every 0.1 s."""
         for counts in self._counts.values():
             counts.decay()
 
-    def report(self) -> tuple[RefusalRatio, ...]:
-        """Return the ratios above zero, for the other nodes."""
-        return tuple(
+    def report(
+        self, own_service: str = "", called_routes: Container[str] = ()
+    ) -> tuple[RefusalRatio, ...]:
+        """Return the ratios above zero, for the other nodes.
+
+        Parameters
+        ----------
+        own_service : str
+            Service of the backend server beside this node.
+        called_routes : container of str
+            Routes on which services call others.
+        """
+        rows = [
             (counts.service, counts.priority, counts.ratio)
             for _, counts in sorted(self._counts.items())
             if counts.ratio
-        )
+        ]
+        calls = (one for name, one in self._counts.items() if name in called_routes)
+        lack = max((one.lack for one in calls), default=0.0)
+        if lack > TOLERATED_LACK:
+            rows.append((own_service, CALLS_PRIORITY, lack))
+        return tuple(rows)
 
 
 @attrs.frozen(slots=True)
@@ -179,6 +228,7 @@
 
     def __init__(self) -> None:
         self._ratios: dict[str, list[tuple[int, float]]] = {}
+        self._lacks: dict[str, float] = {}
 
     def update(self, reports: Iterable[PressureReport]) -> None:
         """Replace the reports by the latest ones of all nodes."""
@@ -186,8 +236,11 @@
         means: dict[tuple[str, int], float] = {}
         for report in known:
             for service, priority, ratio in report.refusals:
+                if priority == CALLS_PRIORITY:
+                    continue
                 key = (service, priority)
                 means[key] = means.get(key, 0.0) + ratio / len(known)
+        self._lacks = _mean_lacks(known)
         self._ratios = {}
         if means:
             for service, caller, call_priority in set(_list_calling_services(known)):
@@ -201,15 +254,35 @@
                 )
                 self._ratios.setdefault(caller, []).append((call_priority, ratio))
 
-    def shed_ratio(self, service: str, priority: int) -> float:
-        """Return the ratio of a service's requests of a priority to refuse."""
-        call_ratios = self._ratios.get(service)
-        if not call_ratios:
-            return 0.0
+    def shed_ratio(self, service: str, priority: int, returning: bool = False) -> float:
+        """Return the ratio of a service's requests of a priority to refuse.
+
+        Callers that were refused before and return are refused less often, so that
+        they don't starve behind fresh requests.
+
+        Requests of any priority whose calls lack capacity would fail after they held
+        a slot, so all priorities are refused alike then.
+        """
+        excess = self._lacks.get(service, 0.0) - TOLERATED_LACK
+        lack_ratio = min(MAX_LACK_SHED_RATIO, max(0.0, LACK_GAIN * excess))
         ratios = (
-            ratio for call_priority, ratio in call_ratios if priority > call_priority
+            ratio
+            for call_priority, ratio in self._ratios.get(service, ())
+            if priority > call_priority
         )
-        return min(MAX_SHED_RATIO, max(ratios, default=0.0))
+        return max(lack_ratio, min(MAX_SHED_RATIO, max(ratios, default=0.0)))
+
+
+def _mean_lacks(reports: list[PressureReport]) -> dict[str, float]:
+    """Return the mean ratio of calls that lack capacity, by calling service."""
+    sums: dict[str, float] = {}
+    counts: dict[str, int] = {}
+    for report in reports:
+        counts[report.service] = counts.get(report.service, 0) + 1
+        for service, priority, ratio in report.refusals:
+            if priority == CALLS_PRIORITY and service == report.service:
+                sums[service] = sums.get(service, 0.0) + ratio
+    return {service: total / counts[service] for service, total in sums.items()}
 
 
 def _list_calling_services(
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -25,7 +25,11 @@
 from .callers.context import CallContext
 from .callers.outbound import Outbound
 from .callers.own_answers import answer_bad_gateway
-from .decisions.pressure import PressureReport, find_called_services
+from .decisions.pressure import (
+    PressureReport,
+    RefusalRatio,
+    find_called_services,
+)
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
 from .knowledge.configuration import Configuration, Origin
@@ -354,7 +358,7 @@
             self.is_stopping,
             self.inbound.health.failure_ratio,
             self.inbound.caller_detector.calling_services(),
-            self.call_context.refusals.report(),
+            self._refusal_ratios(),
         )
 
     def schedule_state_broadcast(self) -> None:
@@ -519,11 +523,16 @@
         self._last_pressure = own_report
         self.members.pressure_changed = False
 
+    def _refusal_ratios(self) -> tuple[RefusalRatio, ...]:
+        return self.call_context.refusals.report(
+            self.backend.service, self.members.called_routes
+        )
+
     def _own_pressure_report(self) -> PressureReport:
         return PressureReport(
             self.backend.service,
             self.inbound.caller_detector.calling_services(),
-            self.call_context.refusals.report(),
+            self._refusal_ratios(),
         )
 
     def _peer_pressure_reports(self) -> list[PressureReport]:
--- a/tests/test_mesh_call_slots.py
+++ b/tests/test_mesh_call_slots.py
@@ -136,4 +136,34 @@
         run = harness.inbound.submit(request, RecordingReceiver())
         tickets.append(run.ticket)
         run.cancel()
+    harness.loop.run_due()
     assert [one.is_call for one in tickets] == [False] * (len(tickets) - 1) + [True]
+
+
+def test_new_work_that_waits_gets_its_share_behind_endless_calls() -> None:
+    """Guards against new work that is never served while calls fill all slots."""
+    admission = Admission(slots=3)
+    admission.record_run("read", 400.0)
+    admission.record_run("lookup", 39.0)
+    ends: dict[Ticket, float] = {}
+    used = {"read": 0.0, "lookup": 0.0}
+    for now_ms in range(0, 30_000, 5):
+        for _ in range(1 + (now_ms % 25 == 0)):
+            admission.admit(call(now_ms), now_ms)
+        if now_ms % 200 == 0:
+            admission.admit(new_work(now_ms), now_ms)
+        for one in admission.find_expiring(now_ms):
+            admission.remove(one, now_ms)
+        for one in [one for one, end_ms in ends.items() if end_ms <= now_ms]:
+            del ends[one]
+            admission.remove(one, now_ms)
+        admission.start_next(now_ms)
+        while admission.start_next(now_ms) is not None:
+            pass
+        for one in admission.running:
+            if one not in ends:
+                run_ms = admission.mean_run_ms(one.route)
+                used[one.route] += run_ms
+                ends[one] = now_ms + run_ms
+    share = used["read"] / (used["read"] + used["lookup"])
+    assert 0.15 <= share <= 0.35
--- a/tests/test_mesh_pressure.py
+++ b/tests/test_mesh_pressure.py
@@ -1,6 +1,11 @@
 """Load shedding on behalf of called services."""
 
+import pytest
+
 from azurestep.mesh.decisions.pressure import (
+    CALLS_PRIORITY,
+    MAX_LACK_SHED_RATIO,
+    TOLERATED_LACK,
     CallerDetector,
     LoadShedder,
     PressureReport,
@@ -73,3 +78,60 @@
     shedder = LoadShedder()
     shedder.update([PressureReport("books", (("shop", 1),), (("books", 1, 0.95),))])
     assert shedder.shed_ratio("shop", 2) == 0.5
+
+
+def calls_lacking(ratio: float) -> list[PressureReport]:
+    """Return the reports of nodes whose runs' calls get no answer in time."""
+    books = PressureReport("books", (("shop", 17),), ())
+    shop = PressureReport("shop", (), (("shop", CALLS_PRIORITY, ratio),))
+    return [books, shop, shop]
+
+
+def test_requests_of_all_priorities_are_shed_if_their_calls_lack_capacity() -> None:
+    """Calls of route priority 1 count as 17, as do the requests that make them.
+
+    Those were never shed, so that they ran and failed.
+    """
+    shedder = LoadShedder()
+    shedder.update(calls_lacking(0.3))
+    for priority in (0, 16, 17, 33):
+        assert shedder.shed_ratio("shop", priority) == pytest.approx(0.5)
+        assert shedder.shed_ratio("books", priority) == 0.0
+    shedder.update(calls_lacking(1.0))
+    assert shedder.shed_ratio("shop", 17) == MAX_LACK_SHED_RATIO
+    shedder.update(calls_lacking(TOLERATED_LACK))
+    assert shedder.shed_ratio("shop", 17) == 0.0
+
+
+def test_the_lack_is_the_mean_over_the_nodes_of_the_calling_service() -> None:
+    """The mean over all nodes made the ratio smaller the more services there are."""
+    shedder = LoadShedder()
+    others = [PressureReport("files", (), ())] * 10
+    shedder.update([*calls_lacking(0.3), *others])
+    assert shedder.shed_ratio("shop", 17) == pytest.approx(0.5)
+
+
+def test_a_node_reports_the_calls_that_got_no_answer_in_time() -> None:
+    meter = RefusalMeter()
+    for index in range(40):
+        meter.record_offered("lookup", "books", 17)
+        meter.record_offered("read", "books", 18)
+        if index % 4 == 0:
+            meter.record_refused("lookup")
+            meter.record_late("read")
+        elif index % 4 == 1:
+            meter.record_late("lookup")
+    rows = (("books", 17, 0.25),)
+    assert meter.report() == rows
+    assert meter.report("shop", {"lookup"}) == (*rows, ("shop", CALLS_PRIORITY, 0.5))
+    assert meter.report("shop", {"read"})[-1] == ("shop", CALLS_PRIORITY, 0.25)
+
+
+def test_some_late_calls_are_not_reported() -> None:
+    """Guards against messages from nodes whose calls are served."""
+    meter = RefusalMeter()
+    for index in range(50):
+        meter.record_offered("lookup", "books", 17)
+        if index % 10 == 0:
+            meter.record_late("lookup")
+    assert meter.report("shop", {"lookup"}) == ()
