Waits that refused callers keep to, and no runs that can't complete

Cause: a caller waits for Retry-After only if it is at most a third of the time it has left; a longer one made it ask when it liked. Requests without the time to complete were sent and took slots.

Change, only where the configuration has teams: Retry-After is at most what the caller keeps to, jitter included; that of a shed request grows with the ratio that is shed; a request with less than half of its mean run time left is refused by the first node. Answers to calls after their objective count as a lack of capacity of the called service (all deployments).

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -5,7 +5,7 @@
 from ..backend.crashes import QUARANTINE_RETRY_AFTER_MS
 from ..decisions.admission import MIN_RETRY_AFTER_MS
 from ..decisions.choice import Endpoint
-from ..decisions.returning import Attempt
+from ..decisions.returning import Attempt, can_complete
 from ..links.interfaces import Stream
 from ..messages import Answer, Failure, Reason, Refusal
 from .answer_writer import AnswerWriter
@@ -54,6 +54,7 @@
             attempt,
             now_ms,
             team=target.team,
+            has_teams=target.has_teams,
         )
         remaining_ms = min(caller.remaining_ms or route.timeout_ms, route.timeout_ms)
         self.done = False
@@ -123,6 +124,10 @@
     def _dispatch(self) -> None:
         context = self.context
         now_ms = context.runtime.now_ms()
+        mean_run_ms = context.mean_run_times.get_or_zero(self.route.name)
+        if not can_complete(self.record.left_ms(now_ms), mean_run_ms):
+            self._refuse(Reason.TOO_LATE, MIN_RETRY_AFTER_MS)
+            return
         endpoint = self._selector.choose(
             self._request_builder.selection_criteria(now_ms), now_ms
         )
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -39,6 +39,8 @@
         Priority of the request under overload; 0 is the highest.
     team : str
         Team of the caller; empty for none.
+    has_teams : bool
+        Whether the configuration has teams.
     """
 
     route: Route
@@ -46,6 +48,7 @@
     version: int
     priority: int
     team: str = ""
+    has_teams: bool = False
 
 
 @attrs.define(eq=False)
--- a/azurestep/mesh/callers/ending.py
+++ b/azurestep/mesh/callers/ending.py
@@ -34,6 +34,8 @@
         runtime.metrics.count(
             "calls", "good" if status < FIRST_NON_SUCCESS_STATUS else "error"
         )
+        if record.objective_ms(now_ms) < 0:
+            self.context.refusals.record_late(record.route.name)
         if status >= FIRST_NON_SUCCESS_STATUS:
             self.context.returning_callers.add(record.attempt)
         record.log_answered(status, now_ms)
@@ -46,7 +48,13 @@
         if reason in CAPACITY_REASONS:
             self.context.refusals.record_refused(record.route.name)
         self.context.returning_callers.add(record.attempt)
-        answer_refused(runtime, self.exchange, record.request_id, retry_after_ms)
+        answer_refused(
+            runtime,
+            self.exchange,
+            record.request_id,
+            retry_after_ms,
+            left_ms=record.left_ms(runtime.now_ms()),
+        )
 
     def report_failed(self, reason: Reason, status: int = BAD_GATEWAY) -> None:
         """Answer that the request may have run, or reset a started answer."""
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -1,6 +1,7 @@
 """Entry point of callers' requests: routes, keys and load shedding."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -93,7 +94,8 @@
         service = table.choose_service(route)
         attempt = context.identify_attempt(exchange, caller)
         target = _target(table, route, service, identity)
-        if self._should_shed(service, target.priority):
+        shed_ratio = self.load_shedder.shed_ratio(service, target.priority)
+        if shed_ratio > 0 and context.runtime.random.random() < shed_ratio:
             exchange.sink = Rejection(
                 context.runtime,
                 exchange,
@@ -102,6 +104,9 @@
                 Reason.PRESSURE,
                 route.name,
             )
+            if target.has_teams:
+                exchange.sink.retry_after_ms /= 1 - shed_ratio
+                exchange.sink.left_ms = caller.remaining_ms or math.inf
             context.returning_callers.add(attempt)
             return
         context.record_offered(target)
@@ -128,10 +133,6 @@
             route.name,
         )
 
-    def _should_shed(self, service: str, priority: int) -> bool:
-        ratio = self.load_shedder.shed_ratio(service, priority)
-        return ratio > 0 and self.context.runtime.random.random() < ratio
-
 
 def _with_team(caller: CallerFields, identity: Identity) -> CallerFields:
     """Return the caller's fields with its team's name in place of its key."""
@@ -148,7 +149,7 @@
     team = identity.team
     priority = effective_priority(route, team)
     name = "" if team is None else team.name
-    return Target(route, service, table.version, priority, name)
+    return Target(route, service, table.version, priority, name, has_teams=True)
 
 
 @attrs.define(eq=False)
@@ -163,6 +164,10 @@
         Status of the answer.
     route : str
         Name of the matched route; empty for none.
+    retry_after_ms : float
+        Time after which to retry a shed request.
+    left_ms : float
+        Time for which the caller waits; infinite if it isn't known.
     """
 
     runtime: Runtime
@@ -171,6 +176,8 @@
     status: int
     reason: Reason = Reason.NO_BACKEND
     route: str = ""
+    retry_after_ms: float = SHED_RETRY_AFTER_MS
+    left_ms: float = math.inf
     _timer: asyncio.TimerHandle | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -198,8 +205,14 @@
         self.runtime.metrics.count("calls", f"rejected_{self.status}")
         if self.status == UNAVAILABLE:
             shed = self.reason is Reason.PRESSURE
-            retry_after_ms = SHED_RETRY_AFTER_MS if shed else NO_BACKEND_RETRY_AFTER_MS
-            answer_refused(self.runtime, self.exchange, self.request_id, retry_after_ms)
+            retry_after_ms = self.retry_after_ms if shed else NO_BACKEND_RETRY_AFTER_MS
+            answer_refused(
+                self.runtime,
+                self.exchange,
+                self.request_id,
+                retry_after_ms,
+                left_ms=self.left_ms,
+            )
         else:
             headers = request_id_header(self.request_id)
             if self.status == UNAUTHORIZED:
--- a/azurestep/mesh/callers/own_answers.py
+++ b/azurestep/mesh/callers/own_answers.py
@@ -1,7 +1,10 @@
 """Answers that a node generates itself."""
 
+import math
+
 from ...http.server import Exchange, Headers
 from ...platform.headers import REQUEST_ID, read_caller
+from ..decisions.returning import limit_wait_ms
 from ..runtime import Runtime
 
 RETRY_AFTER_JITTER = 0.5
@@ -26,8 +29,14 @@
     request_id: bytes,
     retry_after_ms: float,
     status: int = UNAVAILABLE,
+    *,
+    left_ms: float = math.inf,
 ) -> None:
-    """Answer 503 or 429 with Retry-After: the request has not run."""
+    """Answer 503 or 429 with Retry-After: the request has not run.
+
+    ``left_ms``: time left to the caller, which waits for a part of it only.
+    """
+    retry_after_ms = limit_wait_ms(retry_after_ms, left_ms, RETRY_AFTER_JITTER)
     jitter = 1 + RETRY_AFTER_JITTER * (2 * runtime.random.random() - 1)
     headers = request_id_header(request_id)
     headers.append((b"Retry-After", b"%.3f" % (retry_after_ms * jitter / 1000)))
--- a/azurestep/mesh/callers/record.py
+++ b/azurestep/mesh/callers/record.py
@@ -1,5 +1,7 @@
 """Log lines about one call."""
 
+import math
+
 import attrs
 
 from ...routing.model import Route
@@ -26,6 +28,8 @@
         Time in the queue before that server, and at the server.
     team : str
         Team of the caller; empty for none.
+    has_teams : bool
+        Whether the configuration has teams.
     """
 
     request_id: bytes
@@ -40,6 +44,16 @@
     waited_ms: float = 0.0
     ran_ms: float = 0.0
     team: str = ""
+    has_teams: bool = False
+
+    def left_ms(self, now_ms: float) -> float:
+        """Return the time for which the caller waits; infinite if it isn't known.
+
+        Known only where the configuration has teams, as the waits that refused
+        callers are told depend on it.
+        """
+        known = self.has_teams and self.attempt.deadline_ms > now_ms
+        return self.attempt.deadline_ms - now_ms if known else math.inf
 
     def objective_ms(self, now_ms: float) -> float:
         """Return the time left to the objective; negative once it is missed."""
--- a/azurestep/mesh/decisions/returning.py
+++ b/azurestep/mesh/decisions/returning.py
@@ -15,6 +15,16 @@
 Exceeds the differences in transit times, which are 3 to 8 ms, and the rounding to whole
 milliseconds.
 """
+MAX_WAIT_SHARE = 1 / 3
+"""Share of the time left that a caller waits at most when it is told to.
+
+Told to wait longer, it asks at a time of its own, so the wait says nothing to it.
+"""
+MIN_RUN_SHARE = 0.5
+"""Share of the mean run time that must be left for a request to be sent at all.
+
+Half, since the mean may be too high, and only runs can correct it.
+"""
 MAX_TRACKED_ATTEMPTS = 4096
 """Bounds the memory used, to some 0.5 MB.
 
@@ -22,6 +32,28 @@
 """
 
 
+def limit_wait_ms(wait_ms: float, left_ms: float, jitter: float) -> float:
+    """Return a wait that the caller keeps to, also after jitter was added.
+
+    Examples
+    --------
+    >>> limit_wait_ms(400.0, 900.0, jitter=0.5), limit_wait_ms(100.0, 900.0, jitter=0.5)
+    (200.0, 100.0)
+    """
+    return min(wait_ms, left_ms * MAX_WAIT_SHARE / (1 + jitter))
+
+
+def can_complete(left_ms: float, mean_run_ms: float) -> bool:
+    """Whether a request may still be answered by its deadline.
+
+    Examples
+    --------
+    >>> can_complete(left_ms=60.0, mean_run_ms=200.0)
+    False
+    """
+    return left_ms >= mean_run_ms * MIN_RUN_SHARE
+
+
 @attrs.frozen(slots=True)
 class Attempt:
     """One attempt of a caller.
--- a/bench/calls_fleet.py
+++ b/bench/calls_fleet.py
@@ -30,7 +30,12 @@
     PressureReport,
     RefusalMeter,
 )
-from azurestep.mesh.decisions.returning import Attempt, ReturningCallers
+from azurestep.mesh.decisions.returning import (
+    Attempt,
+    ReturningCallers,
+    can_complete,
+    limit_wait_ms,
+)
 from azurestep.mesh.incarnation import Incarnation
 
 SERVERS, SLOTS = 12, 3
@@ -114,11 +119,13 @@
     returning: ReturningCallers = attrs.field(factory=ReturningCallers)
     run_times: MeanRunTimes = attrs.field(factory=MeanRunTimes)
     groups: dict[str, EndpointGroup] = attrs.field(factory=dict)
+    called_routes: set[str] = attrs.field(factory=set)
 
     def report(self) -> PressureReport:
         """Return what the node tells the others."""
         callers = self.detector.calling_services()
-        return PressureReport(self.service, callers, self.meter.report())
+        refusals = self.meter.report(self.service, self.called_routes)
+        return PressureReport(self.service, callers, refusals)
 
 
 class Fleet:
@@ -167,10 +174,19 @@
             act(*arguments)
         self.now_ms = until_ms
 
+    def close_servers(self, service: str, count: int) -> None:
+        """Let servers of a service take no further requests."""
+        closed = [one.number for one in self.nodes if one.service == service][:count]
+        for node in self.nodes:
+            for endpoint in node.groups[service]:
+                endpoint.open = endpoint.open and endpoint.key not in closed
+
     def _tick(self, number: int) -> None:
         reports = [node.report() for node in self.nodes]
         for node in self.nodes:
             node.meter.tick()
+            for other in self.nodes:
+                node.called_routes.update(other.detector.called_routes())
             if number % TICKS_PER_REPORT == 0:
                 for group in node.groups.values():
                     for endpoint in group:
@@ -197,14 +213,14 @@
         first_ms = node.returning.pop_first_attempt_ms(
             caller.key, self.now_ms, caller.deadline_ms
         )
-        attempt = Attempt(caller.key, first_ms, caller.deadline_ms)
+        returning = first_ms < self.now_ms
+        attempt = Attempt(caller.key, first_ms, caller.deadline_ms, returning)
         kind = caller.kind
-        if node.random.random() < node.shedder.shed_ratio(
-            kind.service, caller.priority
-        ):
+        shed_ratio = node.shedder.shed_ratio(kind.service, caller.priority)
+        if node.random.random() < shed_ratio:
             self.shed[kind.route] += 1
             node.returning.add(attempt)
-            self._refused(caller, node, SHED_RETRY_AFTER_MS)
+            self._refused(caller, node, SHED_RETRY_AFTER_MS / (1 - shed_ratio))
             return
 
         def on_end(result: str, retry_after_ms: float) -> None:
@@ -222,7 +238,8 @@
     def _refused(self, caller: Caller, node: Node, retry_after_ms: float) -> None:
         """Let a refused caller ask again, or give up."""
         jitter = 1 + RETRY_AFTER_JITTER * (2 * node.random.random() - 1)
-        wait_ms, left_ms = retry_after_ms * jitter, caller.deadline_ms - self.now_ms
+        left_ms = caller.deadline_ms - self.now_ms
+        wait_ms = limit_wait_ms(retry_after_ms, left_ms, RETRY_AFTER_JITTER) * jitter
         if wait_ms > left_ms / 3:
             wait_ms = self.random.uniform(0.1, 1.0) * left_ms / 3
         if caller.attempts >= MAX_ATTEMPTS or left_ms - wait_ms < MIN_PATIENCE_MS:
@@ -240,6 +257,10 @@
     def _dispatch(self, sent: Sent) -> None:
         node, kind, now_ms = sent.node, sent.kind, self.now_ms
         objective_ms = sent.first_ms + kind.objective_ms - now_ms
+        known_ms = node.run_times.get_or_zero(kind.route)
+        if not can_complete(sent.deadline_ms - now_ms, known_ms):
+            self._give_up(sent)
+            return
         mean_ms = node.run_times.get(kind.route)
         criteria = SelectionCriteria(
             kind.service, kind.route, objective_ms, mean_ms, 0.0, "a"
@@ -376,6 +397,8 @@
             if result == "good":
                 endpoint.mean_run_ms[sent.kind.route] = mean_ms
                 sent.node.run_times.record_run(sent.kind.route, mean_ms)
+            if self.now_ms > sent.first_ms + sent.kind.objective_ms:
+                sent.node.meter.record_late(sent.kind.route)
             on_time = self.now_ms <= sent.deadline_ms
             sent.on_end(result if on_time else "failed", 0.0)
 
--- a/bench/calls_model.py
+++ b/bench/calls_model.py
@@ -16,7 +16,7 @@
 import attrs
 import docopt
 
-from .calls_fleet import FULL_RATES, ORDER, READ, Fleet, Kind
+from .calls_fleet import FULL_RATES, ORDER, READ, SERVERS, Fleet, Kind
 from .results import Machine, at_end, machine_facts, write_result
 
 
@@ -47,6 +47,8 @@
 SETTLED_MS = 4000.0
 """When the run times and the calling services are known to all nodes."""
 USUAL, BURST = 0.75, 2.4
+LEFT = 1
+"""Servers of the called service that are left: half of what the calls alone need."""
 
 
 def scaled(load: float, orders: float = 1.0) -> dict[Kind, float]:
@@ -66,6 +68,16 @@
     return fleet
 
 
+def play_lack(seed: int) -> Fleet:
+    """Play the usual load while few servers of the called service are left."""
+    fleet = Fleet(seed)
+    fleet.run(WARM_MS, scaled(USUAL))
+    fleet.close_servers("books", SERVERS - LEFT)
+    fleet.run(WARM_MS + BURST_MS, scaled(USUAL))
+    fleet.run(WARM_MS + BURST_MS + AFTER_MS, {})
+    return fleet
+
+
 def play_load(seed: int, load: float) -> Fleet:
     """Play a load of all kinds alike."""
     fleet = Fleet(seed)
@@ -124,6 +136,13 @@
     return _row(f"load {load}", fleets, SETTLED_MS, WARM_MS + BURST_MS)
 
 
+def lack_row(seeds: int) -> Row:
+    """Return what was served while the called service lacked servers."""
+    fleets = [play_lack(seed) for seed in range(seeds)]
+    since_ms = WARM_MS + AFTER_MS
+    return _row("called service lacks servers", fleets, since_ms, WARM_MS + BURST_MS)
+
+
 @attrs.frozen
 class CallsResult:
     """All rows."""
@@ -139,6 +158,7 @@
     seeds = int(options["--seeds"])
     machine = machine_facts()
     rows = burst_rows(seeds) + [load_row(load, seeds) for load in LOADS]
+    rows.append(lack_row(seeds))
     print("| Span | All in time | Orders: in time, late, failed, refused | Reads |")
     print("| --- | --- | --- | --- |")
     for row in rows:
--- a/tests/test_mesh_calls_under_load.py
+++ b/tests/test_mesh_calls_under_load.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.calls_model import Row, load_row
+from bench.calls_model import Row, burst_rows, lack_row, load_row
 
 SEEDS = 1
 FORMER_IN_TIME = {0.7: 0.965, 1.0: 0.733, 1.4: 0.337, 2.4: 0.193}
@@ -37,3 +37,23 @@
     row = row_at(load)
     for kind in (row.orders, row.reads):
         assert kind.in_time + kind.late >= (1 / load) / 2
+
+
+def test_runs_are_shed_before_they_start_if_the_called_service_lacks_servers() -> None:
+    """82% of the orders failed, and few reads were served, with one server left."""
+    row = lack_row(SEEDS)
+    assert row.orders.failed <= 0.05
+    assert row.orders.in_time + row.orders.late >= 0.15
+    assert row.reads.in_time + row.reads.late >= 0.03
+
+
+def test_two_seconds_after_a_burst_all_is_served_as_before() -> None:
+    """Guards against queues and returning callers that outlast a burst."""
+    before, _, after = burst_rows(3)
+    for kind_before, kind_after in (
+        (before.orders, after.orders),
+        (before.reads, after.reads),
+    ):
+        served = kind_after.in_time + kind_after.late
+        assert served >= kind_before.in_time + kind_before.late - 0.01
+    assert after.in_time >= before.in_time - 0.05
--- a/tests/test_mesh_returning.py
+++ b/tests/test_mesh_returning.py
@@ -1,6 +1,7 @@
 """Client retries and their effect on other requests."""
 
 import heapq
+import math
 from collections import Counter
 from random import Random
 
@@ -8,7 +9,11 @@
 
 from azurestep.mesh.callers.context import CallContext
 from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
-from azurestep.mesh.decisions.returning import Attempt, ReturningCallers
+from azurestep.mesh.decisions.returning import (
+    Attempt,
+    ReturningCallers,
+    limit_wait_ms,
+)
 
 from .fixtures_mesh import MeshFleet, caller_headers
 from .test_mesh_admission import end_request, remove_expiring
@@ -168,3 +173,14 @@
     await mesh.get(mesh.instances[0], "/read/9", "n2", 900)
     await mesh.get(mesh.instances[0], "/read/9", "n3", 895)
     assert [attempt.is_retry for attempt in asked] == [False, False, True]
+
+
+def test_a_refused_caller_is_told_a_wait_that_it_keeps_to() -> None:
+    """Callers told to wait longer than a third of their time ask when they like."""
+    jitter = 0.5
+    for left_ms in (50.0, 400.0, 3000.0):
+        for wait_ms in (20.0, 120.0, 5000.0):
+            told_ms = limit_wait_ms(wait_ms, left_ms, jitter)
+            assert told_ms * (1 + jitter) <= left_ms / 3 + 1e-9 or told_ms == wait_ms
+            assert told_ms <= wait_ms
+    assert limit_wait_ms(120.0, math.inf, jitter) == 120.0
