--- a/azurestep/mesh/callers/ending.py
+++ b/azurestep/mesh/callers/ending.py
@@ -34,7 +34,8 @@
         runtime.metrics.count(
             "calls", "good" if status < FIRST_NON_SUCCESS_STATUS else "error"
         )
-        if record.objective_ms(now_ms) < 0:
+        if record.objective_ms(now_ms) < 0 and record.waited_ms > record.ran_ms:
+            # Calls that are late since they run long show no lack of capacity.
             self.context.refusals.record_late(record.route.name)
         if status >= FIRST_NON_SUCCESS_STATUS:
             self.context.returning_callers.add(record.attempt)
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -108,6 +108,10 @@
         """Requests that wait for a slot."""
         return list(self._waiting)
 
+    def kept_slots(self, now_ms: float) -> int:
+        """Return how many slots are kept free for calls between services."""
+        return self._call_slots.kept(now_ms, self.slots)
+
     def mean_run_ms(self, route: str) -> float:
         """Return the mean run time of a route's requests.
 
@@ -227,7 +231,7 @@
         return first if self._has_free_slot(first, now_ms) else None
 
     def _has_free_slot(self, ticket: Ticket, now_ms: float) -> bool:
-        kept = 0 if ticket.is_call else self._call_slots.kept(now_ms, self.slots)
+        kept = 0 if ticket.is_call else self.kept_slots(now_ms)
         return len(self.running) < self.slots - kept
 
     def _take_slot(self, ticket: Ticket, now_ms: float) -> bool:
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -9,6 +9,7 @@
 instances of a single service, while those of external clients come from all instances.
 """
 
+import sys
 from collections.abc import Container, Iterable, Iterator
 
 import attrs
@@ -39,14 +40,14 @@
 """
 CALLS_PRIORITY = -1
 """In place of a priority: calls that the runs of a node's own service made."""
-TOLERATED_LACK = 0.2
+TOLERATED_LACK = 0.3
 """Ratio of calls without an answer in time at which new work is not shed yet.
 
 A called service without spare slots makes some calls wait, but serves them all.
 """
-LACK_GAIN = 5.0
+LACK_GAIN = 4.0
 """How fast shedding rises with that ratio."""
-MAX_LACK_SHED_RATIO = 0.95
+MAX_LACK_SHED_RATIO = 0.9
 """Keeps some requests, which show when the called service has capacity again.
 
 High, since a caller that is refused asks up to three times more.
@@ -60,7 +61,7 @@
 """Service, priority, and the ratio of a route's requests that were refused.
 
 With ``CALLS_PRIORITY``, the calling service, and the ratio of its calls that were
-refused or answered after their objective.
+refused or waited so long that they missed their objective.
 """
 
 
@@ -123,7 +124,7 @@
 
     @property
     def lack(self) -> float:
-        """Ratio that was refused or answered after the objective, rounded."""
+        """Ratio that was refused or waited too long for its objective, rounded."""
         return min(1.0, self._ratio_of(self.refused + self.late))
 
     def _ratio_of(self, count: float) -> float:
@@ -152,7 +153,7 @@
             counts.refused += 1
 
     def record_late(self, route: str) -> None:
-        """Count a request that was answered after its objective."""
+        """Count a request that waited so long that it missed its objective."""
         counts = self._counts.get(route)
         if counts is not None:
             counts.late += 1
@@ -162,6 +163,11 @@
         for counts in self._counts.values():
             counts.decay()
 
+    def lack(self, called_routes: Container[str]) -> float:
+        """Return the ratio of calls that got no answer in time, on the worst route."""
+        calls = (one for name, one in self._counts.items() if name in called_routes)
+        return max((one.lack for one in calls), default=0.0)
+
     def report(
         self, own_service: str = "", called_routes: Container[str] = ()
     ) -> tuple[RefusalRatio, ...]:
@@ -179,8 +185,7 @@
             for _, counts in sorted(self._counts.items())
             if counts.ratio
         ]
-        calls = (one for name, one in self._counts.items() if name in called_routes)
-        lack = max((one.lack for one in calls), default=0.0)
+        lack = self.lack(called_routes)
         if lack > TOLERATED_LACK:
             rows.append((own_service, CALLS_PRIORITY, lack))
         return tuple(rows)
@@ -254,11 +259,14 @@
                 )
                 self._ratios.setdefault(caller, []).append((call_priority, ratio))
 
-    def shed_ratio(self, service: str, priority: int, returning: bool = False) -> float:
-        """Return the ratio of a service's requests of a priority to refuse.
+    @property
+    def max_ratio(self) -> float:
+        """Largest ratio by which requests to any service are refused."""
+        services = {*self._ratios, *self._lacks}
+        return max((self.shed_ratio(one, sys.maxsize) for one in services), default=0.0)
 
-        Callers that were refused before and return are refused less often, so that
-        they don't starve behind fresh requests.
+    def shed_ratio(self, service: str, priority: int) -> float:
+        """Return the ratio of a service's requests of a priority to refuse.
 
         Requests of any priority whose calls lack capacity would fail after they held
         a slot, so all priorities are refused alike then.
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -559,6 +559,13 @@
         gauges["backend_running"] = len(self.inbound.admission.running)
         gauges["backend_busy"] = self.inbound.admission.in_flight
         gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["backend_slots_kept"] = self.inbound.admission.kept_slots(
+            self.runtime.now_ms()
+        )
+        gauges["calls_lacking"] = self.call_context.refusals.lack(
+            self.members.called_routes
+        )
+        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
         gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
         gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
         gauges["store_era"] = self.store_era.current
