--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -23,7 +23,7 @@
 from ...routing.model import Route
 from ...routing.table import RoutingTable
 from .. import events
-from ..decisions.pressure import LoadShedder
+from ..decisions.pressure import MAX_LACK_SHED_RATIO, LoadShedder
 from ..messages import Reason
 from ..runtime import Runtime
 from .call import Call
@@ -94,7 +94,7 @@
         service = table.choose_service(route)
         attempt = context.identify_attempt(exchange, caller)
         target = _target(table, route, service, identity)
-        shed_ratio = self.load_shedder.shed_ratio(service, target.priority)
+        shed_ratio = self._shed_ratio(target)
         if shed_ratio > 0 and context.runtime.random.random() < shed_ratio:
             exchange.sink = Rejection(
                 context.runtime,
@@ -105,7 +105,9 @@
                 route.name,
             )
             if target.has_teams:
-                exchange.sink.retry_after_ms /= 1 - shed_ratio
+                exchange.sink.retry_after_ms /= max(
+                    1 - shed_ratio, 1 - MAX_LACK_SHED_RATIO
+                )
                 exchange.sink.left_ms = caller.remaining_ms or math.inf
             context.returning_callers.add(attempt)
             return
@@ -133,6 +135,12 @@
             route.name,
         )
 
+    def _shed_ratio(self, target: Target) -> float:
+        """Return the ratio to refuse of new work; calls between services are not."""
+        if target.route.name in self.context.members.called_routes:
+            return 0.0
+        return self.load_shedder.shed_ratio(target.service, target.priority)
+
 
 def _with_team(caller: CallerFields, identity: Identity) -> CallerFields:
     """Return the caller's fields with its team's name in place of its key."""
--- a/tests/test_mesh_teams.py
+++ b/tests/test_mesh_teams.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from azurestep.errors import ConfigurationError
+from azurestep.mesh.decisions.pressure import LoadShedder
 from azurestep.platform.document import read_document
 from azurestep.platform.headers import read_keys, replace_credentials
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
@@ -227,3 +228,46 @@
     (run,) = received(mesh)
     assert run.headers.get("authorization") == "Token any"
     assert run.headers.get("tenant") == "any"
+
+
+class FullShedder(LoadShedder):
+    """Sheds all requests."""
+
+    def shed_ratio(self, service: str, priority: int) -> float:
+        return 1.0
+
+
+async def test_a_shed_caller_is_told_a_wait_that_it_keeps_to(
+    team_mesh: MeshFleet,
+) -> None:
+    """Callers told to wait longer than a third of their time ask when they like."""
+    team_mesh.instances[0].node.outbound.load_shedder = FullShedder()
+    headers = {**caller_headers("w1", 600), "Authorization": f"Token {KEY}"}
+    url = team_mesh.instances[0].url("/read/1")
+    async with team_mesh.session.get(url, headers=headers) as answer:
+        assert answer.status == 503
+        assert 0 < float(answer.headers["Retry-After"]) <= 0.2
+    assert not received(team_mesh)
+
+
+async def test_calls_between_services_are_not_shed(team_mesh: MeshFleet) -> None:
+    """Guards against runs that fail as their calls are shed at the first node."""
+    node = team_mesh.instances[0].node
+    node.outbound.load_shedder = FullShedder()
+    node.members.called_routes.add("read")
+    key = ("Authorization", f"Token {KEY}")
+    assert await ask(team_mesh, "c1", key) == 200
+
+
+async def test_a_request_without_the_time_for_a_run_is_refused_at_once(
+    team_mesh: MeshFleet,
+) -> None:
+    """Guards the slots against runs that are cut off at their deadline."""
+    node = team_mesh.instances[0].node
+    node.call_context.mean_run_times.record_run("read", 5000.0)
+    headers = {**caller_headers("t1", 600), "Authorization": f"Token {KEY}"}
+    url = team_mesh.instances[0].url("/read/1")
+    async with team_mesh.session.get(url, headers=headers) as answer:
+        assert answer.status == 503
+        assert 0 < float(answer.headers["Retry-After"]) <= 0.2
+    assert not received(team_mesh)
