--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -170,11 +170,7 @@
             return Refused(self.estimate_retry_after_ms(now_ms))
         running_calls = sum(1 for one in self.running if one.is_call)
         self._call_slots.record_arrival(now_ms, ticket.is_call, running_calls)
-        if (
-            self._has_free_slot(ticket, now_ms)
-            and not self._waiting
-            and self._take_slot(ticket, now_ms)
-        ):
+        if self._may_start_now(ticket, now_ms) and self._take_slot(ticket, now_ms):
             return True
         end_ms += self._wait_in_queue_ms(ticket, now_ms)
         latest_ms = self.run_deadline_ms(ticket)
@@ -188,7 +184,7 @@
     def estimate_end_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return when a request would end that is admitted now."""
         end_ms = now_ms + self.mean_run_ms(ticket.route)
-        if self._has_free_slot(ticket, now_ms) and not self._waiting:
+        if self._may_start_now(ticket, now_ms):
             return end_ms
         return end_ms + self._wait_in_queue_ms(ticket, now_ms)
 
@@ -230,6 +226,17 @@
                 first = in_order[0]
         return first if self._has_free_slot(first, now_ms) else None
 
+    def _may_start_now(self, ticket: Ticket, now_ms: float) -> bool:
+        """Whether a new request may take a free slot ahead of those that wait.
+
+        Calls may: new work waits beside a slot that is kept free for them.
+        """
+        if not self._has_free_slot(ticket, now_ms):
+            return False
+        return not self._waiting or (
+            ticket.is_call and not any(one.is_call for one in self._waiting)
+        )
+
     def _has_free_slot(self, ticket: Ticket, now_ms: float) -> bool:
         kept = 0 if ticket.is_call else self.kept_slots(now_ms)
         return len(self.running) < self.slots - kept
