--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from azurestep.mesh.decisions.pressure import CALLS_PRIORITY
 from azurestep.mesh.decisions.rollout import Phase
 from azurestep.mesh.deltas import encode_delta
 from azurestep.mesh.links import decoding
@@ -274,3 +275,11 @@
     decoder = Decoder(INCOMING_LINK_SCHEMAS)
     assert decoder.feed(b"\xdd\x05\xff\xff\xff") == []
     assert decoder.fault
+
+
+def test_a_state_with_calls_that_lack_capacity_is_read() -> None:
+    """Its priority is negative, so as not to be that of a route."""
+    lacking = attrs.evolve(STATE, refusals=(("shop", CALLS_PRIORITY, 0.5),))
+    decoder = Decoder(PEER_CONNECTION_SCHEMAS)
+    messages = list(decoder.feed(encode(Kind.STATE, *fields_of(lacking))))
+    assert [message for _, message in messages] == [lacking]
