--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -410,11 +410,6 @@
 
     def _log_refused(self, reason: Reason) -> None:
         admission = self.inbound.admission
-        optional: dict[str, object] = {}
-        if self.request.team:
-            optional["team"] = self.request.team
-        if self.ticket.is_call:
-            optional["call"] = True
         events.log(
             events.RUN_REFUSED,
             id=self.request.request_id,
@@ -423,7 +418,6 @@
             running=len(admission.running),
             busy=admission.in_flight,
             slots=admission.slots,
-            **optional,
         )
         self.inbound.load.refused += 1
         self.inbound.runtime.metrics.count("refused_here", reason.name)
