Merge: fair queueing and shedding

The test of the retry budget names its target as record_offered takes it since teams came; what it checks is unchanged.

--- a/azurestep/mesh/callers/ending.py
+++ b/azurestep/mesh/callers/ending.py
@@ -36,6 +36,9 @@
         runtime.metrics.count(
             "calls", "good" if status < FIRST_NON_SUCCESS_STATUS else "error"
         )
+        if record.objective_ms(now_ms) < 0 and record.waited_ms > record.ran_ms:
+            # Calls that are late since they run long show no lack of capacity.
+            self.context.refusals.record_late(record.route.name)
         if status >= FIRST_NON_SUCCESS_STATUS:
             self.context.returning_callers.add(record.attempt)
         self._count_for_team(self._outcome_of_answer(status, now_ms))
@@ -62,7 +65,13 @@
         if record.team:
             self.context.quotas.give_back(record.team)
         self.context.returning_callers.add(record.attempt)
-        answer_refused(runtime, self.exchange, record.request_id, retry_after_ms)
+        answer_refused(
+            runtime,
+            self.exchange,
+            record.request_id,
+            retry_after_ms,
+            left_ms=record.left_ms(runtime.now_ms()),
+        )
 
     def report_failed(self, reason: Reason, status: int = BAD_GATEWAY) -> None:
         """Answer that the request may have run, or reset a started answer."""
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -1,6 +1,7 @@
 """Entry point of callers' requests: routes, keys and load shedding."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -24,7 +25,7 @@
 from ...routing.table import RoutingTable
 from ...routing.teams import Team
 from .. import events
-from ..decisions.pressure import LoadShedder
+from ..decisions.pressure import MAX_LACK_SHED_RATIO, LoadShedder
 from ..decisions.returning import Attempt
 from ..decisions.revocation import KeyFreshness
 from ..messages import Reason
@@ -51,6 +52,7 @@
 NOT_FOUND = 404
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
+RETRIABLE = frozenset({UNAVAILABLE, TOO_MANY_REQUESTS})
 CHALLENGE = (b"WWW-Authenticate", b"Token")
 
 
@@ -107,18 +109,9 @@
         if self._exceeds_quota(exchange, request_id, target, identity.team, attempt):
             context.returning_callers.add(attempt)
             return
-        if self._should_shed(service, target.priority):
-            if target.team:
-                context.quotas.give_back(target.team)
-            exchange.sink = Rejection(
-                context.runtime,
-                exchange,
-                request_id,
-                UNAVAILABLE,
-                Reason.PRESSURE,
-                route.name,
-                details=_details(target),
-            )
+        shed_ratio = self._shed_ratio(target)
+        if shed_ratio > 0 and context.runtime.random.random() < shed_ratio:
+            exchange.sink = self._shed(exchange, caller, target, shed_ratio)
             context.returning_callers.add(attempt)
             return
         context.record_offered(target)
@@ -185,7 +178,7 @@
             Reason.QUOTA,
             target.route.name,
             retry_after_ms,
-            {**_details(target), **context.quotas.describe(team.name)},
+            details={**_details(target), **context.quotas.describe(team.name)},
         )
         return True
 
@@ -196,9 +189,36 @@
         run_ms = self.context.mean_run_times.get(route.name)
         return attempt.is_retry and left_ms < run_ms
 
-    def _should_shed(self, service: str, priority: int) -> bool:
-        ratio = self.load_shedder.shed_ratio(service, priority)
-        return ratio > 0 and self.context.runtime.random.random() < ratio
+    def _shed(
+        self,
+        exchange: Exchange,
+        caller: CallerFields,
+        target: Target,
+        shed_ratio: float,
+    ) -> "Rejection":
+        """Return the rejection of new work that is shed."""
+        if target.team:
+            self.context.quotas.give_back(target.team)
+        rejection = Rejection(
+            self.context.runtime,
+            exchange,
+            caller.request_id,
+            UNAVAILABLE,
+            Reason.PRESSURE,
+            target.route.name,
+            SHED_RETRY_AFTER_MS,
+            details=_details(target),
+        )
+        if target.has_teams:
+            rejection.retry_after_ms /= max(1 - shed_ratio, 1 - MAX_LACK_SHED_RATIO)
+            rejection.left_ms = caller.remaining_ms or math.inf
+        return rejection
+
+    def _shed_ratio(self, target: Target) -> float:
+        """Return the ratio to refuse of new work; calls between services are not."""
+        if target.route.name in self.context.members.called_routes:
+            return 0.0
+        return self.load_shedder.shed_ratio(target.service, target.priority)
 
 
 def _with_team(caller: CallerFields, identity: Identity) -> CallerFields:
@@ -216,7 +236,7 @@
     team = identity.team
     priority = effective_priority(route, team)
     name = "" if team is None else team.name
-    return Target(route, service, table.version, priority, name)
+    return Target(route, service, table.version, priority, name, has_teams=True)
 
 
 def _details(target: Target) -> dict[str, object]:
@@ -239,7 +259,9 @@
     route : str
         Name of the matched route; empty for none.
     retry_after_ms : float
-        When the caller may retry; 0 for the default of the reason.
+        When the caller may retry after a status that allows it.
+    left_ms : float
+        Time for which the caller waits; infinite if it isn't known.
     details : dict
         Further fields of the log line; ``team`` is counted.
     """
@@ -250,7 +272,8 @@
     status: int
     reason: Reason = Reason.NO_BACKEND
     route: str = ""
-    retry_after_ms: float = 0.0
+    retry_after_ms: float = NO_BACKEND_RETRY_AFTER_MS
+    left_ms: float = math.inf
     details: dict[str, object] = attrs.field(factory=dict)
     _timer: asyncio.TimerHandle | None = None
 
@@ -280,17 +303,14 @@
         self.runtime.metrics.count("calls", f"rejected_{self.status}")
         team = str(self.details.get("team", ""))
         self.runtime.metrics.teams.record(team, outcome_of_refusal(self.reason))
-        if self.status == UNAVAILABLE:
-            shed = self.reason is Reason.PRESSURE
-            retry_after_ms = SHED_RETRY_AFTER_MS if shed else NO_BACKEND_RETRY_AFTER_MS
-            answer_refused(self.runtime, self.exchange, self.request_id, retry_after_ms)
-        if self.status in (UNAVAILABLE, TOO_MANY_REQUESTS):
+        if self.status in RETRIABLE:
             answer_refused(
                 self.runtime,
                 self.exchange,
                 self.request_id,
-                self.retry_after_ms or self._default_retry_after_ms(),
+                self.retry_after_ms,
                 self.status,
+                left_ms=self.left_ms,
             )
         else:
             headers = request_id_header(self.request_id)
@@ -298,10 +318,6 @@
                 headers.append(CHALLENGE)
             self.exchange.answer(self.status, headers, b"")
 
-    def _default_retry_after_ms(self) -> float:
-        shed = self.reason is Reason.PRESSURE
-        return SHED_RETRY_AFTER_MS if shed else NO_BACKEND_RETRY_AFTER_MS
-
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/azurestep/mesh/callers/own_answers.py
+++ b/azurestep/mesh/callers/own_answers.py
@@ -1,7 +1,10 @@
 """Answers that a node generates itself."""
 
+import math
+
 from ...http.server import Exchange, Headers
 from ...platform.headers import REQUEST_ID, read_caller
+from ..decisions.returning import limit_wait_ms
 from ..runtime import Runtime
 
 RETRY_AFTER_JITTER = 0.5
@@ -27,11 +30,15 @@
     request_id: bytes,
     retry_after_ms: float,
     status: int = UNAVAILABLE,
+    *,
+    left_ms: float = math.inf,
 ) -> None:
     """Answer 503 or 429 with Retry-After: the request has not run.
 
     A caller above its quota is not told to retry before there is a token.
+    ``left_ms``: time left to the caller, which waits for a part of it only.
     """
+    retry_after_ms = limit_wait_ms(retry_after_ms, left_ms, RETRY_AFTER_JITTER)
     jitter = 1 + RETRY_AFTER_JITTER * (2 * runtime.random.random() - 1)
     if status == TOO_MANY_REQUESTS:
         jitter = 1 + RETRY_AFTER_JITTER * runtime.random.random()
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -8,7 +8,9 @@
 
 import attrs
 
+from .call_slots import MIN_NEW_SHARE, CallSlots
 from .rate_limit import RateLimiter
+from .team_shares import NO_TEAM_TAG, TeamShares
 
 INITIAL_RUN_MS = 150.0
 """Run time assumed for a route before its first sample."""
@@ -18,6 +20,9 @@
 """Shortest time after which a refused caller is asked to retry."""
 MAX_RETRY_AFTER_MS = 1000.0
 """Longest such time, since a backend server may lift its rate limit at any moment."""
+Rank = tuple[bool, bool, int, float, float]
+"""Sort key of a request: whether it is new work, whether it misses its objective, its
+priority, the virtual start time of its team, and its objective."""
 
 
 @attrs.define(slots=True, eq=False)
@@ -34,6 +39,14 @@
         Data attached by the code that submits the request; not used here.
     sent : bool
         Whether the request was sent to the backend server.
+    is_call : bool
+        Whether a run at another backend server made the request and waits for it.
+    team : str
+        Team of the caller; empty for none.
+    weight : float
+        Weight of the team.
+    started_ms, charged_ms : float
+        When it got its slot, and the run time that its team was charged for then.
     """
 
     route: str
@@ -43,6 +56,11 @@
     deadline_ms: float
     owner: object = None
     sent: bool = False
+    is_call: bool = False
+    team: str = ""
+    weight: float = 1.0
+    started_ms: float = 0.0
+    charged_ms: float = 0.0
 
 
 @attrs.frozen(slots=True)
@@ -66,15 +84,19 @@
         When all runs must have ended; infinite unless the node is shutting down.
     limiter : RateLimiter
         Rate limit that the backend server named, if any.
+    shares : TeamShares
+        Run time that each team has used.
     """
 
     slots: int = 1
     running: set[Ticket] = attrs.field(factory=set)
     drain_deadline_ms: float = math.inf
     limiter: RateLimiter = attrs.field(factory=RateLimiter)
+    shares: TeamShares = attrs.field(factory=TeamShares)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _mean_run_ms: dict[str, float] = attrs.field(factory=dict)
     _fleet_mean_run_ms: dict[str, float] = attrs.field(factory=dict)
+    _call_slots: CallSlots = attrs.field(factory=CallSlots)
 
     @property
     def in_flight(self) -> int:
@@ -86,6 +108,10 @@
         """Requests that wait for a slot."""
         return list(self._waiting)
 
+    def kept_slots(self, now_ms: float) -> int:
+        """Return how many slots are kept free for calls between services."""
+        return self._call_slots.kept(now_ms, self.slots)
+
     def mean_run_ms(self, route: str) -> float:
         """Return the mean run time of a route's requests.
 
@@ -125,6 +151,8 @@
 
         A request that can't meet its objective runs if a slot is free and is refused
         otherwise: in the queue it would mostly be refused shortly before its deadline.
+        A call between services may wait until it can just end before its deadline,
+        since the run that made it can use the answer until then and is wasted without.
 
         Parameters
         ----------
@@ -140,15 +168,13 @@
         end_ms = now_ms + self.mean_run_ms(ticket.route)
         if end_ms > self.drain_deadline_ms:
             return Refused(self.estimate_retry_after_ms(now_ms))
-        if (
-            self._has_free_slot()
-            and not self._waiting
-            and self._take_slot(ticket, now_ms)
-        ):
+        running_calls = sum(1 for one in self.running if one.is_call)
+        self._call_slots.record_arrival(now_ms, ticket.is_call, running_calls)
+        if self._may_start_now(ticket, now_ms) and self._take_slot(ticket, now_ms):
             return True
         end_ms += self._wait_in_queue_ms(ticket, now_ms)
         latest_ms = self.run_deadline_ms(ticket)
-        if not committed:
+        if not (committed or ticket.is_call):
             latest_ms = min(latest_ms, ticket.objective_deadline_ms)
         if end_ms > latest_ms:
             return Refused(self.estimate_retry_after_ms(now_ms))
@@ -158,37 +184,77 @@
     def estimate_end_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return when a request would end that is admitted now."""
         end_ms = now_ms + self.mean_run_ms(ticket.route)
-        if self._has_free_slot() and not self._waiting:
+        if self._may_start_now(ticket, now_ms):
             return end_ms
         return end_ms + self._wait_in_queue_ms(ticket, now_ms)
 
-    def remove(self, ticket: Ticket) -> None:
-        """Remove a request that ended, whether it ran or waited."""
+    def remove(self, ticket: Ticket, now_ms: float | None = None) -> None:
+        """Remove a request that ended, whether it ran or waited.
+
+        ``now_ms``: charges its team for the time that it held its slot, instead of the
+        expected one.
+        """
         if ticket in self.running:
             self.running.discard(ticket)
             if not ticket.sent:
                 self.limiter.give_back()
+            if ticket.team and now_ms is not None:
+                excess_ms = now_ms - ticket.started_ms - ticket.charged_ms
+                self.shares.correct(
+                    ticket.priority, ticket.team, ticket.weight, excess_ms
+                )
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
     def start_next(self, now_ms: float) -> Ticket | None:
         """Give a free slot to the first request in the queue and return it."""
-        if not self._waiting or not self._has_free_slot():
-            return None
-        chosen = min(self._waiting, key=lambda item: self._rank(item, now_ms))
-        if not self._take_slot(chosen, now_ms):
+        chosen = self._next_to_start(now_ms)
+        if chosen is None or not self._take_slot(chosen, now_ms):
             return None
         self._waiting.remove(chosen)
         return chosen
 
-    def _has_free_slot(self) -> bool:
-        return len(self.running) < self.slots
+    def _next_to_start(self, now_ms: float) -> Ticket | None:
+        """Return the first request in the queue if there is a slot for it."""
+        if not self._waiting or len(self.running) >= self.slots:
+            return None
+        in_order = self._in_order(now_ms)
+        first = in_order[0]
+        if first.is_call and self._call_slots.owes_new_work:
+            first = next((one for one in in_order if not one.is_call), first)
+            if not self._has_free_slot(first, now_ms):
+                first = in_order[0]
+        return first if self._has_free_slot(first, now_ms) else None
+
+    def _may_start_now(self, ticket: Ticket, now_ms: float) -> bool:
+        """Whether a new request may take a free slot ahead of those that wait.
+
+        Calls may: new work waits beside a slot that is kept free for them.
+        """
+        if not self._has_free_slot(ticket, now_ms):
+            return False
+        return not self._waiting or (
+            ticket.is_call and not any(one.is_call for one in self._waiting)
+        )
+
+    def _has_free_slot(self, ticket: Ticket, now_ms: float) -> bool:
+        kept = 0 if ticket.is_call else self.kept_slots(now_ms)
+        return len(self.running) < self.slots - kept
 
     def _take_slot(self, ticket: Ticket, now_ms: float) -> bool:
         """Give a free slot to a request, if the rate limit allows one more."""
         if not self.limiter.try_take(now_ms):
             return False
         self.running.add(ticket)
+        self._call_slots.record_start(
+            now_ms - ticket.arrived_ms, self.mean_run_ms(ticket.route), ticket.is_call
+        )
+        if ticket.team:
+            ticket.started_ms = now_ms
+            ticket.charged_ms = self.mean_run_ms(ticket.route)
+            self.shares.record_start(
+                ticket.priority, ticket.team, ticket.weight, ticket.charged_ms
+            )
         return True
 
     def next_start_ms(self, now_ms: float) -> float | None:
@@ -196,7 +262,7 @@
 
         None if no request waits for it; a slot that becomes free needs no timer.
         """
-        if not self.limiter.active or not self._waiting or not self._has_free_slot():
+        if not self.limiter.active or self._next_to_start(now_ms) is None:
             return None
         wait_ms = self.limiter.wait_ms(now_ms)
         return None if wait_ms == math.inf else now_ms + wait_ms
@@ -215,9 +281,11 @@
                 one for one in self._waiting if not self.can_end_in_time(one, now_ms)
             ]
         expiring: list[Ticket] = []
-        slot_ms = now_ms + (self._estimate_wait_ms(0.0) if draining else 0.0)
+        slot_ms = now_ms + (
+            self._estimate_wait_ms(0.0, self.slots) if draining else 0.0
+        )
         ahead = 0
-        for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
+        for ticket in self._in_order(now_ms):
             start_ms = max(slot_ms, now_ms + self.limiter.wait_ms(now_ms, ahead))
             if self._is_worth_waiting(ticket, start_ms, ahead):
                 ahead += 1
@@ -235,7 +303,7 @@
         gets the next token, even if it comes a little late.
         """
         end_ms = start_ms + self.mean_run_ms(ticket.route)
-        misses_objective = end_ms > ticket.objective_deadline_ms
+        misses_objective = not ticket.is_call and end_ms > ticket.objective_deadline_ms
         if self.limiter.active and ahead and misses_objective:
             return False
         return end_ms <= self.run_deadline_ms(ticket)
@@ -260,25 +328,78 @@
 
     def _wait_in_queue_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return how long a new request would wait."""
-        rank = self._rank(ticket, now_ms)
-        ahead = [one for one in self._waiting if self._rank(one, now_ms) <= rank]
+        ranks = self._ranks([*self._waiting, ticket], now_ms)
+        rank = ranks.pop()
+        ahead = [
+            one
+            for one, other in zip(self._waiting, ranks, strict=True)
+            if other <= rank
+        ]
         ahead_ms = sum(self.mean_run_ms(one.route) for one in ahead)
         limit_ms = self.limiter.wait_ms(now_ms, len(ahead))
-        return max(self._estimate_wait_ms(ahead_ms), limit_ms)
+        wait_ms = self._estimate_wait_ms(ahead_ms, self.slots)
+        if not ticket.is_call:
+            wait_ms = self._wait_of_new_work_ms(ahead, ahead_ms, now_ms)
+        return max(wait_ms, limit_ms)
 
-    def _estimate_wait_ms(self, ahead_ms: float) -> float:
-        """Return how long a request waits behind queued work of a given length."""
-        running_ms = sum(self.mean_run_ms(other.route) for other in self.running)
-        return (ahead_ms + running_ms / max(1, len(self.running))) / self.slots
+    def _wait_of_new_work_ms(
+        self, ahead: list[Ticket], ahead_ms: float, now_ms: float
+    ) -> float:
+        """Return how long new work waits on the slots that calls leave to it.
 
-    def _rank(self, ticket: Ticket, now_ms: float) -> tuple[bool, int, float]:
-        """Return the sort key of a waiting request.
+        At most until its guaranteed share of the run time reaches it.
+        """
+        left = self._call_slots.left(now_ms, self.slots)
+        new_ms = sum(self.mean_run_ms(one.route) for one in ahead if not one.is_call)
+        return min(
+            self._estimate_wait_ms(ahead_ms, left),
+            self._estimate_wait_ms(new_ms, self.slots * MIN_NEW_SHARE),
+        )
 
-        Requests that can meet their objective go first, then the more urgent priority,
-        then the earlier objective. Calls between services have the shortest objectives
-        and so go first within a priority; refusing one wastes the calling run.
+    def _estimate_wait_ms(self, ahead_ms: float, slots: float) -> float:
+        """Return how long a request waits behind queued work of a given length."""
+        running_ms = sum(self.mean_run_ms(other.route) for other in self.running)
+        mean_ms = running_ms / max(1, len(self.running))
+        return (ahead_ms + mean_ms) / slots
+
+    def _in_order(self, now_ms: float) -> list[Ticket]:
+        """Return the waiting requests in the order in which they get slots."""
+        ranks = self._ranks(self._waiting, now_ms)
+        order = sorted(range(len(ranks)), key=ranks.__getitem__)
+        return [self._waiting[index] for index in order]
+
+    def _ranks(self, tickets: list[Ticket], now_ms: float) -> list[Rank]:
+        """Return the sort keys of requests.
+
+        Calls between services go before new work, as the runs that made them hold
+        slots meanwhile. Of new work, requests that can meet their objective go first,
+        then the more urgent priority, then the team that is furthest behind its share,
+        then the earlier objective.
         """
+        ranks = [self._rank(ticket, now_ms) for ticket in tickets]
+        if not any(ticket.team for ticket in tickets):
+            return ranks
+        order = sorted(range(len(ranks)), key=ranks.__getitem__)
+        in_order = (tickets[index] for index in order)
+        tags = self.shares.tags(
+            (one.priority, one.team, one.weight, self.mean_run_ms(one.route))
+            for one in in_order
+        )
+        for index, tag in zip(order, tags, strict=True):
+            is_new, misses_objective, priority, _, objective_ms = ranks[index]
+            ranks[index] = (is_new, misses_objective, priority, tag, objective_ms)
+        return ranks
+
+    def _rank(self, ticket: Ticket, now_ms: float) -> Rank:
+        """Return the sort key of a request without its team."""
         misses_objective = (
-            now_ms + self.mean_run_ms(ticket.route) > ticket.objective_deadline_ms
+            not ticket.is_call
+            and now_ms + self.mean_run_ms(ticket.route) > ticket.objective_deadline_ms
+        )
+        return (
+            not ticket.is_call,
+            misses_objective,
+            ticket.priority,
+            NO_TEAM_TAG,
+            ticket.objective_deadline_ms,
         )
-        return misses_objective, ticket.priority, ticket.objective_deadline_ms
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -27,7 +27,11 @@
 from .callers.context import CallContext
 from .callers.outbound import Outbound
 from .callers.own_answers import answer_bad_gateway
-from .decisions.pressure import PressureReport, find_called_services
+from .decisions.pressure import (
+    PressureReport,
+    RefusalRatio,
+    find_called_services,
+)
 from .decisions.quota_account import QuotaAccount
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
@@ -134,6 +138,7 @@
                 bounds.exposure_extra,
                 self._is_store_reachable,
             ),
+            table=lambda: self.configuration.table,
         )
         if settings.link_mbps:
             self.inbound.transfers.link_bytes_per_ms = settings.link_mbps * 125
@@ -379,7 +384,7 @@
             self.is_stopping,
             self.inbound.health.failure_ratio,
             self.inbound.caller_detector.calling_services(),
-            self.call_context.refusals.report(),
+            self._refusal_ratios(),
         )
 
     def schedule_state_broadcast(self) -> None:
@@ -586,11 +591,16 @@
         self._last_pressure = own_report
         self.members.pressure_changed = False
 
+    def _refusal_ratios(self) -> tuple[RefusalRatio, ...]:
+        return self.call_context.refusals.report(
+            self.backend.service, self.members.called_routes
+        )
+
     def _own_pressure_report(self) -> PressureReport:
         return PressureReport(
             self.backend.service,
             self.inbound.caller_detector.calling_services(),
-            self.call_context.refusals.report(),
+            self._refusal_ratios(),
         )
 
     def _peer_pressure_reports(self) -> list[PressureReport]:
@@ -617,6 +627,13 @@
         gauges["backend_running"] = len(self.inbound.admission.running)
         gauges["backend_busy"] = self.inbound.admission.in_flight
         gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["backend_slots_kept"] = self.inbound.admission.kept_slots(
+            self.runtime.now_ms()
+        )
+        gauges["calls_lacking"] = self.call_context.refusals.lack(
+            self.members.called_routes
+        )
+        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
         gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
         gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
         gauges["quota_teams_owned"] = len(self.quotas.owned)
--- a/tests/test_mesh_retry_budget.py
+++ b/tests/test_mesh_retry_budget.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from azurestep.mesh.callers.context import Target
 from azurestep.mesh.decisions.pressure import MIN_ROUTE_REQUESTS, CallerDetector
 from azurestep.mesh.decisions.retry_budget import RetryBudget
 
@@ -73,5 +74,6 @@
     assert route is not None
     budget = node.call_context.retry_budget
     budget._tokens["shop"] = 0.0
-    node.call_context.record_offered(route, "shop")
+    target = Target(route, "shop", table.version, route.priority)
+    node.call_context.record_offered(target)
     assert budget._tokens["shop"] == 0.0
