An answer of a quota owner covered reports that it had not read

Cause: each answer counted for all reports on their way. At one node that sent 8 times its usual, with answers after 200 ms, old answers let 320 requests of a team of 250 a second in before the first limit came; two of 600 random histories exceeded the bound by it, by 2.5 and 3.6%.

Change: an answer covers the oldest report. Reports of more than a second ago are taken for lost, since an owner that doesn't have the team yet answers without it.

--- a/azurestep/mesh/decisions/quota_allowance.py
+++ b/azurestep/mesh/decisions/quota_allowance.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import deque
 
 import attrs
 
@@ -36,6 +37,11 @@
 LOST_REQUESTS_S = 5.0
 """Time of a team's limit in which as many requests arrive as at 8 times the usual rate
 until a silent owner is noticed, after 650 ms."""
+LOST_AFTER_MS = 1000.0
+"""Age at which a report is not expected to be answered, while others are.
+
+An owner that doesn't have the team yet answers without it.
+"""
 SILENT_EXCESS_RATIO = 0.25
 """Part of the tolerated excess that all nodes together may admit if it doesn't."""
 AWAITED_MS = 60.0
@@ -95,7 +101,10 @@
     _unanswered: int = 0
     _entitled: int = 0
     _must_report: bool = False
-    _reported_ms: float = math.inf
+    _reports: deque[tuple[float, int]] = attrs.field(factory=deque)
+    """Time and admitted requests of each report without an answer, oldest first."""
+    _silent_since_ms: float = math.inf
+    """When the first report was sent that a former owner did not answer."""
     _limited_until_ms: float = -math.inf
     _was_limited: bool = False
     _tokens: float = 0.0
@@ -142,7 +151,7 @@
             return None
         self._must_report = False
         report = self._admitted, self._refused
-        self._reported_ms = min(self._reported_ms, now_ms)
+        self._reports.append((now_ms, self._admitted))
         self._unanswered += self._admitted
         self._admitted = self._refused = 0
         return report
@@ -158,16 +167,24 @@
         an answer: the new one begins without these tokens. No more is admitted than
         before until it answers.
         """
+        silent_since_ms = now_ms - self._silent_ms(now_ms)
+        self._reports.clear()
         if self._unanswered > 0:
-            entitled = self._credit + self._rate_per_s * self._silent_ms(now_ms) / 1000
+            silent_s = (now_ms - silent_since_ms) / 1000
+            entitled = self._credit + self._rate_per_s * silent_s
             charged = math.ceil(max(0.0, self._unanswered - entitled))
             self._admitted += charged
             self._entitled += self._unanswered - charged
+            self._silent_since_ms = silent_since_ms
             self._must_report = True
         self._unanswered = 0
 
     def apply_grant(self, grant: Grant, now_ms: float) -> None:
-        """Apply an answer of the owner."""
+        """Apply an answer of the owner, which is to the oldest report.
+
+        Reports that are still on their way stay unanswered. With many of these, a node
+        was limited one time of an answer too late.
+        """
         limited = grant.valid_ms > 0
         if limited and now_ms < self._limited_until_ms:
             self._fill(now_ms)
@@ -178,8 +195,13 @@
         self._tokens = min(self._tokens, self._max_tokens())
         self._limited_until_ms = now_ms + grant.valid_ms if limited else -math.inf
         self._was_limited = limited
-        self._unanswered = self._entitled = 0
-        self._reported_ms = math.inf
+        self._entitled = 0
+        self._silent_since_ms = math.inf
+        is_first = True
+        while self._reports and (is_first or self._is_lost(now_ms)):
+            _, answered = self._reports.popleft()
+            self._unanswered -= answered
+            is_first = False
 
     @property
     def _rate_per_s(self) -> float:
@@ -205,7 +227,14 @@
 
     def _silent_ms(self, now_ms: float) -> float:
         """Return for how long a report has waited for an answer."""
-        return max(0.0, now_ms - self._reported_ms)
+        since_ms = self._silent_since_ms
+        if self._reports:
+            since_ms = min(since_ms, self._reports[0][0])
+        return max(0.0, now_ms - since_ms)
+
+    def _is_lost(self, now_ms: float) -> bool:
+        """Whether the oldest report will have no answer, as a later one has."""
+        return now_ms - self._reports[0][0] > LOST_AFTER_MS
 
     def _wait_for_answer(self, now_ms: float) -> float:
         """Return 0 if one more request may be admitted without an answer."""
