--- a/tests/test_quota_histories.py
+++ b/tests/test_quota_histories.py
@@ -147,10 +147,7 @@
 )
 
 
-@settings(phases=NO_SHRINKING)
-@given(histories)
-def test_no_history_exceeds_the_quota_bound(history: History) -> None:
-    """Guards against owners that overlap, lost reports and grants that outlive them."""
+def check_bound(history: History) -> None:
     team, seed = history.team, history.seed
     fleet = make_fleet(team, history.nodes, seed, history.slow_ms)
     places = [seed % history.nodes] if history.at_one else None
@@ -161,6 +158,44 @@
     assert fleet.largest_window(NAME) <= fleet.bound(team)
 
 
+@settings(phases=NO_SHRINKING)
+@given(histories)
+def test_no_history_exceeds_the_quota_bound(history: History) -> None:
+    """Guards against owners that overlap, lost reports and grants that outlive them."""
+    check_bound(history)
+
+
+@pytest.mark.parametrize(
+    ("load", "found", "seed"),
+    [
+        (
+            0.8,
+            [
+                ("restart", 8744.59016748795, 425, 5940.381916181294),
+                ("kill owner", 9711.544550684946, 884, 5056.942909290407),
+                ("kill owner", 10671.763620316337, 27, 5256.160107923442),
+            ],
+            789517165,
+        ),
+        (
+            0.95,
+            [
+                ("freeze owner", 9916.205324461665, 756, 4161.6449661324705),
+                ("cut", 8086.583126656755, 692, 4219.705578798182),
+                ("freeze many", 9731.2103146226, 866, 5575.966291812659),
+            ],
+            548229536,
+        ),
+    ],
+)
+def test_an_answer_covers_only_the_report_that_it_is_to(
+    load: float, found: list[Fault], seed: int
+) -> None:
+    """Guards against late answers that hide requests on their way to the owner."""
+    team = Team(NAME, 0, 250.0, 10.0)
+    check_bound(History(team, 69, load, 8.0, True, 100.0, found, seed))
+
+
 @given(
     rate_per_s=st.sampled_from([20.0, 80.0, 250.0]),
     burst=st.sampled_from([10.0, 100.0]),
