Nodes don't know how long work takes at a backend server right now

read_answer took the load header only with exactly three figures; with four, it read not even the slots. The mean run time follows a slow phase of 0.6 s only after it is over, so the queue beside a slow server is too long and other nodes go on choosing it.

Three or four figures are read: slots, occupancy (running and waiting) and AnswerFields.work_ratio. A malformed fourth figure is no statement and leaves the first three valid. mesh/decisions/speed.py keeps the last ratio that a server stated, with its age. Run times are learned as at normal speed and expected ones are multiplied by the ratio, in admission and in the choice. SERVER_SPEED (30) brings it to nearby peers of feature level 3. A lasting ratio is sent again once it has lost its weight at the peers.

The pinned formats only grow; answers are pinned in two parts, the second one new.

--- a/azurestep/mesh/backend/answer_parts.py
+++ b/azurestep/mesh/backend/answer_parts.py
@@ -73,6 +73,11 @@
         refused = fields.not_run and self.status != MISDIRECTED
         return fields.notice if self.is_authentic or refused else None
 
+    @property
+    def work_ratio(self) -> float | None:
+        """How long work takes at the backend server by its answer; None if unsaid."""
+        return None if self.fields is None else self.fields.work_ratio
+
     @property
     def is_authentic(self) -> bool:
         """Whether the backend server signed the body and nothing re-encoded it."""
--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -390,6 +390,17 @@
                 headers=[name.decode("latin-1") for name in notice.unknown],
             )
 
+    def apply_work_ratio(self, incarnation: Incarnation, ratio: float | None) -> None:
+        """Apply how long work takes at an incarnation by its answer."""
+        if ratio is None or not self.backend.incarnation.matches(incarnation):
+            return
+        now_ms = self.now_ms()
+        speed = self.admission.speed
+        before = speed.ratio(now_ms)
+        speed.record(ratio, now_ms)
+        if ratio > before and self.admission.in_flight > len(self.admission.running):
+            self._schedule_scan()
+
     def awaits_notice(self) -> bool:
         """Whether a limited backend server gave no answer that could lift the limit."""
         limited = self.backend.rate_limit_per_s != NO_RATE_LIMIT
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -70,6 +70,9 @@
     def apply_notice(self, incarnation: Incarnation, notice: ServerNotice) -> None:
         """Apply what an incarnation said about itself in an answer."""
 
+    def apply_work_ratio(self, incarnation: Incarnation, ratio: float | None) -> None:
+        """Apply how long work takes at an incarnation by its answer."""
+
     def record_trial_run(self, route: str, failed: bool, run_ms: float) -> None:
         """Count a run, if two versions of the service are being compared."""
 
--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -45,12 +45,18 @@
         What it said about itself.
     slots : int or None
         Requests that it runs concurrently; None if it named no number.
+    occupancy : int or None
+        Requests that run or wait there; None if it named no number.
+    work_ratio : float or None
+        How long work takes there relative to normal; None if it made no statement.
     """
 
     instance_id: str
     healthy: bool
     notice: ServerNotice
     slots: int | None
+    occupancy: int | None
+    work_ratio: float | None
 
 
 class ProbeAnswerSink:
@@ -69,6 +75,8 @@
                 status == OK,
                 fields.notice,
                 fields.slots,
+                fields.occupancy,
+                fields.work_ratio,
             )
         return True
 
@@ -149,6 +157,7 @@
             self.inbound.apply_notice(incarnation, found.notice, probed=True)
             if found.healthy:
                 self._apply_result(found)
+            self.inbound.apply_work_ratio(incarnation, found.work_ratio)
 
     def _apply_result(self, found: ProbeResult) -> None:
         backend = self.inbound.backend
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -6,6 +6,7 @@
 from ...platform.headers import AnswerFields
 from .. import events
 from ..decisions.admission import Ticket
+from ..decisions.speed import NORMAL_RATIO, to_normal_ms
 from ..decisions.transfers import Grant
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_parts import MISDIRECTED, PartialAnswer
@@ -75,6 +76,7 @@
         self._answer_bytes_in_transit = 0
         self._pending_credit_bytes = 0
         self._sent_ms = 0.0
+        self._start_ratio = NORMAL_RATIO
         self._needs_confirmation = request.needs_confirmation
         self._confirmation_asked_ms = 0.0
         self.awaits_body = request.needs_confirmation and not request.whole
@@ -226,6 +228,7 @@
     def _send(self, connection: ClientConnection) -> None:
         self._connection = connection
         self._sent_ms = self.inbound.now_ms()
+        self._start_ratio = self.inbound.admission.speed.ratio(self._sent_ms)
         self.ticket.sent = True
         self.inbound.load.sent += 1
         self.inbound.runtime.metrics.count("backend_requests")
@@ -263,6 +266,7 @@
         notice = self._partial.trusted_notice(request.request_id, request.instance_id)
         if notice is not None:
             self.inbound.apply_notice(request.incarnation, notice)
+            self.inbound.apply_work_ratio(request.incarnation, self._partial.work_ratio)
         return True
 
     def on_data(self, data: bytes) -> None:
@@ -342,7 +346,7 @@
         inbound.load.answered += 1
         run_ms = inbound.now_ms() - self._sent_ms
         if self._partial.status < FIRST_NON_SUCCESS_STATUS:
-            inbound.admission.record_run(self.request.route, run_ms)
+            self._record_run_time(run_ms)
             inbound.backend.confirm_instance(
                 self.request.instance_id.decode("latin-1"), inbound.now_ms()
             )
@@ -470,11 +474,19 @@
         """Count a run without an answer if it was longer than the mean."""
         admission, route = self.inbound.admission, self.request.route
         run_ms = self.inbound.now_ms() - self._sent_ms
-        if self._sent_ms and run_ms > admission.mean_run_ms(route):
-            admission.record_run(route, run_ms)
+        expected_ms = admission.expected_run_ms(route, self.inbound.now_ms())
+        if self._sent_ms and run_ms > expected_ms:
+            self._record_run_time(run_ms)
             if not failed:
                 self.inbound.record_trial_run(route, False, run_ms)
 
+    def _record_run_time(self, run_ms: float) -> None:
+        """Add a run time to the mean, as it would be at normal speed."""
+        admission = self.inbound.admission
+        end_ratio = admission.speed.ratio(self.inbound.now_ms())
+        normal_ms = to_normal_ms(run_ms, self._start_ratio, end_ratio)
+        admission.record_run(self.request.route, normal_ms)
+
     def _finish(self) -> None:
         """Release the transfer, the slot and the connection.
 
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -9,6 +9,7 @@
 import attrs
 
 from .rate_limit import RateLimiter
+from .speed import WorkSpeed
 
 INITIAL_RUN_MS = 150.0
 """Run time assumed for a route before its first sample."""
@@ -66,12 +67,15 @@
         When all runs must have ended; infinite unless the node is shutting down.
     limiter : RateLimiter
         Rate limit that the backend server named, if any.
+    speed : WorkSpeed
+        How long work takes there now, relative to the mean run times.
     """
 
     slots: int = 1
     running: set[Ticket] = attrs.field(factory=set)
     drain_deadline_ms: float = math.inf
     limiter: RateLimiter = attrs.field(factory=RateLimiter)
+    speed: WorkSpeed = attrs.field(factory=WorkSpeed)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _mean_run_ms: dict[str, float] = attrs.field(factory=dict)
     _fleet_mean_run_ms: dict[str, float] = attrs.field(factory=dict)
@@ -87,7 +91,7 @@
         return list(self._waiting)
 
     def mean_run_ms(self, route: str) -> float:
-        """Return the mean run time of a route's requests.
+        """Return the mean run time of a route's requests at normal speed.
 
         Without local samples this is the mean over all backend servers, or a default.
         """
@@ -98,6 +102,10 @@
             else known
         )
 
+    def expected_run_ms(self, route: str, now_ms: float) -> float:
+        """Return how long a request of a route takes at the current speed."""
+        return self.mean_run_ms(route) * self.speed.ratio(now_ms)
+
     def fleet_mean_run_ms(self, route: str) -> float:
         """Return the mean run time over all backend servers; 0 if unknown."""
         return self._fleet_mean_run_ms.get(route, 0.0)
@@ -107,7 +115,7 @@
         self._fleet_mean_run_ms[route] = mean_run_ms
 
     def record_run(self, route: str, run_ms: float) -> None:
-        """Add the run time of one request to its route's mean."""
+        """Add the run time of one request at normal speed to its route's mean."""
         known = self._mean_run_ms.get(route)
         if known is None:
             self._mean_run_ms[route] = run_ms
@@ -115,8 +123,9 @@
             self._mean_run_ms[route] = known + RUN_MEAN_WEIGHT * (run_ms - known)
 
     def clear_run_times(self) -> None:
-        """Clear the run times, which belong to an earlier incarnation."""
+        """Clear the run times and speed, which belong to an earlier incarnation."""
         self._mean_run_ms.clear()
+        self.speed.clear()
 
     def admit(
         self, ticket: Ticket, now_ms: float, committed: bool = False
@@ -137,7 +146,7 @@
         bool or Refused
             True if it runs now, False if it waits, or the refusal.
         """
-        end_ms = now_ms + self.mean_run_ms(ticket.route)
+        end_ms = now_ms + self.expected_run_ms(ticket.route, now_ms)
         if end_ms > self.drain_deadline_ms:
             return Refused(self.estimate_retry_after_ms(now_ms))
         if (
@@ -157,7 +166,7 @@
 
     def estimate_end_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return when a request would end that is admitted now."""
-        end_ms = now_ms + self.mean_run_ms(ticket.route)
+        end_ms = now_ms + self.expected_run_ms(ticket.route, now_ms)
         if self._has_free_slot() and not self._waiting:
             return end_ms
         return end_ms + self._wait_in_queue_ms(ticket, now_ms)
@@ -215,14 +224,14 @@
                 one for one in self._waiting if not self.can_end_in_time(one, now_ms)
             ]
         expiring: list[Ticket] = []
-        slot_ms = now_ms + (self._estimate_wait_ms(0.0) if draining else 0.0)
+        slot_ms = now_ms + (self._estimate_wait_ms(0.0, now_ms) if draining else 0.0)
         ahead = 0
         for ticket in sorted(self._waiting, key=lambda one: self._rank(one, now_ms)):
             start_ms = max(slot_ms, now_ms + self.limiter.wait_ms(now_ms, ahead))
             if self._is_worth_waiting(ticket, start_ms, ahead):
                 ahead += 1
                 if draining:
-                    slot_ms += self.mean_run_ms(ticket.route) / self.slots
+                    slot_ms += self.expected_run_ms(ticket.route, now_ms) / self.slots
             else:
                 expiring.append(ticket)
         return expiring
@@ -234,7 +243,7 @@
         requests for as long as these come faster than the limit. The first in line
         gets the next token, even if it comes a little late.
         """
-        end_ms = start_ms + self.mean_run_ms(ticket.route)
+        end_ms = start_ms + self.expected_run_ms(ticket.route, start_ms)
         misses_objective = end_ms > ticket.objective_deadline_ms
         if self.limiter.active and ahead and misses_objective:
             return False
@@ -246,14 +255,18 @@
 
     def can_end_in_time(self, ticket: Ticket, now_ms: float) -> bool:
         """Whether a request that starts now is likely to end before its deadline."""
-        return now_ms + self.mean_run_ms(ticket.route) <= self.run_deadline_ms(ticket)
+        return now_ms + self.expected_run_ms(
+            ticket.route, now_ms
+        ) <= self.run_deadline_ms(ticket)
 
     def estimate_retry_after_ms(self, now_ms: float) -> float:
         """Return the time after which a slot is likely to be free.
 
         Under a rate limit, the time until the requests that wait have used it up too.
         """
-        work_ms = sum(self.mean_run_ms(ticket.route) for ticket in self._waiting)
+        work_ms = sum(
+            self.expected_run_ms(ticket.route, now_ms) for ticket in self._waiting
+        )
         limit_ms = self.limiter.wait_ms(now_ms, len(self._waiting))
         after_ms = MIN_RETRY_AFTER_MS + max(work_ms / self.slots, limit_ms)
         return after_ms if limit_ms == 0 else min(after_ms, MAX_RETRY_AFTER_MS)
@@ -264,12 +277,16 @@
         ahead = [one for one in self._waiting if self._rank(one, now_ms) <= rank]
         ahead_ms = sum(self.mean_run_ms(one.route) for one in ahead)
         limit_ms = self.limiter.wait_ms(now_ms, len(ahead))
-        return max(self._estimate_wait_ms(ahead_ms), limit_ms)
+        return max(self._estimate_wait_ms(ahead_ms, now_ms), limit_ms)
 
-    def _estimate_wait_ms(self, ahead_ms: float) -> float:
-        """Return how long a request waits behind queued work of a given length."""
+    def _estimate_wait_ms(self, ahead_ms: float, now_ms: float) -> float:
+        """Return how long a request waits behind queued work of a given length.
+
+        The length is that at normal speed.
+        """
         running_ms = sum(self.mean_run_ms(other.route) for other in self.running)
-        return (ahead_ms + running_ms / max(1, len(self.running))) / self.slots
+        work_ms = ahead_ms + running_ms / max(1, len(self.running))
+        return work_ms / self.slots * self.speed.ratio(now_ms)
 
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[bool, int, float]:
         """Return the sort key of a waiting request.
@@ -279,6 +296,7 @@
         and so go first within a priority; refusing one wastes the calling run.
         """
         misses_objective = (
-            now_ms + self.mean_run_ms(ticket.route) > ticket.objective_deadline_ms
+            now_ms + self.expected_run_ms(ticket.route, now_ms)
+            > ticket.objective_deadline_ms
         )
         return misses_objective, ticket.priority, ticket.objective_deadline_ms
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -12,6 +12,7 @@
 import attrs
 
 from ..incarnation import Incarnation
+from .speed import WorkSpeed
 
 INITIAL_RUN_MS = 150.0
 """Run time assumed for a route before its first answer."""
@@ -104,7 +105,7 @@
     own_in_flight, own_in_flight_at_report : int
         Requests that this node has in flight there, now and at that report.
     mean_run_ms : dict
-        Mean run time there by route, as reported with answers.
+        Mean run time there by route at normal speed, as reported with answers.
     cold_until_ms : float
         When its cold start ends.
     failed_until_ms : float
@@ -124,6 +125,8 @@
         Its software version, as announced; empty if unknown.
     bodies : BodyQueue
         Large bodies on their way to it.
+    speed : WorkSpeed
+        How long work takes there now, relative to the mean run times.
     """
 
     key: object
@@ -144,6 +147,7 @@
     limited_until_ms: float = 0.0
     version: str = ""
     bodies: BodyQueue = attrs.field(factory=BodyQueue)
+    speed: WorkSpeed = attrs.field(factory=WorkSpeed)
 
     @property
     def usable(self) -> bool:
@@ -377,6 +381,7 @@
 ) -> float:
     """Return the value of an answer at its expected time, less the penalties."""
     run_ms = endpoint.mean_run_ms.get(criteria.route, criteria.fleet_mean_run_ms)
+    run_ms *= endpoint.speed.ratio(now_ms)
     if now_ms < endpoint.cold_until_ms:
         run_ms *= COLD_RUN_FACTOR
     load = endpoint.load
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -125,6 +125,9 @@
     "unknown notice in an answer of the backend server",
     "look the header up in the platform's contract; nothing acts on it",
 )
+BACKEND_SPEED = register(
+    9320, logging.INFO, "nearby nodes were told how long work takes"
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused before it ran")
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -245,6 +245,22 @@
     ms_per_kib: float
 
 
+@attrs.frozen(slots=True)
+class ServerSpeed:
+    """How long work currently takes at the backend server beside the sender.
+
+    Attributes
+    ----------
+    work_ratio : float
+        Relative to normal; 2.5 for two and a half times as long.
+    age_ms : float
+        Time since the backend server said so.
+    """
+
+    work_ratio: float
+    age_ms: float
+
+
 @attrs.frozen(slots=True)
 class CalledRoutes:
     """Routes on which other services call the backend server beside the sender."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -18,6 +18,7 @@
     Pong,
     RolloutUpdate,
     ServerCondition,
+    ServerSpeed,
     ServerVersion,
     SlotReady,
     StoreEraUpdate,
@@ -84,6 +85,9 @@
     def on_backlog(self, connection: "PeerConnection", backlog: BodyBacklog) -> None:
         """Handle how long a body would wait for the peer's link."""
 
+    def on_speed(self, connection: "PeerConnection", speed: ServerSpeed) -> None:
+        """Handle how long work takes at the peer's backend server."""
+
     def on_trial_counts(
         self, connection: "PeerConnection", counts: TrialCounts
     ) -> None:
@@ -367,6 +371,9 @@
     def _on_backlog(self, _: None, backlog: BodyBacklog) -> None:
         self.link.on_backlog(self, backlog)
 
+    def _on_speed(self, _: None, speed: ServerSpeed) -> None:
+        self.link.on_speed(self, speed)
+
     def _on_trial_counts(self, _: None, counts: TrialCounts) -> None:
         self.link.on_trial_counts(self, counts)
 
@@ -421,5 +428,6 @@
     TrialCounts: PeerConnection._on_trial_counts,
     BodyBacklog: PeerConnection._on_backlog,
     CalledRoutes: PeerConnection._on_called_routes,
+    ServerSpeed: PeerConnection._on_speed,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -31,6 +31,7 @@
     Proceed,
     RolloutUpdate,
     ServerCondition,
+    ServerSpeed,
     ServerVersion,
     SlotReady,
     StoreEraUpdate,
@@ -87,6 +88,7 @@
     | TrialCounts
     | BodyBacklog
     | CalledRoutes
+    | ServerSpeed
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -181,6 +183,12 @@
     return BodyBacklog(wait_ms, ms_per_kib)
 
 
+def _build_speed(work_ratio: float, age_ms: float) -> ServerSpeed:
+    if not (0 < work_ratio < math.inf and 0 <= age_ms < math.inf):
+        raise ValueError("the speed of a backend server is no ratio with an age")
+    return ServerSpeed(work_ratio, age_ms)
+
+
 def _build_crashes(service: str, rows: Iterable[Any]) -> CrashReport:
     return CrashReport(service, decode_updates(rows))
 
@@ -228,6 +236,7 @@
     Kind.TRIAL_COUNTS: _schema(TrialCounts, has_stream_id=False),
     Kind.CALLED_ROUTES: _schema(CalledRoutes, has_stream_id=False),
     Kind.BODY_BACKLOG: _schema(BodyBacklog, _build_backlog, has_stream_id=False),
+    Kind.SERVER_SPEED: _schema(ServerSpeed, _build_speed, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -16,6 +16,7 @@
     ConfigurationDelta,
     ConfigurationUpdate,
     ServerCondition,
+    ServerSpeed,
     ServerVersion,
     TrialCounts,
     VersionNotice,
@@ -200,6 +201,7 @@
             endpoint.mean_run_ms.clear()
             endpoint.failed_until_ms = 0.0
             endpoint.limited_until_ms = 0.0
+            endpoint.speed.clear()
         endpoint.service = state.service
         endpoint.incarnation = incarnation
         endpoint.open = state.open
@@ -229,6 +231,12 @@
         if connection is self.connection:
             self.endpoint.bodies.update(backlog.wait_ms, backlog.ms_per_kib)
 
+    def on_speed(self, connection: PeerConnection, speed: ServerSpeed) -> None:
+        """Update how long work takes at the peer's backend server."""
+        if connection is self.connection:
+            stated_ms = self.runtime.now_ms() - speed.age_ms
+            self.endpoint.speed.record(speed.work_ratio, stated_ms)
+
     def on_trial_counts(self, connection: PeerConnection, counts: TrialCounts) -> None:
         """Pass on the runs of the peer's backend server."""
         if connection is self.connection:
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -361,6 +361,7 @@
         local.version = backend.version
         local.rate_limit_per_s = backend.rate_limit_per_s
         local.failure_ratio = inbound.health.failure_ratio
+        local.speed = inbound.admission.speed
         local.in_flight = inbound.admission.in_flight
         local.own_in_flight_at_report = local.own_in_flight
         local.cold_until_ms = self.runtime.now_ms() + backend.cold_remaining_ms(
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -12,6 +12,7 @@
 from ..backend.inbound import Inbound
 from ..backend.run import Run
 from ..decisions.cadence import LOCAL_REPORTS_PER_S, REMOTE_REPORTS_PER_S, ReportPacer
+from ..decisions.speed import WorkSpeed
 from ..link_messages import (
     Body,
     BodyBacklog,
@@ -23,11 +24,13 @@
     Proceed,
     RolloutUpdate,
     ServerCondition,
+    ServerSpeed,
     ServerVersion,
     TrialCounts,
     Withdraw,
 )
 from ..messages import (
+    TEAM_FEATURE_LEVEL,
     Hello,
     Kind,
     Reason,
@@ -94,6 +97,7 @@
     _sent_backlog: BodyBacklog = BodyBacklog(0.0, 0.0)
     _next_backlog_ms: float = 0.0
     _sent_called_routes: CalledRoutes = CalledRoutes(())
+    _sent_speed: WorkSpeed = attrs.field(factory=WorkSpeed)
     _local_pacer: ReportPacer = attrs.field(
         factory=lambda: ReportPacer(LOCAL_REPORTS_PER_S)
     )
@@ -121,14 +125,45 @@
             self._local_pacer.mark_sent(data, now_ms)
             self._remote_pacer.mark_sent(data, now_ms)
             self._write(self.links, data)
+            self._send_speed(now_ms)
             return
         local_count = len(self.local_links)
         remote_count = len(self.links) - local_count
-        if self._local_pacer.mark_sent_if_due(data, local_count, now_ms):
+        report = data + b"speed" if self._is_speed_news(now_ms) else data
+        if self._local_pacer.mark_sent_if_due(report, local_count, now_ms):
+            self._local_pacer.mark_sent(data, now_ms)
             self._write(self.local_links, data)
+            self._send_speed(now_ms)
         if self._remote_pacer.mark_sent_if_due(data, remote_count, now_ms):
             self._write(self.links - self.local_links, data)
 
+    def _is_speed_news(self, now_ms: float) -> bool:
+        """Whether nearby peers must learn how long work takes.
+
+        Compared with what they make of the last message by now, so that a lasting ratio
+        is sent again once it has lost its weight there.
+        """
+        speed = self.inbound.admission.speed
+        return speed.differs_much(self._sent_speed, now_ms)
+
+    def _send_speed(self, now_ms: float) -> None:
+        """Tell nearby peers how long work takes, if they must learn it.
+
+        Remote peers get their load reports too late for it, and bytes to them are
+        charged.
+        """
+        if self._is_speed_news(now_ms):
+            speed = self.inbound.admission.speed
+            self._sent_speed = attrs.evolve(speed)
+            events.log_routine(
+                events.BACKEND_SPEED,
+                instance=self.inbound.backend.instance_id,
+                work_ratio=round(speed.stated, 2),
+                age_ms=round(speed.age_ms(now_ms)),
+            )
+            for link in self.local_links:
+                link.send_speed(now_ms)
+
     def _broadcast_condition(self) -> None:
         """Tell all peers what the backend server said, if it differs much."""
         condition = self.condition()
@@ -217,6 +252,9 @@
         """Record which peer opened a link."""
         if link in self.links and peer.data_centre == self.data_centre:
             self.local_links.add(link)
+            now_ms = self.runtime.now_ms()
+            if self.inbound.admission.speed.differs_much(WorkSpeed(), now_ms):
+                link.send_speed(now_ms)
         self.on_peer(peer)
 
     def remove(self, link: "IncomingLink") -> None:
@@ -339,6 +377,13 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    def send_speed(self, now_ms: float) -> None:
+        """Tell how long work takes at the backend server, if the peer knows that."""
+        if self.feature_level >= TEAM_FEATURE_LEVEL:
+            speed = self.incoming_links.inbound.admission.speed
+            message = ServerSpeed(speed.stated, speed.age_ms(now_ms))
+            self.send(Kind.SERVER_SPEED, *fields_of(message))
+
     @property
     def closed(self) -> bool:
         """Whether the connection has ended."""
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -23,7 +23,8 @@
 DELTA_FEATURE_LEVEL = 2
 """Nodes from this level on know notices of versions and configurations as deltas."""
 TEAM_FEATURE_LEVEL = 3
-"""Nodes from this level on know the teams of requests, and messages about quotas."""
+"""Nodes from this level on know the teams of requests, and messages about quotas and
+the speed of backend servers."""
 REQUEST_FIELDS_AT_LEVEL_0 = 19
 """Fields of a request that nodes of level 0 read for sure."""
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
@@ -61,6 +62,7 @@
     CALLED_ROUTES = 25
     VERSION_NOTICE = 26
     CONFIGURATION_DELTA = 27
+    SERVER_SPEED = 30
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -549,6 +549,9 @@
         gauges["backend_running"] = len(self.inbound.admission.running)
         gauges["backend_busy"] = self.inbound.admission.in_flight
         gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["backend_work_ratio"] = self.inbound.admission.speed.ratio(
+            self.runtime.now_ms()
+        )
         gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
         gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
         gauges["store_era"] = self.store_era.current
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -50,6 +50,10 @@
 KNOWN_SERVER_HEADERS = frozenset({SERVER_LOAD, SERVER_LIMIT, SERVER_LEAVING})
 NO_RATE_LIMIT = math.inf
 """Rate limit of a backend server that names none."""
+NORMAL_PERCENT = 100
+"""Fourth figure of the load header of a backend server that is as fast as usual."""
+MAX_PERCENT_DIGITS = 6
+"""Longer fourth figures can't be meant, and would overflow estimates."""
 _DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 
@@ -100,6 +104,18 @@
 EMPTY_NOTICE = ServerNotice()
 
 
+@attrs.frozen(slots=True)
+class ServerLoad:
+    """Figures of a backend server's load header; None where it has none."""
+
+    slots: int | None = None
+    occupancy: int | None = None
+    work_ratio: float | None = None
+
+
+UNKNOWN_LOAD = ServerLoad()
+
+
 @attrs.frozen(slots=True)
 class AnswerFields:
     """Values of a backend server's headers.
@@ -126,6 +142,11 @@
         What the backend server says about itself.
     forwarded : Headers
         Headers for the caller.
+    occupancy : int or None
+        Requests that run or wait at the backend server; None if unknown.
+    work_ratio : float or None
+        How long work currently takes there relative to normal; None if it makes no
+        statement.
     """
 
     request_id: bytes
@@ -138,6 +159,8 @@
     slots: int | None
     notice: ServerNotice
     forwarded: Headers
+    occupancy: int | None = None
+    work_ratio: float | None = None
 
 
 def parse_remaining_ms(value: bytes) -> float | None:
@@ -231,6 +254,7 @@
     connection_options = _connection_options(headers)
     dropped = NOT_FORWARDED | connection_options | {SERVER_LOAD}
     keep_alive = values.get(b"keep-alive")
+    load = parse_load(values.get(SERVER_LOAD, b""))
     return AnswerFields(
         request_id=values.get(REQUEST_ID, b""),
         signed=SIGNATURE in values,
@@ -239,9 +263,11 @@
         closing=b"close" in connection_options,
         keep_alive_ms=None if keep_alive is None else _keep_alive_ms(keep_alive),
         encoded=b"content-encoding" in values,
-        slots=_slots(values.get(SERVER_LOAD, b"")),
+        slots=load.slots,
         notice=_notice(headers, values),
         forwarded=[field for field in headers if field[0].lower() not in dropped],
+        occupancy=load.occupancy,
+        work_ratio=load.work_ratio,
     )
 
 
@@ -288,20 +314,39 @@
     return float(value) if _DECIMAL.fullmatch(value) else None
 
 
-def _slots(load: bytes) -> int | None:
-    """Return the slots in a load header (``running,waiting,slots``).
+def parse_load(value: bytes) -> ServerLoad:
+    """Return the figures of a load header (``running,waiting,slots[,percent]``).
+
+    A fourth figure that can't be read is no statement, and leaves the others valid.
 
     Examples
     --------
-    >>> _slots(b"3,0,8")
-    8
-    >>> _slots(b"3") is None
+    >>> parse_load(b"3,1,8,250")
+    ServerLoad(slots=8, occupancy=4, work_ratio=2.5)
+    >>> parse_load(b"3,0,8,slow").work_ratio is None
     True
+    >>> parse_load(b"3")
+    ServerLoad(slots=None, occupancy=None, work_ratio=None)
     """
-    parts = load.split(b",")
-    if len(parts) != 3 or not parts[2].strip().isdigit():
-        return None
-    return max(1, int(parts[2]))
+    running, waiting, slots, percent = _split_load(value)
+    if not slots.isdigit():
+        return UNKNOWN_LOAD
+    counted = running.isdigit() and waiting.isdigit()
+    is_stated = len(percent) <= MAX_PERCENT_DIGITS and percent.isdigit()
+    return ServerLoad(
+        max(1, int(slots)),
+        int(running) + int(waiting) if counted else None,
+        int(percent) / NORMAL_PERCENT if is_stated and int(percent) else None,
+    )
+
+
+def _split_load(value: bytes) -> tuple[bytes, bytes, bytes, bytes]:
+    """Return the four figures of a load header, empty where it has none."""
+    parts = [part.strip() for part in value.split(b",")]
+    if len(parts) not in (3, 4):
+        return b"", b"", b"", b""
+    percent = parts[3] if len(parts) == 4 else b""
+    return parts[0], parts[1], parts[2], percent
 
 
 def to_backend(
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -70,6 +70,7 @@
     Kind.ROLLOUT: ["shop", "v2", 1, 7, int(Phase.CANARY), 12_000.0, 9000.0],
     Kind.CALLED_ROUTES: [["read"]],
     Kind.BODY_BACKLOG: [300.0, 2.5],
+    Kind.SERVER_SPEED: [2.5, 40.0],
     Kind.TRIAL_COUNTS: ["shop", "v2", 1, 7, 3, [["read", 20, 1]]],
 }
 LEAVES = (
@@ -241,6 +242,18 @@
     assert len(end.handled) == 2
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [(0.0, 5.0), (-1.0, 5.0), (float("nan"), 5.0), (2.5, -1.0), (2.5, float("inf"))],
+)
+def test_a_speed_that_would_spoil_estimates_is_rejected(
+    fields: tuple[float, float],
+) -> None:
+    decoder = Decoder(PEER_CONNECTION_SCHEMAS)
+    assert decoder.feed(encode(Kind.SERVER_SPEED, *fields)) == []
+    assert decoder.fault
+
+
 @pytest.mark.parametrize("reason", [0, 99])
 def test_unknown_reason_is_rejected(reason: int) -> None:
     decoder = Decoder(PEER_CONNECTION_SCHEMAS)
--- a/tests/test_mesh_headers.py
+++ b/tests/test_mesh_headers.py
@@ -100,3 +100,34 @@
     notice = read_answer([(b"Server-Leaving", value) for value in values]).notice
     assert notice.leaving is leaving
     assert notice.malformed == ((b"server-leaving",) if malformed else ())
+
+
+@pytest.mark.parametrize(
+    ("load", "slots", "occupancy", "work_ratio"),
+    [
+        (b"3,1,8", 8, 4, None),
+        (b"3,1,8,100", 8, 4, 1.0),
+        (b" 3, 1, 8, 250 ", 8, 4, 2.5),
+        (b"3,1,8,55", 8, 4, 0.55),
+        # A malformed fourth figure must not invalidate the first three.
+        (b"3,1,8,", 8, 4, None),
+        (b"3,1,8,0", 8, 4, None),
+        (b"3,1,8,-5", 8, 4, None),
+        (b"3,1,8,1.5", 8, 4, None),
+        (b"3,1,8,1e3", 8, 4, None),
+        (b"3,1,8,\xb2", 8, 4, None),
+        (b"3,1,8," + b"9" * 400, 8, 4, None),
+        # Five figures are no load header that this program knows.
+        (b"3,1,8,100,1", None, None, None),
+        (b"3,1", None, None, None),
+        (b"", None, None, None),
+        (b"x,1,8,100", 8, None, 1.0),
+    ],
+)
+def test_load_header_has_three_or_four_figures(
+    load: bytes, slots: int | None, occupancy: int | None, work_ratio: float | None
+) -> None:
+    answer = read_answer([(b"Server-Load", load)])
+    found = (answer.slots, answer.occupancy, answer.work_ratio)
+    assert found == (slots, occupancy, work_ratio)
+    assert answer.forwarded == []
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -689,6 +689,7 @@
         link.TrialCounts("songs", "v2", 1, 7, 3, (("get-songs", 20, 1),)),
     ),
     "body_backlog": OnLink(24, WHOLE_LINK, False, link.BodyBacklog(300.0, 2.5)),
+    "server_speed": OnLink(30, WHOLE_LINK, False, link.ServerSpeed(2.5, 40.0)),
     "called_routes": OnLink(25, WHOLE_LINK, False, link.CalledRoutes(("get-songs",))),
     "version_notice": OnLink(
         26, WHOLE_LINK, False, link.VersionNotice(7, ("10.0.0.1", 7102))
@@ -793,6 +794,10 @@
 # Headers, requests and answers
 
 
+FIELDS_WITHOUT_LOAD = 10
+"""Fields of an answer before those that were added with the fourth load figure."""
+
+
 def test_headers_of_the_platform() -> None:
     caller = [
         (b"Host", b"Songs.Example"),
@@ -823,7 +828,11 @@
     ]
     lines = platform_headers.to_backend([(b"A", b"b")], 900.5, b"i-1", b"shop")
     check("headers_of_caller", attrs.astuple(platform_headers.read_caller(caller)))
-    check("headers_of_answer", attrs.astuple(platform_headers.read_answer(backend)))
+    answer = attrs.astuple(platform_headers.read_answer(backend))
+    check("headers_of_answer", answer[:FIELDS_WITHOUT_LOAD])
+    check("load_of_answer", answer[FIELDS_WITHOUT_LOAD:])
+    slow = platform_headers.read_answer([(b"Server-Load", b"3,1,8,250")])
+    check("load_of_slow_server", attrs.astuple(slow)[FIELDS_WITHOUT_LOAD:])
     check("headers_to_backend", lines)
     check("header_of_own_answers", own_answers.request_id_header(b"q1"))
     assert own_answers.request_id_header(b"") == []
