A restarted node sent its server more requests than it could queue

After a restart, a node counted only its own runs, while those of its former process still held slots. A backend server with a full queue never answers the request that it couldn't queue, nor any later one on that connection.

A restarted node starts no request before the first probe has told how many run or wait, at most 3 s, and counts these as occupied slots. It probes each 100 ms until they have ended, at most 10 s (deadlines of the deployments: up to 8.2 s). Own runs are taken off the count only if they were sent 20 ms before the probe. A server that states no load is used after its first answer to a probe.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -49,6 +49,11 @@
 """
 NOTICE_TIMEOUT_MS = 1000.0
 """Time without an answer after which a limited backend server is asked by a probe."""
+SETTLE_MS = 20.0
+"""Time after which a backend server has read a request that was sent to it.
+
+It is on the same instance and reads within about 1 ms.
+"""
 RECONNECT_INTERVAL_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
 
@@ -398,9 +403,35 @@
         speed = self.admission.speed
         before = speed.ratio(now_ms)
         speed.record(ratio, now_ms)
-        if ratio > before and self.admission.in_flight > len(self.admission.running):
+        if ratio > before and self.admission.waiting:
             self._schedule_scan()
 
+    def record_probe_sent(self) -> None:
+        """Record that a health probe was sent."""
+        self.admission.former_runs.record_probe_sent(self.now_ms())
+
+    def record_probe(self, occupancy: int | None, sent_ms: float) -> None:
+        """Apply how many requests occupy the backend server by a probe's answer.
+
+        Own runs count as included only if they were sent well before the probe: the
+        backend server may read a later request first.
+        """
+        former_runs = self.admission.former_runs
+        if not former_runs.uncertain:
+            return
+        settled_ms = sent_ms - SETTLE_MS
+        own = sum(0 < run.sent_ms <= settled_ms for run in self._runs.values())
+        former_runs.record_probe(occupancy, own, self.now_ms())
+        self._on_former_runs()
+
+    def _on_former_runs(self) -> None:
+        events.log(
+            events.FORMER_RUNS,
+            instance=self.backend.instance_id,
+            running=self.admission.former_runs.count,
+        )
+        self._schedule_scan()
+
     def awaits_notice(self) -> bool:
         """Whether a limited backend server gave no answer that could lift the limit."""
         limited = self.backend.rate_limit_per_s != NO_RATE_LIMIT
@@ -472,6 +503,8 @@
         now_ms = self.now_ms()
         self._tick_health()
         self.load = tick_load(self.load, self.admission, self.backend)
+        if self.admission.former_runs.expire(now_ms):
+            self._on_former_runs()
         self._schedule_scan()
         for run in list(self._runs.values()):
             run_guarded(run, run.enforce_timeouts, now_ms)
--- a/azurestep/mesh/backend/load.py
+++ b/azurestep/mesh/backend/load.py
@@ -70,7 +70,7 @@
 ) -> LoadSummary:
     """Add a sample of the queue; log a full summary and return the next one."""
     running = len(admission.running)
-    if not load.tick(running, admission.in_flight - running):
+    if not load.tick(running, len(admission.waiting)):
         return load
     if backend.instance_id:
         load.log(backend)
--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -1,8 +1,9 @@
 """Health probes that find the incarnation of the local backend server.
 
 Sent only where heartbeats and answers don't suffice: after a restart of the node,
-instead of waiting for the next heartbeat, when two incarnations announced the same
-address, and while a rate limit keeps requests away whose answers would tell its end.
+instead of waiting for the next heartbeat and until the runs of its former process have
+ended, when two incarnations announced the same address, and while a rate limit keeps
+requests away whose answers would tell its end.
 """
 
 import asyncio
@@ -10,7 +11,7 @@
 
 import attrs
 
-from ...http.client import Headers
+from ...http.client import ClientConnection, Headers
 from ...platform.headers import ServerNotice, read_answer
 from ...routing.table import RoutingTable
 from .. import events
@@ -30,6 +31,11 @@
 Fewer than any deployment has.
 """
 MIN_PROBE_INTERVAL_MS = 300.0
+FORMER_RUNS_INTERVAL_MS = 100.0
+"""Time between probes while runs of the former process occupy the backend server.
+
+A slot that becomes free is used that much later at most.
+"""
 OK = 200
 
 
@@ -60,9 +66,16 @@
 
 
 class ProbeAnswerSink:
-    """Receives the answer to a probe."""
+    """Receives the answer to a probe.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether an answer came, whatever it says.
+    """
 
     def __init__(self, future: "asyncio.Future[ProbeResult | None]") -> None:
+        self.answered = False
         self._future = future
         self._result: ProbeResult | None = None
 
@@ -85,6 +98,7 @@
 
     def on_complete(self, reusable: bool) -> None:
         """Set the result."""
+        self.answered = True
         if not self._future.done():
             self._future.set_result(self._result)
 
@@ -120,21 +134,34 @@
 
     def __attrs_post_init__(self) -> None:
         self._started_ms = self.runtime.now_ms()
+        if self.restarted:
+            self.inbound.admission.former_runs.begin()
 
     def check(self) -> None:
         """Send a probe if the incarnation is uncertain."""
         if self._probing or not self._is_due() or self.table() is None:
             return
-        if self.runtime.now_ms() - self._last_ms < MIN_PROBE_INTERVAL_MS:
+        interval_ms = MIN_PROBE_INTERVAL_MS
+        if self._counts_former_runs:
+            interval_ms = FORMER_RUNS_INTERVAL_MS
+        if self.runtime.now_ms() - self._last_ms < interval_ms:
             return
         self._probing = True
         self._last_ms = self.runtime.now_ms()
         self.runtime.spawn(self._probe())
 
+    @property
+    def _counts_former_runs(self) -> bool:
+        """Whether runs of the former process may occupy a known backend server."""
+        known = bool(self.inbound.backend.instance_id)
+        return known and self.inbound.admission.former_runs.uncertain
+
     def _is_due(self) -> bool:
         backend = self.inbound.backend
         if backend.conflicting_id or self.inbound.awaits_notice():
             return True
+        if self._counts_former_runs:
+            return True
         return self.restarted and not backend.instance_id and self._is_searching()
 
     def _is_searching(self) -> bool:
@@ -173,14 +200,17 @@
         service = self.inbound.backend.service or self.service
         if table is None or service not in table.services:
             return None
-        connection = await self.inbound.connect()
+        connection = await self._find_connection()
         if connection is None:
             return None
+        self.inbound.record_probe_sent()
+        sent_ms = self.runtime.now_ms()
         future: asyncio.Future[ProbeResult | None] = self.runtime.loop.create_future()
         host, port = self.inbound.address
         path = table.services[service].health_path.decode("latin-1")
         head = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        connection.send(head.encode("latin-1"), ProbeAnswerSink(future), True)
+        sink = ProbeAnswerSink(future)
+        connection.send(head.encode("latin-1"), sink, True)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 found = await future
@@ -188,4 +218,15 @@
             connection.abort()
             return None
         self.inbound.return_connection(connection)
+        if sink.answered:
+            occupancy = None if found is None else found.occupancy
+            self.inbound.record_probe(occupancy, sent_ms)
         return found
+
+    async def _find_connection(self) -> ClientConnection | None:
+        """Return a connection; a new one unless probes are frequent."""
+        if self._counts_former_runs:
+            connection = self.inbound.idle.take(self.runtime.loop.time())
+            if connection is not None:
+                return connection
+        return await self.inbound.connect()
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -128,6 +128,11 @@
         """Whether a body is to be sent in pieces; not within one node."""
         return False
 
+    @property
+    def sent_ms(self) -> float:
+        """When the request was sent to the backend server; 0 if it was not."""
+        return self._sent_ms
+
     @property
     def may_have_run(self) -> bool:
         """Whether the request was sent to the backend server."""
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from .former_runs import FormerRuns
 from .rate_limit import RateLimiter
 from .speed import WorkSpeed
 
@@ -69,6 +70,8 @@
         Rate limit that the backend server named, if any.
     speed : WorkSpeed
         How long work takes there now, relative to the mean run times.
+    former_runs : FormerRuns
+        Runs of the node's former process that still occupy slots.
     """
 
     slots: int = 1
@@ -76,14 +79,15 @@
     drain_deadline_ms: float = math.inf
     limiter: RateLimiter = attrs.field(factory=RateLimiter)
     speed: WorkSpeed = attrs.field(factory=WorkSpeed)
+    former_runs: FormerRuns = attrs.field(factory=FormerRuns)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _mean_run_ms: dict[str, float] = attrs.field(factory=dict)
     _fleet_mean_run_ms: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that run or wait."""
-        return len(self.running) + len(self._waiting)
+        """Number of requests that run or wait, including runs of a former process."""
+        return len(self.running) + len(self._waiting) + self.former_runs.count
 
     @property
     def waiting(self) -> list[Ticket]:
@@ -191,7 +195,8 @@
         return chosen
 
     def _has_free_slot(self) -> bool:
-        return len(self.running) < self.slots
+        occupied = self.former_runs.occupied(self.slots)
+        return len(self.running) + occupied < self.slots
 
     def _take_slot(self, ticket: Ticket, now_ms: float) -> bool:
         """Give a free slot to a request, if the rate limit allows one more."""
@@ -285,8 +290,11 @@
         The length is that at normal speed.
         """
         running_ms = sum(self.mean_run_ms(other.route) for other in self.running)
+        if not self.running and self.former_runs.uncertain:
+            running_ms = INITIAL_RUN_MS
         work_ms = ahead_ms + running_ms / max(1, len(self.running))
-        return work_ms / self.slots * self.speed.ratio(now_ms)
+        slots = max(1, self.slots - self.former_runs.occupied(self.slots))
+        return work_ms / slots * self.speed.ratio(now_ms)
 
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[bool, int, float]:
         """Return the sort key of a waiting request.
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -128,6 +128,9 @@
 BACKEND_SPEED = register(
     9320, logging.INFO, "nearby nodes were told how long work takes"
 )
+FORMER_RUNS = register(
+    9321, logging.INFO, "runs of the node's former process occupy the backend server"
+)
 BACKEND_PROBED = register(9307, logging.INFO, "health probe answered")
 CALL_ENDED = register(9401, logging.INFO, "request answered")
 CALL_REFUSED = register(9402, logging.INFO, "request refused before it ran")
--- a/azurestep/mesh/stopping.py
+++ b/azurestep/mesh/stopping.py
@@ -84,5 +84,5 @@
             node=self.instance,
             calls=len(self.outbound.context.calls_in_flight),
             runs=len(admission.running),
-            waiting=admission.in_flight - len(admission.running),
+            waiting=len(admission.waiting),
         )
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -40,6 +40,15 @@
         Value of the header that says that it leaves; None for no header.
     tells_probes : bool
         Whether its answers to health probes say both too.
+    work_percent : int or None
+        Fourth figure of its load header; None for three figures.
+    queue_length : int or None
+        Requests that wait while all slots are in use; those beyond are never answered,
+        nor is any later one on their connections. None if slots don't bind.
+    keeps_runs : bool
+        Whether a run goes on after its connection has ended.
+    unqueued : int
+        Requests that it could neither run nor queue.
     answer_override : Callable or None
         Returns the bytes of the answer in place of the usual ones, or None to
         close the connection without an answer.
@@ -56,12 +65,17 @@
     rate_limit: str | None = None
     leaving: str | None = None
     tells_probes: bool = True
+    work_percent: int | None = None
+    queue_length: int | None = None
+    keeps_runs: bool = False
     answer_override: Handler | None = None
     runs: Counter[str] = attrs.field(factory=Counter)
     received: list[Received] = attrs.field(factory=list)
     arrivals: list[tuple[str, str, float]] = attrs.field(factory=list)
     connections: int = 0
     running: int = 0
+    waiting: int = 0
+    unqueued: int = 0
     most_running: int = 0
     cancelled: int = 0
     answered: int = 0
@@ -115,8 +129,7 @@
     ) -> bytes | None:
         if received.target == "/health":
             status = 200 if self.healthy else 503
-            load = f"Server-Load: {self.running},0,{self.slots}"
-            headers = [f"Instance-Id: {self.instance_id}", load]
+            headers = [f"Instance-Id: {self.instance_id}", self._load()]
             if self.tells_probes:
                 headers += self._notice()
             return _text(status, headers, b"")
@@ -128,6 +141,8 @@
         self.arrivals.append((name, self.instance_id, received.at_s))
         if self.answer_override is not None:
             return self.answer_override(received)
+        if self.queue_length is not None:
+            await self._wait_for_slot(reader)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
@@ -135,7 +150,30 @@
         finally:
             self.running -= 1
         self.answered += 1
-        return signed(received, received.body or b"hello", headers=self._notice())
+        headers = self._notice()
+        if self.work_percent is not None:
+            headers.append(self._load())
+        return signed(received, received.body or b"hello", headers=headers)
+
+    def _load(self) -> str:
+        figures = [self.running, self.waiting, self.slots]
+        if self.work_percent is not None:
+            figures.append(self.work_percent)
+        return f"Server-Load: {','.join(map(str, figures))}"
+
+    async def _wait_for_slot(self, reader: asyncio.StreamReader) -> None:
+        """Wait for a slot; for ever if the queue is full."""
+        if self.running >= self.slots and self.waiting >= (self.queue_length or 0):
+            self.unqueued += 1
+            while not reader.at_eof():
+                await asyncio.sleep(0.02)
+            raise ConnectionError
+        self.waiting += 1
+        try:
+            while self.running >= self.slots:
+                await asyncio.sleep(0.002)
+        finally:
+            self.waiting -= 1
 
     def _notice(self) -> list[str]:
         """Return the headers in which it tells of itself."""
@@ -148,7 +186,7 @@
         end = asyncio.get_running_loop().time() + work_s
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.005)
-            if reader.at_eof():
+            if reader.at_eof() and not self.keeps_runs:
                 self.cancelled += 1
                 raise ConnectionError
 
