A ratio that tells the lasting speed of a machine misled remote nodes

The figures of a load header may include the lasting speed of the machine. Run times divided by such a ratio are alike on all servers, and remote nodes, which get no SERVER_SPEED, take slow machines for fast ones.

The ratio is taken relative to the one that the server states mostly, a running median: the mean run times hold that one. Which meaning the figure has makes no difference then.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -18,6 +18,7 @@
 from ..decisions.rollout import VersionRole
 from ..decisions.rollout_table import RolloutTable
 from ..decisions.rollout_verdict import RunCounter, is_bad_run
+from ..decisions.speed import UsualRatio
 from ..decisions.transfers import BodyTransfers
 from ..incarnation import NO_INCARNATION, Incarnation
 from ..link_messages import ServerCondition
@@ -83,6 +84,7 @@
     caller_detector: CallerDetector = attrs.field(factory=CallerDetector)
     rollouts: RolloutTable = attrs.field(factory=RolloutTable)
     trial_runs: RunCounter = attrs.field(factory=RunCounter)
+    usual_ratio: UsualRatio = attrs.field(factory=UsualRatio)
     unreachable: bool = False
     shutting_down: bool = False
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
@@ -396,14 +398,17 @@
             )
 
     def apply_work_ratio(self, incarnation: Incarnation, ratio: float | None) -> None:
-        """Apply how long work takes at an incarnation by its answer."""
+        """Apply how long work takes at an incarnation by its answer.
+
+        Taken relative to what it states mostly, which the mean run times hold.
+        """
         if ratio is None or not self.backend.incarnation.matches(incarnation):
             return
         now_ms = self.now_ms()
         speed = self.admission.speed
         before = speed.ratio(now_ms)
-        speed.record(ratio, now_ms)
-        if ratio > before and self.admission.waiting:
+        speed.record(self.usual_ratio.relate(ratio), now_ms)
+        if speed.stated > before and self.admission.waiting:
             self._schedule_scan()
 
     def record_probe_sent(self) -> None:
@@ -528,6 +533,7 @@
             self.health.clear()
             self.idle.reset_reuse_limit()
             self.admission.clear_run_times()
+            self.usual_ratio = UsualRatio()
         self._last_incarnation = incarnation
         self.health.tick()
 
--- a/azurestep/mesh/decisions/speed.py
+++ b/azurestep/mesh/decisions/speed.py
@@ -10,6 +10,16 @@
 """Age up to which a ratio counts in full: about the time between two load reports."""
 NO_WEIGHT_MS = 600.0
 """Age from which a ratio no longer counts; slow phases take about this long."""
+USUAL_STEP = 0.005
+"""Relative step of the usual ratio with each answer.
+
+A slow phase of 0.6 s with a dozen answers moves it by 6%.
+"""
+FIRST_USUAL_STEP = 0.4
+"""First such step, divided by the number of answers so far.
+
+A server that was slow at its first answer, at 2.5, has its usual ratio after ten.
+"""
 LARGE_CHANGE = 0.25
 """Relative change of a ratio up to which peers need no news of it."""
 
@@ -76,6 +86,35 @@
         return higher > lower * (1 + LARGE_CHANGE)
 
 
+@attrs.define(slots=True)
+class UsualRatio:
+    """The ratio that a backend server states mostly: a running median.
+
+    A ratio may tell the lasting speed of its machine too, which the mean run times hold
+    already, and which remote nodes know from them only.
+
+    Examples
+    --------
+    >>> usual = UsualRatio()
+    >>> usual.relate(2.0), usual.relate(2.0)
+    (1.0, 1.0)
+    >>> round(usual.relate(5.0), 1)
+    2.2
+    """
+
+    _value: float = NORMAL_RATIO
+    _count: int = 0
+
+    def relate(self, ratio: float) -> float:
+        """Count a ratio that was stated, and return it relative to the usual one."""
+        self._count += 1
+        if self._count == 1:
+            self._value = ratio
+        step = 1 + max(USUAL_STEP, FIRST_USUAL_STEP / self._count)
+        self._value = min(max(ratio, self._value / step), self._value * step)
+        return ratio / self._value
+
+
 def to_normal_ms(run_ms: float, start_ratio: float, end_ratio: float) -> float:
     """Return how long a run would have taken at normal speed.
 
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -252,7 +252,7 @@
     Attributes
     ----------
     work_ratio : float
-        Relative to normal; 2.5 for two and a half times as long.
+        Relative to what is usual there; 2.5 for two and a half times as long.
     age_ms : float
         Time since the backend server said so.
     """
