The usual ratio of a busy server followed a slow phase within 0.6 s

It took a step with each answer, so at 300 answers a second a slow phase was usual before it ended. Found by the first test with whole nodes. At most one ratio in 50 ms counts for it now.

Measured: at 400 answers a second, 2.5 counts for more than 2.3 at the end of a phase of 0.6 s (test_a_slow_phase_hardly_moves_the_usual_ratio).

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -407,7 +407,7 @@
         now_ms = self.now_ms()
         speed = self.admission.speed
         before = speed.ratio(now_ms)
-        speed.record(self.usual_ratio.relate(ratio), now_ms)
+        speed.record(self.usual_ratio.relate(ratio, now_ms), now_ms)
         if speed.stated > before and self.admission.waiting:
             self._schedule_scan()
 
--- a/azurestep/mesh/decisions/speed.py
+++ b/azurestep/mesh/decisions/speed.py
@@ -10,13 +10,16 @@
 """Age up to which a ratio counts in full: about the time between two load reports."""
 NO_WEIGHT_MS = 600.0
 """Age from which a ratio no longer counts; slow phases take about this long."""
+USUAL_INTERVAL_MS = 50.0
+"""Shortest time between two ratios that count for the usual one, so that a slow phase
+weighs the same at a server with many answers."""
 USUAL_STEP = 0.005
-"""Relative step of the usual ratio with each answer.
+"""Relative step of the usual ratio with each that counts.
 
-A slow phase of 0.6 s with a dozen answers moves it by 6%.
+A slow phase of 0.6 s moves it by 6%.
 """
 FIRST_USUAL_STEP = 0.4
-"""First such step, divided by the number of answers so far.
+"""First such step, divided by the number of ratios so far.
 
 A server that was slow at its first answer, at 2.5, has its usual ratio after ten.
 """
@@ -96,22 +99,25 @@
     Examples
     --------
     >>> usual = UsualRatio()
-    >>> usual.relate(2.0), usual.relate(2.0)
+    >>> usual.relate(2.0, now_ms=0.0), usual.relate(2.0, now_ms=100.0)
     (1.0, 1.0)
-    >>> round(usual.relate(5.0), 1)
+    >>> round(usual.relate(5.0, now_ms=200.0), 1)
     2.2
     """
 
     _value: float = NORMAL_RATIO
     _count: int = 0
-
-    def relate(self, ratio: float) -> float:
-        """Count a ratio that was stated, and return it relative to the usual one."""
-        self._count += 1
-        if self._count == 1:
-            self._value = ratio
-        step = 1 + max(USUAL_STEP, FIRST_USUAL_STEP / self._count)
-        self._value = min(max(ratio, self._value / step), self._value * step)
+    _counted_ms: float = -math.inf
+
+    def relate(self, ratio: float, now_ms: float) -> float:
+        """Return a ratio that was stated relative to the usual one, and count it."""
+        if now_ms - self._counted_ms >= USUAL_INTERVAL_MS:
+            self._count += 1
+            self._counted_ms = now_ms
+            if self._count == 1:
+                self._value = ratio
+            step = 1 + max(USUAL_STEP, FIRST_USUAL_STEP / self._count)
+            self._value = min(max(ratio, self._value / step), self._value * step)
         return ratio / self._value
 
 
--- a/bench/speed_model.py
+++ b/bench/speed_model.py
@@ -484,7 +484,7 @@
         if self.way.stated and not self.way.at_once:
             ratio = round(ratio * 100) / 100
             if self.way.related:
-                ratio = server.usual.relate(ratio)
+                ratio = server.usual.relate(ratio, self.now_ms)
             server.stated.record(ratio, self.now_ms)
             if self.way.by_admission:
                 server.admission.speed.record(ratio, self.now_ms)
--- a/tests/test_mesh_speed.py
+++ b/tests/test_mesh_speed.py
@@ -1,6 +1,8 @@
 """Backend servers that tell how long work currently takes there."""
 
+import asyncio
 import math
+from collections import Counter
 from collections.abc import Sequence
 from random import Random
 from typing import Any
@@ -17,6 +19,7 @@
     FULL_WEIGHT_MS,
     NO_WEIGHT_MS,
     NORMAL_RATIO,
+    USUAL_INTERVAL_MS,
     UsualRatio,
     WorkSpeed,
     to_normal_ms,
@@ -31,6 +34,7 @@
     FEATURE_LEVEL,
     PROTOCOL_VERSION,
     Hello,
+    Kind,
     State,
 )
 
@@ -39,6 +43,9 @@
     RecordingReceiver,
     make_inbound_harness,
 )
+from .fixtures_mesh import MeshFleet
+from .test_mesh_faults import eventually
+from .test_mesh_restart import restart
 
 SPEED_OF_1: list[bytes | None] = [None, b"2,0,4", b"2,0,4,100", b"2,0,4,0", b"2,0,4,x"]
 """Load headers that make no statement about the speed, or say that it is normal."""
@@ -51,6 +58,7 @@
 def settle(harness: InboundHarness) -> None:
     """Let the server state for long that its speed is normal."""
     for _ in range(SETTLED):
+        harness.loop.now_ms += USUAL_INTERVAL_MS
         harness.inbound.apply_work_ratio(Incarnation(b"i-1"), 1.0)
 
 
@@ -163,29 +171,38 @@
     assert admission.expected_run_ms("read", now_ms) == pytest.approx(258.0, rel=0.05)
 
 
+def relate(usual: UsualRatio, ratio: float, count: int) -> list[float]:
+    """Return a ratio relative to the usual one, as it is stated again and again."""
+    begin_ms = usual._counted_ms if math.isfinite(usual._counted_ms) else 0.0
+    return [
+        usual.relate(ratio, begin_ms + number * USUAL_INTERVAL_MS)
+        for number in range(1, count + 1)
+    ]
+
+
 def test_a_lasting_ratio_is_the_usual_one() -> None:
     # The mean run times hold it already, and remote nodes know it from them only.
     for lasting in (0.55, 1.0, 1.82):
         usual = UsualRatio()
-        assert {usual.relate(lasting) for _ in range(100)} == {1.0}
-        assert usual.relate(2.5 * lasting) == pytest.approx(2.5, rel=0.01)
+        assert set(relate(usual, lasting, 100)) == {1.0}
+        assert relate(usual, 2.5 * lasting, 1) == [pytest.approx(2.5, rel=0.01)]
 
 
 def test_a_server_that_is_slow_at_first_gets_its_usual_ratio_soon() -> None:
     usual = UsualRatio()
-    for _ in range(5):
-        usual.relate(2.5)
-    found = [usual.relate(1.0) for _ in range(80)]
+    relate(usual, 2.5, 5)
+    found = relate(usual, 1.0, 80)
     assert found[0] < 0.5
     assert found[-1] == 1.0
 
 
-def test_a_slow_phase_hardly_moves_the_usual_ratio() -> None:
+@pytest.mark.parametrize("answers_per_s", [20, 400])
+def test_a_slow_phase_hardly_moves_the_usual_ratio(answers_per_s: int) -> None:
     usual = UsualRatio()
-    for _ in range(SETTLED):
-        usual.relate(1.0)
-    for _ in range(12):
-        last = usual.relate(2.5)
+    relate(usual, 1.0, SETTLED)
+    begin_ms = usual._counted_ms
+    for number in range(answers_per_s * 6 // 10):
+        last = usual.relate(2.5, begin_ms + number * 1000 / answers_per_s)
     assert last > 2.3
 
 
@@ -488,3 +505,76 @@
         queue_ms = 30.0 * len(admission.waiting)
         waits.append((refused.retry_after_ms - 40.0) / queue_ms)
     assert waits == pytest.approx([1.0, 2.5])
+
+
+# Whole nodes
+
+
+@pytest.fixture
+def sent_kinds(monkeypatch: pytest.MonkeyPatch) -> Counter[Kind]:
+    """Count the messages that nodes send on links that peers opened."""
+    kinds: Counter[Kind] = Counter()
+    original = IncomingLink.send
+
+    def send(link: IncomingLink, kind: Kind, *fields: object) -> None:
+        kinds[kind] += 1
+        original(link, kind, *fields)
+
+    monkeypatch.setattr(IncomingLink, "send", send)
+    return kinds
+
+
+async def send_reads(mesh: MeshFleet, prefix: str) -> None:
+    for number in range(60):
+        caller = mesh.instances[number % len(mesh.instances)]
+        status, _ = await mesh.get(caller, "/read/1", f"{prefix}{number}")
+        assert status == 200
+
+
+async def test_nodes_nearby_learn_that_a_server_is_slow(
+    mesh: MeshFleet, sent_kinds: Counter[Kind], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    learned: dict[PeerLink, float] = {}
+    original = PeerLink.on_speed
+
+    def on_speed(link: PeerLink, connection: Any, speed: ServerSpeed) -> None:
+        original(link, connection, speed)
+        learned[link] = link.endpoint.speed.ratio(link.runtime.now_ms())
+
+    monkeypatch.setattr(PeerLink, "on_speed", on_speed)
+    slow, _, near = mesh.instances
+    for instance in mesh.instances:
+        instance.server.work_percent = 100
+        instance.server.work_s = 0.01
+    for turn in range(4):
+        await send_reads(mesh, f"normal{turn}-")
+    assert sent_kinds[Kind.SERVER_SPEED] == 0
+    slow.server.work_percent = 250
+    address = slow.node.settings.peer_address
+    link = near.node.members.links[address]
+    turns = 0
+    async with asyncio.timeout(10):
+        while link not in learned:
+            turns += 1
+            await send_reads(mesh, f"slow{turns}-")
+    assert set(learned) == {link}
+    assert learned[link] > 1.5
+
+
+async def test_nodes_send_no_speed_of_servers_without_a_statement(
+    mesh: MeshFleet, sent_kinds: Counter[Kind]
+) -> None:
+    for _ in range(3):
+        await send_reads(mesh, f"q{sum(sent_kinds.values())}-")
+    assert sent_kinds[Kind.SERVER_SPEED] == 0
+
+
+async def test_a_restarted_node_learns_the_speed_from_its_first_probe(
+    mesh: MeshFleet,
+) -> None:
+    instance = mesh.instances[0]
+    instance.server.work_percent = 250
+    await restart(mesh, instance)
+    usual = instance.node.inbound.usual_ratio
+    await eventually(lambda: usual._count > 0)
+    assert usual._value == 2.5
