Nodes crowded fast servers under overload, avoiding the queues of slow ones

The choice multiplied the run and the queue of a server by its ratio. A slow phase is mostly over before the queue is, so slow servers got too little and the others too much.

The ratio counts for the run only.

--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -379,14 +379,18 @@
 def _expected_value(
     endpoint: Endpoint, criteria: SelectionCriteria, now_ms: float
 ) -> float:
-    """Return the value of an answer at its expected time, less the penalties."""
-    run_ms = endpoint.mean_run_ms.get(criteria.route, criteria.fleet_mean_run_ms)
-    run_ms *= endpoint.speed.ratio(now_ms)
+    """Return the value of an answer at its expected time, less the penalties.
+
+    The ratio counts for the run only: a slow phase is mostly over before a queue is,
+    and nodes that shun the queues of slow servers crowd the others.
+    """
+    usual_ms = endpoint.mean_run_ms.get(criteria.route, criteria.fleet_mean_run_ms)
     if now_ms < endpoint.cold_until_ms:
-        run_ms *= COLD_RUN_FACTOR
+        usual_ms *= COLD_RUN_FACTOR
+    run_ms = usual_ms * endpoint.speed.ratio(now_ms)
     load = endpoint.load
-    slots = endpoint.usable_slots(run_ms)
-    wait_ms = max(0.0, load + 1 - slots) * endpoint.start_interval_ms(run_ms)
+    slots = endpoint.usable_slots(usual_ms)
+    wait_ms = max(0.0, load + 1 - slots) * endpoint.start_interval_ms(usual_ms)
     if criteria.body_kib:
         wait_ms = max(wait_ms, endpoint.bodies.wait_ms(criteria.body_kib))
     objective_ms = max(criteria.objective_ms, 1.0)
--- a/bench/speed_model.py
+++ b/bench/speed_model.py
@@ -70,9 +70,11 @@
         Whether all nodes know the true ratio at any time, as the limit of what messages
         could do.
     slow_waits : bool
-        Whether the wait in a queue is multiplied by the ratio, too.
+        Whether admission multiplies the wait in its queue by the ratio, too.
     large_change : float
         Relative change from which peers are sent news.
+    slow_queues : bool
+        Whether the choice multiplies the wait at other servers by the ratio, too.
     related : bool
         Whether the ratio is taken relative to the usual one of the server.
     late_share : float
@@ -92,6 +94,7 @@
     at_once: bool = False
     slow_waits: bool = True
     large_change: float = speeds.LARGE_CHANGE
+    slow_queues: bool = False
     related: bool = True
     late_share: float = 0.0
 
@@ -127,6 +130,17 @@
         return max(self.own_in_flight, weight * told + (1 - weight) * (SLOTS - 1))
 
 
+class SlowQueueEndpoint(Endpoint):
+    """A backend server whose queue advances as slowly as its runs."""
+
+    clock: Any = None
+
+    def start_interval_ms(self, run_ms: float) -> float:
+        """Return the time between two starts while all its slots are in use."""
+        usual_ms = super().start_interval_ms(run_ms)
+        return usual_ms * self.speed.ratio(self.clock.now_ms)
+
+
 class TrueSpeed(WorkSpeed):
     """The ratio that a server has, without a statement."""
 
@@ -285,7 +299,10 @@
             server.data_centre,
         )
         local = node.data_centre == server.data_centre
-        if self.way.load_memory_ms is None:
+        if self.way.slow_queues:
+            endpoint: Endpoint = SlowQueueEndpoint(*fields, slots=SLOTS)
+            endpoint.clock = self  # type: ignore[attr-defined]
+        elif self.way.load_memory_ms is None:
             endpoint = Endpoint(*fields, slots=SLOTS)
         else:
             endpoint = StaleEndpoint(*fields, slots=SLOTS)
--- a/bench/speed_ways.py
+++ b/bench/speed_ways.py
@@ -36,6 +36,8 @@
     Way("choice", by_admission=False),
     Way("both"),
     Way("both, known at once", at_once=True),
+    Way("both, slow queues", slow_queues=True),
+    Way("both, slow queues, known at once", slow_queues=True, at_once=True),
     Way("both, remote too", by_remote=True),
     Way("both, sent once", resent=False),
     Way("both, waits at normal speed", slow_waits=False),
