--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
     "version_spreading",
     "node_size",
     "placement_model",
+    "speed_ways",
 )
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
