A restarted node without a probe held its requests without a limit

The wait for the first probe was limited from when one was sent. While a node has no configuration, or the configuration no health path for the service, none is sent, and requests waited as long as that lasted.

The limit of 3 s begins when the backend server is known.

Measured: test_a_server_whose_service_has_no_health_path_gets_requests passes; it sends no probe and waits at most 4 s.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -411,9 +411,9 @@
         if speed.stated > before and self.admission.waiting:
             self._schedule_scan()
 
-    def record_probe_sent(self) -> None:
-        """Record that a health probe was sent."""
-        self.admission.former_runs.record_probe_sent(self.now_ms())
+    def limit_wait_for_probe(self) -> None:
+        """Limit the time that requests wait for the first answer to a probe."""
+        self.admission.former_runs.limit_wait(self.now_ms())
 
     def record_probe(self, occupancy: int | None, sent_ms: float) -> None:
         """Apply how many requests occupy the backend server by a probe's answer.
--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -138,7 +138,13 @@
             self.inbound.admission.former_runs.begin()
 
     def check(self) -> None:
-        """Send a probe if the incarnation is uncertain."""
+        """Send a probe if the incarnation or what it runs is uncertain.
+
+        The wait for its answer is limited even if no probe can be sent, as without a
+        configuration.
+        """
+        if self._counts_former_runs:
+            self.inbound.limit_wait_for_probe()
         if self._probing or not self._is_due() or self.table() is None:
             return
         interval_ms = MIN_PROBE_INTERVAL_MS
@@ -203,7 +209,6 @@
         connection = await self._find_connection()
         if connection is None:
             return None
-        self.inbound.record_probe_sent()
         sent_ms = self.runtime.now_ms()
         future: asyncio.Future[ProbeResult | None] = self.runtime.loop.create_future()
         host, port = self.inbound.address
--- a/azurestep/mesh/decisions/former_runs.py
+++ b/azurestep/mesh/decisions/former_runs.py
@@ -10,7 +10,7 @@
 import attrs
 
 UNKNOWN_LIMIT_MS = 3000.0
-"""Longest time that requests wait for the first answer to a probe.
+"""Longest time that requests to a known backend server wait for a probe's answer.
 
 As long as a restarted node searches for its backend server.
 """
@@ -60,8 +60,8 @@
         """Take all slots to be occupied until a probe tells the number."""
         self.unknown = True
 
-    def record_probe_sent(self, now_ms: float) -> None:
-        """Record that a probe was sent; from the first one on, the wait is limited."""
+    def limit_wait(self, now_ms: float) -> None:
+        """Limit the wait for a probe, now that the backend server is known."""
         if self.unknown:
             self._limit_ms = min(self._limit_ms, now_ms + UNKNOWN_LIMIT_MS)
 
--- a/tests/test_mesh_former_runs.py
+++ b/tests/test_mesh_former_runs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from azurestep.mesh.backend.probing import Prober
 from azurestep.mesh.decisions.former_runs import (
     FORMER_RUNS_LIMIT_MS,
     UNKNOWN_LIMIT_MS,
@@ -15,7 +16,7 @@
 from .fixtures_mesh import BACKEND_PORT, MeshFleet, MeshInstance, MeshLines
 from .test_mesh_faults import eventually
 from .test_mesh_rate_limit import send_steadily
-from .test_mesh_restart import restart
+from .test_mesh_restart import HEARTBEAT, restart
 
 FORMER = 3
 SLOTS = 4
@@ -90,7 +91,7 @@
     assert not run.may_have_run
     assert impatient.outcomes == [Reason.OVERLOADED.name]
     sent_ms = harness.loop.now_ms
-    inbound.record_probe_sent()
+    inbound.limit_wait_for_probe()
     inbound.record_probe(FORMER, sent_ms)
     harness.loop.run_due()
     assert run.may_have_run
@@ -126,15 +127,35 @@
     assert former.count == 2
 
 
+async def test_a_server_whose_service_has_no_health_path_gets_requests(
+    mesh: MeshFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # No probe can be sent, so none may be waited for without a limit.
+    async def send_no_probe(prober: Prober) -> None:
+        return None
+
+    monkeypatch.setattr(Prober, "_send_probe", send_no_probe)
+    instance = mesh.instances[0]
+    await restart(mesh, instance)
+    node = instance.node
+    await eventually(lambda: node.configuration.version == 3)
+    node.backend.apply_heartbeat(HEARTBEAT, node.runtime.now_ms())
+    assert node.inbound.admission.former_runs.unknown
+    former = node.inbound.admission.former_runs
+    await eventually(lambda: not former.unknown, UNKNOWN_LIMIT_MS / 1000 + 1)
+    status, _ = await mesh.get(instance, "/read/1", "q1")
+    assert status == 200
+
+
 def test_the_wait_for_a_probe_is_limited(harness: InboundHarness) -> None:
     # A server that answers no probe must still get requests, as before.
     inbound = harness.inbound
     inbound.admission.former_runs.begin()
     harness.after(UNKNOWN_LIMIT_MS)
     assert inbound.admission.former_runs.unknown
-    inbound.record_probe_sent()
+    inbound.limit_wait_for_probe()
     harness.after(UNKNOWN_LIMIT_MS / 2)
-    inbound.record_probe_sent()
+    inbound.limit_wait_for_probe()
     harness.after(UNKNOWN_LIMIT_MS / 2)
     assert not inbound.admission.former_runs.uncertain
 
