--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -19,6 +19,7 @@
 from ..decisions.rollout import VersionRole
 from ..decisions.rollout_table import RolloutTable
 from ..decisions.rollout_verdict import RunCounter, is_bad_run
+from ..decisions.speed import UsualRatio
 from ..decisions.transfers import BodyTransfers
 from ..incarnation import NO_INCARNATION, Incarnation
 from ..link_messages import ServerCondition
@@ -50,6 +51,11 @@
 """
 NOTICE_TIMEOUT_MS = 1000.0
 """Time without an answer after which a limited backend server is asked by a probe."""
+SETTLE_MS = 20.0
+"""Time after which a backend server has read a request that was sent to it.
+
+It is on the same instance and reads within about 1 ms.
+"""
 RECONNECT_INTERVAL_MS = 300.0
 """Time between attempts to reach a backend server that refuses connections."""
 
@@ -82,6 +88,7 @@
     rollouts: RolloutTable = attrs.field(factory=RolloutTable)
     trial_runs: RunCounter = attrs.field(factory=RunCounter)
     table: Callable[[], RoutingTable | None] = lambda: None
+    usual_ratio: UsualRatio = attrs.field(factory=UsualRatio)
     unreachable: bool = False
     shutting_down: bool = False
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
@@ -153,7 +160,9 @@
         self.caller_detector.record_request(
             request.route, request.priority, request.calling_service
         )
-        run.ticket.is_call = self.caller_detector.is_called(request.route)
+        run.ticket.is_call = self.caller_detector.is_called(
+            request.route, self.backend.service
+        )
         if run.awaits_body:
             self._admit_transfer(run)
             return
@@ -403,6 +412,46 @@
                 headers=[name.decode("latin-1") for name in notice.unknown],
             )
 
+    def apply_work_ratio(self, incarnation: Incarnation, ratio: float | None) -> None:
+        """Apply how long work takes at an incarnation by its answer.
+
+        Taken relative to what it states mostly, which the mean run times hold.
+        """
+        if ratio is None or not self.backend.incarnation.matches(incarnation):
+            return
+        now_ms = self.now_ms()
+        speed = self.admission.speed
+        before = speed.ratio(now_ms)
+        speed.record(self.usual_ratio.relate(ratio, now_ms), now_ms)
+        if speed.stated > before and self.admission.waiting:
+            self._schedule_scan()
+
+    def limit_wait_for_probe(self) -> None:
+        """Limit the time that requests wait for the first answer to a probe."""
+        self.admission.former_runs.limit_wait(self.now_ms())
+
+    def record_probe(self, occupancy: int | None, sent_ms: float) -> None:
+        """Apply how many requests occupy the backend server by a probe's answer.
+
+        Own runs count as included only if they were sent well before the probe: the
+        backend server may read a later request first.
+        """
+        former_runs = self.admission.former_runs
+        if not former_runs.uncertain:
+            return
+        settled_ms = sent_ms - SETTLE_MS
+        own = sum(0 < run.sent_ms <= settled_ms for run in self._runs.values())
+        former_runs.record_probe(occupancy, own, self.now_ms())
+        self._on_former_runs()
+
+    def _on_former_runs(self) -> None:
+        events.log(
+            events.FORMER_RUNS,
+            instance=self.backend.instance_id,
+            running=self.admission.former_runs.count,
+        )
+        self._schedule_scan()
+
     def awaits_notice(self) -> bool:
         """Whether a limited backend server gave no answer that could lift the limit."""
         limited = self.backend.rate_limit_per_s != NO_RATE_LIMIT
@@ -474,6 +523,8 @@
         now_ms = self.now_ms()
         self._tick_health()
         self.load = tick_load(self.load, self.admission, self.backend)
+        if self.admission.former_runs.expire(now_ms):
+            self._on_former_runs()
         self._schedule_scan()
         for run in list(self._runs.values()):
             run_guarded(run, run.enforce_timeouts, now_ms)
@@ -497,6 +548,7 @@
             self.health.clear()
             self.idle.reset_reuse_limit()
             self.admission.clear_run_times()
+            self.usual_ratio = UsualRatio()
         self._last_incarnation = incarnation
         self.health.tick()
 
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -9,7 +9,9 @@
 import attrs
 
 from .call_slots import MIN_NEW_SHARE, CallSlots
+from .former_runs import FormerRuns
 from .rate_limit import RateLimiter
+from .speed import WorkSpeed
 from .team_shares import NO_TEAM_TAG, TeamShares
 
 INITIAL_RUN_MS = 150.0
@@ -86,6 +88,10 @@
         Rate limit that the backend server named, if any.
     shares : TeamShares
         Run time that each team has used.
+    speed : WorkSpeed
+        How long work takes there now, relative to the mean run times.
+    former_runs : FormerRuns
+        Runs of the node's former process that still occupy slots.
     """
 
     slots: int = 1
@@ -93,6 +99,8 @@
     drain_deadline_ms: float = math.inf
     limiter: RateLimiter = attrs.field(factory=RateLimiter)
     shares: TeamShares = attrs.field(factory=TeamShares)
+    speed: WorkSpeed = attrs.field(factory=WorkSpeed)
+    former_runs: FormerRuns = attrs.field(factory=FormerRuns)
     _waiting: list[Ticket] = attrs.field(factory=list)
     _mean_run_ms: dict[str, float] = attrs.field(factory=dict)
     _fleet_mean_run_ms: dict[str, float] = attrs.field(factory=dict)
@@ -100,8 +108,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that run or wait."""
-        return len(self.running) + len(self._waiting)
+        """Number of requests that run or wait, including runs of a former process."""
+        return len(self.running) + len(self._waiting) + self.former_runs.count
 
     @property
     def waiting(self) -> list[Ticket]:
@@ -113,7 +121,7 @@
         return self._call_slots.kept(now_ms, self.slots)
 
     def mean_run_ms(self, route: str) -> float:
-        """Return the mean run time of a route's requests.
+        """Return the mean run time of a route's requests at normal speed.
 
         Without local samples this is the mean over all backend servers, or a default.
         """
@@ -124,6 +132,10 @@
             else known
         )
 
+    def expected_run_ms(self, route: str, now_ms: float) -> float:
+        """Return how long a request of a route takes at the current speed."""
+        return self.mean_run_ms(route) * self.speed.ratio(now_ms)
+
     def fleet_mean_run_ms(self, route: str) -> float:
         """Return the mean run time over all backend servers; 0 if unknown."""
         return self._fleet_mean_run_ms.get(route, 0.0)
@@ -133,7 +145,7 @@
         self._fleet_mean_run_ms[route] = mean_run_ms
 
     def record_run(self, route: str, run_ms: float) -> None:
-        """Add the run time of one request to its route's mean."""
+        """Add the run time of one request at normal speed to its route's mean."""
         known = self._mean_run_ms.get(route)
         if known is None:
             self._mean_run_ms[route] = run_ms
@@ -141,8 +153,9 @@
             self._mean_run_ms[route] = known + RUN_MEAN_WEIGHT * (run_ms - known)
 
     def clear_run_times(self) -> None:
-        """Clear the run times, which belong to an earlier incarnation."""
+        """Clear the run times and speed, which belong to an earlier incarnation."""
         self._mean_run_ms.clear()
+        self.speed.clear()
 
     def admit(
         self, ticket: Ticket, now_ms: float, committed: bool = False
@@ -165,7 +178,7 @@
         bool or Refused
             True if it runs now, False if it waits, or the refusal.
         """
-        end_ms = now_ms + self.mean_run_ms(ticket.route)
+        end_ms = now_ms + self.expected_run_ms(ticket.route, now_ms)
         if end_ms > self.drain_deadline_ms:
             return Refused(self.estimate_retry_after_ms(now_ms))
         running_calls = sum(1 for one in self.running if one.is_call)
@@ -183,7 +196,7 @@
 
     def estimate_end_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Return when a request would end that is admitted now."""
-        end_ms = now_ms + self.mean_run_ms(ticket.route)
+        end_ms = now_ms + self.expected_run_ms(ticket.route, now_ms)
         if self._may_start_now(ticket, now_ms):
             return end_ms
         return end_ms + self._wait_in_queue_ms(ticket, now_ms)
@@ -216,7 +229,7 @@
 
     def _next_to_start(self, now_ms: float) -> Ticket | None:
         """Return the first request in the queue if there is a slot for it."""
-        if not self._waiting or len(self.running) >= self.slots:
+        if not self._waiting or len(self.running) >= self._open_slots:
             return None
         in_order = self._in_order(now_ms)
         first = in_order[0]
@@ -239,7 +252,12 @@
 
     def _has_free_slot(self, ticket: Ticket, now_ms: float) -> bool:
         kept = 0 if ticket.is_call else self.kept_slots(now_ms)
-        return len(self.running) < self.slots - kept
+        return len(self.running) < self._open_slots - kept
+
+    @property
+    def _open_slots(self) -> int:
+        """Number of slots that no run of a former process occupies."""
+        return self.slots - self.former_runs.occupied(self.slots)
 
     def _take_slot(self, ticket: Ticket, now_ms: float) -> bool:
         """Give a free slot to a request, if the rate limit allows one more."""
@@ -282,7 +300,7 @@
             ]
         expiring: list[Ticket] = []
         slot_ms = now_ms + (
-            self._estimate_wait_ms(0.0, self.slots) if draining else 0.0
+            self._estimate_wait_ms(0.0, self.slots, now_ms) if draining else 0.0
         )
         ahead = 0
         for ticket in self._in_order(now_ms):
@@ -290,7 +308,7 @@
             if self._is_worth_waiting(ticket, start_ms, ahead):
                 ahead += 1
                 if draining:
-                    slot_ms += self.mean_run_ms(ticket.route) / self.slots
+                    slot_ms += self.expected_run_ms(ticket.route, now_ms) / self.slots
             else:
                 expiring.append(ticket)
         return expiring
@@ -302,7 +320,7 @@
         requests for as long as these come faster than the limit. The first in line
         gets the next token, even if it comes a little late.
         """
-        end_ms = start_ms + self.mean_run_ms(ticket.route)
+        end_ms = start_ms + self.expected_run_ms(ticket.route, start_ms)
         misses_objective = not ticket.is_call and end_ms > ticket.objective_deadline_ms
         if self.limiter.active and ahead and misses_objective:
             return False
@@ -314,14 +332,17 @@
 
     def can_end_in_time(self, ticket: Ticket, now_ms: float) -> bool:
         """Whether a request that starts now is likely to end before its deadline."""
-        return now_ms + self.mean_run_ms(ticket.route) <= self.run_deadline_ms(ticket)
+        end_ms = now_ms + self.expected_run_ms(ticket.route, now_ms)
+        return end_ms <= self.run_deadline_ms(ticket)
 
     def estimate_retry_after_ms(self, now_ms: float) -> float:
         """Return the time after which a slot is likely to be free.
 
         Under a rate limit, the time until the requests that wait have used it up too.
         """
-        work_ms = sum(self.mean_run_ms(ticket.route) for ticket in self._waiting)
+        work_ms = sum(
+            self.expected_run_ms(ticket.route, now_ms) for ticket in self._waiting
+        )
         limit_ms = self.limiter.wait_ms(now_ms, len(self._waiting))
         after_ms = MIN_RETRY_AFTER_MS + max(work_ms / self.slots, limit_ms)
         return after_ms if limit_ms == 0 else min(after_ms, MAX_RETRY_AFTER_MS)
@@ -337,7 +358,7 @@
         ]
         ahead_ms = sum(self.mean_run_ms(one.route) for one in ahead)
         limit_ms = self.limiter.wait_ms(now_ms, len(ahead))
-        wait_ms = self._estimate_wait_ms(ahead_ms, self.slots)
+        wait_ms = self._estimate_wait_ms(ahead_ms, max(1, self._open_slots), now_ms)
         if not ticket.is_call:
             wait_ms = self._wait_of_new_work_ms(ahead, ahead_ms, now_ms)
         return max(wait_ms, limit_ms)
@@ -349,18 +370,24 @@
 
         At most until its guaranteed share of the run time reaches it.
         """
-        left = self._call_slots.left(now_ms, self.slots)
+        slots = max(1, self._open_slots)
+        left = self._call_slots.left(now_ms, slots)
         new_ms = sum(self.mean_run_ms(one.route) for one in ahead if not one.is_call)
         return min(
-            self._estimate_wait_ms(ahead_ms, left),
-            self._estimate_wait_ms(new_ms, self.slots * MIN_NEW_SHARE),
+            self._estimate_wait_ms(ahead_ms, left, now_ms),
+            self._estimate_wait_ms(new_ms, slots * MIN_NEW_SHARE, now_ms),
         )
 
-    def _estimate_wait_ms(self, ahead_ms: float, slots: float) -> float:
-        """Return how long a request waits behind queued work of a given length."""
+    def _estimate_wait_ms(self, ahead_ms: float, slots: float, now_ms: float) -> float:
+        """Return how long a request waits behind queued work of a given length.
+
+        The length is that at normal speed.
+        """
         running_ms = sum(self.mean_run_ms(other.route) for other in self.running)
+        if not self.running and self.former_runs.uncertain:
+            running_ms = INITIAL_RUN_MS
         mean_ms = running_ms / max(1, len(self.running))
-        return (ahead_ms + mean_ms) / slots
+        return (ahead_ms + mean_ms) / slots * self.speed.ratio(now_ms)
 
     def _in_order(self, now_ms: float) -> list[Ticket]:
         """Return the waiting requests in the order in which they get slots."""
@@ -392,10 +419,8 @@
 
     def _rank(self, ticket: Ticket, now_ms: float) -> Rank:
         """Return the sort key of a request without its team."""
-        misses_objective = (
-            not ticket.is_call
-            and now_ms + self.mean_run_ms(ticket.route) > ticket.objective_deadline_ms
-        )
+        end_ms = now_ms + self.expected_run_ms(ticket.route, now_ms)
+        misses_objective = not ticket.is_call and end_ms > ticket.objective_deadline_ms
         return (
             not ticket.is_call,
             misses_objective,
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -88,9 +88,14 @@
             halves = {name: count // 2 for name, count in origins.items()}
             self._origins[route] = {k: count for k, count in halves.items() if count}
 
-    def is_called(self, route: str) -> bool:
-        """Whether a service calls the local one on a route."""
-        return route in self._calling_services
+    def is_called(self, route: str, own_service: str) -> bool:
+        """Whether another service calls the local one on a route.
+
+        Where a fleet has one service, external callers have its instances in common
+        too, and can't be told from calls.
+        """
+        found = self._calling_services.get(route)
+        return found is not None and found[0] != own_service
 
     def called_routes(self) -> tuple[str, ...]:
         """Return the routes on which a service calls the local one."""
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -20,6 +20,7 @@
     QuotaUsage,
     RolloutUpdate,
     ServerCondition,
+    ServerSpeed,
     ServerVersion,
     SlotReady,
     StoreContact,
@@ -87,6 +88,9 @@
     def on_backlog(self, connection: "PeerConnection", backlog: BodyBacklog) -> None:
         """Handle how long a body would wait for the peer's link."""
 
+    def on_speed(self, connection: "PeerConnection", speed: ServerSpeed) -> None:
+        """Handle how long work takes at the peer's backend server."""
+
     def on_trial_counts(
         self, connection: "PeerConnection", counts: TrialCounts
     ) -> None:
@@ -383,6 +387,9 @@
     def _on_backlog(self, _: None, backlog: BodyBacklog) -> None:
         self.link.on_backlog(self, backlog)
 
+    def _on_speed(self, _: None, speed: ServerSpeed) -> None:
+        self.link.on_speed(self, speed)
+
     def _on_trial_counts(self, _: None, counts: TrialCounts) -> None:
         self.link.on_trial_counts(self, counts)
 
@@ -442,5 +449,6 @@
     BodyBacklog: PeerConnection._on_backlog,
     CalledRoutes: PeerConnection._on_called_routes,
     QuotaGrant: PeerConnection._on_quota_grant,
+    ServerSpeed: PeerConnection._on_speed,
 }
 """Handlers by message type."""
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -33,6 +33,7 @@
     QuotaUsage,
     RolloutUpdate,
     ServerCondition,
+    ServerSpeed,
     ServerVersion,
     SlotReady,
     StoreContact,
@@ -93,6 +94,7 @@
     | CalledRoutes
     | QuotaUsage
     | QuotaGrant
+    | ServerSpeed
 )
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
@@ -193,6 +195,12 @@
     return QuotaGrant(rows)
 
 
+def _build_speed(work_ratio: float, age_ms: float) -> ServerSpeed:
+    if not (0 < work_ratio < math.inf and 0 <= age_ms < math.inf):
+        raise ValueError("the speed of a backend server is no ratio with an age")
+    return ServerSpeed(work_ratio, age_ms)
+
+
 def _build_crashes(service: str, rows: Iterable[Any]) -> CrashReport:
     return CrashReport(service, decode_updates(rows))
 
@@ -243,6 +251,7 @@
     Kind.CALLED_ROUTES: _schema(CalledRoutes, has_stream_id=False),
     Kind.BODY_BACKLOG: _schema(BodyBacklog, _build_backlog, has_stream_id=False),
     Kind.QUOTA_GRANT: _schema(QuotaGrant, _build_grant, has_stream_id=False),
+    Kind.SERVER_SPEED: _schema(ServerSpeed, _build_speed, has_stream_id=False),
 }
 """Kinds of messages that the node that accepted a link may send."""
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -634,6 +634,9 @@
             self.members.called_routes
         )
         gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
+        gauges["backend_work_ratio"] = self.inbound.admission.speed.ratio(
+            self.runtime.now_ms()
+        )
         gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
         gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
         gauges["quota_teams_owned"] = len(self.quotas.owned)
--- a/bench/calls_fleet.py
+++ b/bench/calls_fleet.py
@@ -310,7 +310,7 @@
             objective_ms,
             sent.deadline_ms,
             owner=(sent, endpoint),
-            is_call=node.detector.is_called(kind.route),
+            is_call=node.detector.is_called(kind.route, node.service),
         )
         decision = node.admission.admit(ticket, now_ms)
         if isinstance(decision, Refused):
