A restarted node held back requests that its server had room for

It does so only with counts_former_runs in the settings, for servers whose queues are shorter than their slots.

--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -121,6 +121,8 @@
         Service of the backend server according to the settings.
     restarted : bool
         Whether the backend server may have been running before this process.
+    counts_former_runs : bool
+        Whether runs of the former process are counted after a restart.
     """
 
     runtime: Runtime
@@ -128,13 +130,14 @@
     table: Callable[[], RoutingTable | None]
     service: str
     restarted: bool
+    counts_former_runs: bool = False
     _probing: bool = False
     _last_ms: float = 0.0
     _started_ms: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._started_ms = self.runtime.now_ms()
-        if self.restarted:
+        if self.restarted and self.counts_former_runs:
             self.inbound.admission.former_runs.begin()
 
     def check(self) -> None:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -240,6 +240,7 @@
             lambda: self.configuration.table,
             settings.service,
             restarted=not settings.first_start,
+            counts_former_runs=settings.counts_former_runs,
         )
         self.callers = ServerState(
             self.outbound.handle, runtime.fault_handler("caller"), answer_bad_gateway
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -142,6 +142,10 @@
         Address to listen on for other nodes, if a relay listens on ``peer_address``.
     link_mbps : float
         Rate of the instance's network link in Mbit/s; 0 if unknown.
+    counts_former_runs : bool
+        Whether a restarted node starts no runs until it knows how many of its former
+        process occupy the backend server. Needed where a server's queue is shorter than
+        the number of its slots.
     """
 
     instance: str
@@ -158,6 +162,7 @@
     bounds: Bounds = Bounds()
     peer_listen_address: Address | None = None
     link_mbps: float = 0.0
+    counts_former_runs: bool = False
 
 
 def read_settings(path: pathlib.Path) -> MeshSettings:
@@ -204,6 +209,7 @@
             bounds=parse_bounds(fields["bounds"]),
             peer_listen_address=_optional_address(fields.get("peer_listen_address")),
             link_mbps=_parse_link_rate(fields["link_mbps"]),
+            counts_former_runs=bool(fields.get("counts_former_runs", False)),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -127,6 +127,7 @@
     session: ClientSession
     path: pathlib.Path
     instances: list[MeshInstance] = attrs.field(factory=list)
+    counts_former_runs: bool = False
 
     async def add(self, index: int, version: str = "v1") -> MeshInstance:
         """Start an instance whose backend server has a version."""
@@ -196,6 +197,7 @@
             metrics_address=(host, METRICS_PORT),
             backend_address=(host, BACKEND_PORT),
             store_address=(STORE_HOST, STORE_PORT),
+            counts_former_runs=self.counts_former_runs,
         )
         return Node(settings, self.path, Runtime(asyncio.get_running_loop()))
 
--- a/tests/test_mesh_former_runs.py
+++ b/tests/test_mesh_former_runs.py
@@ -38,6 +38,13 @@
     return tasks
 
 
+@pytest.fixture
+def mesh(mesh: MeshFleet) -> MeshFleet:
+    """Return a fleet whose restarted nodes count the runs of their former process."""
+    mesh.counts_former_runs = True
+    return mesh
+
+
 @pytest.mark.parametrize("figures", [3, 4])
 async def test_restarted_node_never_sends_more_than_fits(
     mesh: MeshFleet, mesh_lines: MeshLines, figures: int
