--- a/tests/test_quota_histories.py
+++ b/tests/test_quota_histories.py
@@ -165,6 +165,17 @@
     check_bound(history)
 
 
+def test_a_cut_right_after_a_surge_began_keeps_the_quota_bound() -> None:
+    """Guards against admissions on both sides of a cut before the surge is known."""
+    found = [
+        ("cut", 6007.999035424578, 904, 1567.5308282604888),
+        ("kill owner", 11859.926683627435, 353, 3565.3839256214965),
+        ("cut", 7093.773225761695, 805, 3371.8624511329945),
+    ]
+    team = Team(NAME, 0, 80.0, 60.0)
+    check_bound(History(team, 3, 0.8, 8.0, False, 0.0, found, 225689215))
+
+
 @pytest.mark.parametrize(
     ("load", "found", "seed"),
     [
