A node that was broken on purpose failed instead of taking any key

The function that it replaces has keyword arguments since strict revocation came, so the soak's check of unknown keys found nothing to complain of. The soak names the platform's words in one place of the stand-ins.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,8 @@
 import attrs
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
+from standins.platform_names import TEAM_HEADER
+
 from .document import LONG_PATH, LONG_PAYMENT_PATH
 from .fleet import CALLER_PORT, Fleet
 from .plan import STOP_LASTS_S
@@ -114,7 +116,7 @@
         if key:
             headers["Authorization"] = f"Token {key}"
         if self.fleet.keyring is not None:
-            headers["Tenant"] = FORGED_TEAM
+            headers[TEAM_HEADER] = FORGED_TEAM
         timeout = ClientTimeout(total=sending.deadline_s + GIVE_UP_S)
         body = sending.body
         method = "POST" if body else "GET"
--- a/soak/document.py
+++ b/soak/document.py
@@ -2,6 +2,8 @@
 
 import orjson
 
+from standins.platform_names import TEAMS_FIELD
+
 from .plan import STOP_LASTS_S
 from .teams import PUBLIC_PATH
 
@@ -9,7 +11,7 @@
 
 
 def document(
-    version: int, paths: list[str], tenants: dict[str, object] | None = None
+    version: int, paths: list[str], teams: dict[str, object] | None = None
 ) -> bytes:
     """Return the operators' document with a payment route and one per path."""
     common = {
@@ -63,6 +65,6 @@
                 "header_timeout": "3000ms",
                 "idle_timeout": "15000ms",
             },
-            **({} if tenants is None else {"tenants": tenants}),
+            **({} if teams is None else {TEAMS_FIELD: teams}),
         }
     )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -156,8 +156,8 @@
 
     def publish_again(self) -> None:
         """Publish the latest version once more, as after the store lost it."""
-        tenants = None if self.keyring is None else self.keyring.tenants()
-        content = document(self.version, self.paths, tenants)
+        teams = None if self.keyring is None else self.keyring.entries()
+        content = document(self.version, self.paths, teams)
         self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
 
     async def announce(self, instance: Instance, state: str = "ready") -> bool:
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 import attrs
 from aiohttp import ClientSession
 
+from standins.platform_names import TEAM_HEADER
 from standins.signing_server import SigningServer
 from standins.store import StoreStandIn
 
@@ -87,7 +88,7 @@
     return [
         Arrival(
             *arrival,
-            headers.get("tenant", ""),
+            headers.get(TEAM_HEADER.lower(), ""),
             any(KEY_MARK in value for value in headers.values()),
         )
         for arrival, headers in rows
--- a/soak/teams.py
+++ b/soak/teams.py
@@ -58,7 +58,7 @@
             ended = attrs.evolve(held[0], to_s=at_s)
             self.spans[self.spans.index(held[0])] = ended
 
-    def tenants(self) -> dict[str, object]:
+    def entries(self) -> dict[str, object]:
         """Return the teams as the document has them."""
         return {
             team: {
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -122,9 +122,9 @@
     plain = outbound.identify
 
     def identify(
-        teams: TeamDirectory, route: Route, keys: list[bytes], outdated: bool
+        teams: TeamDirectory, route: Route, keys: list[bytes], **known: bool
     ) -> Identity:
-        found = plain(teams, route, keys, outdated)
+        found = plain(teams, route, keys, **known)
         if found.access is Access.ALLOWED:
             return found
         return Identity(Access.ALLOWED, next(iter(teams)))
