A node stopped reporting its load when its server was replaced

After a server that had stated its speed was replaced, the node tried to send a speed without an age: the report failed with an OverflowError, and peers that got such a message would have dropped the link.

A speed that nobody stated isn't sent.

--- a/azurestep/mesh/decisions/speed.py
+++ b/azurestep/mesh/decisions/speed.py
@@ -56,6 +56,11 @@
         """Forget the ratio, which belongs to an earlier incarnation."""
         self.stated, self._stated_ms = NORMAL_RATIO, -math.inf
 
+    @property
+    def known(self) -> bool:
+        """Whether the backend server stated a ratio."""
+        return self._stated_ms > -math.inf
+
     def age_ms(self, now_ms: float) -> float:
         """Return the age of the ratio; infinite if there is none."""
         return max(0.0, now_ms - self._stated_ms)
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -150,6 +150,10 @@
         is sent again once it has lost its weight there.
         """
         speed = self.inbound.admission.speed
+        if not speed.known:
+            # Peers drop the ratio of a server that was replaced with its state.
+            self._sent_speed = WorkSpeed()
+            return False
         return speed.differs_much(self._sent_speed, now_ms)
 
     def _send_speed(self, now_ms: float) -> None:
