After a restart of all nodes, calls were refused as new work

A node recognizes calls to its server once it has counted 60 requests of a route, which takes some 2 s at 30 a second.

Where the configuration has teams, a request without a team is a call until 60 requests of its route were counted: callers need a key, the runs of backend servers have none. Both new tests fail without the change.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -127,6 +127,16 @@
         found = table.teams.get(team)
         return found.requests_per_s if found and found.limited else 1.0
 
+    def _may_be_call(self, request: Request) -> bool:
+        """Whether a request may be a call between services by its own fields.
+
+        Where the configuration has teams, calls belong to none, as they carry no key.
+        """
+        table = self.table()
+        has_teams = table is not None and table.teams is not None
+        own_service = self.backend.service.encode()
+        return has_teams and not request.team and request.calling_service != own_service
+
     def begin_shutdown(self, drain_deadline_ms: float) -> None:
         """Stop taking new requests, and refuse what can't end by the deadline."""
         self.shutting_down = True
@@ -161,7 +171,9 @@
             request.route, request.priority, request.calling_service
         )
         run.ticket.is_call = self.caller_detector.is_called(
-            request.route, self.backend.service
+            request.route,
+            self.backend.service,
+            presumed=self._may_be_call(request),
         )
         if run.awaits_body:
             self._admit_transfer(run)
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -88,14 +88,25 @@
             halves = {name: count // 2 for name, count in origins.items()}
             self._origins[route] = {k: count for k, count in halves.items() if count}
 
-    def is_called(self, route: str, own_service: str) -> bool:
+    def is_called(
+        self, route: str, own_service: str, *, presumed: bool = False
+    ) -> bool:
         """Whether another service calls the local one on a route.
 
         Where a fleet has one service, external callers have its instances in common
         too, and can't be told from calls.
+
+        Parameters
+        ----------
+        presumed : bool
+            Answer while too few requests were counted to tell. A node that restarts
+            would otherwise take calls for new work for some seconds.
         """
         found = self._calling_services.get(route)
-        return found is not None and found[0] != own_service
+        if found is None:
+            count = sum(self._origins.get(route, {}).values())
+            return presumed and count < MIN_ROUTE_REQUESTS
+        return found[0] != own_service
 
     def called_routes(self) -> tuple[str, ...]:
         """Return the routes on which a service calls the local one."""
--- a/tests/test_mesh_call_slots.py
+++ b/tests/test_mesh_call_slots.py
@@ -1,5 +1,8 @@
 """Calls between services at one backend server, which go before new work."""
 
+from types import SimpleNamespace
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -136,20 +139,55 @@
     assert admission.admit(new_work(now_ms), now_ms) is True
 
 
-def test_a_node_detects_calls_to_its_server(harness: InboundHarness) -> None:
-    tickets = []
-    for number in range(MIN_ROUTE_REQUESTS):
-        request = Request(
-            b"GET", b"/", [], "shop", b"i-1", "lookup", b"r%d" % number, b"books",
-            True, 17, 500.0, 120.0, harness.loop.now_ms, 0, True, b"",
-        )  # fmt: skip
-        run = harness.inbound.submit(request, RecordingReceiver())
-        tickets.append(run.ticket)
-        run.cancel()
+def submit(
+    harness: InboundHarness, number: int, calling_service: bytes, team: str = ""
+) -> Ticket:
+    """Submit a request, cancel it and return its ticket."""
+    request = Request(
+        b"GET", b"/", [], "shop", b"i-1", "lookup", b"r%d" % number, calling_service,
+        True, 17, 500.0, 120.0, harness.loop.now_ms, 0, True, b"", team=team,
+    )  # fmt: skip
+    run = harness.inbound.submit(request, RecordingReceiver())
+    run.cancel()
     harness.loop.run_due()
+    return run.ticket
+
+
+def test_a_node_detects_calls_to_its_server(harness: InboundHarness) -> None:
+    tickets = [submit(harness, one, b"books") for one in range(MIN_ROUTE_REQUESTS)]
     assert [one.is_call for one in tickets] == [False] * (len(tickets) - 1) + [True]
 
 
+@pytest.fixture
+def team_harness(harness: InboundHarness) -> InboundHarness:
+    """Return a backend server's node whose configuration has teams."""
+    harness.inbound.table = lambda: SimpleNamespace(teams=SimpleNamespace())
+    harness.inbound.team_weight = lambda team: 1.0
+    return harness
+
+
+def test_a_restarted_node_takes_requests_without_a_team_for_calls(
+    team_harness: InboundHarness,
+) -> None:
+    """For seconds after a restart of all nodes, calls were refused as new work."""
+    assert submit(team_harness, 1, b"books").is_call
+    assert not submit(team_harness, 2, b"books", team="riggers").is_call
+    assert not submit(team_harness, 3, b"shop").is_call
+
+
+def test_callers_of_a_public_route_do_not_stay_taken_for_calls(
+    team_harness: InboundHarness,
+) -> None:
+    """They would go before all other new work for good."""
+    services = (b"books", b"files")
+    tickets = [
+        submit(team_harness, one, services[one % 2])
+        for one in range(MIN_ROUTE_REQUESTS + 1)
+    ]
+    assert tickets[0].is_call
+    assert not tickets[-1].is_call
+
+
 def test_new_work_that_waits_gets_its_share_behind_endless_calls() -> None:
     """Guards against new work that is never served while calls fill all slots."""
     admission = Admission(slots=3)
