--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ...http.client import ClientConnection, IdlePool
+from ...http.client import ClientConnection
 from ...platform.headers import NO_RATE_LIMIT, ServerNotice
 from ...routing.table import RoutingTable
 from .. import events
@@ -27,28 +27,13 @@
 from ..runtime import Runtime
 from ..settings import Address
 from .changes import log_backend_change
+from .connections import BackendConnections
 from .contained import run_guarded
 from .crashes import CrashTracker
 from .load import LoadSummary, tick_load
 from .run import AnswerReceiver, Run
 from .state import LocalBackend
 
-CONNECT_TIMEOUT_S = 1.0
-"""Time after which a connection attempt counts as failed.
-
-A backend server on the same instance accepts within about 1 ms.
-"""
-MAX_IDLE_MS = 8000.0
-"""Idle time after which a connection is closed, before the backend server does it.
-
-Backend servers do so after about 10 s, and say so where the time is another.
-"""
-IDLE_CLOSE_WINDOW_MS = 30.0
-"""Time after sending a request on a reused connection, to detect idle closes.
-
-If the connection ends within this time, the backend server is assumed to have closed it
-while it was idle: the round trip takes about 1 ms, the shortest runs take 30 ms.
-"""
 NOTICE_TIMEOUT_MS = 1000.0
 """Time without an answer after which a limited backend server is asked by a probe."""
 SETTLE_MS = 20.0
@@ -56,8 +41,6 @@
 
 It is on the same instance and reads within about 1 ms.
 """
-RECONNECT_INTERVAL_MS = 300.0
-"""Time between attempts to reach a backend server that refuses connections."""
 
 
 @attrs.define(eq=False)
@@ -80,7 +63,6 @@
     on_change: Callable[[], None]
     crashes: CrashTracker
     admission: Admission = attrs.field(factory=Admission)
-    idle: IdlePool = attrs.field(factory=lambda: IdlePool(MAX_IDLE_MS))
     transfers: BodyTransfers = attrs.field(factory=BodyTransfers)
     load: LoadSummary = attrs.field(factory=LoadSummary)
     health: Health = attrs.field(factory=Health)
@@ -89,15 +71,19 @@
     trial_runs: RunCounter = attrs.field(factory=RunCounter)
     table: Callable[[], RoutingTable | None] = lambda: None
     usual_ratio: UsualRatio = attrs.field(factory=UsualRatio)
-    unreachable: bool = False
     shutting_down: bool = False
+    connections: BackendConnections = attrs.field(init=False)
     _runs: dict[Ticket, Run] = attrs.field(factory=dict)
-    _next_reconnect_ms: float = 0.0
     _last_notice_ms: float = 0.0
     _last_incarnation: Incarnation = NO_INCARNATION
     _scan_scheduled: bool = False
     _scan_timer: asyncio.TimerHandle | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.connections = BackendConnections(
+            self.runtime, self.address, self.backend, self.crashes, self.on_change
+        )
+
     def now_ms(self) -> float:
         """Return the monotonic time."""
         return self.runtime.now_ms()
@@ -106,7 +92,9 @@
     def open(self) -> bool:
         """Whether other nodes may choose the backend server."""
         return (
-            self.backend.is_open() and not self.unreachable and not self.shutting_down
+            self.backend.is_open()
+            and not self.connections.unreachable
+            and not self.shutting_down
         )
 
     @property
@@ -228,7 +216,7 @@
             return reason
         if self._is_withheld():
             return Reason.LEAVING
-        if self.unreachable:
+        if self.connections.unreachable:
             return Reason.UNREACHABLE
         if request.remaining_ms <= 0:
             return Reason.TOO_LATE
@@ -332,31 +320,6 @@
             if run is not None:
                 run_guarded(run, run.refuse, reason)
 
-    async def connect(self) -> ClientConnection | None:
-        """Open a connection to the backend server; None if it accepts none."""
-        loop = self.runtime.loop
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    ClientConnection, *self.address
-                )
-        except OSError as error:
-            self._set_unreachable(True, type(error).__name__)
-            backend = self.backend
-            self.crashes.record_crash(
-                backend.service, backend.incarnation, self.now_ms()
-            )
-            return None
-        self.runtime.metrics.count("connections_opened")
-        self.crashes.record_alive(self.backend.service, self.backend.incarnation)
-        self._set_unreachable(False, "")
-        return connection
-
-    def return_connection(self, connection: ClientConnection) -> None:
-        """Return a connection to the idle pool."""
-        if connection.usable:
-            self.idle.put(connection, self.runtime.loop.time())
-
     def handle_replaced_instance(self, request: Request, instance_id: str) -> None:
         """Handle an answer of another incarnation."""
         events.log(
@@ -488,34 +451,13 @@
     def record_connection_loss(
         self, request: Request, connection: ClientConnection, sent_ms: float
     ) -> None:
-        """Record that a connection ended during a request, before any answer.
-
-        A backend server that crashes ends all its connections. Once the last one
-        ended, a connection attempt shows whether it still runs; if so, no request is
-        recorded as the cause of a crash.
-        """
-        self._next_reconnect_ms = 0.0
-        self.crashes.record_connection_loss(request, self.now_ms())
-        if len(self._runs) == 1:
-            self.runtime.spawn(self._reconnect())
-        if (
-            connection.request_count > 1
-            and self.now_ms() - sent_ms < IDLE_CLOSE_WINDOW_MS
-        ):
-            self._reduce_reuse_limit(connection.idle_ms)
-
-    def _reduce_reuse_limit(self, idle_ms: float) -> None:
-        self.idle.reduce_reuse_limit(idle_ms, self.runtime.loop.time())
-        events.log(
-            events.IDLE_CONNECTION_LOST,
-            instance=self.backend.instance_id,
-            rested_ms=round(idle_ms),
-            trusted_ms=round(self.idle.reuse_limit_ms),
-        )
+        """Record that a connection ended during a request, before any answer."""
+        is_last = len(self._runs) == 1
+        self.connections.record_loss(request, connection, sent_ms, is_last=is_last)
 
     def apply_announcement(self) -> None:
         """Apply a new announcement of the backend server."""
-        self.unreachable = False
+        self.connections.unreachable = False
         self.on_change()
 
     def tick(self) -> None:
@@ -528,34 +470,14 @@
         self._schedule_scan()
         for run in list(self._runs.values()):
             run_guarded(run, run.enforce_timeouts, now_ms)
-        self.idle.sweep(self.runtime.loop.time())
-        if (
-            self.unreachable
-            and now_ms > self._next_reconnect_ms
-            and self.backend.is_open()
-        ):
-            self._next_reconnect_ms = now_ms + RECONNECT_INTERVAL_MS
-            self.runtime.spawn(self._reconnect())
-
-    async def _reconnect(self) -> None:
-        connection = await self.connect()
-        if connection is not None:
-            self.return_connection(connection)
+        self.connections.tick(now_ms)
 
     def _tick_health(self) -> None:
         incarnation = self.backend.incarnation
         if not incarnation.matches(self._last_incarnation):
             self.health.clear()
-            self.idle.reset_reuse_limit()
+            self.connections.idle.reset_reuse_limit()
             self.admission.clear_run_times()
             self.usual_ratio = UsualRatio()
         self._last_incarnation = incarnation
         self.health.tick()
-
-    def _set_unreachable(self, unreachable: bool, cause: str) -> None:
-        if unreachable == self.unreachable:
-            return
-        self.unreachable = unreachable
-        event = events.BACKEND_LOST if unreachable else events.BACKEND_REACHED
-        events.log(event, instance=self.backend.instance_id, cause=cause)
-        self.on_change()
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -2,13 +2,14 @@
 
 from typing import Protocol
 
-from ...http.client import ClientConnection, IdlePool
+from ...http.client import ClientConnection
 from ...platform.headers import ServerNotice
 from ..decisions.admission import Admission, Ticket
 from ..decisions.transfers import BodyTransfers
 from ..incarnation import Incarnation
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from ..runtime import Runtime
+from .connections import BackendConnections
 from .crashes import CrashTracker
 from .load import LoadSummary
 from .state import LocalBackend
@@ -42,7 +43,7 @@
     runtime: Runtime
     backend: LocalBackend
     admission: Admission
-    idle: IdlePool
+    connections: BackendConnections
     transfers: BodyTransfers
     crashes: CrashTracker
     load: LoadSummary
@@ -58,12 +59,6 @@
     def team_weight(self, team: str) -> float:
         """Return the weight of a team's requests in the queue; 1 if it isn't known."""
 
-    async def connect(self) -> ClientConnection | None:
-        """Open a connection to the backend server; None if it accepts none."""
-
-    def return_connection(self, connection: ClientConnection) -> None:
-        """Return a connection to the idle pool."""
-
     def release(self, ticket: Ticket) -> None:
         """Remove a run; calls no receiver."""
 
--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -225,7 +225,7 @@
         except TimeoutError:
             connection.abort()
             return None
-        self.inbound.return_connection(connection)
+        self.inbound.connections.put_back(connection)
         if sink.answered:
             occupancy = None if found is None else found.occupancy
             self.inbound.record_probe(occupancy, sent_ms)
@@ -234,7 +234,7 @@
     async def _find_connection(self) -> ClientConnection | None:
         """Return a connection; a new one unless probes are frequent."""
         if self._counts_former_runs:
-            connection = self.inbound.idle.take(self.runtime.loop.time())
+            connection = self.inbound.connections.idle.take(self.runtime.loop.time())
             if connection is not None:
                 return connection
-        return await self.inbound.connect()
+        return await self.inbound.connections.connect()
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -180,7 +180,9 @@
             self._request_confirmation()
             return
         max_idle_ms = None if self.request.idempotent else MAX_IDLE_UNSAFE_MS
-        connection = inbound.idle.take(inbound.runtime.loop.time(), max_idle_ms)
+        connection = inbound.connections.idle.take(
+            inbound.runtime.loop.time(), max_idle_ms
+        )
         if connection is not None:
             self._send(connection)
             return
@@ -212,22 +214,22 @@
 
     async def _connect(self) -> None:
         try:
-            self._connected(await self.inbound.connect())
+            self._connected(await self.inbound.connections.connect())
         except Exception as error:
             self.on_fault(error)
 
     def _connected(self, connection: ClientConnection | None) -> None:
         if self.done:
             if connection is not None:
-                self.inbound.return_connection(connection)
+                self.inbound.connections.put_back(connection)
             return
         if connection is None:
             self.refuse(Reason.UNREACHABLE)
         elif not self.inbound.backend.admits(self.inbound.now_ms()):
-            self.inbound.return_connection(connection)
+            self.inbound.connections.put_back(connection)
             self.refuse(Reason.LEAVING)
         elif self._is_too_late():
-            self.inbound.return_connection(connection)
+            self.inbound.connections.put_back(connection)
             self.refuse(self.inbound.late_reason)
         else:
             self._send(connection)
@@ -306,7 +308,7 @@
             if fields.keep_alive_ms is not None:
                 # Closes the connection before the backend server's timeout does.
                 connection.idle_limit_ms = max(0.0, fields.keep_alive_ms - 1000) * 0.9
-            self.inbound.return_connection(connection)
+            self.inbound.connections.put_back(connection)
         if self._streaming:
             self._finish_run()
             self.receiver.on_answer_data(b"", True)
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -8,6 +8,7 @@
 import pytest
 
 from azurestep.http.client import ClientConnection
+from azurestep.mesh.backend.connections import BackendConnections
 from azurestep.mesh.backend.crashes import CrashTracker
 from azurestep.mesh.backend.inbound import Inbound
 from azurestep.mesh.backend.run import Run
@@ -106,7 +107,7 @@
     raise AssertionError("coroutines must not wait in these tests")
 
 
-class ManualInbound(Inbound):
+class ManualConnections(BackendConnections):
     """Opens connections without a server; tests answer on them."""
 
     async def connect(self) -> ClientConnection | None:
@@ -231,13 +232,16 @@
     loop = ManualLoop()
     backend = LocalBackend(DRAIN_MS)
     backend.apply_heartbeat(attrs.evolve(HEARTBEAT, slots=slots), 0.0)
-    inbound = ManualInbound(
+    inbound = Inbound(
         runtime(loop),  # type: ignore[arg-type]
         ("127.0.0.1", 1),
         backend,
         lambda: None,
         CrashTracker("127.0.0.1"),
     )
+    inbound.connections = ManualConnections(
+        inbound.runtime, inbound.address, backend, inbound.crashes, inbound.on_change
+    )
     inbound.tick()
     return InboundHarness(loop, inbound)
 
--- a/tests/test_mesh_containment_queue.py
+++ b/tests/test_mesh_containment_queue.py
@@ -7,6 +7,7 @@
 import pytest
 
 from azurestep.http.client import ClientConnection, IdlePool
+from azurestep.mesh.backend.connections import BackendConnections
 from azurestep.mesh.backend.inbound import Inbound
 from azurestep.mesh.backend.run import Run
 from azurestep.mesh.decisions.admission import Admission
@@ -82,17 +83,17 @@
     harness: InboundHarness,
 ) -> None:
     occupy_slots(harness, 1)
-    harness.inbound.unreachable = True
+    harness.inbound.connections.unreachable = True
     swept: list[float] = []
     tried: list[object] = []
 
-    async def connect(_: Inbound) -> ClientConnection | None:
+    async def connect(_: BackendConnections) -> ClientConnection | None:
         tried.append(None)
         return None
 
     with inject_fault(Run, "enforce_timeouts"), pytest.MonkeyPatch.context() as patch:
         patch.setattr(IdlePool, "sweep", lambda idle, now_s: swept.append(now_s))
-        patch.setattr(type(harness.inbound), "connect", connect)
+        patch.setattr(type(harness.inbound.connections), "connect", connect)
         harness.inbound.tick()
         harness.loop.run_due()
     assert len(swept) == 1
--- a/tests/test_mesh_idle.py
+++ b/tests/test_mesh_idle.py
@@ -49,7 +49,7 @@
     await asyncio.sleep(0.4)
     instance.server.forget_connections()
     await mesh.get(instance, "/read/1", "second")
-    reuse_limit_ms = instance.node.inbound.idle.reuse_limit_ms
+    reuse_limit_ms = instance.node.inbound.connections.idle.reuse_limit_ms
     assert reuse_limit_ms < 400.0
     await mesh.get(instance, "/read/1", "third")
     await asyncio.sleep(0.4)
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -49,7 +49,7 @@
 ) -> None:
     runs = [harness.submit(RecordingReceiver()) for _ in range(8)]
     harness.loop.run_due()
-    harness.inbound.return_connection(ClientConnection())
+    harness.inbound.connections.put_back(ClientConnection())
     assert [run.may_have_run for run in runs] == [True] * 4 + [False] * 4
     for run in runs:
         run.cancel()
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -158,11 +158,11 @@
     asked = mesh.instances[0]
     await asked.beat(mesh.session, "draining")
     for instance in mesh.instances[1:]:
-        instance.node.inbound.unreachable = True
-        instance.node.inbound._next_reconnect_ms = math.inf
+        instance.node.inbound.connections.unreachable = True
+        instance.node.inbound.connections.next_reconnect_ms = math.inf
     assert await upload(mesh, asked, "refused") == 503
     assert sum(sent) < LARGE_BODY_BYTES
     for instance in mesh.instances[1:]:
-        instance.node.inbound.unreachable = False
+        instance.node.inbound.connections.unreachable = False
     assert await upload(mesh, asked, "taken") == 200
     assert sum(sent) >= len(BODY)
