Urgent requests were refused at a service that less urgent runs call

Where the configuration has teams, each node now refuses the less urgent new requests to a calling service by 6 times the ratio of more urgent requests that the called one refuses. The detection of calling services has a module of its own.

The replays in test_mesh_calls_under_load fail without the shedding.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -14,8 +14,8 @@
 from ...routing.table import RoutingTable
 from .. import events
 from ..decisions.admission import Admission, Refused, Ticket
+from ..decisions.calling_services import CallerDetector
 from ..decisions.health import Health
-from ..decisions.pressure import CallerDetector
 from ..decisions.rollout import VersionRole
 from ..decisions.rollout_table import RolloutTable
 from ..decisions.rollout_verdict import RunCounter, is_bad_run
@@ -155,13 +155,12 @@
         self._update_rate_limit()
         if request.fleet_mean_run_ms:
             self.admission.set_fleet_mean(request.route, request.fleet_mean_run_ms)
+        presumed = self._may_be_call(request)
         self.caller_detector.record_request(
-            request.route, request.priority, request.calling_service
+            request.route, request.priority, request.calling_service, presumed=presumed
         )
         run.ticket.is_call = self.caller_detector.is_called(
-            request.route,
-            self.backend.service,
-            presumed=self._may_be_call(request),
+            request.route, self.backend.service, presumed=presumed
         )
         if run.awaits_body:
             self._admit_transfer(run)
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -218,7 +218,11 @@
         """Return the ratio to refuse of new work; calls between services are not."""
         if target.route.name in self.context.members.called_routes:
             return 0.0
-        return self.load_shedder.shed_ratio(target.service, target.priority)
+        shedder, service, priority = self.load_shedder, target.service, target.priority
+        ratio = shedder.shed_ratio(service, priority)
+        if target.has_teams:
+            ratio = max(ratio, shedder.urgent_shed_ratio(service, priority))
+        return ratio
 
 
 def _with_team(caller: CallerFields, identity: Identity) -> CallerFields:
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -5,8 +5,7 @@
 clients. So nodes report which ratio of each route's requests they refuse, and refuse
 the same ratio of the less urgent requests to the calling service before these run.
 
-The local node of the called server detects such routes: their requests come from
-instances of a single service, while those of external clients come from all instances.
+``calling_services.py`` detects which services call others.
 """
 
 import sys
@@ -14,20 +13,8 @@
 
 import attrs
 
-MIN_ROUTE_REQUESTS = 60
-"""Requests counted before a route can be classified as called by a service.
+from .calling_services import CallingService
 
-With callers spread over three services, 60 from one service come by chance once in
-3^59.
-"""
-MIN_CALLER_RATIO = 0.95
-"""Ratio of a route's requests that must come from the calling service.
-
-Below 1, since an instance that changes its service sends some requests under
-its former service.
-"""
-MAX_ROUTE_REQUESTS = 600
-"""Count of requests at which all counts of a route are halved."""
 TICK_DECAY = 0.95
 """Decay factor of the counts, applied at each tick of 0.1 s: a memory of two
 seconds."""
@@ -52,11 +39,14 @@
 
 High, since a caller that is refused asks up to three times more.
 """
+URGENT_GAIN = 6.0
+"""How fast shedding rises with the ratio of more urgent requests that are refused.
+
+A called service refuses a few of its requests at any load, so little is shed for these.
+"""
 REPORT_STEP = 0.05
 """Ratios are rounded to this, so that small changes cause no messages."""
 
-CallingService = tuple[str, int]
-"""A service that calls the local one, and the priority of its calls."""
 RefusalRatio = tuple[str, int, float]
 """Service, priority, and the ratio of a route's requests that were refused.
 
@@ -65,61 +55,15 @@
 """
 
 
-class CallerDetector:
-    """Detects which services call the local backend server."""
-
-    def __init__(self) -> None:
-        self._origins: dict[str, dict[bytes, int]] = {}
-        self._calling_services: dict[str, CallingService] = {}
-
-    def record_request(self, route: str, priority: int, calling_service: bytes) -> None:
-        """Count a request that arrived."""
-        origins = self._origins.setdefault(route, {})
-        origins[calling_service] = origins.get(calling_service, 0) + 1
-        total = sum(origins.values())
-        if total < MIN_ROUTE_REQUESTS:
-            return
-        name, most = max(origins.items(), key=lambda item: item[1])
-        if most >= total * MIN_CALLER_RATIO:
-            self._calling_services[route] = (name.decode("latin-1"), priority)
-        else:
-            self._calling_services.pop(route, None)
-        if total >= MAX_ROUTE_REQUESTS:
-            halves = {name: count // 2 for name, count in origins.items()}
-            self._origins[route] = {k: count for k, count in halves.items() if count}
-
-    def is_called(
-        self, route: str, own_service: str, *, presumed: bool = False
-    ) -> bool:
-        """Whether another service calls the local one on a route.
-
-        Where a fleet has one service, external callers have its instances in common
-        too, and can't be told from calls.
-
-        Parameters
-        ----------
-        presumed : bool
-            Answer while too few requests were counted to tell. A node that restarts
-            would otherwise take calls for new work for some seconds.
-        """
-        found = self._calling_services.get(route)
-        if found is None:
-            count = sum(self._origins.get(route, {}).values())
-            return presumed and count < MIN_ROUTE_REQUESTS
-        return found[0] != own_service
-
-    def called_routes(self) -> tuple[str, ...]:
-        """Return the routes on which a service calls the local one."""
-        return tuple(sorted(self._calling_services))
-
-    def calling_services(self) -> tuple[CallingService, ...]:
-        """Return the calling services, each with the priority of its calls."""
-        return tuple(sorted(set(self._calling_services.values())))
-
-
 @attrs.define(slots=True)
 class RecentCounts:
-    """Decaying counts of a route's requests."""
+    """Decaying counts of a route's requests.
+
+    Attributes
+    ----------
+    priority : int
+        Least urgent priority of the requests, as most of them have it.
+    """
 
     service: str
     priority: int
@@ -161,6 +105,7 @@
         if counts is None or counts.service != service:
             counts = self._counts[route] = RecentCounts(service, priority)
         counts.offered += 1
+        counts.priority = max(counts.priority, priority)
 
     def record_refused(self, route: str) -> None:
         """Count a request for which no backend server had capacity."""
@@ -250,6 +195,7 @@
     def __init__(self) -> None:
         self._ratios: dict[str, list[tuple[int, float]]] = {}
         self._lacks: dict[str, float] = {}
+        self._called_refusals: dict[str, list[tuple[int, float]]] = {}
 
     def update(self, reports: Iterable[PressureReport]) -> None:
         """Replace the reports by the latest ones of all nodes."""
@@ -263,8 +209,14 @@
                 means[key] = means.get(key, 0.0) + ratio / len(known)
         self._lacks = _mean_lacks(known)
         self._ratios = {}
+        self._called_refusals = {}
         if means:
             for service, caller, call_priority in set(_list_calling_services(known)):
+                self._called_refusals.setdefault(caller, []).extend(
+                    (priority, mean)
+                    for (called, priority), mean in means.items()
+                    if called == service
+                )
                 ratio = max(
                     (
                         mean
@@ -296,6 +248,31 @@
         )
         return max(lack_ratio, min(MAX_SHED_RATIO, max(ratios, default=0.0)))
 
+    def urgent_shed_ratio(self, service: str, priority: int) -> float:
+        """Return the ratio to refuse of a service's requests for more urgent ones.
+
+        Runs of the service call another one, where their calls go before its own
+        requests, as they hold slots meanwhile. If that service refuses requests that
+        are more urgent than those whose runs call it, the latter don't start.
+
+        Examples
+        --------
+        >>> shedder = LoadShedder()
+        >>> shedder.update([
+        ...     PressureReport("ledger", (("shop", 1),), (("ledger", 0, 0.1),)),
+        ... ])
+        >>> round(shedder.urgent_shed_ratio("shop", 2), 2)
+        0.6
+        >>> shedder.urgent_shed_ratio("shop", 0)
+        0.0
+        """
+        ratios = (
+            ratio
+            for refused_priority, ratio in self._called_refusals.get(service, ())
+            if refused_priority < priority
+        )
+        return min(MAX_LACK_SHED_RATIO, URGENT_GAIN * max(ratios, default=0.0))
+
 
 def _mean_lacks(reports: list[PressureReport]) -> dict[str, float]:
     """Return the mean ratio of calls that lack capacity, by calling service."""
--- a/bench/calls_fleet.py
+++ b/bench/calls_fleet.py
@@ -1,7 +1,7 @@
 """A model of a service whose runs call another service, with the node's own decisions.
 
-Orders go to the shop, whose runs each make two calls to the books. Reads go to the
-books as well. Each server has a node beside it; callers arrive at all nodes.
+Orders go to the shop, whose runs each make two calls to the books. Reads and charges go
+to the books as well. Each server has a node beside it; callers arrive at all nodes.
 """
 
 import heapq
@@ -17,6 +17,7 @@
 from azurestep.mesh.callers.own_answers import RETRY_AFTER_JITTER
 from azurestep.mesh.callers.placement import TRIES_WITHOUT_WAIT
 from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
+from azurestep.mesh.decisions.calling_services import CallerDetector
 from azurestep.mesh.decisions.choice import (
     Endpoint,
     EndpointGroup,
@@ -25,7 +26,6 @@
     choose_from_group,
 )
 from azurestep.mesh.decisions.pressure import (
-    CallerDetector,
     LoadShedder,
     PressureReport,
     RefusalMeter,
@@ -69,6 +69,9 @@
 
 ORDER = Kind("order", "shop", (20.0, 20.0, 20.0), 450.0, 1500.0, (17, 33))
 READ = Kind("read", "books", (400.0,), 1200.0, 3000.0, (18, 34))
+LESS_URGENT_ORDER = attrs.evolve(ORDER, priorities=(18,))
+CHARGE = Kind("charge", "books", (84.0,), 250.0, 800.0, (16,))
+"""More urgent than the orders whose calls it competes with."""
 LOOKUP = Kind("lookup", "books", (39.0,), 120.0, 500.0, (17,))
 """A call; it has the effective priority of route priority 1 without a team."""
 FULL_RATES = {ORDER: 120.0, READ: 66.0}
@@ -129,9 +132,13 @@
 
 
 class Fleet:
-    """All nodes and callers, driven by events in order of time."""
+    """All nodes and callers, driven by events in order of time.
 
-    def __init__(self, seed: int) -> None:
+    ``has_teams``: requests are shed as where the configuration has teams.
+    """
+
+    def __init__(self, seed: int, has_teams: bool = False) -> None:
+        self.has_teams = has_teams
         self.random = Random(seed)
         self.now_ms = 0.0
         self.callers: list[Caller] = []
@@ -217,6 +224,9 @@
         attempt = Attempt(caller.key, first_ms, caller.deadline_ms, returning)
         kind = caller.kind
         shed_ratio = node.shedder.shed_ratio(kind.service, caller.priority)
+        if self.has_teams:
+            urgent_ratio = node.shedder.urgent_shed_ratio(kind.service, caller.priority)
+            shed_ratio = max(shed_ratio, urgent_ratio)
         if node.random.random() < shed_ratio:
             self.shed[kind.route] += 1
             node.returning.add(attempt)
--- a/bench/calls_model.py
+++ b/bench/calls_model.py
@@ -16,7 +16,16 @@
 import attrs
 import docopt
 
-from .calls_fleet import FULL_RATES, ORDER, READ, SERVERS, Fleet, Kind
+from .calls_fleet import (
+    CHARGE,
+    FULL_RATES,
+    LESS_URGENT_ORDER,
+    ORDER,
+    READ,
+    SERVERS,
+    Fleet,
+    Kind,
+)
 from .results import Machine, at_end, machine_facts, write_result
 
 
@@ -78,6 +87,21 @@
     return fleet
 
 
+CHARGES_PER_S = 260.0
+"""Charges that take six tenths of the slots of the books."""
+
+
+def play_charges(seed: int, has_teams: bool) -> Fleet:
+    """Play a burst of orders while more urgent charges use the service they call."""
+    fleet = Fleet(seed, has_teams)
+    orders_per_s = FULL_RATES[ORDER]
+    usual = {LESS_URGENT_ORDER: orders_per_s, CHARGE: CHARGES_PER_S}
+    fleet.run(WARM_MS, usual)
+    fleet.run(WARM_MS + BURST_MS, {**usual, LESS_URGENT_ORDER: orders_per_s * BURST})
+    fleet.run(WARM_MS + BURST_MS + 2 * AFTER_MS, usual)
+    return fleet
+
+
 def play_load(seed: int, load: float) -> Fleet:
     """Play a load of all kinds alike."""
     fleet = Fleet(seed)
--- a/tests/test_mesh_call_slots.py
+++ b/tests/test_mesh_call_slots.py
@@ -8,8 +8,9 @@
 
 from azurestep.mesh.decisions.admission import Admission, Refused, Ticket
 from azurestep.mesh.decisions.call_slots import CALL_MEMORY_MS
-from azurestep.mesh.decisions.pressure import MIN_ROUTE_REQUESTS
+from azurestep.mesh.decisions.calling_services import MIN_ROUTE_REQUESTS
 from azurestep.mesh.messages import Request
+from azurestep.routing.teams import TeamDirectory
 
 from .fixtures_inbound import InboundHarness, RecordingReceiver
 
@@ -161,8 +162,8 @@
 @pytest.fixture
 def team_harness(harness: InboundHarness) -> InboundHarness:
     """Return a backend server's node whose configuration has teams."""
-    harness.inbound.table = lambda: SimpleNamespace(teams=SimpleNamespace())
-    harness.inbound.team_weight = lambda team: 1.0
+    teams = TeamDirectory.build([])
+    harness.inbound.table = lambda: SimpleNamespace(teams=teams)
     return harness
 
 
--- a/tests/test_mesh_calls_under_load.py
+++ b/tests/test_mesh_calls_under_load.py
@@ -9,8 +9,28 @@
 import pytest
 
 from azurestep.mesh.decisions.call_slots import MIN_NEW_SHARE
-from bench.calls_fleet import FULL_RATES, READ, SLOTS
-from bench.calls_model import LEFT, USUAL, Row, burst_rows, lack_row, load_row
+from bench.calls_fleet import (
+    CHARGE,
+    FULL_RATES,
+    LESS_URGENT_ORDER,
+    ORDER,
+    READ,
+    SLOTS,
+)
+from bench.calls_model import (
+    BURST,
+    BURST_MS,
+    CHARGES_PER_S,
+    LEFT,
+    USUAL,
+    WARM_MS,
+    Row,
+    burst_rows,
+    lack_row,
+    load_row,
+    outcome,
+    play_charges,
+)
 
 SEEDS = 1
 FORMER_IN_TIME = {0.7: 0.965, 1.0: 0.733, 1.4: 0.337, 2.4: 0.193}
@@ -64,3 +84,40 @@
         served = kind_after.in_time + kind_after.late
         assert served >= kind_before.in_time + kind_before.late - 0.01
     assert after.in_time >= before.in_time - 0.02
+
+
+CHARGE_WORTH, ORDER_WORTH = 4.9, 0.86
+"""What an answer in time is worth on the deployment whose load is replayed."""
+
+
+@functools.cache
+def in_time_in_burst(has_teams: bool) -> tuple[float, float]:
+    """Return the shares of charges and of orders that are served in time."""
+    fleet = play_charges(0, has_teams)
+    span = WARM_MS, WARM_MS + BURST_MS
+    charges, orders = (outcome(fleet, one, *span) for one in KINDS)
+    return charges.in_time, orders.in_time
+
+
+KINDS = (CHARGE, LESS_URGENT_ORDER)
+
+
+def test_urgent_requests_do_not_pay_for_a_burst_of_less_urgent_runs() -> None:
+    """A quarter of the charges was refused or late behind the calls of orders."""
+    (before, _), (now, _) = in_time_in_burst(False), in_time_in_burst(True)
+    assert 1 - now <= 0.75 * (1 - before)
+
+
+def test_shedding_for_urgent_requests_serves_more_than_it_costs() -> None:
+    """Guards against orders that are refused without a charge that gains by it."""
+    rates = CHARGES_PER_S, FULL_RATES[ORDER] * BURST
+    worths = CHARGE_WORTH, ORDER_WORTH
+
+    def earned(has_teams: bool) -> float:
+        shares = in_time_in_burst(has_teams)
+        return sum(
+            share * rate * worth
+            for share, rate, worth in zip(shares, rates, worths, strict=True)
+        )
+
+    assert earned(True) > earned(False)
--- a/tests/test_mesh_pressure.py
+++ b/tests/test_mesh_pressure.py
@@ -2,11 +2,15 @@
 
 import pytest
 
+from azurestep.mesh.decisions.calling_services import (
+    MIN_PRESUMED_REQUESTS,
+    CallerDetector,
+)
 from azurestep.mesh.decisions.pressure import (
     CALLS_PRIORITY,
     MAX_LACK_SHED_RATIO,
     TOLERATED_LACK,
-    CallerDetector,
+    URGENT_GAIN,
     LoadShedder,
     PressureReport,
     RefusalMeter,
@@ -35,6 +39,16 @@
     assert detector.calling_services() == (("shop", 1),)
 
 
+def test_requests_presumed_to_be_calls_are_detected_sooner() -> None:
+    """For two seconds after a restart of all nodes, no node knew who calls whom."""
+    detector = CallerDetector()
+    for _ in range(MIN_PRESUMED_REQUESTS - 1):
+        detector.record_request("lookup", 1, b"shop", presumed=True)
+    assert detector.calling_services() == ()
+    detector.record_request("lookup", 1, b"shop", presumed=True)
+    assert detector.calling_services() == (("shop", 1),)
+
+
 def test_a_node_reports_the_ratio_that_it_refused() -> None:
     meter = RefusalMeter()
     for index in range(40):
@@ -137,3 +151,32 @@
         if index % 10 == 0:
             meter.record_late("lookup")
     assert meter.report("shop", {"lookup"}) == ()
+
+
+CALLED_BY_SHOP = PressureReport("books", (("shop", 17),), (("books", 16, 0.1),))
+
+
+def test_less_urgent_runs_are_shed_for_urgent_requests_that_are_refused() -> None:
+    """Calls of bookings went before charges, of which a fifth was refused."""
+    shedder = LoadShedder()
+    shedder.update([CALLED_BY_SHOP])
+    assert shedder.urgent_shed_ratio("shop", 18) == pytest.approx(URGENT_GAIN * 0.1)
+    assert shedder.urgent_shed_ratio("shop", 16) == 0.0
+    assert shedder.urgent_shed_ratio("books", 18) == 0.0
+
+
+def test_some_less_urgent_runs_start_whatever_is_refused() -> None:
+    """They show when the called service has capacity again."""
+    shedder = LoadShedder()
+    refused = (("books", 16, 1.0),)
+    shedder.update([PressureReport("books", (("shop", 17),), refused)])
+    assert shedder.urgent_shed_ratio("shop", 18) == MAX_LACK_SHED_RATIO
+
+
+def test_refusals_count_for_the_least_urgent_team_of_a_route() -> None:
+    """All work was shed for the refusals of one urgent team's first request."""
+    meter = RefusalMeter()
+    for priority in (0, 16, 16, 16, 16):
+        meter.record_offered("charge", "books", priority)
+        meter.record_refused("charge")
+    assert meter.report() == (("books", 16, 1.0),)
--- a/tests/test_mesh_retry_budget.py
+++ b/tests/test_mesh_retry_budget.py
@@ -5,7 +5,10 @@
 import pytest
 
 from azurestep.mesh.callers.context import Target
-from azurestep.mesh.decisions.pressure import MIN_ROUTE_REQUESTS, CallerDetector
+from azurestep.mesh.decisions.calling_services import (
+    MIN_ROUTE_REQUESTS,
+    CallerDetector,
+)
 from azurestep.mesh.decisions.retry_budget import RetryBudget
 
 from .fixtures_mesh import MeshFleet
