--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -14,8 +14,8 @@
 from ...routing.table import RoutingTable
 from .. import events
 from ..decisions.admission import Admission, Refused, Ticket
+from ..decisions.calling_services import CallerDetector
 from ..decisions.health import Health
-from ..decisions.pressure import CallerDetector
 from ..decisions.rollout import VersionRole
 from ..decisions.rollout_table import RolloutTable
 from ..decisions.rollout_verdict import RunCounter, is_bad_run
@@ -115,6 +115,16 @@
         found = table.teams.get(team)
         return found.requests_per_s if found and found.limited else 1.0
 
+    def _may_be_call(self, request: Request) -> bool:
+        """Whether a request may be a call between services by its own fields.
+
+        Where the configuration has teams, calls belong to none, as they carry no key.
+        """
+        table = self.table()
+        has_teams = table is not None and table.teams is not None
+        own_service = self.backend.service.encode()
+        return has_teams and not request.team and request.calling_service != own_service
+
     def begin_shutdown(self, drain_deadline_ms: float) -> None:
         """Stop taking new requests, and refuse what can't end by the deadline."""
         self.shutting_down = True
@@ -145,11 +155,12 @@
         self._update_rate_limit()
         if request.fleet_mean_run_ms:
             self.admission.set_fleet_mean(request.route, request.fleet_mean_run_ms)
+        presumed = self._may_be_call(request)
         self.caller_detector.record_request(
-            request.route, request.priority, request.calling_service
+            request.route, request.priority, request.calling_service, presumed=presumed
         )
         run.ticket.is_call = self.caller_detector.is_called(
-            request.route, self.backend.service
+            request.route, self.backend.service, presumed=presumed
         )
         if run.awaits_body:
             self._admit_transfer(run)
