--- a/azurestep/cli/options.py
+++ b/azurestep/cli/options.py
@@ -5,31 +5,33 @@
 
 import attrs
 
+from ..values import Value
 
-@attrs.frozen
-class NodeOptions:
+
+@attrs.frozen(eq=False, repr=False)
+class NodeOptions(Value):
     """Options of ``azurestep node``."""
 
     settings: pathlib.Path
 
 
-@attrs.frozen
-class SidecarOptions:
+@attrs.frozen(eq=False, repr=False)
+class SidecarOptions(Value):
     """Options of ``azurestep sidecar``; None leaves the file to the environment."""
 
     settings: pathlib.Path | None = None
 
 
-@attrs.frozen
-class CheckOptions:
+@attrs.frozen(eq=False, repr=False)
+class CheckOptions(Value):
     """Options of ``azurestep check``."""
 
     files: tuple[pathlib.Path, ...]
     as_json: bool = False
 
 
-@attrs.frozen
-class FleetOptions:
+@attrs.frozen(eq=False, repr=False)
+class FleetOptions(Value):
     """Where the fleet is; None leaves a field to the operator's defaults.
 
     Attributes
@@ -45,8 +47,8 @@
     operator: str | None = None
 
 
-@attrs.frozen
-class PublishOptions:
+@attrs.frozen(eq=False, repr=False)
+class PublishOptions(Value):
     """Options of ``azurestep publish``."""
 
     file: pathlib.Path
@@ -56,8 +58,8 @@
     as_json: bool = False
 
 
-@attrs.frozen
-class PresetOptions:
+@attrs.frozen(eq=False, repr=False)
+class PresetOptions(Value):
     """Options of ``azurestep preset``."""
 
     preset: str
@@ -67,16 +69,16 @@
     as_json: bool = False
 
 
-@attrs.frozen
-class StatusOptions:
+@attrs.frozen(eq=False, repr=False)
+class StatusOptions(Value):
     """Options of ``azurestep status``."""
 
     fleet: FleetOptions
     as_json: bool = False
 
 
-@attrs.frozen
-class DrainOptions:
+@attrs.frozen(eq=False, repr=False)
+class DrainOptions(Value):
     """Options of ``azurestep drain``."""
 
     fleet: FleetOptions
@@ -93,8 +95,8 @@
     GAPS = "gaps"
 
 
-@attrs.frozen
-class AuditOptions:
+@attrs.frozen(eq=False, repr=False)
+class AuditOptions(Value):
     """Options of ``azurestep audit``.
 
     Attributes
@@ -116,15 +118,15 @@
     as_json: bool = False
 
 
-@attrs.frozen
-class KeysOptions:
+@attrs.frozen(eq=False, repr=False)
+class KeysOptions(Value):
     """Options of ``azurestep keys``."""
 
     as_json: bool = False
 
 
-@attrs.frozen
-class ExplainOptions:
+@attrs.frozen(eq=False, repr=False)
+class ExplainOptions(Value):
     """Options of ``azurestep explain``."""
 
     request_id: str
@@ -132,8 +134,8 @@
     as_json: bool = False
 
 
-@attrs.frozen
-class LossesOptions:
+@attrs.frozen(eq=False, repr=False)
+class LossesOptions(Value):
     """Options of ``azurestep losses``; None draws no plot."""
 
     files: tuple[pathlib.Path, ...]
@@ -141,8 +143,8 @@
     as_json: bool = False
 
 
-@attrs.frozen
-class FaultsOptions:
+@attrs.frozen(eq=False, repr=False)
+class FaultsOptions(Value):
     """Options of ``azurestep faults``."""
 
     files: tuple[pathlib.Path, ...]
--- a/azurestep/environment.py
+++ b/azurestep/environment.py
@@ -34,7 +34,7 @@
         return time.monotonic() * 1000
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Environment:
     """Streams, clock and randomness of one run of the program.
 
--- a/azurestep/events.py
+++ b/azurestep/events.py
@@ -8,11 +8,13 @@
 
 import attrs
 
+from .values import Value
+
 LOGGER = logging.getLogger("azurestep")
 
 
-@attrs.frozen
-class Event:
+@attrs.frozen(eq=False, repr=False)
+class Event(Value):
     """One kind of log event.
 
     Attributes
--- a/azurestep/http/client.py
+++ b/azurestep/http/client.py
@@ -230,7 +230,7 @@
             sink.on_failed(reason)
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class IdlePool:
     """Pool of idle connections to one address, most recently used first.
 
--- a/azurestep/http/exchange.py
+++ b/azurestep/http/exchange.py
@@ -54,7 +54,7 @@
         """
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Exchange:
     """A request on a connection and its answer.
 
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -20,7 +20,7 @@
 MAX_PIPELINED_REQUESTS = 64
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class ServerState:
     """Shared state of all connections of a listener.
 
--- a/azurestep/mesh/backend/answer_parts.py
+++ b/azurestep/mesh/backend/answer_parts.py
@@ -9,7 +9,7 @@
 MISDIRECTED = 421
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class PartialAnswer:
     """Head and body of an answer while it arrives.
 
--- a/azurestep/mesh/backend/crashes.py
+++ b/azurestep/mesh/backend/crashes.py
@@ -60,7 +60,7 @@
     ]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CrashTracker:
     """Quarantine tables of one node, by service.
 
--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -60,7 +60,7 @@
 """Time between attempts to reach a backend server that refuses connections."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Inbound:
     """Admits requests to the local backend server and runs them.
 
--- a/azurestep/mesh/backend/load.py
+++ b/azurestep/mesh/backend/load.py
@@ -10,7 +10,7 @@
 """Ticks of 0.1 s that one log line covers."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class LoadSummary:
     """Sums over the ticks of one log line.
 
--- a/azurestep/mesh/backend/probing.py
+++ b/azurestep/mesh/backend/probing.py
@@ -14,6 +14,7 @@
 from ...http.client import ClientConnection, Headers
 from ...platform.headers import ServerNotice, read_answer
 from ...routing.table import RoutingTable
+from ...values import Value
 from .. import events
 from ..incarnation import Incarnation
 from ..runtime import Runtime
@@ -39,8 +40,8 @@
 OK = 200
 
 
-@attrs.frozen(slots=True)
-class ProbeResult:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ProbeResult(Value):
     """The incarnation that answered a probe.
 
     Attributes
@@ -111,7 +112,7 @@
         """Ignore; probes have no body."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Prober:
     """Probes the local backend server while its incarnation is uncertain.
 
--- a/azurestep/mesh/backend/state.py
+++ b/azurestep/mesh/backend/state.py
@@ -25,7 +25,7 @@
 """
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class IncarnationRecord:
     """The newest known incarnation under one id.
 
@@ -80,7 +80,7 @@
         )
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class LocalBackend:
     """The backend server of the same instance, as it announced itself.
 
--- a/azurestep/mesh/callers/body.py
+++ b/azurestep/mesh/callers/body.py
@@ -15,7 +15,7 @@
 """
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class BodyPieces:
     """A body that is sent in the pieces that the other end asks for.
 
@@ -37,7 +37,7 @@
         return data, self._sent_bytes >= len(self._content)
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class RequestBody:
     """The part of a body that was read so far.
 
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -9,6 +9,7 @@
 from ...platform.headers import CallerFields
 from ...routing.model import Route
 from ...routing.teams import Team
+from ...values import Value
 from ..backend.crashes import CrashTracker
 from ..decisions.choice import MeanRunTimes
 from ..decisions.pressure import RefusalMeter
@@ -61,8 +62,8 @@
         return {}
 
 
-@attrs.frozen(slots=True)
-class Target:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Target(Value):
     """What a request asks for, by the configuration of the given version.
 
     Attributes
@@ -83,7 +84,7 @@
     has_teams: bool = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallContext:
     """State that all calls of a node share.
 
--- a/azurestep/mesh/callers/ending.py
+++ b/azurestep/mesh/callers/ending.py
@@ -18,7 +18,7 @@
 UNAVAILABLE = 503
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class OutcomeReporter:
     """Reports the outcome of one call to its caller, the log and the metrics."""
 
--- a/azurestep/mesh/callers/former_run.py
+++ b/azurestep/mesh/callers/former_run.py
@@ -23,7 +23,7 @@
         """Handle the end of the run without an answer."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EarlierRun:
     """Receives the outcome of a run that competes with a later one.
 
--- a/azurestep/mesh/callers/outbound.py
+++ b/azurestep/mesh/callers/outbound.py
@@ -56,7 +56,7 @@
 CHALLENGE = (b"WWW-Authenticate", b"Token")
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Outbound:
     """Handles all requests of this instance's callers.
 
@@ -246,7 +246,7 @@
     return {"team": target.team, "version": target.version}
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Rejection:
     """Answers a request that goes to no backend server, once it was read completely.
 
--- a/azurestep/mesh/callers/outgoing.py
+++ b/azurestep/mesh/callers/outgoing.py
@@ -11,7 +11,7 @@
 from .record import CallRecord
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class RequestBuilder:
     """Builds the requests of one call, one for each backend server it is sent to."""
 
--- a/azurestep/mesh/callers/placement.py
+++ b/azurestep/mesh/callers/placement.py
@@ -21,7 +21,7 @@
 """Time for which a failed backend server is chosen only if there is no other."""
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class EndpointSelector:
     """Selects backend servers for one call, and counts the call as in flight there.
 
--- a/azurestep/mesh/callers/record.py
+++ b/azurestep/mesh/callers/record.py
@@ -12,7 +12,7 @@
 FIRST_NON_SUCCESS_STATUS = 300
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class CallRecord:
     """One call, as its log lines show it.
 
--- a/azurestep/mesh/decisions/admission.py
+++ b/azurestep/mesh/decisions/admission.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ...values import Value
 from .call_slots import MIN_NEW_SHARE, CallSlots
 from .former_runs import FormerRuns
 from .rate_limit import RateLimiter
@@ -27,7 +28,7 @@
 priority, the virtual start time of its team, and its objective."""
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Ticket:
     """A request that waits for a slot or holds one.
 
@@ -65,14 +66,14 @@
     charged_ms: float = 0.0
 
 
-@attrs.frozen(slots=True)
-class Refused:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Refused(Value):
     """The request can't get a slot in time."""
 
     retry_after_ms: float
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Admission:
     """Slots, rate limit and queue of one backend server.
 
--- a/azurestep/mesh/decisions/cadence.py
+++ b/azurestep/mesh/decisions/cadence.py
@@ -38,7 +38,7 @@
     return max(MIN_REPORT_INTERVAL_MS, links * 1000 / per_s)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ReportPacer:
     """Limits the rate of load reports to a group of nodes.
 
--- a/azurestep/mesh/decisions/call_slots.py
+++ b/azurestep/mesh/decisions/call_slots.py
@@ -22,7 +22,7 @@
 """Weight of a new sample in the mean number of running calls."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class CallSlots:
     """Measures how long calls wait and how many slots they take.
 
--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from ...values import Value
 from ..incarnation import Incarnation
 from .speed import WorkSpeed
 
@@ -57,7 +58,7 @@
 """Random part of a value, so that nodes with the same reports choose differently."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class BodyQueue:
     """Large bodies on the way to a backend server over the link of its node.
 
@@ -92,7 +93,7 @@
         return max(own_ms, self._reported_ms + since_ms) + size_kib * self._ms_per_kib
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Endpoint:
     """A backend server as known to this node.
 
@@ -191,8 +192,8 @@
         self.own_in_flight_at_report = self.own_in_flight
 
 
-@attrs.frozen(slots=True)
-class SelectionCriteria:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class SelectionCriteria(Value):
     """Criteria for selecting the backend server of a request.
 
     Attributes
@@ -219,7 +220,7 @@
     body_kib: float = 0.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class EndpointGroup:
     """The reachable backend servers of one service.
 
@@ -241,7 +242,7 @@
         return len(self.local) + len(self.remote)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class MeanRunTimes:
     """Mean run time of each route over all backend servers.
 
--- a/azurestep/mesh/decisions/former_runs.py
+++ b/azurestep/mesh/decisions/former_runs.py
@@ -21,7 +21,7 @@
 """
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class FormerRuns:
     """Count of the runs of the former process, from the answers to health probes.
 
--- a/azurestep/mesh/decisions/health.py
+++ b/azurestep/mesh/decisions/health.py
@@ -16,7 +16,7 @@
 """The ratio is rounded to this, so that small changes cause no messages."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Health:
     """Decaying counts of a backend server's runs and failures.
 
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from ...values import Value
+
 MIN_ROUTE_REQUESTS = 60
 """Requests counted before a route can be classified as called by a service.
 
@@ -106,7 +108,7 @@
         return tuple(sorted(set(self._calling_services.values())))
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RecentCounts:
     """Decaying counts of a route's requests."""
 
@@ -196,8 +198,8 @@
         return tuple(rows)
 
 
-@attrs.frozen(slots=True)
-class PressureReport:
+@attrs.frozen(slots=True, repr=False)
+class PressureReport(Value):
     """Service of one node, the services that call it, and what the node refuses."""
 
     service: str
--- a/azurestep/mesh/decisions/quota_account.py
+++ b/azurestep/mesh/decisions/quota_account.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ...values import Value
+
 BUCKET_EXCESS_RATIO = 0.15
 """Part of the tolerated excess by which the bucket is larger than the burst."""
 START_EXCESS_RATIO = 0.1
@@ -46,8 +48,8 @@
 """Time for which a grant limits a node; the owner renews it before."""
 
 
-@attrs.frozen(slots=True)
-class QuotaLimit:
+@attrs.frozen(slots=True, repr=False)
+class QuotaLimit(Value):
     """Quota of a team over some or all nodes.
 
     Attributes
@@ -100,8 +102,8 @@
         return self.excess * START_EXCESS_RATIO
 
 
-@attrs.frozen(slots=True)
-class Grant:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Grant(Value):
     """Rate at which one node may admit requests of a team.
 
     Attributes
@@ -115,7 +117,7 @@
     valid_ms: float
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Demand:
     """Requests per second at several nodes, with exponential decay.
 
@@ -166,7 +168,7 @@
     return math.exp(-max(0.0, elapsed_ms) / 1000 / DEMAND_MEMORY_S)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class QuotaAccount:
     """Account of one team.
 
--- a/azurestep/mesh/decisions/quota_allowance.py
+++ b/azurestep/mesh/decisions/quota_allowance.py
@@ -68,7 +68,7 @@
     return max(REPORT_INTERVAL_MS, REPORT_MS_PER_NODE * nodes)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class QuotaAllowance:
     """What this node may admit of one team.
 
--- a/azurestep/mesh/decisions/quota_owner.py
+++ b/azurestep/mesh/decisions/quota_owner.py
@@ -18,7 +18,7 @@
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class QuotaOwners:
     """Owners of all teams, over the nodes that are reachable.
 
--- a/azurestep/mesh/decisions/rate_limit.py
+++ b/azurestep/mesh/decisions/rate_limit.py
@@ -16,7 +16,7 @@
 """Tolerated rounding error of the token count."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RateLimiter:
     """Token bucket; a request that is sent takes a token.
 
--- a/azurestep/mesh/decisions/retry_budget.py
+++ b/azurestep/mesh/decisions/retry_budget.py
@@ -24,7 +24,7 @@
 """Fraction of the fixed number that is used, for the same reason."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RetryBudget:
     """Token buckets, one for each service.
 
--- a/azurestep/mesh/decisions/returning.py
+++ b/azurestep/mesh/decisions/returning.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ...values import Value
+
 DEADLINE_TOLERANCE_MS = 25.0
 """Largest difference between the deadlines of two attempts of one caller.
 
@@ -54,8 +56,8 @@
     return left_ms >= mean_run_ms * MIN_RUN_SHARE
 
 
-@attrs.frozen(slots=True)
-class Attempt:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Attempt(Value):
     """One attempt of a caller.
 
     Attributes
@@ -76,7 +78,7 @@
     is_retry: bool = False
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ReturningCallers:
     """Unsuccessful attempts that may be retried before their deadlines.
 
--- a/azurestep/mesh/decisions/revocation.py
+++ b/azurestep/mesh/decisions/revocation.py
@@ -12,7 +12,7 @@
 """Longest time until a peer's contact with the store is known here."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class KeyFreshness:
     """When the store last had no later configuration than this node.
 
--- a/azurestep/mesh/decisions/rollout.py
+++ b/azurestep/mesh/decisions/rollout.py
@@ -48,7 +48,7 @@
     WITHHELD = "withheld"
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Rollout:
     """One roll-out of a service.
 
--- a/azurestep/mesh/decisions/rollout_plan.py
+++ b/azurestep/mesh/decisions/rollout_plan.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ...values import Value
 from .rollout import Phase, Rollout
 
 CANARY_PART = 0.5
@@ -22,8 +23,8 @@
 """Slots of the new version, relative to the old one, that can carry its requests."""
 
 
-@attrs.frozen(slots=True)
-class RolloutView:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class RolloutView(Value):
     """What the deciding node sees of a roll-out.
 
     Attributes
--- a/azurestep/mesh/decisions/rollout_table.py
+++ b/azurestep/mesh/decisions/rollout_table.py
@@ -36,7 +36,7 @@
 """Time after which a version that is held back for want of the store is looked at."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class ExposureMeter:
     """Canary requests that one node may send: a share of those that reached servers.
 
@@ -69,7 +69,7 @@
         self.credit += 1.0
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class VersionLedger:
     """When each version of each service was first announced."""
 
@@ -93,7 +93,7 @@
         return seen_ms == min(seen.values(), default=0.0) <= now_ms - ESTABLISHED_MS
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class RolloutTable:
     """The roll-outs that a node knows.
 
--- a/azurestep/mesh/decisions/rollout_verdict.py
+++ b/azurestep/mesh/decisions/rollout_verdict.py
@@ -29,7 +29,7 @@
 """Name of the sum over all routes."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RunCounts:
     """Runs of one version on one route, and how many of them were bad."""
 
@@ -60,7 +60,7 @@
     return failed or 0 < mean_run_ms * SLOW_FACTOR < run_ms
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class VersionComparison:
     """Evidence on one roll-out.
 
@@ -127,7 +127,7 @@
     return bad * gain_bad + (runs - bad) * gain_good
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RunCounter:
     """Counts the runs of the local backend server during a roll-out."""
 
--- a/azurestep/mesh/decisions/sizes.py
+++ b/azurestep/mesh/decisions/sizes.py
@@ -15,7 +15,7 @@
 """
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class AnswerSizes:
     """Mean size of each route's answers, in KiB.
 
--- a/azurestep/mesh/decisions/speed.py
+++ b/azurestep/mesh/decisions/speed.py
@@ -27,7 +27,7 @@
 """Relative change of a ratio up to which peers need no news of it."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class WorkSpeed:
     """The last ratio that a backend server stated, which loses weight with its age.
 
@@ -94,7 +94,7 @@
         return higher > lower * (1 + LARGE_CHANGE)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class UsualRatio:
     """The ratio that a backend server states mostly: a running median.
 
--- a/azurestep/mesh/decisions/stopping.py
+++ b/azurestep/mesh/decisions/stopping.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from ...values import Value
+
 REFUSE_DELAY_MS = 2300.0
 """Time from SIGTERM until new requests are refused.
 
@@ -24,8 +26,8 @@
 """
 
 
-@attrs.frozen
-class ShutdownPlan:
+@attrs.frozen(eq=False, repr=False)
+class ShutdownPlan(Value):
     """Deadlines of one graceful shutdown.
 
     Attributes
--- a/azurestep/mesh/decisions/team_shares.py
+++ b/azurestep/mesh/decisions/team_shares.py
@@ -21,7 +21,7 @@
 """
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class TeamShares:
     """Virtual times of the teams at one backend server, for each priority.
 
--- a/azurestep/mesh/decisions/transfers.py
+++ b/azurestep/mesh/decisions/transfers.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from ...values import Value
+
 PIECE_BYTES = 8192
 """Size of the pieces in which bodies are received."""
 WINDOW_MS = 50.0
@@ -26,8 +28,8 @@
 """Length assumed for a body that names none, until it is longer."""
 
 
-@attrs.frozen(slots=True)
-class Grant:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Grant(Value):
     """Bytes of a body that its sender may send now.
 
     Attributes
@@ -41,7 +43,7 @@
     is_first: bool
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class Transfer:
     """The transfer of one body.
 
@@ -74,7 +76,7 @@
         return min(PIECE_BYTES, self.ungranted_bytes)
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class BodyTransfers:
     """Bodies that are received or wait for it, in the order of their arrival.
 
--- a/azurestep/mesh/incarnation.py
+++ b/azurestep/mesh/incarnation.py
@@ -2,12 +2,14 @@
 
 import attrs
 
+from ..values import Value
+
 START_UNKNOWN = 0
 """Start time of an incarnation that didn't announce it."""
 
 
-@attrs.frozen(slots=True)
-class Incarnation:
+@attrs.frozen(slots=True, repr=False)
+class Incarnation(Value):
     """One run of a backend server process.
 
     A restarted backend server may keep its id, so the start time is part of the
--- a/azurestep/mesh/knowledge/configuration.py
+++ b/azurestep/mesh/knowledge/configuration.py
@@ -43,7 +43,7 @@
     INVALID = "invalid"
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Configuration:
     """The latest configuration that this node has received.
 
--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -50,7 +50,7 @@
 """
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ConfigurationWatcher:
     """Keeps this node's configuration up to date.
 
--- a/azurestep/mesh/knowledge/discovery.py
+++ b/azurestep/mesh/knowledge/discovery.py
@@ -37,7 +37,7 @@
 """Added to the epoch if the store has a higher one of an earlier process."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Discovery:
     """Writes this node's address to the store and reads those of its peers.
 
--- a/azurestep/mesh/knowledge/store_era.py
+++ b/azurestep/mesh/knowledge/store_era.py
@@ -8,7 +8,7 @@
 """No answer of the store has named an era so far."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreEra:
     """The latest era that the store or a peer named.
 
--- a/azurestep/mesh/knowledge/version_fetcher.py
+++ b/azurestep/mesh/knowledge/version_fetcher.py
@@ -21,7 +21,7 @@
 """Time from an answer to the next question, which may skip several versions."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class VersionFetcher:
     """Asks one peer at a time for a newer version.
 
--- a/azurestep/mesh/knowledge/version_server.py
+++ b/azurestep/mesh/knowledge/version_server.py
@@ -19,7 +19,7 @@
 BYTES_PER_MS_AT_1_MBPS = 125.0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class VersionServer:
     """Tells other nodes of new versions and answers their questions.
 
--- a/azurestep/mesh/line_writer.py
+++ b/azurestep/mesh/line_writer.py
@@ -30,7 +30,7 @@
 """Lines buffered while standard output is blocked."""
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class LineWriter:
     """Buffers log lines, limits their rate and writes them without blocking.
 
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -3,69 +3,70 @@
 import attrs
 
 from ..quarantine import QuarantineUpdate
+from ..values import Value
 from .incarnation import Incarnation
 
 SMALL_CHANGE = 0.1
 """Relative change of a rate limit up to which peers need no news of it."""
 
 
-@attrs.frozen(slots=True)
-class Ping:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Ping(Value):
     """Probes the other node; carries the sender's clock."""
 
     sent_ms: float
 
 
-@attrs.frozen(slots=True)
-class Pong:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Pong(Value):
     """Answer to a probe."""
 
 
-@attrs.frozen(slots=True)
-class Body:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Body(Value):
     """A chunk of a request's body; ``whole`` is set if the body ends with it."""
 
     data: bytes
     whole: bool
 
 
-@attrs.frozen(slots=True)
-class Cancel:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Cancel(Value):
     """Cancels a request whose answer is no longer needed."""
 
 
-@attrs.frozen(slots=True)
-class Withdraw:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Withdraw(Value):
     """Cancels a request and asks whether it may have run."""
 
 
-@attrs.frozen(slots=True)
-class Proceed:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Proceed(Value):
     """Confirms a request that waits for confirmation."""
 
 
-@attrs.frozen(slots=True)
-class SlotReady:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class SlotReady(Value):
     """Asks for confirmation of a request that has a free slot now."""
 
 
-@attrs.frozen(slots=True)
-class Credit:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Credit(Value):
     """Flow control: allows the other end to send more bytes."""
 
     size: int
 
 
-@attrs.frozen(slots=True)
-class AnswerData:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class AnswerData(Value):
     """A chunk of an answer's body; ``whole`` is set if the body ends with it."""
 
     data: bytes
     whole: bool
 
 
-@attrs.frozen(slots=True)
-class ConfigurationQuery:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ConfigurationQuery(Value):
     """Asks for the configuration of the other node, if that is newer.
 
     Attributes
@@ -77,16 +78,16 @@
     known_version: int = 0
 
 
-@attrs.frozen(slots=True)
-class ConfigurationUpdate:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ConfigurationUpdate(Value):
     """Configuration in force at the sender."""
 
     version: int
     content: bytes
 
 
-@attrs.frozen(slots=True)
-class ConfigurationDelta:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ConfigurationDelta(Value):
     """Configuration in force at the sender, compressed against another version.
 
     Attributes
@@ -102,8 +103,8 @@
     delta: bytes
 
 
-@attrs.frozen(slots=True)
-class VersionNotice:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class VersionNotice(Value):
     """Tells that a version is in force at the sender.
 
     Attributes
@@ -116,8 +117,8 @@
     root: tuple[str, int]
 
 
-@attrs.frozen(slots=True)
-class ServerCondition:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ServerCondition(Value):
     """What the backend server beside a node said about itself in its answers.
 
     The node tells its peers, and they tell it back after it was restarted.
@@ -163,15 +164,15 @@
         return lower < higher * (1 - SMALL_CHANGE)
 
 
-@attrs.frozen(slots=True)
-class StoreEraUpdate:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class StoreEraUpdate(Value):
     """Latest era of the platform's store that the sender knows."""
 
     era: int
 
 
-@attrs.frozen(slots=True)
-class StoreContact:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class StoreContact(Value):
     """Tells that the store has just had no later configuration for the sender.
 
     Sent where revocation of keys is strict.
@@ -185,8 +186,8 @@
     version: int
 
 
-@attrs.frozen(slots=True)
-class ServerVersion:
+@attrs.frozen(slots=True, repr=False)
+class ServerVersion(Value):
     """Software version of the backend server beside the sender.
 
     Attributes
@@ -199,8 +200,8 @@
     version: str
 
 
-@attrs.frozen(slots=True)
-class RolloutUpdate:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class RolloutUpdate(Value):
     """A roll-out as the sender knows it.
 
     Attributes
@@ -222,8 +223,8 @@
     remaining_ms: float
 
 
-@attrs.frozen(slots=True)
-class TrialCounts:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class TrialCounts(Value):
     """Runs of the backend server beside the sender during a roll-out.
 
     Attributes
@@ -244,8 +245,8 @@
     rows: tuple[tuple[str, int, int], ...] = ()
 
 
-@attrs.frozen(slots=True)
-class BodyBacklog:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class BodyBacklog(Value):
     """How long a further large body would wait for the link of the sender.
 
     Attributes
@@ -260,8 +261,8 @@
     ms_per_kib: float
 
 
-@attrs.frozen(slots=True)
-class ServerSpeed:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ServerSpeed(Value):
     """How long work currently takes at the backend server beside the sender.
 
     Attributes
@@ -276,23 +277,23 @@
     age_ms: float
 
 
-@attrs.frozen(slots=True)
-class CalledRoutes:
+@attrs.frozen(slots=True, repr=False)
+class CalledRoutes(Value):
     """Routes on which other services call the backend server beside the sender."""
 
     names: tuple[str, ...]
 
 
-@attrs.frozen(slots=True)
-class CrashReport:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class CrashReport(Value):
     """Requests that were in flight when backend servers of a service crashed."""
 
     service: str
     updates: list[QuarantineUpdate]
 
 
-@attrs.frozen(slots=True)
-class QuotaUsage:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class QuotaUsage(Value):
     """Requests of teams at the sender since its last such message.
 
     Attributes
@@ -305,8 +306,8 @@
     rows: tuple[tuple[str, int, int], ...]
 
 
-@attrs.frozen(slots=True)
-class QuotaGrant:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class QuotaGrant(Value):
     """What the receiver may admit of teams, as their quota owner says.
 
     Attributes
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -118,7 +118,7 @@
         """Handle the end of the connection."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RemoteStream:
     """One request on a link, identified by its stream id.
 
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import typing
 from collections.abc import Callable, Iterable
 from typing import Annotated, Any
 
@@ -13,6 +12,7 @@
 import msgpack
 import msgspec
 
+from ...values import Value
 from ..backend.crashes import decode_updates
 from ..decisions.rollout import Phase
 from ..link_messages import (
@@ -99,8 +99,8 @@
 StreamId = Annotated[int, msgspec.Meta(ge=1)]
 
 
-@attrs.frozen(slots=True)
-class MessageSchema:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class MessageSchema(Value):
     """How messages of one kind are validated and built.
 
     Attributes
@@ -144,13 +144,15 @@
         columns,
         array_like=True,
     )
-    return MessageSchema(_make_validator(row), build or message_class, has_stream_id)
+    has_bytes = any("bytes" in repr(column[1]) for column in columns)
+    validate = _make_validator(row, has_bytes)
+    return MessageSchema(validate, build or message_class, has_stream_id)
 
 
-def _make_validator(row: type) -> Callable[[tuple[Any, ...]], Any]:
+def _make_validator(row: type, has_bytes: bool) -> Callable[[tuple[Any, ...]], Any]:
     """Return the validator of a row; only rows with bytes need a slower one."""
     convert = msgspec.convert
-    if "bytes" in repr(typing.get_type_hints(row)):
+    if has_bytes:
         return lambda fields: convert(fields, row, builtin_types=UNCONVERTED_TYPES)
     return lambda fields: convert(fields, row)
 
--- a/azurestep/mesh/links/guarded.py
+++ b/azurestep/mesh/links/guarded.py
@@ -10,7 +10,7 @@
 from .interfaces import CallReceiver
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class GuardedReceiver:
     """Contains errors of a receiver, which is called from within the queue.
 
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -79,7 +79,7 @@
         """Handle a state of a peer; ``previous`` is None for its first one."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerLink:
     """The link to one peer, over successive connections.
 
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -46,7 +46,7 @@
 """
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class CanaryGroups:
     """Backend servers of a version that is tried by a share of the requests.
 
@@ -62,7 +62,7 @@
     all: EndpointGroup = attrs.field(factory=EndpointGroup)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Members:
     """Links to all known peers.
 
--- a/azurestep/mesh/links/remote_receiver.py
+++ b/azurestep/mesh/links/remote_receiver.py
@@ -17,7 +17,7 @@
         """Remove a request that ended."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class OutcomeForwarder:
     """Sends the outcome of one request to the peer that sent it."""
 
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -60,7 +60,7 @@
 clock drift doesn't make all later requests look late."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class IncomingLinks:
     """State that all links opened by peers share.
 
--- a/azurestep/mesh/links/unpacking.py
+++ b/azurestep/mesh/links/unpacking.py
@@ -22,7 +22,7 @@
 length is read: at its own limit, five bytes claim 800 MB."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class UnpackerPool:
     """Lends unpackers, and keeps one that was returned.
 
@@ -59,7 +59,7 @@
 """Unpackers of all links of the process."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RowReader:
     r"""Splits received bytes into rows; holds an unpacker only within a row.
 
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -11,6 +11,7 @@
 import attrs
 import msgpack
 
+from ..values import Value
 from .incarnation import START_UNKNOWN, Incarnation
 
 Headers = list[tuple[bytes, bytes]]
@@ -128,8 +129,8 @@
     QUOTA = 21
 
 
-@attrs.frozen(slots=True)
-class Hello:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Hello(Value):
     """First message on a link, from both ends.
 
     Attributes
@@ -154,8 +155,8 @@
     feature_level: int = 0
 
 
-@attrs.frozen(slots=True)
-class State:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class State(Value):
     """State of a node and its backend server, broadcast to all peers.
 
     Attributes
@@ -195,8 +196,8 @@
     refusals: tuple[tuple[str, int, float], ...] = ()
 
 
-@attrs.frozen(slots=True)
-class Request:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Request(Value):
     """A request for the backend server beside the receiving node.
 
     Attributes
@@ -258,8 +259,8 @@
         return Incarnation(self.instance_id, self.server_started_ms)
 
 
-@attrs.frozen(slots=True)
-class Answer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Answer(Value):
     """The head of a backend server's answer and the start of its body.
 
     Attributes
@@ -288,8 +289,8 @@
     ran_ms: float = 0.0
 
 
-@attrs.frozen(slots=True)
-class Refusal:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Refusal(Value):
     """The request has not run and will not run."""
 
     reason: int
@@ -298,8 +299,8 @@
     reached_backend: bool = False
 
 
-@attrs.frozen(slots=True)
-class Failure:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Failure(Value):
     """The request may have run, and its answer is missing or incomplete."""
 
     reason: int
--- a/azurestep/mesh/metrics.py
+++ b/azurestep/mesh/metrics.py
@@ -10,7 +10,7 @@
 BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 400, 800, 1600, 3200, 6400)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Histogram:
     """Latency histogram with fixed buckets.
 
@@ -42,7 +42,7 @@
         return lines
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Metrics:
     """All metrics of a node: histograms, counters and gauges, and calls by team."""
 
--- a/azurestep/mesh/quotas/control.py
+++ b/azurestep/mesh/quotas/control.py
@@ -80,7 +80,7 @@
         """Send grants to peers."""
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class TeamUse:
     """A team's requests at this node.
 
@@ -97,7 +97,7 @@
     next_report_ms: float = 0.0
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class OwnedTeam:
     """A team whose account is at this node.
 
@@ -121,7 +121,7 @@
     was_limited: bool = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Quotas:
     """Admits requests of teams at one node, and keeps the accounts that it owns.
 
--- a/azurestep/mesh/quotas/peers.py
+++ b/azurestep/mesh/quotas/peers.py
@@ -12,7 +12,7 @@
 from ..settings import Address
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class FleetPeers:
     """Peers over the links of a node.
 
--- a/azurestep/mesh/rollouts/control.py
+++ b/azurestep/mesh/rollouts/control.py
@@ -53,7 +53,7 @@
 """Status by phase; all other phases are running."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Rollouts:
     """Follows the roll-outs of all services at one node.
 
--- a/azurestep/mesh/rollouts/statuses.py
+++ b/azurestep/mesh/rollouts/statuses.py
@@ -28,7 +28,7 @@
 }
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Statuses:
     """Reads and writes statuses, one at a time.
 
--- a/azurestep/mesh/rollouts/trials.py
+++ b/azurestep/mesh/rollouts/trials.py
@@ -4,19 +4,20 @@
 
 import attrs
 
+from ...values import Value
 from ..decisions.rollout_verdict import VersionComparison
 from ..link_messages import TrialCounts
 
 
-@attrs.frozen(slots=True)
-class ReceivedCounts:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ReceivedCounts(Value):
     """The last report of a node and when it arrived."""
 
     counts: TrialCounts
     received_ms: float
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Trial:
     """Reports of the nodes beside the servers of one service, and their comparison."""
 
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -21,7 +21,7 @@
 MAX_CAUSE_CHARACTERS = 500
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Runtime:
     """Event loop, clock, random generator and metrics of one node."""
 
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -12,6 +12,7 @@
 
 from ..errors import SettingsError
 from ..platform.units import parse_duration_ms
+from ..values import Value
 
 Address = tuple[str, int]
 
@@ -35,8 +36,8 @@
     return host, int(port)
 
 
-@attrs.frozen
-class Bounds:
+@attrs.frozen(eq=False, repr=False)
+class Bounds(Value):
     """Time limits and the retry budget.
 
     Attributes
@@ -122,8 +123,8 @@
     return parse_duration_ms(value)
 
 
-@attrs.frozen
-class MeshSettings:
+@attrs.frozen(eq=False, repr=False)
+class MeshSettings(Value):
     """Settings of one node.
 
     Attributes
--- a/azurestep/mesh/stopping.py
+++ b/azurestep/mesh/stopping.py
@@ -14,7 +14,7 @@
 from .runtime import Runtime
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class GracefulShutdown:
     """Steps of a node's shutdown from SIGTERM to its exit.
 
--- a/azurestep/mesh/team_metrics.py
+++ b/azurestep/mesh/team_metrics.py
@@ -38,7 +38,7 @@
     return TeamOutcome.REFUSED_CAPACITY
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class TeamMetrics:
     """Counters of the teams with the most calls, and of all others together.
 
--- a/azurestep/platform/announcement.py
+++ b/azurestep/platform/announcement.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors import MessageMalformedError
+from ..values import Value
 from .units import DURATION_PATTERN, parse_duration_ms
 
 PREFIX = "/v1/instances/"
@@ -23,8 +24,8 @@
 HostPort = Annotated[str, msgspec.Meta(pattern=r"^[^:\s]+:[0-9]{1,5}\Z")]
 
 
-@attrs.frozen(slots=True)
-class Heartbeat:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Heartbeat(Value):
     """One heartbeat of a backend server.
 
     Attributes
@@ -54,8 +55,8 @@
     version: str = ""
 
 
-@attrs.frozen(slots=True)
-class LeavingNotice:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class LeavingNotice(Value):
     """Notice that a backend server shuts down, sent apart from heartbeats."""
 
     instance_id: str
@@ -67,31 +68,31 @@
     DRAINING = "draining"
 
 
-@attrs.frozen(slots=True)
-class _Information:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Information(Value):
     service: Name
     version: str
     zone: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
-@attrs.frozen(slots=True)
-class _Status:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Status(Value):
     state: _ReportedState
     sequence: NonNegativeInteger
     cold_remaining: Duration
 
 
-@attrs.frozen(slots=True)
-class _HeartbeatBody:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _HeartbeatBody(Value):
     address: HostPort
     information: _Information
     status: _Status
     born: NonNegativeInteger | msgspec.UnsetType = msgspec.UNSET
 
 
-@attrs.frozen(slots=True)
-class _LeavingBody:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _LeavingBody(Value):
     born: NonNegativeInteger | msgspec.UnsetType = msgspec.UNSET
 
 
--- a/azurestep/platform/document.py
+++ b/azurestep/platform/document.py
@@ -9,6 +9,7 @@
 from ..errors import ConfigurationError
 from ..routing.model import Document, Limits, Route, Service, WeightedService
 from ..routing.teams import Team, TeamDirectory
+from ..values import Value
 from .units import DURATION_PATTERN, parse_duration_ms
 
 IDEMPOTENT_ROUTE_KINDS = frozenset({"safe", "download"})
@@ -30,14 +31,14 @@
 Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
-@attrs.frozen(slots=True)
-class _WeightedService:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _WeightedService(Value):
     service: Name
     weight: Weight
 
 
-@attrs.frozen(slots=True)
-class _Route:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Route(Value):
     host: Name
     path_prefix: PathPrefix
     route_kind: Name
@@ -50,30 +51,30 @@
     public: bool = False
 
 
-@attrs.frozen(slots=True)
-class _Service:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Service(Value):
     health_check_path: Name = "/health"
     connection_limit: PositiveInteger = DEFAULT_CONNECTION_LIMIT
 
 
-@attrs.frozen(slots=True)
-class _Limits:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Limits(Value):
     max_header_bytes: NonNegativeInteger
     max_body_bytes: NonNegativeInteger
     header_timeout: Duration
     idle_timeout: Duration
 
 
-@attrs.frozen(slots=True)
-class _Tenant:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Tenant(Value):
     api_keys: list[Name] = attrs.field(factory=list, repr=False)
     priority: NonNegativeInteger = DEFAULT_PRIORITY
     requests_per_s: Rate = 0.0
     burst: Rate = 0.0
 
 
-@attrs.frozen(slots=True)
-class _Document:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Document(Value):
     version: PositiveInteger
     routes: dict[str, msgspec.Raw]
     services: dict[str, _Service]
--- a/azurestep/platform/headers.py
+++ b/azurestep/platform/headers.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ..values import Value
+
 Headers = list[tuple[bytes, bytes]]
 
 REQUEST_ID = b"attempt-id"
@@ -57,8 +59,8 @@
 _DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?")
 
 
-@attrs.frozen(slots=True)
-class CallerFields:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class CallerFields(Value):
     """Values of a caller's headers.
 
     Attributes
@@ -78,8 +80,8 @@
     forwarded: Headers
 
 
-@attrs.frozen(slots=True)
-class ServerNotice:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ServerNotice(Value):
     """What a backend server says about itself in an answer.
 
     Attributes
@@ -104,8 +106,8 @@
 EMPTY_NOTICE = ServerNotice()
 
 
-@attrs.frozen(slots=True)
-class ServerLoad:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class ServerLoad(Value):
     """Figures of a backend server's load header; None where it has none."""
 
     slots: int | None = None
@@ -116,8 +118,8 @@
 UNKNOWN_LOAD = ServerLoad()
 
 
-@attrs.frozen(slots=True)
-class AnswerFields:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class AnswerFields(Value):
     """Values of a backend server's headers.
 
     Attributes
--- a/azurestep/platform/members.py
+++ b/azurestep/platform/members.py
@@ -7,14 +7,15 @@
 import msgspec
 
 from ..errors import MessageMalformedError
+from ..values import Value
 
 FORMAT = 1
 """Version of the record format; records of other versions are rejected."""
 MAX_PORT = 65_535
 
 
-@attrs.frozen(slots=True)
-class _Member:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Member(Value):
     format: int
     port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 
--- a/azurestep/platform/outcomes.py
+++ b/azurestep/platform/outcomes.py
@@ -6,9 +6,11 @@
 
 import attrs
 
+from ..values import Value
 
-@attrs.frozen(slots=True)
-class Appended:
+
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Appended(Value):
     """Records were appended to the log at this offset."""
 
     offset: int
@@ -16,8 +18,8 @@
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class KeyedRecord:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class KeyedRecord(Value):
     """Latest record of a key, as ``read_latest`` returns it; empty if deleted."""
 
     key: str
@@ -25,8 +27,8 @@
     offset: int
 
 
-@attrs.frozen(slots=True)
-class Records:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Records(Value):
     """Records of a read.
 
     Attributes
@@ -43,8 +45,8 @@
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class LatestRecords:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class LatestRecords(Value):
     """The latest record of each key, and the offset to continue reading at.
 
     Attributes
@@ -59,8 +61,8 @@
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class Truncated:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Truncated(Value):
     """The log has no record at the requested offset.
 
     Attributes
@@ -73,23 +75,23 @@
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class Conflict:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Conflict(Value):
     """The condition of an append was not met."""
 
     end_offset: int
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class Fenced:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Fenced(Value):
     """A process with a higher epoch appended as the same producer."""
 
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class OutOfSequence:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class OutOfSequence(Value):
     """An earlier append of the producer is missing.
 
     Attributes
@@ -102,8 +104,8 @@
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class Producer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Producer(Value):
     """Identity of a writer, which lets the store detect repeated and late appends.
 
     Attributes
@@ -121,8 +123,8 @@
     sequence: int
 
 
-@attrs.frozen(slots=True)
-class Refused:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Refused(Value):
     """The store rejected the call without effect.
 
     Attributes
@@ -135,8 +137,8 @@
     era: int | None = None
 
 
-@attrs.frozen(slots=True)
-class Unanswered:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Unanswered(Value):
     """No complete answer was received; the call may have taken effect.
 
     Attributes
--- a/azurestep/platform/rollout.py
+++ b/azurestep/platform/rollout.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors import MessageMalformedError
+from ..values import Value
 from .topics import ROLLOUT_PREFIX
 from .units import DURATION_PATTERN, parse_duration_ms
 
@@ -18,8 +19,8 @@
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
-@attrs.frozen(slots=True)
-class RolloutOrder:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class RolloutOrder(Value):
     """Order to move a service's traffic to backend servers of a new version.
 
     Attributes
@@ -41,8 +42,8 @@
     ROLLED_BACK = "rolled_back"
 
 
-@attrs.frozen(slots=True)
-class RolloutStatus:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class RolloutStatus(Value):
     """Status of a roll-out.
 
     Attributes
@@ -60,15 +61,15 @@
     ends_unix_ms: int = 0
 
 
-@attrs.frozen(slots=True)
-class _Order:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Order(Value):
     service: Name
     new_version: Name
     duration: Duration
 
 
-@attrs.frozen(slots=True)
-class _Status:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Status(Value):
     state: RolloutState
     new_version: Name
     order_era: NonNegativeInteger = 0
--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ..http.client import ClientConnection, Headers
+from ..values import Value
 from .outcomes import (
     Appended,
     AppendOutcome,
@@ -47,37 +48,37 @@
 OFFSETS = struct.Struct(">QQ")
 
 
-@attrs.frozen(slots=True)
-class _AppendAnswer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _AppendAnswer(Value):
     offset: int
     end_offset: int
 
 
-@attrs.frozen(slots=True)
-class _ConditionAnswer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _ConditionAnswer(Value):
     end_offset: int
 
 
-@attrs.frozen(slots=True)
-class _ConflictAnswer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _ConflictAnswer(Value):
     why: str = ""
     sequence: int | None = None
 
 
-@attrs.frozen(slots=True)
-class _TruncatedAnswer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _TruncatedAnswer(Value):
     first_offset: int | None = None
 
 
-@attrs.frozen(slots=True)
-class _Item:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Item(Value):
     key: str
     offset: int
     value: str | None = None
 
 
-@attrs.frozen(slots=True)
-class _Page:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class _Page(Value):
     items: list[msgspec.Raw]
     end_offset: int
     has_more: bool = False
@@ -87,8 +88,8 @@
 AnswerType = TypeVar("AnswerType")
 
 
-@attrs.frozen(slots=True)
-class StoreAnswer:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class StoreAnswer(Value):
     """An answer of the store."""
 
     status: int
@@ -175,7 +176,7 @@
         """Do nothing: a call is sent at once."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreClient:
     """Calls to the store, one at a time on one connection.
 
@@ -428,8 +429,8 @@
     return Records(values, next_offset, max(next_offset, end_offset), answer.era)
 
 
-@attrs.frozen(slots=True)
-class KeyValue:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class KeyValue(Value):
     """Decoded append to a keyed topic; an empty value deletes the key."""
 
     key: str
--- a/azurestep/quarantine/suspects.py
+++ b/azurestep/quarantine/suspects.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..endpoint_key import EndpointKey
+from ..values import Value
 
 
 class QuarantineStatus(StrEnum):
@@ -15,8 +16,8 @@
     REFUSED = "refused"
 
 
-@attrs.frozen
-class QuarantineUpdate:
+@attrs.frozen(eq=False, repr=False)
+class QuarantineUpdate(Value):
     """Report of a fingerprint to other nodes.
 
     Attributes
@@ -34,7 +35,7 @@
     refused_for_ms: float = 0.0
 
 
-@attrs.define
+@attrs.define(eq=False, repr=False)
 class Suspect:
     """State of one fingerprint.
 
--- a/azurestep/routing/authentication.py
+++ b/azurestep/routing/authentication.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from ..values import Value
 from .model import Route
 from .teams import Team, TeamDirectory, digest_key
 
@@ -36,8 +37,8 @@
     UNDECIDED = "undecided"
 
 
-@attrs.frozen(slots=True)
-class Identity:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Identity(Value):
     """The team of a request, if it has one, and whether it is allowed."""
 
     access: Access
--- a/azurestep/routing/model.py
+++ b/azurestep/routing/model.py
@@ -2,19 +2,20 @@
 
 import attrs
 
+from ..values import Value
 from .teams import TeamDirectory
 
 
-@attrs.frozen(slots=True)
-class WeightedService:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class WeightedService(Value):
     """A service that gets a share of a route's requests by its weight."""
 
     service: str
     weight: float
 
 
-@attrs.frozen(slots=True)
-class Route:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Route(Value):
     """Rules for requests to one host below one path prefix.
 
     Attributes
@@ -45,8 +46,8 @@
     public: bool = False
 
 
-@attrs.frozen(slots=True)
-class Service:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Service(Value):
     """Settings of all backend servers of a service."""
 
     name: str
@@ -54,8 +55,8 @@
     connection_limit: int
 
 
-@attrs.frozen(slots=True)
-class Limits:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Limits(Value):
     """Size limits and timeouts for callers."""
 
     header_bytes: int = 16_384
@@ -64,8 +65,8 @@
     idle_timeout_ms: float = 15_000.0
 
 
-@attrs.frozen(slots=True)
-class Document:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Document(Value):
     """One version of the configuration.
 
     Attributes
--- a/azurestep/routing/table.py
+++ b/azurestep/routing/table.py
@@ -11,7 +11,7 @@
 """Upper bound of the random start position."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class WeightedRoundRobin:
     """Distributes requests over services by smooth weighted round robin.
 
@@ -56,7 +56,7 @@
         return self.weighted_services[best].service
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RoutingTable:
     """One version of the configuration with an index for lookups.
 
--- a/azurestep/routing/teams.py
+++ b/azurestep/routing/teams.py
@@ -5,12 +5,14 @@
 
 import attrs
 
+from ..values import Value
+
 DIGEST_BYTES = 16
 """Size of a key's digest; two of a million keys collide once in 10^26 fleets."""
 
 
-@attrs.frozen(slots=True)
-class Team:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Team(Value):
     """Callers that share keys, a priority and a quota.
 
     Attributes
@@ -43,8 +45,8 @@
     return hashlib.blake2b(key, digest_size=DIGEST_BYTES).digest()
 
 
-@attrs.frozen(slots=True)
-class TeamDirectory:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class TeamDirectory(Value):
     """The teams of one version of the configuration.
 
     Holds digests instead of keys, so that no line or traceback can contain a key.
