A node binds its listeners itself and collects no garbage until it listens

Cause: uvloop resolves the address of a listener in a thread pool and encodes numeric addresses as international host names too, which imports encodings.idna, stringprep and unicodedata. The collector runs during the imports, which allocate much and free little.

Change: listening.open_listener() returns a bound socket. The sidecar command turns collections off, imports the node, and the node turns them on when it listens; they are on again also after a failed start.

--- a/azurestep/cli/commands/sidecar.py
+++ b/azurestep/cli/commands/sidecar.py
@@ -1,10 +1,10 @@
 """``azurestep sidecar``: run a node on the users' platform."""
 
+import gc
 import pathlib
 
 from ...environment import Environment
 from ...errors import UsageError
-from ...mesh.node import serve
 from ...platform.boot import SETTINGS_VARIABLE
 from ...status import ExitStatus
 from ..options import SidecarOptions
@@ -23,5 +23,13 @@
                 f"Give SETTINGS or set {SETTINGS_VARIABLE}",
             )
         path = pathlib.Path(named)
-    serve(path)
+    # Imports allocate much and free little, so collections would only cost time until
+    # the node listens and enables them.
+    gc.disable()
+    try:
+        from ...mesh.node import serve
+
+        serve(path)
+    finally:
+        gc.enable()
     return ExitStatus.OK
--- a/azurestep/listening.py
+++ b/azurestep/listening.py
@@ -1,4 +1,4 @@
-"""Closing a listener without resetting the connections that wait at it."""
+"""Opening a listener, and closing it without resetting what waits at it."""
 
 import asyncio
 import contextlib
@@ -6,6 +6,24 @@
 import socket
 from collections.abc import Callable
 
+BACKLOG = 1024
+"""Connections that wait at a listener until they are accepted."""
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a socket that is bound to an address and listens.
+
+    An event loop that gets the address instead of a socket resolves it in a thread, and
+    imports the tables of international host names that a numeric address doesn't need.
+
+    Raises
+    ------
+    OSError
+        If the address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family, backlog=BACKLOG)
+
 
 async def close_listener(
     server: asyncio.Server, factory: Callable[[], asyncio.Protocol]
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -14,7 +14,7 @@
 
 from ..errors import PortInUseError, SettingsError
 from ..http.server import Handler, ServerConnection, ServerState
-from ..listening import close_listener
+from ..listening import BACKLOG, close_listener, open_listener
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
 from ..routing.table import RoutingTable
@@ -84,7 +84,7 @@
 ProtocolFactory = Callable[[], asyncio.Protocol]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Node:
     """Connects the components of a node and runs its main loop."""
 
@@ -297,6 +297,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
+        gc.enable()
         self._last_tick_ms = self.runtime.now_ms()
         while not self._stopped.is_set():
             self._tick(states)
@@ -534,14 +535,15 @@
 
     async def _bind(self, address: Address, factory: ProtocolFactory) -> None:
         try:
-            server = await self.runtime.loop.create_server(
-                factory, *address, backlog=1024, reuse_address=True
-            )
+            listener = open_listener(*address)
         except OSError as error:
             raise PortInUseError(
                 f"{address[0]}:{address[1]} can't be bound: {error.strerror}",
                 "Stop the process that uses the address, or change the settings",
             ) from error
+        server = await self.runtime.loop.create_server(
+            factory, sock=listener, backlog=BACKLOG
+        )
         self._servers.append(server)
 
     def _tick(self, states: list[ServerState]) -> None:
