--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -43,7 +43,7 @@
 """
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Inbound:
     """Admits requests to the local backend server and runs them.
 
