--- /dev/null
+++ b/azurestep/mesh/gauges.py
@@ -0,0 +1,52 @@
+"""Gauges of a node, computed when its metrics are read."""
+
+import attrs
+
+from .backend.inbound import Inbound
+from .backend.state import LocalBackend
+from .callers.outbound import Outbound
+from .knowledge.configuration import Configuration
+from .knowledge.configuration_watcher import ConfigurationWatcher
+from .knowledge.store_era import StoreEra
+from .links.members import Members
+from .links.server import IncomingLinks
+from .quotas.control import Quotas
+from .runtime import Runtime
+
+
+@attrs.define(eq=False)
+class NodeGauges:
+    """Writes the gauges of a node's components into its metrics."""
+
+    runtime: Runtime
+    members: Members
+    configuration: Configuration
+    configuration_watcher: ConfigurationWatcher
+    store_era: StoreEra
+    backend: LocalBackend
+    inbound: Inbound
+    incoming_links: IncomingLinks
+    outbound: Outbound
+    quotas: Quotas
+
+    def refresh(self) -> None:
+        """Update all gauges."""
+        gauges, now_ms = self.runtime.metrics.gauges, self.runtime.now_ms()
+        admission = self.inbound.admission
+        refusals = self.outbound.context.refusals
+        watcher = self.configuration_watcher
+        gauges["members"] = self.members.count()
+        gauges["configuration_version"] = self.configuration.version
+        gauges["backend_running"] = len(admission.running)
+        gauges["backend_busy"] = admission.in_flight
+        gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["backend_slots_kept"] = admission.kept_slots(now_ms)
+        gauges["calls_lacking"] = refusals.lack(self.members.called_routes)
+        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
+        gauges["backend_work_ratio"] = admission.speed.ratio(now_ms)
+        gauges["configuration_reader"] = float(watcher.is_reader)
+        gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
+        gauges["quota_teams_owned"] = len(self.quotas.owned)
+        gauges["quota_teams_limited"] = self.quotas.limited_count()
+        gauges["store_era"] = self.store_era.current
+        gauges["store_reachable"] = float(watcher.store_reachable)
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -35,6 +35,7 @@
 from .decisions.quota_account import QuotaAccount
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
+from .gauges import NodeGauges
 from .knowledge.configuration import Configuration, Origin
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
@@ -108,6 +109,7 @@
     quotas: Quotas = attrs.field(init=False)
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
+    gauges: NodeGauges = attrs.field(init=False)
     shutdown: GracefulShutdown = attrs.field(init=False)
     started_ms: float = 0.0
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -245,6 +247,18 @@
         self.callers = ServerState(
             self.outbound.handle, runtime.fault_handler("caller"), answer_bad_gateway
         )
+        self.gauges = NodeGauges(
+            runtime,
+            self.members,
+            self.configuration,
+            self.configuration_watcher,
+            self.store_era,
+            self.backend,
+            self.inbound,
+            self.incoming_links,
+            self.outbound,
+            self.quotas,
+        )
         self.shutdown = GracefulShutdown(
             runtime,
             settings.instance,
@@ -276,7 +290,7 @@
             ),
             (
                 settings.metrics_address,
-                endpoints.metrics(self._refresh_gauges, self.runtime),
+                endpoints.metrics(self.gauges.refresh, self.runtime),
             ),
         ]
         states = [self.callers]
@@ -621,30 +635,6 @@
             self.reload()
         self._settings_content = content
 
-    def _refresh_gauges(self) -> None:
-        gauges = self.runtime.metrics.gauges
-        gauges["members"] = self.members.count()
-        gauges["configuration_version"] = self.configuration.version
-        gauges["backend_running"] = len(self.inbound.admission.running)
-        gauges["backend_busy"] = self.inbound.admission.in_flight
-        gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
-        gauges["backend_slots_kept"] = self.inbound.admission.kept_slots(
-            self.runtime.now_ms()
-        )
-        gauges["calls_lacking"] = self.call_context.refusals.lack(
-            self.members.called_routes
-        )
-        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
-        gauges["backend_work_ratio"] = self.inbound.admission.speed.ratio(
-            self.runtime.now_ms()
-        )
-        gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
-        gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
-        gauges["quota_teams_owned"] = len(self.quotas.owned)
-        gauges["quota_teams_limited"] = self.quotas.limited_count()
-        gauges["store_era"] = self.store_era.current
-        gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
-
 
 def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
