Limits, grants and use of teams in metrics and azurestep status

Limits and grants of teams appeared only in the lines of refused requests, so operators could not see them while nothing was refused, nor who keeps a team's account.

The metrics of a node on the platform have the counters azurestep_team_quota_admitted_total and _returned_total and the gauges _limit_per_s, _grant_per_s, _limited and _owned, for the 20 largest teams and `other`. The metrics address answers /v1/status with JSON: version, members, era of the store and the teams in use or with an account, without a bound.

Requests are counted as numbers in the team's use and added to the metrics when these are read, so a request costs one addition more. The gauges' module is imported when they are first read: with its classes it took 9 ms of an import of azurestep.mesh.node under -X importtime.

--- a/azurestep/cli/definition.py
+++ b/azurestep/cli/definition.py
@@ -11,6 +11,7 @@
   azurestep preset NAME [--node URL] [--platform URL] [--operator NAME]
                     [--wait] [--timeout SECONDS] [--json] [--debug]
   azurestep status [--node URL] [--json] [--debug]
+  azurestep status (--settings FILE | --metrics ADDRESS) [--json] [--debug]
   azurestep drain [--node URL] [--json] [--debug]
   azurestep audit versions [--at TIME] [--instance NAME] [--platform URL]
                     [--json] [--debug]
@@ -50,6 +51,8 @@
 
 Options:
   --node URL         Operator endpoint of any node.
+  --settings FILE    Settings of a node on the users' platform, to ask that node.
+  --metrics ADDRESS  Metrics address of such a node, as HOST:PORT.
   --platform URL     Base address of the platform's log.
   --operator NAME    Who publishes; it stands in the audit trail.
   --wait             Wait until the version is in force everywhere.
@@ -65,7 +68,8 @@
 
 Defaults of --node, --platform and --operator come from AZURESTEP_NODE,
 AZURESTEP_PLATFORM and AZURESTEP_OPERATOR, then from the JSON file that
-AZURESTEP_OPERATOR_SETTINGS names.
+AZURESTEP_OPERATOR_SETTINGS names. Without any of them, status reads the settings
+of a node on the users' platform from the file that AZURESTEP_BOOT names.
 
 Exit status:
   0 done            1 other error          2 wrong usage
--- a/azurestep/cli/options.py
+++ b/azurestep/cli/options.py
@@ -69,10 +69,20 @@
 
 @attrs.frozen
 class StatusOptions:
-    """Options of ``azurestep status``."""
+    """Options of ``azurestep status``.
+
+    Attributes
+    ----------
+    settings : pathlib.Path or None
+        Settings of a node on the users' platform.
+    metrics_address : str or None
+        Metrics address of such a node.
+    """
 
     fleet: FleetOptions
     as_json: bool = False
+    settings: pathlib.Path | None = None
+    metrics_address: str | None = None
 
 
 @attrs.frozen
--- a/azurestep/cli/parse.py
+++ b/azurestep/cli/parse.py
@@ -98,7 +98,13 @@
 
 
 def _status(parsed: Parsed) -> Options:
-    return StatusOptions(_fleet(parsed), parsed["--json"])
+    named = parsed["--settings"]
+    return StatusOptions(
+        _fleet(parsed),
+        parsed["--json"],
+        pathlib.Path(named) if named else None,
+        parsed["--metrics"],
+    )
 
 
 def _drain(parsed: Parsed) -> Options:
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -12,6 +12,8 @@
 
 JSON = [(b"Content-Type", b"application/json")]
 TEXT = [(b"Content-Type", b"text/plain; version=0.0.4")]
+STATUS_TARGET = b"/v1/status"
+"""Target at the metrics address that is answered with the status, not the metrics."""
 
 
 def readiness(is_ready: Callable[[], bool]) -> Handler:
@@ -23,10 +25,15 @@
     return _collect_body(respond)
 
 
-def metrics(refresh: Callable[[], None], runtime: Runtime) -> Handler:
-    """Return the handler that serves the metrics as text."""
+def metrics(
+    refresh: Callable[[], None], runtime: Runtime, status: Callable[[], bytes]
+) -> Handler:
+    """Return the handler that serves the metrics as text, and the status as JSON."""
 
     def respond(exchange: Exchange, body: bytes) -> None:
+        if exchange.target == STATUS_TARGET:
+            exchange.answer(200, JSON, status())
+            return
         refresh()
         exchange.answer(200, TEXT, runtime.metrics.text().encode())
 
--- a/azurestep/mesh/gauges.py
+++ b/azurestep/mesh/gauges.py
@@ -1,6 +1,7 @@
-"""Gauges of a node, computed when its metrics are read."""
+"""Gauges and status of a node, computed when they are read."""
 
 import attrs
+import orjson
 
 from .backend.inbound import Inbound
 from .backend.state import LocalBackend
@@ -11,12 +12,15 @@
 from .links.members import Members
 from .links.server import IncomingLinks
 from .quotas.control import Quotas
+from .quotas.overview import describe_quotas
 from .runtime import Runtime
+from .settings import MeshSettings
+from .status import MeshStatus, TeamQuotaStatus
 
 
 @attrs.define(eq=False)
 class NodeGauges:
-    """Writes the gauges of a node's components into its metrics."""
+    """Reads a node's components for its metrics and for operators."""
 
     runtime: Runtime
     members: Members
@@ -30,7 +34,7 @@
     quotas: Quotas
 
     def refresh(self) -> None:
-        """Update all gauges."""
+        """Update all gauges in the node's metrics."""
         gauges, now_ms = self.runtime.metrics.gauges, self.runtime.now_ms()
         admission = self.inbound.admission
         refusals = self.outbound.context.refusals
@@ -50,3 +54,30 @@
         gauges["quota_teams_limited"] = self.quotas.limited_count()
         gauges["store_era"] = self.store_era.current
         gauges["store_reachable"] = float(watcher.store_reachable)
+        self.quotas.count_uses()
+        self.runtime.metrics.teams.quota_gauges = {
+            quota.team: _gauges_of(quota) for quota in describe_quotas(self.quotas)
+        }
+
+    def status(self, settings: MeshSettings) -> bytes:
+        """Return the ``MeshStatus`` of the node, as JSON."""
+        status = MeshStatus(
+            settings.instance,
+            settings.data_centre,
+            settings.service,
+            self.configuration.version,
+            self.members.count(),
+            self.store_era.current,
+            self.configuration_watcher.store_reachable,
+            describe_quotas(self.quotas),
+        )
+        return orjson.dumps(attrs.asdict(status))
+
+
+def _gauges_of(quota: TeamQuotaStatus) -> dict[str, float]:
+    return {
+        "limit_per_s": quota.limit_per_s,
+        "grant_per_s": quota.grant_per_s or 0.0,
+        "limited": float(quota.limited),
+        "owned": float(quota.is_owner),
+    }
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 import attrs
 import uvloop
@@ -35,7 +36,6 @@
 from .decisions.quota_account import QuotaAccount
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
-from .gauges import NodeGauges
 from .knowledge.configuration import Configuration, Origin
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
@@ -53,6 +53,9 @@
 from .settings import Address, MeshSettings, read_settings
 from .stopping import GracefulShutdown
 
+if TYPE_CHECKING:
+    from .gauges import NodeGauges
+
 TICK_S = 0.1
 """Interval of the main loop."""
 STATE_BROADCAST_TICKS = 2
@@ -109,7 +112,6 @@
     quotas: Quotas = attrs.field(init=False)
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
-    gauges: NodeGauges = attrs.field(init=False)
     shutdown: GracefulShutdown = attrs.field(init=False)
     started_ms: float = 0.0
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -120,6 +122,7 @@
     _last_tick_ms: float = 0.0
     _last_pressure: PressureReport | None = None
     _settings_content: bytes = b""
+    _gauges: "NodeGauges | None" = None
 
     def __attrs_post_init__(self) -> None:
         settings, runtime = self.settings, self.runtime
@@ -232,6 +235,7 @@
             runtime.now_ms,
             self._find_team,
             self._log_limited,
+            runtime.metrics.teams,
         )
         self.members.apply_grant = self.quotas.on_grant
         self.incoming_links.on_usage = self.quotas.on_usage
@@ -247,18 +251,6 @@
         self.callers = ServerState(
             self.outbound.handle, runtime.fault_handler("caller"), answer_bad_gateway
         )
-        self.gauges = NodeGauges(
-            runtime,
-            self.members,
-            self.configuration,
-            self.configuration_watcher,
-            self.store_era,
-            self.backend,
-            self.inbound,
-            self.incoming_links,
-            self.outbound,
-            self.quotas,
-        )
         self.shutdown = GracefulShutdown(
             runtime,
             settings.instance,
@@ -290,7 +282,11 @@
             ),
             (
                 settings.metrics_address,
-                endpoints.metrics(self.gauges.refresh, self.runtime),
+                endpoints.metrics(
+                    lambda: self._load_gauges().refresh(),
+                    self.runtime,
+                    lambda: self._load_gauges().status(self.settings),
+                ),
             ),
         ]
         states = [self.callers]
@@ -635,6 +631,29 @@
             self.reload()
         self._settings_content = content
 
+    def _load_gauges(self) -> "NodeGauges":
+        """Return the reader of the gauges.
+
+        Its module is imported when they are first read, which keeps it out of the
+        processor time of a start.
+        """
+        if self._gauges is None:
+            from .gauges import NodeGauges
+
+            self._gauges = NodeGauges(
+                self.runtime,
+                self.members,
+                self.configuration,
+                self.configuration_watcher,
+                self.store_era,
+                self.backend,
+                self.inbound,
+                self.incoming_links,
+                self.outbound,
+                self.quotas,
+            )
+        return self._gauges
+
 
 def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
--- a/azurestep/mesh/quotas/control.py
+++ b/azurestep/mesh/quotas/control.py
@@ -24,6 +24,7 @@
 from ..decisions.quota_owner import QuotaOwners
 from ..link_messages import QuotaGrant, QuotaUsage
 from ..settings import Address, Bounds
+from ..team_metrics import TeamMetrics
 
 RENEWAL_MS = GRANT_VALID_MS * 0.4
 """Time between grants that are sent to all nodes, so that one of them may be late."""
@@ -88,6 +89,8 @@
     ----------
     owner : Address
         Node that they are reported to.
+    admitted, refused, returned : int
+        Requests that were admitted, refused, and admitted but have not run.
     """
 
     team: QuotaTeam
@@ -95,6 +98,18 @@
     owner: Address
     used_ms: float = 0.0
     next_report_ms: float = 0.0
+    admitted: int = 0
+    refused: int = 0
+    returned: int = 0
+    _counted: tuple[int, int] = 0, 0
+
+    def count(self, metrics: TeamMetrics) -> None:
+        """Add to a node's metrics what they don't have yet."""
+        admitted, returned = self._counted
+        self._counted = self.admitted, self.returned
+        metrics.record_quota(
+            self.team.name, self.admitted - admitted, self.returned - returned
+        )
 
 
 @attrs.define(slots=True, eq=False)
@@ -134,6 +149,8 @@
     on_limited : Callable
         Called when a team whose account is here has used up its quota, or is below it
         again.
+    metrics : TeamMetrics
+        Counts the requests that were admitted, when it is read.
     """
 
     own_address: Address
@@ -142,6 +159,7 @@
     now_ms: Callable[[], float]
     find_team: Callable[[str], QuotaTeam | None]
     on_limited: Callable[[QuotaTeam, QuotaAccount], None] = lambda team, account: None
+    metrics: TeamMetrics = attrs.field(factory=TeamMetrics)
     uses: dict[str, TeamUse] = attrs.field(factory=dict)
     owned: dict[str, OwnedTeam] = attrs.field(factory=dict)
     _owners: QuotaOwners = attrs.field(init=False)
@@ -174,15 +192,20 @@
         if is_own and self._known:
             self._anticipate(team, now_ms)
         wait_ms = use.allowance.admit(now_ms, late)
-        if not wait_ms and (is_own or use.allowance.is_urgent):
+        if wait_ms:
+            use.refused += 1
+            return wait_ms
+        use.admitted += 1
+        if is_own or use.allowance.is_urgent:
             self._report([use], now_ms)
-        return wait_ms
+        return 0.0
 
     def give_back(self, name: str) -> None:
         """Return the token of a request that was admitted and has not run."""
         use = self.uses.get(name)
         if use is not None:
             use.allowance.give_back()
+            use.returned += 1
 
     def describe(self, name: str) -> dict[str, float]:
         """Return limit and grant of a team, and the grant's age, for log lines."""
@@ -247,6 +270,15 @@
         for owned in self.owned.values():
             self._update_account(owned, owned.team, self.now_ms())
 
+    def owner_of(self, name: str) -> Address:
+        """Return the owner of a team, by the peers that were reachable last."""
+        return self._owners.of(name)
+
+    def count_uses(self) -> None:
+        """Bring the counters of the node's metrics up to date."""
+        for use in self.uses.values():
+            use.count(self.metrics)
+
     def limited_count(self) -> int:
         """Return how many of the teams that this node accounts for are limited."""
         return sum(1 for owned in self.owned.values() if owned.account.limited)
@@ -425,6 +457,7 @@
             team = self.find_team(name)
             unused = use.used_ms < oldest_ms and use.allowance.is_idle
             if unused or team is None or team.requests_per_s <= 0:
+                use.count(self.metrics)
                 del self.uses[name]
         for name, owned in list(self.owned.items()):
             team = self.find_team(name)
--- a/azurestep/mesh/team_metrics.py
+++ b/azurestep/mesh/team_metrics.py
@@ -1,7 +1,8 @@
-"""Calls of each team by how they ended, for a bounded number of teams."""
+"""Calls and quotas of each team, for a bounded number of teams."""
 
 import heapq
 from collections import Counter
+from collections.abc import Mapping
 from enum import StrEnum
 
 import attrs
@@ -9,8 +10,8 @@
 from .messages import Reason
 
 SHOWN_TEAMS = 20
-"""Teams with series of their own: 100 series of a node. With 1,000 teams, 1,100 nodes
-would have 5.5 million."""
+"""Teams with series of their own: at most 220 series of a node. With 1,000 teams, 1,100
+nodes would have 12 million."""
 REVIEW_CALLS = 2000
 """Calls after which the teams with series of their own are chosen again; 20 s at 100
 calls a second."""
@@ -19,6 +20,7 @@
 about equal size don't take turns."""
 OTHER = "other"
 SERIES = "azurestep_team_calls_total"
+QUOTA_SERIES = "azurestep_team_quota"
 
 
 class TeamOutcome(StrEnum):
@@ -38,6 +40,21 @@
     return TeamOutcome.REFUSED_CAPACITY
 
 
+@attrs.define(slots=True)
+class TeamCounters:
+    """Counters of one team, or of all that have no series of their own.
+
+    Attributes
+    ----------
+    admitted, returned : int
+        Requests within the quota, and those of them that have not run.
+    """
+
+    outcomes: Counter[TeamOutcome] = attrs.field(factory=Counter)
+    admitted: int = 0
+    returned: int = 0
+
+
 @attrs.define(slots=True)
 class TeamMetrics:
     """Counters of the teams with the most calls, and of all others together.
@@ -45,6 +62,12 @@
     Each counter only grows. A team that gets a series of its own begins at zero there;
     what it had before stays in that of the others.
 
+    Attributes
+    ----------
+    quota_gauges : Mapping
+        Gauges of each team with a quota, by name; those without series of their own
+        are added up.
+
     Examples
     --------
     >>> metrics = TeamMetrics()
@@ -53,8 +76,9 @@
     ['azurestep_team_calls_total{team="riggers",kind="good"} 1']
     """
 
-    _shown: dict[str, Counter[TeamOutcome]] = attrs.field(factory=dict)
-    _others: Counter[TeamOutcome] = attrs.field(factory=Counter)
+    quota_gauges: Mapping[str, Mapping[str, float]] = attrs.field(factory=dict)
+    _shown: dict[str, TeamCounters] = attrs.field(factory=dict)
+    _others: TeamCounters = attrs.field(factory=TeamCounters)
     _recent: Counter[str] = attrs.field(factory=Counter)
     _recent_calls: int = 0
 
@@ -62,27 +86,51 @@
         """Count a call; ``team`` is empty for a call without one, which isn't."""
         if not team:
             return
-        if team not in self._shown and len(self._shown) < SHOWN_TEAMS:
-            self._show(team)
-        self._shown.get(team, self._others)[outcome] += 1
+        self._counters(team).outcomes[outcome] += 1
         self._recent[team] += 1
         self._recent_calls += 1
         if self._recent_calls >= REVIEW_CALLS:
             self._review()
 
+    def record_quota(self, team: str, admitted: int, returned: int) -> None:
+        """Count requests within the team's quota, and those that have not run."""
+        if admitted or returned:
+            counters = self._counters(team)
+            counters.admitted += admitted
+            counters.returned += returned
+
     def lines(self) -> list[str]:
-        """Return the counters in the text format."""
-        named = sorted(self._shown.items())
-        return [
+        """Return counters and gauges in the text format."""
+        series = [*sorted(self._shown.items()), (OTHER, self._others)]
+        lines = [
             f'{SERIES}{{team="{_escape(team)}",kind="{kind}"}} {count}'
-            for team, counts in [*named, (OTHER, self._others)]
-            for kind, count in sorted(counts.items())
+            for team, counters in series
+            for kind, count in sorted(counters.outcomes.items())
         ]
+        for team, counters in series:
+            lines += _quota_lines(team, counters, self._gauges_of(team))
+        return lines
+
+    def _gauges_of(self, series: str) -> Mapping[str, float]:
+        if series in self._shown:
+            return self.quota_gauges.get(series, {})
+        sums: dict[str, float] = {}
+        for team, gauges in self.quota_gauges.items():
+            if team not in self._shown:
+                for name, value in gauges.items():
+                    sums[name] = sums.get(name, 0.0) + value
+        return sums
+
+    def _counters(self, team: str) -> TeamCounters:
+        """Return where a team is counted; the first teams get series of their own."""
+        if team not in self._shown and len(self._shown) < SHOWN_TEAMS:
+            self._show(team)
+        return self._shown.get(team, self._others)
 
     def _show(self, team: str) -> None:
         """Give a team series of its own, unless its name is that of the others."""
         if team != OTHER:
-            self._shown[team] = Counter()
+            self._shown[team] = TeamCounters()
 
     def _review(self) -> None:
         """Choose the teams with series of their own by their recent calls."""
@@ -101,6 +149,21 @@
         self._recent_calls = 0
 
 
+def _quota_lines(
+    team: str, counters: TeamCounters, gauges: Mapping[str, float]
+) -> list[str]:
+    """Return the counters and gauges of a series that are about quotas."""
+    values: dict[str, float] = {}
+    if counters.admitted or counters.returned:
+        values["admitted_total"] = counters.admitted
+        values["returned_total"] = counters.returned
+    values.update(gauges)
+    label = f'{{team="{_escape(team)}"}}'
+    return [
+        f"{QUOTA_SERIES}_{name}{label} {value:.10g}" for name, value in values.items()
+    ]
+
+
 def _escape(text: str) -> str:
     """Return a label's value as the text format writes it."""
     return text.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/azurestep/operations/node_client.py
+++ b/azurestep/operations/node_client.py
@@ -11,6 +11,7 @@
 from ..config.records import Entry, document_from_entries
 from ..control.link import LinkCounters
 from ..errors import NodeUnreachableError
+from ..mesh.status import MeshStatus
 from ..node.messages import NodeStatus
 
 TIMEOUT_S = 5.0
@@ -47,6 +48,20 @@
         """Return the state of the node."""
         return CONVERTER.structure(await self._get("/v1/status"), NodeStatus)
 
+    async def mesh_status(self) -> MeshStatus:
+        """Return the state of a node on the users' platform.
+
+        The base address is that of its metrics.
+        """
+        plain = await self._get("/v1/status")
+        try:
+            return CONVERTER.structure(plain, MeshStatus)
+        except cattrs.BaseValidationError as error:
+            raise NodeUnreachableError(
+                f"what answers at {self._base_url} is no metrics address of a node",
+                "Give the metrics address, or --node for an operator endpoint",
+            ) from error
+
     async def counters(self) -> LinkCounters:
         """Return the traffic of the node's control sockets since its start."""
         return CONVERTER.structure(await self._get("/v1/counters"), LinkCounters)
--- a/azurestep/output/writer.py
+++ b/azurestep/output/writer.py
@@ -7,7 +7,7 @@
 import orjson
 
 from ..environment import Environment
-from . import audit  # noqa: F401  (registers its texts)
+from . import audit, mesh  # noqa: F401  (they register their texts)
 from .render import render
 
 CONVERTER = cattrs.Converter()
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -46,6 +46,46 @@
     assert "AZURESTEP_NODE" in result.stderr
 
 
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["--metrics", "127.0.0.1"],
+        ["--metrics", "127.0.0.1:0"],
+        ["--metrics", "127.0.0.1:1", "--settings", "settings.json"],
+        ["--metrics", "127.0.0.1:1", "--node", "http://127.0.0.1:1"],
+    ],
+)
+def test_status_takes_one_valid_address(
+    run_command: RunCommand, arguments: list[str]
+) -> None:
+    """Guards against a guess which of two nodes was meant."""
+    result = run_command("status", *arguments)
+    assert result.status is ExitStatus.USAGE
+
+
+def test_status_tells_a_node_on_the_platform_that_is_away(
+    run_command: RunCommand,
+) -> None:
+    """Guards against a traceback where no node listens."""
+    result = run_command("status", "--metrics", "127.0.0.1:1")
+    assert result.status is ExitStatus.NODE_UNREACHABLE
+    assert "127.0.0.1:1" in result.stderr
+
+
+def test_status_tells_settings_that_can_not_be_used(
+    run_command: RunCommand, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a settings file of the other kind of node."""
+    path = tmp_path / "settings.json"
+    path.write_text('{"instance": "a"}')
+    for result in (
+        run_command("status", "--settings", path),
+        run_command("status", AZURESTEP_BOOT=str(path)),
+    ):
+        assert result.status is ExitStatus.INVALID
+        assert "deploy/settings.json" in result.stderr
+
+
 def test_check_tells_each_fault(
     run_command: RunCommand, write_configuration: WriteConfiguration
 ) -> None:
