--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     "silent_path",
     "rate_limits",
     "quota_ways",
+    "quota_cost",
     "version_spreading",
     "node_size",
     "placement_model",
--- a/bench/team_keys.py
+++ b/bench/team_keys.py
@@ -132,7 +132,7 @@
 def check(directory: TeamDirectory, request: Request) -> None:
     """Do for one request what ``Outbound`` does only where there are teams."""
     headers, caller = request
-    identity = identify(directory, ROUTE, read_keys(headers), False)
+    identity = identify(directory, ROUTE, read_keys(headers))
     if identity.access is Access.ALLOWED:
         outbound._with_team(caller, identity)
         effective_priority(ROUTE, identity.team)
