--- a/tests/test_mesh_status.py
+++ b/tests/test_mesh_status.py
@@ -297,3 +297,14 @@
     text = render(MeshStatus("i", "d", "", 0, 1, 0, False, teams))
     assert "era 0, not reachable" in text
     assert ("no team with a limit is in use" in text) is (not teams)
+
+
+async def test_a_node_of_a_former_release_is_told(
+    mesh: MeshFleet, run_command: RunCommand, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a traceback where all targets are answered with the metrics."""
+    monkeypatch.setattr("azurestep.mesh.endpoints.STATUS_TARGET", b"")
+    address = f"{mesh.instances[0].host}:{METRICS_PORT}"
+    result = await run_status(run_command, "--metrics", address)
+    assert result.status is ExitStatus.NODE_UNREACHABLE
+    assert "Traceback" not in result.stderr
