Metrics: all lines of one quota series in one group

The text format asks for all lines of a metric as one group; the quota series were written team by team. The test of the bounded series checks the groups. Sums are written with 15 digits, so that counters stay whole.

--- a/azurestep/mesh/team_metrics.py
+++ b/azurestep/mesh/team_metrics.py
@@ -107,9 +107,13 @@
             for team, counters in series
             for kind, count in sorted(counters.outcomes.items())
         ]
+        by_name: dict[str, list[str]] = {}
         for team, counters in series:
-            lines += _quota_lines(team, counters, self._gauges_of(team))
-        return lines
+            values = _quota_values(counters, self._gauges_of(team))
+            for name, value in values.items():
+                line = f'{QUOTA_SERIES}_{name}{{team="{_escape(team)}"}} {value:.15g}'
+                by_name.setdefault(name, []).append(line)
+        return lines + [line for found in by_name.values() for line in found]
 
     def _gauges_of(self, series: str) -> Mapping[str, float]:
         if series in self._shown:
@@ -149,19 +153,16 @@
         self._recent_calls = 0
 
 
-def _quota_lines(
-    team: str, counters: TeamCounters, gauges: Mapping[str, float]
-) -> list[str]:
+def _quota_values(
+    counters: TeamCounters, gauges: Mapping[str, float]
+) -> dict[str, float]:
     """Return the counters and gauges of a series that are about quotas."""
     values: dict[str, float] = {}
     if counters.admitted or counters.returned:
         values["admitted_total"] = counters.admitted
         values["returned_total"] = counters.returned
     values.update(gauges)
-    label = f'{{team="{_escape(team)}"}}'
-    return [
-        f"{QUOTA_SERIES}_{name}{label} {value:.10g}" for name, value in values.items()
-    ]
+    return values
 
 
 def _escape(text: str) -> str:
--- a/tests/test_mesh_status.py
+++ b/tests/test_mesh_status.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 from collections.abc import AsyncIterator
+from itertools import groupby
 from random import Random
 
 import attrs
@@ -165,7 +166,10 @@
 
 
 def test_quotas_of_teams_beyond_the_bound_are_shown_together() -> None:
-    """Guards against series that grow with the number of teams."""
+    """Guards against series that grow with the number of teams.
+
+    The text format asks for all lines of one metric in one group.
+    """
     metrics = TeamMetrics()
     for number in range(SHOWN_TEAMS + 7):
         metrics.record(f"t{number}", TeamOutcome.GOOD)
@@ -176,6 +180,8 @@
     }
     series = [line for line in metrics.lines() if "team_quota" in line]
     assert len(series) == 5 * (SHOWN_TEAMS + 1)
+    names = [line.partition("{")[0] for line in series]
+    assert [name for name, _ in groupby(names)] == list(dict.fromkeys(names))
     assert [line for line in series if f'"{OTHER}"' in line] == [
         'azurestep_team_quota_admitted_total{team="other"} 21',
         'azurestep_team_quota_returned_total{team="other"} 7',
