What quotas cost, measured, and what follows for 1,100 nodes

docs/CAPACITY.md has a section with tables from bench/results/quota_cost.json (make bench ONLY=quota_cost, 7 shared cores, load average 15.3 to 13.9), written by bench/quota_tables.py.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,6 +16,7 @@
 
 from . import capacity_tables as worked_out
 from . import measured_tables as measured
+from . import quota_tables as quotas
 from .capacity_model import Inputs, read_inputs
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
@@ -35,6 +36,11 @@
     "added": measured.block_added,
     "bad_days": measured.block_bad_days,
     "machine": measured.block_machine,
+    "quota_check": quotas.block_quota_check,
+    "quota_reports": quotas.block_quota_reports,
+    "quota_traffic": quotas.block_quota_traffic,
+    "quota_target": quotas.block_quota_target,
+    "quota_mix": quotas.block_quota_mix,
 }
 
 
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -6,6 +6,7 @@
 from .bad_days import BadDays
 from .latency import Latency
 from .node_cost import NodeCosts
+from .quota_cost import QuotaCost
 from .request_path import RequestPath
 from .results import read_result
 from .scale import OWNERSHIP, Run, Scale
@@ -45,6 +46,7 @@
     baselines: Scale
     bad_days: BadDays
     request_path: RequestPath
+    quota_cost: QuotaCost
 
 
 def read_inputs() -> Inputs:
@@ -56,6 +58,7 @@
         read_result("baselines", Scale),
         read_result("bad_days", BadDays),
         read_result("request_path", RequestPath),
+        read_result("quota_cost", QuotaCost),
     )
 
 
--- a/bench/measured_tables.py
+++ b/bench/measured_tables.py
@@ -124,6 +124,7 @@
             ("baselines", inputs.baselines.machine),
             ("bad_days", inputs.bad_days.machine),
             ("request_path", inputs.request_path.machine),
+            ("quota_cost", inputs.quota_cost.machine),
         )
     ]
     return table(("result", "cores", "memory MB", "Python", "load average"), rows)
--- a/bench/quota_cost.py
+++ b/bench/quota_cost.py
@@ -23,6 +23,7 @@
 from .quota_check import CheckCost, measure_checks
 from .quota_links import ExchangeCost, measure_exchanges
 from .quota_traffic import (
+    LOADS,
     LargeFleet,
     NodeTraffic,
     measure_large_fleet,
@@ -79,8 +80,8 @@
     traffic = []
     for nodes in FLEET_SIZES:
         for teams in TEAM_COUNTS:
-            for surge in (False, True):
-                traffic += measure_traffic(nodes, teams, surge, simulated_s * 1000)
+            for load in LOADS:
+                traffic += measure_traffic(nodes, teams, load, simulated_s * 1000)
                 _print(traffic[-3:])
     large = []
     for rate_per_s in LARGE_RATES_PER_S:
--- a/bench/quota_links.py
+++ b/bench/quota_links.py
@@ -14,6 +14,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 from collections.abc import Callable
@@ -182,6 +183,14 @@
         await process.wait()
         running.cancel()
         node.abort()
+        _restore_signals()
+
+
+def _restore_signals() -> None:
+    """Let signals end the process again, which stop a node while it runs."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().remove_signal_handler(number)
+        signal.signal(number, signal.SIG_DFL)
 
 
 async def _connect(node: Node, owner: Address, count: int) -> list[str]:
--- a/bench/quota_traffic.py
+++ b/bench/quota_traffic.py
@@ -17,7 +17,8 @@
 
 USUAL_LOAD = 0.6
 """Demand relative to the limits."""
-SURGE_FACTOR = 8.0
+LOADS = {"none": 0.0, "usual": 1.0, "8 times": 8.0}
+"""Requests relative to the usual load."""
 NODE_RATE_PER_S = 12.0
 """Requests at each node at the usual load, as in the deployments asked for."""
 LARGEST_SHARE = 1 / 3
@@ -128,7 +129,7 @@
 
 
 def measure_traffic(
-    nodes: int, teams: int, surge: bool, duration_ms: float
+    nodes: int, teams: int, load: str, duration_ms: float
 ) -> list[NodeTraffic]:
     """Return the messages of a fleet of which one node gets no requests."""
     rates = mixed_rates(teams, nodes * NODE_RATE_PER_S)
@@ -137,15 +138,14 @@
         name: limited_team(name, rate) for name, rate in zip(names, rates, strict=True)
     }
     fleet = CountingFleet(nodes, held, Random(1))
-    factor = SURGE_FACTOR if surge else 1.0
     until_ms = WARM_UP_MS + duration_ms
     busy = [index for index in range(nodes) if index != IDLE_NODE]
     for name, rate in zip(names, rates, strict=True):
-        offer(fleet, name, rate * factor, until_ms, busy)
+        if LOADS[load]:
+            offer(fleet, name, rate * LOADS[load], until_ms, busy)
     fleet.run(WARM_UP_MS)
     fleet.reset()
     fleet.run(until_ms)
-    load = "8 times" if surge else "usual"
     busiest = max(busy, key=lambda index: fleet.size_bytes[index])
     groups = {"idle": [IDLE_NODE], "mean": busy, "busiest": [busiest]}
     return [
