The measurement of reports leaves lines and signals as they were

It kept the writer of log lines of its process on /dev/null, so tests that ran after it in one process would have found no lines, and set the default handlers of signals instead of the former ones. The test checks both.

--- a/bench/quota_links.py
+++ b/bench/quota_links.py
@@ -12,12 +12,13 @@
 """
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import docopt
@@ -73,9 +74,33 @@
 TEAMS: dict[str, Team] = {}
 
 
-def make_node(name: str, ports: list[int]) -> Node:
-    """Return a node on loopback that writes no lines."""
+@contextlib.contextmanager
+def without_lines() -> Iterator[None]:
+    """Let the nodes of this process write their lines nowhere."""
+    former = events.WRITER.descriptor
     events.WRITER.descriptor = os.open(os.devnull, os.O_WRONLY)
+    try:
+        yield
+    finally:
+        events.WRITER.flush()
+        os.close(events.WRITER.descriptor)
+        events.WRITER.descriptor = former
+
+
+@contextlib.contextmanager
+def former_signals() -> Iterator[None]:
+    """Restore the handlers of signals, which a node that runs takes over."""
+    former = {one: signal.getsignal(one) for one in (signal.SIGTERM, signal.SIGINT)}
+    try:
+        yield
+    finally:
+        for one, handler in former.items():
+            asyncio.get_running_loop().remove_signal_handler(one)
+            signal.signal(one, handler)
+
+
+def make_node(name: str, ports: list[int]) -> Node:
+    """Return a node on loopback."""
     addresses: list[Address] = [(HOST, port) for port in ports]
     settings = MeshSettings(name, "dc-0", "", True, *addresses)
     runtime = Runtime(asyncio.get_running_loop())
@@ -85,8 +110,9 @@
 
 
 async def run_owner(ports: list[int]) -> None:
-    """Run a quota owner until it is stopped."""
-    await make_node("owner", ports).run()
+    """Run a quota owner until it is stopped; it writes no lines."""
+    with without_lines():
+        await make_node("owner", ports).run()
 
 
 def processor_us(pid: int) -> float:
@@ -167,30 +193,22 @@
         stdout=asyncio.subprocess.DEVNULL,
     )
     node = make_node("sender", ports[:PORTS])
-    running = asyncio.ensure_future(node.run())
-    try:
-        owner = HOST, ports[PORTS + 1]
-        names = await _connect(node, owner, 100 * max(sizes))
-        found = []
-        for size in sizes:
-            teams = [find_team(name) for name in names[:size]]
-            exchanger = Exchanger(node, process.pid, teams)
-            await exchanger.use_of(exchanger.report, count // 10)
-            found.append(await exchanger.measure(count, rounds))
-        return found
-    finally:
-        process.terminate()
-        await process.wait()
-        running.cancel()
-        node.abort()
-        _restore_signals()
-
-
-def _restore_signals() -> None:
-    """Let signals end the process again, which stop a node while it runs."""
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().remove_signal_handler(number)
-        signal.signal(number, signal.SIG_DFL)
+    with without_lines(), former_signals():
+        running = asyncio.ensure_future(node.run())
+        try:
+            names = await _connect(node, (HOST, ports[PORTS + 1]), 100 * max(sizes))
+            found = []
+            for size in sizes:
+                teams = [find_team(name) for name in names[:size]]
+                exchanger = Exchanger(node, process.pid, teams)
+                await exchanger.use_of(exchanger.report, count // 10)
+                found.append(await exchanger.measure(count, rounds))
+            return found
+        finally:
+            process.terminate()
+            await process.wait()
+            running.cancel()
+            node.abort()
 
 
 async def _connect(node: Node, owner: Address, count: int) -> list[str]:
--- a/tests/test_quota_cost.py
+++ b/tests/test_quota_cost.py
@@ -5,6 +5,7 @@
 import pytest
 import uvloop
 
+from azurestep.mesh import events
 from azurestep.routing.teams import TeamDirectory
 from bench import team_keys
 from bench.capacity_model import read_inputs
@@ -36,12 +37,10 @@
 
     A measurement that a signal didn't end ran beside the next one.
     """
-    handler = signal.getsignal(signal.SIGINT)
-    try:
-        one, three = uvloop.run(measure_exchanges((1, 3), 60, 2))
-        assert signal.getsignal(signal.SIGTERM) is signal.SIG_DFL
-    finally:
-        signal.signal(signal.SIGINT, handler)
+    handler, descriptor = signal.getsignal(signal.SIGTERM), events.WRITER.descriptor
+    one, three = uvloop.run(measure_exchanges((1, 3), 60, 2))
+    assert signal.getsignal(signal.SIGTERM) is handler
+    assert events.WRITER.descriptor == descriptor
     assert (one.rows, three.rows) == (1, 3)
     for cost in (one, three):
         assert cost.exchanges == cost.grants == 120
