--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 import attrs
 import uvloop
@@ -52,6 +53,9 @@
 from .settings import Address, MeshSettings, read_settings
 from .stopping import GracefulShutdown
 
+if TYPE_CHECKING:
+    from .gauges import NodeGauges
+
 TICK_S = 0.1
 """Interval of the main loop."""
 STATE_BROADCAST_TICKS = 2
@@ -118,6 +122,7 @@
     _last_tick_ms: float = 0.0
     _last_pressure: PressureReport | None = None
     _settings_content: bytes = b""
+    _gauges: "NodeGauges | None" = None
 
     def __attrs_post_init__(self) -> None:
         settings, runtime = self.settings, self.runtime
@@ -230,6 +235,7 @@
             runtime.now_ms,
             self._find_team,
             self._log_limited,
+            runtime.metrics.teams,
         )
         self.members.apply_grant = self.quotas.on_grant
         self.incoming_links.on_usage = self.quotas.on_usage
@@ -276,7 +282,11 @@
             ),
             (
                 settings.metrics_address,
-                endpoints.metrics(self._refresh_gauges, self.runtime),
+                endpoints.metrics(
+                    lambda: self._load_gauges().refresh(),
+                    self.runtime,
+                    lambda: self._load_gauges().status(self.settings),
+                ),
             ),
         ]
         states = [self.callers]
@@ -623,29 +633,28 @@
             self.reload()
         self._settings_content = content
 
-    def _refresh_gauges(self) -> None:
-        gauges = self.runtime.metrics.gauges
-        gauges["members"] = self.members.count()
-        gauges["configuration_version"] = self.configuration.version
-        gauges["backend_running"] = len(self.inbound.admission.running)
-        gauges["backend_busy"] = self.inbound.admission.in_flight
-        gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
-        gauges["backend_slots_kept"] = self.inbound.admission.kept_slots(
-            self.runtime.now_ms()
-        )
-        gauges["calls_lacking"] = self.call_context.refusals.lack(
-            self.members.called_routes
-        )
-        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
-        gauges["backend_work_ratio"] = self.inbound.admission.speed.ratio(
-            self.runtime.now_ms()
-        )
-        gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
-        gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
-        gauges["quota_teams_owned"] = len(self.quotas.owned)
-        gauges["quota_teams_limited"] = self.quotas.limited_count()
-        gauges["store_era"] = self.store_era.current
-        gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
+    def _load_gauges(self) -> "NodeGauges":
+        """Return the reader of the gauges.
+
+        Its module is imported when they are first read, which keeps it out of the
+        processor time of a start.
+        """
+        if self._gauges is None:
+            from .gauges import NodeGauges
+
+            self._gauges = NodeGauges(
+                self.runtime,
+                self.members,
+                self.configuration,
+                self.configuration_watcher,
+                self.store_era,
+                self.backend,
+                self.inbound,
+                self.incoming_links,
+                self.outbound,
+                self.quotas,
+            )
+        return self._gauges
 
 
 def serve(path: pathlib.Path) -> None:
