Roll-outs: a late decider overwrote and undid verdicts

Cause, found by a model of the deciding nodes (tests/rollout_model.py): - A node that had not read a later order, or read it while it wrote, wrote its status over that of the later order ("node 0 wrote RolloutStatus(ROLLED_BACK, v2, order_offset=0) at 11939 ms over a later order"). - A node that paused between the read of the status and its write completed a version that others had stopped meanwhile ("wrote COMPLETED of v2 at 8545 ms, stopped at 7330"). - The status of a stop could be written before nodes on a slow link had heard of the stop ("5 is in CANARY of v2").

Change: a status of a later order stays; a completion is decided again after the status was read, on reports of at most 1 s; the status of a stop follows it after 0.7 s, or a tenth of the duration if that is less. A completion on its way within that second still wins.

--- a/azurestep/mesh/rollouts/control.py
+++ b/azurestep/mesh/rollouts/control.py
@@ -43,6 +43,19 @@
 """Ticks between repeated messages of the judges about a roll-out's phase."""
 REMINDED_AFTER_END_MS = 10_000.0
 """Time for which they repeat a verdict."""
+STOP_SPREAD_MS = 700.0
+"""Time from a stop to its status in the store.
+
+By then each peer has heard of the stop or has lost its link, which it does after 650 ms
+without an answer. Operators may end the servers of a version that is rolled back.
+"""
+STOP_SPREAD_PART = 0.1
+"""Longest such time as a part of the duration, so that the status is not late."""
+MAX_REPORT_AGE_MS = 1000.0
+"""Longest age of the reports by which a roll-out is completed; five are due meanwhile.
+
+A node that was paused, or is cut off without noticing it, may lack a peer's stop.
+"""
 ABSENT_AFTER_MS = 10_000.0
 """Time after which a lost peer no longer delays a roll-out."""
 STATES = {
@@ -76,7 +89,14 @@
     _last_incarnation: Incarnation = NO_INCARNATION
 
     def __attrs_post_init__(self) -> None:
-        self._statuses = Statuses(self.runtime, self.client, self.era, self._advance)
+        self._statuses = Statuses(
+            self.runtime,
+            self.client,
+            self.era,
+            self._advance,
+            self._is_current,
+            self._may_complete,
+        )
 
     # Orders and news.
 
@@ -255,6 +275,15 @@
                 self._log_evidence(rollout)
                 self._advance(rollout, phase)
 
+    def _is_current(self, rollout: Rollout) -> bool:
+        return self.inbound.rollouts.get(rollout.service) is rollout
+
+    def _may_complete(self, rollout: Rollout) -> bool:
+        """Whether a roll-out is completed, or would be decided so now."""
+        now_ms = self.runtime.now_ms()
+        view = self._view(rollout, now_ms)
+        return Phase.COMPLETED in (rollout.phase, next_phase(rollout, view, now_ms))
+
     def _advance(self, rollout: Rollout, phase: Phase) -> None:
         now_ms = self.runtime.now_ms()
         if self.inbound.rollouts.advance(rollout, phase, now_ms):
@@ -289,12 +318,15 @@
             role = table.role_of(rollout.service, endpoint.version, now_ms)
             usable = endpoint.usable and role is not VersionRole.WITHHELD
             old_slots += endpoint.slots if usable else 0
+        reported_since_ms = max(
+            rollout.phase_since_ms + SETTLE_MS, now_ms - MAX_REPORT_AGE_MS
+        )
         return RolloutView(
             new_slots,
             old_slots,
             trial.comparison.new_runs,
             trial.comparison.is_bad,
-            trial.is_idle(old_addresses, rollout.phase_since_ms + SETTLE_MS),
+            trial.is_idle(old_addresses, reported_since_ms),
             self._sees_all(now_ms),
         )
 
@@ -330,7 +362,14 @@
         if rollout.phase is Phase.PENDING:
             if now_ms - rollout.phase_since_ms > SETTLE_MS:
                 self._statuses.read(rollout, now_ms)
-        elif self._is_leader():
+        elif self._is_leader() and not _is_spreading(rollout, now_ms):
             state = STATES.get(rollout.phase, RolloutState.RUNNING)
             if not self._statuses.is_written(rollout, state):
                 self._statuses.write(rollout, state, now_ms)
+
+
+def _is_spreading(rollout: Rollout, now_ms: float) -> bool:
+    """Whether a stop may not have reached all peers yet."""
+    spread_ms = min(STOP_SPREAD_MS, STOP_SPREAD_PART * rollout.duration_ms)
+    is_recent = now_ms - rollout.phase_since_ms < spread_ms
+    return rollout.phase is Phase.STOPPED and is_recent
--- a/azurestep/mesh/rollouts/statuses.py
+++ b/azurestep/mesh/rollouts/statuses.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ...platform.outcomes import Appended, LatestRecords
+from ...platform.outcomes import Appended, KeyedRecord, LatestRecords
 from ...platform.rollout import (
     RolloutState,
     RolloutStatus,
@@ -36,12 +36,19 @@
     ----------
     advance : Callable
         Called with a roll-out and the phase that the store's status gives it.
+    is_current : Callable
+        Whether a roll-out is that of the latest order that this node knows.
+    may_complete : Callable
+        Whether a roll-out is still to be completed. Asked after the store was read,
+        as a stop may have arrived, or this process been paused, meanwhile.
     """
 
     runtime: Runtime
     client: StoreClient
     era: StoreEra
     advance: Callable[[Rollout, Phase], None]
+    is_current: Callable[[Rollout], bool]
+    may_complete: Callable[[Rollout], bool]
     _known: dict[str, RolloutStatus] = attrs.field(factory=dict)
     _busy: bool = False
     _next_ms: float = 0.0
@@ -95,7 +102,10 @@
         latest = await self.client.read_latest(STATUS_TOPIC)
         if not self.era.accept(latest.era) or not isinstance(latest, LatestRecords):
             return
-        known = _find_status(rollout, ((one.key, one.value) for one in latest.items))
+        found = _read_status_of(rollout.service, latest.items)
+        if not self.is_current(rollout) or _is_of_later_order(rollout, found):
+            return
+        known = found if _is_of_order(rollout, found) else None
         if known is not None and known.state is not RolloutState.RUNNING:
             self._adopt(rollout, known)
             return
@@ -105,7 +115,7 @@
         if known is not None and known.state is state:
             self._known[rollout.service] = known
             return
-        if state is RolloutState.COMPLETED and rollout.phase is Phase.STOPPED:
+        if state is RolloutState.COMPLETED and not self.may_complete(rollout):
             return
         remaining_ms = rollout.deadline_ms - self.runtime.now_ms()
         status = RolloutStatus(
@@ -126,6 +136,8 @@
 
     def _adopt(self, rollout: Rollout, status: RolloutStatus) -> None:
         """Adopt a status that the store holds."""
+        if not self.is_current(rollout):
+            return
         self._known[rollout.service] = status
         if status.state is not RolloutState.RUNNING:
             self.advance(rollout, PHASES[status.state])
@@ -141,16 +153,31 @@
         self.advance(rollout, Phase.CANARY)
 
 
-def _find_status(
-    rollout: Rollout, records: Iterable[tuple[str, bytes]]
+def _read_status_of(
+    service: str, records: Iterable[KeyedRecord]
 ) -> RolloutStatus | None:
-    """Return the status of a roll-out; that of an earlier order doesn't count."""
-    for key, value in records:
-        if key != rollout_key(rollout.service):
-            continue
-        status = read_status(value)
-        if status is None or status.new_version != rollout.new_version:
-            return None
-        later = status.order_era == rollout.era and status.order_offset < rollout.offset
-        return None if later else status
+    """Return the latest status of a service's roll-outs."""
+    for record in records:
+        if record.key == rollout_key(service):
+            return read_status(record.value)
     return None
+
+
+def _is_of_order(rollout: Rollout, status: RolloutStatus | None) -> bool:
+    """Whether a status is of a roll-out's order, not of an earlier one."""
+    if status is None or status.new_version != rollout.new_version:
+        return False
+    return status.order_era != rollout.era or status.order_offset >= rollout.offset
+
+
+def _is_of_later_order(rollout: Rollout, status: RolloutStatus | None) -> bool:
+    """Whether a status is of an order that this node has not read yet.
+
+    In a later era, the same order stands at another offset.
+    """
+    if status is None:
+        return False
+    if status.order_era == rollout.era:
+        return status.order_offset > rollout.offset
+    differs = status.new_version != rollout.new_version
+    return differs and status.order_era > rollout.era
