--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -35,6 +35,7 @@
     "team_shares",
     "calls_model",
     "speed_ways",
+    "wave_ways",
 )
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
--- a/bench/speed_model.py
+++ b/bench/speed_model.py
@@ -44,9 +44,31 @@
     SERVERS - SERVERS // DATA_CENTRES, REMOTE_REPORTS_PER_S
 )
 LOCAL_WAY_MS, REMOTE_WAY_MS = 0.5, 3.0
+SIZE_KIB = 1.5
 LENGTH_MS, WARM_UP_MS = 12_000.0, 2000.0
 
 
+@attrs.frozen
+class Fleet:
+    """The servers, and how often they report their load.
+
+    Attributes
+    ----------
+    speeds : tuple of float
+        Speeds of the servers of a data centre, one after the other, repeated.
+    skips_unchanged : bool
+        Whether a server sends no report while its load is that of the last one.
+    """
+
+    servers: int = SERVERS
+    data_centres: int = DATA_CENTRES
+    speeds: tuple[float, ...] = SPEEDS
+    local_report_ms: float = LOCAL_REPORT_MS
+    remote_report_ms: float = REMOTE_REPORT_MS
+    length_ms: float = LENGTH_MS
+    skips_unchanged: bool = False
+
+
 @attrs.frozen
 class Way:
     """Who uses the ratio, and how.
@@ -111,9 +133,9 @@
     memory_ms = 0.0
     clock: Any = None
 
-    def update_load(self, in_flight: int) -> None:
+    def update_load(self, in_flight: int, now_ms: float = 0.0) -> None:
         """Apply a report of the requests in flight there."""
-        super().update_load(in_flight)
+        super().update_load(in_flight, now_ms)
         self.reported_ms = self.clock.now_ms
 
     @property
@@ -166,6 +188,7 @@
     index: int
     speed: float
     random: Random
+    data_centre: str
     admission: Admission = attrs.field(factory=lambda: Admission(slots=SLOTS))
     sent_speed: WorkSpeed = attrs.field(factory=WorkSpeed)
     sent_ratio: float = 1.0
@@ -173,11 +196,6 @@
     stated: WorkSpeed = attrs.field(factory=WorkSpeed)
     _changes_ms: list[float] = attrs.field(factory=list)
 
-    @property
-    def data_centre(self) -> str:
-        """Where it runs."""
-        return f"dc-{self.index % DATA_CENTRES}"
-
     def ratio(self, at_ms: float) -> float:
         """Return how long work takes relative to normal at a time."""
         return SLOW_RATIO if self._phase(at_ms) % 2 else 1.0
@@ -217,15 +235,11 @@
     """What one node knows of all backend servers."""
 
     index: int
+    data_centre: str
     group: EndpointGroup = attrs.field(factory=EndpointGroup)
     endpoints: list[Endpoint] = attrs.field(factory=list)
     mean_run_times: MeanRunTimes = attrs.field(factory=MeanRunTimes)
 
-    @property
-    def data_centre(self) -> str:
-        """Where it runs."""
-        return f"dc-{self.index % DATA_CENTRES}"
-
 
 @attrs.define(eq=False)
 class Asking:
@@ -235,12 +249,14 @@
     selector: EndpointSelector
     sent_ms: float
     work_ms: float
+    size_kib: float = SIZE_KIB
     tries: int = 0
+    counted_from_ms: float = WARM_UP_MS
 
     @property
     def counts(self) -> bool:
         """Whether it came after the warm-up."""
-        return self.sent_ms >= WARM_UP_MS
+        return self.sent_ms >= self.counted_from_ms
 
 
 @attrs.frozen
@@ -261,6 +277,7 @@
     way: Way
     utilization: float
     seed: int
+    fleet: Fleet = attrs.field(factory=Fleet)
     random: Random = attrs.field(init=False)
     work: Random = attrs.field(init=False)
     servers: list[Server] = attrs.field(init=False)
@@ -269,20 +286,23 @@
     refused: int = 0
     offered: int = 0
     messages: int = 0
+    counted_from_ms: float = WARM_UP_MS
     now_ms: float = 0.0
     _events: list[tuple[float, int, Callable[[], None]]] = attrs.field(factory=list)
     _numbers: Iterator[int] = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
         self.random, self.work = Random(self.seed), Random(f"{self.seed} work")
-        self.servers = [self._make_server(index) for index in range(SERVERS)]
-        self.nodes = [Node(index) for index in range(SERVERS)]
+        count = self.fleet.servers
+        self.servers = [self._make_server(index) for index in range(count)]
+        self.nodes = [Node(one.index, one.data_centre) for one in self.servers]
         for node, server in itertools.product(self.nodes, self.servers):
             self._introduce(node, server)
 
     def _make_server(self, index: int) -> Server:
-        speed = SPEEDS[index // DATA_CENTRES % len(SPEEDS)]
-        server = Server(index, speed, Random(f"{self.seed} {index}"))
+        row, column = divmod(index, self.fleet.data_centres)
+        speed = self.fleet.speeds[row % len(self.fleet.speeds)]
+        server = Server(index, speed, Random(f"{self.seed} {index}"), f"dc-{column}")
         if not self.way.slow_waits:
             server.admission = NormalWaits(slots=SLOTS)
         if self.way.at_once:
@@ -308,7 +328,10 @@
             endpoint = StaleEndpoint(*fields, slots=SLOTS)
             endpoint.clock = self
             endpoint.memory_ms = self.way.load_memory_ms
-            endpoint.interval_ms = LOCAL_REPORT_MS if local else REMOTE_REPORT_MS
+            fleet = self.fleet
+            endpoint.interval_ms = (
+                fleet.local_report_ms if local else fleet.remote_report_ms
+            )
         node.endpoints.append(endpoint)
         (node.group.local if local else node.group.remote).append(endpoint)
         is_own = node.index == server.index
@@ -317,31 +340,8 @@
 
     def run(self) -> Outcome:
         """Play the load and return what callers saw."""
-        slowness = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_RATIO
-        work_per_ms = sum(SLOTS * one.speed * slowness for one in self.servers)
-        rate_per_ms = self.utilization * work_per_ms / MEAN_WORK_MS
-        at_ms = 0.0
-        while at_ms < LENGTH_MS:
-            at_ms += self.work.expovariate(rate_per_ms)
-            node = self.work.choice(self.nodes)
-            work_ms = WORK_MS * self.work.lognormvariate(
-                -(WORK_SIGMA**2) / 2, WORK_SIGMA
-            )
-            if self.work.random() < LONG_SHARE:
-                work_ms *= LONG_FACTOR
-            self._at(
-                at_ms,
-                lambda node=node, work_ms=work_ms: self._arrive(node, work_ms),
-            )
-        for server in self.servers:
-            self._at(
-                self.random.uniform(0, LOCAL_REPORT_MS),
-                lambda server=server: self._report(server, True),
-            )
-            self._at(
-                self.random.uniform(0, REMOTE_REPORT_MS),
-                lambda server=server: self._report(server, False),
-            )
+        self._schedule_arrivals()
+        self._schedule_reports()
         while self._events:
             self.now_ms, _, act = heapq.heappop(self._events)
             act()
@@ -351,9 +351,43 @@
             len(self.answers_ms) / self.offered,
             self.refused / self.offered,
             statistics.fmean(self.answers_ms),
-            self.messages * 1000 / LENGTH_MS / SERVERS,
+            self.messages * 1000 / self.fleet.length_ms / self.fleet.servers,
         )
 
+    def _rate_per_ms(self) -> float:
+        """Return how many requests all callers send, in the mean."""
+        slowness = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_RATIO
+        work_per_ms = sum(SLOTS * one.speed * slowness for one in self.servers)
+        return self.utilization * work_per_ms / MEAN_WORK_MS
+
+    def _draw_work_ms(self) -> float:
+        work_ms = WORK_MS * self.work.lognormvariate(-(WORK_SIGMA**2) / 2, WORK_SIGMA)
+        return work_ms * LONG_FACTOR if self.work.random() < LONG_SHARE else work_ms
+
+    def _schedule_arrivals(self) -> None:
+        rate_per_ms = self._rate_per_ms()
+        at_ms = 0.0
+        while at_ms < self.fleet.length_ms:
+            at_ms += self.work.expovariate(rate_per_ms)
+            node = self.work.choice(self.nodes)
+            work_ms = self._draw_work_ms()
+            self._at(
+                at_ms,
+                lambda node=node, work_ms=work_ms: self._arrive(node, work_ms),
+            )
+
+    def _schedule_reports(self) -> None:
+        for server in self.servers:
+            for local in (True, False):
+                self._at(
+                    self.random.uniform(0, self._report_pause_ms(local)),
+                    lambda server=server, local=local: self._report(server, local),
+                )
+
+    def _report_pause_ms(self, local: bool) -> float:
+        fleet = self.fleet
+        return fleet.local_report_ms if local else fleet.remote_report_ms
+
     def _at(self, at_ms: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_ms, next(self._numbers), act))
 
@@ -367,7 +401,9 @@
         ]
         late = self.way.late_share and self.random.random() < self.way.late_share
         for node in () if late else peers:
-            node.endpoints[server.index].update_load(server.admission.in_flight)
+            node.endpoints[server.index].update_load(
+                server.admission.in_flight, self.now_ms
+            )
         if self.way.stated and self.way.by_peers and not (late or self.way.at_once):
             if local and self._is_speed_news(server):
                 server.sent_speed = attrs.evolve(server.stated)
@@ -375,9 +411,9 @@
                 self._tell_speed(server, peers)
             elif not local and self.way.by_remote:
                 self._tell_speed(server, peers)
-        pause_ms = LOCAL_REPORT_MS if local else REMOTE_REPORT_MS
-        if self.now_ms < LENGTH_MS:
-            self._at(self.now_ms + pause_ms, lambda: self._report(server, local))
+        if self.now_ms < self.fleet.length_ms:
+            after_ms = self.now_ms + self._report_pause_ms(local)
+            self._at(after_ms, lambda: self._report(server, local))
 
     def _is_speed_news(self, server: Server) -> bool:
         if self.way.resent:
@@ -392,7 +428,7 @@
             told = node.endpoints[server.index].speed
             told.record(server.stated.stated, stated_ms)
 
-    def _arrive(self, node: Node, work_ms: float) -> None:
+    def _arrive(self, node: Node, work_ms: float, size_kib: float = SIZE_KIB) -> None:
         """Let a caller ask a node."""
         context: Any = SimpleNamespace(
             members=SimpleNamespace(endpoint_group=lambda _: node.group),
@@ -400,7 +436,8 @@
             rollouts=RolloutTable(),
         )
         selector = EndpointSelector(context, SERVICE)
-        asking = Asking(node, selector, self.now_ms, work_ms)
+        asking = Asking(node, selector, self.now_ms, work_ms, size_kib)
+        asking.counted_from_ms = self.counted_from_ms
         self.offered += asking.counts
         self._ask(asking)
 
@@ -408,16 +445,16 @@
         waited_ms = self.now_ms - asking.sent_ms
         node = asking.node
         own = node.endpoints[node.index]
-        own.update_load(self.servers[node.index].admission.in_flight)
+        own.update_load(self.servers[node.index].admission.in_flight, self.now_ms)
         criteria = SelectionCriteria(
             SERVICE,
             ROUTE,
             OBJECTIVE_MS - waited_ms,
             node.mean_run_times.get(ROUTE),
-            1.5,
+            asking.size_kib,
             node.data_centre,
         )
-        endpoint = asking.selector.choose(criteria, self.now_ms)
+        endpoint = self._choose(asking, criteria)
         if endpoint is None or asking.tries >= MAX_NODES_TRIED:
             self.refused += asking.counts
             return
@@ -427,6 +464,9 @@
         way_ms = self._way_ms(node, server)
         self._at(self.now_ms + way_ms, lambda: self._offer(asking, server))
 
+    def _choose(self, asking: Asking, criteria: SelectionCriteria) -> Endpoint | None:
+        return asking.selector.choose(criteria, self.now_ms)
+
     def _way_ms(self, node: Node, server: Server) -> float:
         if node.index == server.index:
             return 0.0
@@ -524,7 +564,7 @@
         endpoint = asking.selector.release()
         if endpoint is not None:
             endpoint.mean_run_ms[ROUTE] = mean_ms
-            endpoint.update_load(in_flight)
+            endpoint.update_load(in_flight, self.now_ms)
         asking.node.mean_run_times.record_run(ROUTE, mean_ms)
         if asking.counts:
             self.answers_ms.append(self.now_ms - asking.sent_ms)
