--- a/azurestep/mesh/gauges.py
+++ b/azurestep/mesh/gauges.py
@@ -9,7 +9,7 @@
 from .knowledge.configuration import Configuration
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.store_era import StoreEra
-from .links.members import Members
+from .links.members import SERVICE_LOADS, Members
 from .links.server import IncomingLinks
 from .quotas.control import Quotas
 from .quotas.overview import describe_quotas
@@ -54,6 +54,9 @@
         gauges["quota_teams_limited"] = self.quotas.limited_count()
         gauges["store_era"] = self.store_era.current
         gauges["store_reachable"] = float(watcher.store_reachable)
+        for name in SERVICE_LOADS:
+            gauges.pop(name, None)
+        gauges |= self.members.service_loads()
         self.quotas.count_uses()
         self.runtime.metrics.teams.quota_gauges = {
             quota.team: _gauges_of(quota) for quota in describe_quotas(self.quotas)
