--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
     "quota_ways",
     "version_spreading",
     "node_size",
+    "node_start",
     "placement_model",
     "team_keys",
     "team_shares",
