--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -31,6 +31,7 @@
     "quota_cost",
     "version_spreading",
     "node_size",
+    "node_start",
     "placement_model",
     "team_keys",
     "team_shares",
