The reader of gauges takes the node itself

NodeGauges reads the node through a protocol and holds no state, so it is made at each read; the metrics endpoint takes its maker.

--- a/azurestep/mesh/gauges.py
+++ b/azurestep/mesh/gauges.py
@@ -1,5 +1,7 @@
 """Gauges and status of a node, computed when they are read."""
 
+from typing import Protocol
+
 import attrs
 import orjson
 
@@ -18,10 +20,10 @@
 from .status import MeshStatus, TeamQuotaStatus
 
 
-@attrs.define(eq=False)
-class NodeGauges:
-    """Reads a node's components for its metrics and for operators."""
+class ObservedNode(Protocol):
+    """The components of a node that are read."""
 
+    settings: MeshSettings
     runtime: Runtime
     members: Members
     configuration: Configuration
@@ -33,43 +35,52 @@
     outbound: Outbound
     quotas: Quotas
 
+
+@attrs.frozen
+class NodeGauges:
+    """Reads a node's components for its metrics and for operators."""
+
+    node: ObservedNode
+
     def refresh(self) -> None:
         """Update all gauges in the node's metrics."""
-        gauges, now_ms = self.runtime.metrics.gauges, self.runtime.now_ms()
-        admission = self.inbound.admission
-        refusals = self.outbound.context.refusals
-        watcher = self.configuration_watcher
-        gauges["members"] = self.members.count()
-        gauges["configuration_version"] = self.configuration.version
+        node = self.node
+        gauges, now_ms = node.runtime.metrics.gauges, node.runtime.now_ms()
+        admission = node.inbound.admission
+        refusals = node.outbound.context.refusals
+        watcher = node.configuration_watcher
+        gauges["members"] = node.members.count()
+        gauges["configuration_version"] = node.configuration.version
         gauges["backend_running"] = len(admission.running)
         gauges["backend_busy"] = admission.in_flight
-        gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
+        gauges["backend_rate_limit"] = node.backend.rate_limit_per_s
         gauges["backend_slots_kept"] = admission.kept_slots(now_ms)
-        gauges["calls_lacking"] = refusals.lack(self.members.called_routes)
-        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
+        gauges["calls_lacking"] = refusals.lack(node.members.called_routes)
+        gauges["shed_ratio"] = node.outbound.load_shedder.max_ratio
         gauges["backend_work_ratio"] = admission.speed.ratio(now_ms)
         gauges["configuration_reader"] = float(watcher.is_reader)
-        gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
-        gauges["quota_teams_owned"] = len(self.quotas.owned)
-        gauges["quota_teams_limited"] = self.quotas.limited_count()
-        gauges["store_era"] = self.store_era.current
+        gauges["links_unsent_bytes"] = node.incoming_links.unsent_bytes()
+        gauges["quota_teams_owned"] = len(node.quotas.owned)
+        gauges["quota_teams_limited"] = node.quotas.limited_count()
+        gauges["store_era"] = node.store_era.current
         gauges["store_reachable"] = float(watcher.store_reachable)
-        self.quotas.count_uses()
-        self.runtime.metrics.teams.quota_gauges = {
-            quota.team: _gauges_of(quota) for quota in describe_quotas(self.quotas)
+        node.quotas.count_uses()
+        node.runtime.metrics.teams.quota_gauges = {
+            quota.team: _gauges_of(quota) for quota in describe_quotas(node.quotas)
         }
 
-    def status(self, settings: MeshSettings) -> bytes:
+    def status(self) -> bytes:
         """Return the ``MeshStatus`` of the node, as JSON."""
+        node = self.node
         status = MeshStatus(
-            settings.instance,
-            settings.data_centre,
-            settings.service,
-            self.configuration.version,
-            self.members.count(),
-            self.store_era.current,
-            self.configuration_watcher.store_reachable,
-            describe_quotas(self.quotas),
+            node.settings.instance,
+            node.settings.data_centre,
+            node.settings.service,
+            node.configuration.version,
+            node.members.count(),
+            node.store_era.current,
+            node.configuration_watcher.store_reachable,
+            describe_quotas(node.quotas),
         )
         return orjson.dumps(attrs.asdict(status))
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -122,7 +122,6 @@
     _last_tick_ms: float = 0.0
     _last_pressure: PressureReport | None = None
     _settings_content: bytes = b""
-    _gauges: "NodeGauges | None" = None
 
     def __attrs_post_init__(self) -> None:
         settings, runtime = self.settings, self.runtime
@@ -282,11 +281,7 @@
             ),
             (
                 settings.metrics_address,
-                endpoints.metrics(
-                    lambda: self._load_gauges().refresh(),
-                    self.runtime,
-                    lambda: self._load_gauges().status(self.settings),
-                ),
+                endpoints.metrics(self._gauges, self.runtime),
             ),
         ]
         states = [self.callers]
@@ -631,28 +626,15 @@
             self.reload()
         self._settings_content = content
 
-    def _load_gauges(self) -> "NodeGauges":
+    def _gauges(self) -> "NodeGauges":
         """Return the reader of the gauges.
 
         Its module is imported when they are first read, which keeps it out of the
         processor time of a start.
         """
-        if self._gauges is None:
-            from .gauges import NodeGauges
-
-            self._gauges = NodeGauges(
-                self.runtime,
-                self.members,
-                self.configuration,
-                self.configuration_watcher,
-                self.store_era,
-                self.backend,
-                self.inbound,
-                self.incoming_links,
-                self.outbound,
-                self.quotas,
-            )
-        return self._gauges
+        from .gauges import NodeGauges
+
+        return NodeGauges(self)
 
 
 def serve(path: pathlib.Path) -> None:
