--- a/azurestep/mesh/decisions/rollout_plan.py
+++ b/azurestep/mesh/decisions/rollout_plan.py
@@ -20,6 +20,14 @@
 """Fewest runs of the new version that can show that it is good."""
 MIN_CAPACITY_RATIO = 0.8
 """Slots of the new version, relative to the old one, that can carry its requests."""
+STOP_SPREAD_MS = 700.0
+"""Time from a stop to its status in the store.
+
+By then each peer has heard of the stop or has lost its link, which it does after 650 ms
+without an answer. Operators may end the servers of a version that is rolled back.
+"""
+STOP_SPREAD_PART = 0.1
+"""Longest such time as a part of the duration, so that the status is not late."""
 
 
 @attrs.frozen(slots=True)
@@ -76,3 +84,10 @@
     if part >= CANARY_PART and proven and carries and view.sees_all:
         return Phase.SHIFTING
     return None
+
+
+def is_spreading(rollout: Rollout, now_ms: float) -> bool:
+    """Whether a stop may not have reached all peers yet; its status waits for that."""
+    spread_ms = min(STOP_SPREAD_MS, STOP_SPREAD_PART * rollout.duration_ms)
+    is_recent = now_ms - rollout.phase_since_ms < spread_ms
+    return rollout.phase is Phase.STOPPED and is_recent
--- a/azurestep/mesh/rollouts/control.py
+++ b/azurestep/mesh/rollouts/control.py
@@ -19,7 +19,7 @@
 from .. import events
 from ..backend.inbound import Inbound
 from ..decisions.rollout import Phase, Rollout, VersionRole
-from ..decisions.rollout_plan import RolloutView, next_phase
+from ..decisions.rollout_plan import RolloutView, is_spreading, next_phase
 from ..incarnation import NO_INCARNATION, Incarnation
 from ..knowledge.store_era import StoreEra
 from ..link_messages import RolloutUpdate, TrialCounts
@@ -43,14 +43,6 @@
 """Ticks between repeated messages of the judges about a roll-out's phase."""
 REMINDED_AFTER_END_MS = 10_000.0
 """Time for which they repeat a verdict."""
-STOP_SPREAD_MS = 700.0
-"""Time from a stop to its status in the store.
-
-By then each peer has heard of the stop or has lost its link, which it does after 650 ms
-without an answer. Operators may end the servers of a version that is rolled back.
-"""
-STOP_SPREAD_PART = 0.1
-"""Longest such time as a part of the duration, so that the status is not late."""
 MAX_REPORT_AGE_MS = 1000.0
 """Longest age of the reports by which a roll-out is completed; five are due meanwhile.
 
@@ -362,14 +354,7 @@
         if rollout.phase is Phase.PENDING:
             if now_ms - rollout.phase_since_ms > SETTLE_MS:
                 self._statuses.read(rollout, now_ms)
-        elif self._is_leader() and not _is_spreading(rollout, now_ms):
+        elif self._is_leader() and not is_spreading(rollout, now_ms):
             state = STATES.get(rollout.phase, RolloutState.RUNNING)
             if not self._statuses.is_written(rollout, state):
                 self._statuses.write(rollout, state, now_ms)
-
-
-def _is_spreading(rollout: Rollout, now_ms: float) -> bool:
-    """Whether a stop may not have reached all peers yet."""
-    spread_ms = min(STOP_SPREAD_MS, STOP_SPREAD_PART * rollout.duration_ms)
-    is_recent = now_ms - rollout.phase_since_ms < spread_ms
-    return rollout.phase is Phase.STOPPED and is_recent
--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -91,6 +91,7 @@
     task: asyncio.Task[None] | None = None
     beats: int = 0
     version: str = "v1"
+    service: str = "shop"
 
     def url(self, path: str) -> str:
         """Return the URL of a path for callers of this instance."""
@@ -102,7 +103,7 @@
         body = {
             "address": f"{self.host}:{BACKEND_PORT}",
             "information": {
-                "service": "shop",
+                "service": self.service,
                 "version": self.version,
                 "zone": "dc-0",
                 "slots": 4,
@@ -129,13 +130,15 @@
     instances: list[MeshInstance] = attrs.field(factory=list)
     counts_former_runs: bool = False
 
-    async def add(self, index: int, version: str = "v1") -> MeshInstance:
-        """Start an instance whose backend server has a version."""
+    async def add(
+        self, index: int, version: str = "v1", service: str = "shop"
+    ) -> MeshInstance:
+        """Start an instance whose backend server has a service and a version."""
         host = f"{NETWORK}.{index}"
         server = SigningServer(f"i-{index}")
         await server.start(host, BACKEND_PORT)
-        instance = MeshInstance(host, self._node(host, index), server)
-        instance.version = version
+        node = self._node(host, index, service=service)
+        instance = MeshInstance(host, node, server, version=version, service=service)
         self.start_node(instance)
         self.instances.append(instance)
         return instance
@@ -143,7 +146,9 @@
     def new_node(self, instance: MeshInstance) -> Node:
         """Return a new node for an instance, as after a crash."""
         index = int(instance.host.rpartition(".")[2])
-        return self._node(instance.host, index, first_start=False)
+        return self._node(
+            instance.host, index, first_start=False, service=instance.service
+        )
 
     def start_node(self, instance: MeshInstance) -> None:
         """Start the node of an instance."""
@@ -184,11 +189,13 @@
         opened = sum(1 for endpoint in endpoints if endpoint.open)
         return bool(node.configuration.version) and opened == len(self.instances)
 
-    def _node(self, host: str, index: int, first_start: bool = True) -> Node:
+    def _node(
+        self, host: str, index: int, first_start: bool = True, service: str = "shop"
+    ) -> Node:
         settings = MeshSettings(
             instance=f"node-{index}",
             data_centre=f"dc-{index % 2}",
-            service="shop",
+            service=service,
             first_start=first_start,
             caller_address=(host, CALLER_PORT),
             peer_address=(host, PEER_PORT),
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -41,6 +41,7 @@
 
     mesh: MeshFleet
     callers: list[MeshInstance]
+    path: str = "/read/1"
     statuses: list[int] = attrs.field(factory=list)
     _task: "asyncio.Task[None] | None" = None
 
@@ -56,11 +57,11 @@
         async with asyncio.TaskGroup() as group:
             for number in range(100_000):
                 instance = self.callers[number % len(self.callers)]
-                group.create_task(self._send(instance, f"q{number}"))
+                group.create_task(self._send(instance, f"{self.path}-{number}"))
                 await asyncio.sleep(1 / REQUESTS_PER_S)
 
     async def _send(self, instance: MeshInstance, request_id: str) -> None:
-        status, _ = await self.mesh.get(instance, "/read/1", request_id)
+        status, _ = await self.mesh.get(instance, self.path, request_id)
         self.statuses.append(status)
 
 
