A second run of a request needs a token of its team's quota

The bound is for requests that reach backend servers, summed over all nodes, and the soak counts them there. Without a token the caller gets the first run's error, as when the retry budget is used up.

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -240,6 +240,8 @@
         self._earlier_run = None
         if not may_have_run:
             self._uncount_possible_run()
+            if self.record.team:
+                self.context.quotas.give_back(self.record.team)
 
     def _uncount_possible_run(self) -> None:
         """Subtract a run that was counted when its peer became unresponsive."""
@@ -292,7 +294,7 @@
             not self._body.streamed and self.record.nodes_tried < MAX_NODES_TRIED
         )
         if refusal.reached_backend and may_retry:
-            may_retry = self._try_spend_retry()
+            may_retry = self._try_spend_retry(runs_again=False)
         if may_retry:
             self._log_retry(reason)
             self._dispatch()
@@ -413,8 +415,12 @@
 
     # Completion.
 
-    def _try_spend_retry(self) -> bool:
-        """Spend a retry of the budget; return False if no further run is allowed."""
+    def _try_spend_retry(self, runs_again: bool = True) -> bool:
+        """Spend a retry of the budget; return False if no further run is allowed.
+
+        ``runs_again``: the request may have run before, so that another run counts in
+        its team's quota too.
+        """
         now_ms = self._now_ms()
         if (
             self.record.runs >= self.route.max_attempts
@@ -423,8 +429,15 @@
             return False
         if self.record.nodes_tried >= MAX_NODES_TRIED:
             return False
+        quotas, team = self.context.quotas, self.record.team
+        takes_token = runs_again and bool(team)
+        if takes_token and not quotas.admit_again(team):
+            return False
         called = self.context.called_services.get(self.service, ())
-        return self.context.retry_budget.try_spend(self.service, now_ms, called)
+        spent = self.context.retry_budget.try_spend(self.service, now_ms, called)
+        if takes_token and not spent:
+            quotas.give_back(team)
+        return spent
 
     def _refuse_without_endpoint(self) -> None:
         refusal = self._refusal
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -39,6 +39,9 @@
         ``late``: it can't meet its objective any more.
         """
 
+    def admit_again(self, name: str) -> bool:
+        """Admit a second run of a team's request, if its quota has a token."""
+
     def give_back(self, name: str) -> None:
         """Return the token of a request that was admitted and has not run."""
 
@@ -53,6 +56,10 @@
         """Admit a request."""
         return 0.0
 
+    def admit_again(self, name: str) -> bool:
+        """Admit a second run."""
+        return True
+
     def give_back(self, name: str) -> None:
         """Do nothing."""
 
--- a/azurestep/mesh/decisions/quota_allowance.py
+++ b/azurestep/mesh/decisions/quota_allowance.py
@@ -142,6 +142,18 @@
         self._admitted += 1
         return 0.0
 
+    def admit_again(self, now_ms: float) -> bool:
+        """Admit a second run of a request, if there is a token.
+
+        Nobody returns for a refused one, so it withholds no tokens from late requests.
+        """
+        limited = now_ms < self._limited_until_ms
+        wait = self._take_token if limited else self._wait_for_answer
+        if wait(now_ms) > 0:
+            return False
+        self._admitted += 1
+        return True
+
     def give_back(self) -> None:
         """Return the token of a request that was admitted and has not run."""
         self._admitted -= 1
--- a/azurestep/mesh/quotas/control.py
+++ b/azurestep/mesh/quotas/control.py
@@ -173,14 +173,34 @@
         elif use.team is not team:
             self._update_team(use, team)
         use.used_ms = now_ms
-        is_own = use.owner == self.own_address
-        if is_own and self._known:
+        if self._is_own(use) and self._known:
             self._anticipate(team, now_ms)
         wait_ms = use.allowance.admit(now_ms, late)
-        if not wait_ms and (is_own or use.allowance.is_urgent):
-            self._report([use], now_ms)
+        if not wait_ms:
+            self._report_urgent(use, now_ms)
         return wait_ms
 
+    def admit_again(self, name: str) -> bool:
+        """Admit a second run of a team's request, if its quota has a token."""
+        use = self.uses.get(name)
+        if use is None or use.team.requests_per_s <= 0:
+            return True
+        now_ms = self.now_ms()
+        if self._is_own(use) and self._known:
+            self._anticipate(use.team, now_ms)
+        admitted = use.allowance.admit_again(now_ms)
+        if admitted:
+            self._report_urgent(use, now_ms)
+        return admitted
+
+    def _is_own(self, use: TeamUse) -> bool:
+        return use.owner == self.own_address
+
+    def _report_urgent(self, use: TeamUse, now_ms: float) -> None:
+        """Report at once what the owner must know before the next report."""
+        if self._is_own(use) or use.allowance.is_urgent:
+            self._report([use], now_ms)
+
     def give_back(self, name: str) -> None:
         """Return the token of a request that was admitted and has not run."""
         use = self.uses.get(name)
