Soak: keys removed while the store refuses two nodes (--apart)

Cause: no fault of the soak published a version that removes a key while some nodes can't reach the store, where they have to learn it from other nodes.

Change: KeyRemovedApart, drawn beside the other kinds so that kept seeds stay the same; the two nodes are not excused, so removed_keys_stop holds them to 2 s. tests/broken_node.py has a node that takes versions from the store only, which that check finds.

No fault for a roll-out of a version yet.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEEDS ?= x10
 NOTICES ?= 3
 TEAMS ?= 0
+APART ?= 0
 QUOTA ?= 0
 REPORT ?= build/soak.html
 STAMP := $(VENV)/.installed
@@ -28,7 +29,7 @@
 
 soak: install
 	$(PYTHON) -m soak --seeds $(SEEDS) --notices $(NOTICES) --teams $(TEAMS) \
-		--quota $(QUOTA) --report $(REPORT)
+		--apart $(APART) --quota $(QUOTA) --report $(REPORT)
 
 lint: install
 	$(VENV)/bin/ruff format --check .
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,7 @@
 
 Usage:
   soak [--seeds LIST] [--nodes N] [--faults N] [--notices N] [--teams N]
-       [--quota RATE] [--at-once N] [--report FILE]
+       [--apart N] [--quota RATE] [--at-once N] [--report FILE]
 
 Options:
   --seeds LIST    Seeds, as 3,7,20-29, or the number of fresh ones, as x5 [default: x3].
@@ -30,6 +30,8 @@
   --teams N       Keys added and removed, wrong keys, teams that send several times
                   their usual, and slow servers, of each run; with 0 the configuration
                   has no teams [default: 0].
+  --apart N       Keys removed while the store refuses two nodes, of each run; with
+                  some, the configuration has teams [default: 0].
   --quota RATE    Requests a second that each team is allowed, and its burst; 0 for no
                   limit. A team sends some 50 a second, and 180 in a surge [default: 0].
   --at-once N     Runs at the same time [default: 2].
@@ -106,6 +108,7 @@
         faults=int(arguments["--faults"]),
         notices=int(arguments["--notices"]),
         teams=int(arguments["--teams"]),
+        apart=int(arguments["--apart"]),
         quota_per_s=float(arguments["--quota"]),
     )
     seeds = parse_seeds(arguments["--seeds"])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,11 @@
 LIMIT_SCALE_PER_S = 8.0
 """Limits are up to 2.5 times this, below the usual load of a server."""
 LEAVING_LASTS_S = 5.0
+APART_BEFORE_S = 1.2
+"""Time between the refusal and the version: longer than a long poll, which a version
+ends also for a refused node."""
+APART_AFTER_S = 4.0
+"""Longer than a version may take, so that a node that lacks it is found."""
 GAP_S = 1.2
 """Mean pause between two faults; with durations up to 2.5 s, many overlap."""
 
@@ -150,6 +155,18 @@
     """A version removes a team's oldest key."""
 
 
+class KeyRemovedApart(Fault):
+    """A version removes a team's oldest key while the store refuses two nodes.
+
+    These are to learn it from the others, so they are not excused.
+    """
+
+    @property
+    def end_s(self) -> float:
+        """When the store serves all nodes again."""
+        return self.at_s + APART_BEFORE_S + APART_AFTER_S
+
+
 class WrongKeys(Fault):
     """Half of the requests have a key that no version holds, or none."""
 
@@ -198,6 +215,10 @@
 """Kinds drawn beside the others for a configuration with teams."""
 
 
+APART_KINDS: tuple[type[Fault], ...] = (KeyRemovedApart,)
+"""Kinds drawn beside the others for nodes that the store refuses; they need teams."""
+
+
 @attrs.frozen
 class Plan:
     """What happens in one run.
@@ -229,12 +250,14 @@
     notices: int = 0,
     *,
     teams: int = 0,
+    apart: int = 0,
     quota_per_s: float = 0.0,
 ) -> Plan:
     """Draw a plan: faults, and when they are over, the stop of one node.
 
     ``notices`` is the number of faults of ``NOTICE_KINDS``, at any time among the
-    others, ``teams`` that of ``TEAM_KINDS``; with 0 the configuration has no teams.
+    others, ``teams`` that of ``TEAM_KINDS`` and ``apart`` that of ``APART_KINDS``; with
+    both 0 the configuration has no teams.
 
     Examples
     --------
@@ -259,9 +282,12 @@
     team_random = Random(f"teams of {seed}")
     for _ in range(teams):
         drawn.append(_draw_among(team_random, TEAM_KINDS, last_s, instances))
+    apart_random = Random(f"apart of {seed}")
+    for _ in range(apart):
+        drawn.append(_draw_among(apart_random, APART_KINDS, last_s, instances))
     over_s = max((fault.end_s for fault in drawn), default=0.0) + QUIET_S
     drawn.append(Stop(over_s, SHORTEST_S, random.randrange(instances)))
-    return Plan(seed, instances, tuple(drawn), teams > 0, quota_per_s)
+    return Plan(seed, instances, tuple(drawn), teams + apart > 0, quota_per_s)
 
 
 def _draw_among(
--- a/soak/team_faults.py
+++ b/soak/team_faults.py
@@ -34,6 +34,21 @@
     stage.fleet.publish()
 
 
+@strike.register
+async def _(fault: plan.KeyRemovedApart, stage: Stage) -> None:
+    store, instances = stage.fleet.store, stage.fleet.instances
+    if store.refused_hosts:
+        return  # else the store might refuse all nodes
+    apart = [instances[(fault.target + one) % len(instances)] for one in range(2)]
+    hosts = {instance.host for instance in apart}
+    store.refused_hosts |= hosts
+    await asyncio.sleep(plan.APART_BEFORE_S)
+    _keyring(stage).remove(team_of(fault.target), stage.now_s())
+    stage.fleet.publish()
+    await asyncio.sleep(plan.APART_AFTER_S)
+    store.refused_hosts -= hosts
+
+
 @strike.register
 async def _(fault: plan.WrongKeys, stage: Stage) -> None:
     keyring = _keyring(stage)
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -152,6 +152,23 @@
     configuration.Configuration.apply = apply  # type: ignore[method-assign]
 
 
+def ignore_peers() -> None:
+    """Take a version after the first one only from the store."""
+    plain = configuration.Configuration.apply
+
+    def apply(
+        self: configuration.Configuration,
+        content: bytes,
+        origin: configuration.Origin,
+        took_ms: float = 0.0,
+    ) -> configuration.Applied:
+        if self.version and origin is not configuration.Origin.STORE:
+            return configuration.Applied.KNOWN
+        return plain(self, content, origin, took_ms)
+
+    configuration.Configuration.apply = apply  # type: ignore[method-assign]
+
+
 def forward_keys() -> None:
     """Leave the key of a caller in its request."""
     outbound._with_team = lambda caller, identity: caller
@@ -184,6 +201,7 @@
         never_answer,
         accept_any_key,
         keep_first_keys,
+        ignore_peers,
         forward_keys,
         overfill_servers,
     )
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -6,6 +6,7 @@
 
 from soak import callers
 from soak.plan import (
+    APART_KINDS,
     KINDS,
     NOTICE_KINDS,
     STOP_LASTS_S,
@@ -13,6 +14,7 @@
     Fault,
     KeyAdded,
     KeyRemoved,
+    KeyRemovedApart,
     Kill,
     Plan,
     Publish,
@@ -61,6 +63,9 @@
     teams = draw(5, 4, 30, notices=12, teams=40).faults
     assert teams[:42] == noticed[:42]
     assert {type(fault) for fault in teams[42:-1]} == set(TEAM_KINDS)
+    apart = draw(5, 4, 30, notices=12, teams=40, apart=3).faults
+    assert apart[:82] == teams[:82]
+    assert {type(fault) for fault in apart[82:-1]} == set(APART_KINDS)
 
 
 def test_a_kept_seed_has_the_faults_that_it_was_kept_for() -> None:
@@ -77,6 +82,15 @@
     assert {arrival.team for arrival in result.seen.arrivals} >= {"", *TEAMS}
 
 
+async def test_a_key_removed_while_the_store_refuses_nodes_stops_everywhere() -> None:
+    """Guards against nodes that learn of a removed key from the store only."""
+    faults = (KeyRemovedApart(0.5, 1.0, 0),)
+    result = await play(Plan(SEED, NODES, faults, teams=True), slot=4)
+    assert result.broken == {}
+    removed = {span.key for span in result.seen.keys if span.ended}
+    assert any(call.key in removed for call in result.seen.calls)
+
+
 async def test_notices_of_servers_and_store_keep_every_promise() -> None:
     faults = (ServerLimited(1.5, 1.0, 0), StoreReturns(2.0, 1.0, 0))
     late = (Kill(3.0, 0.3, 0), ServerSaysLeaving(2.5, 0.0, 1))
@@ -126,6 +140,7 @@
         ("accept_any_key", WrongKeys, "unknown_keys_never_run"),
         ("keep_first_keys", KeyRemoved, "removed_keys_stop"),
         ("keep_first_keys", KeyAdded, "known_keys_are_let_in"),
+        ("ignore_peers", KeyRemovedApart, "removed_keys_stop"),
         ("forward_keys", KeyAdded, "servers_see_teams"),
         ("overfill_servers", TeamSurge, "servers_are_not_overfilled"),
     ],
