--- a/azurestep/mesh/decisions/quota_demand.py
+++ b/azurestep/mesh/decisions/quota_demand.py
@@ -8,7 +8,7 @@
 """Time constant of the demand measured at each node."""
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class Demand:
     """Requests per second at several nodes, with exponential decay.
 
--- a/azurestep/mesh/decisions/quota_lost.py
+++ b/azurestep/mesh/decisions/quota_lost.py
@@ -27,7 +27,7 @@
 """
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class LostNodes:
     """Requests that nodes lost of late may have admitted without a report.
 
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -1,7 +1,6 @@
 """HTTP endpoints of a node: readiness, announcements and metrics."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from ..errors import MessageMalformedError
 from ..http.server import Exchange, Handler
@@ -9,11 +8,9 @@
 from . import events
 from .backend.changes import log_backend_change
 from .backend.state import LocalBackend
+from .gauges import NodeGauges
 from .runtime import Runtime
 
-if TYPE_CHECKING:
-    from .gauges import NodeGauges
-
 JSON = [(b"Content-Type", b"application/json")]
 TEXT = [(b"Content-Type", b"text/plain; version=0.0.4")]
 STATUS_TARGET = b"/v1/status"
@@ -29,14 +26,14 @@
     return _collect_body(respond)
 
 
-def metrics(gauges: Callable[[], "NodeGauges"], runtime: Runtime) -> Handler:
+def metrics(gauges: NodeGauges, runtime: Runtime) -> Handler:
     """Return the handler that serves the metrics as text, and the status as JSON."""
 
     def respond(exchange: Exchange, body: bytes) -> None:
         if exchange.target == STATUS_TARGET:
-            exchange.answer(200, JSON, gauges().status())
+            exchange.answer(200, JSON, gauges.status())
             return
-        gauges().refresh()
+        gauges.refresh()
         exchange.answer(200, TEXT, runtime.metrics.text().encode())
 
     return _collect_body(respond)
--- a/azurestep/mesh/gauges.py
+++ b/azurestep/mesh/gauges.py
@@ -36,7 +36,7 @@
     quotas: Quotas
 
 
-@attrs.frozen
+@attrs.define(eq=False, repr=False)
 class NodeGauges:
     """Reads a node's components for its metrics and for operators."""
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -8,7 +8,6 @@
 import time
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING
 
 import attrs
 import uvloop
@@ -36,6 +35,7 @@
 from .decisions.quota_account import QuotaAccount
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
+from .gauges import NodeGauges
 from .knowledge.configuration import Configuration, Origin
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
@@ -53,9 +53,6 @@
 from .settings import Address, MeshSettings, read_settings
 from .stopping import GracefulShutdown
 
-if TYPE_CHECKING:
-    from .gauges import NodeGauges
-
 TICK_S = 0.1
 """Interval of the main loop."""
 STATE_BROADCAST_TICKS = 2
@@ -281,7 +278,7 @@
             ),
             (
                 settings.metrics_address,
-                endpoints.metrics(self._gauges, self.runtime),
+                endpoints.metrics(NodeGauges(self), self.runtime),
             ),
         ]
         states = [self.callers]
@@ -628,16 +625,6 @@
             self.reload()
         self._settings_content = content
 
-    def _gauges(self) -> "NodeGauges":
-        """Return the reader of the gauges.
-
-        Its module is imported when they are first read, which keeps it out of the
-        processor time of a start.
-        """
-        from .gauges import NodeGauges
-
-        return NodeGauges(self)
-
 
 def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
--- a/azurestep/mesh/status.py
+++ b/azurestep/mesh/status.py
@@ -2,9 +2,11 @@
 
 import attrs
 
+from ..values import Value
 
-@attrs.frozen
-class QuotaAccountStatus:
+
+@attrs.frozen(eq=False, repr=False)
+class QuotaAccountStatus(Value):
     """Account of a team at the node that keeps it.
 
     Attributes
@@ -28,8 +30,8 @@
     nodes: int
 
 
-@attrs.frozen
-class TeamQuotaStatus:
+@attrs.frozen(eq=False, repr=False)
+class TeamQuotaStatus(Value):
     """Quota of a team as one node knows it.
 
     Attributes
@@ -68,8 +70,8 @@
     account: QuotaAccountStatus | None = None
 
 
-@attrs.frozen
-class MeshStatus:
+@attrs.frozen(eq=False, repr=False)
+class MeshStatus(Value):
     """State of a node on the platform.
 
     Attributes
--- a/tests/test_mesh_data_centre_loads.py
+++ b/tests/test_mesh_data_centre_loads.py
@@ -21,6 +21,7 @@
     choose_from_group,
 )
 from azurestep.mesh.decisions.data_centre_loads import DataCentreLoads
+from azurestep.mesh.gauges import NodeGauges
 from azurestep.mesh.incarnation import Incarnation
 
 from .fixtures_mesh import MeshFleet
@@ -292,8 +293,8 @@
     members = states.node.members
     loads = members.endpoint_group(members.inbound.backend.service).loads
     loads.means = {"dc-0": 0.5, "dc-1": 0.25}
-    states.node._refresh_gauges()
-    silent.node._refresh_gauges()
+    NodeGauges(states.node).refresh()
+    NodeGauges(silent.node).refresh()
     text = states.node.runtime.metrics.text()
     assert f"azurestep_service_load_local {loads.means[members.data_centre]}" in text
     assert "azurestep_service_load_remote " in text
