--- a/azurestep/mesh/backend/connections.py
+++ b/azurestep/mesh/backend/connections.py
@@ -33,7 +33,7 @@
 """Time between attempts to reach a backend server that refuses connections."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class BackendConnections:
     """Opens connections and keeps idle ones for reuse.
 
--- a/azurestep/mesh/callers/context.py
+++ b/azurestep/mesh/callers/context.py
@@ -9,6 +9,7 @@
 from ...platform.headers import CallerFields
 from ...routing.model import Route
 from ...routing.teams import Team
+from ...values import Value
 from ..backend.crashes import CrashTracker
 from ..decisions.choice import MeanRunTimes
 from ..decisions.pressure import RefusalMeter
@@ -39,6 +40,9 @@
         ``late``: it can't meet its objective any more.
         """
 
+    def admit_again(self, name: str) -> bool:
+        """Admit a second run of a team's request, if its quota has a token."""
+
     def give_back(self, name: str) -> None:
         """Return the token of a request that was admitted and has not run."""
 
@@ -53,6 +57,10 @@
         """Admit a request."""
         return 0.0
 
+    def admit_again(self, name: str) -> bool:
+        """Admit a second run."""
+        return True
+
     def give_back(self, name: str) -> None:
         """Do nothing."""
 
@@ -61,8 +69,8 @@
         return {}
 
 
-@attrs.frozen(slots=True)
-class Target:
+@attrs.frozen(slots=True, eq=False, repr=False)
+class Target(Value):
     """What a request asks for, by the configuration of the given version.
 
     Attributes
@@ -83,7 +91,7 @@
     has_teams: bool = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallContext:
     """State that all calls of a node share.
 
--- a/azurestep/mesh/decisions/pressure.py
+++ b/azurestep/mesh/decisions/pressure.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from ...values import Value
 from .calling_services import CallingService
 
 TICK_DECAY = 0.95
@@ -55,7 +56,7 @@
 """
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False, repr=False)
 class RecentCounts:
     """Decaying counts of a route's requests.
 
@@ -152,8 +153,8 @@
         return tuple(rows)
 
 
-@attrs.frozen(slots=True)
-class PressureReport:
+@attrs.frozen(slots=True, repr=False)
+class PressureReport(Value):
     """Service of one node, the services that call it, and what the node refuses."""
 
     service: str
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -79,7 +79,7 @@
         """Handle a state of a peer; ``previous`` is None for its first one."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerLink:
     """The link to one peer, over successive connections.
 
@@ -218,7 +218,7 @@
         endpoint.slots = state.slots
         endpoint.failure_ratio = state.failure_ratio
         endpoint.cold_until_ms = self.runtime.now_ms() + state.cold_remaining_ms
-        endpoint.update_load(state.in_flight)
+        endpoint.update_load(state.in_flight, self.runtime.now_ms())
         self._apply_condition()
         self.listener.on_state(self, previous, state)
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -14,7 +14,7 @@
 
 from ..errors import PortInUseError, SettingsError
 from ..http.server import Handler, ServerConnection, ServerState
-from ..listening import close_listener
+from ..listening import BACKLOG, close_listener, open_listener
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
 from ..routing.table import RoutingTable
@@ -35,6 +35,7 @@
 from .decisions.quota_account import QuotaAccount
 from .decisions.retry_budget import RetryBudget
 from .decisions.rollout_table import RolloutTable
+from .gauges import NodeGauges
 from .knowledge.configuration import Configuration, Origin
 from .knowledge.configuration_watcher import ConfigurationWatcher
 from .knowledge.discovery import Discovery
@@ -84,7 +85,7 @@
 ProtocolFactory = Callable[[], asyncio.Protocol]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Node:
     """Connects the components of a node and runs its main loop."""
 
@@ -230,6 +231,7 @@
             runtime.now_ms,
             self._find_team,
             self._log_limited,
+            runtime.metrics.teams,
         )
         self.members.apply_grant = self.quotas.on_grant
         self.incoming_links.on_usage = self.quotas.on_usage
@@ -276,7 +278,7 @@
             ),
             (
                 settings.metrics_address,
-                endpoints.metrics(self._refresh_gauges, self.runtime),
+                endpoints.metrics(NodeGauges(self), self.runtime),
             ),
         ]
         states = [self.callers]
@@ -297,6 +299,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
+        gc.enable()
         self._last_tick_ms = self.runtime.now_ms()
         while not self._stopped.is_set():
             self._tick(states)
@@ -534,14 +537,15 @@
 
     async def _bind(self, address: Address, factory: ProtocolFactory) -> None:
         try:
-            server = await self.runtime.loop.create_server(
-                factory, *address, backlog=1024, reuse_address=True
-            )
+            listener = open_listener(*address)
         except OSError as error:
             raise PortInUseError(
                 f"{address[0]}:{address[1]} can't be bound: {error.strerror}",
                 "Stop the process that uses the address, or change the settings",
             ) from error
+        server = await self.runtime.loop.create_server(
+            factory, sock=listener, backlog=BACKLOG
+        )
         self._servers.append(server)
 
     def _tick(self, states: list[ServerState]) -> None:
@@ -621,30 +625,6 @@
             self.reload()
         self._settings_content = content
 
-    def _refresh_gauges(self) -> None:
-        gauges = self.runtime.metrics.gauges
-        gauges["members"] = self.members.count()
-        gauges["configuration_version"] = self.configuration.version
-        gauges["backend_running"] = len(self.inbound.admission.running)
-        gauges["backend_busy"] = self.inbound.admission.in_flight
-        gauges["backend_rate_limit"] = self.backend.rate_limit_per_s
-        gauges["backend_slots_kept"] = self.inbound.admission.kept_slots(
-            self.runtime.now_ms()
-        )
-        gauges["calls_lacking"] = self.call_context.refusals.lack(
-            self.members.called_routes
-        )
-        gauges["shed_ratio"] = self.outbound.load_shedder.max_ratio
-        gauges["backend_work_ratio"] = self.inbound.admission.speed.ratio(
-            self.runtime.now_ms()
-        )
-        gauges["configuration_reader"] = float(self.configuration_watcher.is_reader)
-        gauges["links_unsent_bytes"] = self.incoming_links.unsent_bytes()
-        gauges["quota_teams_owned"] = len(self.quotas.owned)
-        gauges["quota_teams_limited"] = self.quotas.limited_count()
-        gauges["store_era"] = self.store_era.current
-        gauges["store_reachable"] = float(self.configuration_watcher.store_reachable)
-
 
 def serve(path: pathlib.Path) -> None:
     """Run a node until it is stopped.
--- a/azurestep/mesh/quotas/control.py
+++ b/azurestep/mesh/quotas/control.py
@@ -24,6 +24,7 @@
 from ..decisions.quota_owner import QuotaOwners
 from ..link_messages import QuotaGrant, QuotaUsage
 from ..settings import Address, Bounds
+from ..team_metrics import TeamMetrics
 
 RENEWAL_MS = GRANT_VALID_MS * 0.4
 """Time between grants that are sent to all nodes, so that one of them may be late."""
@@ -80,7 +81,7 @@
         """Send grants to peers."""
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class TeamUse:
     """A team's requests at this node.
 
@@ -88,6 +89,8 @@
     ----------
     owner : Address
         Node that they are reported to.
+    admitted, refused, returned : int
+        Requests that were admitted, refused, and admitted but have not run.
     """
 
     team: QuotaTeam
@@ -95,9 +98,21 @@
     owner: Address
     used_ms: float = 0.0
     next_report_ms: float = 0.0
+    admitted: int = 0
+    refused: int = 0
+    returned: int = 0
+    _counted: tuple[int, int] = 0, 0
+
+    def count(self, metrics: TeamMetrics) -> None:
+        """Add to a node's metrics what they don't have yet."""
+        admitted, returned = self._counted
+        self._counted = self.admitted, self.returned
+        metrics.record_quota(
+            self.team.name, self.admitted - admitted, self.returned - returned
+        )
 
 
-@attrs.define(slots=True, eq=False)
+@attrs.define(slots=True, eq=False, repr=False)
 class OwnedTeam:
     """A team whose account is at this node.
 
@@ -110,18 +125,21 @@
         since they can't reach the owner.
     reporters : dict
         When each node last reported.
+    answers : dict
+        The grant that answered this.
     """
 
     team: QuotaTeam
     account: QuotaAccount
     is_owner: bool
     reporters: dict[Address, float] = attrs.field(factory=dict)
+    answers: dict[Address, Grant] = attrs.field(factory=dict)
     used_ms: float = 0.0
     next_renewal_ms: float = 0.0
     was_limited: bool = False
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Quotas:
     """Admits requests of teams at one node, and keeps the accounts that it owns.
 
@@ -134,6 +152,8 @@
     on_limited : Callable
         Called when a team whose account is here has used up its quota, or is below it
         again.
+    metrics : TeamMetrics
+        Counts the requests that were admitted, when it is read.
     """
 
     own_address: Address
@@ -142,11 +162,12 @@
     now_ms: Callable[[], float]
     find_team: Callable[[str], QuotaTeam | None]
     on_limited: Callable[[QuotaTeam, QuotaAccount], None] = lambda team, account: None
+    metrics: TeamMetrics = attrs.field(factory=TeamMetrics)
     uses: dict[str, TeamUse] = attrs.field(factory=dict)
     owned: dict[str, OwnedTeam] = attrs.field(factory=dict)
     _owners: QuotaOwners = attrs.field(init=False)
     _nodes: int = 0
-    _reachable: int = 1
+    _reachable: frozenset[Address] = frozenset()
     _known: bool = False
     _ticks: int = 0
     _last_tick_ms: float | None = None
@@ -170,19 +191,44 @@
         elif use.team is not team:
             self._update_team(use, team)
         use.used_ms = now_ms
-        is_own = use.owner == self.own_address
-        if is_own and self._known:
+        if self._is_own(use) and self._known:
             self._anticipate(team, now_ms)
         wait_ms = use.allowance.admit(now_ms, late)
-        if not wait_ms and (is_own or use.allowance.is_urgent):
+        if wait_ms:
+            use.refused += 1
+            return wait_ms
+        use.admitted += 1
+        self._report_urgent(use, now_ms)
+        return 0.0
+
+    def admit_again(self, name: str) -> bool:
+        """Admit a second run of a team's request, if its quota has a token."""
+        use = self.uses.get(name)
+        if use is None or use.team.requests_per_s <= 0:
+            return True
+        now_ms = self.now_ms()
+        if self._is_own(use) and self._known:
+            self._anticipate(use.team, now_ms)
+        if not use.allowance.admit_again(now_ms):
+            return False
+        use.admitted += 1
+        self._report_urgent(use, now_ms)
+        return True
+
+    def _is_own(self, use: TeamUse) -> bool:
+        return use.owner == self.own_address
+
+    def _report_urgent(self, use: TeamUse, now_ms: float) -> None:
+        """Report at once what the owner must know before the next report."""
+        if self._is_own(use) or use.allowance.is_urgent:
             self._report([use], now_ms)
-        return wait_ms
 
     def give_back(self, name: str) -> None:
         """Return the token of a request that was admitted and has not run."""
         use = self.uses.get(name)
         if use is not None:
             use.allowance.give_back()
+            use.returned += 1
 
     def describe(self, name: str) -> dict[str, float]:
         """Return limit and grant of a team, and the grant's age, for log lines."""
@@ -247,6 +293,15 @@
         for owned in self.owned.values():
             self._update_account(owned, owned.team, self.now_ms())
 
+    def owner_of(self, name: str) -> Address:
+        """Return the owner of a team, by the peers that were reachable last."""
+        return self._owners.of(name)
+
+    def count_uses(self) -> None:
+        """Bring the counters of the node's metrics up to date."""
+        for use in self.uses.values():
+            use.count(self.metrics)
+
     def limited_count(self) -> int:
         """Return how many of the teams that this node accounts for are limited."""
         return sum(1 for owned in self.owned.values() if owned.account.limited)
@@ -289,7 +344,8 @@
             account.record(peer, admitted, refused, now_ms)
             if account.limited != was_limited:
                 self._tell_all(owned, now_ms)
-            rows.append(_row(name, account.grant(peer, now_ms)))
+            owned.answers[peer] = grant = account.grant(peer, now_ms)
+            rows.append(_row(name, grant))
         return QuotaGrant(tuple(rows))
 
     def _open_account(self, team: QuotaTeam, peer: Address, now_ms: float) -> OwnedTeam:
@@ -311,7 +367,7 @@
 
     def _update_account(self, owned: OwnedTeam, team: QuotaTeam, now_ms: float) -> None:
         """Let the account have the part of the limit of the nodes that report to it."""
-        nodes = self._reachable if owned.is_owner else len(owned.reporters)
+        nodes = len(self._reachable) + 1 if owned.is_owner else len(owned.reporters)
         ratio = min(1.0, nodes / self._nodes) if self._nodes else 0.0
         owned.team = team
         owned.account.set_limit(self._limit_of(team).scaled(ratio), nodes, now_ms)
@@ -362,9 +418,9 @@
 
     def _refresh_peers(self) -> None:
         now_ms = self.now_ms()
-        reachable = self.peers.reachable()
+        reachable = frozenset(self.peers.reachable())
+        lost, self._reachable = self._reachable - reachable, reachable
         self._owners.set_reachable(reachable)
-        self._reachable = len(reachable) + 1
         was_known, self._nodes = self._known, self.peers.known_count()
         self._known = self._nodes > 0
         for name, use in self.uses.items():
@@ -377,6 +433,7 @@
             if use.allowance.nodes != self._nodes:
                 use.allowance.set_limit(use.allowance.limit, self._nodes)
         for name, owned in self.owned.items():
+            self._charge_lost(owned, lost, now_ms)
             is_owner = self._owners.of(name) == self.own_address
             if is_owner != owned.is_owner:
                 owned.is_owner = is_owner
@@ -385,6 +442,16 @@
             if not is_owner:
                 self._hand_over(owned)
 
+    def _charge_lost(
+        self, owned: OwnedTeam, lost: Collection[Address], now_ms: float
+    ) -> None:
+        """Charge what nodes that can't be reached any more may have admitted."""
+        for peer in lost:
+            answer = owned.answers.pop(peer, None)
+            if answer is not None:
+                silent_ms = now_ms - owned.reporters.get(peer, now_ms)
+                owned.account.charge_lost(answer, silent_ms, now_ms)
+
     def _hand_over(self, owned: OwnedTeam) -> None:
         """Charge a debt to the account of the node that is now the owner."""
         name, debt = owned.team.name, math.ceil(-owned.account.tokens)
@@ -425,6 +492,7 @@
             team = self.find_team(name)
             unused = use.used_ms < oldest_ms and use.allowance.is_idle
             if unused or team is None or team.requests_per_s <= 0:
+                use.count(self.metrics)
                 del self.uses[name]
         for name, owned in list(self.owned.items()):
             team = self.find_team(name)
@@ -438,6 +506,11 @@
                 for peer, last_ms in owned.reporters.items()
                 if last_ms > recent_ms
             }
+            owned.answers = {
+                peer: answer
+                for peer, answer in owned.answers.items()
+                if peer in owned.reporters
+            }
             self._update_account(owned, team, now_ms)
             if not owned.is_owner and owned.used_ms < oldest_ms:
                 del self.owned[name]
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,13 +28,16 @@
     "silent_path",
     "rate_limits",
     "quota_ways",
+    "quota_cost",
     "version_spreading",
     "node_size",
+    "node_start",
     "placement_model",
     "team_keys",
     "team_shares",
     "calls_model",
     "speed_ways",
+    "wave_ways",
 )
 # Modules with a coroutine function ``run`` that writes the result of that name.
 MEASUREMENTS = ("latency", "node_cost", "bad_days", "scale", "baselines", "payments")
