--- a/azurestep/mesh/decisions/choice.py
+++ b/azurestep/mesh/decisions/choice.py
@@ -372,7 +372,7 @@
 ) -> list[Endpoint]:
     """Return local candidates, and others only where a data centre has more room.
 
-    None if the loads of the local ones don't tell whether there is room.
+    Empty if the loads of the local ones don't tell whether there is room.
     """
     local = _draw_or_list(group.local, LOCAL_SAMPLE, excluded, random)
     if not any(one.is_sound(now_ms) for one in local):
--- a/azurestep/mesh/decisions/data_centre_loads.py
+++ b/azurestep/mesh/decisions/data_centre_loads.py
@@ -23,6 +23,11 @@
 
 Half a request at a server of five slots.
 """
+MIN_SERVER_RATIO = 0.5
+"""How many servers another data centre must have, relative to the local one.
+
+The requests of a fleet would crowd the last servers of a data centre that failed.
+"""
 REFRESH_MS_PER_SERVER = 1.0
 """Time between two calculations of the means, for each backend server of the service.
 
@@ -90,7 +95,12 @@
 
         None of them unless it has clearly more room than this one.
         """
-        others = [name for name in self.means if name != data_centre]
+        local = self._servers.get(data_centre, [])
+        others = [
+            name
+            for name, found in self._servers.items()
+            if name != data_centre and len(found) >= MIN_SERVER_RATIO * len(local)
+        ]
         if not others:
             return []
         lowest = min(others, key=self.means.__getitem__)
@@ -113,9 +123,11 @@
         [1.0, 2.9, 4.0]
         """
         mean = self.means.get(server.data_centre)
-        if mean is None:
+        if mean is None or not server.is_sound(now_ms):
             return server.load
         weight = math.exp(min(0.0, server.reported_ms - now_ms) / MEMORY_MS)
         told = weight * server.in_flight + (1 - weight) * mean * server.slots
-        since = server.own_in_flight - server.own_in_flight_at_report
+        since: float = server.own_in_flight - server.own_in_flight_at_report
+        if since < 0:
+            since *= weight  # the mean that replaces a report has them ended already
         return max(server.own_in_flight, told + since)
--- a/tests/test_deploy_file.py
+++ b/tests/test_deploy_file.py
@@ -1,6 +1,7 @@
 """The platform's build of a node, without its download of libraries."""
 
 import pathlib
+import shutil
 import subprocess
 import sys
 import tomllib
@@ -8,6 +9,8 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parents[1]
+UNCHECKED_HASH = b"\x01\x00\x00\x00"
+"""Flags of a compiled module that is used without a look at its source (PEP 552)."""
 
 
 @pytest.fixture(scope="module")
@@ -18,17 +21,50 @@
     return command
 
 
-def test_nodes_start_from_compiled_modules(build: str, tmp_path: pathlib.Path) -> None:
+@pytest.fixture
+def checkout(tmp_path: pathlib.Path) -> pathlib.Path:
+    """Return a copy of the package and of the file that names its libraries."""
+    skipped = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(ROOT / "azurestep", tmp_path / "azurestep", ignore=skipped)
+    (tmp_path / "deploy").mkdir()
+    shutil.copy(ROOT / "deploy" / "requirements.txt", tmp_path / "deploy")
+    return tmp_path
+
+
+def run_build(build: str, checkout: pathlib.Path) -> list[str]:
+    """Run the build; return the calls of pip, which does nothing."""
+    calls = checkout / "pip-calls"
+    calls.touch()
+    functions = (
+        f'python3() {{ if [ "$2" = pip ]; then mkdir -p target/deps; '
+        f'echo "$*" >> pip-calls; else {sys.executable} "$@"; fi; }}\n'
+    )
+    subprocess.run(["sh", "-c", functions + build], cwd=checkout, check=True)
+    return calls.read_text().splitlines()
+
+
+def test_nodes_start_from_compiled_modules(build: str, checkout: pathlib.Path) -> None:
     """Compiling its modules took a third of the processor time of each start."""
-    (tmp_path / "azurestep").symlink_to(ROOT / "azurestep")
-    (tmp_path / "target" / "deps").mkdir(parents=True)
-    _, _, local_part = build.partition("&&")
-    python = f'python3() {{ {sys.executable} "$@"; }}\n'
-    subprocess.run(["sh", "-c", python + local_part], cwd=tmp_path, check=True)
-    sources = {path.stem for path in (ROOT / "azurestep").rglob("*.py")}
-    built = tmp_path / "target" / "deps" / "azurestep"
-    compiled = {path.name.partition(".")[0] for path in built.rglob("*.pyc")}
-    assert compiled == sources
+    run_build(build, checkout)
+    built = checkout / "target" / "deps" / "azurestep"
+    tag = f".{sys.implementation.cache_tag}.pyc"
+    for source in built.rglob("*.py"):
+        compiled = source.parent / "__pycache__" / (source.stem + tag)
+        assert compiled.read_bytes()[4:8] == UNCHECKED_HASH, source
+
+
+def test_a_build_takes_changed_sources_and_libraries(
+    build: str, checkout: pathlib.Path
+) -> None:
+    """Guards against a node that runs what a former build left in target."""
+    run_build(build, checkout)
+    (checkout / "azurestep" / "__init__.py").write_text("CHANGED = True\n")
+    assert len(run_build(build, checkout)) == 1
+    built = checkout / "target" / "deps" / "azurestep"
+    assert (built / "__init__.py").read_text() == "CHANGED = True\n"
+    with (checkout / "deploy" / "requirements.txt").open("a") as stream:
+        stream.write("# another library\n")
+    assert len(run_build(build, checkout)) == 2
 
 
 def test_a_node_imports_the_built_copy(tmp_path: pathlib.Path) -> None:
--- a/tests/test_mesh_data_centre_loads.py
+++ b/tests/test_mesh_data_centre_loads.py
@@ -225,6 +225,35 @@
     assert DataCentreLoads({"dc-1": 0.0}).estimate(one, 1e6) == 3.0
 
 
+def test_own_requests_that_ended_since_an_old_report_do_not_count_twice() -> None:
+    """An old report of a full server looked free after four cancelled requests."""
+    loads: DataCentreLoads = DataCentreLoads({"dc-0": 1.2})
+    one = server(0, "dc-0", own_in_flight=4)
+    one.update_load(6, now_ms=0.0)
+    one.own_in_flight = 0
+    assert loads.estimate(one, now_ms=0.0) == 2.0
+    assert loads.estimate(one, now_ms=1200.0) > SLOTS
+
+
+def test_the_report_of_a_server_with_a_rate_limit_keeps_its_weight() -> None:
+    """An idle one seemed to have a queue, by the mean of servers without a limit."""
+    loads: DataCentreLoads = DataCentreLoads({"dc-0": 0.8})
+    one = server(0, "dc-0", rate_limit_per_s=20.0)
+    one.update_load(1, now_ms=0.0)
+    assert loads.estimate(one, now_ms=1200.0) == 1.0
+
+
+def test_the_last_servers_of_a_data_centre_do_not_get_the_requests_of_all() -> None:
+    """One idle server of 26 made its data centre the least loaded of the fleet."""
+    group = group_of(DataCentreLoads())
+    fill_all(group, {"dc-0": 1.2, "dc-1": 0.8, "dc-2": 0.2}, 1000.0)
+    left = 1
+    for one in group.remote:
+        if one.data_centre == "dc-2":
+            one.open, left = left > 0, left - 1
+    assert set(chosen_places(group, 1000.0)) <= {"dc-0", "dc-1"}
+
+
 def test_servers_that_take_nothing_do_not_count_in_the_mean() -> None:
     loads = DataCentreLoads()
     closed = server(2, "dc-1", open=False, in_flight=0)
--- a/tests/test_mesh_start.py
+++ b/tests/test_mesh_start.py
@@ -5,6 +5,7 @@
 """
 
 import ast
+import asyncio
 import gc
 import importlib
 import pathlib
@@ -25,6 +26,7 @@
 from azurestep.values import Value
 
 from .fixtures_cli import RunCommand
+from .fixtures_mesh import MeshFleet
 from .test_mesh_settings import rendered
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -168,6 +170,19 @@
     assert "gc=False" in at_listening
 
 
+async def test_garbage_is_collected_once_a_node_listens(mesh: MeshFleet) -> None:
+    """Collections that stay off would let a process grow without bound."""
+    gc.disable()
+    try:
+        added = await mesh.add(9)
+        await added.node.listening.wait()
+        async with asyncio.timeout(10):
+            while not gc.isenabled():
+                await asyncio.sleep(0.01)
+    finally:
+        gc.enable()
+
+
 def test_garbage_is_collected_after_a_failed_start(run_command: RunCommand) -> None:
     """Collections that stay off would let a process grow without bound."""
     result = run_command("sidecar", "missing.json")
