A second run of a request used a former version of its team

admit_again took the team from the use, which may be of a former version: an owner opened the account of a team that the configuration no longer has, or set an account to a former limit until the report that follows. It asks the configuration in force now; the new test fails without it. Wording of four comments.

--- a/azurestep/mesh/decisions/data_centre_loads.py
+++ b/azurestep/mesh/decisions/data_centre_loads.py
@@ -1,11 +1,10 @@
 """Load of data centres, for choosing among the servers of a service with many.
 
-Load: 79 backend servers of unlike speed in three data centres, whose demand rises and
-falls by 55% within 15 s at different times; reports come each 0.3 s from nearby and
-each 1.2 s from other data centres, while a run takes about 0.25 s. An old report of a
-free slot is mostly wrong there: the server is better described by the mean load of its
-data centre, which many reports tell. And where no other data centre has more room, a
-request that is sent there costs bytes and time for nothing.
+Answers the load of many servers whose data centres have their peaks at different
+times, and whose load reports are older than a run takes. An old report of a free slot
+is mostly wrong: the mean load of the data centre, which comes from many reports, is the
+better estimate. Where no other data centre has more room, a request that is sent there
+costs bytes and time without a gain.
 """
 
 import math
--- a/azurestep/mesh/decisions/quota_lost.py
+++ b/azurestep/mesh/decisions/quota_lost.py
@@ -1,4 +1,4 @@
-"""Nodes that a quota owner has lost, and the requests that they may have admitted.
+"""Nodes that a quota owner can no longer reach, and what they may have admitted.
 
 A node that was cut off goes on with its last grant until it notices the cut, and
 reports to another owner only what exceeds this grant. Without a charge, both sides of a
@@ -29,7 +29,7 @@
 
 @attrs.define(slots=True, eq=False, repr=False)
 class LostNodes:
-    """Requests that nodes lost of late may have admitted without a report.
+    """Requests that recently lost nodes may have admitted without a report.
 
     They are charged once the demand exceeds the rate; at a lower demand all nodes
     together stay within the limit.
--- a/azurestep/mesh/quotas/control.py
+++ b/azurestep/mesh/quotas/control.py
@@ -126,7 +126,7 @@
     reporters : dict
         When each node last reported.
     answers : dict
-        The grant that answered this.
+        Grant that answered the last report, by node.
     """
 
     team: QuotaTeam
@@ -203,12 +203,14 @@
 
     def admit_again(self, name: str) -> bool:
         """Admit a second run of a team's request, if its quota has a token."""
-        use = self.uses.get(name)
-        if use is None or use.team.requests_per_s <= 0:
+        use, team = self.uses.get(name), self.find_team(name)
+        if use is None or team is None or team.requests_per_s <= 0:
             return True
+        if use.team is not team:
+            self._update_team(use, team)
         now_ms = self.now_ms()
         if self._is_own(use) and self._known:
-            self._anticipate(use.team, now_ms)
+            self._anticipate(team, now_ms)
         if not use.allowance.admit_again(now_ms):
             return False
         use.admitted += 1
--- a/tests/test_quota_failures.py
+++ b/tests/test_quota_failures.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from azurestep.mesh.quotas.control import Quotas, QuotaTeam
-from azurestep.mesh.settings import Bounds
+from azurestep.mesh.settings import Address, Bounds
 from azurestep.routing.teams import Team
 from bench.quota_model import ModelFleet, ModelNode
 
@@ -215,3 +215,35 @@
     assert fleet.largest_window(NAME) <= fleet.bound(team)
     fleet.admitted[NAME] = [one for one in fleet.admitted[NAME] if one >= change_ms]
     assert fleet.largest_window(NAME) <= fleet.bound(smaller)
+
+
+class AloneNode:
+    """A node that reaches no other one."""
+
+    def reachable(self) -> list[Address]:
+        return []
+
+    def known_count(self) -> int:
+        return 1
+
+    def send_usage(self, owner: Address, usage: object) -> None:
+        raise AssertionError("there is no other owner")
+
+    def send_grants(self, peers: object, grant: object) -> None:
+        raise AssertionError("there is no other node")
+
+
+def test_a_second_run_goes_by_the_limit_in_force() -> None:
+    """The owner opened the account of a team that the configuration no longer has."""
+    team = Team(NAME, priority=1, requests_per_s=80.0, burst=60.0)
+    teams = {NAME: team}
+    address = ("127.0.0.1", 1)
+    quotas = Quotas(address, AloneNode(), Bounds(), lambda: 0.0, teams.get)
+    assert quotas.admit(team) == 0.0
+    teams[NAME] = lowered = attrs.evolve(team, requests_per_s=1.0, burst=1.0)
+    quotas.admit_again(NAME)
+    assert quotas.owned[NAME].team is lowered
+    del teams[NAME]
+    quotas.owned.clear()
+    assert quotas.admit_again(NAME)
+    assert not quotas.owned
