--- a/azurestep/mesh/decisions/data_centre_loads.py
+++ b/azurestep/mesh/decisions/data_centre_loads.py
@@ -25,7 +25,7 @@
 MIN_SERVER_RATIO = 0.5
 """How many servers another data centre must have, relative to the local one.
 
-The requests of a fleet would crowd the last servers of a data centre that failed.
+The requests of a fleet would overload the last servers of a data centre that failed.
 """
 REFRESH_MS_PER_SERVER = 1.0
 """Time between two calculations of the means, for each backend server of the service.
@@ -125,8 +125,8 @@
         if mean is None or not server.is_sound(now_ms):
             return server.load
         weight = math.exp(min(0.0, server.reported_ms - now_ms) / MEMORY_MS)
-        told = weight * server.in_flight + (1 - weight) * mean * server.slots
+        reported = weight * server.in_flight + (1 - weight) * mean * server.slots
         since: float = server.own_in_flight - server.own_in_flight_at_report
         if since < 0:
             since *= weight  # the mean that replaces a report has them ended already
-        return max(server.own_in_flight, told + since)
+        return max(server.own_in_flight, reported + since)
--- a/tests/test_mesh_data_centre_loads.py
+++ b/tests/test_mesh_data_centre_loads.py
@@ -2,7 +2,7 @@
 
 The fault seen: with reports of 1.2 s from other data centres and runs of 0.25 s, an old
 report of a free slot drew requests to servers that had none; and requests were sent
-abroad while all data centres were equally full.
+other data centres while all were equally full.
 """
 
 import asyncio
@@ -123,8 +123,8 @@
     assert group.loads.estimate(old, 1200.0) == 0
 
 
-def test_nothing_is_sent_abroad_while_all_data_centres_are_equally_full() -> None:
-    """213 of the 400 requests went abroad, for bytes and time only."""
+def test_no_request_leaves_the_data_centre_while_all_are_equally_full() -> None:
+    """213 of the 400 requests went to other data centres without a gain."""
     fills = {"dc-0": 1.2, "dc-1": 1.2, "dc-2": 1.2}
     before, now = group_of(None), group_of(DataCentreLoads())
     for group in (before, now):
@@ -135,7 +135,7 @@
     assert set(chosen_places(now, 0.0)) == {"dc-0"}
 
 
-def test_candidates_abroad_are_those_of_the_least_loaded_data_centre() -> None:
+def test_remote_candidates_are_those_of_the_least_loaded_data_centre() -> None:
     group = group_of(DataCentreLoads())
     fill_all(group, {"dc-0": 1.6, "dc-1": 0.8, "dc-2": 0.4}, 0.0)
     assert set(chosen_places(group, 0.0)) == {"dc-2"}
@@ -159,7 +159,7 @@
         {"rate_limit_per_s": 4.0, "limited_until_ms": 100.0},
     ],
 )
-def test_idle_servers_that_fail_do_not_keep_requests_at_home(
+def test_idle_servers_that_fail_do_not_keep_requests_local(
     fault: dict[str, Any],
 ) -> None:
     """Servers that fail or refuse at once have the lowest load."""
