--- a/tests/test_mesh_data_centre_loads.py
+++ b/tests/test_mesh_data_centre_loads.py
@@ -1,7 +1,7 @@
 """Loads of data centres decide among the servers of a service with many.
 
 The fault seen: with reports of 1.2 s from other data centres and runs of 0.25 s, an old
-report of a free slot drew requests to servers that had none; and requests were sent
+report of a free slot drew requests to servers that had none; and requests were sent to
 other data centres while all were equally full.
 """
 
