--- a/bench/node_start.py
+++ b/bench/node_start.py
@@ -188,7 +188,7 @@
         for one, other in zip(starts, first, strict=True)
     ]
     return TreeFigures(
-        str(tree),
+        tree.name or ".",
         bytecode,
         len(starts),
         Start(*map(statistics.median, columns)),
