--- a/review/quota.py
+++ b/review/quota.py
@@ -4,12 +4,9 @@
 """
 
 import asyncio
-import os
-import pathlib
-import sys
 import time
-import traceback
-from collections.abc import Awaitable, Callable
+
+from playing import BROKEN, HELD
 
 from standins import (
     HOST,
@@ -60,12 +57,6 @@
 DEADLINE_MS = 1500
 READY_INTERVAL_S = 1.0
 MISSES_OUT = 2
-HELD, BROKEN, NOT_RUN = 0, 1, 2
-
-
-def has_trouble() -> bool:
-    """Return whether the case is played with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
 
 
 def document() -> bytes:
@@ -207,21 +198,3 @@
     record.write(text)
     print(text, flush=True)
     return BROKEN if broken else HELD
-
-
-def play(folder: pathlib.Path, scenario: Callable[[Record], Awaitable[int]]) -> None:
-    """Play a case, and exit with its status; 2 if it couldn't run."""
-    record = Record(folder / "record.txt")
-    try:
-        status = asyncio.run(_call(scenario, record))
-    except Exception:
-        traceback.print_exc()
-        record.write("the case couldn't run")
-        status = NOT_RUN
-    finally:
-        record.close()
-    sys.exit(status)
-
-
-async def _call(scenario: Callable[[Record], Awaitable[int]], record: Record) -> int:
-    return await scenario(record)
