--- a/review/standins.py
+++ b/review/standins.py
@@ -411,6 +411,8 @@
     ----------
     runs : dict
         When each request began to run, by its id.
+    received : list of tuple
+        Id, first line and body of each request that ran.
     """
 
     def __init__(
@@ -425,6 +427,7 @@
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
         self.runs: dict[str, list[float]] = {}
+        self.received: list[tuple[str, str, bytes]] = []
         self._running = 0
 
     async def serve(
@@ -447,7 +450,8 @@
             return message("HTTP/1.1 503 X", ["Not-Executed: 1", load])
         name = headers.get("attempt-id", "")
         self.runs.setdefault(name, []).append(time.monotonic())
-        self.record.write("run", name, "at", self.name, first)
+        self.received.append((name, first, body))
+        self.record.write("run", name, "at", self.name, first, len(body), "bytes")
         self._running += 1
         try:
             await asyncio.sleep(self.work_s)
