--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -222,6 +222,11 @@
         self._body_paused = False
         self._update_reading()
 
+    @property
+    def reading_paused(self) -> bool:
+        """Whether reading from the caller is paused."""
+        return self._paused_since_s is not None
+
     def _update_reading(self) -> None:
         transport, now_s = self._transport, self._loop.time()
         if transport is None or transport.is_closing():
--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -136,12 +136,15 @@
         self.admission.drain_deadline_ms = drain_deadline_ms
         self._schedule_scan()
 
-    def submit(self, request: Request, receiver: AnswerReceiver) -> Run:
+    def submit(
+        self, request: Request, receiver: AnswerReceiver, late_ms: float = 0.0
+    ) -> Run:
         """Admit a request and report its outcome to the receiver.
 
-        An error ends the run, so that its slot is released, and is raised.
+        ``late_ms``: how long it lay unread on its link. An error ends the run, so that
+        its slot is released, and is raised.
         """
-        run = Run(self, request, receiver)
+        run = Run(self, request, receiver, late_ms)
         self._runs[run.ticket] = run
         try:
             self._admit(run)
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -52,9 +52,14 @@
     """A request at the local backend server, from its admission to its outcome."""
 
     def __init__(
-        self, inbound: RunHost, request: Request, receiver: AnswerReceiver
+        self,
+        inbound: RunHost,
+        request: Request,
+        receiver: AnswerReceiver,
+        late_ms: float = 0.0,
     ) -> None:
         now_ms = inbound.now_ms()
+        self._late_ms = late_ms
         self._submitted_ms = now_ms
         self.inbound = inbound
         self.request = request
@@ -114,17 +119,25 @@
         """Abort the request without an outcome; the sender has dropped it."""
         if self.done:
             return
-        if self._sent_ms:
-            events.log(
-                events.RUN_CANCELLED,
-                id=self.request.request_id,
-                instance=self.request.instance_id,
-                run_ms=round(self.inbound.now_ms() - self._sent_ms),
-                answer_bytes=self._partial.size_bytes,
-            )
+        self._log_cancelled()
         self._record_slow_run()
         self._finish()
 
+    def _log_cancelled(self) -> None:
+        now_ms = self.inbound.now_ms()
+        events.log(
+            events.RUN_CANCELLED,
+            id=self.request.request_id,
+            instance=self.request.instance_id,
+            sent=self.may_have_run,
+            late_ms=round(self._late_ms),
+            waited_ms=round((self._sent_ms or now_ms) - self._submitted_ms),
+            run_ms=round(now_ms - self._sent_ms) if self.may_have_run else 0,
+            answer_bytes=self._partial.size_bytes,
+        )
+        kind = "sent" if self.may_have_run else "waiting"
+        self.inbound.runtime.metrics.count("cancelled_here", kind)
+
     @property
     def takes_pieces(self) -> bool:
         """Whether a body is to be sent in pieces; not within one node."""
--- a/azurestep/mesh/callers/record.py
+++ b/azurestep/mesh/callers/record.py
@@ -88,6 +88,8 @@
             id=self.request_id,
             route=self.route.name,
             instance=self.instance,
+            asked=self.nodes_tried,
+            runs=self.runs,
             after_ms=round(now_ms - self.arrived_ms),
         )
 
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -476,7 +476,7 @@
                 objective_ms=request.objective_ms - late_ms,
             )
         receiver = OutcomeForwarder(self, stream_id)
-        run = self.incoming_links.inbound.submit(request, receiver)
+        run = self.incoming_links.inbound.submit(request, receiver, late_ms)
         if not run.done:
             self._runs[stream_id] = run
 
