Requests were sent on for callers whose close was not read yet

Callers saw: a backend server ran requests of callers that had left before. Cause: the event loop returns the bytes of a connection in one iteration and its end in the next. A node that stood still finds both unread, and the request had been sent on, confirmed or sent again in between. A call asks before it is sent to a node, sent again or confirmed to another node, a run before it is sent to its backend server, whose sender may be a caller here or a link that has been closed. Callers that are still there are not affected: a close is a close, whenever it is read. A test double took exactly the arguments of Inbound.submit, which has one more; it takes any now.

--- a/azurestep/http/exchange.py
+++ b/azurestep/http/exchange.py
@@ -31,6 +31,9 @@
     def closes_after(self, exchange: "Exchange") -> bool:
         """Whether the connection closes after the answer to a request."""
 
+    def has_hung_up(self) -> bool:
+        """Whether the caller has closed the connection, read or not."""
+
 
 class BodySink(Protocol):
     """Receiver of one request's body and of events on its connection."""
@@ -118,6 +121,11 @@
         """Reset the connection, so that a truncated answer doesn't look complete."""
         self.connection.abort()
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether the caller has left without waiting for the answer."""
+        return not self.finished and self.connection.has_hung_up()
+
     @property
     def writable(self) -> bool:
         """Whether the connection can write this answer now."""
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -10,6 +10,7 @@
 import httptools
 
 from .exchange import Exchange, Headers
+from .hangup import has_hung_up
 from .request_meter import RequestMeter
 from .server_state import Rejection, ServerState
 
@@ -250,6 +251,13 @@
             return True
         return self._closing and exchange is self.exchanges[-1]
 
+    def has_hung_up(self) -> bool:
+        """Whether the caller has closed the connection, read or not."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return True
+        return has_hung_up(transport.get_extra_info("socket").fileno())
+
     @property
     def busy(self) -> bool:
         """Whether an answer is pending or the write buffer has unsent bytes.
--- a/azurestep/mesh/backend/interfaces.py
+++ b/azurestep/mesh/backend/interfaces.py
@@ -36,6 +36,9 @@
     def on_slot_ready(self) -> None:
         """Confirm or cancel a request, which now has a slot."""
 
+    def is_wanted(self) -> bool:
+        """Whether the caller still waits for the outcome."""
+
 
 class RunHost(Protocol):
     """The shared state of all runs at the local backend server."""
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -189,6 +189,9 @@
         if self._is_too_late():
             self.refuse(inbound.late_reason)
             return
+        if not self.receiver.is_wanted():
+            self.cancel()
+            return
         if self._needs_confirmation:
             self._request_confirmation()
             return
@@ -244,6 +247,9 @@
         elif self._is_too_late():
             self.inbound.connections.put_back(connection)
             self.refuse(self.inbound.late_reason)
+        elif not self.receiver.is_wanted():
+            self.inbound.connections.put_back(connection)
+            self.cancel()
         else:
             self._send(connection)
 
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -116,6 +116,10 @@
         self._close(cancel=True)
         self._outcome.report_disconnect()
 
+    def is_wanted(self) -> bool:
+        """Whether the caller still waits, as far as its socket tells."""
+        return not (self.done or self.exchange.is_abandoned)
+
     def on_writable(self) -> None:
         """Grant the sender of the answer more bytes."""
         self._grant_credit()
@@ -123,6 +127,9 @@
     # Dispatch to a backend server.
 
     def _dispatch(self) -> None:
+        if not self.is_wanted():
+            self.on_disconnect()
+            return
         context = self.context
         now_ms = context.runtime.now_ms()
         mean_run_ms = context.mean_run_times.get_or_zero(self.route.name)
@@ -428,6 +435,7 @@
         if (
             self.record.runs >= self.route.max_attempts
             or now_ms >= self._deadline.deadline_ms
+            or not self.is_wanted()
         ):
             return False
         if self.record.nodes_tried >= MAX_NODES_TRIED:
--- a/azurestep/mesh/callers/former_run.py
+++ b/azurestep/mesh/callers/former_run.py
@@ -22,6 +22,9 @@
     def on_earlier_lost(self, run: "EarlierRun", may_have_run: bool) -> None:
         """Handle the end of the run without an answer."""
 
+    def is_wanted(self) -> bool:
+        """Whether the caller still waits for the outcome."""
+
 
 @attrs.define(eq=False, repr=False)
 class EarlierRun:
@@ -64,6 +67,10 @@
     def on_slot_ready(self) -> None:
         """Ignore; the request was confirmed before."""
 
+    def is_wanted(self) -> bool:
+        """Whether the caller still waits for the outcome."""
+        return self.owner.is_wanted()
+
     def on_unresponsive(self, confirmed: bool) -> None:
         """Ignore; the request was retried already."""
 
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -427,6 +427,9 @@
         stream.receiver.on_failure(failure)
 
     def _on_slot_ready(self, stream: RemoteStream, _: SlotReady) -> None:
+        if not stream.receiver.is_wanted():
+            stream.cancel()
+            return
         stream.confirmed = True
         self.send(Kind.PROCEED, stream.stream_id)
         stream.receiver.on_slot_ready()
--- a/azurestep/mesh/links/guarded.py
+++ b/azurestep/mesh/links/guarded.py
@@ -46,6 +46,10 @@
         """Pass on that the request has a slot."""
         self._notify(self.receiver.on_slot_ready)
 
+    def is_wanted(self) -> bool:
+        """Whether the caller still waits for the outcome."""
+        return self.receiver.is_wanted()
+
     def _notify(self, notify: Callable[..., None], *arguments: Any) -> None:
         try:
             notify(*arguments)
--- a/azurestep/mesh/links/remote_receiver.py
+++ b/azurestep/mesh/links/remote_receiver.py
@@ -16,6 +16,9 @@
     def end_stream(self, stream_id: int) -> None:
         """Remove a request that ended."""
 
+    def has_hung_up(self) -> bool:
+        """Whether the peer has closed the link, read or not."""
+
 
 @attrs.define(eq=False, repr=False)
 class OutcomeForwarder:
@@ -53,3 +56,7 @@
     def on_slot_ready(self) -> None:
         """Ask the sender to confirm the request, which has a slot now."""
         self.link.send(Kind.SLOT_READY, self.stream_id)
+
+    def is_wanted(self) -> bool:
+        """Whether the peer may still pass an outcome on."""
+        return not self.link.has_hung_up()
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ...http.hangup import has_hung_up
 from ...quarantine import QuarantineUpdate
 from .. import events
 from ..backend.crashes import encode_updates
@@ -422,6 +423,13 @@
             message = ServerSpeed(speed.stated, speed.age_ms(now_ms))
             self.send(Kind.SERVER_SPEED, *fields_of(message))
 
+    def has_hung_up(self) -> bool:
+        """Whether the peer has closed the link, read or not."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return True
+        return has_hung_up(transport.get_extra_info("socket").fileno())
+
     @property
     def closed(self) -> bool:
         """Whether the connection has ended."""
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -129,6 +129,7 @@
     outcomes: list[str] = attrs.field(factory=list)
     asked: int = 0
     credits: list[int] = attrs.field(factory=list)
+    wanted: bool = True
     react: Callable[[str], None] = lambda event: None
 
     def on_answer(self, answer: Answer) -> None:
@@ -157,6 +158,9 @@
         self.asked += 1
         self.react("ready")
 
+    def is_wanted(self) -> bool:
+        return self.wanted
+
 
 @attrs.define(eq=False)
 class InboundHarness:
--- a/tests/test_mesh_containment.py
+++ b/tests/test_mesh_containment.py
@@ -40,7 +40,7 @@
     return run.request.request_id
 
 
-def of_submitted(inbound: Inbound, request: Any, receiver: object) -> bytes:
+def of_submitted(inbound: Inbound, request: Any, *_: object) -> bytes:
     name: bytes = request.request_id
     return name
 
