The test of a stopping quota owner asked nodes that had ended

Requests that were due within the 2.2 s before a stopping node ends were sent later. Now none is sent after that time; the counts that the test asks for are the same.

--- a/tests/test_mesh_quotas.py
+++ b/tests/test_mesh_quotas.py
@@ -62,12 +62,17 @@
 async def ask_at(
     mesh: MeshFleet, rate_per_s: float, seconds: float
 ) -> list[tuple[int, float]]:
-    """Send requests at a rate to the nodes in turn."""
+    """Send requests at a rate to the nodes in turn, and none after that time.
+
+    The nodes share the event loop; if it stands still, a stopping one may be gone.
+    """
     loop = asyncio.get_running_loop()
     begin_s = loop.time()
     tasks = []
     for number in range(int(rate_per_s * seconds)):
         await asyncio.sleep(max(0.0, begin_s + number / rate_per_s - loop.time()))
+        if loop.time() > begin_s + seconds:
+            break
         tasks.append(asyncio.create_task(ask(mesh, number)))
     return await asyncio.gather(*tasks)
 
