A node began what it read before it read the cancel

Callers saw: a backend server got requests whose callers had left while the node beside it stood still. Cause: a request was started as soon as its message was handled; its cancel came later in the same read of the link, or in the next one, or was still to be sent by a node that had stood still itself. With an idle connection at hand the bytes had left by then. Change: a request that is cancelled in the same read is not handled at all. One that lay unread for more than 400 ms, so that its caller may have left half a second ago, is confirmed by its sender before it runs, by the messages that payments use; a sender without an answer leaves the request refused and not run, and its slot free.

--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -10,6 +10,7 @@
 from ..decisions.transfers import Grant
 from ..messages import Answer, Failure, Reason, Refusal, Request
 from .answer_parts import MISDIRECTED, PartialAnswer
+from .cancelled import log_cancelled
 from .interfaces import AnswerReceiver, RunHost
 from .request_bytes import encode_body_part, encode_request
 
@@ -42,6 +43,12 @@
 Exceeds the time after which a sender abandons an unresponsive link, 250 ms; a sender
 answers within some 3 ms.
 """
+CONFIRM_LATE_AFTER_MS = 400.0
+"""Time that a request lay unread above which its sender confirms it before it runs.
+
+Its caller may have left meanwhile, and the cancel may still be unread or unsent. Less
+than the half second after which nothing may be begun for a caller that has left.
+"""
 FIRST_NON_SUCCESS_STATUS = 300
 BAD_REQUEST = 400
 SERVER_ERROR = 500
@@ -84,7 +91,9 @@
         self._pending_credit_bytes = 0
         self._sent_ms = 0.0
         self._start_ratio = NORMAL_RATIO
-        self._needs_confirmation = request.needs_confirmation
+        self._needs_confirmation = (
+            request.needs_confirmation or late_ms > CONFIRM_LATE_AFTER_MS
+        )
         self._confirmation_asked_ms = 0.0
         self.awaits_body = request.needs_confirmation and not request.whole
         self._could_end_in_time: bool | None = None
@@ -119,24 +128,17 @@
         """Abort the request without an outcome; the sender has dropped it."""
         if self.done:
             return
-        self._log_cancelled()
-        self._record_slow_run()
-        self._finish()
-
-    def _log_cancelled(self) -> None:
         now_ms = self.inbound.now_ms()
-        events.log(
-            events.RUN_CANCELLED,
-            id=self.request.request_id,
-            instance=self.request.instance_id,
-            sent=self.may_have_run,
-            late_ms=round(self._late_ms),
-            waited_ms=round((self._sent_ms or now_ms) - self._submitted_ms),
-            run_ms=round(now_ms - self._sent_ms) if self.may_have_run else 0,
+        log_cancelled(
+            self.inbound.runtime,
+            self.request,
+            self._late_ms,
+            waited_ms=(self._sent_ms or now_ms) - self._submitted_ms,
+            run_ms=now_ms - self._sent_ms if self.may_have_run else None,
             answer_bytes=self._partial.size_bytes,
         )
-        kind = "sent" if self.may_have_run else "waiting"
-        self.inbound.runtime.metrics.count("cancelled_here", kind)
+        self._record_slow_run()
+        self._finish()
 
     @property
     def takes_pieces(self) -> bool:
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -9,6 +9,7 @@
 from ...http.hangup import has_hung_up
 from ...quarantine import QuarantineUpdate
 from .. import events
+from ..backend.cancelled import log_cancelled
 from ..backend.crashes import encode_updates
 from ..backend.inbound import Inbound
 from ..backend.run import Run
@@ -380,8 +381,15 @@
             self.incoming_links.runtime.report_fault("link_in", error, id=request_id)
 
     def data_received(self, data: bytes) -> None:
-        """Decode messages and handle them."""
-        for stream_id, message in self._decoder.feed(data):
+        """Handle messages, except requests that are cancelled in the same read."""
+        messages = self._decoder.feed(data)
+        cancelled = {
+            stream_id for stream_id, message in messages if isinstance(message, Cancel)
+        }
+        for stream_id, message in messages:
+            if stream_id in cancelled and isinstance(message, Request):
+                self._skip_request(message)
+                continue
             try:
                 HANDLERS[type(message)](self, stream_id, message)
             except Exception as error:
@@ -390,6 +398,11 @@
             events.log(events.PEER_MALFORMED, cause=self._decoder.fault)
             self.abort()
 
+    def _skip_request(self, request: Request) -> None:
+        """Log a request whose sender has cancelled it before it was read."""
+        late_ms = self._record_delay(request.sent_ms)
+        log_cancelled(self.incoming_links.runtime, request, late_ms)
+
     def _handle_fault(self, stream_id: int, message: Message, error: Exception) -> None:
         """Fail the request whose handling failed; the others continue.
 
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -179,6 +179,7 @@
         *,
         may_wait: bool = True,
         body_in_pieces: bool = False,
+        late_ms: float = 0.0,
     ) -> Run:
         """Submit a read, or a request whose body comes later."""
         self.number += 1
@@ -203,7 +204,7 @@
             may_wait=may_wait,
             body_in_pieces=body_in_pieces,
         )
-        return self.inbound.submit(request, receiver)
+        return self.inbound.submit(request, receiver, late_ms)
 
     def leave(self) -> None:
         """Announce leaving and advance the clock past the drain time."""
--- a/tests/test_mesh_departed_callers.py
+++ b/tests/test_mesh_departed_callers.py
@@ -11,20 +11,24 @@
 import time
 from collections.abc import Iterator
 
+import pytest
+
 from azurestep.http.server import MAX_PIPELINED_REQUESTS, ServerConnection
-from azurestep.mesh.backend.run import FLOW_WINDOW_BYTES
+from azurestep.mesh.backend.run import CONFIRMATION_TIMEOUT_MS, FLOW_WINDOW_BYTES
 from azurestep.mesh.callers.body import MAX_BUFFERED_BODY_BYTES
 from azurestep.mesh.messages import (
     FEATURE_LEVEL,
     PROTOCOL_VERSION,
     Hello,
     Kind,
+    Reason,
     Request,
     encode,
     fields_of,
 )
 from azurestep.mesh.node import Node
 
+from .fixtures_inbound import InboundHarness, RecordingReceiver, answer
 from .fixtures_mesh import (
     CALLER_PORT,
     PEER_PORT,
@@ -202,6 +206,50 @@
     link.close()
 
 
+@pytest.mark.parametrize("late_ms", [0.0, 300.0, 500.0])
+def test_late_request_runs_once_its_sender_confirms_it(
+    harness: InboundHarness, late_ms: float
+) -> None:
+    receiver = RecordingReceiver()
+    run = harness.submit(receiver, late_ms=late_ms)
+    harness.loop.run_due()
+    if late_ms >= 500.0:
+        assert (run.may_have_run, receiver.asked) == (False, 1)
+        run.proceed()
+        harness.loop.run_due()
+    assert run.may_have_run
+    answer(run)
+    assert receiver.outcomes == ["answer"]
+
+
+def test_late_request_that_is_not_confirmed_frees_its_slot(
+    harness: InboundHarness,
+) -> None:
+    receiver = RecordingReceiver()
+    run = harness.submit(receiver, late_ms=600.0)
+    harness.loop.run_due()
+    harness.after(CONFIRMATION_TIMEOUT_MS + 1)
+    assert receiver.outcomes == [Reason.TOO_LATE.name]
+    assert not run.may_have_run
+    assert harness.inbound.admission.in_flight == 0
+
+
+def test_request_whose_caller_left_while_it_waited_does_not_start(
+    harness: InboundHarness,
+) -> None:
+    running = [harness.submit(RecordingReceiver()) for _ in range(4)]
+    leaving = RecordingReceiver()
+    waiting = harness.submit(leaving)
+    harness.loop.run_due()
+    leaving.wanted = False
+    answer(running[0])
+    harness.loop.run_due()
+    assert waiting.done
+    assert not waiting.may_have_run
+    assert leaving.outcomes == []
+    assert harness.inbound.admission.in_flight == 3
+
+
 def is_paused(node: Node) -> bool:
     """Whether a node has stopped to read from a caller."""
     return any(
