Closes went unnoticed on connections that were not read

Callers saw: work went on for them after they had closed, until its end. Cause: while 64 requests are pending, or a long body waits for room elsewhere, reading is paused, and the event loop then reports neither a close nor a reset. Change: connections that are not read are asked at each tick whether their callers have left. Pending requests also end with the end of what the caller sends, not only once the unsent bytes of former answers are out.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -44,9 +44,18 @@
         self._idle_since_s = self._loop.time()
         self.state.connections.add(self)
 
+    def eof_received(self) -> bool:
+        """Notify all pending requests, though answers may still be unsent."""
+        self._end_exchanges()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify all pending requests that the caller disconnected."""
         self.state.connections.discard(self)
+        self.state.paused.discard(self)
+        self._end_exchanges()
+
+    def _end_exchanges(self) -> None:
         self._closing = True
         exchanges, self.exchanges = self.exchanges, deque()
         for exchange in exchanges:
@@ -223,11 +232,6 @@
         self._body_paused = False
         self._update_reading()
 
-    @property
-    def reading_paused(self) -> bool:
-        """Whether reading from the caller is paused."""
-        return self._paused_since_s is not None
-
     def _update_reading(self) -> None:
         transport, now_s = self._transport, self._loop.time()
         if transport is None or transport.is_closing():
@@ -235,10 +239,12 @@
         if self._body_paused or self._pipeline_full:
             if self._paused_since_s is None:
                 self._paused_since_s = now_s
+                self.state.paused.add(self)
                 transport.pause_reading()
         elif self._paused_since_s is not None:
             self._meter.exclude(now_s - self._paused_since_s)
             self._paused_since_s = None
+            self.state.paused.discard(self)
             transport.resume_reading()
 
     def closes_after(self, exchange: Exchange) -> bool:
@@ -308,6 +314,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def abort_if_abandoned(self) -> None:
+        """Reset a connection from which nothing is read, if its caller has left."""
+        if self.has_hung_up():
+            self.abort()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being read."""
         if (
--- a/azurestep/http/server_state.py
+++ b/azurestep/http/server_state.py
@@ -24,6 +24,9 @@
     def exclude_pause(self, pause_s: float) -> None:
         """Exclude a time in which the node did not read."""
 
+    def abort_if_abandoned(self) -> None:
+        """Reset a connection from which nothing is read, if its caller has left."""
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being read."""
 
@@ -76,6 +79,9 @@
         Whether connections close after their pending answers.
     on_reject : Callable
         Called with each request that is rejected while it is read.
+    paused : set of ListenerConnection
+        Those of ``connections`` from which nothing is read for now, so that the event
+        loop doesn't report a close.
     """
 
     handler: Handler
@@ -85,12 +91,18 @@
     draining: bool = False
     on_reject: Callable[[Rejection], None] = lambda rejection: None
     connections: set[ListenerConnection] = attrs.field(factory=set)
+    paused: set[ListenerConnection] = attrs.field(factory=set)
 
     def sweep(self, now_s: float) -> None:
         """Enforce the timeouts of all connections."""
         for connection in list(self.connections):
             connection.check_timeouts(now_s)
 
+    def abort_abandoned(self) -> None:
+        """Reset connections from which nothing is read and whose callers have left."""
+        for connection in list(self.paused):
+            connection.abort_if_abandoned()
+
     def exclude_pause(self, pause_s: float) -> None:
         """Exclude a pause of this node from the timeouts of callers."""
         for connection in self.connections:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -620,6 +620,7 @@
         self.members.called_routes.update(self.inbound.caller_detector.called_routes())
         run_guarded(self.configuration_watcher.tick)
         run_guarded(self.version_fetcher.tick, now_ms)
+        run_guarded(self.callers.abort_abandoned)
         self._ticks += 1
         if self._ticks % STATE_BROADCAST_TICKS == 0:
             run_guarded(self.schedule_state_broadcast)
--- a/tests/test_mesh_departed_callers.py
+++ b/tests/test_mesh_departed_callers.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from azurestep.http.server import MAX_PIPELINED_REQUESTS, ServerConnection
+from azurestep.http.server import MAX_PIPELINED_REQUESTS
 from azurestep.mesh.backend.run import CONFIRMATION_TIMEOUT_MS, FLOW_WINDOW_BYTES
 from azurestep.mesh.callers.body import MAX_BUFFERED_BODY_BYTES
 from azurestep.mesh.messages import (
@@ -252,10 +252,7 @@
 
 def is_paused(node: Node) -> bool:
     """Whether a node has stopped to read from a caller."""
-    return any(
-        isinstance(one, ServerConnection) and one.reading_paused
-        for one in node.callers.connections
-    )
+    return bool(node.callers.paused)
 
 
 async def test_requests_end_with_callers_from_which_no_more_is_read(
