Callers that left took tokens of their team's quota with them

Callers saw: 429 below their team's limit, after a node had stood still while others of the team gave up. Cause: a request takes a token when it is read; when its caller left before it was sent on, nobody returned it. Evidence: 40 requests read after a stall, whose callers had left, and five of callers that stayed: the five got 429. They are answered 200 now, and none of the 40 runs. Change: a call that ends with its caller returns the token of a run that has not begun and never will: it was not sent on, or not confirmed. One that may run keeps it. Test: test_callers_that_left_take_no_tokens_from_those_that_stay, which failed before.

--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -113,6 +113,7 @@
         """Cancel the request, since its caller has disconnected."""
         if self.done:
             return
+        self._return_unused_tokens()
         self._close(cancel=True)
         self._outcome.report_disconnect()
 
@@ -457,6 +458,15 @@
             self._holds_retry_token = False
             self.context.quotas.give_back(self.record.team)
 
+    def _return_unused_tokens(self) -> None:
+        """Return the quota's tokens of runs that have not begun and never will."""
+        if self._stream is not None and self._stream.may_have_run:
+            return
+        if self._possible_runs:
+            self._return_retry_token()
+        elif self.record.team:
+            self.context.quotas.give_back(self.record.team)
+
     def _refuse_without_endpoint(self) -> None:
         refusal = self._refusal
         if refusal is None:
--- a/tests/test_mesh_departed_callers.py
+++ b/tests/test_mesh_departed_callers.py
@@ -9,7 +9,7 @@
 import struct
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import pytest
 
@@ -50,10 +50,15 @@
 """More than the event loop returns with one read of a socket."""
 
 
-def encode_request(name: str, method: str = "GET", body: bytes = b"") -> bytes:
-    """Return the bytes of a read or a payment."""
+def encode_request(
+    name: str,
+    method: str = "GET",
+    body: bytes = b"",
+    fields: Mapping[str, str] | None = None,
+) -> bytes:
+    """Return the bytes of a read or a payment, with further header fields."""
     path = "/read/1" if method == "GET" else "/pay/1"
-    fields = caller_headers(name)
+    fields = {**caller_headers(name), **(fields or {})}
     if body:
         fields["Content-Length"] = str(len(body))
     head = "".join(f"{key}: {value}\r\n" for key, value in fields.items())
--- a/tests/test_mesh_quotas.py
+++ b/tests/test_mesh_quotas.py
@@ -13,6 +13,12 @@
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 
 from .fixtures_mesh import MeshFleet, MeshLines, caller_headers, document
+from .test_mesh_departed_callers import (
+    Stall,
+    count_runs,
+    encode_request,
+    send_and_leave,
+)
 from .test_mesh_leaving_header import restart_node
 
 KEY = "k3y-of-riggers"
@@ -248,6 +254,22 @@
     assert owners == [owner]
 
 
+async def test_callers_that_left_take_no_tokens_from_those_that_stay(
+    quota_mesh: MeshFleet,
+) -> None:
+    """Guards against a quota used up by requests that were never sent on."""
+    await ask_at(quota_mesh, RATE_PER_S / 2, 0.5)
+    await asyncio.sleep(1.0)
+    instance = quota_mesh.instances[0]
+    key = {"Authorization": f"Token {KEY}"}
+    requests = [encode_request(f"left-{i}", fields=key) for i in range(40)]
+    Stall(send_and_leave(instance, [], requests, "close")).play()
+    await asyncio.sleep(0.05)
+    statuses = [(await ask(quota_mesh, 3 * number))[0] for number in range(5)]
+    assert statuses == [200] * 5
+    assert count_runs(quota_mesh, "left-") == 0
+
+
 def delay_configuration(node: Node, late_s: float, patch: pytest.MonkeyPatch) -> None:
     """Let a node that has just started get its configuration later."""
     loop, plain = asyncio.get_running_loop(), Configuration.apply
