Answers without end were read until the deadline

Callers saw: 504 at the end of their deadline, also for reads that another backend server could have answered, when a faulty server sent bytes that are no answer and did not stop. Cause: heads, trailers, framing, interim answers and answers to other requests had no limit, and a body without a signature was kept whole, however long. Change: an answer's head, or what stands between parts of its body, has 64 KiB at most; answers to other requests that are skipped, 16 MiB; a body that isn't signed, what is buffered, 256 KiB. Beyond that the connection is reset, event 9505 tells which request, reads are repeated elsewhere and payments fail with 502, having run once. A signed body without end is held back by the flow window, as before, until the deadline. Test: eight kinds of such answers, with bounds on what the server could send and on memory; a read repeated elsewhere; a caller that doesn't read.

--- a/azurestep/http/client.py
+++ b/azurestep/http/client.py
@@ -21,6 +21,12 @@
 """Time after which a reduced reuse limit is reset."""
 
 
+MAX_FRAMING_BYTES = 65_536
+"""Longest head of an answer, and longest framing between parts of its body."""
+MAX_SKIPPED_BYTES = 16_777_216
+"""Bytes of answers to other requests that are skipped while one is awaited."""
+ENDLESS = "endless"
+"""Reason of a failure because bytes kept coming that are no part of the answer."""
 FAULT = "fault"
 """Reason of a failure caused by an internal error, not by the other end."""
 
@@ -58,6 +64,8 @@
         self._paused_writing = False
         self._paused_reading = False
         self._sent_whole = True
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self.lost = False
         self.request_count = 0
@@ -84,6 +92,7 @@
         self._sink = sink
         self._skipping = False
         self._sent_whole = whole
+        self._framing_bytes = self._skipped_bytes = 0
         self.request_count += 1
         if self._transport is not None:
             self._transport.write(data)
@@ -135,6 +144,7 @@
             self.close()
             return
         sink = self._sink
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -144,6 +154,20 @@
             self._must_close = True
             self._fail("malformed")
             self.close()
+        else:
+            self._enforce_limits()
+
+    def _enforce_limits(self) -> None:
+        """Reset the connection if bytes come without end that are no answer."""
+        if (
+            self._framing_bytes > MAX_FRAMING_BYTES
+            or self._skipped_bytes > MAX_SKIPPED_BYTES
+        ):
+            self._headers = []
+            sink = self._sink
+            self.abort()
+            if sink is not None:
+                sink.on_failed(ENDLESS)
 
     def _fault(self, sink: AnswerSink) -> None:
         """Fail a request whose sink raised; the event loop reports the error.
@@ -197,7 +221,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a chunk of the body to the sink."""
-        if self._sink is not None and not self._skipping:
+        self._framing_bytes = 0
+        if self._skipping:
+            self._skipped_bytes += len(data)
+        elif self._sink is not None:
             self._sink.on_data(data)
 
     def on_message_complete(self) -> None:
@@ -207,6 +234,7 @@
         if self._skipping:
             self._skipping = False
             return
+        self._framing_bytes = 0
         self._finish()
 
     def _finish(self) -> None:
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ...http.client import FAULT, ClientConnection, Headers
+from ...http.client import ENDLESS, FAULT, ClientConnection, Headers
 from ...platform.headers import AnswerFields
 from .. import events
 from ..decisions.admission import Ticket
@@ -311,6 +311,9 @@
             body = parts.pop_body()
             self._answer_bytes_in_transit = len(body)
             self.receiver.on_answer(self._answer(body, whole=False))
+        elif parts.size_bytes > MAX_BUFFERED_BYTES:
+            self._log_endless()
+            self.fail(Reason.UNSIGNED)
 
     def _forward(self, data: bytes, whole: bool) -> None:
         self._answer_bytes_in_transit += len(data)
@@ -399,6 +402,8 @@
             return
         reasons = {"closed": Reason.CLOSED, "reset": Reason.RESET}
         failure_reason = reasons.get(reason, Reason.MALFORMED)
+        if reason == ENDLESS:
+            self._log_endless()
         connection = self._connection
         if self._partial.fields is None and connection is not None:
             self.inbound.record_connection_loss(self.request, connection, self._sent_ms)
@@ -406,6 +411,15 @@
             Reason.TRUNCATED if self._partial.fields is not None else failure_reason
         )
 
+    def _log_endless(self) -> None:
+        events.log(
+            events.ANSWER_ENDLESS,
+            id=self.request.request_id,
+            instance=self.request.instance_id,
+            has_head=self._partial.fields is not None,
+            body_bytes=self._partial.size_bytes,
+        )
+
     def enforce_timeouts(self, now_ms: float) -> None:
         """End a request whose confirmation, body or answer is overdue."""
         waited_ms = (
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -163,6 +163,12 @@
 RUN_CANCELLED = register(
     9504, logging.INFO, "request cancelled by the sending node before the answer"
 )
+ANSWER_ENDLESS = register(
+    9505,
+    logging.WARNING,
+    "backend server sent bytes that are no answer, without end",
+    "check the backend server; its connection was reset and the request failed",
+)
 
 ROLLOUT_BEGUN = register(9601, logging.INFO, "roll-out of a version begun")
 ROLLOUT_PHASE = register(9602, logging.INFO, "roll-out entered a phase")
