--- a/tests/test_mesh_departed_callers.py
+++ b/tests/test_mesh_departed_callers.py
@@ -88,15 +88,25 @@
     return callers
 
 
-class Stall:
-    """Blocks the event loop while callers act in a thread."""
+class Acting:
+    """Callers that act in threads, also while the event loop stands still."""
 
     def __init__(self, *acts: Iterator[None]) -> None:
         self._threads = [threading.Thread(target=list, args=(act,)) for act in acts]
 
-    def play(self) -> None:
+    @property
+    def ended(self) -> bool:
+        """Whether all callers have done what they do."""
+        return not any(thread.is_alive() for thread in self._threads)
+
+    def start(self) -> None:
+        """Let the callers act."""
         for thread in self._threads:
             thread.start()
+
+    def play(self) -> None:
+        """Let the callers act while the event loop stands still."""
+        self.start()
         time.sleep(STALL_S)
         for thread in self._threads:
             thread.join()
@@ -136,7 +146,7 @@
         names = [f"left-{method}-{how}-{kept}-{index}" for index in range(CALLERS)]
         requests = [encode_request(name, method, body) for name in names]
         acts.append(send_and_leave(instance, callers, requests, how))
-    Stall(*acts).play()
+    Acting(*acts).play()
     await asyncio.sleep(0.3)
     assert count_runs(mesh, "left-") == 0
 
@@ -205,7 +215,7 @@
         link.sendall(encode(Kind.CANCEL, 4))
         yield
 
-    Stall(send_in_two_reads()).play()
+    Acting(send_in_two_reads()).play()
     await asyncio.sleep(0.1)
     assert counters["backend_requests", ""] == before
     link.close()
--- a/tests/test_mesh_quotas.py
+++ b/tests/test_mesh_quotas.py
@@ -14,7 +14,7 @@
 
 from .fixtures_mesh import MeshFleet, MeshLines, caller_headers, document
 from .test_mesh_departed_callers import (
-    Stall,
+    Acting,
     count_runs,
     encode_request,
     send_and_leave,
@@ -263,7 +263,7 @@
     instance = quota_mesh.instances[0]
     key = {"Authorization": f"Token {KEY}"}
     requests = [encode_request(f"left-{i}", fields=key) for i in range(40)]
-    Stall(send_and_leave(instance, [], requests, "close")).play()
+    Acting(send_and_leave(instance, [], requests, "close")).play()
     await asyncio.sleep(0.05)
     statuses = [(await ask(quota_mesh, 3 * number))[0] for number in range(5)]
     assert statuses == [200] * 5
