The soak draws callers that leave at every stage

Three callers a node send reads and payments in pieces and close or reset new and kept connections within the head, within the body, right behind the request or later, beside all faults of a plan. Checked: no more than three requests reach a server over half a second after their callers left, where links were not in trouble; their payments run once too. Their requests count in the demand of their team.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from .demand import calls_at_low_demand
-from .records import Call, KeySpan, Limit, Observations
+from .records import Call, Departure, KeySpan, Limit, Observations
 
 TOO_MANY = 429
 NOT_RUN = frozenset({TOO_MANY, 503})
@@ -30,15 +30,20 @@
 RECOVERED_SHARE = 0.9
 FEW_CALLS = 20
 CAUSE_SHOWN = 200
+DEPARTED_S = 0.5
+"""Time after a caller has left from which on nothing may be begun for it."""
+FEW_DEPARTED = 3
+"""Requests that may cross their callers' closes in spite of that."""
 Check = Callable[[Observations], Iterator[str]]
 
 
 def ran_once(seen: Observations) -> Iterator[str]:
     """Yield requests that must not repeat and ran more than once."""
     runs = Counter(arrival.name for arrival in seen.arrivals)
-    for call in seen.calls:
-        if not call.idempotent and runs[call.name] > 1:
-            yield f"{call.name} ran {runs[call.name]} times"
+    attempts: list[Call | Departure] = [*seen.calls, *seen.departures]
+    for one in attempts:
+        if not one.idempotent and runs[one.name] > 1:
+            yield f"{one.name} ran {runs[one.name]} times"
 
 
 def refusals_are_true(seen: Observations) -> Iterator[str]:
@@ -49,6 +54,30 @@
             yield f"{call.name} was refused with {call.status} and ran"
 
 
+def nothing_is_begun_for_the_departed(seen: Observations) -> Iterator[str]:
+    """Yield requests that reached a server long after their callers had left.
+
+    Not where links were in trouble meanwhile, as a cancel may not come through.
+    """
+    departures = {one.name: one for one in seen.departures}
+    late = []
+    for arrival in seen.arrivals:
+        departure = departures.get(arrival.name)
+        if departure is None:
+            continue
+        late_s = arrival.at_s - departure.left_s
+        cut = any(
+            trouble.node is None
+            and trouble.from_s < arrival.at_s
+            and trouble.to_s > departure.left_s
+            for trouble in seen.troubles
+        )
+        if late_s > DEPARTED_S and not cut:
+            late.append(f"{arrival.name} reached {arrival.instance_id} {late_s:.2f} s")
+    if len(late) > FEW_DEPARTED:
+        yield from (f"{one} after its caller had left" for one in late)
+
+
 def answers_are_own(seen: Observations) -> Iterator[str]:
     """Yield successes that are not the whole answer to their own request."""
     for call in seen.calls:
@@ -284,6 +313,7 @@
 CHECKS: tuple[Check, ...] = (
     ran_once,
     refusals_are_true,
+    nothing_is_begun_for_the_departed,
     answers_are_own,
     answers_come_in_time,
     drained_servers_are_left_alone,
--- a/soak/demand.py
+++ b/soak/demand.py
@@ -60,8 +60,10 @@
         for call in sorted(seen.calls, key=lambda call: call.sent_s)
         if call.key in teams and call.status != NO_CONNECTION
     ]
-    for call in calls:
-        demands[teams[call.key or ""]].record(call.sent_s)
+    asked = [(call.sent_s, call.key) for call in calls]
+    asked += [(one.sent_s, one.key) for one in seen.departures if one.key in teams]
+    for sent_s, key in sorted(asked, key=lambda one: one[0]):
+        demands[teams[key or ""]].record(sent_s)
     for call in calls:
         if demands[teams[call.key or ""]].was_low(call.sent_s, call.ended_s):
             yield call
--- a/soak/records.py
+++ b/soak/records.py
@@ -39,6 +39,24 @@
     key: str | None = None
 
 
+@attrs.frozen
+class Departure:
+    """One attempt whose caller left without an answer.
+
+    Attributes
+    ----------
+    sent_s, left_s : float
+        When its first byte was sent, and when the connection was closed.
+    """
+
+    name: str
+    node: int
+    idempotent: bool
+    sent_s: float
+    left_s: float
+    key: str | None = None
+
+
 @attrs.frozen
 class Arrival:
     """One request at a backend server.
@@ -143,6 +161,7 @@
     """
 
     calls: list[Call] = attrs.field(factory=list)
+    departures: list[Departure] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     leavings: list[Leaving] = attrs.field(factory=list)
     limits: list[Limit] = attrs.field(factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 )
 from .callers import Caller, LongCaller
 from .checks import broken
+from .departing import DepartingCaller
 from .faults import BACK_S, Stage, strike
 from .fleet import NODE, Fleet
 from .lines import read_crashes, read_faults
@@ -33,6 +34,7 @@
 """With runs of 60 ms, some four requests are under way at each backend server when a
 fault strikes; with a third of that, a node that repeats payments was not found."""
 LONG_CALLERS_PER_NODE = 3
+DEPARTING_PER_NODE = 3
 REST_S = 2.5
 """Time after the last request in which a late one would still run."""
 
@@ -112,6 +114,7 @@
     stage = Stage(fleet, seen, random)
     few = plan.instances * CALLERS_PER_NODE
     many = few + plan.instances * LONG_CALLERS_PER_NODE
+    departing = many + plan.instances
     callers = [
         asyncio.create_task(
             Caller(index, index % plan.instances, fleet, seen, random).run()
@@ -131,6 +134,14 @@
         asyncio.create_task(PieceCaller(many + index, index, fleet, seen, random).run())
         for index in range(plan.instances)
     ]
+    callers += [
+        asyncio.create_task(
+            DepartingCaller(
+                departing + index, index % plan.instances, fleet, seen, random
+            ).run()
+        )
+        for index in range(plan.instances * DEPARTING_PER_NODE)
+    ]
     seen.calm_from_s = start_s + plan.duration_s - CALM_S + BACK_S
     # Long requests that were sent before the calm began get their answers in it.
     await asyncio.sleep(plan.duration_s - CALM_S + BACK_S)
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -44,6 +44,12 @@
     call.Call.__init__ = init  # type: ignore[method-assign]
 
 
+def keep_departed_calls() -> None:
+    """Go on with the requests of callers that have left."""
+    ServerConnection.has_hung_up = lambda self: False  # type: ignore[method-assign]
+    call.Call.on_disconnect = lambda self: None  # type: ignore[method-assign]
+
+
 def deny_runs() -> None:
     """Say of requests that may have run that they have not."""
 
@@ -229,6 +235,7 @@
     function.__name__: function
     for function in (
         repeat_payments,
+        keep_departed_calls,
         deny_runs,
         alter_answers,
         ignore_limits,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,6 +10,7 @@
 from soak.records import (
     Arrival,
     Call,
+    Departure,
     KeySpan,
     Leaving,
     Limit,
@@ -73,6 +74,18 @@
     seen.calls[0] = attrs.evolve(PAYMENT, status=503)
 
 
+def begun_for_nobody(seen: Observations) -> None:
+    for index in range(checks.FEW_DEPARTED + 1):
+        name = f"d{index}"
+        seen.departures.append(Departure(name, 0, True, 10.0, 10.2))
+        seen.arrivals.append(Arrival(name, "i-0-0", 10.8))
+
+
+def departed_payment_twice(seen: Observations) -> None:
+    seen.departures.append(Departure("d", 0, False, 10.0, 10.2))
+    seen.arrivals += [Arrival("d", "i-0-0", 10.1), Arrival("d", "i-1-0", 10.2)]
+
+
 def foreign_answer(seen: Observations) -> None:
     seen.calls[1] = attrs.evolve(READ, own=False)
 
@@ -135,6 +148,8 @@
     ("damage", "check"),
     [
         (twice, checks.ran_once),
+        (departed_payment_twice, checks.ran_once),
+        (begun_for_nobody, checks.nothing_is_begun_for_the_departed),
         (false_refusal, checks.refusals_are_true),
         (foreign_answer, checks.answers_are_own),
         (late_answer, checks.answers_come_in_time),
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -4,12 +4,13 @@
 
 import pytest
 
-from soak import callers
+from soak import callers, run
 from soak.demand import calls_at_low_demand
 from soak.plan import (
     APART_KINDS,
     DRAIN_S,
     KINDS,
+    LONGEST_S,
     NOTICE_KINDS,
     RETURN_KINDS,
     STOP_LASTS_S,
@@ -20,6 +21,7 @@
     KeyRemoved,
     KeyRemovedApart,
     Kill,
+    Pause,
     Plan,
     Publish,
     ServerCrash,
@@ -213,6 +215,20 @@
     shutil.rmtree(result.logs)
 
 
+async def test_a_node_that_begins_work_for_departed_callers_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(run, "DEPARTING_PER_NODE", 4 * run.DEPARTING_PER_NODE)
+    faults = tuple(
+        Pause(0.5 + node * (LONGEST_S + 1), LONGEST_S, node) for node in range(NODES)
+    )
+    program = ("-m", "tests.broken_node", "keep_departed_calls", "sidecar")
+    result = await play(Plan(SEED, NODES, faults), 3, program)
+    assert "nothing_is_begun_for_the_departed" in result.broken
+    assert result.logs is not None
+    shutil.rmtree(result.logs)
+
+
 @pytest.mark.parametrize(
     ("breakage", "kind", "check"),
     [
