--- a/soak/pieces.py
+++ b/soak/pieces.py
@@ -33,10 +33,13 @@
         body = b"u" * self.random.choice(BODY_BYTES)
         return Sending("/read/", "/read/x", body, True)
 
+    async def _call(self, session: ClientSession) -> None:
+        await asyncio.sleep(self.random.uniform(0, 2 * PIECES_PAUSE_S))
+        await super()._call(session)
+
     async def _send(
         self, session: ClientSession, name: str, sending: Sending, key: str | None
     ) -> tuple[int, bool]:
-        await asyncio.sleep(self.random.uniform(0, 2 * PIECES_PAUSE_S))
         content = self._content(name, sending, key)
         try:
             async with asyncio.timeout(sending.deadline_s + GIVE_UP_S):
