--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -259,10 +259,7 @@
 
     def has_hung_up(self) -> bool:
         """Whether the caller has closed the connection, read or not."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return True
-        return has_hung_up(transport.get_extra_info("socket").fileno())
+        return has_hung_up(self._transport)
 
     @property
     def busy(self) -> bool:
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -46,8 +46,8 @@
 CONFIRM_LATE_AFTER_MS = 400.0
 """Time that a request lay unread above which its sender confirms it before it runs.
 
-Its caller may have left meanwhile, and the cancel may still be unread or unsent. Less
-than the half second after which nothing may be begun for a caller that has left.
+Its caller may have left meanwhile, and the cancel may be unread or unsent. Below the
+half second after which nothing may be begun for a caller that has left.
 """
 FIRST_NON_SUCCESS_STATUS = 300
 BAD_REQUEST = 400
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -438,10 +438,7 @@
 
     def has_hung_up(self) -> bool:
         """Whether the peer has closed the link, read or not."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return True
-        return has_hung_up(transport.get_extra_info("socket").fileno())
+        return has_hung_up(self._transport)
 
     @property
     def closed(self) -> bool:
