The line of a cancel tells how late the cancel came

Operators saw when a run was cancelled, not whether its cancel was late, so a late cancel looked like a caller that left late. A cancel carries its sender's clock now, event 9504 tells the delay in excess of the link's usual one, and a histogram counts it.

--- a/azurestep/mesh/backend/cancelled.py
+++ b/azurestep/mesh/backend/cancelled.py
@@ -10,6 +10,7 @@
     request: Request,
     late_ms: float,
     *,
+    cancel_late_ms: float = 0.0,
     waited_ms: float = 0.0,
     run_ms: float | None = None,
     answer_bytes: int = 0,
@@ -20,6 +21,8 @@
     ----------
     late_ms : float
         How long it lay unread on its link.
+    cancel_late_ms : float
+        How long the cancel was delayed on the link.
     waited_ms : float
         How long it waited here for a slot.
     run_ms : float, optional
@@ -34,8 +37,10 @@
         instance=request.instance_id,
         sent=sent,
         late_ms=round(late_ms),
+        cancel_late_ms=round(cancel_late_ms),
         waited_ms=round(waited_ms),
         run_ms=round(run_ms or 0.0),
         answer_bytes=answer_bytes,
     )
     runtime.metrics.count("cancelled_here", "sent" if sent else "waiting")
+    runtime.metrics.cancel_late_ms.record(cancel_late_ms)
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -124,8 +124,11 @@
             if not self.awaits_body:
                 self.start()
 
-    def cancel(self) -> None:
-        """Abort the request without an outcome; the sender has dropped it."""
+    def cancel(self, cancel_late_ms: float = 0.0) -> None:
+        """Abort the request without an outcome; the sender has dropped it.
+
+        ``cancel_late_ms``: how long the cancel was delayed on its link.
+        """
         if self.done:
             return
         now_ms = self.inbound.now_ms()
@@ -133,6 +136,7 @@
             self.inbound.runtime,
             self.request,
             self._late_ms,
+            cancel_late_ms=cancel_late_ms,
             waited_ms=(self._sent_ms or now_ms) - self._submitted_ms,
             run_ms=now_ms - self._sent_ms if self.may_have_run else None,
             answer_bytes=self._partial.size_bytes,
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -32,7 +32,15 @@
 
 @attrs.frozen(slots=True, eq=False, repr=False)
 class Cancel(Value):
-    """Cancels a request whose answer is no longer needed."""
+    """Cancels a request whose answer is no longer needed.
+
+    Attributes
+    ----------
+    sent_ms : float
+        The sender's clock when it cancelled the request; 0 if it doesn't tell.
+    """
+
+    sent_ms: float = 0.0
 
 
 @attrs.frozen(slots=True, eq=False, repr=False)
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -146,7 +146,7 @@
     def cancel(self) -> None:
         """Cancel the request."""
         if self.connection.streams.pop(self.stream_id, None) is not None:
-            self.connection.send(Kind.CANCEL, self.stream_id)
+            self.connection.send_cancel(self.stream_id)
             self.connection.close_if_done()
 
     @property
@@ -309,6 +309,13 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encode(kind, *fields))
 
+    def send_cancel(self, stream_id: int) -> None:
+        """Cancel a request, and tell when, if the peer knows that."""
+        if self.feature_level < PIECES_FEATURE_LEVEL:
+            self.send(Kind.CANCEL, stream_id)
+        else:
+            self.send(Kind.CANCEL, stream_id, self.link.runtime.now_ms())
+
     def ping(self) -> None:
         """Send a probe."""
         self.last_probe_ms = self.link.runtime.now_ms()
@@ -334,7 +341,7 @@
             if stream.confirmed and stream.reroutable:
                 self._notify_unresponsive(stream)
             elif not stream.confirmed:
-                self.send(Kind.CANCEL, stream_id)
+                self.send_cancel(stream_id)
                 self._fail(stream_id, stream)
         self._retired = True
         self.close_if_done()
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -523,10 +523,11 @@
         if run is not None:
             run.proceed()
 
-    def _on_cancel(self, stream_id: int, _: Cancel) -> None:
+    def _on_cancel(self, stream_id: int, cancel: Cancel) -> None:
         run = self._runs.pop(stream_id, None)
         if run is not None:
-            run.cancel()
+            late_ms = self._record_delay(cancel.sent_ms) if cancel.sent_ms else 0.0
+            run.cancel(late_ms)
 
     def _on_withdraw(self, stream_id: int, _: Withdraw) -> None:
         run = self._runs.get(stream_id)
--- a/azurestep/mesh/metrics.py
+++ b/azurestep/mesh/metrics.py
@@ -48,6 +48,7 @@
 
     call_ms: Histogram = attrs.field(factory=Histogram)
     run_ms: Histogram = attrs.field(factory=Histogram)
+    cancel_late_ms: Histogram = attrs.field(factory=Histogram)
     counters: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     gauges: dict[str, float] = attrs.field(factory=dict)
     teams: TeamMetrics = attrs.field(factory=TeamMetrics)
@@ -58,7 +59,11 @@
 
     def text(self) -> str:
         """Return all metrics in the text format."""
-        lines = [*self.call_ms.lines("call_ms"), *self.run_ms.lines("run_ms")]
+        lines = [
+            *self.call_ms.lines("call_ms"),
+            *self.run_ms.lines("run_ms"),
+            *self.cancel_late_ms.lines("cancel_late_ms"),
+        ]
         for (name, label), value in sorted(self.counters.items()):
             labels = f'{{kind="{label}"}}' if label else ""
             lines.append(f"azurestep_{name}_total{labels} {value}")
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -657,7 +657,7 @@
     "pong": OnLink(4, WHOLE_LINK, False, link.Pong()),
     "request": OnLink(5, 7, True, REQUEST),
     "body": OnLink(6, 7, True, link.Body(b"\xffmore", True)),
-    "cancel": OnLink(7, 7, True, link.Cancel()),
+    "cancel": OnLink(7, 7, True, link.Cancel(1234.5)),
     "answer": OnLink(
         8,
         7,
@@ -758,6 +758,11 @@
     assert decoded(pinned, True) == [(WHOLE_LINK, link.ConfigurationQuery(0))]
 
 
+def test_cancel_of_a_former_node_is_read() -> None:
+    pinned = bytes.fromhex(PINNED["cancel_of_a_former_node"])
+    assert decoded(pinned, True) == [(7, link.Cancel(0.0))]
+
+
 @pytest.mark.parametrize("name", ON_LINKS)
 def test_fields_of_a_later_version_are_skipped(name: str) -> None:
     sample = ON_LINKS[name]
