--- a/tests/fixtures_mesh.py
+++ b/tests/fixtures_mesh.py
@@ -129,6 +129,7 @@
     path: pathlib.Path
     instances: list[MeshInstance] = attrs.field(factory=list)
     counts_former_runs: bool = False
+    link_mbps: dict[int, float] = attrs.field(factory=dict)
 
     async def add(
         self, index: int, version: str = "v1", service: str = "shop"
@@ -205,6 +206,7 @@
             backend_address=(host, BACKEND_PORT),
             store_address=(STORE_HOST, STORE_PORT),
             counts_former_runs=self.counts_former_runs,
+            link_mbps=self.link_mbps.get(index, 0.0),
         )
         return Node(settings, self.path, Runtime(asyncio.get_running_loop()))
 
--- a/tests/test_mesh_departed_callers.py
+++ b/tests/test_mesh_departed_callers.py
@@ -165,13 +165,15 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
 
-def encode_link_request(instance: MeshInstance, name: str, stream_id: int) -> bytes:
+def encode_link_request(
+    instance: MeshInstance, name: str, stream_id: int, objective_ms: float = 400.0
+) -> bytes:
     """Return the message of a read for the backend server beside a node."""
     backend = instance.node.backend
     request = Request(
         b"GET",
         b"/read/1",
-        [(b"Host", b"shop.example")],
+        [(b"Host", b"shop.example"), (b"Attempt-Id", name.encode())],
         "shop",
         backend.incarnation.instance_id,
         "read",
@@ -179,8 +181,8 @@
         b"shop",
         True,
         2,
-        1000.0,
-        400.0,
+        objective_ms + 600.0,
+        objective_ms,
         now_ms(),
         0,
         True,
