Cancels waited behind bodies on the link of a narrow sender

Backend servers went on with reads whose callers had left: the cancel was sent, and waited in the bytes of its node's link behind bodies. Receivers ask for as much as 50 ms of their own link take; several that ask at once, or one with a wide link, fill that of a narrow sender. So did bodies that are streamed. Confirmations waited as well, and uploads were refused for it.

A node paces the bodies that it sends to all peers: no more than 50 ms of its own link, and 80% of its rate; everything else overtakes. Pieces of requests that have ended are dropped. Nodes that don't know the rate of their link send as before.

--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -47,6 +47,7 @@
     fields_of,
 )
 from ..runtime import Runtime
+from .body_sender import BodySender
 from .decoding import NO_STREAM, PEER_CONNECTION_SCHEMAS, Decoder
 from .interfaces import CallReceiver, FleetListener
 
@@ -65,6 +66,7 @@
     """The link that a connection belongs to."""
 
     runtime: Runtime
+    body_sender: BodySender
     connection: "PeerConnection | None"
     condition: ServerCondition | None
     due_ms: float
@@ -140,9 +142,18 @@
     request_id: bytes = b""
 
     def add_body(self, data: bytes, whole: bool) -> None:
-        """Send more of the body."""
+        """Send more of the body, at the pace of the link."""
+        self.connection.link.body_sender.send(self, data, whole)
+
+    def write_body(self, data: bytes, whole: bool) -> None:
+        """Write a piece of the body to the link."""
         self.connection.send(Kind.BODY, self.stream_id, data, whole)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the request still waits for its outcome."""
+        return self.stream_id in self.connection.streams
+
     def cancel(self) -> None:
         """Cancel the request."""
         if self.connection.streams.pop(self.stream_id, None) is not None:
--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -27,6 +27,7 @@
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
+from .body_sender import BodySender
 from .connection import (
     BUSY_PROBE_INTERVAL_MS,
     UNRESPONSIVE_AFTER_MS,
@@ -86,6 +87,8 @@
 
     Attributes
     ----------
+    body_sender : BodySender
+        Sender of request bodies, which all links of the node share.
     up : bool
         Whether the peer answers.
     endpoint : Endpoint
@@ -103,6 +106,7 @@
     runtime: Runtime
     address: Address
     listener: LinkListener
+    body_sender: BodySender
     endpoint: Endpoint = attrs.field(init=False)
     connection: PeerConnection | None = None
     up: bool = False
--- a/azurestep/mesh/links/members.py
+++ b/azurestep/mesh/links/members.py
@@ -28,6 +28,7 @@
 from ..messages import Hello, Request, State
 from ..runtime import Runtime
 from ..settings import Address
+from .body_sender import BodySender
 from .guarded import GuardedReceiver
 from .interfaces import CallReceiver, Stream
 from .link import PeerLink
@@ -97,6 +98,8 @@
         peers that answer have changed, since this was last reset.
     called_routes : set of str
         Routes on which services call others, as any node found.
+    body_sender : BodySender
+        Sender of request bodies to all peers.
     """
 
     runtime: Runtime
@@ -120,6 +123,7 @@
     newest_version: int = 0
     pressure_changed: bool = True
     called_routes: set[str] = attrs.field(factory=set)
+    body_sender: BodySender = attrs.field(init=False)
     _local: Endpoint = attrs.field(init=False)
     _up_count: int = 0
     _groups: dict[str, EndpointGroup] | None = None
@@ -129,6 +133,7 @@
     _watched: set[Address] | None = None
 
     def __attrs_post_init__(self) -> None:
+        self.body_sender = BodySender(self.runtime)
         self._local = Endpoint(
             self.own_address, "", NO_INCARNATION, self.data_centre, open=False
         )
@@ -139,7 +144,9 @@
             return
         link = self.links.get(address)
         if link is None:
-            self.links[address] = PeerLink(self.runtime, address, self)
+            self.links[address] = PeerLink(
+                self.runtime, address, self, self.body_sender
+            )
         elif not link.up:
             link.dial_soon()
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -146,8 +146,6 @@
             ),
             table=lambda: self.configuration.table,
         )
-        if settings.link_mbps:
-            self.inbound.transfers.link_bytes_per_ms = settings.link_mbps * 125
         self.store_era = StoreEra(self._on_store_era)
         self.members = Members(
             runtime,
@@ -160,6 +158,7 @@
             self._apply_rollout,
             self._apply_trial_counts,
         )
+        self._apply_link_rate()
         self.configuration = Configuration(
             self._on_configuration, random=runtime.random
         )
@@ -508,6 +507,12 @@
         isolated = self.members.count() == 1
         return isolated and not self.configuration_watcher.store_reachable
 
+    def _apply_link_rate(self) -> None:
+        if self.settings.link_mbps:
+            rate_bytes_per_ms = self.settings.link_mbps * 125
+            self.inbound.transfers.link_bytes_per_ms = rate_bytes_per_ms
+            self.members.body_sender.pacer.link_bytes_per_ms = rate_bytes_per_ms
+
     def _apply_revocation_bound(self) -> None:
         bounds = self.settings.bounds
         self.outbound.key_freshness.bound_ms = (
--- a/tests/test_mesh_speed.py
+++ b/tests/test_mesh_speed.py
@@ -26,6 +26,7 @@
 )
 from azurestep.mesh.incarnation import Incarnation
 from azurestep.mesh.link_messages import ServerSpeed
+from azurestep.mesh.links.body_sender import BodySender
 from azurestep.mesh.links.decoding import PEER_CONNECTION_SCHEMAS, Decoder
 from azurestep.mesh.links.link import PeerLink
 from azurestep.mesh.links.server import IncomingLink, IncomingLinks
@@ -481,7 +482,8 @@
     harness: InboundHarness,
 ) -> None:
     listener: Any = None
-    link = PeerLink(harness.inbound.runtime, ("10.0.0.2", 7102), listener)
+    runtime = harness.inbound.runtime
+    link = PeerLink(runtime, ("10.0.0.2", 7102), listener, BodySender(runtime))
     connection: Any = link.connection
     link.on_speed(connection, ServerSpeed(2.5, 250.0))
     now_ms = harness.loop.now_ms
