The close of a cancelled run waited behind its body

A run was cancelled in time, and its backend server went on: the close that tells it so comes only after all bytes that it has yet to read, of a long body for one. The same holds for a link that is given up with cancels behind unsent bodies, though its method promised a reset.

The event loop's abort drops its own buffer only; the kernel still sends what it holds before the close.

Both reset the connection now, which drops the bytes and reaches the other end at once. Connections of callers are closed as before, since answers on them are still read. The stand-in of a backend server takes a reset for a close, as real ones do.

--- a/azurestep/http/client.py
+++ b/azurestep/http/client.py
@@ -10,6 +10,8 @@
 import attrs
 import httptools
 
+from .hangup import reset
+
 Headers = list[tuple[bytes, bytes]]
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
@@ -108,7 +110,7 @@
         self._sink = None
         self.lost = True
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def close(self) -> None:
         """Close the connection."""
--- a/azurestep/http/hangup.py
+++ b/azurestep/http/hangup.py
@@ -1,11 +1,17 @@
-"""Whether the other end of a connection has closed it, even behind unread bytes.
+"""Ends of connections that don't wait behind bytes: seen here, and sent.
 
-An event loop reports a close only after the bytes before it, in a later iteration.
+An event loop reports a close only after the bytes before it, in a later iteration. A
+close that is sent reaches the other end only after all bytes that it has yet to read.
 """
 
 import asyncio
+import contextlib
 import select
+import socket
+import struct
 
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Lets a close drop the unsent bytes and reset the connection."""
 HANGUP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -34,3 +40,15 @@
     poller = select.poll()
     poller.register(descriptor, select.POLLRDHUP)
     return any(events & HANGUP for _, events in poller.poll(0))
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that its other end notices at once.
+
+    Bytes that it has not read are lost.
+    """
+    if not transport.is_closing():
+        with contextlib.suppress(OSError):
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ...http.hangup import reset
 from .. import events
 from ..link_messages import (
     AnswerData,
@@ -340,7 +341,7 @@
     def abort(self) -> None:
         """Reset the connection, so that unsent bytes are dropped."""
         if self._transport is not None:
-            self._transport.abort()
+            reset(self._transport)
 
     def retire(self) -> None:
         """Take the connection out of use; close it once nothing waits for an answer.
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -203,7 +203,7 @@
         try:
             while self.running >= self.slots or self._queue[0] is not received:
                 await asyncio.sleep(POLL_S)
-                if reader.at_eof():
+                if _is_closed(reader):
                     self.cancelled += 1
                     raise ConnectionError
         finally:
@@ -213,11 +213,16 @@
         end = asyncio.get_running_loop().time() + work_s
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(POLL_S)
-            if reader.at_eof() and not self.keeps_runs:
+            if _is_closed(reader) and not self.keeps_runs:
                 self.cancelled += 1
                 raise ConnectionError
 
 
+def _is_closed(reader: asyncio.StreamReader) -> bool:
+    """Whether the other end has closed or reset the connection."""
+    return reader.at_eof() or reader.exception() is not None
+
+
 def _work_s(target: str, usual_s: float) -> float:
     asked_ms = target.rpartition("ms=")[2] if "ms=" in target else ""
     return int(asked_ms) / 1000 if asked_ms else usual_s
