--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -3,6 +3,7 @@
 import types
 import typing
 from typing import Any
+from unittest.mock import Mock
 
 import attrs
 import msgpack
@@ -108,6 +109,9 @@
     def write(self, data: bytes) -> None:
         """Ignore the data."""
 
+    def get_extra_info(self, name: str) -> Mock:
+        return Mock()
+
     def abort(self) -> None:
         self.aborted = True
 
