Reads that waited at another node began though nobody was known to want them

A read waits in the queue of another node, its caller leaves, and nothing tells so: the caller's node stands still, or this one does and its timer starts the queue before it reads the cancel. The read began whenever a slot was free.

One question before any request is sent to its backend server, whatever it waited for (a slot, the link, a connection): if its sender has not sent or confirmed anything of it for 400 ms, it is asked. It answers within a round trip where it is alive; without an answer the request is refused, has not run, and its slot is free after 400 ms. The same question covered requests that were read late.

--- a/azurestep/mesh/backend/inbound.py
+++ b/azurestep/mesh/backend/inbound.py
@@ -137,14 +137,24 @@
         self._schedule_scan()
 
     def submit(
-        self, request: Request, receiver: AnswerReceiver, late_ms: float = 0.0
+        self,
+        request: Request,
+        receiver: AnswerReceiver,
+        late_ms: float = 0.0,
+        confirms_again: bool = False,
     ) -> Run:
         """Admit a request and report its outcome to the receiver.
 
-        ``late_ms``: how long it lay unread on its link. An error ends the run, so that
-        its slot is released, and is raised.
+        An error ends the run, so that its slot is released, and is raised.
+
+        Parameters
+        ----------
+        late_ms : float
+            How long the request lay unread on its link.
+        confirms_again : bool
+            Whether another node sent it, which can be asked whether it still wants it.
         """
-        run = Run(self, request, receiver, late_ms)
+        run = Run(self, request, receiver, late_ms, confirms_again)
         self._runs[run.ticket] = run
         try:
             self._admit(run)
--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -43,11 +43,12 @@
 Exceeds the time after which a sender abandons an unresponsive link, 250 ms; a sender
 answers within some 3 ms.
 """
-CONFIRM_LATE_AFTER_MS = 400.0
-"""Time that a request lay unread above which its sender confirms it before it runs.
+CONFIRMED_FOR_MS = 400.0
+"""Time after a request was sent or confirmed in which it may be begun.
 
-Its caller may have left meanwhile, and the cancel may be unread or unsent. Below the
-half second after which nothing may be begun for a caller that has left.
+Later, its caller may have left and the cancel may be unread or unsent, so its sender
+is asked again. Below the half second after which nothing may be begun for a caller
+that has left.
 """
 FIRST_NON_SUCCESS_STATUS = 300
 BAD_REQUEST = 400
@@ -64,10 +65,13 @@
         request: Request,
         receiver: AnswerReceiver,
         late_ms: float = 0.0,
+        confirms_again: bool = False,
     ) -> None:
         now_ms = inbound.now_ms()
         self._late_ms = late_ms
+        self._confirms_again = confirms_again
         self._submitted_ms = now_ms
+        self._wanted_ms = now_ms - late_ms
         self.inbound = inbound
         self.request = request
         self.receiver = receiver
@@ -92,7 +96,7 @@
         self._sent_ms = 0.0
         self._start_ratio = NORMAL_RATIO
         self._needs_confirmation = (
-            request.needs_confirmation or late_ms > CONFIRM_LATE_AFTER_MS
+            request.needs_confirmation or late_ms > CONFIRMED_FOR_MS
         )
         self._confirmation_asked_ms = 0.0
         self.awaits_body = request.needs_confirmation and not request.whole
@@ -104,6 +108,7 @@
         """Handle more of the request's body."""
         if self.done:
             return
+        self._wanted_ms = self.inbound.now_ms()
         self._whole = whole
         if self._connection is None:
             self._buffered_body.append(data)
@@ -119,6 +124,7 @@
         """Handle the sender's confirmation: send the request once its body is here."""
         if self._needs_confirmation:
             self._needs_confirmation = False
+            self._wanted_ms = self.inbound.now_ms()
             if self.done or not self._confirmation_asked_ms:
                 return
             if not self.awaits_body:
@@ -189,17 +195,7 @@
     def start(self) -> None:
         """Send the request, which holds a slot, to the backend server."""
         inbound = self.inbound
-        if not inbound.backend.admits(inbound.now_ms()):
-            self.refuse(Reason.LEAVING)
-            return
-        if self._is_too_late():
-            self.refuse(inbound.late_reason)
-            return
-        if not self.receiver.is_wanted():
-            self.cancel()
-            return
-        if self._needs_confirmation:
-            self._request_confirmation()
+        if not self._may_begin():
             return
         max_idle_ms = None if self.request.idempotent else MAX_IDLE_UNSAFE_MS
         connection = inbound.connections.idle.take(
@@ -210,6 +206,30 @@
             return
         inbound.runtime.spawn(self._connect())
 
+    def _may_begin(self) -> bool:
+        """Whether the request may be sent to the backend server now.
+
+        Otherwise it is ended here, or its sender is asked to confirm it.
+        """
+        inbound = self.inbound
+        if not inbound.backend.admits(inbound.now_ms()):
+            self.refuse(Reason.LEAVING)
+        elif self._is_too_late():
+            self.refuse(inbound.late_reason)
+        elif not self.receiver.is_wanted():
+            self.cancel()
+        elif self._needs_confirmation or self._is_doubtful():
+            self._needs_confirmation = True
+            self._request_confirmation()
+        else:
+            return True
+        return False
+
+    def _is_doubtful(self) -> bool:
+        """Whether too much time has passed since the sender last wanted the request."""
+        age_ms = self.inbound.now_ms() - self._wanted_ms
+        return age_ms > CONFIRMED_FOR_MS and self._confirms_again
+
     def _is_too_late(self) -> bool:
         """Whether a request that could end in time can't any more.
 
@@ -247,17 +267,10 @@
             return
         if connection is None:
             self.refuse(Reason.UNREACHABLE)
-        elif not self.inbound.backend.admits(self.inbound.now_ms()):
-            self.inbound.connections.put_back(connection)
-            self.refuse(Reason.LEAVING)
-        elif self._is_too_late():
-            self.inbound.connections.put_back(connection)
-            self.refuse(self.inbound.late_reason)
-        elif not self.receiver.is_wanted():
-            self.inbound.connections.put_back(connection)
-            self.cancel()
-        else:
+        elif self._may_begin():
             self._send(connection)
+        else:
+            self.inbound.connections.put_back(connection)
 
     def _send(self, connection: ClientConnection) -> None:
         self._connection = connection
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -184,14 +184,14 @@
             self.exchange.connection.resume_reading()
 
     def on_slot_ready(self) -> None:
-        """Send a body that was held back until the request had a slot."""
+        """Send a body that was held back until the request had a slot, once only."""
         endpoint = self._selector.endpoint
         if self._stream is None or endpoint is None:
             return
         if not self._request_builder.defers_body(endpoint):
             return
         if self._stream.takes_pieces:
-            self._pieces = BodyPieces(self._body.content())
+            self._pieces = self._pieces or BodyPieces(self._body.content())
         else:
             self._stream.add_body(self._body.content(), True)
 
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -35,6 +35,7 @@
     Withdraw,
 )
 from ..messages import (
+    CONFIRM_AGAIN_FEATURE_LEVEL,
     TEAM_FEATURE_LEVEL,
     Hello,
     Kind,
@@ -494,7 +495,12 @@
                 objective_ms=request.objective_ms - late_ms,
             )
         receiver = OutcomeForwarder(self, stream_id)
-        run = self.incoming_links.inbound.submit(request, receiver, late_ms)
+        run = self.incoming_links.inbound.submit(
+            request,
+            receiver,
+            late_ms,
+            self.feature_level >= CONFIRM_AGAIN_FEATURE_LEVEL,
+        )
         if not run.done:
             self._runs[stream_id] = run
 
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -16,7 +16,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 PROTOCOL_VERSION = 2
-FEATURE_LEVEL = 4
+FEATURE_LEVEL = 5
 """Rises with each field that is added to a message. Nodes of level 0 reject messages
 with fields that they don't know; later ones skip them."""
 PIECES_FEATURE_LEVEL = 1
@@ -28,6 +28,9 @@
 the speed of backend servers."""
 HANDOVER_FEATURE_LEVEL = 4
 """Nodes from this level on take accounts of quotas over from other nodes."""
+CONFIRM_AGAIN_FEATURE_LEVEL = 5
+"""Nodes from this level on confirm any request that was sent to another node, as often
+as they are asked."""
 REQUEST_FIELDS_AT_LEVEL_0 = 19
 """Fields of a request that nodes of level 0 read for sure."""
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
--- a/tests/fixtures_inbound.py
+++ b/tests/fixtures_inbound.py
@@ -180,6 +180,7 @@
         may_wait: bool = True,
         body_in_pieces: bool = False,
         late_ms: float = 0.0,
+        confirms_again: bool = False,
     ) -> Run:
         """Submit a read, or a request whose body comes later."""
         self.number += 1
@@ -204,7 +205,7 @@
             may_wait=may_wait,
             body_in_pieces=body_in_pieces,
         )
-        return self.inbound.submit(request, receiver, late_ms)
+        return self.inbound.submit(request, receiver, late_ms, confirms_again)
 
     def leave(self) -> None:
         """Announce leaving and advance the clock past the drain time."""
