--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -370,16 +370,21 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the peer's requests."""
         self.incoming_links.remove(self)
-        runs, self._runs = self._runs, {}
-        for run in runs.values():
-            self._cancel_run(run)
+        for stream_id in list(self._runs):
+            self._cancel_run(stream_id)
 
-    def _cancel_run(self, run: Run) -> None:
-        try:
-            run.cancel()
-        except Exception as error:
-            request_id = run.request.request_id
-            self.incoming_links.runtime.report_fault("link_in", error, id=request_id)
+    def _cancel_run(self, stream_id: int, late_ms: float = 0.0) -> None:
+        """Cancel a request, unless it has ended.
+
+        ``late_ms``: how long the cancel was delayed.
+        """
+        run = self._runs.pop(stream_id, None)
+        if run is not None:
+            try:
+                run.cancel(late_ms)
+            except Exception as error:
+                runtime = self.incoming_links.runtime
+                runtime.report_fault("link_in", error, id=run.request.request_id)
 
     def data_received(self, data: bytes) -> None:
         """Handle messages, except requests that are cancelled in the same read."""
@@ -410,13 +415,11 @@
         The run is cancelled rather than failed, so that the internal error doesn't
         count against the backend server. A sender that has an outcome ignores this one.
         """
-        runtime = self.incoming_links.runtime
-        run = self._runs.pop(stream_id, None)
+        run = self._runs.get(stream_id)
         request = message if run is None else run.request
         request_id = request.request_id if isinstance(request, Request) else b""
-        runtime.report_fault("link_in", error, id=request_id)
-        if run is not None:
-            runtime.run_guarded("run", run.cancel)
+        self.incoming_links.runtime.report_fault("link_in", error, id=request_id)
+        self._cancel_run(stream_id)
         if stream_id != NO_STREAM:
             in_flight = self.incoming_links.inbound.admission.in_flight
             self.send(Kind.FAILURE, stream_id, int(Reason.FAULT), in_flight)
@@ -530,10 +533,8 @@
             run.proceed()
 
     def _on_cancel(self, stream_id: int, cancel: Cancel) -> None:
-        run = self._runs.pop(stream_id, None)
-        if run is not None:
-            late_ms = self._record_delay(cancel.sent_ms) if cancel.sent_ms else 0.0
-            run.cancel(late_ms)
+        late_ms = self._record_delay(cancel.sent_ms) if cancel.sent_ms else 0.0
+        self._cancel_run(stream_id, late_ms)
 
     def _on_withdraw(self, stream_id: int, _: Withdraw) -> None:
         run = self._runs.get(stream_id)
