--- a/soak/checks.py
+++ b/soak/checks.py
@@ -78,6 +78,27 @@
         yield from (f"{one} after its caller had left" for one in late)
 
 
+def no_work_goes_on_for_the_departed(seen: Observations) -> Iterator[str]:
+    """Yield reads that servers worked on long after their callers had left.
+
+    Only where both nodes were out of trouble from well before on.
+    """
+    departures = {one.name: one for one in seen.departures if one.idempotent}
+    late = []
+    for end in seen.work_ends:
+        departure = departures.get(end.name)
+        if departure is None:
+            continue
+        late_s = end.at_s - departure.left_s
+        nodes = (departure.node, int(end.instance_id.split("-")[1]))
+        calm_from_s = departure.left_s - STABILITY_S
+        calm = not any(seen.troubled(one, calm_from_s, end.at_s) for one in nodes)
+        if late_s > DEPARTED_S and calm:
+            late.append(f"{end.name} at {end.instance_id} {late_s:.2f} s")
+    if len(late) > FEW_DEPARTED:
+        yield from (f"{one} after its caller had left" for one in late)
+
+
 def answers_are_own(seen: Observations) -> Iterator[str]:
     """Yield successes that are not the whole answer to their own request."""
     for call in seen.calls:
@@ -314,6 +335,7 @@
     ran_once,
     refusals_are_true,
     nothing_is_begun_for_the_departed,
+    no_work_goes_on_for_the_departed,
     answers_are_own,
     answers_come_in_time,
     drained_servers_are_left_alone,
--- a/soak/departing.py
+++ b/soak/departing.py
@@ -5,7 +5,8 @@
 import attrs
 from aiohttp import ClientSession
 
-from .callers import PAYMENT_SHARE, Sending
+from .callers import LONG_DEADLINE_S, PAYMENT_SHARE, Sending
+from .document import LONG_PATH
 from .pieces import PieceCaller
 from .records import Departure
 
@@ -14,6 +15,9 @@
 RESET_SHARE = 0.5
 CUT_SHARE = 0.3
 """Part of the requests whose callers leave before they have sent them whole."""
+LONG_SHARE = 0.3
+"""Part of the reads whose work would outlast their callers by far."""
+LONG_WORK_MS = 2000
 WAITS_S = (0.0, 0.0, 0.02, 0.1, 0.5)
 """Times for which a caller waits behind a request that it has sent whole."""
 PAUSE_S = 0.15
@@ -27,6 +31,9 @@
         """Return the next request."""
         if self.random.random() < PAYMENT_SHARE:
             return Sending("/pay/", "/pay/x", name.encode(), False)
+        if self.random.random() < LONG_SHARE:
+            target = f"{LONG_PATH}x?ms={LONG_WORK_MS}"
+            return Sending(LONG_PATH, target, b"", True, LONG_DEADLINE_S)
         return super().draw(name)
 
     async def _call(self, session: ClientSession) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -195,6 +195,7 @@
     )
     server.arrivals = former.arrivals
     server.arrived_headers = former.arrived_headers
+    server.work_ends = former.work_ends
     server.unqueued = former.unqueued
     server.work_percent = former.work_percent and 100
     server.queue_length = former.queue_length
--- a/soak/records.py
+++ b/soak/records.py
@@ -76,6 +76,15 @@
     shows_key: bool = False
 
 
+@attrs.frozen
+class WorkEnd:
+    """The end of a backend server's work for a request, answered or not."""
+
+    name: str
+    instance_id: str
+    at_s: float
+
+
 @attrs.frozen
 class Leaving:
     """A backend server's leaving, acknowledged by its node."""
@@ -163,6 +172,7 @@
     calls: list[Call] = attrs.field(factory=list)
     departures: list[Departure] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
+    work_ends: list[WorkEnd] = attrs.field(factory=list)
     leavings: list[Leaving] = attrs.field(factory=list)
     limits: list[Limit] = attrs.field(factory=list)
     publications: list[Publication] = attrs.field(factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,7 +27,7 @@
 from .lines import read_crashes, read_faults
 from .pieces import PieceCaller
 from .plan import CALM_S, Plan
-from .records import Arrival, Observations
+from .records import Arrival, Observations, WorkEnd
 from .teams import KEY_MARK
 
 CALLERS_PER_NODE = 6
@@ -85,6 +85,7 @@
             servers = [one.server for one in fleet.instances]
             await fleet.stop()
     seen.arrivals = [one for server in servers for one in _arrivals(server)]
+    seen.work_ends = [WorkEnd(*one) for server in servers for one in server.work_ends]
     seen.overfilled = [one.instance_id for one in servers if one.unqueued]
     seen.keys = [] if fleet.keyring is None else fleet.keyring.spans
     seen.faults = read_faults(directory)
--- a/standins/signing_server.py
+++ b/standins/signing_server.py
@@ -63,6 +63,8 @@
         Id, incarnation and time of each request that ran.
     arrived_headers : list of dict
         Headers of the same requests, in the same order.
+    work_ends : list of tuple
+        Id, incarnation and time of each end of work, with an answer or without.
     unqueued : int
         Requests that were left unanswered since the queue was full.
     """
@@ -83,6 +85,7 @@
     received: list[Received] = attrs.field(factory=list)
     arrivals: list[tuple[str, str, float]] = attrs.field(factory=list)
     arrived_headers: list[dict[str, str]] = attrs.field(factory=list)
+    work_ends: list[tuple[str, str, float]] = attrs.field(factory=list)
     unqueued: int = 0
     connections: int = 0
     running: int = 0
@@ -168,6 +171,8 @@
             await self._work(reader, work_s * (self.work_percent or 100) / 100)
         finally:
             self.running -= 1
+            ended_s = asyncio.get_running_loop().time()
+            self.work_ends.append((name, self.instance_id, ended_s))
         self.answered += 1
         return signed(received, received.body or b"hello", headers=self._notice())
 
--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -23,6 +23,7 @@
 from azurestep.mesh.decisions.quota_demand import Demand
 from azurestep.mesh.decisions.stopping import ShutdownPlan
 from azurestep.mesh.knowledge import configuration
+from azurestep.mesh.links.connection import PeerConnection
 from azurestep.mesh.messages import Answer, Failure, Reason
 from azurestep.mesh.quotas.control import Quotas
 from azurestep.platform.announcement import Heartbeat
@@ -50,6 +51,16 @@
     call.Call.on_disconnect = lambda self: None  # type: ignore[method-assign]
 
 
+def cancel_late() -> None:
+    """Hold cancels back for a second and more."""
+    send = PeerConnection.send_cancel
+
+    def send_late(self: PeerConnection, stream_id: int) -> None:
+        self.link.runtime.loop.call_later(1.5, send, self, stream_id)
+
+    PeerConnection.send_cancel = send_late  # type: ignore[method-assign]
+
+
 def deny_runs() -> None:
     """Say of requests that may have run that they have not."""
 
@@ -236,6 +247,7 @@
     for function in (
         repeat_payments,
         keep_departed_calls,
+        cancel_late,
         deny_runs,
         alter_answers,
         ignore_limits,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -17,6 +17,7 @@
     Observations,
     Publication,
     Trouble,
+    WorkEnd,
 )
 
 PAYMENT = Call("p1", 0, "/pay/", False, 10.0, 10.1, 200, True)
@@ -81,6 +82,13 @@
         seen.arrivals.append(Arrival(name, "i-0-0", 10.8))
 
 
+def work_for_nobody(seen: Observations) -> None:
+    for index in range(checks.FEW_DEPARTED + 1):
+        name = f"d{index}"
+        seen.departures.append(Departure(name, 0, True, 10.0, 10.2))
+        seen.work_ends.append(WorkEnd(name, "i-1-0", 10.8))
+
+
 def departed_payment_twice(seen: Observations) -> None:
     seen.departures.append(Departure("d", 0, False, 10.0, 10.2))
     seen.arrivals += [Arrival("d", "i-0-0", 10.1), Arrival("d", "i-1-0", 10.2)]
@@ -150,6 +158,7 @@
         (twice, checks.ran_once),
         (departed_payment_twice, checks.ran_once),
         (begun_for_nobody, checks.nothing_is_begun_for_the_departed),
+        (work_for_nobody, checks.no_work_goes_on_for_the_departed),
         (false_refusal, checks.refusals_are_true),
         (foreign_answer, checks.answers_are_own),
         (late_answer, checks.answers_come_in_time),
@@ -170,6 +179,15 @@
     assert set(checks.broken(seen)) == {check.__name__}
 
 
+@pytest.mark.parametrize("node", [None, 0, 1])
+def test_work_is_not_held_against_nodes_in_trouble(
+    seen: Observations, node: int | None
+) -> None:
+    work_for_nobody(seen)
+    seen.troubles.append(Trouble(node, 8.0, 8.5))
+    assert checks.broken(seen) == {}
+
+
 @pytest.mark.parametrize("damage", [late_answer, overdue_version, lost_version])
 def test_a_node_in_trouble_is_not_held_to_bounds(seen: Observations, damage) -> None:  # type: ignore[no-untyped-def]
     damage(seen)
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -229,6 +229,17 @@
     shutil.rmtree(result.logs)
 
 
+async def test_a_node_that_cancels_late_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(run, "DEPARTING_PER_NODE", 4 * run.DEPARTING_PER_NODE)
+    program = ("-m", "tests.broken_node", "cancel_late", "sidecar")
+    result = await play(Plan(SEED, NODES, (Publish(0.5, 0.5, 0),)), 3, program)
+    assert "no_work_goes_on_for_the_departed" in result.broken
+    assert result.logs is not None
+    shutil.rmtree(result.logs)
+
+
 @pytest.mark.parametrize(
     ("breakage", "kind", "check"),
     [
