--- a/soak/departing.py
+++ b/soak/departing.py
@@ -16,7 +16,10 @@
 CUT_SHARE = 0.3
 """Part of the requests whose callers leave before they have sent them whole."""
 LONG_SHARE = 0.3
-"""Part of the reads whose work would outlast their callers by far."""
+"""Part of the reads whose work would outlast their callers by far.
+
+None where there are teams, whose surges need the slots.
+"""
 LONG_WORK_MS = 2000
 WAITS_S = (0.0, 0.0, 0.02, 0.1, 0.5)
 """Times for which a caller waits behind a request that it has sent whole."""
@@ -31,7 +34,7 @@
         """Return the next request."""
         if self.random.random() < PAYMENT_SHARE:
             return Sending("/pay/", "/pay/x", name.encode(), False)
-        if self.random.random() < LONG_SHARE:
+        if self.fleet.keyring is None and self.random.random() < LONG_SHARE:
             target = f"{LONG_PATH}x?ms={LONG_WORK_MS}"
             return Sending(LONG_PATH, target, b"", True, LONG_DEADLINE_S)
         return super().draw(name)
