--- a/azurestep/http/hangup.py
+++ b/azurestep/http/hangup.py
@@ -1,4 +1,4 @@
-"""Ends of connections that don't wait behind bytes: seen here, and sent.
+"""Closes of connections that don't wait behind unread bytes, as noticed and as sent.
 
 An event loop reports a close only after the bytes before it, in a later iteration. A
 close that is sent reaches the other end only after all bytes that it has yet to read.
--- a/tests/test_mesh_departures_at_work.py
+++ b/tests/test_mesh_departures_at_work.py
@@ -119,6 +119,17 @@
     return {one.server.instance_id: one.host for one in narrow_mesh.instances}
 
 
+def count_held(mesh: MeshFleet) -> dict[str, int]:
+    """Return how many requests all nodes still hold, at each stage."""
+    nodes = [one.node for one in mesh.instances]
+    links = [link for node in nodes for link in node.members.links.values()]
+    return {
+        "calls": sum(len(node.call_context.calls_in_flight) for node in nodes),
+        "sent": sum(len(one.connection.streams) for one in links if one.connection),
+        "runs": sum(len(node.inbound._runs) for node in nodes),
+    }
+
+
 async def make_trouble(mesh: MeshFleet, trouble: str) -> list[asyncio.Task[int]]:
     """Strike at the node that is asked, or at its first peer."""
     await asyncio.sleep(SPAN_S / 2)
@@ -163,6 +174,7 @@
         and ended_s - left_s[caller] > LATE_S
     ]
     assert late == []
+    assert count_held(narrow_mesh) == {"calls": 0, "sent": 0, "runs": 0}
     if trouble == "none":
         assert [one.status for one in readers if one.stays] == [200] * sum(
             one.stays for one in readers
