--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak import callers, run
+from soak import callers, departing, run
 from soak.demand import calls_at_low_demand
 from soak.plan import (
     APART_KINDS,
@@ -232,7 +232,9 @@
 async def test_a_node_that_cancels_late_is_found(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(run, "DEPARTING_PER_NODE", 4 * run.DEPARTING_PER_NODE)
+    shares = {"PAYMENT_SHARE": 0.0, "CUT_SHARE": 0.0, "LONG_SHARE": 1.0}
+    for name, share in shares.items():
+        monkeypatch.setattr(departing, name, share)
     program = ("-m", "tests.broken_node", "cancel_late", "sidecar")
     result = await play(Plan(SEED, NODES, (Publish(0.5, 0.5, 0),)), 3, program)
     assert "no_work_goes_on_for_the_departed" in result.broken
