The test of repeated reads left to chance whether the endless server is asked

It reads until that server was asked, 90 times at most; each read has to be answered as before, nine at least.

--- a/tests/test_mesh_endless_answers.py
+++ b/tests/test_mesh_endless_answers.py
@@ -23,6 +23,8 @@
 MOST_SENT_BYTES = 24 * 1024 * 1024
 """More than the limits and the buffers of the sockets hold; a server that is read
 without end sends some GB before a deadline."""
+MOST_READS = 90
+"""Reads among which chance leaves out no backend server."""
 MOST_HELD_BYTES = 24 * 1024 * 1024
 """Memory that one such answer may take, for the copies in flight in one process."""
 OK_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\n"
@@ -178,8 +180,10 @@
 ) -> None:
     instance = mesh.instances[0]
     server = await replace_server(instance, end_of_name)
-    answers = [await mesh.get(instance, "/read/1", f"r{number}") for number in range(9)]
-    assert answers == [(200, b"hello")] * 9
+    for number in range(MOST_READS):
+        assert await mesh.get(instance, "/read/1", f"r{number}") == (200, b"hello")
+        if number >= 9 and server.requests:
+            break
     assert server.requests > 0
     await server.stop()
 
