Confirmations and bodies that lay unread began requests whose cancels lay beside them

What callers saw: a payment or an upload of a caller that had left reached its backend server after the node beside it had stood still, and was cancelled in the same turn of the loop. A read that had been asked about again likewise.

Cause: only the request itself was skipped if its cancel came in the same read. A confirmation and the last piece of a body were handled first, and counted as of now, however long they had lain unread; so the check for requests nobody is known to want passed.

Change: all messages of a request that is cancelled in the same read are skipped. What confirms a request counts as of the time at which its sender was asked for it: when the confirmation was requested, or the piece of the body granted. The sender can't have answered before, so nobody who is still there is asked more often than a stall makes necessary.

--- a/azurestep/mesh/backend/run.py
+++ b/azurestep/mesh/backend/run.py
@@ -44,7 +44,7 @@
 answers within some 3 ms.
 """
 CONFIRMED_FOR_MS = 400.0
-"""Time after a request was sent or confirmed in which it may be begun.
+"""Time in which a request may be begun after its sender is known to have wanted it.
 
 Later, its caller may have left and the cancel may be unread or unsent, so its sender
 is asked again. Below the half second after which nothing may be begun for a caller
@@ -99,6 +99,7 @@
             request.needs_confirmation or late_ms > CONFIRMED_FOR_MS
         )
         self._confirmation_asked_ms = 0.0
+        self._granted_ms = 0.0
         self.awaits_body = request.needs_confirmation and not request.whole
         self._could_end_in_time: bool | None = None
 
@@ -108,7 +109,7 @@
         """Handle more of the request's body."""
         if self.done:
             return
-        self._wanted_ms = self.inbound.now_ms()
+        self._record_wanted(self._granted_ms)
         self._whole = whole
         if self._connection is None:
             self._buffered_body.append(data)
@@ -124,12 +125,19 @@
         """Handle the sender's confirmation: send the request once its body is here."""
         if self._needs_confirmation:
             self._needs_confirmation = False
-            self._wanted_ms = self.inbound.now_ms()
+            self._record_wanted(self._confirmation_asked_ms)
             if self.done or not self._confirmation_asked_ms:
                 return
             if not self.awaits_body:
                 self.start()
 
+    def _record_wanted(self, asked_ms: float) -> None:
+        """Record that the sender has answered what it was asked then.
+
+        The answer may have lain unread since.
+        """
+        self._wanted_ms = max(self._wanted_ms, asked_ms)
+
     def cancel(self, cancel_late_ms: float = 0.0) -> None:
         """Abort the request without an outcome; the sender has dropped it.
 
@@ -226,7 +234,7 @@
         return False
 
     def _is_doubtful(self) -> bool:
-        """Whether too much time has passed since the sender last wanted the request."""
+        """Whether the sender may no longer want the request, and can be asked."""
         age_ms = self.inbound.now_ms() - self._wanted_ms
         return age_ms > CONFIRMED_FOR_MS and self._confirms_again
 
@@ -245,6 +253,7 @@
 
     def request_body(self, grant: Grant) -> None:
         """Ask the sender for a piece of the body, and to confirm the request."""
+        self._granted_ms = self.inbound.now_ms()
         if grant.is_first:
             self._request_confirmation()
         if self.request.body_in_pieces and not self.done:
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -387,14 +387,14 @@
                 runtime.report_fault("link_in", error, id=run.request.request_id)
 
     def data_received(self, data: bytes) -> None:
-        """Handle messages, except requests that are cancelled in the same read."""
+        """Handle messages, except those of requests cancelled in the same read."""
         messages = self._decoder.feed(data)
         cancelled = {
             stream_id for stream_id, message in messages if isinstance(message, Cancel)
         }
         for stream_id, message in messages:
-            if stream_id in cancelled and isinstance(message, Request):
-                self._skip_request(message)
+            if stream_id in cancelled and not isinstance(message, Cancel):
+                self._skip(message)
                 continue
             try:
                 HANDLERS[type(message)](self, stream_id, message)
@@ -404,10 +404,11 @@
             events.log(events.PEER_MALFORMED, cause=self._decoder.fault)
             self.abort()
 
-    def _skip_request(self, request: Request) -> None:
+    def _skip(self, message: Message) -> None:
         """Log a request whose sender has cancelled it before it was read."""
-        late_ms = self._record_delay(request.sent_ms)
-        log_cancelled(self.incoming_links.runtime, request, late_ms)
+        if isinstance(message, Request):
+            late_ms = self._record_delay(message.sent_ms)
+            log_cancelled(self.incoming_links.runtime, message, late_ms)
 
     def _handle_fault(self, stream_id: int, message: Message, error: Exception) -> None:
         """Fail the request whose handling failed; the others continue.
--- a/tests/test_mesh_departed_callers.py
+++ b/tests/test_mesh_departed_callers.py
@@ -165,12 +165,12 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
 
-def encode_link_request(
-    instance: MeshInstance, name: str, stream_id: int, objective_ms: float = 400.0
-) -> bytes:
-    """Return the message of a read for the backend server beside a node."""
+def make_link_request(
+    instance: MeshInstance, name: str, objective_ms: float = 400.0
+) -> Request:
+    """Return a read for the backend server beside a node."""
     backend = instance.node.backend
-    request = Request(
+    return Request(
         b"GET",
         b"/read/1",
         [(b"Host", b"shop.example"), (b"Attempt-Id", name.encode())],
@@ -189,6 +189,13 @@
         b"",
         backend.incarnation.started_ms,
     )
+
+
+def encode_link_request(
+    instance: MeshInstance, name: str, stream_id: int, objective_ms: float = 400.0
+) -> bytes:
+    """Return the message of a read for the backend server beside a node."""
+    request = make_link_request(instance, name, objective_ms)
     return encode(Kind.REQUEST, stream_id, *fields_of(request))
 
 
