Cancels waited behind long answers on the link of a narrow node

What callers saw: nothing; work went on for them after they had left, at backend servers that are called by a node whose own server has just sent long answers to other nodes.

Cause: a node paces bodies of requests, so that cancels overtake them, but wrote answers of up to 256 KiB at once. All leave by the same link, in the order in which they were written.

Change: answers of more than one piece take the way of bodies, by the same pace. Their parts precede them (ANSWER_PART, feature level 6), so that the node that called still has an answer whole before it passes it on, and can repeat a truncated read elsewhere; longer ones are streamed as before. The rest of an answer that is cancelled is not sent. A stop waits for answers that wait for the link. A piece takes 10 ms of a wide link, so that wide links carry an answer in one. Former releases get answers as before.

Formats and places of faults are pinned.

--- a/azurestep/mesh/decisions/body_pacing.py
+++ b/azurestep/mesh/decisions/body_pacing.py
@@ -1,8 +1,9 @@
 """When a node may send the next piece of a body, so that its link stays responsive.
 
 Load pattern: several peers ask one node for bodies at the same time, each for as much
-as its own link takes. Sent at once over a narrow link, they delay everything behind
-them: cancels, confirmations, probes and requests without a body.
+as its own link takes, or long answers of its backend server end together. Sent at once
+over a narrow link, they delay everything behind them: cancels, confirmations, probes,
+and requests and answers that are short.
 """
 
 import math
@@ -12,7 +13,9 @@
 from .transfers import PIECE_BYTES, WINDOW_MS
 
 BODY_SHARE = 0.8
-"""Share of the link that bodies use; answers and requests need the rest."""
+"""Share of the link that long bodies use; all other messages need the rest."""
+PIECE_MS = 10.0
+"""Time for which one piece occupies a wide link."""
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -48,6 +51,11 @@
         """Bytes that may be ahead of another message on the link."""
         return max(2 * PIECE_BYTES, self.link_bytes_per_ms * WINDOW_MS)
 
+    @property
+    def piece_bytes(self) -> float:
+        """Size up to which bodies are sent in one piece; infinite if not paced."""
+        return max(PIECE_BYTES, self.link_bytes_per_ms * PIECE_MS)
+
     @property
     def paces(self) -> bool:
         """Whether the link is known to have a limit."""
--- a/azurestep/mesh/link_messages.py
+++ b/azurestep/mesh/link_messages.py
@@ -65,6 +65,13 @@
     size: int
 
 
+@attrs.frozen(slots=True, eq=False, repr=False)
+class AnswerPart(Value):
+    """A part of a long answer's body; ``Answer`` follows with the rest of it."""
+
+    data: bytes
+
+
 @attrs.frozen(slots=True, eq=False, repr=False)
 class AnswerData(Value):
     """A chunk of an answer's body; ``whole`` is set if the body ends with it."""
--- a/azurestep/mesh/links/body_sender.py
+++ b/azurestep/mesh/links/body_sender.py
@@ -1,4 +1,4 @@
-"""Sending of request bodies to all peers, at the pace of this node's link."""
+"""Sending of bodies to all peers, at the pace of this node's link."""
 
 import asyncio
 from collections import deque
@@ -7,16 +7,15 @@
 import attrs
 
 from ..decisions.body_pacing import BodyPacer
-from ..decisions.transfers import PIECE_BYTES
 from ..runtime import Runtime
 
 
 class BodyStream(Protocol):
-    """A request whose body is sent over a link."""
+    """A request or an answer whose body is sent over a link."""
 
     @property
     def is_open(self) -> bool:
-        """Whether the request still waits for its outcome."""
+        """Whether the sender of the request still waits for its outcome."""
 
     def write_body(self, data: bytes, whole: bool) -> None:
         """Write a piece of the body to the link."""
@@ -48,8 +47,9 @@
         if not self.pacer.paces:
             stream.write_body(data, whole)
             return
-        for begin in range(0, max(1, len(data)), PIECE_BYTES):
-            end = begin + PIECE_BYTES
+        piece_bytes = int(self.pacer.piece_bytes)
+        for begin in range(0, max(1, len(data)), piece_bytes):
+            end = begin + piece_bytes
             is_last = whole and end >= len(data)
             self._waiting.append(Piece(stream, data[begin:end], is_last))
         if self._timer is None:
@@ -64,7 +64,9 @@
                 waiting.popleft()
             elif self.pacer.try_take(len(piece.data), now_ms):
                 waiting.popleft()
-                piece.stream.write_body(piece.data, piece.whole)
+                self.runtime.run_guarded(
+                    "link_out", piece.stream.write_body, piece.data, piece.whole
+                )
             else:
                 delay_ms = self.pacer.next_ms(now_ms) - now_ms
                 self._timer = self.runtime.call_later(delay_ms, self._send_waiting)
--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -10,6 +10,7 @@
 from .. import events
 from ..link_messages import (
     AnswerData,
+    AnswerPart,
     BodyBacklog,
     CalledRoutes,
     ConfigurationDelta,
@@ -133,6 +134,8 @@
         Whether it may be retried when the peer is unresponsive, though it may have run.
     confirmed : bool
         Whether the peer may run it: it needs no confirmation or was confirmed.
+    answer_parts : list of bytes
+        Parts of the answer's body that came ahead of it.
     """
 
     connection: "PeerConnection"
@@ -141,6 +144,7 @@
     reroutable: bool
     confirmed: bool
     request_id: bytes = b""
+    answer_parts: list[bytes] = attrs.field(factory=list)
 
     def add_body(self, data: bytes, whole: bool) -> None:
         """Send more of the body, at the pace of the link."""
@@ -427,7 +431,14 @@
     def _on_crashes(self, _: None, report: CrashReport) -> None:
         self.link.fleet_listener.on_crashes(report.service, report.updates)
 
+    def _on_answer_part(self, stream: RemoteStream, part: AnswerPart) -> None:
+        stream.answer_parts.append(part.data)
+
     def _on_answer(self, stream: RemoteStream, answer: Answer) -> None:
+        if stream.answer_parts:
+            body = b"".join([*stream.answer_parts, answer.body])
+            stream.answer_parts.clear()
+            answer = attrs.evolve(answer, body=body)
         if answer.whole:
             self.streams.pop(stream.stream_id, None)
         stream.receiver.on_answer(answer)
@@ -467,6 +478,7 @@
     CrashReport: PeerConnection._on_crashes,
     Answer: PeerConnection._on_answer,
     AnswerData: PeerConnection._on_answer_data,
+    AnswerPart: PeerConnection._on_answer_part,
     Refusal: PeerConnection._on_refusal,
     Failure: PeerConnection._on_failure,
     SlotReady: PeerConnection._on_slot_ready,
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -17,6 +17,7 @@
 from ..decisions.rollout import Phase
 from ..link_messages import (
     AnswerData,
+    AnswerPart,
     Body,
     BodyBacklog,
     CalledRoutes,
@@ -78,6 +79,7 @@
     | Credit
     | Answer
     | AnswerData
+    | AnswerPart
     | Refusal
     | Failure
     | ConfigurationQuery
@@ -248,6 +250,7 @@
     Kind.CREDIT: _CREDIT,
     Kind.ANSWER: _schema(Answer),
     Kind.ANSWER_DATA: _schema(AnswerData),
+    Kind.ANSWER_PART: _schema(AnswerPart),
     Kind.REFUSAL: _schema(Refusal, reason=Reason),
     Kind.FAILURE: _schema(Failure, reason=Reason),
     Kind.CONFIGURATION: _schema(
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -35,6 +35,7 @@
     Withdraw,
 )
 from ..messages import (
+    ANSWER_PARTS_FEATURE_LEVEL,
     CONFIRM_AGAIN_FEATURE_LEVEL,
     TEAM_FEATURE_LEVEL,
     Hello,
@@ -47,6 +48,7 @@
 )
 from ..runtime import Runtime
 from ..settings import Address
+from .body_sender import BodySender
 from .decoding import INCOMING_LINK_SCHEMAS, NO_STREAM, PONG, Decoder, Message
 from .remote_receiver import OutcomeForwarder
 
@@ -84,6 +86,8 @@
         Called with accounts of quotas that a peer hands over.
     condition : Callable
         Returns what the backend server said about itself; None if nothing.
+    body_sender : BodySender
+        Sender of long bodies, which all links of the node share.
     local_links : set of IncomingLink
         Those of ``links`` whose peers are in the local data centre.
     """
@@ -96,6 +100,9 @@
     store_era: Callable[[], int]
     condition: Callable[[], ServerCondition | None]
     data_centre: str
+    body_sender: BodySender = attrs.Factory(
+        lambda self: BodySender(self.runtime), takes_self=True
+    )
     on_query: "Callable[[IncomingLink, ConfigurationQuery], None]" = (
         lambda link, query: None
     )
@@ -463,6 +470,20 @@
         host, port = self.peer.peer_address
         return host, port
 
+    @property
+    def body_sender(self) -> BodySender:
+        """Sender of long bodies, which all links of the node share."""
+        return self.incoming_links.body_sender
+
+    @property
+    def takes_answer_parts(self) -> bool:
+        """Whether the peer takes parts of a body ahead of their answer."""
+        return self.feature_level >= ANSWER_PARTS_FEATURE_LEVEL
+
+    def is_awaited(self, stream_id: int) -> bool:
+        """Whether the peer still waits for the outcome of a request."""
+        return stream_id in self._runs
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that wait in the send buffer."""
@@ -470,11 +491,14 @@
 
     @property
     def has_unsent_outcome(self) -> bool:
-        """Whether the send buffer has not been empty since the last outcome.
+        """Whether an outcome waits for the link, or in the send buffer.
 
-        State messages alone don't count: for an unreachable peer they would delay the
+        That is, whether the buffer has not been empty since the last outcome. State
+        messages alone don't count: for an unreachable peer they would delay the
         shutdown.
         """
+        if any(run.done for run in self._runs.values()):
+            return True
         transport = self._transport
         if transport is None or not transport.get_write_buffer_size():
             self._has_written_outcome = False
--- a/azurestep/mesh/messages.py
+++ b/azurestep/mesh/messages.py
@@ -16,7 +16,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 PROTOCOL_VERSION = 2
-FEATURE_LEVEL = 5
+FEATURE_LEVEL = 6
 """Rises with each field that is added to a message. Nodes of level 0 reject messages
 with fields that they don't know; later ones skip them."""
 PIECES_FEATURE_LEVEL = 1
@@ -31,6 +31,8 @@
 CONFIRM_AGAIN_FEATURE_LEVEL = 5
 """Nodes from this level on confirm any request that was sent to another node, as often
 as they are asked."""
+ANSWER_PARTS_FEATURE_LEVEL = 6
+"""Nodes from this level on take parts of an answer's body ahead of the answer."""
 REQUEST_FIELDS_AT_LEVEL_0 = 19
 """Fields of a request that nodes of level 0 read for sure."""
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
@@ -73,6 +75,7 @@
     SERVER_SPEED = 30
     STORE_CONTACT = 31
     QUOTA_HANDOVER = 32
+    ANSWER_PART = 33
 
 
 class Reason(IntEnum):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -215,6 +215,7 @@
             lambda: self.store_era.current,
             self.inbound.condition,
             settings.data_centre,
+            self.members.body_sender,
         )
         self.version_server = VersionServer(
             runtime,
--- a/tests/test_mesh_decoding.py
+++ b/tests/test_mesh_decoding.py
@@ -55,6 +55,7 @@
     Kind.CANCEL: [STREAM],
     Kind.ANSWER: [STREAM, *fields_of(ANSWER)],
     Kind.ANSWER_DATA: [STREAM, b"x", False],
+    Kind.ANSWER_PART: [STREAM, b"x"],
     Kind.REFUSAL: [STREAM, int(Reason.OVERLOADED), 3, 100.0],
     Kind.FAILURE: [STREAM, int(Reason.RESET), 0],
     Kind.CREDIT: [STREAM, 500],
--- a/tests/test_mesh_late_cancels.py
+++ b/tests/test_mesh_late_cancels.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import AsyncIterator
 
+import attrs
 import pytest
 import pytest_asyncio
 from aiohttp import ClientSession
@@ -12,7 +13,8 @@
 from azurestep.http.client import ClientConnection
 from azurestep.http.hangup import is_socket_closed
 from azurestep.mesh.links.connection import PeerConnection
-from azurestep.mesh.messages import Kind, encode
+from azurestep.mesh.links.server import IncomingLink
+from azurestep.mesh.messages import Kind, encode, fields_of
 from standins.store import StoreStandIn
 
 from .fixtures_mesh import (
@@ -27,6 +29,7 @@
     encode_link_request,
     encode_request,
     leave,
+    make_link_request,
     now_ms,
     open_link,
 )
@@ -38,6 +41,9 @@
 NARROW_BYTES_PER_S = NARROW_MBPS * 125_000
 UPLOADS_BYTES = [500_000, 100_000]
 """Sizes of uploads that take 0.7 s of a narrow link."""
+ANSWER_BYTES = 200_000
+"""Size of answers of which one for each slot takes 0.9 s of a narrow link."""
+ANSWER_AFTER_MS = 300
 
 
 async def test_line_of_a_cancel_tells_how_late_it_came(
@@ -67,14 +73,14 @@
     def __init__(self) -> None:
         self._free_s = 0.0
 
-    def send(self, connection: PeerConnection, data: bytes) -> None:
+    def send(self, connection: PeerConnection | IncomingLink, data: bytes) -> None:
         """Write a message once all earlier ones have left."""
         loop = asyncio.get_running_loop()
         begin_s = max(loop.time(), self._free_s)
         self._free_s = begin_s + len(data) / NARROW_BYTES_PER_S
         loop.call_at(self._free_s, self._write, connection, data)
 
-    def _write(self, connection: PeerConnection, data: bytes) -> None:
+    def _write(self, connection: PeerConnection | IncomingLink, data: bytes) -> None:
         transport = connection._transport
         if transport is not None and not transport.is_closing():
             transport.write(data)
@@ -92,7 +98,7 @@
             await mesh.add(index)
         await mesh.wait_until_connected()
         link, narrow = NarrowLink(), mesh.instances[1].node.runtime
-        send = PeerConnection.send
+        send, write = PeerConnection.send, IncomingLink.write
 
         def send_over_link(one: PeerConnection, kind: Kind, *fields: object) -> None:
             if one.link.runtime is narrow:
@@ -100,7 +106,14 @@
             else:
                 send(one, kind, *fields)
 
+        def write_over_link(one: IncomingLink, data: bytes) -> None:
+            if one.incoming_links.runtime is narrow:
+                link.send(one, data)
+            else:
+                write(one, data)
+
         monkeypatch.setattr(PeerConnection, "send", send_over_link)
+        monkeypatch.setattr(IncomingLink, "write", write_over_link)
         yield mesh
         await mesh.stop()
 
@@ -141,6 +154,38 @@
     assert sorted(bodies, key=len, reverse=True) == list(map(bytes, UPLOADS_BYTES))
 
 
+async def test_cancels_of_reads_do_not_wait_behind_answers_on_a_narrow_link(
+    narrow_mesh: MeshFleet,
+) -> None:
+    narrow = narrow_mesh.instances[1]
+    others = [one.server for one in narrow_mesh.instances if one is not narrow]
+    for server in others:
+        server.work_s = 3.0
+    link = await open_link(narrow)
+    body = bytes(ANSWER_BYTES)
+    for stream_id in range(1, narrow.server.slots + 1):
+        request = attrs.evolve(
+            make_link_request(narrow, f"long-{stream_id}", 4000.0),
+            method=b"POST",
+            target=b"/read/1?ms=%d" % ANSWER_AFTER_MS,
+            length=len(body),
+            body=body,
+        )
+        link.sendall(encode(Kind.REQUEST, stream_id, *fields_of(request)))
+    await eventually(lambda: narrow.server.running == narrow.server.slots)
+    reading = [connect(narrow) for _ in range(2)]
+    for index, caller in enumerate(reading):
+        caller.sendall(encode_request(f"left-{index}"))
+    await eventually(lambda: sum(one.running for one in others) == len(reading))
+    await eventually(lambda: narrow.server.running == 0)
+    await asyncio.sleep(0.02)
+    for caller in reading:
+        leave(caller, "close")
+    await asyncio.sleep(NOTICED_S)
+    assert sum(one.cancelled for one in others) == len(reading)
+    link.close()
+
+
 async def test_reads_do_not_begin_for_a_node_that_stands_still(
     mesh: MeshFleet,
 ) -> None:
--- a/tests/test_pinned_formats.py
+++ b/tests/test_pinned_formats.py
@@ -665,6 +665,7 @@
         mesh.Answer(200, [(b"A", b"b")], True, -1, False, b"\xffx", 4, 8.5, 1.5, 6.5),
     ),
     "answer_data": OnLink(9, 7, False, link.AnswerData(b"\xffmore", True)),
+    "answer_part": OnLink(33, 7, False, link.AnswerPart(b"\xffmore")),
     "refusal": OnLink(10, 7, False, mesh.Refusal(mesh.Reason(4), 4, 120.0, True)),
     "failure": OnLink(11, 7, False, mesh.Failure(mesh.Reason(14), 4)),
     "credit": OnLink(12, 7, True, link.Credit(500)),
