The soak sent no SIGHUP, and started a node that had ended by itself without a word

What was missed: a process that ends by a signal was started again by the soak, and no check asked why it had ended. No fault of the soak sent SIGHUP, nor a second SIGTERM.

Change: three faults (--reloads): a settings file that is rewritten in two pieces again and again beside SIGHUPs, SIGHUPs from SIGTERM on until the next process listens, and SIGHUPs and SIGTERMs by turns until the process ends. How each process ended is recorded, and processes_end_when_asked yields those that ended by themselves or by a signal. Signals are sent once the process handles them (SigCgt): before, nothing that it does can help.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 APART ?= 0
 TAKEOVERS ?= 0
 RETURNS ?= 0
+RELOADS ?= 0
 QUOTA ?= 0
 REPORT ?= build/soak.html
 STAMP := $(VENV)/.installed
@@ -31,7 +32,7 @@
 
 soak: install
 	$(PYTHON) -m soak --seeds $(SEEDS) --notices $(NOTICES) --teams $(TEAMS) \
-		--apart $(APART) --takeovers $(TAKEOVERS) --returns $(RETURNS) --quota $(QUOTA) --report $(REPORT)
+		--apart $(APART) --takeovers $(TAKEOVERS) --returns $(RETURNS) --reloads $(RELOADS) --quota $(QUOTA) --report $(REPORT)
 
 lint: install
 	$(VENV)/bin/ruff format --check .
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,8 +19,8 @@
 
 Usage:
   soak [--seeds LIST] [--nodes N] [--faults N] [--notices N] [--teams N]
-       [--apart N] [--takeovers N] [--returns N] [--quota RATE] [--at-once N]
-       [--report FILE]
+       [--apart N] [--takeovers N] [--returns N] [--reloads N] [--quota RATE]
+       [--at-once N] [--report FILE]
 
 Options:
   --seeds LIST    Seeds, as 3,7,20-29, or the number of fresh ones, as x5 [default: x3].
@@ -40,6 +40,8 @@
                   killed again, with the node killed that owned meanwhile, and of one
                   that the store refuses, of each run; with some, the configuration has
                   teams [default: 0].
+  --reloads N     Settings files that are rewritten in pieces, and stops, both beside
+                  signals in series, of each run [default: 0].
   --quota RATE    Requests a second that each team is allowed, and its burst; 0 for no
                   limit. A team sends some 50 a second, and 180 in a surge [default: 0].
   --at-once N     Runs at the same time [default: 2].
@@ -119,6 +121,7 @@
         apart=int(arguments["--apart"]),
         takeovers=int(arguments["--takeovers"]),
         returns=int(arguments["--returns"]),
+        reloads=int(arguments["--reloads"]),
         quota_per_s=float(arguments["--quota"]),
     )
     seeds = parse_seeds(arguments["--seeds"])
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,7 @@
 """The promises, checked on what was seen. Pure: each yields what broke it."""
 
 import math
+import signal
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -213,6 +214,16 @@
         yield f"{node} ended by an error, see its traceback"
 
 
+def processes_end_when_asked(seen: Observations) -> Iterator[str]:
+    """Yield processes that ended by themselves, or by a signal other than SIGKILL."""
+    for end in seen.ends:
+        asked = end.status == 0 and end.stop_asked
+        early = end.status == -signal.SIGTERM and end.stopped_early
+        if not (asked or early or end.status == -signal.SIGKILL):
+            order = "after" if end.stop_asked else "without"
+            yield f"{end.node} ended with {end.status}, {order} SIGTERM"
+
+
 def unknown_keys_never_run(seen: Observations) -> Iterator[str]:
     """Yield requests that ran though no version had held their key until then."""
     spans = {span.key: span for span in seen.keys}
@@ -344,6 +355,7 @@
     versions_never_go_back,
     planned_stops_cut_nothing,
     programs_have_no_faults,
+    processes_end_when_asked,
     unknown_keys_never_run,
     removed_keys_stop,
     known_keys_are_let_in,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,6 +20,7 @@
 
 from .document import document
 from .plan import DRAIN_S, STOP_LASTS_S
+from .records import ProcessEnd
 from .teams import PUBLIC_PATH, SERVER_QUEUE, Keyring
 
 CALLER_PORT, PEER_PORT, PEER_LISTEN_PORT, READY_PORT = 7201, 7202, 7203, 7204
@@ -32,6 +33,18 @@
 OK = 200
 
 
+def catches(status: str, number: signal.Signals) -> bool:
+    """Return whether the status of a process says that it catches a signal.
+
+    Examples
+    --------
+    >>> catches("Name: python SigCgt: 0000000000000001", signal.SIGHUP)
+    True
+    """
+    mask = status.partition("SigCgt:")[2].split()[0]
+    return bool(int(mask, 16) >> (number - 1) & 1)
+
+
 @attrs.define(eq=False)
 class Instance:
     """One instance: a node process, its relay, and a backend server.
@@ -42,6 +55,8 @@
         Whether the process is to run; it is started again while it is.
     beating : bool
         Whether the backend server sends heartbeats.
+    ends : list of ProcessEnd
+        How the former processes ended.
     """
 
     index: int
@@ -57,15 +72,19 @@
     beats: int = 0
     program: tuple[str, ...] = NODE
     drain_s: float = DRAIN_S
+    ends: list[ProcessEnd] = attrs.field(factory=list)
+    _handled: set[signal.Signals] = attrs.field(factory=set)
+    _stop_asked: bool = False
+    _stopped_early: bool = False
 
     def start(self) -> None:
         """Start the node's process."""
-        path = self.directory / f"settings-{self.index}.json"
-        path.write_bytes(orjson.dumps(self._settings()))
+        self.record_end()
+        self.settings_path.write_bytes(self.settings_content())
         log = (self.directory / f"node-{self.index}.log").open("ab")
         self.process = subprocess.Popen(
             [sys.executable, *self.program],
-            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+            env={**os.environ, SETTINGS_VARIABLE: str(self.settings_path)},
             stdout=log,
             stderr=subprocess.STDOUT,
         )
@@ -75,13 +94,46 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
+            if number == signal.SIGTERM and not self._stop_asked:
+                self._stop_asked = True
+                self._stopped_early = not self.handles(number)
             self.process.send_signal(number)
 
+    def record_end(self) -> None:
+        """Record how the last process ended, if it has."""
+        if self.process is not None and not self.running:
+            name = f"node-{self.index}"
+            status = self.process.returncode
+            asked, early = self._stop_asked, self._stopped_early
+            self.ends.append(ProcessEnd(name, status, asked, early))
+            self.process = None
+        self._stop_asked = self._stopped_early = False
+        self._handled.clear()
+
+    def handles(self, number: signal.Signals) -> bool:
+        """Return whether the process has begun to handle a signal."""
+        if self.process is None or not self.running:
+            return False
+        if number not in self._handled:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+            if catches(status, number):
+                self._handled.add(number)
+        return number in self._handled
+
     @property
     def running(self) -> bool:
         """Whether the process has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def settings_path(self) -> pathlib.Path:
+        """Path of the settings file."""
+        return self.directory / f"settings-{self.index}.json"
+
+    def settings_content(self, **changes: object) -> bytes:
+        """Return the content of the settings file, with some fields changed."""
+        return orjson.dumps({**self._settings(), **changes})
+
     def _settings(self) -> dict[str, object]:
         host = self.host
         return {
@@ -205,6 +257,7 @@
         for instance in self.instances:
             if instance.process is not None:
                 instance.process.wait()
+                instance.record_end()
             await instance.server.stop()
             await instance.relay.close()
         if self._runner is not None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -234,6 +234,27 @@
     """Work takes longer at the backend server, which tells it in its answers."""
 
 
+class ReloadFault(Fault):
+    """Signals in series, which no process may end by."""
+
+    @property
+    def end_s(self) -> float:
+        """When a next process listens at the latest."""
+        return self.at_s + STOP_LASTS_S + RETURN_LASTS_S
+
+
+class SettingsRewritten(ReloadFault):
+    """The settings file is written in two pieces, again and again, with SIGHUPs."""
+
+
+class ReloadsInStop(ReloadFault):
+    """SIGHUPs from SIGTERM on until the next process listens."""
+
+
+class SignalsInStop(ReloadFault):
+    """SIGTERM, then SIGHUPs and SIGTERMs by turns until the process has ended."""
+
+
 KINDS: tuple[type[Fault], ...] = (
     Kill,
     Pause,
@@ -292,6 +313,14 @@
 """Kinds drawn beside the others for nodes that take over again; as those above."""
 
 
+RELOAD_KINDS: tuple[type[Fault], ...] = (
+    SettingsRewritten,
+    ReloadsInStop,
+    SignalsInStop,
+)
+"""Kinds drawn beside the others for settings that change."""
+
+
 @attrs.frozen
 class Plan:
     """What happens in one run.
@@ -329,6 +358,7 @@
     apart: int = 0,
     takeovers: int = 0,
     returns: int = 0,
+    reloads: int = 0,
     quota_per_s: float = 0.0,
 ) -> Plan:
     """Draw a plan: faults, and when they are over, the stop of one node.
@@ -336,7 +366,8 @@
     ``notices`` is the number of faults of ``NOTICE_KINDS``, at any time among the
     others, ``teams`` that of ``TEAM_KINDS``, ``apart`` that of ``APART_KINDS``,
     ``takeovers`` that of ``TAKEOVER_KINDS`` and ``returns`` that of ``RETURN_KINDS``;
-    with these four 0 the configuration has no teams.
+    with these four 0 the configuration has no teams. ``reloads`` is the number of
+    faults of ``RELOAD_KINDS``.
 
     Examples
     --------
@@ -370,6 +401,9 @@
     return_random = Random(f"returns of {seed}")
     for _ in range(returns):
         drawn.append(_draw_among(return_random, RETURN_KINDS, last_s, instances))
+    reload_random = Random(f"reloads of {seed}")
+    for _ in range(reloads):
+        drawn.append(_draw_among(reload_random, RELOAD_KINDS, last_s, instances))
     over_s = max((fault.end_s for fault in drawn), default=0.0) + QUIET_S
     drawn.append(Stop(over_s, SHORTEST_S, random.randrange(instances)))
     has_teams = teams + apart + takeovers + returns > 0
--- a/soak/records.py
+++ b/soak/records.py
@@ -151,6 +151,26 @@
     planned: bool = False
 
 
+@attrs.frozen
+class ProcessEnd:
+    """The end of a node's process.
+
+    Attributes
+    ----------
+    status : int
+        Exit status; the negative number of the signal that ended it.
+    stop_asked : bool
+        Whether it was sent SIGTERM.
+    stopped_early : bool
+        Whether it did not handle that signal yet, as its program had not begun.
+    """
+
+    node: str
+    status: int
+    stop_asked: bool
+    stopped_early: bool = False
+
+
 @attrs.define
 class Observations:
     """All that was seen in one run.
@@ -161,6 +181,8 @@
         Faults of the program that the nodes' lines tell of.
     crashes : list of str
         Nodes whose process an error ended.
+    ends : list of ProcessEnd
+        How the processes of the nodes ended.
     keys : list of KeySpan
         All keys that versions held; none where the configuration has no teams.
     quota_per_s : float
@@ -179,6 +201,7 @@
     troubles: list[Trouble] = attrs.field(factory=list)
     faults: list[ProgramFault] = attrs.field(factory=list)
     crashes: list[str] = attrs.field(factory=list)
+    ends: list[ProcessEnd] = attrs.field(factory=list)
     keys: list[KeySpan] = attrs.field(factory=list)
     quota_per_s: float = 0.0
     overfilled: list[str] = attrs.field(factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from standins.store import StoreStandIn
 
 from . import (  # noqa: F401  (they register their faults)
+    reloads,
     returns,
     takeovers,
     team_faults,
@@ -88,6 +89,7 @@
     seen.work_ends = [WorkEnd(*one) for server in servers for one in server.work_ends]
     seen.overfilled = [one.instance_id for one in servers if one.unqueued]
     seen.keys = [] if fleet.keyring is None else fleet.keyring.spans
+    seen.ends = [end for one in fleet.instances for end in one.ends]
     seen.faults = read_faults(directory)
     seen.crashes = read_crashes(directory)
     found = broken(seen)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,6 +1,7 @@
 """Each check of the soak fails on what a broken node would show, and only there."""
 
 import math
+import signal
 
 import attrs
 import pytest
@@ -15,6 +16,7 @@
     Leaving,
     Limit,
     Observations,
+    ProcessEnd,
     Publication,
     Trouble,
     WorkEnd,
@@ -374,3 +376,19 @@
     late_answer(seen)
     seen.troubles.append(Trouble(1, 7.0, 14.0))
     assert set(checks.broken(seen)) == {"answers_come_in_time"}
+
+
+def test_a_process_that_ends_by_itself_is_found(seen: Observations) -> None:
+    seen.ends = [
+        ProcessEnd("node-0", 0, stop_asked=True),
+        ProcessEnd("node-1", -signal.SIGKILL, stop_asked=False),
+        ProcessEnd("node-2", -signal.SIGTERM, stop_asked=True, stopped_early=True),
+    ]
+    assert checks.broken(seen) == {}
+    seen.ends = [
+        ProcessEnd("node-0", 0, stop_asked=False),
+        ProcessEnd("node-1", -signal.SIGHUP, stop_asked=True),
+        ProcessEnd("node-2", -signal.SIGTERM, stop_asked=True),
+        ProcessEnd("node-3", 1, stop_asked=True),
+    ]
+    assert len(checks.broken(seen)["processes_end_when_asked"]) == 4
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -12,6 +12,7 @@
     KINDS,
     LONGEST_S,
     NOTICE_KINDS,
+    RELOAD_KINDS,
     RETURN_KINDS,
     STOP_LASTS_S,
     TAKEOVER_KINDS,
@@ -24,11 +25,14 @@
     Pause,
     Plan,
     Publish,
+    ReloadsInStop,
     ServerCrash,
     ServerLimited,
     ServerReplaced,
     ServerSaysLeaving,
     ServerSlowed,
+    SettingsRewritten,
+    SignalsInStop,
     Stop,
     StopInSurge,
     StoreReturns,
@@ -88,6 +92,9 @@
     ).faults
     assert again[:105] == more[:105]
     assert {type(fault) for fault in again[105:-1]} == set(RETURN_KINDS)
+    reloads = draw(5, 4, 30, notices=12, reloads=20).faults
+    assert reloads[:42] == noticed[:42]
+    assert {type(fault) for fault in reloads[42:-1]} == set(RELOAD_KINDS)
 
 
 def test_a_kept_seed_has_the_faults_that_it_was_kept_for() -> None:
@@ -127,6 +134,20 @@
     assert result.broken == {}
 
 
+async def test_signals_in_series_end_no_process() -> None:
+    """Guards against signals at a start or in a stop that meet no handler."""
+    faults = (
+        SettingsRewritten(0.5, 1.5, 0),
+        ReloadsInStop(0.7, 1.0, 1),
+        SignalsInStop(1.0, 1.0, 2),
+        Kill(1.2, 0.3, 0),
+    )
+    result = await play(Plan(SEED, NODES, faults), slot=3)
+    assert result.broken == {}
+    asked = [end for end in result.seen.ends if end.stop_asked]
+    assert [end.status for end in asked] == [0, 0]
+
+
 def surges_with(kind: type[Fault], drain_s: float = DRAIN_S) -> Plan:
     """Return a plan in which two teams surge, one after the other."""
     faults = tuple(kind(1.0 + 7.0 * node, 1.0, node) for node in range(2))
