The test of two owners of a quota found them by a few requests of 284

Change: four surges, so that stops strike teams again whose owner has returned. The check, its bound and the broken node are the same.

--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -148,9 +148,9 @@
     assert [end.status for end in asked] == [0, 0]
 
 
-def surges_with(kind: type[Fault], drain_s: float = DRAIN_S) -> Plan:
-    """Return a plan in which two teams surge, one after the other."""
-    faults = tuple(kind(1.0 + 7.0 * node, 1.0, node) for node in range(2))
+def surges_with(kind: type[Fault], drain_s: float = DRAIN_S, surges: int = 2) -> Plan:
+    """Return a plan in which teams surge, one after the other."""
+    faults = tuple(kind(1.0 + 7.0 * one, 1.0, one % NODES) for one in range(surges))
     return Plan(
         SEED, NODES, faults, teams=True, quota_per_s=QUOTA_PER_S, drain_s=drain_s
     )
@@ -158,7 +158,8 @@
 
 async def test_two_owners_of_a_quota_are_found() -> None:
     program = ("-m", "tests.broken_node", "keep_accounts", "sidecar")
-    result = await play(surges_with(StopInSurge, LONG_DRAIN_S), 7, program)
+    plan = surges_with(StopInSurge, LONG_DRAIN_S, surges=4)
+    result = await play(plan, 7, program)
     assert "quotas_are_kept" in result.broken
     assert result.logs is not None
     shutil.rmtree(result.logs)
