Signals that came during a start or at the very end of a stop ended the node

What operators saw: a node's process ended by itself, without a line: with -1 or -15 when a SIGHUP or SIGTERM came before it listened (some 0.3 s), and at the end of a graceful shutdown when one came in its last moment.

Cause: the event loop installed the handlers, after all imports, and put the default actions back when it was closed. The interpreter's finalization puts them back too.

Evidence (tests/test_process_signals.py on the code as it was, real processes): - test_reload_signals_during_a_start_end_the_process: assert -1 is None - test_stop_signals_during_a_start_end_the_process_with_an_error, both: assert [-15, -15, -15, -15] == [0, 0, 0, 0] - test_signals_during_a_stop_end_the_process_with_an_error: assert -15 == 0

Change: azurestep/signals.py takes the three signals over before the program's other imports and counts them; the handlers stay until the process ends and are only replaced by SIG_IGN, which finalization keeps. Once the loop runs, mesh/signal_delivery.py passes them on: a SIGTERM that came before the node listens ends the start with status 0 and event 9003, also while the start waits; a SIGHUP is followed once the node listens. Bursts of SIGHUP lead to one reload in 20 ms. The line of event 9001 has the counts. Blocked signals are unblocked once the handlers stand, so that a parent may block them for the time before.

What remains: a signal before the program's first line meets the default action.

--- a/azurestep/__main__.py
+++ b/azurestep/__main__.py
@@ -2,7 +2,21 @@
 
 import sys
 
-from .core import main
+from . import signals
+
+
+def main() -> int:
+    """Run the command and return its exit status."""
+    command = "".join(sys.argv[1:2])
+    # Before the other imports, which take most of the start.
+    signals.take_over(command)
+    try:
+        from .core import main as run
+
+        return run()
+    finally:
+        signals.ignore(command)
+
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -4,7 +4,6 @@
 import gc
 import math
 import pathlib
-import signal
 import time
 from collections.abc import Callable
 from functools import partial
@@ -12,6 +11,7 @@
 import attrs
 import uvloop
 
+from .. import signals
 from ..errors import PortInUseError, SettingsError
 from ..http.exchange import Handler
 from ..http.server import ServerConnection
@@ -54,6 +54,7 @@
 from .rollouts.control import Rollouts
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
+from .signal_delivery import run_with_signals
 from .stopping import GracefulShutdown
 
 TICK_S = 0.1
@@ -272,13 +273,10 @@
         )
 
     async def run(self) -> None:
-        """Serve until a signal requests the shutdown."""
+        """Serve until the node is stopped."""
         settings = self.settings
         loop = self.runtime.loop
         loop.set_exception_handler(self.runtime.on_loop_error)
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGINT, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         http_endpoints = [
             (settings.ready_address, endpoints.readiness(self.is_ready)),
             (
@@ -307,6 +305,7 @@
             data_centre=settings.data_centre,
             service=settings.service,
             first_start=settings.first_start,
+            **signals.RECEIVED.fields(),
         )
         self.runtime.spawn(self.configuration_watcher.run())
         self.runtime.spawn(self.discovery.run())
@@ -370,6 +369,11 @@
         """Whether a graceful shutdown has begun."""
         return self.shutdown.plan is not None
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether callers or peers may have connected to this node."""
+        return bool(self._servers)
+
     def is_ready(self) -> bool:
         """Whether the node is ready for requests of callers."""
         if self.is_stopping or not self.configuration.version:
@@ -709,11 +713,17 @@
     PortInUseError
         If a listening address is already in use.
     """
-    settings = read_settings(path)
+    signals.take_over("sidecar")
+    try:
+        settings = read_settings(path)
+    except SettingsError:
+        if signals.RECEIVED.stop_requested:
+            return
+        raise
     events.WRITER.open()
     uvloop.run(_serve(settings, path))
 
 
 async def _serve(settings: MeshSettings, path: pathlib.Path) -> None:
     runtime = Runtime(asyncio.get_running_loop())
-    await Node(settings, path, runtime).run()
+    await run_with_signals(Node(settings, path, runtime))
--- /dev/null
+++ b/tests/test_process_signals.py
@@ -0,0 +1,274 @@
+"""Signals that meet a real process at any moment of its life.
+
+What comes before the program's first line meets the default action. So a test begins
+with its signals once the handlers stand or, at the latest, once a library is loaded.
+"""
+
+import asyncio
+import itertools
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import types
+from collections.abc import Callable, Iterator
+
+import attrs
+import orjson
+import pytest
+
+from azurestep import signals
+from azurestep.mesh.signal_delivery import run_with_signals
+from azurestep.platform.boot import SETTINGS_VARIABLE
+
+from .test_mesh_settings import rendered
+
+ROOT = pathlib.Path(__file__).parents[1]
+WAIT_S = 60.0
+"""Longest wait for an event; none is expected to take a part of it."""
+STARTED, STOPPED, RELOADED, REJECTED = 9001, 9003, 9004, 9005
+
+
+@attrs.define
+class NodeProcess:
+    """A process of a node on the platform, its settings file and its lines."""
+
+    host: str
+    directory: pathlib.Path
+    process: subprocess.Popen[bytes] | None = None
+    services: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
+    service: str = "shop"
+
+    @property
+    def settings_path(self) -> pathlib.Path:
+        return self.directory / "settings.json"
+
+    @property
+    def status(self) -> int | None:
+        assert self.process is not None
+        return self.process.poll()
+
+    def content(self) -> bytes:
+        fields = {**rendered(), "ip_address": self.host, "metrics_port": 7601}
+        for port, name in enumerate(("caller", "peer", "ready", "announce"), 7602):
+            fields[f"{name}_address"] = f"{self.host}:{port}"
+        fields["store"] = {"address": f"{self.host}:7607"}
+        return orjson.dumps({**fields, "service": self.service})
+
+    def start(self) -> None:
+        self.settings_path.write_bytes(self.content())
+        paths = [path for path in sys.path if path.endswith("site-packages")]
+        with (self.directory / "lines").open("wb") as lines:
+            self.process = subprocess.Popen(
+                [sys.executable, "-P", "-S", "-m", "azurestep", "sidecar"],
+                cwd=self.directory,
+                env={
+                    "PYTHONPATH": ":".join([*paths, str(ROOT)]),
+                    SETTINGS_VARIABLE: str(self.settings_path),
+                },
+                stdout=lines,
+                stderr=subprocess.STDOUT,
+            )
+
+    def change_settings(self) -> None:
+        """Replace the settings file at once, with another service."""
+        self.service = f"shop-{next(self.services)}"
+        changed = self.directory / "changed.json"
+        changed.write_bytes(self.content())
+        changed.rename(self.settings_path)
+
+    def send(self, *numbers: signal.Signals) -> None:
+        assert self.process is not None
+        for number in numbers:
+            self.process.send_signal(number)
+
+    def lines(self, event: int) -> list[dict[str, object]]:
+        written = (self.directory / "lines").read_bytes().splitlines(keepends=True)
+        whole = [line for line in written if line.endswith(b"}\n")]
+        decoded = [orjson.loads(line) for line in whole if line.startswith(b"{")]
+        return [line for line in decoded if line["event"] == event]
+
+    def service_in_force(self) -> object:
+        lines = self.lines(STARTED) + self.lines(RELOADED)
+        services = [line["service"] for line in lines if "service" in line]
+        return services[-1] if services else None
+
+    def is_signalled_safely(self) -> bool:
+        """Whether the handlers stand, or must have stood as libraries are loaded."""
+        assert self.process is not None
+        proc = pathlib.Path(f"/proc/{self.process.pid}")
+        loaded = "site-packages" in (proc / "maps").read_text()
+        status = (proc / "status").read_text()
+        caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+        needed = (signal.SIGHUP, signal.SIGTERM)
+        return loaded or all(caught >> (number - 1) & 1 for number in needed)
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+def wait_for(condition: Callable[[], object]) -> None:
+    until_s = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until_s
+        time.sleep(0.001)
+
+
+@pytest.fixture
+def nodes(tmp_path: pathlib.Path) -> Iterator[list[NodeProcess]]:
+    group = os.getpid() % 250 + 1
+    made = []
+    for index in range(1, 5):
+        directory = tmp_path / str(index)
+        directory.mkdir()
+        made.append(NodeProcess(f"127.78.{group}.{index}", directory))
+    yield made
+    for node in made:
+        node.kill()
+
+
+@pytest.fixture
+def node(nodes: list[NodeProcess]) -> NodeProcess:
+    return nodes[0]
+
+
+@pytest.fixture
+def listening(node: NodeProcess) -> NodeProcess:
+    node.start()
+    wait_for(lambda: node.lines(STARTED) or node.status is not None)
+    assert node.status is None
+    return node
+
+
+def test_reload_signals_during_a_start_end_the_process(node: NodeProcess) -> None:
+    """Guards against SIGHUP with its default action until the node listens."""
+    node.start()
+    wait_for(node.is_signalled_safely)
+    while not node.lines(STARTED):
+        node.change_settings()
+        node.send(signal.SIGHUP)
+        time.sleep(0.005)
+        assert node.status is None
+    wait_for(lambda: node.service_in_force() == node.service)
+    (started,) = node.lines(STARTED)
+    assert started["received_sighup"]
+    assert node.status is None
+
+
+@pytest.mark.parametrize("again", [False, True])
+def test_stop_signals_during_a_start_end_the_process_with_an_error(
+    nodes: list[NodeProcess], again: bool
+) -> None:
+    """Guards against SIGTERM with its default action until the node listens."""
+    for index, node in enumerate(nodes):
+        node.start()
+        wait_for(node.is_signalled_safely)
+        time.sleep(0.06 * index)
+        node.send(signal.SIGTERM, signal.SIGHUP)
+    for node in nodes:
+        while node.status is None:
+            if again:
+                node.send(signal.SIGTERM, signal.SIGHUP)
+            time.sleep(0.002)
+    assert [node.status for node in nodes] == [0] * len(nodes)
+    assert [len(node.lines(STOPPED)) for node in nodes] == [1] * len(nodes)
+
+
+def test_signals_during_a_stop_end_the_process_with_an_error(
+    listening: NodeProcess,
+) -> None:
+    """Guards against handlers that are removed before the process has ended."""
+    while listening.status is None:
+        listening.send(signal.SIGTERM, signal.SIGHUP)
+        time.sleep(0.001)
+    assert listening.status == 0
+    assert len(listening.lines(STOPPED)) == 1
+
+
+def test_hundreds_of_reload_signals_leave_former_settings(
+    listening: NodeProcess,
+) -> None:
+    """Guards against a series whose last change is lost or that ends the process."""
+    for _ in range(300):
+        listening.change_settings()
+        listening.send(signal.SIGHUP)
+    wait_for(lambda: listening.service_in_force() == listening.service)
+    listening.send(signal.SIGTERM)
+    wait_for(lambda: listening.status is not None)
+    assert listening.status == 0
+
+
+@attrs.define
+class FakeRuntime:
+    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+
+    def spawn(self, work) -> None:
+        self.tasks.append(asyncio.create_task(work))
+
+    def run_guarded(self, place, work) -> None:
+        work()
+
+
+@attrs.define
+class FakeNode:
+    """Waits in its start until it is told that it listens."""
+
+    runtime: FakeRuntime = attrs.field(factory=FakeRuntime)
+    listening: asyncio.Event = attrs.field(factory=asyncio.Event)
+    stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
+    settings: types.SimpleNamespace = types.SimpleNamespace(instance="i-1")
+    reloads: int = 0
+
+    @property
+    def is_accepting(self) -> bool:
+        return self.listening.is_set()
+
+    async def run(self) -> None:
+        await self.stopped.wait()
+
+    def stop(self) -> None:
+        self.stopped.set()
+
+    def reload(self) -> None:
+        self.reloads += 1
+
+
+@pytest.fixture
+def received(monkeypatch: pytest.MonkeyPatch) -> signals.ReceivedSignals:
+    fresh = signals.ReceivedSignals()
+    monkeypatch.setattr(signals, "RECEIVED", fresh)
+    return fresh
+
+
+async def test_each_signal_of_a_burst_reads_the_settings(received) -> None:
+    """Guards against a burst of SIGHUP that blocks the event loop with reads."""
+    fake = FakeNode()
+    received.record(signal.SIGHUP)
+    running = asyncio.create_task(run_with_signals(fake))
+    await asyncio.sleep(0.01)
+    assert fake.reloads == 0
+    fake.listening.set()
+    for _ in range(100):
+        received.record(signal.SIGHUP)
+    await asyncio.sleep(0)
+    async with asyncio.timeout(WAIT_S):
+        while not fake.reloads:
+            await asyncio.sleep(0)
+    assert fake.reloads == 1
+    received.record(signal.SIGTERM)
+    await running
+
+
+async def test_a_start_that_waits_for_something_ignores_a_stop(received) -> None:
+    """Guards against SIGTERM that has no effect until the node listens."""
+    fake = FakeNode()
+    running = asyncio.create_task(run_with_signals(fake))
+    await asyncio.sleep(0.01)
+    received.record(signal.SIGTERM)
+    async with asyncio.timeout(WAIT_S):
+        await running
+    assert not fake.stopped.is_set()
--- a/tools/binary/azurestep_boot.py
+++ b/tools/binary/azurestep_boot.py
@@ -48,7 +48,7 @@
 def main() -> None:
     """Run the command and end the process with its status."""
     sys.meta_path.insert(0, MemoryFinder(sys.path[0]))
-    from azurestep.core import main as run
+    from azurestep.__main__ import main as run
 
     status = int(run())
     sys.stdout.flush()
