A SIGTERM during the start or the end of `azurestep node` ended it with an error

What operators saw: exit status -15 instead of 0, without a line, when SIGTERM came before the event loop ran or after it had been closed; what the loop and its entrypoint install is removed by then.

Evidence (real processes, on the code as it was): test_a_stop_signal_during_its_start_ends_an_own_node_with_an_error: assert -15 == 0.

Change: the command's stop signals are taken over as those of `azurestep sidecar`. One that came before ends the start with status 0 and the event "node stopped". SIGHUP keeps its default action there: this command reads its settings once, and a terminal that is closed ends it.

Result: the test passes.

--- a/azurestep/node/run.py
+++ b/azurestep/node/run.py
@@ -1,11 +1,10 @@
 """Runs a node: assembles its tasks and stops them in order."""
 
 import asyncio
-import signal
 
 import aiomisc
 
-from .. import events
+from .. import events, signals
 from ..environment import Environment
 from ..settings import Settings
 from .announce import AnnounceService
@@ -26,7 +25,6 @@
 break them off."""
 HAND_OVER_TIMEOUT_S = 8.0
 AUDIT_TIMEOUT_S = 3.0
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 async def run_node(settings: Settings, environment: Environment) -> None:
@@ -39,8 +37,10 @@
     """
     drain = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, drain.set)
+    signals.RECEIVED.pass_to(lambda number: loop.call_soon_threadsafe(drain.set))
+    if signals.RECEIVED.stop_requested:
+        events.emit(events.NODE_STOPPED, instance=settings.instance)
+        return
     inputs: asyncio.Queue[TrafficInput] = asyncio.Queue()
     node_run = new_node_run()
     control = ControlService(settings, environment, inputs, node_run)
--- a/azurestep/signals.py
+++ b/azurestep/signals.py
@@ -10,7 +10,7 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
-HANDLED = {"sidecar": (*STOP_SIGNALS, RELOAD_SIGNAL)}
+HANDLED = {"sidecar": (*STOP_SIGNALS, RELOAD_SIGNAL), "node": STOP_SIGNALS}
 """Signals that each long-running command handles."""
 
 
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -22,6 +22,8 @@
 from azurestep import signals
 from azurestep.mesh.signal_delivery import run_with_signals
 from azurestep.platform.boot import SETTINGS_VARIABLE
+from azurestep.settings import Settings, unstructure_settings
+from bench.fleet import free_ports
 
 from .test_mesh_settings import rendered
 
@@ -96,14 +98,8 @@
         return services[-1] if services else None
 
     def is_signalled_safely(self) -> bool:
-        """Whether the handlers stand, or must have stood as libraries are loaded."""
         assert self.process is not None
-        proc = pathlib.Path(f"/proc/{self.process.pid}")
-        loaded = "site-packages" in (proc / "maps").read_text()
-        status = (proc / "status").read_text()
-        caught = int(status.partition("SigCgt:")[2].split()[0], 16)
-        needed = (signal.SIGHUP, signal.SIGTERM)
-        return loaded or all(caught >> (number - 1) & 1 for number in needed)
+        return is_signalled_safely(self.process, signal.SIGHUP, signal.SIGTERM)
 
     def kill(self) -> None:
         if self.process is not None:
@@ -111,6 +107,17 @@
             self.process.wait()
 
 
+def is_signalled_safely(
+    process: subprocess.Popen[bytes], *numbers: signal.Signals
+) -> bool:
+    """Whether the handlers stand, or must have stood as libraries are loaded."""
+    proc = pathlib.Path(f"/proc/{process.pid}")
+    loaded = "site-packages" in (proc / "maps").read_text()
+    status = (proc / "status").read_text()
+    caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+    return loaded or all(caught >> (number - 1) & 1 for number in numbers)
+
+
 def wait_for(condition: Callable[[], object]) -> None:
     until_s = time.monotonic() + WAIT_S
     while not condition():
@@ -202,6 +209,51 @@
     assert listening.status == 0
 
 
+@attrs.define
+class OwnNode:
+    """A process of ``azurestep node``, without a platform."""
+
+    directory: pathlib.Path
+    process: subprocess.Popen[bytes]
+
+    @classmethod
+    def start(cls, directory: pathlib.Path) -> "OwnNode":
+        ports = free_ports(4)
+        url = f"http://127.0.0.1:{free_ports(1)[0]}"
+        settings = Settings("a", "dc-1", "127.0.0.1", *ports, platform_url=url)
+        path = directory / "settings.json"
+        path.write_bytes(orjson.dumps(unstructure_settings(settings)))
+        with (directory / "lines").open("wb") as lines:
+            command = [sys.executable, "-m", "azurestep", "node", str(path)]
+            process = subprocess.Popen(
+                command, cwd=ROOT, stdout=lines, stderr=subprocess.STDOUT
+            )
+        return cls(directory, process)
+
+    def has_written(self, text: bytes) -> bool:
+        return text in (self.directory / "lines").read_bytes()
+
+
+@pytest.fixture
+def own_node(tmp_path: pathlib.Path) -> Iterator[OwnNode]:
+    node = OwnNode.start(tmp_path)
+    yield node
+    node.process.kill()
+    node.process.wait()
+
+
+def test_a_stop_signal_during_its_start_ends_an_own_node_with_an_error(
+    own_node: OwnNode,
+) -> None:
+    """Guards against SIGTERM with its default action until the event loop runs."""
+    wait_for(lambda: is_signalled_safely(own_node.process, signal.SIGTERM))
+    while own_node.process.poll() is None:
+        own_node.process.send_signal(signal.SIGTERM)
+        time.sleep(0.005)
+    assert own_node.process.returncode == 0
+    assert own_node.has_written(b"node stopped")
+
+
 @attrs.define
 class FakeRuntime:
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
