Settings written after an empty file were never read

What operators saw: a changed settings file without effect, after event 9005 said that it was empty. It is empty for a moment while it is written in place.

Cause: the check for a changed file took remembered empty content for none at all, so the content that followed was remembered without a reload.

Evidence: test_settings_after_an_empty_file_are_never_read, on the code as it was: assert MeshSettings(... service='first' ...) == MeshSettings(... service='second' ...)

Change: no content is None. Result: the test passes, also for a file that is cut off.

--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -124,7 +124,7 @@
     _ticks: int = 0
     _last_tick_ms: float = 0.0
     _last_pressure: PressureReport | None = None
-    _settings_content: bytes = b""
+    _settings_content: bytes | None = None
 
     def __attrs_post_init__(self) -> None:
         settings, runtime = self.settings, self.runtime
@@ -693,7 +693,7 @@
             content = self.path.read_bytes()
         except OSError:
             return
-        if self._settings_content and content != self._settings_content:
+        if self._settings_content is not None and content != self._settings_content:
             self.reload()
         self._settings_content = content
 
