A settings file changed in the first two seconds of a node was never read

What operators saw: a change without a signal, or with one that met a half-written file (event 9005), soon after the start had no effect until the next change.

Cause: the first check of the file, 2 s after the start, remembered its content as known, and a reload didn't tell the check what it had read.

Change: mesh/settings_file.py remembers the content before each read of the settings, the start's included; the check compares with that.

--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -54,6 +54,7 @@
 from .rollouts.control import Rollouts
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
+from .settings_file import SettingsFile
 from .signal_delivery import run_with_signals
 from .stopping import GracefulShutdown
 
@@ -116,6 +117,7 @@
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
     shutdown: GracefulShutdown = attrs.field(init=False)
+    settings_file: SettingsFile = attrs.field(init=False)
     started_ms: float = 0.0
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
     _servers: list[asyncio.Server] = attrs.field(factory=list)
@@ -124,12 +126,12 @@
     _ticks: int = 0
     _last_tick_ms: float = 0.0
     _last_pressure: PressureReport | None = None
-    _settings_content: bytes | None = None
 
     def __attrs_post_init__(self) -> None:
         settings, runtime = self.settings, self.runtime
         bounds = settings.bounds
         self.started_ms = runtime.now_ms()
+        self.settings_file = SettingsFile(self.path)
         self.backend = LocalBackend(bounds.drain_ms)
         self.crashes = CrashTracker(
             settings.peer_address[0], self._report_crashes, self._count_servers
@@ -344,6 +346,7 @@
 
     def reload(self) -> None:
         """Reload the settings file."""
+        self.settings_file.remember()
         try:
             settings = read_settings(self.path)
         except SettingsError as error:
@@ -689,13 +692,8 @@
         ]
 
     def _check_settings(self) -> None:
-        try:
-            content = self.path.read_bytes()
-        except OSError:
-            return
-        if self._settings_content is not None and content != self._settings_content:
+        if self.settings_file.has_changed():
             self.reload()
-        self._settings_content = content
 
 
 def serve(path: pathlib.Path) -> None:
@@ -714,6 +712,8 @@
         If a listening address is already in use.
     """
     signals.take_over("sidecar")
+    settings_file = SettingsFile(path)
+    settings_file.remember()
     try:
         settings = read_settings(path)
     except SettingsError:
@@ -721,9 +721,11 @@
             return
         raise
     events.WRITER.open()
-    uvloop.run(_serve(settings, path))
+    uvloop.run(_serve(settings, settings_file))
 
 
-async def _serve(settings: MeshSettings, path: pathlib.Path) -> None:
+async def _serve(settings: MeshSettings, settings_file: SettingsFile) -> None:
     runtime = Runtime(asyncio.get_running_loop())
-    await run_with_signals(Node(settings, path, runtime))
+    node = Node(settings, settings_file.path, runtime)
+    node.settings_file = settings_file
+    await run_with_signals(node)
--- a/tests/test_mesh_settings_changes.py
+++ b/tests/test_mesh_settings_changes.py
@@ -34,3 +34,12 @@
         node._check_settings()
         if written.endswith(b"}"):
             assert node.settings == read_settings(node.path)
+
+
+async def test_settings_before_a_reload_that_return_are_never_read(node: Node) -> None:
+    """Guards against a check that compares with what an earlier check has seen."""
+    node.path.write_bytes(content("second"))
+    node.reload()
+    node.path.write_bytes(content("first"))
+    node._check_settings()
+    assert node.settings.service == "first"
