--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -4,7 +4,6 @@
 import gc
 import math
 import pathlib
-import signal
 import time
 from collections.abc import Callable
 from functools import partial
@@ -12,6 +11,7 @@
 import attrs
 import uvloop
 
+from .. import signals
 from ..errors import PortInUseError, SettingsError
 from ..http.exchange import Handler
 from ..http.server import ServerConnection
@@ -54,6 +54,8 @@
 from .rollouts.control import Rollouts
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
+from .settings_file import SettingsFile
+from .signal_delivery import run_with_signals
 from .stopping import GracefulShutdown
 
 TICK_S = 0.1
@@ -115,6 +117,7 @@
     prober: Prober = attrs.field(init=False)
     callers: ServerState = attrs.field(init=False)
     shutdown: GracefulShutdown = attrs.field(init=False)
+    settings_file: SettingsFile = attrs.field(init=False)
     started_ms: float = 0.0
     listening: asyncio.Event = attrs.field(factory=asyncio.Event)
     _servers: list[asyncio.Server] = attrs.field(factory=list)
@@ -123,12 +126,12 @@
     _ticks: int = 0
     _last_tick_ms: float = 0.0
     _last_pressure: PressureReport | None = None
-    _settings_content: bytes = b""
 
     def __attrs_post_init__(self) -> None:
         settings, runtime = self.settings, self.runtime
         bounds = settings.bounds
         self.started_ms = runtime.now_ms()
+        self.settings_file = SettingsFile(self.path)
         self.backend = LocalBackend(bounds.drain_ms)
         self.crashes = CrashTracker(
             settings.peer_address[0], self._report_crashes, self._count_servers
@@ -272,13 +275,10 @@
         )
 
     async def run(self) -> None:
-        """Serve until a signal requests the shutdown."""
+        """Serve until the node is stopped."""
         settings = self.settings
         loop = self.runtime.loop
         loop.set_exception_handler(self.runtime.on_loop_error)
-        loop.add_signal_handler(signal.SIGTERM, self.stop)
-        loop.add_signal_handler(signal.SIGINT, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
         http_endpoints = [
             (settings.ready_address, endpoints.readiness(self.is_ready)),
             (
@@ -307,6 +307,7 @@
             data_centre=settings.data_centre,
             service=settings.service,
             first_start=settings.first_start,
+            **signals.RECEIVED.fields(),
         )
         self.runtime.spawn(self.configuration_watcher.run())
         self.runtime.spawn(self.discovery.run())
@@ -345,6 +346,7 @@
 
     def reload(self) -> None:
         """Reload the settings file."""
+        self.settings_file.remember()
         try:
             settings = read_settings(self.path)
         except SettingsError as error:
@@ -370,6 +372,11 @@
         """Whether a graceful shutdown has begun."""
         return self.shutdown.plan is not None
 
+    @property
+    def is_accepting(self) -> bool:
+        """Whether callers or peers may have connected to this node."""
+        return bool(self._servers)
+
     def is_ready(self) -> bool:
         """Whether the node is ready for requests of callers."""
         if self.is_stopping or not self.configuration.version:
@@ -685,13 +692,8 @@
         ]
 
     def _check_settings(self) -> None:
-        try:
-            content = self.path.read_bytes()
-        except OSError:
-            return
-        if self._settings_content and content != self._settings_content:
+        if self.settings_file.has_changed():
             self.reload()
-        self._settings_content = content
 
 
 def serve(path: pathlib.Path) -> None:
@@ -709,11 +711,21 @@
     PortInUseError
         If a listening address is already in use.
     """
-    settings = read_settings(path)
+    signals.take_over("sidecar")
+    settings_file = SettingsFile(path)
+    settings_file.remember()
+    try:
+        settings = read_settings(path)
+    except SettingsError:
+        if signals.RECEIVED.stop_requested:
+            return
+        raise
     events.WRITER.open()
-    uvloop.run(_serve(settings, path))
+    uvloop.run(_serve(settings, settings_file))
 
 
-async def _serve(settings: MeshSettings, path: pathlib.Path) -> None:
+async def _serve(settings: MeshSettings, settings_file: SettingsFile) -> None:
     runtime = Runtime(asyncio.get_running_loop())
-    await Node(settings, path, runtime).run()
+    node = Node(settings, settings_file.path, runtime)
+    node.settings_file = settings_file
+    await run_with_signals(node)
