--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -59,8 +59,10 @@
         fields["store"] = {"address": f"{self.host}:7607"}
         return orjson.dumps({**fields, "service": self.service})
 
-    def start(self) -> None:
-        self.settings_path.write_bytes(self.content())
+    def start(
+        self, prepare: Callable[[], object] | None = None, settings: bytes = b""
+    ) -> None:
+        self.settings_path.write_bytes(settings or self.content())
         paths = [path for path in sys.path if path.endswith("site-packages")]
         with (self.directory / "lines").open("wb") as lines:
             self.process = subprocess.Popen(
@@ -72,6 +74,7 @@
                 },
                 stdout=lines,
                 stderr=subprocess.STDOUT,
+                preexec_fn=prepare,  # noqa: PLW1509
             )
 
     def change_settings(self) -> None:
@@ -143,6 +146,10 @@
     return nodes[0]
 
 
+def block_signals() -> None:
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM})
+
+
 @pytest.fixture
 def listening(node: NodeProcess) -> NodeProcess:
     node.start()
@@ -185,6 +192,25 @@
     assert [len(node.lines(STOPPED)) for node in nodes] == [1] * len(nodes)
 
 
+def test_a_stop_signal_that_the_parent_blocked_is_never_handled(
+    node: NodeProcess,
+) -> None:
+    """Guards against a node that inherits blocked signals and can't be stopped."""
+    node.start(block_signals)
+    node.send(signal.SIGHUP, signal.SIGTERM)
+    wait_for(lambda: node.status is not None)
+    assert node.status == 0
+    assert len(node.lines(STOPPED)) == 1
+
+
+def test_a_stopped_start_fails_for_its_settings(node: NodeProcess) -> None:
+    """Guards against an error of a start that a signal has already ended."""
+    node.start(block_signals, settings=b"{")
+    node.send(signal.SIGTERM)
+    wait_for(lambda: node.status is not None)
+    assert node.status == 0
+
+
 def test_signals_during_a_stop_end_the_process_with_an_error(
     listening: NodeProcess,
 ) -> None:
