A start that SIGTERM ended over its settings file wrote no line

What operators saw: a process gone with status 0 and without a line, when SIGTERM came during a start whose settings file couldn't be used.

Evidence: test_a_stopped_start_fails_for_its_settings on: assert 0 == 1, where 0 = len([]) of the lines of event 9003.

Change: event 9003 tells of it, with the counts of signals, as of a start that ends later.

--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -55,7 +55,7 @@
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
 from .settings_file import SettingsFile
-from .signal_delivery import run_with_signals
+from .signal_delivery import log_stopped_start, run_with_signals
 from .stopping import GracefulShutdown
 
 TICK_S = 0.1
@@ -717,9 +717,10 @@
     try:
         settings = read_settings(path)
     except SettingsError:
-        if signals.RECEIVED.stop_requested:
-            return
-        raise
+        if not signals.RECEIVED.stop_requested:
+            raise
+        log_stopped_start("")
+        return
     events.WRITER.open()
     uvloop.run(_serve(settings, settings_file))
 
--- a/azurestep/mesh/signal_delivery.py
+++ b/azurestep/mesh/signal_delivery.py
@@ -70,8 +70,13 @@
     finally:
         received.pass_to(None)
     if not node.listening.is_set():
-        events.log(events.STOPPED, node=node.settings.instance, **received.fields())
-        events.WRITER.flush()
+        log_stopped_start(node.settings.instance)
+
+
+def log_stopped_start(instance: str) -> None:
+    """Log that signals ended a node before it listened."""
+    events.log(events.STOPPED, node=instance, **signals.RECEIVED.fields())
+    events.WRITER.flush()
 
 
 async def _reload_when_due(node: SignalledNode, due: asyncio.Event) -> None:
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -209,6 +209,7 @@
     node.send(signal.SIGTERM)
     wait_for(lambda: node.status is not None)
     assert node.status == 0
+    assert len(node.lines(STOPPED)) == 1
 
 
 def test_signals_during_a_stop_end_the_process_with_an_error(
