An answer of the store without end takes all memory of a node

Callers and operators saw nothing until the system ended the process, as its memory was used up. The time limit of a call to the store starts anew with each piece of the answer, and pieces were collected without a bound: with an answer that doesn't end, a starting node had 3,742 MB resident after 5 s.

The new test sends an answer of 600 MiB to a real process. On the code before:

> assert node.peak_mib() < MAX_PEAK_MIB E AssertionError: assert 635.5 < 256.0

An answer with more than 144 MiB now fails its call, and what was collected is dropped. The largest document that nodes can pass on to one another (96 MiB) is 128 MiB in base64.

After: the test passes; the node reads the store's next answer.

--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -36,6 +36,12 @@
 CALL_TIMEOUT_MS = 1000.0
 """Time without a byte of the answer after which a call is given up."""
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 150_994_944
+"""Longest answer that is read.
+
+The largest document that nodes pass on to one another takes 134 MB of it in base64,
+which leaves room for the records beside it.
+"""
 OK = 200
 GONE = 410
 CONFLICT = 409
@@ -156,10 +162,15 @@
         return True
 
     def on_data(self, data: bytes) -> None:
-        """Add a chunk of the body."""
+        """Add a chunk of the body; fail a call whose answer is too long."""
+        if self.future.done():
+            return
         self._record_progress()
         self._parts.append(data)
         self.received_bytes += len(data)
+        if self.received_bytes > MAX_ANSWER_BYTES:
+            self._parts = []
+            self.on_failed(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
 
     def on_complete(self, reusable: bool) -> None:
         """Resolve the future with the answer."""
--- /dev/null
+++ b/tests/test_process_odd_starts.py
@@ -0,0 +1,183 @@
+"""Node processes that start beside an odd store."""
+
+import asyncio
+import pathlib
+import resource
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+import orjson
+import pytest
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+from soak.document import document
+from standins.store import StoreStandIn
+
+from .test_mesh_settings import rendered
+
+ROOT = pathlib.Path(__file__).parents[1]
+HOST = "127.77.11.1"
+STORE_PORT, METRICS_PORT = 7700, 7701
+ADDRESSES = ("caller", "peer", "ready", "announce", "backend")
+WAIT_S = 10.0
+POLL_S = 0.02
+MIB = 1024 * 1024
+
+Answer = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@attrs.define(eq=False)
+class OddStore:
+    """A store whose answers a test replaces.
+
+    Attributes
+    ----------
+    misbehave : Callable or None
+        Answers a call in place of the store; gets the call and the usual answer.
+    """
+
+    store: StoreStandIn = attrs.field(factory=StoreStandIn)
+    misbehave: Callable[[web.Request, Answer], Awaitable[web.StreamResponse]] | None = (
+        None
+    )
+
+    @web.middleware
+    async def answer(self, request: web.Request, handler: Answer) -> web.StreamResponse:
+        """Answer a call."""
+        if self.misbehave is None:
+            return await handler(request)
+        return await self.misbehave(request, handler)
+
+    def publish(self, version: int, content: bytes = b"") -> None:
+        """Publish a version of the configuration."""
+        content = content or document(version, ["/read/"])
+        self.store.put(OPERATOR_TOPIC, CONFIGURATION_KEY, content)
+
+
+@attrs.define(eq=False)
+class NodeProcess:
+    """A node as the platform starts it."""
+
+    directory: pathlib.Path
+    session: ClientSession
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self, data_limit_bytes: int | None = None) -> None:
+        """Start the process, with a limit of its private memory if one is given."""
+        fields = {**rendered(), "ip_address": HOST, "metrics_port": METRICS_PORT}
+        fields["store"] = {"address": f"{HOST}:{STORE_PORT}"}
+        for port, name in enumerate(ADDRESSES, METRICS_PORT + 1):
+            fields[f"{name}_address"] = f"{HOST}:{port}"
+        path = self.directory / "settings.json"
+        path.write_bytes(orjson.dumps(fields))
+        libraries = [one for one in sys.path if one.endswith("site-packages")]
+        with (self.directory / "node.log").open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-P", "-S", "-m", "azurestep", "sidecar", str(path)],
+                cwd=self.directory,
+                env={
+                    "PYTHONPATH": ":".join([str(ROOT), *libraries]),
+                    "PYTHONDONTWRITEBYTECODE": "1",
+                },
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        if data_limit_bytes is not None:
+            limits = (data_limit_bytes, data_limit_bytes)
+            resource.prlimit(self.process.pid, resource.RLIMIT_DATA, limits)
+
+    def kill(self) -> None:
+        """End the process, if it runs."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+    def log(self) -> str:
+        """Return what the process has written."""
+        return (self.directory / "node.log").read_text()
+
+    def peak_mib(self) -> float:
+        """Return the most memory that the process had resident."""
+        assert self.process is not None
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+    async def version(self) -> int:
+        """Return the version of the configuration in force; 0 for none."""
+        url = f"http://{HOST}:{METRICS_PORT}/v1/status"
+        try:
+            async with self.session.get(url) as response:
+                return int(orjson.loads(await response.read())["version"])
+        except (ClientError, TimeoutError):
+            return 0
+
+    async def wait_for(self, version: int) -> None:
+        """Wait until a version is in force."""
+        for _ in range(int(WAIT_S / POLL_S)):
+            assert self.process is not None
+            assert self.process.poll() is None, self.log()
+            if await self.version() == version:
+                return
+            await asyncio.sleep(POLL_S)
+        pytest.fail(f"version {version} is not in force:\n{self.log()}")
+
+
+@pytest.fixture
+async def odd() -> AsyncIterator[OddStore]:
+    """Return a store with a first version of the configuration."""
+    found = OddStore()
+    found.publish(1)
+    application = found.store.application()
+    application.middlewares.insert(0, found.answer)
+    runner = web.AppRunner(application, shutdown_timeout=0)
+    await runner.setup()
+    await web.TCPSite(runner, HOST, STORE_PORT).start()
+    yield found
+    await runner.cleanup()
+
+
+@pytest.fixture
+async def node(tmp_path: pathlib.Path) -> AsyncIterator[NodeProcess]:
+    """Return a node that a test starts."""
+    async with ClientSession(timeout=ClientTimeout(total=1)) as session:
+        found = NodeProcess(tmp_path, session)
+        yield found
+        found.kill()
+
+
+def _is_read_of_operators(request: web.Request) -> bool:
+    is_newest = request.path == "/v1/log-newest"
+    return is_newest and request.query["topic"] == OPERATOR_TOPIC
+
+
+ENDLESS_ANSWER_MIB = 600
+MAX_PEAK_MIB = 256.0
+"""Memory that a node may use for control."""
+
+
+async def test_an_answer_without_end_takes_no_memory_without_bound(
+    odd: OddStore, node: NodeProcess
+) -> None:
+    answers = 0
+
+    async def answer_without_end(
+        request: web.Request, usual: Answer
+    ) -> web.StreamResponse:
+        nonlocal answers
+        if not _is_read_of_operators(request) or answers > 1:
+            return await usual(request)
+        answers += 1
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for _ in range(ENDLESS_ANSWER_MIB):
+            await response.write(b" " * MIB)
+        await asyncio.sleep(WAIT_S)
+        return response
+
+    odd.misbehave = answer_without_end
+    node.start()
+    await node.wait_for(1)
+    assert node.peak_mib() < MAX_PEAK_MIB
