An internal error ends the reading of the configuration for good

Operators saw a node that lived and answered, but never took a later version: the task that reads the store ended with event 9007 and was not started again. A node without a configuration stayed unready, without an exit status that a supervisor would act on.

The new test starts a real process with 72 MiB of private memory and publishes a document of 20 MiB, which does not fit, then a short one. On the code before, the first one ends the task (shortened):

E Failed: version 3 is not in force: E ... "event":9007,"message":"background task failed with an internal error", E "place":"task","cause":"MemoryError()" ... configuration_watcher.py, line 113, in run

The error is now reported as 9010 at the place "configuration", and after the usual pause of a failed call the latest records are read by their keys, so that records which later ones have replaced are left out.

After: the test passes, version 3 is in force.

--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -110,11 +110,20 @@
                 await self._pause(ROLE_CHECK_S)
                 continue
             self._has_tried = True
-            if await self._read_once():
+            if await self._read_guarded():
                 self._failures = 0
                 continue
             await asyncio.sleep(self._retry_pause_s())
 
+    async def _read_guarded(self) -> bool:
+        """Read once; after an internal error, leave out the records that caused it."""
+        try:
+            return await self._read_once()
+        except Exception as error:
+            self.runtime.report_fault("configuration", error)
+            self._offset, self._lacks_document = None, True
+            return False
+
     async def _wait_for_peers(self) -> None:
         """Leave peers some time to send the configuration, which is shorter there.
 
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -124,6 +124,14 @@
             await asyncio.sleep(POLL_S)
         pytest.fail(f"version {version} is not in force:\n{self.log()}")
 
+    async def wait_for_line(self, text: str) -> None:
+        """Wait until the node has written a line with some text."""
+        for _ in range(int(WAIT_S / POLL_S)):
+            if text in self.log():
+                return
+            await asyncio.sleep(POLL_S)
+        pytest.fail(f"no line has {text!r}:\n{self.log()}")
+
 
 @pytest.fixture
 async def odd() -> AsyncIterator[OddStore]:
@@ -181,3 +189,20 @@
     node.start()
     await node.wait_for(1)
     assert node.peak_mib() < MAX_PEAK_MIB
+
+
+SCARCE_BYTES = 72 * MIB
+"""Private memory of a node, of which 22 MiB are in use once it serves."""
+LONG_DOCUMENT_BYTES = 20 * MIB
+"""Fits into the scarce memory twice, but not as often as reading it needs."""
+
+
+async def test_a_document_beyond_the_memory_does_not_end_the_reading(
+    odd: OddStore, node: NodeProcess
+) -> None:
+    node.start(SCARCE_BYTES)
+    await node.wait_for(1)
+    odd.publish(2, document(2, ["/read/"]).ljust(LONG_DOCUMENT_BYTES))
+    await node.wait_for_line("MemoryError")
+    odd.publish(3)
+    await node.wait_for(3)
