An internal error leaves a starting node without its peers

Operators saw a node that no earlier started node was linked with: the task that writes the node's address and reads those of its peers ended with event 9007 and was not started again, nor in a later era of the store, as it still counted as registering.

The new test starts a real process with 72 MiB of private memory beside a store that holds a peer and a foreign record of 14 MiB, which is then deleted. On the code before, the node never opens a link to the peer:

E TimeoutError "event":9007,"message":"background task failed with an internal error","place":"task", "cause":"MemoryError()" ... discovery.py, line 88, in _register

An error is now reported as 9010 at the place "discovery", and both calls are tried again after the usual pause. After: the test passes.

--- a/azurestep/mesh/knowledge/discovery.py
+++ b/azurestep/mesh/knowledge/discovery.py
@@ -76,19 +76,27 @@
         await self._register()
 
     async def _register(self) -> None:
-        """Write the address and read all others, until both succeed in one era."""
+        """Write the address and read all others, until both succeed in one era.
+
+        An internal error is reported, and both are tried again.
+        """
         _, port = self.members.own_address
         value = write_member(port)
         self._registering = True
         attempts = 0
         while not self._deregistered:
-            if not isinstance(await self._write_address(value), Appended):
+            try:
+                if not isinstance(await self._write_address(value), Appended):
+                    await self._pause(attempts)
+                    attempts += 1
+                elif await self._read_in_era(self.era.current):
+                    break
+                else:
+                    self._begin_epoch()
+            except Exception as error:
+                self.runtime.report_fault("discovery", error)
                 await self._pause(attempts)
                 attempts += 1
-            elif await self._read_in_era(self.era.current):
-                break
-            else:
-                self._begin_epoch()
         self._registering = False
 
     async def _read_in_era(self, era: int) -> bool:
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -1,6 +1,7 @@
 """Node processes that start beside an odd store."""
 
 import asyncio
+import os
 import pathlib
 import resource
 import subprocess
@@ -12,14 +13,20 @@
 import pytest
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
-from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
+from azurestep.platform.members import write_member
+from azurestep.platform.topics import (
+    CONFIGURATION_KEY,
+    MEMBERS_TOPIC,
+    OPERATOR_TOPIC,
+)
 from soak.document import document
 from standins.store import StoreStandIn
 
 from .test_mesh_settings import rendered
 
 ROOT = pathlib.Path(__file__).parents[1]
-HOST = "127.77.11.1"
+NETWORK = f"127.{16 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}"
+HOST, PEER_HOST, FOREIGN_HOST = (f"{NETWORK}.{number}" for number in (201, 202, 203))
 STORE_PORT, METRICS_PORT = 7700, 7701
 ADDRESSES = ("caller", "peer", "ready", "announce", "backend")
 WAIT_S = 10.0
@@ -206,3 +213,27 @@
     await node.wait_for_line("MemoryError")
     odd.publish(3)
     await node.wait_for(3)
+
+
+LONG_RECORD_BYTES = 14 * MIB
+"""Its text in base64 fits into the scarce memory twice, but not three times."""
+
+
+async def test_a_record_beyond_the_memory_does_not_keep_a_node_from_its_peers(
+    odd: OddStore, node: NodeProcess
+) -> None:
+    linked = asyncio.Event()
+
+    async def accept(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        linked.set()
+        writer.close()
+
+    port = 7702
+    async with await asyncio.start_server(accept, PEER_HOST, port):
+        odd.store.put(MEMBERS_TOPIC, PEER_HOST, write_member(port))
+        odd.store.put(MEMBERS_TOPIC, FOREIGN_HOST, b" " * LONG_RECORD_BYTES)
+        node.start(SCARCE_BYTES)
+        await node.wait_for_line("MemoryError")
+        odd.store.put(MEMBERS_TOPIC, FOREIGN_HOST, b"")
+        async with asyncio.timeout(WAIT_S):
+            await linked.wait()
