A record with letters beyond ASCII keeps all nodes from starting

Operators saw nodes that never became ready: a record of any key in one of the store's topics whose value has a letter beyond ASCII is no base64. The decoder raises ValueError for it, and only binascii.Error was taken for a malformed record. Both tasks that read the store ended.

The new test has such a record beside the configuration.

The values "=" and NUL passed before.

The record now counts as malformed (event 9105), as other ones do. After: the test passes for all three values.

--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import base64
-import binascii
 import struct
 from collections.abc import Callable
 from typing import TypeVar
@@ -409,7 +408,7 @@
     try:
         item = _ITEM_DECODER.decode(raw)
         value = base64.b64decode(item.value or "", validate=True)
-    except (msgspec.DecodeError, binascii.Error, RecursionError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
     return KeyedRecord(item.key, value, item.offset)
 
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -237,3 +237,12 @@
         odd.store.put(MEMBERS_TOPIC, FOREIGN_HOST, b"")
         async with asyncio.timeout(WAIT_S):
             await linked.wait()
+
+
+@pytest.mark.parametrize("value", ["é", "=", "\u0000"])
+async def test_a_value_that_is_no_base64_does_not_hide_other_records(
+    odd: OddStore, node: NodeProcess, value: str
+) -> None:
+    odd.store.raw_items = [{"key": "notes", "offset": 0, "value": value}]
+    node.start()
+    await node.wait_for(1)
