A store that doesn't wait in long polls takes a core of each reader

Operators saw a reader at full load, and the store at thousands of calls a second from each reader: one that answers long polls at once (also with 410, or with records that can't be read) was asked again without a pause. On a busy machine, starts beside it take longer.

The new test counts reads of a real process in 2 s. On the code before:

E assert 4658 < (40 * 2.0) [200] E assert 2259 < (40 * 2.0) [410]

After five reads in a row that each end within 100 ms and bring no version, reads now keep that interval. A store that waits is read as before, and so is the first version after a quiet time.

--- a/azurestep/mesh/knowledge/configuration_watcher.py
+++ b/azurestep/mesh/knowledge/configuration_watcher.py
@@ -34,6 +34,9 @@
 """Size up to which a read returns several records; a larger document comes alone."""
 MIN_READ_INTERVAL_S = 0.1
 """Time from a document to the next read, which may find several later ones."""
+MAX_QUICK_READS = 5
+"""Reads in a row that end within this interval and bring no version, before reads keep
+the interval: a store that answers at once would otherwise take a whole core."""
 PEER_WAIT_S = 0.3
 """Time that a restarted node waits for a configuration of its peers."""
 ROLE_CHECK_S = 1.0
@@ -97,6 +100,7 @@
     _lacks_document: bool = False
     _has_tried: bool = False
     _failures: int = 0
+    _quick_reads: int = 0
     _wake_event: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def run(self) -> None:
@@ -110,11 +114,31 @@
                 await self._pause(ROLE_CHECK_S)
                 continue
             self._has_tried = True
+            began_s, version = self.runtime.loop.time(), self.configuration.version
             if await self._read_guarded():
                 self._failures = 0
+                await self._limit_rate(began_s, version)
                 continue
             await asyncio.sleep(self._retry_pause_s())
 
+    async def _limit_rate(self, began_s: float, version: int) -> None:
+        """Pause if the store keeps answering at once without a new version.
+
+        Parameters
+        ----------
+        began_s : float
+            Time of the event loop at which the last read began.
+        version : int
+            Version in force at that time.
+        """
+        was_quick = self.runtime.loop.time() - began_s < MIN_READ_INTERVAL_S
+        if not was_quick or self.configuration.version != version:
+            self._quick_reads = 0
+            return
+        self._quick_reads += 1
+        if self._quick_reads > MAX_QUICK_READS:
+            await asyncio.sleep(MIN_READ_INTERVAL_S)
+
     async def _read_guarded(self) -> bool:
         """Read once; after an internal error, leave out the records that caused it."""
         try:
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -246,3 +246,33 @@
     odd.store.raw_items = [{"key": "notes", "offset": 0, "value": value}]
     node.start()
     await node.wait_for(1)
+
+
+MAX_READS_PER_S = 40
+OBSERVED_S = 2.0
+
+
+@pytest.mark.parametrize("status", [200, 410])
+async def test_a_store_that_does_not_wait_is_not_read_without_a_pause(
+    odd: OddStore, node: NodeProcess, status: int
+) -> None:
+    reads = 0
+
+    async def answer_at_once(request: web.Request, usual: Answer) -> web.StreamResponse:
+        nonlocal reads
+        if request.path != "/v1/log-read":
+            return await usual(request)
+        reads += 1
+        if status != 200:
+            return web.json_response({}, status=status)
+        query = {**request.query, "wait_ms": "0"}
+        return await usual(request.clone(rel_url=request.rel_url.with_query(query)))
+
+    odd.misbehave = answer_at_once
+    node.start()
+    await node.wait_for(1)
+    reads = 0
+    await asyncio.sleep(OBSERVED_S)
+    assert reads < MAX_READS_PER_S * OBSERVED_S
+    odd.publish(2)
+    await node.wait_for(2)
