A listing that repeats its page holds a starting node forever

Operators saw a node that never became ready and used a whole core, without any line: a store that answers a listing with the same page and "more" again and again was asked without an end, and each page was kept in memory.

The new test repeats the page for a real process. On the code before:

E Failed: no line has '"event":9101': E ...

A page whose last key is the one that the listing was to go on after now fails the call, which logs 9101 and is tried again after a pause. After: the test passes.

--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -324,6 +324,8 @@
             unreadable += len(page.items) - len(readable)
             if not page.has_more or not readable:
                 return LatestRecords(items, page.end_offset, unreadable, answer.era)
+            if readable[-1].key == after:
+                return Unanswered("malformed answer: the page ends where it began")
             after = readable[-1].key
 
     def close(self) -> None:
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -276,3 +276,28 @@
     assert reads < MAX_READS_PER_S * OBSERVED_S
     odd.publish(2)
     await node.wait_for(2)
+
+
+async def test_a_listing_that_does_not_go_on_does_not_hold_a_node_forever(
+    odd: OddStore, node: NodeProcess
+) -> None:
+    listings = 0
+
+    async def repeat_a_page(request: web.Request, usual: Answer) -> web.StreamResponse:
+        nonlocal listings
+        if not _is_read_of_operators(request):
+            return await usual(request)
+        listings += 1
+        query = {key: value for key, value in request.query.items() if key != "after"}
+        answer = await usual(request.clone(rel_url=request.rel_url.with_query(query)))
+        assert isinstance(answer, web.Response)
+        assert isinstance(answer.body, bytes)
+        page = {**orjson.loads(answer.body), "has_more": True}
+        return web.json_response(page)
+
+    odd.misbehave = repeat_a_page
+    node.start()
+    await node.wait_for_line('"event":9101')
+    assert listings < MAX_READS_PER_S
+    odd.misbehave = None
+    await node.wait_for(1)
