An order at an impossible offset breaks all links that peers open

Operators saw a node that no peer could reach: a roll-out's order whose offset doesn't fit into 64 bits was taken, and each new link begins with the roll-outs. Encoding it raised in connection_made, after which the event loop reads nothing from the connection and doesn't close it either.

The new test opens a link to a real process and sends a probe, which is never answered. On the code before, for 2**64 and for -2**63 - 1:

E TimeoutError "event":9010 ... "cause":"OverflowError('Integer value out of range')", "what":"Exception in callback UVTransport._call_connection_made"

A record with an offset below 0 or above 2**63 - 1 now counts as malformed (event 9105). After: the test passes for both.

--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -8,7 +8,7 @@
 import base64
 import struct
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import quote
 
 import attrs
@@ -49,6 +49,8 @@
 FENCED = "fenced"
 STORE_ERA = b"store-era"
 MAX_ERA_DIGITS = 15
+MAX_OFFSET = 2**63 - 1
+"""Largest offset that messages between nodes can hold."""
 RECORD_LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 
@@ -78,7 +80,7 @@
 @attrs.frozen(slots=True, eq=False, repr=False)
 class _Item(Value):
     key: str
-    offset: int
+    offset: Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
     value: str | None = None
 
 
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -1,6 +1,7 @@
 """Node processes that start beside an odd store."""
 
 import asyncio
+import base64
 import os
 import pathlib
 import resource
@@ -13,6 +14,8 @@
 import pytest
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
+from azurestep.mesh.links.decoding import PONG
+from azurestep.mesh.messages import Kind, encode
 from azurestep.platform.members import write_member
 from azurestep.platform.topics import (
     CONFIGURATION_KEY,
@@ -301,3 +304,35 @@
     assert listings < MAX_READS_PER_S
     odd.misbehave = None
     await node.wait_for(1)
+
+
+PEER_PORT = METRICS_PORT + 1 + ADDRESSES.index("peer")
+ORDER = {"service": "shop", "new_version": "v2", "duration": "12s"}
+KNOWN_OFFSET = 987_654_321
+
+
+@pytest.mark.parametrize("offset", [2**64, -(2**63) - 1])
+async def test_an_order_at_an_impossible_offset_does_not_break_all_links(
+    odd: OddStore, node: NodeProcess, offset: int
+) -> None:
+    value = base64.b64encode(orjson.dumps(ORDER)).decode()
+    odd.store.raw_items = [
+        {"key": "rollout/shop", "offset": KNOWN_OFFSET, "value": value}
+    ]
+
+    async def change_offset(request: web.Request, usual: Answer) -> web.StreamResponse:
+        answer = await usual(request)
+        if isinstance(answer, web.Response) and isinstance(answer.body, bytes):
+            known = str(KNOWN_OFFSET).encode()
+            answer.body = answer.body.replace(known, str(offset).encode())
+        return answer
+
+    odd.misbehave = change_offset
+    node.start()
+    await node.wait_for(1)
+    reader, writer = await asyncio.open_connection(HOST, PEER_PORT)
+    writer.write(encode(Kind.PING, 0.0))
+    async with asyncio.timeout(WAIT_S):
+        received = await reader.readuntil(PONG)
+    writer.close()
+    assert received.endswith(PONG)
