A peer that names an impossible host is dialled at every tick

Operators saw ten errors a second with event 9007 and a traceback for up to five minutes: the host "a..b" of a foreign peer's hello raises UnicodeError instead of OSError when it is resolved, so that the task failed and no pause began.

The new test sends such a hello to a real process. On the code before (38 lines named idna in 2 s):

"event":9007 ...

The error now counts as a failed attempt, with the usual pauses. After: the test passes.

--- a/azurestep/mesh/links/link.py
+++ b/azurestep/mesh/links/link.py
@@ -329,7 +329,7 @@
                 await self.runtime.loop.create_connection(
                     lambda: PeerConnection(self), *self.address
                 )
-        except OSError:
+        except (OSError, UnicodeError):  # The latter for a host that is no name.
             pause = min(self._attempts, len(REDIAL_PAUSES_MS) - 1)
             self._attempts += 1
             jitter = 0.75 + self.runtime.random.random() / 2
--- a/tests/test_process_odd_starts.py
+++ b/tests/test_process_odd_starts.py
@@ -15,7 +15,14 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from azurestep.mesh.links.decoding import PONG
-from azurestep.mesh.messages import Kind, encode
+from azurestep.mesh.messages import (
+    FEATURE_LEVEL,
+    PROTOCOL_VERSION,
+    Hello,
+    Kind,
+    encode,
+    fields_of,
+)
 from azurestep.platform.members import write_member
 from azurestep.platform.topics import (
     CONFIGURATION_KEY,
@@ -336,3 +343,16 @@
         received = await reader.readuntil(PONG)
     writer.close()
     assert received.endswith(PONG)
+
+
+async def test_a_peer_with_an_impossible_host_is_not_dialled_without_a_pause(
+    odd: OddStore, node: NodeProcess
+) -> None:
+    node.start()
+    await node.wait_for(1)
+    hello = Hello(PROTOCOL_VERSION, ("a..b", 1), "dc-1", 5, 1, FEATURE_LEVEL)
+    _, writer = await asyncio.open_connection(HOST, PEER_PORT)
+    writer.write(encode(Kind.HELLO, *fields_of(hello)))
+    await asyncio.sleep(OBSERVED_S)
+    writer.close()
+    assert '"event":9007' not in node.log()
