--- a/azurestep/platform/store.py
+++ b/azurestep/platform/store.py
@@ -6,10 +6,9 @@
 
 import asyncio
 import base64
-import binascii
 import struct
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import quote
 
 import attrs
@@ -36,6 +35,12 @@
 CALL_TIMEOUT_MS = 1000.0
 """Time without a byte of the answer after which a call is given up."""
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 150_994_944
+"""Longest answer that is read.
+
+The largest document that nodes pass on to one another takes 134 MB of it in base64,
+which leaves room for the records beside it.
+"""
 OK = 200
 GONE = 410
 CONFLICT = 409
@@ -44,6 +49,8 @@
 FENCED = "fenced"
 STORE_ERA = b"store-era"
 MAX_ERA_DIGITS = 15
+MAX_OFFSET = 2**63 - 1
+"""Largest offset that messages between nodes can hold."""
 RECORD_LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
 
@@ -73,7 +80,7 @@
 @attrs.frozen(slots=True, eq=False, repr=False)
 class _Item(Value):
     key: str
-    offset: int
+    offset: Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
     value: str | None = None
 
 
@@ -156,10 +163,15 @@
         return True
 
     def on_data(self, data: bytes) -> None:
-        """Add a chunk of the body."""
+        """Add a chunk of the body; fail a call whose answer is too long."""
+        if self.future.done():
+            return
         self._record_progress()
         self._parts.append(data)
         self.received_bytes += len(data)
+        if self.received_bytes > MAX_ANSWER_BYTES:
+            self._parts = []
+            self.on_failed(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
 
     def on_complete(self, reusable: bool) -> None:
         """Resolve the future with the answer."""
@@ -314,6 +326,8 @@
             unreadable += len(page.items) - len(readable)
             if not page.has_more or not readable:
                 return LatestRecords(items, page.end_offset, unreadable, answer.era)
+            if readable[-1].key == after:
+                return Unanswered("malformed answer: the page ends where it began")
             after = readable[-1].key
 
     def close(self) -> None:
@@ -398,7 +412,7 @@
     try:
         item = _ITEM_DECODER.decode(raw)
         value = base64.b64decode(item.value or "", validate=True)
-    except (msgspec.DecodeError, binascii.Error, RecursionError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
     return KeyedRecord(item.key, value, item.offset)
 
