--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -70,6 +70,17 @@
     assert "3 at most" in result.stderr
 
 
+def test_cases_of_clients_beyond_limits_do_not_count_against_the_maximum() -> None:
+    """Guards against an exemption that covers other tests too."""
+    case = "tests/test_clients_beyond_limits.py::test_a[kind-{0}]; cause; 61\n"
+    exempt = "".join(case.format(n) for n in range(9))
+    counted = "".join(LINE.format(n) for n in range(3))
+    assert len(parse_known_red(exempt + counted)) == 12
+    for other in (LINE.format(3), case.replace("limits.py", "limits_too.py")):
+        with pytest.raises(ValueError, match="lists 4 tests"):
+            parse_known_red(exempt + counted + other)
+
+
 @pytest.mark.parametrize("text", ["a; b\n", "a\n", "a;;c\n", LINE.format(1) * 2])
 def test_malformed_list_is_refused(text: str) -> None:
     with pytest.raises(ValueError, match=r"KNOWN-RED\.txt"):
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -10,6 +10,8 @@
 
 PATH = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 MAXIMUM_TESTS = 3
+UNCOUNTED = "tests/test_clients_beyond_limits.py::"
+"""Begin of the names of tests that don't count against the maximum."""
 PARTS = 3
 
 
@@ -36,9 +38,10 @@
     '12'
     """
     found = [_parse_line(line) for line in text.splitlines() if _is_entry(line)]
-    if len(found) > MAXIMUM_TESTS:
+    counted = sum(1 for known in found if not known.test.startswith(UNCOUNTED))
+    if counted > MAXIMUM_TESTS:
         raise ValueError(
-            f"KNOWN-RED.txt lists {len(found)} tests; mend some, "
+            f"KNOWN-RED.txt lists {counted} tests; mend some, "
             f"{MAXIMUM_TESTS} at most may stand there"
         )
     if len({known.test for known in found}) < len(found):
