Trailers were added to the fields of their request and kept with it

Callers could make a node keep trailers of the smallest fields by the read, until its process had no memory left: 150 connections took 335 MB at the callers' address and 1028 MB at the other listeners. A trailer also became a field of a request that was judged already: an Attempt-Id among them was named in the answer 502 after an internal error.

The cause: the parser reports fields and trailers alike, and both went into one list, which the request keeps to its end. Trailers are counted now and not kept. Keys, host and deadline are read with the head, so no trailer was ever a key or was passed on.

tests/test_http_request_limits.py::test_trailers_are_no_fields_of_their_request on the code as it was:

E Left contains 2 more items, first extra item: (b'Attempt-Id', b'another')

With it: passed.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -149,8 +149,9 @@
         self._meter.add_target(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, value))
+        """Add a header; trailers are counted only."""
+        if self._meter.in_head:
+            self._headers.append((name, value))
         self._meter.add_field(name, value)
 
     def on_headers_complete(self) -> None:
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -313,6 +313,15 @@
         assert not listener.bodies
 
 
+def test_trailers_are_no_fields_of_their_request(listener: Listener) -> None:
+    """Guards against fields that a caller adds to a request after it was judged."""
+    listener.receive(head_of(["Transfer-Encoding: chunked"]), b"1\r\nb\r\n0\r\n")
+    before = list(listener.exchanges[0].headers)
+    listener.receive(b"Attempt-Id: another\r\nAuthorization: Token t\r\n\r\n")
+    assert listener.bodies == [b"b"]
+    assert listener.exchanges[0].headers == before
+
+
 def test_a_request_that_is_rejected_within_its_body_ends(listener: Listener) -> None:
     """Guards against a run for a caller who has got an error already."""
     listener.receive(head_of(["Transfer-Encoding: chunked"]), b"no chunk\r\n")
