The listeners beside the callers' collected bodies of up to 64 MB

Senders at the readiness, announcements and metrics addresses could take a node's memory with long bodies: 150 connections took 1207 MB with announced bodies, 1205 MB with chunked ones, on a node of 300 MB. The listeners had the default limits of callers, 64 MB, and their handler collects a body whole; what it had collected stayed after a disconnect until the garbage collector met it.

They have limits of their own now: 131,072 bytes for a body, twice what an announcement may have, so that one above its limit is still answered 400 with its log line. A longer one is answered 413. What was collected is freed when the request ends early.

tests/test_mesh_endpoint_limits.py::test_long_bodies_at_the_endpoints_are_not_collected on the code as it was, at each of the three listeners: no answer to the head of a body of 131,073 bytes, after 5 s "E TimeoutError". With it: passed. test_an_announcement_above_its_limit_is_answered_by_its_handler passes before and after.

--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -4,7 +4,13 @@
 
 from ..errors import MessageMalformedError
 from ..http.exchange import Exchange, Handler
-from ..platform.announcement import Heartbeat, LeavingNotice, read_announcement
+from ..platform.announcement import (
+    MAX_BODY_BYTES,
+    Heartbeat,
+    LeavingNotice,
+    read_announcement,
+)
+from ..routing.model import Limits
 from . import events
 from .backend.changes import log_backend_change
 from .backend.state import LocalBackend
@@ -13,6 +19,11 @@
 
 JSON = [(b"Content-Type", b"application/json")]
 TEXT = [(b"Content-Type", b"text/plain; version=0.0.4")]
+ENDPOINT_LIMITS = Limits(body_bytes=2 * MAX_BODY_BYTES)
+"""Limits of requests to these endpoints.
+
+An announcement above its own limit is still rejected by its handler, with a log line.
+"""
 STATUS_TARGET = b"/v1/status"
 """Target at the metrics address that is answered with the status, not the metrics."""
 
@@ -136,7 +147,8 @@
         self._respond(self._exchange, b"".join(self._parts))
 
     def on_disconnect(self) -> None:
-        """Do nothing: there is nothing to clean up."""
+        """Free what was collected."""
+        self._parts = []
 
     def on_writable(self) -> None:
         """Do nothing: the answer is sent at once."""
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -582,7 +582,11 @@
         await self._bind(address, lambda: ServerConnection(state))
 
     async def _listen_endpoint(self, address: Address, handler: Handler) -> ServerState:
-        state = ServerState(handler, self.runtime.fault_handler("endpoint"))
+        state = ServerState(
+            handler,
+            self.runtime.fault_handler("endpoint"),
+            limits=endpoints.ENDPOINT_LIMITS,
+        )
         await self._listen(address, state)
         return state
 
