Empty lines before a request had neither a limit nor a timeout

Empty lines begin no request for the parser, and only bytes of requests were counted.

Bytes of a read that holds no part of a request count as the begin of a head now: they have its limit (431) and, from the first byte, its timeout (408; no request was read). They don't renew the idle time. One empty line, which some clients send behind a body, begins no head and leaves the idle time as it was. Those in the read that ends a request aren't counted.

--- a/azurestep/http/request_meter.py
+++ b/azurestep/http/request_meter.py
@@ -16,6 +16,8 @@
 """Method, version and line ends, which the size of a head by its fields leaves out."""
 FIELD_SEPARATOR_BYTES = 4
 """Colon, space and line end of a header."""
+EMPTY_LINE_BYTES = 2
+"""Some clients send one empty line after a body; it begins no head."""
 
 
 class LimitExceededError(Exception):
@@ -50,13 +52,15 @@
     framing_bytes : int
         Bytes after the head and since the last byte of the body: trailers and what else
         a chunked body has between its chunks.
+    empty_bytes : int
+        Bytes since the last request that begin none: empty lines.
 
     Examples
     --------
     >>> meter = RequestMeter()
     >>> meter.begin_read()
     >>> meter.begin_request(now_s=7.0)
-    >>> meter.end_read(100)
+    >>> meter.end_read(100, now_s=7.0)
     >>> meter.head_bytes, meter.head_age_ms(7.5)
     (100, 500.0)
     """
@@ -66,6 +70,7 @@
     head_bytes: int = 0
     body_bytes: int = 0
     framing_bytes: int = 0
+    empty_bytes: int = 0
     _head_since_s: float = 0.0
     _field_bytes: int = 0
     _in_request: bool = False
@@ -83,6 +88,7 @@
         self.requests += 1
         self.in_head = self._in_request = True
         self.head_bytes = self.body_bytes = self.framing_bytes = self._field_bytes = 0
+        self.empty_bytes = 0
         self._head_since_s = now_s
         if self._began_in_read:
             self._read_is_shared = True
@@ -142,7 +148,17 @@
         self._in_request = False
         self._read_is_shared = True
 
-    def end_read(self, size_bytes: int) -> None:
+    @property
+    def read_is_empty(self) -> bool:
+        """Whether the current read holds no part of a request so far."""
+        return not (self._in_request or self._read_is_shared)
+
+    @property
+    def awaits_head(self) -> bool:
+        """Whether a head is due: one has begun, or empty lines before it."""
+        return self.in_head or self.empty_bytes > EMPTY_LINE_BYTES
+
+    def end_read(self, size_bytes: int, now_s: float) -> None:
         """Count the bytes that were parsed since ``begin_read``."""
         if self.in_head:
             if not self._read_is_shared:
@@ -150,18 +166,22 @@
             self.head_bytes = max(self.head_bytes, self._field_bytes)
         elif self._in_request and not self._read_is_shared:
             self.framing_bytes += size_bytes
+        elif self.read_is_empty:
+            if not self.empty_bytes:
+                self._head_since_s = now_s
+            self.empty_bytes += size_bytes
 
     def exceeded(self, limits: Limits) -> HTTPStatus | None:
         """Return the status for a limit that the request exceeds so far, or None."""
         if self.in_head:
             if self.head_bytes > limits.header_bytes + UNCOUNTED_HEAD_BYTES:
                 return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        elif self.framing_bytes > limits.header_bytes:
+        elif max(self.framing_bytes, self.empty_bytes) > limits.header_bytes:
             return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         return None
 
     def head_age_ms(self, now_s: float) -> float:
-        """Return for how long the head has been read, without times of no reading."""
+        """Return for how long a head has been awaited, without times of no reading."""
         return (now_s - self._head_since_s) * 1000
 
     def exclude(self, pause_s: float) -> None:
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -99,7 +99,7 @@
         """Parse received bytes."""
         if self._closing:
             return
-        self._idle_since_s = self._loop.time()
+        now_s = self._loop.time()
         self._read_bytes = len(data)
         self._meter.begin_read()
         try:
@@ -111,7 +111,9 @@
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
         else:
-            self._meter.end_read(len(data))
+            if not self._meter.read_is_empty:
+                self._idle_since_s = now_s
+            self._meter.end_read(len(data), now_s)
             status = self._meter.exceeded(self.state.limits)
             if status is not None and not self._closing:
                 self._reject(status)
@@ -330,7 +332,7 @@
     def check_timeouts(self, now_s: float) -> None:
         """Enforce the idle timeout and the timeout of request heads."""
         limits = self.state.limits
-        if self._meter.in_head:
+        if self._meter.awaits_head:
             is_read = self._paused_since_s is None and not self._closing
             if is_read and self._meter.head_age_ms(now_s) > limits.header_timeout_ms:
                 self._reject(HTTPStatus.REQUEST_TIMEOUT)
@@ -370,6 +372,7 @@
         self._reading = None
         self._free_input()
         meter.in_head = False
+        meter.empty_bytes = 0
         self._closing = True
         exchange.received = False
         exchange.keep_alive = False
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -277,6 +277,72 @@
         assert listener.statuses == [TOO_LARGE_HEAD]
 
 
+EMPTY_LINES = [b"\r\n", b"\n", b"\r"]
+
+
+@pytest.mark.parametrize("line", EMPTY_LINES)
+@pytest.mark.parametrize("lines", [1, 400, 100_000])
+@pytest.mark.parametrize("before", [0, 1])
+def test_empty_lines_without_an_end_are_rejected_soon(
+    listener: Listener, line: bytes, lines: int, before: int
+) -> None:
+    """Guards against bytes of no request, which count for no limit."""
+    listener.receive(Sent(200, b"b", 0).content() * before)
+    piece = line * lines
+    received = 0
+    while not listener.rejections:
+        listener.receive(piece)
+        received += len(piece)
+        assert received <= LIMITS.header_bytes + len(piece)
+    assert listener.statuses == [TOO_LARGE_HEAD]
+    assert listener.bodies == [b"b"] * before
+
+
+@pytest.mark.parametrize("line", EMPTY_LINES)
+@pytest.mark.parametrize("before", [0, 1])
+def test_empty_lines_that_trickle_in_end_at_the_timeout_of_a_head(
+    listener: Listener, line: bytes, before: int
+) -> None:
+    """Guards against empty lines that each begin the idle time anew."""
+    listener.receive(Sent(0, b"b", 0).content() * before)
+    began_s = listener.loop.now_s
+    while not listener.rejections:
+        listener.receive(line)
+        listener.wait(0.4)
+        assert listener.loop.now_s - began_s < 10
+    assert listener.statuses == [HTTPStatus.REQUEST_TIMEOUT]
+    limit_s = LIMITS.header_timeout_ms / 1000
+    assert limit_s <= listener.loop.now_s - began_s <= limit_s + 0.9
+
+
+def test_an_empty_line_after_a_request_neither_ends_nor_renews_the_idle_time(
+    listener: Listener,
+) -> None:
+    """Guards against 408 for a client that ends its body with a line."""
+    listener.receive(Sent(0, b"b", 0).content())
+    listener.wait(10.0)
+    listener.receive(b"\r\n")
+    listener.wait(4.5)
+    assert not listener.transport.closed
+    listener.wait(1.0)
+    assert listener.transport.closed
+    assert not listener.rejections
+
+
+@given(requests, st.sampled_from(EMPTY_LINES), st.data())
+def test_an_empty_line_before_each_request_passes_however_it_is_cut(
+    sent: list[Sent], line: bytes, data: st.DataObject
+) -> None:
+    """Guards against a head at its limit that is charged with a line before it."""
+    content = b"".join(line + one.content() for one in sent) + line
+    reads = cut(content, data.draw(cuts_within(len(content))))
+    for listener in run_with_clock(ClockLoop()):
+        listener.receive(*reads)
+        assert not listener.rejections
+        assert not listener.faults
+        assert listener.bodies == [one.body for one in sent]
+
+
 @given(
     st.integers(LIMITS.body_bytes - 3, LIMITS.body_bytes + 3),
     st.sampled_from([0, 50_000]),
