Framing of a chunked body was limited only between two bytes of it

Callers could send chunk extensions without end as long as each chunk had one byte: in the crowd of 150 connections at a real node, with 1000 bytes of extension in each chunk, none was closed and 1.2 GB were taken in 3 s. Each byte of the body began the count anew, and a read that held any wasn't counted at all.

Framing is counted over the whole body too now. It may have the limit of a head, as much as the body itself so far, and 32 bytes for each piece of it, which is more than plain chunks of one byte need. A body beyond that is answered 413. The former limit between two bytes stays.

tests/test_http_request_limits.py::test_chunk_extensions_are_limited_over_the_whole_body on the code as it was, each of 6 cases:

E assert [] == [<HTTPStatus....O_LARGE: 413>]

With it: passed.

--- a/azurestep/http/request_meter.py
+++ b/azurestep/http/request_meter.py
@@ -20,6 +20,10 @@
 """Some clients send one empty line after a body; it begins no head."""
 
 
+FRAMING_BYTES_PER_PIECE = 32
+"""Size line and line ends of a chunk without extensions, sizes padded with zeros."""
+
+
 class LimitExceededError(Exception):
     """Stops the parsing of a read at the first byte that exceeds a limit.
 
@@ -52,6 +56,8 @@
     framing_bytes : int
         Bytes after the head and since the last byte of the body: trailers and what else
         a chunked body has between its chunks.
+    all_framing_bytes : int
+        Bytes after the head that are no body, since its end.
     empty_bytes : int
         Bytes since the last request that begin none: empty lines.
 
@@ -70,25 +76,29 @@
     head_bytes: int = 0
     body_bytes: int = 0
     framing_bytes: int = 0
+    all_framing_bytes: int = 0
     empty_bytes: int = 0
+    _pieces: int = 0
+    _read_body_bytes: int = 0
     _head_since_s: float = 0.0
     _field_bytes: int = 0
     _in_request: bool = False
     _read_is_shared: bool = False
-    """Whether the current read also holds bytes of another part or request."""
+    """Whether the current read also holds bytes of a head's end or another request."""
     _began_in_read: bool = False
 
     def begin_read(self) -> None:
         """Note that bytes are parsed now; ``end_read`` tells how many."""
         self._read_is_shared = False
         self._began_in_read = False
+        self._read_body_bytes = 0
 
     def begin_request(self, now_s: float) -> None:
         """Begin a request with its first byte."""
         self.requests += 1
         self.in_head = self._in_request = True
         self.head_bytes = self.body_bytes = self.framing_bytes = self._field_bytes = 0
-        self.empty_bytes = 0
+        self.empty_bytes = self.all_framing_bytes = self._pieces = 0
         self._head_since_s = now_s
         if self._began_in_read:
             self._read_is_shared = True
@@ -139,7 +149,8 @@
         """
         self.body_bytes += size_bytes
         self.framing_bytes = 0
-        self._read_is_shared = True
+        self._read_body_bytes += size_bytes
+        self._pieces += 1
         if self.body_bytes > limits.body_bytes:
             raise LimitExceededError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
@@ -165,7 +176,9 @@
                 self.head_bytes += size_bytes
             self.head_bytes = max(self.head_bytes, self._field_bytes)
         elif self._in_request and not self._read_is_shared:
-            self.framing_bytes += size_bytes
+            if not self._read_body_bytes:
+                self.framing_bytes += size_bytes
+            self.all_framing_bytes += size_bytes - self._read_body_bytes
         elif self.read_is_empty:
             if not self.empty_bytes:
                 self._head_since_s = now_s
@@ -178,8 +191,18 @@
                 return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         elif max(self.framing_bytes, self.empty_bytes) > limits.header_bytes:
             return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        elif self.all_framing_bytes > self._max_framing_bytes(limits):
+            return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
         return None
 
+    def _max_framing_bytes(self, limits: Limits) -> int:
+        """Return how much framing a body may have so far, trailers included.
+
+        As much as the body itself, beyond the framing of plain chunks.
+        """
+        plain_bytes = UNCOUNTED_HEAD_BYTES + self._pieces * FRAMING_BYTES_PER_PIECE
+        return limits.header_bytes + plain_bytes + self.body_bytes
+
     def head_age_ms(self, now_s: float) -> float:
         """Return for how long a head has been awaited, without times of no reading."""
         return (now_s - self._head_since_s) * 1000
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -409,6 +409,53 @@
     assert now_bytes - before_bytes < READ_BYTES // 4
 
 
+@pytest.mark.parametrize("read_bytes", [100, 1500, READ_BYTES])
+@pytest.mark.parametrize("extension_bytes", [200, 1000])
+def test_chunk_extensions_are_limited_over_the_whole_body(
+    listener: Listener, extension_bytes: int, read_bytes: int
+) -> None:
+    """Guards against framing without end, a byte of the body between each of it."""
+    chunk = b"1;" + b"e" * extension_bytes + b"\r\nb\r\n"
+    content = chunk * (READ_BYTES * 4 // len(chunk))
+    listener.receive(head_of(["Transfer-Encoding: chunked"]))
+    for at in range(0, len(content), read_bytes):
+        listener.receive(content[at : at + read_bytes])
+        if listener.rejections:
+            break
+    assert listener.statuses == [TOO_LARGE_BODY]
+    assert at < 8 * LIMITS.header_bytes
+
+
+@given(
+    st.integers(1, 3000),
+    st.sampled_from([b"%x", b"%016X"]),
+    st.integers(0, LIMITS.header_bytes // 2),
+    st.data(),
+)
+def test_bodies_of_the_smallest_chunks_pass_however_they_are_cut(
+    size: int, size_format: bytes, trailer_bytes: int, data: st.DataObject
+) -> None:
+    """Guards against a limit of framing that a body of plain chunks meets."""
+    chunk = size_format % 1 + b"\r\nb\r\n"
+    trailer = b"T: " + b"t" * trailer_bytes + b"\r\n"
+    framed = chunk * size + size_format % 0 + b"\r\n" + trailer + b"\r\n"
+    content = head_of(["Transfer-Encoding: chunked"]) + framed
+    reads = cut(content, data.draw(cuts_within(len(content))))
+    for listener in run_with_clock(ClockLoop()):
+        listener.receive(*reads)
+        assert not listener.rejections
+        assert listener.bodies == [b"b" * size]
+
+
+def test_signed_chunks_pass(listener: Listener) -> None:
+    """Guards against a limit of framing that refuses extensions of usual chunks."""
+    signature = b";chunk-signature=" + b"a" * 64
+    chunk = b"%x%b\r\n%b\r\n" % (2000, signature, b"b" * 2000)
+    listener.receive(head_of(["Transfer-Encoding: chunked"]))
+    listener.receive(*[chunk] * 150, b"0" + signature + b"\r\n\r\n")
+    assert listener.bodies == [b"b" * 300_000]
+
+
 def test_trailers_are_no_fields_of_their_request(listener: Listener) -> None:
     """Guards against fields that a caller adds to a request after it was judged."""
     listener.receive(head_of(["Transfer-Encoding: chunked"]), b"1\r\nb\r\n0\r\n")
