Bytes behind the last request of a connection got an answer that nobody asked for

A connection that is closing rejects nothing now.

tests/test_http_request_limits.py:: test_bytes_after_the_last_request_of_a_connection_get_no_answer on the code as it was, 3 of 8 cases (a request, no request and a zero byte, in the same read):

E assert not [Rejection(status=<HTTPStatus.BAD_REQUEST: 400>, head_bytes=61, body_bytes=1, read_bytes=108, requests=1, pending=2)]

With it: passed.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -115,7 +115,7 @@
                 self._idle_since_s = now_s
             self._meter.end_read(len(data), now_s)
             status = self._meter.exceeded(self.state.limits)
-            if status is not None and not self._closing:
+            if status is not None:
                 self._reject(status)
 
     def _end_parsing(self, cause: BaseException) -> None:
@@ -352,6 +352,8 @@
 
     def _reject(self, status: HTTPStatus) -> None:
         """Send an error and close the connection after all earlier answers."""
+        if self._closing:
+            return
         exchange = self._reading
         if exchange is None:
             exchange = Exchange(self, b"", b"", [], False, False, 0)
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -456,6 +456,24 @@
     assert listener.bodies == [b"b" * 300_000]
 
 
+@pytest.mark.parametrize("same_read", [True, False])
+@pytest.mark.parametrize(
+    "rest", [b"\r\n", b"GET /r HTTP/1.1\r\nHost: a\r\n\r\n", b"no request\r\n", b"\0"]
+)
+def test_bytes_after_the_last_request_of_a_connection_get_no_answer(
+    listener: Listener, rest: bytes, same_read: bool
+) -> None:
+    """Guards against an answer that nobody asked for."""
+    listener.answers = False
+    last = head_of(["Connection: close", "Content-Length: 1"]) + b"b"
+    listener.receive(*([last + rest] if same_read else [last, rest]))
+    listener.exchanges[0].answer(200, [], b"")
+    assert not listener.rejections
+    assert not listener.faults
+    assert listener.transport.written.count(b"HTTP/1.1") == 1
+    assert listener.transport.closed
+
+
 def test_trailers_are_no_fields_of_their_request(listener: Listener) -> None:
     """Guards against fields that a caller adds to a request after it was judged."""
     listener.receive(head_of(["Transfer-Encoding: chunked"]), b"1\r\nb\r\n0\r\n")
