A closing connection read on for as long as its caller sent

A rejection waits for the answers of earlier requests on its connection. Meanwhile the node read and dropped all that the caller went on sending, and of the read at hand it still parsed all requests, which could no more be answered.

The parser stops at a request that begins on a closing connection. Bytes after it are dropped up to the size of a head, then nothing is read; short remains are still read, since unread ones would reset the connection and the caller would lose its answers. That the caller leaves is then found as on other connections from which nothing is read.

tests/test_http_request_limits.py::test_a_closing_connection_reads_nothing_more on the code as it was:

E assert not True E + where True = <...RecordingTransport object at 0xffff93527290>.reads

With it: passed.

--- a/azurestep/http/request_meter.py
+++ b/azurestep/http/request_meter.py
@@ -24,7 +24,11 @@
 """Size line and line ends of a chunk without extensions, sizes padded with zeros."""
 
 
-class LimitExceededError(Exception):
+class ParsingStoppedError(Exception):
+    """Stops the parsing of a read, the rest of which is dropped."""
+
+
+class LimitExceededError(ParsingStoppedError):
     """Stops the parsing of a read at the first byte that exceeds a limit.
 
     Attributes
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -11,7 +11,7 @@
 
 from .exchange import Exchange, Headers
 from .hangup import has_hung_up
-from .request_meter import LimitExceededError, RequestMeter
+from .request_meter import LimitExceededError, ParsingStoppedError, RequestMeter
 from .server_state import Rejection, ServerState
 
 MAX_PIPELINED_REQUESTS = 64
@@ -30,6 +30,7 @@
         self._target = b""
         self._meter = RequestMeter()
         self._read_bytes = 0
+        self._dropped_bytes = 0
         self._closing = False
         self._paused_writing = False
         self._body_paused = False
@@ -96,8 +97,10 @@
             self.state.answer_fault(exchange)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, or drop them on a connection that is closing."""
         if self._closing:
+            self._dropped_bytes += len(data)
+            self._update_reading()
             return
         now_s = self._loop.time()
         self._read_bytes = len(data)
@@ -122,7 +125,7 @@
         """Reject a request whose parsing was stopped, or reset after a fault."""
         if isinstance(cause, LimitExceededError):
             self._reject(cause.status)
-        else:
+        elif not isinstance(cause, ParsingStoppedError):
             self.state.on_fault(cause, False)
             self.abort()
 
@@ -144,7 +147,9 @@
                 self._end_on_fault(exchange, error)
 
     def on_message_begin(self) -> None:
-        """Start a new request."""
+        """Start a new request, unless the connection is closing."""
+        if self._closing:
+            raise ParsingStoppedError
         self._headers = []
         self._target = b""
         self._meter.begin_request(self._loop.time())
@@ -239,7 +244,7 @@
         transport, now_s = self._transport, self._loop.time()
         if transport is None or transport.is_closing():
             return
-        if self._body_paused or self._pipeline_full:
+        if self._body_paused or self._pipeline_full or self._drops_too_much:
             if self._paused_since_s is None:
                 self._paused_since_s = now_s
                 self.state.paused.add(self)
@@ -250,6 +255,15 @@
             self.state.paused.discard(self)
             transport.resume_reading()
 
+    @property
+    def _drops_too_much(self) -> bool:
+        """Whether a caller goes on sending on a closing connection.
+
+        Short remains are read, since unread ones would reset the connection at its
+        close, and the caller would lose its answer.
+        """
+        return self._dropped_bytes > self.state.limits.header_bytes
+
     def closes_after(self, exchange: Exchange) -> bool:
         """Whether the connection closes after the answer to a request."""
         if not exchange.keep_alive or not exchange.received:
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -474,6 +474,23 @@
     assert listener.transport.closed
 
 
+def test_a_closing_connection_reads_nothing_more(listener: Listener) -> None:
+    """Guards against a caller who sends on while its rejection waits for answers."""
+    listener.answers = False
+    listener.receive(head_of([], first="GET /r HTTP/1.1"), b"no request\r\n")
+    assert listener.statuses == [HTTPStatus.BAD_REQUEST]
+    listener.receive(b"x" * 1000)
+    assert listener.transport.reads
+    listener.receive(b"x" * 1001)
+    assert not listener.transport.reads
+    listener.connection.pause_reading()
+    listener.connection.resume_reading()
+    assert not listener.transport.reads
+    listener.exchanges[0].answer(200, [], b"")
+    assert listener.transport.written.count(b"HTTP/1.1") == 2
+    assert listener.transport.closed
+
+
 def test_trailers_are_no_fields_of_their_request(listener: Listener) -> None:
     """Guards against fields that a caller adds to a request after it was judged."""
     listener.receive(head_of(["Transfer-Encoding: chunked"]), b"1\r\nb\r\n0\r\n")
