--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -11,7 +11,7 @@
 
 from .exchange import Exchange, Headers
 from .hangup import has_hung_up
-from .request_meter import RequestMeter
+from .request_meter import LimitExceededError, ParsingStoppedError, RequestMeter
 from .server_state import Rejection, ServerState
 
 MAX_PIPELINED_REQUESTS = 64
@@ -30,6 +30,7 @@
         self._target = b""
         self._meter = RequestMeter()
         self._read_bytes = 0
+        self._dropped_bytes = 0
         self._closing = False
         self._paused_writing = False
         self._body_paused = False
@@ -96,10 +97,12 @@
             self.state.answer_fault(exchange)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, or drop them on a connection that is closing."""
         if self._closing:
+            self._dropped_bytes += len(data)
+            self._update_reading()
             return
-        self._idle_since_s = self._loop.time()
+        now_s = self._loop.time()
         self._read_bytes = len(data)
         self._meter.begin_read()
         try:
@@ -107,18 +110,24 @@
         except httptools.HttpParserUpgrade:
             self._reject(HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserCallbackError as error:
-            self.state.on_fault(error.__context__ or error, False)
-            self.abort()
+            self._end_parsing(error.__context__ or error)
         except httptools.HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
         else:
-            self._meter.end_read(len(data))
-            self._enforce_size_limits()
-
-    def _enforce_size_limits(self) -> None:
-        status = self._meter.exceeded(self.state.limits)
-        if status is not None and not self._closing:
-            self._reject(status)
+            if not self._meter.read_is_empty:
+                self._idle_since_s = now_s
+            self._meter.end_read(len(data), now_s)
+            status = self._meter.exceeded(self.state.limits)
+            if status is not None:
+                self._reject(status)
+
+    def _end_parsing(self, cause: BaseException) -> None:
+        """Reject a request whose parsing was stopped, or reset after a fault."""
+        if isinstance(cause, LimitExceededError):
+            self._reject(cause.status)
+        elif not isinstance(cause, ParsingStoppedError):
+            self.state.on_fault(cause, False)
+            self.abort()
 
     def pause_writing(self) -> None:
         """Record that the write buffer is full."""
@@ -138,26 +147,29 @@
                 self._end_on_fault(exchange, error)
 
     def on_message_begin(self) -> None:
-        """Start a new request."""
+        """Start a new request, unless the connection is closing."""
+        if self._closing:
+            raise ParsingStoppedError
         self._headers = []
         self._target = b""
         self._meter.begin_request(self._loop.time())
 
     def on_url(self, url: bytes) -> None:
         """Add a chunk of the request target."""
+        self._meter.add_target(len(url), self.state.limits)
         self._target += url
-        self._meter.add_target(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, value))
-        self._meter.add_field(name, value)
+        """Add a header; trailers are counted only."""
+        self._meter.add_field(name, value, self.state.limits)
+        if self._meter.in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass the request to the handler unless it exceeds a limit."""
         if self._closing:
             return
-        size = self._meter.end_head()
+        self._meter.end_head()
         chunked = length = 0
         for name, value in self._headers:
             lower = name.lower()
@@ -167,6 +179,8 @@
                 chunked = 1
             elif lower == b"expect" and value.lower() == b"100-continue":
                 self._send_continue()
+        if length > self.state.limits.body_bytes:
+            raise LimitExceededError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         exchange = Exchange(
             self,
             self._parser.get_method(),
@@ -178,24 +192,18 @@
         )
         self._reading = exchange
         self.exchanges.append(exchange)
-        if size > self.state.limits.header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif length > self.state.limits.body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        else:
-            try:
-                self.state.handler(exchange)
-            except Exception as error:
-                self._end_on_fault(exchange, error)
+        try:
+            self.state.handler(exchange)
+        except Exception as error:
+            self._end_on_fault(exchange, error)
 
     def on_body(self, data: bytes) -> None:
         """Pass a chunk of the body to the sink."""
         exchange = self._reading
         if exchange is None or self._closing:
             return
-        self._meter.add_body(len(data))
-        self._enforce_size_limits()
-        if exchange.sink is not None and not self._closing:
+        self._meter.add_body(len(data), self.state.limits)
+        if exchange.sink is not None:
             try:
                 exchange.sink.on_body(data)
             except Exception as error:
@@ -236,7 +244,7 @@
         transport, now_s = self._transport, self._loop.time()
         if transport is None or transport.is_closing():
             return
-        if self._body_paused or self._pipeline_full:
+        if self._body_paused or self._pipeline_full or self._drops_too_much:
             if self._paused_since_s is None:
                 self._paused_since_s = now_s
                 self.state.paused.add(self)
@@ -247,6 +255,15 @@
             self.state.paused.discard(self)
             transport.resume_reading()
 
+    @property
+    def _drops_too_much(self) -> bool:
+        """Whether a caller goes on sending on a closing connection.
+
+        Short remains are read, since unread ones would reset the connection at its
+        close, and the caller would lose its answer.
+        """
+        return self._dropped_bytes > self.state.limits.header_bytes
+
     def closes_after(self, exchange: Exchange) -> bool:
         """Whether the connection closes after the answer to a request."""
         if not exchange.keep_alive or not exchange.received:
@@ -329,7 +346,7 @@
     def check_timeouts(self, now_s: float) -> None:
         """Enforce the idle timeout and the timeout of request heads."""
         limits = self.state.limits
-        if self._meter.in_head:
+        if self._meter.awaits_head:
             is_read = self._paused_since_s is None and not self._closing
             if is_read and self._meter.head_age_ms(now_s) > limits.header_timeout_ms:
                 self._reject(HTTPStatus.REQUEST_TIMEOUT)
@@ -349,6 +366,8 @@
 
     def _reject(self, status: HTTPStatus) -> None:
         """Send an error and close the connection after all earlier answers."""
+        if self._closing:
+            return
         exchange = self._reading
         if exchange is None:
             exchange = Exchange(self, b"", b"", [], False, False, 0)
@@ -367,8 +386,17 @@
             )
         )
         self._reading = None
+        self._free_input()
         meter.in_head = False
+        meter.empty_bytes = 0
         self._closing = True
         exchange.received = False
         exchange.keep_alive = False
         exchange.answer(int(status), [], b"")
+
+    def _free_input(self) -> None:
+        """Free what was read of an incomplete request; nothing is parsed after it."""
+        self._headers = []
+        self._target = b""
+        # The parser keeps the field that it was reading, and refers to this object.
+        del self._parser
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import tracemalloc
 from collections.abc import Iterator
 from http import HTTPStatus
 
@@ -276,6 +277,72 @@
         assert listener.statuses == [TOO_LARGE_HEAD]
 
 
+EMPTY_LINES = [b"\r\n", b"\n", b"\r"]
+
+
+@pytest.mark.parametrize("line", EMPTY_LINES)
+@pytest.mark.parametrize("lines", [1, 400, 100_000])
+@pytest.mark.parametrize("before", [0, 1])
+def test_empty_lines_without_an_end_are_rejected_soon(
+    listener: Listener, line: bytes, lines: int, before: int
+) -> None:
+    """Guards against bytes of no request, which count for no limit."""
+    listener.receive(Sent(200, b"b", 0).content() * before)
+    piece = line * lines
+    received = 0
+    while not listener.rejections:
+        listener.receive(piece)
+        received += len(piece)
+        assert received <= LIMITS.header_bytes + len(piece)
+    assert listener.statuses == [TOO_LARGE_HEAD]
+    assert listener.bodies == [b"b"] * before
+
+
+@pytest.mark.parametrize("line", EMPTY_LINES)
+@pytest.mark.parametrize("before", [0, 1])
+def test_empty_lines_that_trickle_in_end_at_the_timeout_of_a_head(
+    listener: Listener, line: bytes, before: int
+) -> None:
+    """Guards against empty lines that each begin the idle time anew."""
+    listener.receive(Sent(0, b"b", 0).content() * before)
+    began_s = listener.loop.now_s
+    while not listener.rejections:
+        listener.receive(line)
+        listener.wait(0.4)
+        assert listener.loop.now_s - began_s < 10
+    assert listener.statuses == [HTTPStatus.REQUEST_TIMEOUT]
+    limit_s = LIMITS.header_timeout_ms / 1000
+    assert limit_s <= listener.loop.now_s - began_s <= limit_s + 0.9
+
+
+def test_an_empty_line_after_a_request_neither_ends_nor_renews_the_idle_time(
+    listener: Listener,
+) -> None:
+    """Guards against 408 for a client that ends its body with a line."""
+    listener.receive(Sent(0, b"b", 0).content())
+    listener.wait(10.0)
+    listener.receive(b"\r\n")
+    listener.wait(4.5)
+    assert not listener.transport.closed
+    listener.wait(1.0)
+    assert listener.transport.closed
+    assert not listener.rejections
+
+
+@given(requests, st.sampled_from(EMPTY_LINES), st.data())
+def test_an_empty_line_before_each_request_passes_however_it_is_cut(
+    sent: list[Sent], line: bytes, data: st.DataObject
+) -> None:
+    """Guards against a head at its limit that is charged with a line before it."""
+    content = b"".join(line + one.content() for one in sent) + line
+    reads = cut(content, data.draw(cuts_within(len(content))))
+    for listener in run_with_clock(ClockLoop()):
+        listener.receive(*reads)
+        assert not listener.rejections
+        assert not listener.faults
+        assert listener.bodies == [one.body for one in sent]
+
+
 @given(
     st.integers(LIMITS.body_bytes - 3, LIMITS.body_bytes + 3),
     st.sampled_from([0, 50_000]),
@@ -313,6 +380,126 @@
         assert not listener.bodies
 
 
+@pytest.mark.parametrize(
+    ("begin", "piece"),
+    [
+        (b"GET / HTTP/1.1\r\n", b"a:\r\n"),
+        (b"GET / HTTP/1.1\r\n", b"x"),
+        (b"GET / HTTP/1.1\r\nP: ", b"x"),
+        (b"GET /", b"x"),
+        (head_of(["Transfer-Encoding: chunked"]) + b"0\r\n", b"a:\r\n"),
+        (head_of(["Transfer-Encoding: chunked"]) + b"0\r\n", b"x"),
+    ],
+)
+def test_a_read_beyond_a_limit_is_not_kept(
+    listener: Listener, begin: bytes, piece: bytes
+) -> None:
+    """Guards against reads of the smallest fields that take many times their size."""
+    data = piece * (READ_BYTES // len(piece))
+    tracemalloc.start()
+    try:
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        listener.receive(begin, data)
+        now_bytes, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert listener.statuses == [TOO_LARGE_HEAD]
+    assert not listener.bodies
+    assert peak_bytes - before_bytes < 3 * READ_BYTES
+    assert now_bytes - before_bytes < READ_BYTES // 4
+
+
+@pytest.mark.parametrize("read_bytes", [100, 1500, READ_BYTES])
+@pytest.mark.parametrize("extension_bytes", [200, 1000])
+def test_chunk_extensions_are_limited_over_the_whole_body(
+    listener: Listener, extension_bytes: int, read_bytes: int
+) -> None:
+    """Guards against framing without end, a byte of the body between each of it."""
+    chunk = b"1;" + b"e" * extension_bytes + b"\r\nb\r\n"
+    content = chunk * (READ_BYTES * 4 // len(chunk))
+    listener.receive(head_of(["Transfer-Encoding: chunked"]))
+    for at in range(0, len(content), read_bytes):
+        listener.receive(content[at : at + read_bytes])
+        if listener.rejections:
+            break
+    assert listener.statuses == [TOO_LARGE_BODY]
+    assert at < 8 * LIMITS.header_bytes
+
+
+@given(
+    st.integers(1, 3000),
+    st.sampled_from([b"%x", b"%016X"]),
+    st.integers(0, LIMITS.header_bytes // 2),
+    st.data(),
+)
+def test_bodies_of_the_smallest_chunks_pass_however_they_are_cut(
+    size: int, size_format: bytes, trailer_bytes: int, data: st.DataObject
+) -> None:
+    """Guards against a limit of framing that a body of plain chunks meets."""
+    chunk = size_format % 1 + b"\r\nb\r\n"
+    trailer = b"T: " + b"t" * trailer_bytes + b"\r\n"
+    framed = chunk * size + size_format % 0 + b"\r\n" + trailer + b"\r\n"
+    content = head_of(["Transfer-Encoding: chunked"]) + framed
+    reads = cut(content, data.draw(cuts_within(len(content))))
+    for listener in run_with_clock(ClockLoop()):
+        listener.receive(*reads)
+        assert not listener.rejections
+        assert listener.bodies == [b"b" * size]
+
+
+def test_signed_chunks_pass(listener: Listener) -> None:
+    """Guards against a limit of framing that refuses extensions of usual chunks."""
+    signature = b";chunk-signature=" + b"a" * 64
+    chunk = b"%x%b\r\n%b\r\n" % (2000, signature, b"b" * 2000)
+    listener.receive(head_of(["Transfer-Encoding: chunked"]))
+    listener.receive(*[chunk] * 150, b"0" + signature + b"\r\n\r\n")
+    assert listener.bodies == [b"b" * 300_000]
+
+
+@pytest.mark.parametrize("same_read", [True, False])
+@pytest.mark.parametrize(
+    "rest", [b"\r\n", b"GET /r HTTP/1.1\r\nHost: a\r\n\r\n", b"no request\r\n", b"\0"]
+)
+def test_bytes_after_the_last_request_of_a_connection_get_no_answer(
+    listener: Listener, rest: bytes, same_read: bool
+) -> None:
+    """Guards against an answer that nobody asked for."""
+    listener.answers = False
+    last = head_of(["Connection: close", "Content-Length: 1"]) + b"b"
+    listener.receive(*([last + rest] if same_read else [last, rest]))
+    listener.exchanges[0].answer(200, [], b"")
+    assert not listener.rejections
+    assert not listener.faults
+    assert listener.transport.written.count(b"HTTP/1.1") == 1
+    assert listener.transport.closed
+
+
+def test_a_closing_connection_reads_nothing_more(listener: Listener) -> None:
+    """Guards against a caller who sends on while its rejection waits for answers."""
+    listener.answers = False
+    listener.receive(head_of([], first="GET /r HTTP/1.1"), b"no request\r\n")
+    assert listener.statuses == [HTTPStatus.BAD_REQUEST]
+    listener.receive(b"x" * 1000)
+    assert listener.transport.reads
+    listener.receive(b"x" * 1001)
+    assert not listener.transport.reads
+    listener.connection.pause_reading()
+    listener.connection.resume_reading()
+    assert not listener.transport.reads
+    listener.exchanges[0].answer(200, [], b"")
+    assert listener.transport.written.count(b"HTTP/1.1") == 2
+    assert listener.transport.closed
+
+
+def test_trailers_are_no_fields_of_their_request(listener: Listener) -> None:
+    """Guards against fields that a caller adds to a request after it was judged."""
+    listener.receive(head_of(["Transfer-Encoding: chunked"]), b"1\r\nb\r\n0\r\n")
+    before = list(listener.exchanges[0].headers)
+    listener.receive(b"Attempt-Id: another\r\nAuthorization: Token t\r\n\r\n")
+    assert listener.bodies == [b"b"]
+    assert listener.exchanges[0].headers == before
+
+
 def test_a_request_that_is_rejected_within_its_body_ends(listener: Listener) -> None:
     """Guards against a run for a caller who has got an error already."""
     listener.receive(head_of(["Transfer-Encoding: chunked"]), b"no chunk\r\n")
