Settings of a wrong shape raise an internal error instead of SettingsError

A settings file whose bounds are a list or null ended a start with status 1 and a traceback of AttributeError, and one with a metrics port out of range or an infinite one ended it later or with OverflowError. decode_settings caught KeyError, TypeError and ValueError only, and checked neither the metrics address nor names and bounds.

New cases on the code as it was:

The metrics address is parsed as the others are, hosts are printable ASCII, names are text or numbers, bounds are finite and not negative. All tests of the file pass.

--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -15,6 +15,7 @@
 from ..values import Value
 
 Address = tuple[str, int]
+MAX_PORT_DIGITS = 5
 
 
 def parse_address(text: str) -> Address:
@@ -31,7 +32,9 @@
     ('10.1.0.4', 8624)
     """
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    is_host = host.isascii() and host.isprintable() and " " not in host
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_host or not is_port or not 0 < int(port) < 65536:
         raise SettingsError(f"{text!r} is not an address", "Use the form HOST:PORT")
     return host, int(port)
 
@@ -104,11 +107,18 @@
 def parse_bounds(values: dict[str, Any]) -> Bounds:
     """Return the bounds in a settings table; unknown names are ignored.
 
+    Raises
+    ------
+    TypeError, ValueError
+        If the table or a value in it has a wrong shape.
+
     Examples
     --------
     >>> parse_bounds({"drain": "1500ms", "budget_extra_retries": 40}).drain_ms
     1500.0
     """
+    if not isinstance(values, dict):
+        raise TypeError(f"{values!r} is not a table of bounds")
     known = {
         BOUND_FIELDS[name]: _parse_bound(value)
         for name, value in values.items()
@@ -119,7 +129,10 @@
 
 def _parse_bound(value: Any) -> float:
     if isinstance(value, int | float):
-        return float(value)
+        bound = float(value)
+        if not 0 <= bound < math.inf:
+            raise ValueError(f"{value!r} is not a bound")
+        return bound
     return parse_duration_ms(value)
 
 
@@ -196,15 +209,17 @@
     """
     try:
         return MeshSettings(
-            instance=str(fields["instance"]),
-            data_centre=str(fields["data_centre"]),
-            service=str(fields["service"] or ""),
+            instance=_parse_name(fields["instance"]),
+            data_centre=_parse_name(fields["data_centre"]),
+            service=_parse_name(fields["service"] or ""),
             first_start=bool(fields["first_start"]),
             caller_address=parse_address(fields["caller_address"]),
             peer_address=parse_address(fields["peer_address"]),
             ready_address=parse_address(fields["ready_address"]),
             announce_address=parse_address(fields["announce_address"]),
-            metrics_address=(str(fields["ip_address"]), int(fields["metrics_port"])),
+            metrics_address=parse_address(
+                f"{_parse_name(fields['ip_address'])}:{fields['metrics_port']}"
+            ),
             backend_address=parse_address(fields["backend_address"]),
             store_address=parse_address(fields["store"]["address"]),
             bounds=parse_bounds(fields["bounds"]),
@@ -212,13 +227,19 @@
             link_mbps=_parse_link_rate(fields["link_mbps"]),
             counts_former_runs=bool(fields.get("counts_former_runs", False)),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (ArithmeticError, KeyError, TypeError, ValueError) as error:
         raise SettingsError(
             f"a field is missing or invalid: {error!r}",
             "Compare the file with deploy/settings.json",
         ) from error
 
 
+def _parse_name(value: Any) -> str:
+    if not isinstance(value, str | int):
+        raise TypeError(f"{value!r} is not a name")
+    return str(value)
+
+
 def _parse_link_rate(value: Any) -> float:
     rate_mbps = float(value or 0)
     if not 0 <= rate_mbps < math.inf:
--- a/tests/test_mesh_settings.py
+++ b/tests/test_mesh_settings.py
@@ -1,5 +1,6 @@
 """Parsing of the settings file."""
 
+import contextlib
 import pathlib
 import re
 
@@ -56,8 +57,33 @@
         ("bounds", {"drain": "-1s"}),
         ("store", {}),
         ("metrics_port", "x"),
+        ("metrics_port", 0),
+        ("metrics_port", 65536),
+        ("metrics_port", 10**30),
+        ("metrics_port", float("inf")),
+        ("metrics_port", True),
+        ("ip_address", None),
+        ("ip_address", "10.1.0.4\x00"),
+        ("caller_address", "10.1.0.4\x00:8629"),
+        ("caller_address", "10.1.0.4:\u00b2"),
+        ("caller_address", "h\u00f6st:8629"),
+        ("bounds", []),
+        ("bounds", "2s"),
+        ("bounds", None),
+        ("bounds", {"drain": -1}),
+        ("bounds", {"drain": float("inf")}),
+        ("bounds", {"drain": float("nan")}),
+        ("bounds", {"drain": [1]}),
+        ("store", []),
+        ("store", None),
+        ("store", {"address": [1]}),
+        ("instance", None),
+        ("instance", []),
+        ("data_centre", {}),
+        ("service", ["shop"]),
         ("link_mbps", "wide"),
         ("link_mbps", -1.0),
+        ("link_mbps", [1]),
     ],
 )
 def test_invalid_field_is_rejected_with_a_remedy(field: str, value: object) -> None:
@@ -66,6 +92,22 @@
     assert error.value.remedy
 
 
+@pytest.mark.parametrize("field", list(rendered()))
+@pytest.mark.parametrize(
+    "value", [[], [1], 7, -1, float("inf"), "\x00", {"drain": [1]}]
+)
+def test_a_wrong_shape_raises_an_internal_error(field: str, value: object) -> None:
+    """A list of bounds raised AttributeError, which ended the process with 1."""
+    with contextlib.suppress(SettingsError):
+        decode_settings({**rendered(), field: value})
+
+
+@pytest.mark.parametrize("fields", [None, [], "x", 7, {}])
+def test_a_document_that_is_no_object_is_rejected(fields: object) -> None:
+    with pytest.raises(SettingsError):
+        decode_settings(fields)  # type: ignore[arg-type]
+
+
 def test_missing_field_is_rejected() -> None:
     for field in rendered():
         with pytest.raises(SettingsError):
