A settings file that is still being written ends the start with status 3

A node whose settings file was empty, cut off, not valid yet or missing for a moment when it started ended at once with 3, and no node ran on the instance until something started it again. The file was read once.

New test on the code as it was, a real process whose file is valid after 1 s:

> assert node.process.poll() is None E + where poll = <Popen: returncode: 3 args: ...>.poll FAILED ...test_settings_that_are_still_written_end_the_start[] (and 3 more)

The start reads the file again each 50 ms for up to 4 s, before there is an event loop, and logs one line (event 9021). Then it ends with 3 and the same message as before. The tests pass: the process serves, and stops with 0.

--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -36,6 +36,12 @@
     "internal error, one request or task ended",
     "report the line with its traceback; the node keeps running",
 )
+SETTINGS_AWAITED = register(
+    9021,
+    logging.WARNING,
+    "start waits for valid settings",
+    "correct the file if the start ends with status 3",
+)
 STORE_LOST = register(
     9101,
     logging.WARNING,
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -54,6 +54,7 @@
 from .rollouts.control import Rollouts
 from .runtime import Runtime
 from .settings import Address, MeshSettings, read_settings
+from .settings_wait import await_settings
 from .stopping import GracefulShutdown
 
 TICK_S = 0.1
@@ -709,8 +710,8 @@
     PortInUseError
         If a listening address is already in use.
     """
-    settings = read_settings(path)
     events.WRITER.open()
+    settings = await_settings(path)
     uvloop.run(_serve(settings, path))
 
 
