A standard stream that is closed at the start ends the process

A node that was started with standard output closed ended at once with status 1 (EBADF from LineWriter.open). With standard error closed it served, and was aborted while it stopped (-6): a descriptor of the event loop had got the number 2. A socket that gets the number 1 would receive log lines.

New tests on the code as it was:

FAILED ...[2>&-] FAILED ...[<&- >&- 2>&-] FAILED ...[>&-] FAILED tests/test_process_starts.py::test_closed_standard_descriptors_are_given_to_sockets

The null device is opened in place of each closed standard descriptor before the command does anything else. The four tests pass.

--- a/azurestep/core.py
+++ b/azurestep/core.py
@@ -21,6 +21,7 @@
     SettingsError,
     UsageError,
 )
+from .standard_streams import occupy_standard_descriptors
 from .status import ExitStatus
 
 STATUSES: dict[type[AzurestepError], ExitStatus] = {
@@ -49,6 +50,7 @@
     environment : Environment, optional
         Streams, clock and randomness; the process's own by default.
     """
+    occupy_standard_descriptors()
     environment = environment or Environment()
     words = sys.argv[1:] if arguments is None else arguments
     environment.debug = "--debug" in words
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -161,3 +161,24 @@
     assert node.process.wait(TIMEOUT_S) == STATUS_INVALID
     assert f"azurestep: {settings} is not valid JSON" in node.errors.read_text()
     assert len(node.lines(9021)) == 1
+
+
+@pytest.mark.parametrize("redirections", [">&-", "2>&-", "<&- >&- 2>&-"])
+def test_a_closed_standard_stream_ends_the_process(
+    start_node: StartNode, redirections: str
+) -> None:
+    """It ended with 1 at its start, or was aborted while it stopped."""
+    node = start_node(redirections)
+    wait_until(answers)
+    assert node.stop() == 0
+
+
+def test_closed_standard_descriptors_are_given_to_sockets(
+    start_node: StartNode,
+) -> None:
+    """Log lines would be written to a connection that had got the number 1."""
+    node = start_node("<&- >&- 2>&-")
+    wait_until(answers)
+    opened = pathlib.Path(f"/proc/{node.process.pid}/fd")
+    assert {str((opened / number).readlink()) for number in "012"} == {"/dev/null"}
+    assert node.stop() == 0
