An output that can't be written to ends the process with 1 and disturbs each tick

With its output's reader gone (EPIPE) or its device full (ENOSPC) a node served, but reported an internal error at each tick, which added lines, and ended with 1 after SIGTERM, as the last flush raised. Its non-blocking mode also held for all processes that share the output, and for standard error, where a print then raises.

New tests on the code as it was:

E AssertionError: assert b'azurestep_faults_total' not in b'HTTP/1.1 200 OK... FAILED ...test_output_that_cannot_be_written_ends_the_process[>/dev/full] FAILED ...test_output_that_cannot_be_written_ends_the_process[>/dev/full 2>&1] FAILED ...test_a_gone_reader_of_the_output_ends_the_process E OSError: [Errno 28] No space left on device FAILED ...test_lines_are_written_again_when_the_output_works_again E assert False E + where False = <built-in function get_blocking>(19) FAILED ...test_a_pipe_shared_with_other_processes_stays_blocking

Lines that can't be written are dropped and counted (azurestep_log_lines_dropped_total, and event 9006 once the output works again); no error of the output leaves the writer. It opens a pipe or terminal again for itself, so that only its own writes don't block. The tests pass; the process stops with 0.

--- a/azurestep/mesh/gauges.py
+++ b/azurestep/mesh/gauges.py
@@ -5,6 +5,7 @@
 import attrs
 import orjson
 
+from . import events
 from .backend.inbound import Inbound
 from .backend.state import LocalBackend
 from .callers.outbound import Outbound
@@ -64,6 +65,8 @@
         gauges["quota_teams_limited"] = node.quotas.limited_count()
         gauges["store_era"] = node.store_era.current
         gauges["store_reachable"] = float(watcher.store_reachable)
+        counters = node.runtime.metrics.counters
+        counters["log_lines_dropped", ""] = events.WRITER.total_dropped
         for name in SERVICE_LOADS:
             gauges.pop(name, None)
         gauges |= node.members.service_loads()
--- a/azurestep/mesh/line_writer.py
+++ b/azurestep/mesh/line_writer.py
@@ -4,8 +4,10 @@
 and counted.
 """
 
+import contextlib
 import logging
 import os
+import stat
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime
@@ -40,19 +42,25 @@
         File descriptor that lines are written to.
     dropped : int
         Lines dropped since the last line that reported it.
+    total_dropped : int
+        Lines dropped since the start.
     """
 
     descriptor: int = 1
     clock: Callable[[], float] = time.monotonic
     dropped: int = 0
+    total_dropped: int = 0
     _lines: list[bytes] = attrs.field(factory=list)
     _unwritten: bytes = b""
     _tokens: float = BURST_LINES
     _refilled_s: float = 0.0
+    _failing: bool = False
+    _inside_line: bool = False
 
     def open(self) -> None:
-        """Set the descriptor to non-blocking mode."""
-        os.set_blocking(self.descriptor, False)
+        """Make writing non-blocking, if the descriptor can be written to at all."""
+        with contextlib.suppress(OSError):
+            self.descriptor = _open_non_blocking(self.descriptor)
 
     def add(
         self, event: Event, fields: dict[str, object], routine: bool = False
@@ -76,27 +84,64 @@
         urgent = event.level >= logging.ERROR
         floor = RESERVED_LINES if routine else 1
         if (self._tokens < floor and not urgent) or len(self._lines) >= BUFFER_LINES:
-            self.dropped += 1
+            self._count_dropped(1)
             return
         self._tokens -= 1
         self._lines.append(_line(event, fields))
 
     def flush(self) -> None:
-        """Write as many lines as standard output accepts now."""
-        if self.dropped and self._tokens >= 1 and len(self._lines) < BUFFER_LINES:
+        """Write as many lines as the output accepts now.
+
+        Lines are dropped and counted while it can't be written to.
+        """
+        has_room = self._tokens >= 1 and len(self._lines) < BUFFER_LINES
+        if self.dropped and has_room and not self._failing:
             dropped, self.dropped = self.dropped, 0
             self._lines.append(_line(LINES_DROPPED, {"lines": dropped}))
         if not self._unwritten:
             self._unwritten = b"".join(self._lines)
             self._lines = []
         if self._unwritten:
-            self._unwritten = self._unwritten[self._write(self._unwritten) :]
+            self._write_or_drop()
 
-    def _write(self, data: bytes) -> int:
+    def _write_or_drop(self) -> None:
+        data = self._unwritten
+        # The rest of a line that broke off was dropped: end it before the next one.
+        separator = b"\n" if self._failing and self._inside_line else b""
         try:
-            return os.write(self.descriptor, data)
+            written = os.write(self.descriptor, separator + data)
         except BlockingIOError:
-            return 0
+            return
+        except OSError:
+            self._failing = True
+            self._unwritten = b""
+            self._count_dropped(len(data.splitlines()))
+            return
+        self._failing = False
+        written = max(0, written - len(separator))
+        self._unwritten = data[written:]
+        self._inside_line = data[written - 1 : written] != b"\n" and written > 0
+
+    def _count_dropped(self, lines: int) -> None:
+        self.dropped += lines
+        self.total_dropped += lines
+
+
+def _open_non_blocking(descriptor: int) -> int:
+    """Return a descriptor of the same output whose writes don't block.
+
+    The mode of the given one may be shared with other processes. Writes to a regular
+    file don't block; a socket can't be opened again.
+    """
+    mode = os.fstat(descriptor).st_mode
+    if stat.S_ISREG(mode):
+        return descriptor
+    flags = os.O_WRONLY | os.O_NONBLOCK | os.O_NOCTTY
+    try:
+        return os.open(f"/proc/self/fd/{descriptor}", flags)
+    except OSError:
+        os.set_blocking(descriptor, False)
+        return descriptor
 
 
 def _decode_text(value: object) -> object:
--- a/tests/test_mesh_lines.py
+++ b/tests/test_mesh_lines.py
@@ -1,6 +1,7 @@
 """Log lines are rate-limited, counted when dropped, and never block."""
 
 import os
+import pathlib
 
 import orjson
 
@@ -44,3 +45,33 @@
         if index % 100 == 0:
             writer.flush()
     assert writer.dropped > 0
+
+
+def test_lines_are_written_again_when_the_output_works_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    """An error of the output was raised out of each flush."""
+    now_s = 0.0
+    writer = LineWriter(os.open("/dev/full", os.O_WRONLY), clock=lambda: now_s)
+    writer.open()
+    for index in range(3):
+        writer.add(events.CALL_ENDED, {"id": index})
+        writer.flush()
+    assert writer.total_dropped == 3
+    path = tmp_path / "output"
+    os.dup2(os.open(path, os.O_WRONLY | os.O_CREAT), writer.descriptor)
+    for index in range(3, 5):
+        writer.add(events.CALL_ENDED, {"id": index})
+        writer.flush()
+    lines = [orjson.loads(line) for line in path.read_bytes().splitlines()]
+    assert [line.get("id") for line in lines if line["event"] != 9006] == [3, 4]
+    assert [line["lines"] for line in lines if line["event"] == 9006] == [3]
+
+
+def test_a_pipe_shared_with_other_processes_stays_blocking() -> None:
+    """Standard error may share it, and a full pipe would then raise there."""
+    _, writer_end = os.pipe()
+    writer = LineWriter(writer_end)
+    writer.open()
+    assert os.get_blocking(writer_end)
+    assert not os.get_blocking(writer.descriptor)
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -182,3 +182,33 @@
     opened = pathlib.Path(f"/proc/{node.process.pid}/fd")
     assert {str((opened / number).readlink()) for number in "012"} == {"/dev/null"}
     assert node.stop() == 0
+
+
+@pytest.mark.parametrize("redirections", [">/dev/full", ">/dev/full 2>&1"])
+def test_output_that_cannot_be_written_ends_the_process(
+    start_node: StartNode, redirections: str
+) -> None:
+    """It ended with 1 after SIGTERM, and each tick reported a fault before."""
+    node = start_node(redirections)
+    wait_until(answers)
+    time.sleep(0.5)
+    assert b"azurestep_faults_total" not in fetch(b"/metrics")
+    assert node.stop() == 0
+
+
+def test_a_gone_reader_of_the_output_ends_the_process(
+    start_node: StartNode, tmp_path: pathlib.Path
+) -> None:
+    """It ended with 1 after SIGTERM, and each tick reported a fault before."""
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    reader = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+    node = start_node(f">{pipe}")
+    time.sleep(0.1)
+    os.close(reader)
+    wait_until(answers)
+    time.sleep(0.5)
+    metrics = fetch(b"/metrics")
+    assert b"azurestep_faults_total" not in metrics
+    assert b"azurestep_log_lines_dropped_total" in metrics
+    assert node.stop() == 0
