A full standard error changes the exit status of a failed start to 120

A start with invalid settings whose standard error was full ended with 120, the status of Python's own flush at its end, instead of 3, and with a closed one only because the null device stands in.

New test on the code as it was:

E assert 120 == 3 FAILED ...test_an_unwritable_error_output_changes_the_exit_status[2>/dev/full]

The report of an error is written if the stream takes it; otherwise what the stream holds is discarded.

--- a/azurestep/core.py
+++ b/azurestep/core.py
@@ -21,7 +21,7 @@
     SettingsError,
     UsageError,
 )
-from .standard_streams import occupy_standard_descriptors
+from .standard_streams import occupy_standard_descriptors, write_if_possible
 from .status import ExitStatus
 
 STATUSES: dict[type[AzurestepError], ExitStatus] = {
@@ -75,13 +75,13 @@
 
 def _report(error: AzurestepError, environment: Environment, as_json: bool) -> None:
     if environment.debug:
-        traceback.print_exc(file=environment.stderr)
+        write_if_possible(traceback.format_exc(), environment.stderr)
     if as_json:
         plain = {
             "error": type(error).__name__,
             "problem": error.problem,
             "remedy": error.remedy,
         }
-        print(orjson.dumps(plain).decode(), file=environment.stderr)
+        write_if_possible(f"{orjson.dumps(plain).decode()}\n", environment.stderr)
         return
-    print(f"azurestep: {error}", file=environment.stderr)
+    write_if_possible(f"azurestep: {error}\n", environment.stderr)
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -212,3 +212,11 @@
     assert b"azurestep_faults_total" not in metrics
     assert b"azurestep_log_lines_dropped_total" in metrics
     assert node.stop() == 0
+
+
+@pytest.mark.parametrize("redirections", ["2>&-", "2>/dev/full"])
+def test_an_unwritable_error_output_changes_the_exit_status(
+    start_node: StartNode, settings: pathlib.Path, redirections: str
+) -> None:
+    settings.write_bytes(b"node: 1")
+    assert start_node(redirections).process.wait(TIMEOUT_S) == STATUS_INVALID
