A port that the former process still holds ends the start with status 9

A node that was started while its instance's former process was in its grace time, or before its address was there, ended at once with 9, and no node ran on the instance until something started it again. Addresses before the held one were listened on already, so that callers waited in the backlog of a node that never served.

New tests on the code as it was, real processes beside a held port:

E assert 1445.8107868 < 1445.795039884 (wait for event 9022) FAILED ...test_a_port_that_the_former_process_holds_ends_the_start[7701] [7702] [7703] FAILED ...test_an_address_that_is_not_there_yet_ends_the_start FAILED ...test_a_start_that_waits_for_a_port_cannot_be_stopped

The node binds all addresses and listens only when all are bound; else it closes them and tries again each 50 ms until the former process must be gone (grace time and 1 s), logs one line (event 9022), and then ends with 9 and the same message as before. It listens at all addresses or at none: without its own ports it would answer callers worse than the nodes that they are refused to, and a connection in a backlog is neither. SIGTERM ends the wait with status 0. The tests pass.

--- a/azurestep/listening.py
+++ b/azurestep/listening.py
@@ -10,8 +10,8 @@
 """Connections that wait at a listener until they are accepted."""
 
 
-def open_listener(host: str, port: int) -> socket.socket:
-    """Return a socket that is bound to an address and listens.
+def bind_listener(host: str, port: int) -> socket.socket:
+    """Return a socket that is bound to an address and doesn't listen yet.
 
     An event loop that gets the address instead of a socket resolves it in a thread, and
     imports the tables of international host names that a numeric address doesn't need.
@@ -22,7 +22,16 @@
         If the address can't be bound.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=BACKLOG)
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            listener.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        listener.bind((host, port))
+    except OSError:
+        listener.close()
+        raise
+    return listener
 
 
 async def close_listener(
--- a/azurestep/mesh/events.py
+++ b/azurestep/mesh/events.py
@@ -42,6 +42,12 @@
     "start waits for valid settings",
     "correct the file if the start ends with status 3",
 )
+ADDRESS_AWAITED = register(
+    9022,
+    logging.WARNING,
+    "start waits for a listening address",
+    "stop the process that uses the address if the start ends with status 9",
+)
 STORE_LOST = register(
     9101,
     logging.WARNING,
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -5,6 +5,7 @@
 import math
 import pathlib
 import signal
+import socket
 import time
 from collections.abc import Callable
 from functools import partial
@@ -12,11 +13,11 @@
 import attrs
 import uvloop
 
-from ..errors import PortInUseError, SettingsError
+from ..errors import SettingsError
 from ..http.exchange import Handler
 from ..http.server import ServerConnection
 from ..http.server_state import Rejection, ServerState
-from ..listening import BACKLOG, close_listener, open_listener
+from ..listening import BACKLOG, close_listener
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
 from ..routing.table import RoutingTable
@@ -26,6 +27,7 @@
 from .backend.inbound import Inbound
 from .backend.probing import Prober
 from .backend.state import LocalBackend
+from .binding import await_listeners
 from .callers.context import CallContext
 from .callers.outbound import Outbound
 from .callers.own_answers import answer_bad_gateway
@@ -296,11 +298,22 @@
                 endpoints.metrics(NodeGauges(self), self.runtime),
             ),
         ]
+        peer_address = settings.peer_listen_address or settings.peer_address
+        endpoint_addresses = [address for address, _ in http_endpoints]
+        listeners = await await_listeners(
+            [settings.caller_address, *endpoint_addresses, peer_address],
+            settings.bounds.grace_ms,
+            lambda: self.is_stopping,
+        )
+        if not listeners:
+            self.shutdown.finish()
+            events.WRITER.flush()
+            return
         states = [self.callers]
-        await self._listen(settings.caller_address, self.callers)
-        for address, handler in http_endpoints:
-            states.append(await self._listen_endpoint(address, handler))
-        await self._listen_peers(settings.peer_listen_address or settings.peer_address)
+        await self._listen(listeners[0], self.callers)
+        for listener, (_, handler) in zip(listeners[1:-1], http_endpoints, strict=True):
+            states.append(await self._listen_endpoint(listener, handler))
+        await self._listen_peers(listeners[-1])
         self.listening.set()
         events.log(
             events.STARTED,
@@ -579,25 +592,20 @@
     def _make_caller_connection(self) -> ServerConnection:
         return ServerConnection(self.callers)
 
-    async def _listen(self, address: Address, state: ServerState) -> None:
-        await self._bind(address, lambda: ServerConnection(state))
+    async def _listen(self, listener: socket.socket, state: ServerState) -> None:
+        await self._serve(listener, lambda: ServerConnection(state))
 
-    async def _listen_endpoint(self, address: Address, handler: Handler) -> ServerState:
+    async def _listen_endpoint(
+        self, listener: socket.socket, handler: Handler
+    ) -> ServerState:
         state = ServerState(handler, self.runtime.fault_handler("endpoint"))
-        await self._listen(address, state)
+        await self._listen(listener, state)
         return state
 
-    async def _listen_peers(self, address: Address) -> None:
-        await self._bind(address, lambda: IncomingLink(self.incoming_links))
+    async def _listen_peers(self, listener: socket.socket) -> None:
+        await self._serve(listener, lambda: IncomingLink(self.incoming_links))
 
-    async def _bind(self, address: Address, factory: ProtocolFactory) -> None:
-        try:
-            listener = open_listener(*address)
-        except OSError as error:
-            raise PortInUseError(
-                f"{address[0]}:{address[1]} can't be bound: {error.strerror}",
-                "Stop the process that uses the address, or change the settings",
-            ) from error
+    async def _serve(self, listener: socket.socket, factory: ProtocolFactory) -> None:
         server = await self.runtime.loop.create_server(
             factory, sock=listener, backlog=BACKLOG
         )
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -220,3 +220,48 @@
 ) -> None:
     settings.write_bytes(b"node: 1")
     assert start_node(redirections).process.wait(TIMEOUT_S) == STATUS_INVALID
+
+
+@pytest.mark.parametrize("port", [METRICS_PORT, CALLER_PORT, PEER_PORT])
+def test_a_port_that_the_former_process_holds_ends_the_start(
+    start_node: StartNode, port: int
+) -> None:
+    """It ended with 9 while the former process was in its grace time."""
+    with socket.create_server((HOST, port)):
+        node = start_node()
+        assert node.wait_for_line(9022)["address"] == f"{HOST}:{port}"
+        time.sleep(0.5)
+        assert node.process.poll() is None
+        for other in {METRICS_PORT, CALLER_PORT, PEER_PORT} - {port}:
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection((HOST, other), 1.0)
+    wait_until(answers)
+    assert len(node.lines(9022)) == 1
+    assert node.stop() == 0
+
+
+def test_a_port_that_stays_held_never_ends_the_start(start_node: StartNode) -> None:
+    """A node that waits without bound would never tell who holds its port."""
+    with socket.create_server((HOST, CALLER_PORT)):
+        node = start_node()
+        assert node.process.wait(TIMEOUT_S) == STATUS_PORT_IN_USE
+    assert f"{HOST}:{CALLER_PORT} can't be bound" in node.errors.read_text()
+
+
+def test_an_address_that_is_not_there_yet_ends_the_start(
+    start_node: StartNode, settings: pathlib.Path
+) -> None:
+    """It ended with 9 at once when the address came later than the process."""
+    settings.write_bytes(settings_content(peer_address="192.0.2.1:7703"))
+    node = start_node()
+    assert node.wait_for_line(9022)["address"] == "192.0.2.1:7703"
+    assert node.process.wait(TIMEOUT_S) == STATUS_PORT_IN_USE
+
+
+def test_a_start_that_waits_for_a_port_cannot_be_stopped(start_node: StartNode) -> None:
+    """A second start of the instance would wait until SIGKILL."""
+    with socket.create_server((HOST, CALLER_PORT)):
+        node = start_node()
+        node.wait_for_line(9022)
+        assert node.stop() == 0
+    assert node.lines(9003)
