A body announced at the endpoints and never sent held its connection for ever

Senders at the readiness, announcements and metrics addresses could keep connections open, and descriptors with them, by a body that they announce and don't send: a pending request isn't idle, and only requests of callers have deadlines of their own (their route's).

A request to these listeners may take 15 s from its first byte to its last, then it is answered 408; its handler acts on whole requests only, so it was not run. The time doesn't count while the node itself doesn't read.

tests/test_http_request_limits.py:: test_a_request_to_an_endpoint_that_never_ends_is_rejected, 2 cases: without the change

E AttributeError: 'ServerState' object has no attribute 'request_timeout_ms'

since the test sets that time.

With the change: passed.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -344,11 +344,15 @@
             self._transport.close()
 
     def check_timeouts(self, now_s: float) -> None:
-        """Enforce the idle timeout and the timeout of request heads."""
+        """Enforce the idle timeout and those of heads and requests."""
         limits = self.state.limits
+        is_read = self._paused_since_s is None and not self._closing
+        age_ms = self._meter.head_age_ms(now_s)
         if self._meter.awaits_head:
-            is_read = self._paused_since_s is None and not self._closing
-            if is_read and self._meter.head_age_ms(now_s) > limits.header_timeout_ms:
+            if is_read and age_ms > limits.header_timeout_ms:
+                self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif self._reading is not None and age_ms > self.state.request_timeout_ms:
+            if is_read:
                 self._reject(HTTPStatus.REQUEST_TIMEOUT)
         elif self.busy:
             self._idle_since_s = now_s
--- a/azurestep/http/server_state.py
+++ b/azurestep/http/server_state.py
@@ -1,5 +1,6 @@
 """State that all connections of a listener share, and what they report."""
 
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
@@ -70,6 +71,9 @@
         Called after the head of a request was read; it sets the exchange's sink.
     limits : Limits
         Size limits and timeouts of requests.
+    request_timeout_ms : float
+        Time from the first byte of a request to its last; infinite where the handler
+        has deadlines of its own.
     on_fault : Callable
         Called with an internal error and a flag: True if it affects one request, False
         if the connection is reset.
@@ -88,6 +92,7 @@
     on_fault: Callable[[BaseException, bool], None]
     answer_fault: Handler = answer_error
     limits: Limits = Limits()
+    request_timeout_ms: float = math.inf
     draining: bool = False
     on_reject: Callable[[Rejection], None] = lambda rejection: None
     connections: set[ListenerConnection] = attrs.field(factory=set)
--- a/azurestep/mesh/endpoints.py
+++ b/azurestep/mesh/endpoints.py
@@ -24,6 +24,7 @@
 
 An announcement above its own limit is still rejected by its handler, with a log line.
 """
+ENDPOINT_REQUEST_TIMEOUT_MS = 15_000.0
 STATUS_TARGET = b"/v1/status"
 """Target at the metrics address that is answered with the status, not the metrics."""
 
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -586,6 +586,7 @@
             handler,
             self.runtime.fault_handler("endpoint"),
             limits=endpoints.ENDPOINT_LIMITS,
+            request_timeout_ms=endpoints.ENDPOINT_REQUEST_TIMEOUT_MS,
         )
         await self._listen(address, state)
         return state
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -14,6 +14,7 @@
 from azurestep.http.exchange import Exchange
 from azurestep.http.server import MAX_PIPELINED_REQUESTS, ServerConnection
 from azurestep.http.server_state import Rejection, ServerState
+from azurestep.mesh.endpoints import ENDPOINT_REQUEST_TIMEOUT_MS
 from azurestep.routing.model import Limits
 
 LIMITS = Limits(
@@ -527,6 +528,22 @@
     assert limit_s <= listener.loop.now_s - began_s <= limit_s + pause_s + 0.5
 
 
+@pytest.mark.parametrize("piece", [b"", b"b"])
+def test_a_request_to_an_endpoint_that_never_ends_is_rejected(
+    listener: Listener, piece: bytes
+) -> None:
+    """Guards against connections that an announced body holds for ever."""
+    listener.state.request_timeout_ms = ENDPOINT_REQUEST_TIMEOUT_MS
+    listener.receive(head_of(["Content-Length: 60000"]))
+    for _ in range(29):
+        listener.receive(piece)
+        listener.wait(0.5)
+    assert not listener.rejections
+    listener.wait(1.0)
+    assert listener.statuses == [HTTPStatus.REQUEST_TIMEOUT]
+    assert listener.transport.closed
+
+
 @pytest.mark.parametrize("busy_s", [0.0, 14.0, 60.0])
 def test_the_time_of_a_body_is_not_that_of_a_head(
     listener: Listener, busy_s: float
