A body above its limit was asked for before its request was rejected

Callers that announced a body above its limit with "Expect: 100-continue" got "100 Continue" and then 413, so they sent the body that was rejected. The interim answer was written while the fields were read, before the length was compared with the limit.

tests/test_http_request_limits.py::test_a_body_above_its_limit_is_not_asked_for[1] on the code as it was:

E AssertionError: assert False E + where False = <built-in method startswith of bytes object ...>(b'HTTP/1.1 413 ') E (written: b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 413 Request Entity Too Large...)

With it: passed; the case of a body at its limit passes before and after.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -170,7 +170,7 @@
         if self._closing:
             return
         self._meter.end_head()
-        chunked = length = 0
+        chunked = expects = length = 0
         for name, value in self._headers:
             lower = name.lower()
             if lower == b"content-length" and value.isdigit():
@@ -178,9 +178,11 @@
             elif lower == b"transfer-encoding":
                 chunked = 1
             elif lower == b"expect" and value.lower() == b"100-continue":
-                self._send_continue()
+                expects = 1
         if length > self.state.limits.body_bytes:
             raise LimitExceededError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if expects:
+            self._send_continue()
         exchange = Exchange(
             self,
             self._parser.get_method(),
--- a/tests/test_http_request_limits.py
+++ b/tests/test_http_request_limits.py
@@ -528,6 +528,18 @@
     assert limit_s <= listener.loop.now_s - began_s <= limit_s + pause_s + 0.5
 
 
+@pytest.mark.parametrize("above", [0, 1])
+def test_a_body_above_its_limit_is_not_asked_for(
+    listener: Listener, above: int
+) -> None:
+    """Guards against an invitation to send a body that is rejected."""
+    length = LIMITS.body_bytes + above
+    fields = ["Expect: 100-continue", f"Content-Length: {length}"]
+    listener.receive(head_of(fields))
+    begin = b"HTTP/1.1 413 " if above else b"HTTP/1.1 100 "
+    assert listener.transport.written.startswith(begin)
+
+
 @pytest.mark.parametrize("piece", [b"", b"b"])
 def test_a_request_to_an_endpoint_that_never_ends_is_rejected(
     listener: Listener, piece: bytes
