A log line that can't be encoded raises out of the log and of the guard

A field with a whole number beyond 64 bits, a lone surrogate or a value without a text raised TypeError out of events.log, and run_guarded, which reports errors by a line, raised in turn. An error whose repr raises did so as well. A field had no bound, so that 2000 lines which wait for a blocked reader could fill the memory.

--- a/azurestep/mesh/line_writer.py
+++ b/azurestep/mesh/line_writer.py
@@ -13,9 +13,9 @@
 from datetime import UTC, datetime
 
 import attrs
-import orjson
 
 from ..events import Event, register
+from .line_encoding import encode_line
 
 LINES_DROPPED = register(
     9006,
@@ -155,4 +155,4 @@
         "message": event.summary,
     }
     line.update({name: _decode_text(value) for name, value in fields.items()})
-    return orjson.dumps(line, default=str) + b"\n"
+    return encode_line(line)
--- a/azurestep/mesh/runtime.py
+++ b/azurestep/mesh/runtime.py
@@ -71,11 +71,8 @@
         """Log and count an internal error caught at a place in the program."""
         self.metrics.count("faults", place)
         if self.metrics.counters["faults", place] <= MAX_TRACEBACKS:
-            fields["traceback"] = "".join(
-                traceback.format_exception(error, limit=-TRACEBACK_FRAMES, chain=False)
-            )
-        cause = repr(error)[:MAX_CAUSE_CHARACTERS]
-        events.log(event, place=place, cause=cause, **fields)
+            fields["traceback"] = _format_traceback(error)
+        events.log(event, place=place, cause=_format_cause(error), **fields)
 
     def run_guarded(
         self, place: str, work: Callable[..., object], *arguments: object
@@ -116,3 +113,15 @@
         """Cancel all background tasks."""
         for task in list(self._tasks):
             task.cancel()
+
+
+def _format_traceback(error: BaseException) -> str:
+    lines = traceback.format_exception(error, limit=-TRACEBACK_FRAMES, chain=False)
+    return "".join(lines)
+
+
+def _format_cause(error: BaseException) -> str:
+    try:
+        return repr(error)[:MAX_CAUSE_CHARACTERS]
+    except Exception:
+        return f"<{type(error).__name__}>"
