An error in an unguarded step of the main loop ends the process

A few steps of a tick ran outside the guards: an internal error there raised out of the main loop, so that the process ended with 1 and its callers were reset. At SIGTERM an error in one step of the shutdown left out the others, and a step that failed at each tick kept the node from its exit until SIGKILL.

--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -330,10 +330,10 @@
         gc.enable()
         self._last_tick_ms = self.runtime.now_ms()
         while not self._stopped.is_set():
-            self._tick(states)
+            self.runtime.run_guarded("tick", self._tick, states)
             await asyncio.sleep(TICK_S)
-        self.shutdown.finish()
-        events.WRITER.flush()
+        self.runtime.run_guarded("stop", self.shutdown.finish)
+        self.runtime.run_guarded("stop", events.WRITER.flush)
 
     def stop(self) -> None:
         """Begin a graceful shutdown."""
@@ -621,7 +621,7 @@
         if delay_ms > MIN_SUBTRACTED_DELAY_MS:
             self.runtime.run_guarded("tick", self.members.discount_pause, delay_ms)
             for state in states:
-                state.exclude_pause(delay_ms / 1000)
+                self.runtime.run_guarded("tick", state.exclude_pause, delay_ms / 1000)
         run_guarded = partial(self.runtime.run_guarded, "tick")
         run_guarded(self.members.tick, now_ms)
         run_guarded(self.inbound.tick)
@@ -630,9 +630,8 @@
         run_guarded(self.quotas.tick, now_ms)
         run_guarded(self.call_context.refusals.tick)
         run_guarded(self._update_load_shedder)
-        if self._ticks % MEMBER_COUNT_TICKS == 0 or not self._shares_retry_budget:
-            run_guarded(self._update_retry_budget)
-        self.members.called_routes.update(self.inbound.caller_detector.called_routes())
+        run_guarded(self._check_retry_budget)
+        run_guarded(self._update_called_routes)
         run_guarded(self.configuration_watcher.tick)
         run_guarded(self.version_fetcher.tick, now_ms)
         run_guarded(self.callers.abort_abandoned)
@@ -650,12 +649,19 @@
         run_guarded(events.WRITER.flush)
 
     def _check_stop(self, now_ms: float) -> None:
+        # The exit doesn't wait for a step of the shutdown that fails each time.
+        if self.shutdown.is_overdue(now_ms):
+            self._stopped.set()
         if self.shutdown.advance(now_ms):
             self._stopped.set()
 
-    @property
-    def _shares_retry_budget(self) -> bool:
-        return self.call_context.retry_budget.members > 0
+    def _check_retry_budget(self) -> None:
+        is_shared = self.call_context.retry_budget.members > 0
+        if self._ticks % MEMBER_COUNT_TICKS == 0 or not is_shared:
+            self._update_retry_budget()
+
+    def _update_called_routes(self) -> None:
+        self.members.called_routes.update(self.inbound.caller_detector.called_routes())
 
     def _update_retry_budget(self) -> None:
         """Share the retry budget with all nodes that may run, once these are known."""
--- a/azurestep/mesh/stopping.py
+++ b/azurestep/mesh/stopping.py
@@ -1,6 +1,7 @@
 """Graceful shutdown of a node."""
 
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 
@@ -43,11 +44,17 @@
             return False
         self.plan = ShutdownPlan(self.runtime.now_ms(), grace_ms)
         self.callers.draining = True
-        self.outbound.context.limit_deadline(self.plan.drain_deadline_ms)
-        self.inbound.begin_shutdown(self.plan.drain_deadline_ms)
-        self._log(events.STOPPING)
+        deadline_ms = self.plan.drain_deadline_ms
+        run_guarded = partial(self.runtime.run_guarded, "stop")
+        run_guarded(self.outbound.context.limit_deadline, deadline_ms)
+        run_guarded(self.inbound.begin_shutdown, deadline_ms)
+        run_guarded(self._log, events.STOPPING)
         return True
 
+    def is_overdue(self, now_ms: float) -> bool:
+        """Whether the node is to exit, whatever is left to do."""
+        return self.plan is not None and now_ms >= self.plan.exit_deadline_ms
+
     def advance(self, now_ms: float) -> bool:
         """Perform the step that is due; return whether the node may exit."""
         plan = self.plan
@@ -74,7 +81,7 @@
     def finish(self) -> None:
         """Log the requests that the exit aborts."""
         for call in list(self.outbound.context.calls_in_flight):
-            call.log_aborted()
+            self.runtime.run_guarded("stop", call.log_aborted)
         self._log(events.STOPPED)
 
     def _log(self, event: Event) -> None:
