Callers' connections took the descriptors of peers and backend servers

What callers saw: a node whose callers keep more connections than it has descriptors accepts no further one, and opens none to peers, backend servers and the store.

Cause: the number of callers' connections had no bound.

Evidence, on the code as it was: two real nodes of 200 descriptors, 400 connections that are idle between requests; no ordinary request is answered within 40 s:

test_idle_connections_leave_descriptors_for_requests: TimeoutError, 43.0 s

Change: callers get what descriptors remain after a reserve, half of them but at most 4,096. At the bound the connection that has been idle for longest gives way to a new one, else the new one is reset (event 9411, reason descriptors). The limit is that of the process, or the new optional setting file_descriptors where that is lower.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -47,7 +47,7 @@
         """Register the connection."""
         self._transport = transport  # type: ignore[assignment]
         self._idle_since_s = self._loop.time()
-        self.state.connections.add(self)
+        self.state.add(self)
 
     def eof_received(self) -> bool:
         """Notify all pending requests, though answers may still be unsent."""
@@ -56,8 +56,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify all pending requests that the caller disconnected."""
-        self.state.connections.discard(self)
-        self.state.paused.discard(self)
+        self.state.remove(self)
         self._end_exchanges()
 
     def _end_exchanges(self) -> None:
@@ -117,6 +116,8 @@
             turns.spend(self._meter.requests - before)
             if turns.left <= 0:
                 break
+        if self.exchanges:
+            self.state.waiting.pop(self, None)
         if self._closing:
             unparsed.clear()
         elif unparsed.size_bytes and self._may_parse:
@@ -362,6 +363,7 @@
             self._advance_pipeline()
         if not self.exchanges:
             self._idle_since_s = self._loop.time()
+            self.state.mark_idle(self)
 
     def _advance_pipeline(self) -> None:
         if self._pipeline_full and len(self.exchanges) < MAX_PIPELINED_REQUESTS // 2:
--- a/azurestep/http/server_state.py
+++ b/azurestep/http/server_state.py
@@ -1,5 +1,6 @@
 """State that all connections of a listener share, and what they report."""
 
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
@@ -8,8 +9,9 @@
 
 from ..routing.model import Limits
 from ..values import Value
+from .connection_limit import choose_to_close
 from .exchange import Handler, answer_error
-from .taking import EndedConnection
+from .taking import EndedConnection, EndReason
 from .unparsed import ParsingTurns
 
 
@@ -35,6 +37,9 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or being read."""
 
+    def end(self, reason: EndReason) -> None:
+        """Reset the connection, for the sake of the node."""
+
     def abort(self) -> None:
         """Reset the connection."""
 
@@ -89,6 +94,11 @@
     paused : set of ListenerConnection
         Those of ``connections`` from which nothing is read for now, so that the event
         loop doesn't report a close.
+    waiting : dict of ListenerConnection
+        Those of ``connections`` without a pending request, as keys, the longest idle
+        one first.
+    max_connections : float
+        Connections that may be open at once.
     turns : ParsingTurns
         Shares the event loop between connections that have read many requests.
     """
@@ -102,8 +112,33 @@
     on_end: Callable[[EndedConnection], None] = lambda ended: None
     connections: set[ListenerConnection] = attrs.field(factory=set)
     paused: set[ListenerConnection] = attrs.field(factory=set)
+    waiting: dict[ListenerConnection, None] = attrs.field(factory=dict)
+    max_connections: float = math.inf
     turns: ParsingTurns = attrs.field(factory=ParsingTurns)
 
+    def add(self, connection: ListenerConnection) -> None:
+        """Register a connection; at the limit, it or an idle one is reset."""
+        self.connections.add(connection)
+        self.waiting[connection] = None
+        if len(self.connections) > self.max_connections:
+            closed = choose_to_close(self.waiting, connection)
+            self.waiting.pop(closed)
+            closed.end(EndReason.DESCRIPTORS)
+            # Its descriptor is closed before its end is reported.
+            self.connections.discard(closed)
+
+    def remove(self, connection: ListenerConnection) -> None:
+        """Remove a connection that was closed."""
+        self.connections.discard(connection)
+        self.paused.discard(connection)
+        self.waiting.pop(connection, None)
+
+    def mark_idle(self, connection: ListenerConnection) -> None:
+        """Record that a connection has no pending request from now on."""
+        if connection in self.connections:
+            self.waiting.pop(connection, None)
+            self.waiting[connection] = None
+
     def sweep(self, now_s: float) -> None:
         """Enforce the timeouts of all connections."""
         for connection in list(self.connections):
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from ..errors import PortInUseError, SettingsError
+from ..http.connection_limit import count_descriptors, limit_connections
 from ..http.exchange import Handler
 from ..http.server import ServerConnection
 from ..http.server_state import Rejection, ServerState
@@ -263,6 +264,7 @@
             on_reject=self._log_rejection,
             on_end=self._log_ended_caller,
         )
+        self._apply_descriptors()
         self.shutdown = GracefulShutdown(
             runtime,
             settings.instance,
@@ -273,6 +275,10 @@
             self._stop_accepting,
         )
 
+    def _apply_descriptors(self) -> None:
+        descriptors = count_descriptors(self.settings.file_descriptors)
+        self.callers.max_connections = limit_connections(descriptors)
+
     async def run(self) -> None:
         """Serve until a signal requests the shutdown."""
         settings = self.settings
@@ -365,6 +371,7 @@
         self.quotas.set_bounds(settings.bounds)
         self.inbound.address = settings.backend_address
         self._apply_revocation_bound()
+        self._apply_descriptors()
         events.log(events.RELOADED, changed=True, service=settings.service)
 
     @property
@@ -479,7 +486,7 @@
 
     def _log_ended_caller(self, ended: EndedConnection) -> None:
         self.runtime.metrics.count("caller_connections_ended", ended.reason)
-        events.log(
+        events.log_routine(
             events.CALLER_ENDED,
             reason=str(ended.reason),
             held_bytes=ended.held_bytes,
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -147,6 +147,9 @@
         Whether a restarted node starts no runs until it knows how many of its former
         process occupy the backend server. Needed where a server's queue is shorter than
         the number of its slots.
+    file_descriptors : int
+        Files and connections that the process may have open; 0 if only the limit of the
+        process itself counts.
     """
 
     instance: str
@@ -164,6 +167,7 @@
     peer_listen_address: Address | None = None
     link_mbps: float = 0.0
     counts_former_runs: bool = False
+    file_descriptors: int = 0
 
 
 def read_settings(path: pathlib.Path) -> MeshSettings:
@@ -211,6 +215,7 @@
             peer_listen_address=_optional_address(fields.get("peer_listen_address")),
             link_mbps=_parse_link_rate(fields["link_mbps"]),
             counts_former_runs=bool(fields.get("counts_former_runs", False)),
+            file_descriptors=_parse_limit(fields.get("file_descriptors")),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(
@@ -226,5 +231,12 @@
     return rate_mbps
 
 
+def _parse_limit(value: Any) -> int:
+    limit = int(value or 0)
+    if limit < 0:
+        raise ValueError(f"{value!r} is not a limit")
+    return limit
+
+
 def _optional_address(value: Any) -> Address | None:
     return parse_address(value) if value else None
