The sum of what callers' connections hold had no bound

What callers saw: each limit is one of a connection, so that 150 connections inside all of them took more memory than the node has.

Evidence (tests/test_callers_in_crowds.py, two real nodes, bound 307,200 KB):

Change: a budget knows what each connection holds: heads with what a field costs, bodies that are buffered, answers unwritten and unsent, bytes unparsed, and a fixed cost of each request and connection. Above half of it, connections have one pending request each. Above it, those that hold most give way until 70% are left: a request of which nothing was passed on is refused with 503, any other connection is reset (event 9411, reason memory). The budget is 35% of the new optional setting memory_mb, 300 if absent. A head is freed with its request, not with the next one of its connection.

--- a/azurestep/http/exchange.py
+++ b/azurestep/http/exchange.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 import attrs
 
+from .memory_budget import REQUEST_BYTES, body_cost, head_cost
+
 Headers = list[tuple[bytes, bytes]]
 REASON_PHRASES = {int(status): status.phrase.encode() for status in HTTPStatus}
 
@@ -57,6 +59,14 @@
         """
 
 
+@runtime_checkable
+class RefusableSink(Protocol):
+    """A sink that can tell whether its request was passed on."""
+
+    def refuse(self) -> bool:
+        """Answer that the request has not run; return False if it may have."""
+
+
 @attrs.define(slots=True, eq=False, repr=False)
 class Exchange:
     """A request on a connection and its answer.
@@ -73,6 +83,8 @@
         Whether an internal error occurred while the request was handled.
     parts : list of bytes
         Bytes of the answer that the connection has yet to write.
+    body_bytes : int
+        Bytes of the body that were read.
     """
 
     connection: Connection
@@ -88,6 +100,8 @@
     started: bool = False
     failed: bool = False
     parts: list[bytes] = attrs.field(factory=list)
+    body_bytes: int = 0
+    _head_cost: int = -1
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
@@ -123,6 +137,22 @@
         """Reset the connection, so that a truncated answer doesn't look complete."""
         self.connection.abort()
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request and the unwritten part of its answer hold."""
+        held_bytes = REQUEST_BYTES + sum(map(len, self.parts))
+        if self.finished:
+            return held_bytes
+        if self._head_cost < 0:
+            self._head_cost = head_cost(self.headers)
+        return held_bytes + self._head_cost + body_cost(self.body_bytes)
+
+    def refuse(self) -> bool:
+        """Answer that the request has not run; return False if it may have."""
+        if self.started or self.received:
+            return False
+        return isinstance(self.sink, RefusableSink) and self.sink.refuse()
+
     @property
     def is_abandoned(self) -> bool:
         """Whether the caller has left without waiting for the answer."""
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -11,6 +11,7 @@
 
 from .exchange import Exchange, Headers
 from .hangup import has_hung_up, reset
+from .memory_budget import CONNECTION_BYTES, FIELD_BYTES
 from .request_meter import RequestMeter
 from .server_state import Rejection, ServerState
 from .taking import EndedConnection, EndReason, TakingMeter
@@ -114,6 +115,8 @@
             before = self._meter.requests
             self._feed(unparsed.take(self._slice_bytes))
             turns.spend(self._meter.requests - before)
+            if self._meter.requests > before:
+                self._account()
             if turns.left <= 0:
                 break
         if self.exchanges:
@@ -123,6 +126,7 @@
         elif unparsed.size_bytes and self._may_parse:
             self._waits_for_turn = True
             turns.wait(self._parse)
+        self._account()
         self._update_reading()
 
     @property
@@ -230,6 +234,7 @@
             bool(chunked),
             length,
         )
+        self._headers = []
         self._reading = exchange
         self.exchanges.append(exchange)
         if size > self.state.limits.header_bytes:
@@ -247,6 +252,7 @@
         exchange = self._reading
         if exchange is None or self._closing:
             return
+        exchange.body_bytes += len(data)
         self._meter.add_body(len(data))
         self._enforce_size_limits()
         if exchange.sink is not None and not self._closing:
@@ -271,7 +277,7 @@
                 self._end_on_fault(exchange, error)
         elif exchange.failed:
             self._answer_fault(exchange)
-        if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
+        if len(self.exchanges) >= self._max_pending:
             self._pipeline_full = True
             self._update_reading()
         self.flush()
@@ -341,6 +347,10 @@
 
     def flush(self) -> None:
         """Write available answers in the order of their requests."""
+        self._write_answers()
+        self._account()
+
+    def _write_answers(self) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -366,7 +376,7 @@
             self.state.mark_idle(self)
 
     def _advance_pipeline(self) -> None:
-        if self._pipeline_full and len(self.exchanges) < MAX_PIPELINED_REQUESTS // 2:
+        if self._pipeline_full and 2 * len(self.exchanges) < self._max_pending:
             self._pipeline_full = False
             self._continue()
         self._notify_writable()
@@ -413,26 +423,56 @@
         if untaken_ms > self.state.limits.idle_timeout_ms:
             self.end(EndReason.UNTAKEN)
 
+    @property
+    def _max_pending(self) -> int:
+        """Pending requests above which nothing is read."""
+        return 1 if self.state.budget.is_crowded else MAX_PIPELINED_REQUESTS
+
+    def _account(self) -> None:
+        if self in self.state.connections:
+            self.state.budget.update(self, self.held_bytes)
+            if self.state.budget.is_exceeded:
+                self.state.schedule_relief()
+
+    def give_way(self) -> None:
+        """Refuse a request that was not passed on, else reset the connection."""
+        if len(self.exchanges) == 1:
+            held_bytes = self.held_bytes
+            try:
+                refused = self.exchanges[0].refuse()
+            except Exception as error:
+                self.state.on_fault(error, True)
+                refused = False
+            if refused:
+                self._report_end(EndReason.MEMORY, held_bytes)
+                return
+        self.end(EndReason.MEMORY)
+
     def end(self, reason: EndReason) -> None:
         """Reset the connection, for the sake of the node."""
+        self._report_end(reason, self.held_bytes)
+        if self._transport is not None:
+            reset(self._transport)
+
+    def _report_end(self, reason: EndReason, held_bytes: int) -> None:
         self.state.on_end(
             EndedConnection(
                 reason,
-                self.held_bytes,
+                held_bytes,
                 len(self.exchanges),
                 len(self.state.connections),
             )
         )
-        if self._transport is not None:
-            reset(self._transport)
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of requests and answers that wait here."""
+        """Memory of the requests and answers that wait here."""
         transport = self._transport
         unsent_bytes = 0 if transport is None else transport.get_write_buffer_size()
-        parts = (len(part) for one in self.exchanges for part in one.parts)
-        return unsent_bytes + self._unparsed.size_bytes + sum(parts)
+        held_bytes = CONNECTION_BYTES + unsent_bytes + self._unparsed.size_bytes
+        if self._meter.in_head:
+            held_bytes += FIELD_BYTES * len(self._headers) + self._meter.head_bytes
+        return held_bytes + sum(one.held_bytes for one in self.exchanges)
 
     def exclude_pause(self, pause_s: float) -> None:
         """Exclude a time in which the node did not read from the timeouts."""
--- a/azurestep/http/server_state.py
+++ b/azurestep/http/server_state.py
@@ -1,5 +1,6 @@
 """State that all connections of a listener share, and what they report."""
 
+import asyncio
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -11,6 +12,7 @@
 from ..values import Value
 from .connection_limit import choose_to_close
 from .exchange import Handler, answer_error
+from .memory_budget import MemoryBudget
 from .taking import EndedConnection, EndReason
 from .unparsed import ParsingTurns
 
@@ -40,6 +42,9 @@
     def end(self, reason: EndReason) -> None:
         """Reset the connection, for the sake of the node."""
 
+    def give_way(self) -> None:
+        """Refuse a request that was not passed on, else reset the connection."""
+
     def abort(self) -> None:
         """Reset the connection."""
 
@@ -99,6 +104,8 @@
         one first.
     max_connections : float
         Connections that may be open at once.
+    budget : MemoryBudget
+        What all connections hold.
     turns : ParsingTurns
         Shares the event loop between connections that have read many requests.
     """
@@ -114,6 +121,8 @@
     paused: set[ListenerConnection] = attrs.field(factory=set)
     waiting: dict[ListenerConnection, None] = attrs.field(factory=dict)
     max_connections: float = math.inf
+    budget: MemoryBudget[ListenerConnection] = attrs.field(factory=MemoryBudget)
+    _relief_is_due: bool = False
     turns: ParsingTurns = attrs.field(factory=ParsingTurns)
 
     def add(self, connection: ListenerConnection) -> None:
@@ -132,6 +141,20 @@
         self.connections.discard(connection)
         self.paused.discard(connection)
         self.waiting.pop(connection, None)
+        self.budget.remove(connection)
+
+    def schedule_relief(self) -> None:
+        """Let connections give way in the next iteration of the event loop."""
+        if not self._relief_is_due:
+            self._relief_is_due = True
+            asyncio.get_running_loop().call_soon(self.relieve)
+
+    def relieve(self) -> None:
+        """Let those connections give way that hold most, if all hold too much."""
+        self._relief_is_due = False
+        for connection in self.budget.choose():
+            self.budget.remove(connection)
+            connection.give_way()
 
     def mark_idle(self, connection: ListenerConnection) -> None:
         """Record that a connection has no pending request from now on."""
--- a/azurestep/mesh/callers/call.py
+++ b/azurestep/mesh/callers/call.py
@@ -109,6 +109,13 @@
         else:
             self._dispatch()
 
+    def refuse(self) -> bool:
+        """Refuse a request that was not sent anywhere; return False if it was."""
+        if self.done or self._body.streamed or self.record.nodes_tried:
+            return False
+        self._refuse(Reason.OVERLOADED, MIN_RETRY_AFTER_MS)
+        return True
+
     def on_disconnect(self) -> None:
         """Cancel the request, since its caller has disconnected."""
         if self.done:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -80,6 +80,10 @@
 With a limit of 300 ms, nodes of 0.43 core took peers for unresponsive in bursts
 whenever a configuration came.
 """
+DEFAULT_MEMORY_MB = 300
+CALLER_MEMORY_RATIO = 0.35
+"""Part of the instance's memory for what callers' connections hold, as it is counted;
+messages to peers and backend servers, and the node itself, take the rest."""
 STALL_LOG_MS = 300.0
 """Event loop delay above which it is logged as a stall."""
 GC_THRESHOLD = 20_000
@@ -264,7 +268,7 @@
             on_reject=self._log_rejection,
             on_end=self._log_ended_caller,
         )
-        self._apply_descriptors()
+        self._apply_limits()
         self.shutdown = GracefulShutdown(
             runtime,
             settings.instance,
@@ -275,7 +279,10 @@
             self._stop_accepting,
         )
 
-    def _apply_descriptors(self) -> None:
+    def _apply_limits(self) -> None:
+        """Apply the limits of the instance to all callers together."""
+        memory_mb = self.settings.memory_mb or DEFAULT_MEMORY_MB
+        self.callers.budget.limit_bytes = CALLER_MEMORY_RATIO * memory_mb * 1_000_000
         descriptors = count_descriptors(self.settings.file_descriptors)
         self.callers.max_connections = limit_connections(descriptors)
 
@@ -371,7 +378,7 @@
         self.quotas.set_bounds(settings.bounds)
         self.inbound.address = settings.backend_address
         self._apply_revocation_bound()
-        self._apply_descriptors()
+        self._apply_limits()
         events.log(events.RELOADED, changed=True, service=settings.service)
 
     @property
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -150,6 +150,8 @@
     file_descriptors : int
         Files and connections that the process may have open; 0 if only the limit of the
         process itself counts.
+    memory_mb : int
+        Memory of the instance in MB; 0 if unknown.
     """
 
     instance: str
@@ -168,6 +170,7 @@
     link_mbps: float = 0.0
     counts_former_runs: bool = False
     file_descriptors: int = 0
+    memory_mb: int = 0
 
 
 def read_settings(path: pathlib.Path) -> MeshSettings:
@@ -216,6 +219,7 @@
             link_mbps=_parse_link_rate(fields["link_mbps"]),
             counts_former_runs=bool(fields.get("counts_former_runs", False)),
             file_descriptors=_parse_limit(fields.get("file_descriptors")),
+            memory_mb=_parse_limit(fields.get("memory_mb")),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise SettingsError(
--- a/tests/test_callers_in_crowds.py
+++ b/tests/test_callers_in_crowds.py
@@ -25,7 +25,9 @@
 
 CROWD = 600
 CONNECTIONS = 150
+PIPELINED = 64
 HEADER_LIMIT_BYTES = 16_384
+BODY_LIMIT_BYTES = 4_000_000
 MEMORY_KB = 300 * 1024
 SPARE_DESCRIPTORS = 20
 PRESSING_S = 3.0
@@ -253,6 +255,20 @@
     await check_crowd(stage)
 
 
+async def test_unfinished_bodies_do_not_fill_a_node(stage: Stage) -> None:
+    """Guards against bodies inside the limit that together exceed the memory."""
+    fields = "attempt-id: crowd", f"Content-Length: {BODY_LIMIT_BYTES}"
+    request = head("/read/crowd", *fields, method="POST")
+    await stage.press(CONNECTIONS, request + b"b" * (BODY_LIMIT_BYTES - 1))
+    await check_crowd(stage)
+
+
+async def test_pipelined_heads_do_not_fill_a_node(stage: Stage) -> None:
+    """Guards against large heads of many requests that are pending at once."""
+    await stage.press(CONNECTIONS, large_head() * PIPELINED)
+    await check_crowd(stage)
+
+
 async def test_idle_connections_leave_descriptors_for_requests(
     limited_stage: Stage,
 ) -> None:
