--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -10,9 +10,12 @@
 import httptools
 
 from .exchange import Exchange, Headers
-from .hangup import has_hung_up
+from .hangup import has_hung_up, reset
+from .memory_budget import CONNECTION_BYTES, FIELD_BYTES
 from .request_meter import LimitExceededError, ParsingStoppedError, RequestMeter
 from .server_state import Rejection, ServerState
+from .taking import EndedConnection, EndReason, TakingMeter
+from .unparsed import CHUNKED_SLICE_BYTES, SLICE_BYTES, UnparsedBytes
 
 MAX_PIPELINED_REQUESTS = 64
 
@@ -29,6 +32,9 @@
         self._headers: Headers = []
         self._target = b""
         self._meter = RequestMeter()
+        self._taking = TakingMeter()
+        self._unparsed = UnparsedBytes()
+        self._waits_for_turn = False
         self._read_bytes = 0
         self._dropped_bytes = 0
         self._closing = False
@@ -43,7 +49,7 @@
         """Register the connection."""
         self._transport = transport  # type: ignore[assignment]
         self._idle_since_s = self._loop.time()
-        self.state.connections.add(self)
+        self.state.add(self)
 
     def eof_received(self) -> bool:
         """Notify all pending requests, though answers may still be unsent."""
@@ -52,12 +58,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify all pending requests that the caller disconnected."""
-        self.state.connections.discard(self)
-        self.state.paused.discard(self)
+        self.state.remove(self)
         self._end_exchanges()
 
     def _end_exchanges(self) -> None:
         self._closing = True
+        self._unparsed.clear()
         exchanges, self.exchanges = self.exchanges, deque()
         for exchange in exchanges:
             exchange.finished = True
@@ -97,11 +103,62 @@
             self.state.answer_fault(exchange)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, or drop them on a connection that is closing."""
+        """Parse received bytes as far as the pending requests allow.
+
+        On a connection that is closing they are dropped.
+        """
         if self._closing:
             self._dropped_bytes += len(data)
             self._update_reading()
             return
+        self._unparsed.append(data)
+        if not self._waits_for_turn:
+            self._parse()
+
+    def _parse(self) -> None:
+        """Parse at least one slice, and more while it is this connection's turn."""
+        self._waits_for_turn = False
+        turns, unparsed = self.state.turns, self._unparsed
+        while unparsed.size_bytes and self._may_parse:
+            before = self._meter.requests
+            self._feed(unparsed.take(self._slice_bytes))
+            turns.spend(self._meter.requests - before)
+            if self._meter.requests > before:
+                self._account()
+            if turns.left <= 0:
+                break
+        if self.exchanges:
+            self.state.waiting.pop(self, None)
+        if self._closing:
+            unparsed.clear()
+        elif unparsed.size_bytes and self._may_parse:
+            self._waits_for_turn = True
+            turns.wait(self._parse)
+        self._account()
+        self._update_reading()
+
+    @property
+    def _may_parse(self) -> bool:
+        """Whether neither a body, nor requests or answers, are waited for."""
+        return not (
+            self._closing
+            or self._body_paused
+            or self._pipeline_full
+            or self._paused_writing
+        )
+
+    @property
+    def _slice_bytes(self) -> int:
+        """Bytes to parse next; all that can't hold another request."""
+        exchange = self._reading
+        if exchange is None:
+            return SLICE_BYTES
+        if exchange.chunked:
+            return CHUNKED_SLICE_BYTES
+        return max(SLICE_BYTES, exchange.length - self._meter.body_bytes)
+
+    def _feed(self, data: bytes) -> None:
+        """Parse bytes."""
         now_s = self._loop.time()
         self._read_bytes = len(data)
         self._meter.begin_read()
@@ -130,13 +187,17 @@
             self.abort()
 
     def pause_writing(self) -> None:
-        """Record that the write buffer is full."""
+        """Record that the write buffer is full; further answers and requests wait."""
         self._paused_writing = True
+        self._update_reading()
 
     def resume_writing(self) -> None:
-        """Notify the first request that the write buffer has room again."""
+        """Write answers that waited, and continue with the requests."""
         self._paused_writing = False
-        self._notify_writable()
+        self.flush()
+        if not self._paused_writing:
+            self._notify_writable()
+            self._continue()
 
     def _notify_writable(self) -> None:
         exchange = self.exchanges[0] if self.exchanges else None
@@ -192,6 +253,7 @@
             bool(chunked),
             length,
         )
+        self._headers = []
         self._reading = exchange
         self.exchanges.append(exchange)
         try:
@@ -204,6 +266,7 @@
         exchange = self._reading
         if exchange is None or self._closing:
             return
+        exchange.body_bytes += len(data)
         self._meter.add_body(len(data), self.state.limits)
         if exchange.sink is not None:
             try:
@@ -227,7 +290,7 @@
                 self._end_on_fault(exchange, error)
         elif exchange.failed:
             self._answer_fault(exchange)
-        if len(self.exchanges) >= MAX_PIPELINED_REQUESTS:
+        if len(self.exchanges) >= self._max_pending:
             self._pipeline_full = True
             self._update_reading()
         self.flush()
@@ -240,13 +303,21 @@
     def resume_reading(self) -> None:
         """Continue to read from the caller, unless too many requests are pending."""
         self._body_paused = False
+        self._continue()
+
+    def _continue(self) -> None:
+        """Parse what waits, apart from the current call stack, and read on."""
+        if self._unparsed.size_bytes and self._may_parse and not self._waits_for_turn:
+            self._waits_for_turn = True
+            self.state.turns.wait(self._parse)
         self._update_reading()
 
     def _update_reading(self) -> None:
         transport, now_s = self._transport, self._loop.time()
         if transport is None or transport.is_closing():
             return
-        if self._body_paused or self._pipeline_full or self._drops_too_much:
+        waits = self._unparsed.size_bytes or not (self._closing or self._may_parse)
+        if waits or self._drops_too_much:
             if self._paused_since_s is None:
                 self._paused_since_s = now_s
                 self.state.paused.add(self)
@@ -282,12 +353,12 @@
 
     @property
     def busy(self) -> bool:
-        """Whether an answer is pending or the write buffer has unsent bytes.
+        """Whether requests are pending or the write buffer has unsent bytes.
 
         Unsent bytes count because a process that exits discards them, which would
         truncate an answer to a slow caller.
         """
-        if self.exchanges:
+        if self.exchanges or self._unparsed.size_bytes:
             return True
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
@@ -299,14 +370,20 @@
 
     def flush(self) -> None:
         """Write available answers in the order of their requests."""
+        self._write_answers()
+        self._account()
+
+    def _write_answers(self) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        while self.exchanges:
+        while self.exchanges and not self._paused_writing:
             exchange = self.exchanges[0]
             if exchange.parts:
-                transport.write(b"".join(exchange.parts))
+                data = b"".join(exchange.parts)
                 exchange.parts.clear()
+                self._taking.written_bytes += len(data)
+                transport.write(data)
             if not exchange.finished:
                 return
             closes = not exchange.received or (
@@ -317,12 +394,14 @@
                 transport.close()
                 return
             self._advance_pipeline()
-        self._idle_since_s = self._loop.time()
+        if not self.exchanges:
+            self._idle_since_s = self._loop.time()
+            self.state.mark_idle(self)
 
     def _advance_pipeline(self) -> None:
-        if self._pipeline_full and len(self.exchanges) < MAX_PIPELINED_REQUESTS // 2:
+        if self._pipeline_full and 2 * len(self.exchanges) < self._max_pending:
             self._pipeline_full = False
-            self._update_reading()
+            self._continue()
         self._notify_writable()
 
     def abort(self) -> None:
@@ -339,6 +418,7 @@
         """Close the connection unless a request is pending or being read."""
         if (
             not self.exchanges
+            and not self._unparsed.size_bytes
             and not self._meter.in_head
             and self._transport is not None
         ):
@@ -361,10 +441,72 @@
         elif (now_s - self._idle_since_s) * 1000 > limits.idle_timeout_ms:
             self.close_if_idle()
 
+    def abort_if_untaken(self, now_s: float) -> None:
+        """Reset the connection if its caller has long taken nothing of its answers."""
+        transport = self._transport
+        if transport is None:
+            return
+        unsent_bytes = transport.get_write_buffer_size()
+        untaken_ms = self._taking.update(unsent_bytes, now_s)
+        if untaken_ms > self.state.limits.idle_timeout_ms:
+            self.end(EndReason.UNTAKEN)
+
+    @property
+    def _max_pending(self) -> int:
+        """Pending requests above which nothing is read."""
+        return 1 if self.state.budget.is_crowded else MAX_PIPELINED_REQUESTS
+
+    def _account(self) -> None:
+        if self in self.state.connections:
+            self.state.budget.update(self, self.held_bytes)
+            if self.state.budget.is_exceeded:
+                self.state.schedule_relief()
+
+    def give_way(self) -> None:
+        """Refuse a request that was not passed on, else reset the connection."""
+        if len(self.exchanges) == 1:
+            held_bytes = self.held_bytes
+            try:
+                refused = self.exchanges[0].refuse()
+            except Exception as error:
+                self.state.on_fault(error, True)
+                refused = False
+            if refused:
+                self._report_end(EndReason.MEMORY, held_bytes)
+                return
+        self.end(EndReason.MEMORY)
+
+    def end(self, reason: EndReason) -> None:
+        """Reset the connection, for the sake of the node."""
+        self._report_end(reason, self.held_bytes)
+        if self._transport is not None:
+            reset(self._transport)
+
+    def _report_end(self, reason: EndReason, held_bytes: int) -> None:
+        self.state.on_end(
+            EndedConnection(
+                reason,
+                held_bytes,
+                len(self.exchanges),
+                len(self.state.connections),
+            )
+        )
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the requests and answers that wait here."""
+        transport = self._transport
+        unsent_bytes = 0 if transport is None else transport.get_write_buffer_size()
+        held_bytes = CONNECTION_BYTES + unsent_bytes + self._unparsed.size_bytes
+        if self._meter.in_head:
+            held_bytes += FIELD_BYTES * len(self._headers) + self._meter.head_bytes
+        return held_bytes + sum(one.held_bytes for one in self.exchanges)
+
     def exclude_pause(self, pause_s: float) -> None:
         """Exclude a time in which the node did not read from the timeouts."""
         self._meter.exclude(pause_s)
         self._idle_since_s += pause_s
+        self._taking.exclude(pause_s)
 
     def _send_continue(self) -> None:
         if self._transport is not None and not self.exchanges:
--- a/azurestep/mesh/node.py
+++ b/azurestep/mesh/node.py
@@ -14,9 +14,11 @@
 
 from .. import signals
 from ..errors import SettingsError
+from ..http.connection_limit import count_descriptors, limit_connections
 from ..http.exchange import Handler
 from ..http.server import ServerConnection
 from ..http.server_state import Rejection, ServerState
+from ..http.taking import EndedConnection
 from ..listening import BACKLOG, close_listener
 from ..platform.store import StoreClient
 from ..quarantine import QuarantineUpdate
@@ -83,6 +85,10 @@
 With a limit of 300 ms, nodes of 0.43 core took peers for unresponsive in bursts
 whenever a configuration came.
 """
+DEFAULT_MEMORY_MB = 300
+CALLER_MEMORY_RATIO = 0.35
+"""Part of the instance's memory for what callers' connections hold, as it is counted;
+messages to peers and backend servers, and the node itself, take the rest."""
 STALL_LOG_MS = 300.0
 """Event loop delay above which it is logged as a stall."""
 GC_THRESHOLD = 20_000
@@ -266,7 +272,9 @@
             runtime.fault_handler("caller"),
             answer_bad_gateway,
             on_reject=self._log_rejection,
+            on_end=self._log_ended_caller,
         )
+        self._apply_limits()
         self.shutdown = GracefulShutdown(
             runtime,
             settings.instance,
@@ -277,6 +285,13 @@
             self._stop_accepting,
         )
 
+    def _apply_limits(self) -> None:
+        """Apply the limits of the instance to all callers together."""
+        memory_mb = self.settings.memory_mb or DEFAULT_MEMORY_MB
+        self.callers.budget.limit_bytes = CALLER_MEMORY_RATIO * memory_mb * 1_000_000
+        descriptors = count_descriptors(self.settings.file_descriptors)
+        self.callers.max_connections = limit_connections(descriptors)
+
     async def run(self) -> None:
         """Serve until the node is stopped."""
         settings = self.settings
@@ -379,6 +394,7 @@
         self.quotas.set_bounds(settings.bounds)
         self.inbound.address = settings.backend_address
         self._apply_revocation_bound()
+        self._apply_limits()
         events.log(events.RELOADED, changed=True, service=settings.service)
 
     @property
@@ -496,6 +512,16 @@
             nodes=account.nodes,
         )
 
+    def _log_ended_caller(self, ended: EndedConnection) -> None:
+        self.runtime.metrics.count("caller_connections_ended", ended.reason)
+        events.log_routine(
+            events.CALLER_ENDED,
+            reason=str(ended.reason),
+            held_bytes=ended.held_bytes,
+            pending=ended.pending,
+            connections=ended.connections,
+        )
+
     def _log_rejection(self, rejection: Rejection) -> None:
         status = int(rejection.status)
         self.runtime.metrics.count("caller_rejections", str(status))
--- a/azurestep/mesh/settings.py
+++ b/azurestep/mesh/settings.py
@@ -160,6 +160,11 @@
         Whether a restarted node starts no runs until it knows how many of its former
         process occupy the backend server. Needed where a server's queue is shorter than
         the number of its slots.
+    file_descriptors : int
+        Files and connections that the process may have open; 0 if only the limit of the
+        process itself counts.
+    memory_mb : int
+        Memory of the instance in MB; 0 if unknown.
     """
 
     instance: str
@@ -177,6 +182,8 @@
     peer_listen_address: Address | None = None
     link_mbps: float = 0.0
     counts_former_runs: bool = False
+    file_descriptors: int = 0
+    memory_mb: int = 0
 
 
 def read_settings(path: pathlib.Path) -> MeshSettings:
@@ -226,6 +233,8 @@
             peer_listen_address=_optional_address(fields.get("peer_listen_address")),
             link_mbps=_parse_link_rate(fields["link_mbps"]),
             counts_former_runs=bool(fields.get("counts_former_runs", False)),
+            file_descriptors=_parse_limit(fields.get("file_descriptors")),
+            memory_mb=_parse_limit(fields.get("memory_mb")),
         )
     except (ArithmeticError, KeyError, TypeError, ValueError) as error:
         raise SettingsError(
@@ -247,5 +256,12 @@
     return rate_mbps
 
 
+def _parse_limit(value: Any) -> int:
+    limit = int(value or 0)
+    if limit < 0:
+        raise ValueError(f"{value!r} is not a limit")
+    return limit
+
+
 def _optional_address(value: Any) -> Address | None:
     return parse_address(value) if value else None
