Pipelined heads at the limit kept new connections unaccepted

What callers saw: beside 150 connections of pipelined heads at the limit, a new connection was now and then unanswered for as long as the crowd's requests lasted, 40 s and more.

Cause: an iteration of the event loop parsed 128 requests of any size, which took about half a second with heads of the smallest fields (event 9008, pauses of 304 to 949 ms). Few connections are accepted in each iteration: the kernel listed 6 that were not accepted, the ordinary one among them.

Change: the turns of connections count bytes of heads beside requests.

--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -113,8 +113,10 @@
         turns, unparsed = self.state.turns, self._unparsed
         while unparsed.size_bytes and self._may_parse:
             before = self._meter.requests
-            self._feed(unparsed.take(self._slice_bytes))
-            turns.spend(self._meter.requests - before)
+            in_body = self._reading is not None
+            data = unparsed.take(self._slice_bytes)
+            self._feed(data)
+            turns.spend(self._meter.requests - before, 0 if in_body else len(data))
             if self._meter.requests > before:
                 self._account()
             if turns.left <= 0:
--- a/azurestep/http/unparsed.py
+++ b/azurestep/http/unparsed.py
@@ -16,9 +16,12 @@
 requests in them is small."""
 CHUNKED_SLICE_BYTES = 4096
 """The same within a chunked body."""
-TURN_REQUESTS = 128
-"""Requests that are parsed in one iteration of the event loop, beside the first one of
-each read."""
+REQUEST_COST_BYTES = 512
+"""Bytes of heads that take as long to parse as the handling of a request."""
+TURN_BYTES = 65_536
+"""Bytes of heads, and of requests by their cost, that are parsed in one iteration of
+the event loop, beside the first slice of each read. Long iterations delay new callers,
+as each accepts few connections."""
 
 
 @attrs.define(slots=True, eq=False, repr=False)
@@ -70,17 +73,17 @@
     Attributes
     ----------
     left : int
-        Requests that may still be parsed in this iteration.
+        Bytes that may still be parsed in this iteration.
     """
 
-    left: int = TURN_REQUESTS
+    left: int = TURN_BYTES
     _waiting: "deque[Callable[[], None]]" = attrs.field(factory=deque)
     _scheduled: bool = False
 
-    def spend(self, requests: int) -> None:
-        """Count requests that were parsed."""
-        if requests:
-            self.left -= requests
+    def spend(self, requests: int, head_bytes: int) -> None:
+        """Count requests and bytes of heads that were parsed."""
+        if requests or head_bytes:
+            self.left -= requests * REQUEST_COST_BYTES + head_bytes
             self._schedule()
 
     def wait(self, parse: Callable[[], None]) -> None:
@@ -96,7 +99,7 @@
     def begin_iteration(self) -> None:
         """Let connections that wait continue, as many as have a turn."""
         self._scheduled = False
-        self.left = TURN_REQUESTS
+        self.left = TURN_BYTES
         for _ in range(len(self._waiting)):
             if self.left <= 0:
                 break
--- a/tests/test_http_untaken_answers.py
+++ b/tests/test_http_untaken_answers.py
@@ -7,7 +7,7 @@
 from azurestep.http.memory_budget import CONNECTION_BYTES
 from azurestep.http.server import MAX_PIPELINED_REQUESTS, ServerConnection
 from azurestep.http.taking import EndedConnection, EndReason
-from azurestep.http.unparsed import SLICE_BYTES, TURN_REQUESTS
+from azurestep.http.unparsed import REQUEST_COST_BYTES, SLICE_BYTES, TURN_BYTES
 
 from .test_http_request_limits import (
     ClockLoop,
@@ -90,7 +90,7 @@
 ) -> None:
     """Guards against one iteration of the event loop that parses a crowd's reads."""
     listener.receive(READ * 4000)
-    assert len(listener.bodies) < TURN_REQUESTS + IN_A_SLICE
+    assert len(listener.bodies) < TURN_BYTES // REQUEST_COST_BYTES + IN_A_SLICE
     other = ServerConnection(listener.state)
     transport = RecordingTransport()
     other.connection_made(transport)
@@ -101,6 +101,15 @@
     assert listener.transport.reads
 
 
+def test_large_heads_of_one_read_share_an_iteration(listener: Listener) -> None:
+    """Guards against iterations so long that connections wait to be accepted."""
+    large = head_of(["a: b"] * 250, first="GET /r HTTP/1.1")
+    listener.receive(large * 100)
+    assert len(listener.bodies) * len(large) < TURN_BYTES + SLICE_BYTES
+    run_iterations(listener)
+    assert len(listener.bodies) == 100
+
+
 def test_bytes_that_wait_go_with_their_caller(listener: Listener) -> None:
     """Guards against requests that begin after their caller has left."""
     listener.answers = False
