Links held half messages of up to 96 MB each, without a sum

What callers and operators saw: any process that reaches a node's address for peers could take all of its memory with messages that never end, before it had said who it is.

Cause: the limit of a message is one of a link. A link had neither a limit nor a time until its hello, and no sum stood over all links.

Change: a link is reset if its first message exceeds 64 KiB, or if no hello has come after twice 5 s (the second time, since a node that stood still may not have read it). All links together hold 112 MiB of incomplete messages, one of the largest and many usual ones; beyond it those fail that hold more than 256 KiB.

--- a/azurestep/mesh/links/connection.py
+++ b/azurestep/mesh/links/connection.py
@@ -214,6 +214,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the requests in flight; those that were confirmed may have run."""
+        self._decoder.close()
         self.link.runtime.run_guarded("link_out", self.link.on_connection_lost, self)
         self._fail_streams()
 
--- a/azurestep/mesh/links/decoding.py
+++ b/azurestep/mesh/links/decoding.py
@@ -332,4 +332,9 @@
                     messages.append((NO_STREAM, schema.build(*fields[1:])))
         except (ValueError, msgpack.UnpackException) as error:
             self.fault = str(error) or repr(error)
+            self.close()
         return messages
+
+    def close(self) -> None:
+        """Drop the bytes of an incomplete message."""
+        self._rows.close()
--- a/azurestep/mesh/links/server.py
+++ b/azurestep/mesh/links/server.py
@@ -61,6 +61,10 @@
 """Shortest time between two such reports."""
 URGENT_FAILURE_RATIO = 0.3
 """Failure ratio that is reported to peers at once when it is crossed."""
+MAX_FIRST_MESSAGE_BYTES = 65_536
+"""Bytes that a link may send before its first message, its hello, is complete."""
+HELLO_TIMEOUT_MS = 5000.0
+"""Time from the opening of a link until its hello, which is sent at once."""
 MIN_DELAY_GROWTH = 0.01
 """Fraction of the excess that each message adds to the link's minimum delay, so that
 clock drift doesn't make all later requests look late."""
@@ -344,6 +348,8 @@
         self.incoming_links = incoming_links
         self.peer: Hello | None = None
         self._decoder = Decoder(INCOMING_LINK_SCHEMAS)
+        self._bytes_before_first: int | None = 0
+        self._hello_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._has_written_outcome = False
         self._runs: dict[int, Run] = {}
@@ -358,6 +364,7 @@
         self._transport = transport  # type: ignore[assignment]
         incoming_links = self.incoming_links
         incoming_links.links.add(self)
+        self._await_hello(self._await_hello_again)
         self.send(Kind.HELLO, *fields_of(incoming_links.hello()))
         now_ms = incoming_links.runtime.now_ms()
         for rollout in incoming_links.inbound.rollouts:
@@ -376,6 +383,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the peer's requests."""
+        self._cancel_hello_timer()
+        self._decoder.close()
         self.incoming_links.remove(self)
         for stream_id in list(self._runs):
             self._cancel_run(stream_id)
@@ -396,6 +405,7 @@
     def data_received(self, data: bytes) -> None:
         """Handle messages, except those of requests cancelled in the same read."""
         messages = self._decoder.feed(data)
+        self._limit_first_message(data, bool(messages))
         cancelled = {
             stream_id for stream_id, message in messages if isinstance(message, Cancel)
         }
@@ -411,6 +421,34 @@
             events.log(events.PEER_MALFORMED, cause=self._decoder.fault)
             self.abort()
 
+    def _limit_first_message(self, data: bytes, has_messages: bool) -> None:
+        """Reset a link that sends too much before its first message is complete."""
+        if self._bytes_before_first is None:
+            return
+        if has_messages:
+            self._bytes_before_first = None
+            return
+        self._bytes_before_first += len(data)
+        if self._bytes_before_first > MAX_FIRST_MESSAGE_BYTES:
+            self._end_unidentified("the first message is too long")
+
+    def _await_hello(self, on_timeout: Callable[[], None]) -> None:
+        runtime = self.incoming_links.runtime
+        self._hello_timer = runtime.call_later(HELLO_TIMEOUT_MS, on_timeout)
+
+    def _await_hello_again(self) -> None:
+        """Wait once more: after a pause, the hello may not be read yet."""
+        self._await_hello(lambda: self._end_unidentified("no hello came in time"))
+
+    def _end_unidentified(self, cause: str) -> None:
+        self._decoder.close()
+        events.log(events.PEER_MALFORMED, cause=cause)
+        self.abort()
+
+    def _cancel_hello_timer(self) -> None:
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
+
     def _skip(self, message: Message) -> None:
         """Log a request whose sender has cancelled it before it was read."""
         if isinstance(message, Request):
@@ -537,6 +575,7 @@
         self.write(PONG)
 
     def _on_hello(self, _: int, hello: Hello) -> None:
+        self._cancel_hello_timer()
         self.peer = hello
         self.incoming_links.identify(self, hello)
 
--- a/azurestep/mesh/links/unpacking.py
+++ b/azurestep/mesh/links/unpacking.py
@@ -21,6 +21,11 @@
 """Longest array that is decoded. The library allocates an array as soon as its
 length is read: at its own limit, five bytes claim 800 MB."""
 
+MAX_HELD_BYTES = MAX_MESSAGE_BYTES + 16 * 1024 * 1024
+"""Bytes of incomplete rows that all links may hold together: one of the largest rows,
+and many usual ones. Beyond it, links that hold more than ``SHORT_ROW_BYTES`` fail."""
+SHORT_ROW_BYTES = 262_144
+
 UNLIMITED = 0
 """The library's limit is one of all bytes that it holds, also those of further rows;
 ``RowReader`` limits each row."""
@@ -34,6 +39,8 @@
     ----------
     max_message_bytes : int
         Size of the largest row that is unpacked.
+    held_bytes : int
+        Bytes of incomplete rows that all links hold.
 
     Examples
     --------
@@ -45,6 +52,7 @@
     """
 
     max_message_bytes: int = MAX_MESSAGE_BYTES
+    held_bytes: int = 0
     _spare: msgpack.Unpacker | None = None
 
     def borrow(self) -> msgpack.Unpacker:
@@ -98,6 +106,7 @@
     _received: int = 0
     """Position behind all bytes that were received."""
     _held_bytes: int = 0
+    _incomplete_bytes: int = 0
 
     @property
     def holds_unpacker(self) -> bool:
@@ -126,12 +135,29 @@
             self._check_size(end)
             self._row_began = end
             yield row
-        if self._row_began < self._received:
+        self._record_incomplete(self._received - self._row_began)
+        if self._incomplete_bytes:
             self._check_size(self._received)
+            self._check_sum()
             self._unpacker = unpacker
         elif self._held_bytes <= MAX_SPARE_BUFFER_BYTES:
             self.pool.give_back(unpacker)
 
+    def close(self) -> None:
+        """Drop the bytes of an incomplete row."""
+        self._unpacker = None
+        self._record_incomplete(0)
+
+    def _record_incomplete(self, size_bytes: int) -> None:
+        self.pool.held_bytes += size_bytes - self._incomplete_bytes
+        self._incomplete_bytes = size_bytes
+
+    def _check_sum(self) -> None:
+        """Raise ValueError if all links hold too much, and this one not little."""
+        is_long = self._incomplete_bytes > SHORT_ROW_BYTES
+        if is_long and self.pool.held_bytes > MAX_HELD_BYTES:
+            raise ValueError(f"links hold more than {MAX_HELD_BYTES} bytes of messages")
+
     def _check_size(self, end: int) -> None:
         """Raise ValueError if a row that reaches to a position is too large."""
         limit_bytes = self.pool.max_message_bytes
--- a/tests/test_clients_beyond_limits.py
+++ b/tests/test_clients_beyond_limits.py
@@ -12,9 +12,17 @@
 import pytest_asyncio
 from aiohttp import ClientSession, ClientTimeout, TCPConnector
 
+from azurestep.mesh import messages
 from azurestep.platform.topics import CONFIGURATION_KEY, OPERATOR_TOPIC
 from soak.document import document
-from soak.fleet import ANNOUNCE_PORT, CALLER_PORT, METRICS_PORT, READY_PORT, Fleet
+from soak.fleet import (
+    ANNOUNCE_PORT,
+    CALLER_PORT,
+    METRICS_PORT,
+    PEER_LISTEN_PORT,
+    READY_PORT,
+    Fleet,
+)
 from standins.store import StoreStandIn
 
 from .crowd import Crowd, Pieces
@@ -58,7 +66,7 @@
 
 
 @attrs.frozen
-class Kind:
+class Sent:
     """What a crowd sends.
 
     Attributes
@@ -83,49 +91,61 @@
 LARGE_FIELD = b"x-field: " + b"v" * 8000 + b"\r\n"
 CHUNKS = b"%x\r\n%b\r\n" % (16_000, b"b" * 16_000)
 BODY = b"b" * READ_BYTES
+LONG_VALUE = b"\x92\x01\xc6\x05\x00\x00\x00"
+"""Begin of a message of 80 MB in the format of links."""
+HELLO = messages.encode(
+    messages.Kind.HELLO,
+    *messages.fields_of(
+        messages.Hello(messages.PROTOCOL_VERSION, ("127.0.0.9", 7202), "dc-1", 1, 0, 1)
+    ),
+)
 KINDS = {
-    "heads_of_smallest_fields": Kind(repeat(head_begin(GET), SMALLEST)),
-    "heads_of_usual_fields": Kind(repeat(head_begin(GET), b"x-name: a value\r\n")),
-    "heads_that_trickle": Kind(
+    "heads_of_smallest_fields": Sent(repeat(head_begin(GET), SMALLEST)),
+    "heads_of_usual_fields": Sent(repeat(head_begin(GET), b"x-name: a value\r\n")),
+    "heads_that_trickle": Sent(
         repeat(head_begin(GET), SMALLEST, large_reads=False), pause_s=0.05, max_s=4.5
     ),
-    "heads_of_one_field": Kind(repeat(head_begin(GET) + b"x-field: ", b"v")),
-    "heads_of_one_field_name": Kind(repeat(head_begin(GET), b"n")),
-    "heads_of_a_target": Kind(repeat(b"GET /read/", b"t")),
-    "heads_of_a_method": Kind(repeat(b"", b"M")),
-    "empty_lines": Kind(repeat(b"", b"\r\n")),
-    "empty_lines_of_lf": Kind(repeat(b"", b"\n")),
-    "empty_lines_of_cr": Kind(repeat(b"", b"\r")),
-    "empty_lines_after_an_answer": Kind(repeat(head(GET), b"\r\n")),
-    "trailers_of_smallest_fields": Kind(
+    "heads_of_one_field": Sent(repeat(head_begin(GET) + b"x-field: ", b"v")),
+    "heads_of_one_field_name": Sent(repeat(head_begin(GET), b"n")),
+    "heads_of_a_target": Sent(repeat(b"GET /read/", b"t")),
+    "heads_of_a_method": Sent(repeat(b"", b"M")),
+    "empty_lines": Sent(repeat(b"", b"\r\n")),
+    "empty_lines_of_lf": Sent(repeat(b"", b"\n")),
+    "empty_lines_of_cr": Sent(repeat(b"", b"\r")),
+    "empty_lines_after_an_answer": Sent(repeat(head(GET), b"\r\n")),
+    "trailers_of_smallest_fields": Sent(
         repeat(head(POST, *CHUNKED) + b"0\r\n", SMALLEST)
     ),
-    "trailers_of_large_fields": Kind(
+    "trailers_of_large_fields": Sent(
         repeat(head(POST, *CHUNKED) + b"0\r\n", LARGE_FIELD)
     ),
-    "chunk_extension_without_end": Kind(repeat(head(POST, *CHUNKED) + b"1;", b"e")),
-    "extension_of_each_chunk": Kind(
+    "chunk_extension_without_end": Sent(repeat(head(POST, *CHUNKED) + b"1;", b"e")),
+    "extension_of_each_chunk": Sent(
         repeat(head(POST, *CHUNKED), b"1;" + b"e" * 1000 + b"\r\nb\r\n")
     ),
-    "chunk_size_without_end": Kind(repeat(head(POST, *CHUNKED), b"0")),
-    "announced_and_sent_bodies": Kind(repeat(announced(10**12), BODY)),
-    "chunked_bodies": Kind(repeat(head(POST, *CHUNKED), CHUNKS)),
-    "announced_bodies_never_sent": Kind(
+    "chunk_size_without_end": Sent(repeat(head(POST, *CHUNKED), b"0")),
+    "announced_and_sent_bodies": Sent(repeat(announced(10**12), BODY)),
+    "chunked_bodies": Sent(repeat(head(POST, *CHUNKED), CHUNKS)),
+    "announced_bodies_never_sent": Sent(
         repeat(announced(MAX_BODY_BYTES), b"b", large_reads=False), max_bytes=1
     ),
-    "endpoints_heads": Kind(
+    "endpoints_heads": Sent(
         repeat(head_begin(HEARTBEAT), SMALLEST), ports=ENDPOINT_PORTS
     ),
-    "endpoints_empty_lines": Kind(repeat(b"", b"\r\n"), ports=ENDPOINT_PORTS),
-    "endpoints_trailers": Kind(
+    "endpoints_empty_lines": Sent(repeat(b"", b"\r\n"), ports=ENDPOINT_PORTS),
+    "endpoints_trailers": Sent(
         repeat(head(HEARTBEAT, *CHUNKED) + b"0\r\n", SMALLEST), ports=ENDPOINT_PORTS
     ),
-    "endpoints_bodies": Kind(
+    "endpoints_bodies": Sent(
         repeat(head(HEARTBEAT, "Content-Length: 60000000"), BODY), ports=ENDPOINT_PORTS
     ),
-    "endpoints_chunked_bodies": Kind(
+    "endpoints_chunked_bodies": Sent(
         repeat(head(HEARTBEAT, *CHUNKED), CHUNKS), ports=ENDPOINT_PORTS
     ),
+    "links_of_one_message": Sent(repeat(LONG_VALUE, b"m"), ports=(PEER_LISTEN_PORT,)),
+    "links_of_one_message_after_a_hello": Sent(
+        repeat(HELLO + LONG_VALUE, b"m"), ports=(PEER_LISTEN_PORT,)
+    ),
 }
 
 
