A blank behind a length let a caller hide requests in a body

What callers and operators saw: a backend server ran a request that stood in the body of another one, past routes, keys and quotas; an honest upload with such a field ran with an empty body.

Cause: "Content-Length: 900000 " is parsed with its length, but the blank stays in the field's value, which was then taken for no number and the length for 0. A body above 512 KiB is passed on as it comes, behind a head that says 0.

Change: blanks are stripped, and a length that can't be read is answered 400 before anything is passed on.

--- a/azurestep/http/request_meter.py
+++ b/azurestep/http/request_meter.py
@@ -28,8 +28,8 @@
     """Stops the parsing of a read, the rest of which is dropped."""
 
 
-class LimitExceededError(ParsingStoppedError):
-    """Stops the parsing of a read at the first byte that exceeds a limit.
+class RequestRejectedError(ParsingStoppedError):
+    """Stops the parsing of a read within a request that can't be handled.
 
     Attributes
     ----------
@@ -42,6 +42,10 @@
         self.status = status
 
 
+class LimitExceededError(RequestRejectedError):
+    """Stops the parsing of a read at the first byte that exceeds a limit."""
+
+
 @attrs.define(slots=True, eq=False, repr=False)
 class RequestMeter:
     """Measures the requests of one connection, one after the other.
--- a/azurestep/http/server.py
+++ b/azurestep/http/server.py
@@ -12,7 +12,12 @@
 from .exchange import Exchange, Headers
 from .hangup import has_hung_up, reset
 from .memory_budget import CONNECTION_BYTES, FIELD_BYTES
-from .request_meter import LimitExceededError, ParsingStoppedError, RequestMeter
+from .request_meter import (
+    LimitExceededError,
+    ParsingStoppedError,
+    RequestMeter,
+    RequestRejectedError,
+)
 from .server_state import Rejection, ServerState
 from .taking import EndedConnection, EndReason, TakingMeter
 from .unparsed import CHUNKED_SLICE_BYTES, SLICE_BYTES, UnparsedBytes
@@ -182,7 +187,7 @@
 
     def _end_parsing(self, cause: BaseException) -> None:
         """Reject a request whose parsing was stopped, or reset after a fault."""
-        if isinstance(cause, LimitExceededError):
+        if isinstance(cause, RequestRejectedError):
             self._reject(cause.status)
         elif not isinstance(cause, ParsingStoppedError):
             self.state.on_fault(cause, False)
@@ -236,8 +241,8 @@
         chunked = expects = length = 0
         for name, value in self._headers:
             lower = name.lower()
-            if lower == b"content-length" and value.isdigit():
-                length = int(value)
+            if lower == b"content-length":
+                length = _read_length(value)
             elif lower == b"transfer-encoding":
                 chunked = 1
             elif lower == b"expect" and value.lower() == b"100-continue":
@@ -550,3 +555,17 @@
         self._target = b""
         # The parser keeps the field that it was reading, and refers to this object.
         del self._parser
+
+
+def _read_length(value: bytes) -> int:
+    """Return the length in a Content-Length field, which blanks may follow.
+
+    Raises
+    ------
+    RequestRejectedError
+        If it can't be read, so that nothing passes on another length than was parsed.
+    """
+    digits = value.strip(b" \t")
+    if not digits.isdigit():
+        raise RequestRejectedError(HTTPStatus.BAD_REQUEST)
+    return int(digits)
--- a/tests/test_clients_beyond_limits.py
+++ b/tests/test_clients_beyond_limits.py
@@ -271,3 +271,27 @@
     while node.descriptors > wanted and loop.time() < end_s:
         await asyncio.sleep(0.05)
     return node.descriptors
+
+
+@pytest.mark.parametrize("blank", [b"", b" ", b"\t"])
+async def test_a_blank_behind_a_length_hides_no_request_in_a_body(
+    node: RunningNode, blank: bytes
+) -> None:
+    """Guards against bodies that a backend server reads as requests."""
+    await node.answered()
+    hidden = (
+        b"GET /hidden HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: hidden\r\n"
+        b"Expected-Instance: i-0-0\r\n\r\n"
+    )
+    body = hidden * (900_000 // len(hidden))
+    length = b"%d%b" % (len(body), blank)
+    reader, writer = await asyncio.open_connection(node.host, CALLER_PORT)
+    writer.write(head_begin(POST) + b"Content-Length: " + length + b"\r\n\r\n" + body)
+    await writer.drain()
+    status = await asyncio.wait_for(reader.readline(), ANSWERED_WITHIN_S)
+    writer.close()
+    server = node.fleet.instances[0].server
+    posted = [one for one in server.received if one.method == "POST"]
+    assert status.startswith(b"HTTP/1.1 200")
+    assert [len(one.body) for one in posted] == [len(body)]
+    assert not any(one.target == "/hidden" for one in server.received)
