The binary wrote its log lines into a library if a standard stream was closed

Operators saw exit status 1 after SIGTERM, with an AttributeError of azurestep_boot.main, from a binary that was started with standard output closed. Its lines were lost and took memory: the launcher and the finder of extensions open memory files before the program occupies the standard descriptors, so descriptor 1 was the memory file of orjson.

The new test starts the binary with closed streams. With the launcher as it was:

E assert 1 == 0 E + where 1 = wait(20.0) FAILED ...test_closed_standard_descriptors_are_given_to_libraries[>&-] E AssertionError: assert not {'/memfd:azurestep-library (deleted)', '/memfd:orjson.orjson (deleted)'} FAILED ...test_closed_standard_descriptors_are_given_to_libraries[<&- >&- 2>&-]

The launcher opens the null device in place of closed descriptors first. After: both pass.

--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -15,11 +15,14 @@
 import pytest
 
 from azurestep import __version__
+from azurestep.platform.boot import SETTINGS_VARIABLE
 from azurestep.settings import Settings, unstructure_settings
 from bench.fleet import free_ports, wait_for_port
 from standins.log import LogStandIn
 from tools.binary.build import collect, compile_module, write_binary
 
+from .test_process_starts import TIMEOUT_S, answers, settings_content, wait_until
+
 
 @attrs.frozen
 class Binary:
@@ -125,3 +128,26 @@
         output, errors = await asyncio.to_thread(process.communicate, timeout=60)
     assert process.returncode == 0, errors
     assert list(tmp_path.iterdir()) == [path]
+
+
+@pytest.mark.parametrize("redirections", [">&-", "<&- >&- 2>&-"])
+def test_closed_standard_descriptors_are_given_to_libraries(
+    binary: Binary, redirections: str
+) -> None:
+    """Log lines were appended to the memory file of a library, and it ended with 1."""
+    settings = binary.home / "settings.json"
+    settings.write_bytes(settings_content())
+    process = subprocess.Popen(
+        ["/bin/sh", "-c", f'exec "$0" sidecar {redirections}', str(binary.path)],
+        env={SETTINGS_VARIABLE: str(settings)},
+    )
+    try:
+        wait_until(answers)
+        opened = pathlib.Path(f"/proc/{process.pid}/fd")
+        names = {str((opened / number).readlink()) for number in "012"}
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(TIMEOUT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+    assert not {name for name in names if name.startswith("/memfd:")}
--- a/tools/binary/launcher.c
+++ b/tools/binary/launcher.c
@@ -48,6 +48,18 @@
     return count;
 }
 
+/* Opens the null device in place of closed standard descriptors. A memory file would
+ * get such a number, and the program's output would be written to a library. */
+static void occupy_standard_descriptors(void) {
+    int opened;
+    do {
+        opened = open("/dev/null", O_RDWR);
+        if (opened < 0)
+            fail("the null device can't be opened");
+    } while (opened <= STDERR_FILENO);
+    close(opened);
+}
+
 /* The descriptor stays open: the loader knows a library by this path. */
 static void *load(int file, const struct entry *entry) {
     int memory = memfd_create("azurestep-library", MFD_CLOEXEC);
@@ -102,6 +114,7 @@
 }
 
 int main(int argc, char **argv) {
+    occupy_standard_descriptors();
     char archive[PATH_MAXIMUM];
     ssize_t length = readlink("/proc/self/exe", archive, sizeof archive - 1);
     if (length < 0)
