A node whose command follows an option ended by the signals of its start

The new test sends signals from the start to the end of such a process. On the code before:

E AssertionError: assert -15 == 0 FAILED ...test_an_option_before_the_command_leaves_its_signals_unhandled

The command is the first argument that is no option.

--- a/azurestep/__main__.py
+++ b/azurestep/__main__.py
@@ -7,7 +7,8 @@
 
 def main() -> int:
     """Run the command and return its exit status."""
-    command = "".join(sys.argv[1:2])
+    words = (word for word in sys.argv[1:] if not word.startswith("-"))
+    command = next(words, "")
     # Before the other imports, which take most of the start.
     signals.take_over(command)
     try:
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -60,13 +60,16 @@
         return orjson.dumps({**fields, "service": self.service})
 
     def start(
-        self, prepare: Callable[[], object] | None = None, settings: bytes = b""
+        self,
+        prepare: Callable[[], object] | None = None,
+        settings: bytes = b"",
+        command: tuple[str, ...] = ("sidecar",),
     ) -> None:
         self.settings_path.write_bytes(settings or self.content())
         paths = [path for path in sys.path if path.endswith("site-packages")]
         with (self.directory / "lines").open("wb") as lines:
             self.process = subprocess.Popen(
-                [sys.executable, "-P", "-S", "-m", "azurestep", "sidecar"],
+                [sys.executable, "-P", "-S", "-m", "azurestep", *command],
                 cwd=self.directory,
                 env={
                     "PYTHONPATH": ":".join([*paths, str(ROOT)]),
@@ -223,6 +226,18 @@
     assert len(listening.lines(STOPPED)) == 1
 
 
+def test_an_option_before_the_command_leaves_its_signals_unhandled(
+    node: NodeProcess,
+) -> None:
+    """Guards against a command that is looked for as the first argument only."""
+    node.start(command=("--debug", "sidecar"))
+    wait_for(node.is_signalled_safely)
+    while node.status is None:
+        node.send(signal.SIGTERM, signal.SIGHUP)
+        time.sleep(0.001)
+    assert node.status == 0
+
+
 def test_hundreds_of_reload_signals_leave_former_settings(
     listening: NodeProcess,
 ) -> None:
