A full standard error changed the exit status of a wrong usage to 1

Operators saw status 1 instead of 2 from a command with wrong arguments whose standard error was full: the usage was printed past the function that errors are reported with.

The new test starts such a command with /dev/full. On the code before:

E AssertionError: assert 1 == 2 FAILED ...test_an_unwritable_usage_changes_the_exit_status

The usage is written as errors are. After: the test passes.

--- a/azurestep/cli/parse.py
+++ b/azurestep/cli/parse.py
@@ -12,6 +12,7 @@
 from .. import __version__
 from ..environment import Environment
 from ..errors import UsageError
+from ..standard_streams import write_if_possible
 from ..status import ExitStatus
 from .definition import SIDECAR_USAGE, USAGE
 from .options import (
@@ -56,8 +57,8 @@
             USAGE, arguments, default_help=False, version=None
         )
     except docopt.DocoptExit as error:
-        print(error.usage, file=environment.stderr)
-        print("See azurestep --help.", file=environment.stderr)
+        text = f"{error.usage}\nSee azurestep --help.\n"
+        write_if_possible(text, environment.stderr)
         return ExitStatus.USAGE
     if parsed["--help"]:
         print(USAGE, file=environment.stdout, end="")
--- a/tests/test_process_starts.py
+++ b/tests/test_process_starts.py
@@ -23,7 +23,7 @@
 HOST = f"127.{78 + os.getpid() % 20}.{1 + os.getpid() // 20 % 250}.1"
 """Loopback address of this process, so that test processes can run in parallel."""
 COMMAND = (sys.executable, "-P", "-S", "-m", "azurestep", "sidecar")
-STATUS_INVALID, STATUS_PORT_IN_USE = 3, 9
+STATUS_USAGE, STATUS_INVALID, STATUS_PORT_IN_USE = 2, 3, 9
 METRICS_PORT, CALLER_PORT, PEER_PORT = 7701, 7702, 7703
 TIMEOUT_S = 20.0
 
@@ -222,6 +222,14 @@
     assert start_node(redirections).process.wait(TIMEOUT_S) == STATUS_INVALID
 
 
+def test_an_unwritable_usage_changes_the_exit_status() -> None:
+    """It ended with 1 and a traceback that nobody could read."""
+    with pathlib.Path("/dev/full").open("wb") as full:
+        command = [sys.executable, "-m", "azurestep", "sidecar", "--unknown"]
+        process = subprocess.run(command, cwd=ROOT, stderr=full, check=False)
+    assert process.returncode == STATUS_USAGE
+
+
 @pytest.mark.parametrize("port", [METRICS_PORT, CALLER_PORT, PEER_PORT])
 def test_a_port_that_the_former_process_holds_ends_the_start(
     start_node: StartNode, port: int
