Tests: a SIGHUP that came before the node listens could be lost unnoticed

With the lines that follow such a signal removed from run_with_signals, all tests of reloads passed: the check of the settings file, each 2 s, finds the change in the process tests, and the unit test sends further signals. The new test sends one, before the node listens. On that broken code:

E TimeoutError FAILED ...test_a_reload_signal_of_the_start_is_lost

On the code as it is: passed.

--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -375,6 +375,20 @@
     await running
 
 
+async def test_a_reload_signal_of_the_start_is_lost(received) -> None:
+    """Guards against settings that stay as they were when the start read them."""
+    fake = FakeNode()
+    received.record(signal.SIGHUP)
+    running = asyncio.create_task(run_with_signals(fake))
+    await asyncio.sleep(0)
+    fake.listening.set()
+    async with asyncio.timeout(WAIT_S):
+        while not fake.reloads:
+            await asyncio.sleep(0)
+    received.record(signal.SIGTERM)
+    await running
+
+
 async def test_a_start_that_waits_for_something_ignores_a_stop(received) -> None:
     """Guards against SIGTERM that has no effect until the node listens."""
     fake = FakeNode()
