The soak's node that keeps its first keys did so by an internal error

Its change of the configuration raised AttributeError, as the teams of a table are those of its document, and ended the task that reads the store, so that no later version came.

The broken node sets the teams of the document, and takes later versions with the first keys, as its name says. The checks are the same.

--- a/tests/broken_node.py
+++ b/tests/broken_node.py
@@ -168,7 +168,7 @@
         applied = plain(self, content, origin, took_ms)
         if self.table is not None:
             first.append(self.table.teams)
-            object.__setattr__(self.table, "teams", first[0])
+            object.__setattr__(self.table.document, "teams", first[0])
         return applied
 
     configuration.Configuration.apply = apply  # type: ignore[method-assign]
