--- a/review/rig.py
+++ b/review/rig.py
@@ -581,6 +581,7 @@
         }
         self.target_port = 0
         self.first_start = True
+        self.more_settings: dict[str, object] = {}
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -611,7 +612,8 @@
             "platform": {"address": f"{store[0]}:{store[1]}", "form": "log"},
         }
         path = self.folder / f"boot-{self.index}.yaml"
-        path.write_text(render((ROOT / role["template"]).read_text(), fields))
+        settings = json.loads(render((ROOT / role["template"]).read_text(), fields))
+        path.write_text(json.dumps({**settings, **self.more_settings}))
         kept = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -712,16 +714,20 @@
         **options: object,
     ) -> None:
         """Start a machine for each service named, and wait until all are ready."""
-        if not (ROOT / "target/deps/azurestep").is_dir():
-            raise CaseError("the build of the deploy file is missing")
-        self.store.put("keyed.op", "config", json.dumps(configuration).encode())
-        await self.store.start(f"{self.network}.250")
+        await self.begin(configuration)
         for service in services:
             await self.add(service, **options)
         for node in self.nodes:
             node.start(self.store.address, self.bounds)
         await self.await_ready()
 
+    async def begin(self, configuration: dict[str, object]) -> None:
+        """Start the store, and write the first configuration."""
+        if not (ROOT / "target/deps/azurestep").is_dir():
+            raise CaseError("the build of the deploy file is missing")
+        self.store.put("keyed.op", "config", json.dumps(configuration).encode())
+        await self.store.start(f"{self.network}.250")
+
     async def add(self, service: str, **options: object) -> tuple[Node, Target]:
         """Add a machine, and start its target."""
         index = len(self.nodes)
