End the processes of a stopped case, and tell a broken setup from a broken rule

A case that was stopped by SIGTERM went on without its nodes, and an error in a script gave exit status 1.

--- a/review/rig.py
+++ b/review/rig.py
@@ -24,6 +24,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+STARTED: list[subprocess.Popen[bytes]] = []
+"""Processes of nodes that were started here."""
 LENGTH = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 HEARTBEAT_S = 1.5
@@ -632,6 +634,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        STARTED.append(self.process)
         self.first_start = False
 
     def signal(self, number: signal.Signals) -> None:
@@ -823,6 +826,14 @@
     }
 
 
+def end_started(number: int, frame: object) -> None:
+    """End all nodes and this process, as the case is stopped from outside."""
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+    os._exit(NOT_RUN)
+
+
 def play(
     folder: pathlib.Path,
     case: Callable[[Record, bool], Awaitable[bool]],
@@ -836,11 +847,11 @@
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("begin", trouble=trouble)
-    # All processes are ended also if the case is stopped from outside.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, end_started)
+    signal.signal(signal.SIGINT, end_started)
     try:
         held = asyncio.run(asyncio.wait_for(case(record, trouble), longest_s))
-    except (CaseError, TimeoutError, OSError, KeyboardInterrupt) as error:
+    except Exception as error:
         record.add("not_run", cause=repr(error))
         print(f"the case couldn't run: {error!r}")
         record.write()
