--- a/review/5/case.py
+++ b/review/5/case.py
@@ -74,7 +74,7 @@
     record.add("completed")
     for node, target in old:
         target.stop()
-        node.end()
+        node.signal(signal.SIGTERM)
     del deployment.nodes[: len(old)]
 
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
@@ -103,7 +104,7 @@
         if state == "completed":
             for node, target in old_targets:
                 target.stop()
-                node.end()
+                node.signal(signal.SIGTERM)
             if not is_bad and new == "v2":
                 return
 
